--- /dev/null
+++ b/packages/pomelofold/src/protocol/manifest.ts
@@ -0,0 +1,105 @@
+/**
+ * The manifest: the operators' configuration of a cell, kept in version control and
+ * committed whole to the platform's service.
+ *
+ * @module
+ */
+
+import { z } from 'zod'
+import { JOB_CLASSES } from './jobs.js'
+import { requestClassSchema } from './requests.js'
+import { capacitySchema } from './vms.js'
+
+const nameSchema = z.string().regex(/^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/, 'must be 1 to 63 letters, digits, dots, underscores or dashes, starting with a letter or digit')
+
+/** Names of placement policies. Each is an entry of the table of policies. */
+export const PLACEMENT_POLICIES = {
+  /** Fills workers one after the other. */
+  tight: 'tight',
+  /** Puts tasks on different failure domains and racks. */
+  spread: 'spread',
+  /** Puts all tasks into one rack or failure domain. */
+  together: 'together'
+} as const
+
+/** A promise on waiting time: the share `target` of requests of `class` is sent to an upstream within `waitMs`. */
+export const objectiveSchema = z.strictObject({
+  class: requestClassSchema,
+  waitMs: z.number().positive(),
+  target: z.number().gt(0).lt(1),
+  /** Length of the period over which the target counts, in days. */
+  windowDays: z.number().positive().default(28)
+})
+
+/** A service answered by service instances. */
+export const serviceSchema = z.strictObject({
+  name: nameSchema,
+  /** Expected time to answer, in milliseconds, until it is learned. */
+  expectedMs: z.number().positive().default(50),
+  /** Requests that come without a deadline get this one, in milliseconds. */
+  defaultDeadlineMs: z.number().positive().default(10_000),
+  /** Largest accepted body, in bytes. */
+  maxBodyBytes: z.number().int().positive().max(1_000_000).default(1_000_000),
+  /** True when a request without at-most-once may be sent again after it may have run. */
+  idempotent: z.boolean().default(false),
+  objectives: z.array(objectiveSchema).default([])
+})
+
+/** A long-running service: tasks that run on workers until the manifest no longer names them. */
+export const listenerSchema = z.strictObject({
+  name: nameSchema,
+  team: nameSchema,
+  replicas: z.number().int().nonnegative().max(10_000),
+  size: capacitySchema,
+  class: z.enum(JOB_CLASSES).default(JOB_CLASSES.normal),
+  placement: z.enum(PLACEMENT_POLICIES).default(PLACEMENT_POLICIES.spread),
+  payload: z.string().max(65_536).default('')
+})
+
+/** A team with its quota. */
+export const teamSchema = z.strictObject({
+  name: nameSchema,
+  /** Size that the team's tasks may hold at once. */
+  quota: capacitySchema,
+  /** Requests that the team may have waiting and running at once in each failure domain. Unlimited when absent. */
+  requestLimit: z.number().int().positive().optional(),
+  /** Whether the team may use what other teams leave free. */
+  borrow: z.boolean().default(true)
+})
+
+const uniqueNames = (items: Array<{ name: string }>): boolean => new Set(items.map(item => item.name)).size === items.length
+const UNIQUE = { message: 'names must be unique' }
+
+/** The manifest. */
+export const manifestSchema = z.strictObject({
+  /** Version of the format. */
+  format: z.literal(1),
+  services: z.array(serviceSchema).max(1000).default([]).refine(uniqueNames, UNIQUE),
+  longRunning: z.array(listenerSchema).max(2000).default([]).refine(uniqueNames, UNIQUE),
+  teams: z.array(teamSchema).max(500).default([]).refine(uniqueNames, UNIQUE),
+  /** Placement policy of each kind of job. */
+  placement: z.strictObject({
+    batch: z.enum(PLACEMENT_POLICIES).default(PLACEMENT_POLICIES.tight),
+    gang: z.enum(PLACEMENT_POLICIES).default(PLACEMENT_POLICIES.together)
+  }).default({ batch: PLACEMENT_POLICIES.tight, gang: PLACEMENT_POLICIES.together })
+}).superRefine((manifest, ctx) => {
+  const teams = new Set(manifest.teams.map(team => team.name))
+  manifest.longRunning.forEach((item, i) => {
+    if (!teams.has(item.team)) ctx.addIssue({ code: 'custom', path: ['longRunning', i, 'team'], message: `must be the name of a team of this manifest: ${[...teams].join(', ') || '(none)'}` })
+  })
+})
+
+/** A checked manifest with defaults filled in. */
+export type Manifest = z.infer<typeof manifestSchema>
+
+/** A manifest with the revision under which the platform's service holds it. 0 when there is none yet. */
+export interface RevisedManifest {
+  revision: number
+  manifest: Manifest
+}
+
+/** The manifest of a cell to which none has been submitted. */
+export const EMPTY_MANIFEST: Manifest = manifestSchema.parse({ format: 1 })
+
+/** Key of the manifest in the platform's service. */
+export const MANIFEST_KEY = 'pomelofold/config/manifest'
--- /dev/null
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -0,0 +1,125 @@
+/**
+ * Messages between entry daemons, with the validators that stand at the boundary.
+ * To add a method, add one entry to {@link peerMethodSchemas}.
+ *
+ * @module
+ */
+
+import { z } from 'zod'
+import { jobSpecSchema, jobViewSchema } from './jobs.js'
+import { manifestSchema } from './manifest.js'
+import { requestRecordSchema, serviceAnswerSchema, serviceLoadSchema, serviceRequestSchema } from './requests.js'
+
+/** Version of the protocol between entry daemons. Peers of another version are refused. */
+export const PEER_PROTOCOL_VERSION = 1
+
+/** Loads by service name. */
+const loadsSchema = z.record(z.string(), serviceLoadSchema)
+
+/** What a peer knows of a keyed request before it is dispatched. */
+export const onceDecisionSchema = z.discriminatedUnion('decision', [
+  /** The caller of this method, and nobody else, may send the request. */
+  z.object({ decision: z.literal('run'), token: z.string() }),
+  z.object({ decision: z.literal('ran'), answer: serviceAnswerSchema }),
+  z.object({ decision: z.literal('running') }),
+  z.object({ decision: z.literal('unknown') }),
+  /** The key was used with another body. */
+  z.object({ decision: z.literal('conflict') }),
+  z.object({ decision: z.literal('refused'), detail: z.string(), retryAfterMs: z.number() })
+])
+
+/** What a peer knows of a keyed request before it is dispatched. */
+export type OnceDecision = z.infer<typeof onceDecisionSchema>
+
+/** Answer to a call about one job. */
+export const jobAnswerSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('job'), job: jobViewSchema }),
+  z.object({ kind: z.literal('notFound') }),
+  z.object({ kind: z.literal('conflict'), detail: z.string() }),
+  z.object({ kind: z.literal('cannotRun'), detail: z.string() }),
+  z.object({ kind: z.literal('unavailable'), detail: z.string(), retryAfterMs: z.number() })
+])
+
+/** Answer to a call about one job. */
+export type JobAnswer = z.infer<typeof jobAnswerSchema>
+
+/** Methods of the protocol: parameters and result of each. */
+export const peerMethodSchemas = {
+  /** Tells load and revision, and learns the same from the peer. */
+  heartbeat: {
+    params: z.object({ revision: z.number().int(), loads: loadsSchema }),
+    result: z.object({ revision: z.number().int(), loads: loadsSchema, leaving: z.boolean() })
+  },
+  fetchManifest: {
+    params: z.object({}),
+    result: z.object({ revision: z.number().int(), manifest: manifestSchema })
+  },
+  /** Runs a request on the peer's own service instances. */
+  forwardRequest: {
+    params: z.object({ request: serviceRequestSchema }),
+    result: z.object({ answer: serviceAnswerSchema, load: serviceLoadSchema.optional() })
+  },
+  /** Asks the home of a key whether the request may be sent. */
+  beginOnce: {
+    params: z.object({ key: z.string(), digest: z.string(), requestId: z.string(), deadlineMs: z.number() }),
+    result: onceDecisionSchema
+  },
+  /** Tells the home of a key what became of the request. */
+  finishOnce: {
+    params: z.object({ key: z.string(), token: z.string(), answer: serviceAnswerSchema }),
+    result: z.object({})
+  },
+  /**
+   * Asks the peer not to take over claims of the sender while the platform cannot be reached.
+   * The promise lasts `forMs` milliseconds from the peer's receipt.
+   */
+  promise: {
+    params: z.object({ forMs: z.number().positive(), mapRevision: z.number().int() }),
+    result: z.object({ granted: z.boolean(), mapRevision: z.number().int() })
+  },
+  submitJob: {
+    params: z.object({ jobId: z.string(), spec: jobSpecSchema, digest: z.string() }),
+    result: jobAnswerSchema
+  },
+  getJob: { params: z.object({ jobId: z.string() }), result: jobAnswerSchema },
+  cancelJob: { params: z.object({ jobId: z.string() }), result: jobAnswerSchema },
+  listJobs: {
+    params: z.object({}),
+    result: z.object({ jobs: z.array(jobViewSchema) })
+  },
+  explainRequest: { params: z.object({ requestId: z.string() }), result: requestRecordSchema.nullable() },
+  /** Figures for reports; see `reports/`. */
+  figures: { params: z.object({}), result: z.record(z.string(), z.unknown()) }
+} as const
+
+/** Name of a method. */
+export type PeerMethod = keyof typeof peerMethodSchemas
+
+/** Types of parameters and results by method. */
+export type PeerMethods = {
+  [M in PeerMethod]: {
+    params: z.infer<typeof peerMethodSchemas[M]['params']>
+    result: z.infer<typeof peerMethodSchemas[M]['result']>
+  }
+}
+
+/** First frame on a connection, from the side that opened it. */
+export const helloSchema = z.object({
+  type: z.literal('hello'),
+  protocol: z.number().int(),
+  vm: z.string().min(1),
+  failureDomain: z.string().min(1),
+  incarnation: z.string().min(1)
+})
+
+/** Frames on a connection after the first. */
+export const frameSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('welcome'), vm: z.string(), incarnation: z.string() }),
+  z.object({ type: z.literal('refused'), reason: z.string() }),
+  z.object({ type: z.literal('call'), id: z.number().int(), method: z.string(), params: z.unknown() }),
+  z.object({ type: z.literal('result'), id: z.number().int(), result: z.unknown() }),
+  z.object({ type: z.literal('error'), id: z.number().int(), message: z.string(), effect: z.enum(['none', 'unknown']) })
+])
+
+/** A frame after the first. */
+export type Frame = z.infer<typeof frameSchema>
--- /dev/null
+++ b/packages/pomelofold/src/protocol/problem.ts
@@ -0,0 +1,68 @@
+/**
+ * Problem documents (RFC 9457) of the HTTP interface.
+ *
+ * @module
+ */
+
+import type { z } from 'zod'
+import type { Outcome } from './requests.js'
+
+/** Content type of problem documents. */
+export const PROBLEM_CONTENT_TYPE = 'application/problem+json'
+
+/** A wrong field of a document: where, what it was, what is allowed. */
+export interface FieldFault {
+  path: string
+  message: string
+  value?: unknown
+}
+
+/** Body of an error answer. */
+export interface Problem {
+  type: string
+  title: string
+  status: number
+  detail: string
+  outcome?: Outcome
+  step?: string
+  peer?: string
+  requestId?: string
+  /** Milliseconds until it is worth coming back. */
+  retryAfterMs?: number
+  faults?: FieldFault[]
+}
+
+/** Kinds of problems. The `type` of a document is `urn:pomelofold:problem:<kind>`. */
+export const PROBLEMS = {
+  invalid: { status: 400, title: 'The input is not valid' },
+  unauthorized: { status: 401, title: 'A valid token is required' },
+  forbidden: { status: 403, title: 'The token does not allow this' },
+  notFound: { status: 404, title: 'Not found' },
+  conflict: { status: 409, title: 'Conflict with the current state' },
+  tooLarge: { status: 413, title: 'The input is too large' },
+  cannotRun: { status: 422, title: 'No VM can ever run this' },
+  overloaded: { status: 503, title: 'Cannot start in time' },
+  unavailable: { status: 503, title: 'A needed part cannot be reached' },
+  upstreamLost: { status: 504, title: 'The upstream did not answer' }
+} as const
+
+/** One of {@link PROBLEMS}. */
+export type ProblemKind = keyof typeof PROBLEMS
+
+/** Builds a problem document. */
+export function problem (kind: ProblemKind, detail: string, options: Omit<Partial<Problem>, 'type' | 'title' | 'status' | 'detail'> = {}): Problem {
+  return { type: `urn:pomelofold:problem:${kind}`, ...PROBLEMS[kind], detail, ...options }
+}
+
+/** Longest text of a faulty value that is shown back. */
+const SHOWN_VALUE_CHARS = 100
+
+/** The faults of a document refused by a schema, each with its field's path. */
+export function fieldFaults (err: z.ZodError, input: unknown): FieldFault[] {
+  return err.issues.map(issue => {
+    const fault: FieldFault = { path: issue.path.length ? issue.path.map(String).join('.') : '(root)', message: issue.message }
+    const value = issue.path.reduce<unknown>((at, step) => (at as Record<PropertyKey, unknown> | undefined)?.[step], input)
+    if (value !== undefined && typeof value !== 'object') fault.value = String(value).slice(0, SHOWN_VALUE_CHARS)
+    return fault
+  })
+}
--- /dev/null
+++ b/utils/demo.ts
@@ -0,0 +1,7 @@
+/**
+ * Runs the main job.
+ *
+ * @module
+ */
+
+console.log('demo: nothing to run yet')
