--- /dev/null
+++ b/packages/pomelofold/src/seams/authority.ts
@@ -0,0 +1,36 @@
+/**
+ * Which upstreams and duties this process decides for. Held by claims in the platform's service;
+ * see `docs/design/authority.md`.
+ *
+ * @module
+ */
+
+/** Names of claims. Every claim belongs to one failure domain and is held by one of its entry VMs. */
+export const CLAIMS = {
+  /** Placement of tasks on all workers of the failure domain. */
+  placer: (failureDomain: string): string => `${failureDomain}/placer`,
+  /** Records of keyed requests whose home is the shard. */
+  home: (failureDomain: string, shard: number): string => `${failureDomain}/home/${shard}`,
+  /** Sending of requests to the service instance. */
+  instance: (failureDomain: string, instance: string): string => `${failureDomain}/instance/${instance}`
+} as const
+
+/** A listener that can be removed. */
+export interface Subscription {
+  cancel (): void
+}
+
+/** Answers who decides for what. Queries only; claims are taken and given up by the claim keeper. */
+export interface Authority {
+  /**
+   * Epoch under which this process holds `claim` now and will for at least `forMs` milliseconds more.
+   * Undefined when it does not. Ask right before each send.
+   */
+  epochOf (claim: string, forMs?: number): number | undefined
+  /** Names of the claims that this process holds now. */
+  held (): string[]
+  /** VM that holds `claim` by the last known claim map, this one included. */
+  holderOf (claim: string): string | undefined
+  /** Calls `fn` after the set of held claims or the claim map has changed. */
+  onChange (fn: () => void): Subscription
+}
--- a/packages/pomelofold/src/seams/upstreamClient.ts
+++ b/packages/pomelofold/src/seams/upstreamClient.ts
@@ -40,6 +40,8 @@
 export interface UpstreamClient {
   /** Sends a request to the service instance at `address` (`host:port`) and waits for the whole answer. */
   request (address: string, req: InstanceRequest, timeoutMs: number): Promise<Result<InstanceAnswer, CallError>>
+  /** Requests that the instance at `address` is running now, whoever sent them. */
+  instanceStatus (address: string, timeoutMs: number): Promise<Result<{ running: number, slots: number }, CallError>>
   /** Starts tasks at the worker at `address`, in one call. Answers come in the order of `starts`. */
   startTasks (address: string, epoch: number, starts: TaskStart[], timeoutMs: number):
   Promise<Result<TaskStartAnswer[], CallError>>
--- /dev/null
+++ b/packages/standins/src/memoryPlatform.ts
@@ -0,0 +1,101 @@
+/**
+ * The platform in one process: a client for each entry daemon under test, with faults switched per client.
+ *
+ * @module
+ */
+
+import Result from 'true-myth/result'
+import { CallError, CallTimeoutError, EFFECTS } from 'pomelofold/utils/errors'
+import type { VmRecord } from 'pomelofold/protocol/vms'
+import { delay, type Timers } from 'pomelofold/seams/timers'
+import type { CallOptions, Change, Guard, PlatformClient, RangeResult, StoredValue, TxnOutcome, Watch, WatchHandlers } from 'pomelofold/seams/platformClient'
+import type { KeyValueStore } from './keyValueStore.js'
+
+/** Deadline of calls that give none, in milliseconds. */
+const DEFAULT_TIMEOUT_MS = 1_000
+
+/** Faults of one client's link to the platform. Each may be changed at any moment. */
+export interface PlatformFaults {
+  /** No call reaches the platform; each ends by its deadline. */
+  cut: boolean
+  /** Calls take effect, but their answers are lost. */
+  loseAnswers: boolean
+  /** Time until a call takes effect, in milliseconds. */
+  delayMs: number
+}
+
+/** A client of a {@link KeyValueStore} in the same process. */
+export class MemoryPlatform implements PlatformClient {
+  readonly faults: PlatformFaults = { cut: false, loseAnswers: false, delayMs: 1 }
+  private readonly _store: KeyValueStore
+  private readonly _timers: Timers
+  private readonly _vms: () => VmRecord[]
+
+  constructor ({ store, timers, vms = () => [] }: { store: KeyValueStore, timers: Timers, vms?: () => VmRecord[] }) {
+    this._store = store
+    this._timers = timers
+    this._vms = vms
+  }
+
+  range (prefix: string, options?: CallOptions): Promise<Result<RangeResult, CallError>> {
+    return this._call('platform.range', () => this._store.range(prefix), options)
+  }
+
+  get (key: string, options?: CallOptions): Promise<Result<StoredValue | undefined, CallError>> {
+    return this._call('platform.get', () => this._store.get(key), options)
+  }
+
+  txn (guards: Guard[], changes: Change[], options?: CallOptions): Promise<Result<TxnOutcome, CallError>> {
+    return this._call('platform.txn', () => this._store.txn(guards, changes), options)
+  }
+
+  grantLease (ttlMs: number, options?: CallOptions): Promise<Result<{ leaseId: string, ttlMs: number }, CallError>> {
+    return this._call('platform.grantLease', () => this._store.grantLease(ttlMs), options)
+  }
+
+  keepAlive (leaseId: string, options?: CallOptions): Promise<Result<{ ttlMs: number }, CallError>> {
+    return this._call('platform.keepAlive', () => this._store.keepAlive(leaseId), options)
+  }
+
+  revokeLease (leaseId: string, options?: CallOptions): Promise<Result<void, CallError>> {
+    return this._call('platform.revokeLease', () => this._store.revokeLease(leaseId), options)
+  }
+
+  watch (prefix: string, fromRevision: number, handlers: WatchHandlers): Watch {
+    let closed = false
+    let end = (): void => { closed = true }
+    this._timers.after(this.faults.delayMs, () => {
+      if (closed) return
+      if (this.faults.cut) return handlers.onEnd('the platform cannot be reached')
+      const watch = this._store.watch(prefix, fromRevision, events => {
+        this._timers.after(this.faults.delayMs, () => { if (!this.faults.cut) handlers.onEvents(events) })
+      })
+      end = () => watch.close()
+    })
+    return { close: () => end() }
+  }
+
+  listVms (options?: CallOptions): Promise<Result<VmRecord[], CallError>> {
+    return this._call('platform.listVms', () => this._vms(), options)
+  }
+
+  private async _call<T> (step: string, call: () => T, options: CallOptions = {}): Promise<Result<T, CallError>> {
+    const { timeoutMs = DEFAULT_TIMEOUT_MS } = options
+    const details = { step, peer: 'platform', effect: EFFECTS.unknown }
+    if (this.faults.cut || this.faults.delayMs >= timeoutMs) {
+      const late = !this.faults.cut
+      if (late) this._timers.after(this.faults.delayMs, () => { call() })
+      await delay(this._timers, timeoutMs)
+      return Result.err(new CallTimeoutError(timeoutMs, details))
+    }
+    await delay(this._timers, this.faults.delayMs)
+    try {
+      const value = call()
+      if (!this.faults.loseAnswers) return Result.ok(value)
+    } catch (err) {
+      return Result.err(new CallError(String(err), { ...details, effect: EFFECTS.none }))
+    }
+    await delay(this._timers, timeoutMs - this.faults.delayMs)
+    return Result.err(new CallTimeoutError(timeoutMs, details))
+  }
+}
