--- /dev/null
+++ b/packages/pomelofold/src/config/manifestKeeper.ts
@@ -0,0 +1,179 @@
+/**
+ * Keeps the manifest in force. The revision never goes back: neither from the platform nor from peers
+ * is an older one taken.
+ *
+ * The holder of the failure domain's placer claim watches the platform; the other entry VMs hear of a new
+ * revision in heartbeats and fetch it from the peer that told. Every entry VM also reads the key at a
+ * long period, which bounds the time until a revision is in force when both fail.
+ *
+ * @module
+ */
+
+import Result from 'true-myth/result'
+import { match } from 'ts-pattern'
+import { CallError, EFFECTS } from '../utils/errors.js'
+import type { EventLog } from '../utils/eventLog.js'
+import { EMPTY_MANIFEST, MANIFEST_KEY, manifestSchema, type Manifest, type RevisedManifest } from '../protocol/manifest.js'
+import type { PlatformClient, StoredValue, Watch } from '../seams/platformClient.js'
+import type { RandomSource } from '../seams/randomSource.js'
+import type { Timers, TimerSubscription } from '../seams/timers.js'
+
+/** Period of reading the key besides the watch, in milliseconds. */
+const READ_PERIOD_MS = 8_000
+
+/** Period of checking whether this process has to watch, in milliseconds. */
+const WATCH_CHECK_PERIOD_MS = 500
+
+/** Reads made to settle a write whose answer was lost. */
+const SETTLE_READS = 3
+
+/** Result of a submission. */
+export type SubmitOutcome =
+  | { kind: 'accepted', revision: number }
+  /** Somebody else has committed since `baseRevision`; `revision` is the one in the platform. */
+  | { kind: 'conflict', revision: number }
+
+/** Asks a peer for its manifest. */
+export type FetchFromPeer = (vm: string) => Promise<Result<RevisedManifest, CallError>>
+
+/** Options of a {@link ManifestKeeper}. */
+export interface ManifestKeeperOptions {
+  timers: Timers
+  random: RandomSource
+  platform: PlatformClient
+  log: EventLog
+  /** Names of the other entry VMs. */
+  peers: string[]
+  fetchFromPeer: FetchFromPeer
+  /** Whether this process is the one of its failure domain that watches. */
+  shouldWatch: () => boolean
+}
+
+interface StoredManifest {
+  /** Distinguishes submissions, so that a lost answer can be settled by reading back. */
+  submission: string
+  manifest: unknown
+}
+
+/** The manifest in force at this process. */
+export class ManifestKeeper {
+  private readonly _options: ManifestKeeperOptions
+  private readonly _listeners = new Set<(current: RevisedManifest) => void>()
+  private readonly _periods: TimerSubscription[] = []
+  private _current: RevisedManifest = { revision: 0, manifest: EMPTY_MANIFEST }
+  private _watch: Watch | undefined
+
+  constructor (options: ManifestKeeperOptions) {
+    this._options = options
+  }
+
+  /** The manifest in force here, with its revision. */
+  current (): RevisedManifest {
+    return this._current
+  }
+
+  /** Calls `fn` with every newer manifest. */
+  onChange (fn: (current: RevisedManifest) => void): void {
+    this._listeners.add(fn)
+  }
+
+  /** Takes the newest manifest that the platform or any peer has, then keeps up with both. */
+  async start (): Promise<void> {
+    const { timers, peers } = this._options
+    await Promise.all([this._read(), ...peers.map(vm => this._fetch(vm))])
+    this._periods.push(
+      timers.every(READ_PERIOD_MS, () => { this._read() }),
+      timers.every(WATCH_CHECK_PERIOD_MS, () => this._checkWatch())
+    )
+  }
+
+  stop (): void {
+    for (const period of this._periods) period.cancel()
+    this._watch?.close()
+    this._watch = undefined
+  }
+
+  /** Hears that `vm` has `revision` in force. */
+  onPeerRevision (vm: string, revision: number): void {
+    if (revision > this._current.revision) this._fetch(vm)
+  }
+
+  /** Commits a manifest that was made against `baseRevision`. */
+  async submit (manifest: Manifest, baseRevision: number): Promise<Result<SubmitOutcome, CallError>> {
+    const { platform, random, log } = this._options
+    const submission = random.hex(16)
+    const stored: StoredManifest = { submission, manifest }
+    const txn = await platform.txn([{ key: MANIFEST_KEY, modRevision: baseRevision }], [{ op: 'put', key: MANIFEST_KEY, value: JSON.stringify(stored) }])
+    if (txn.isErr && txn.error.effect === EFFECTS.none) return Result.err(txn.error)
+    if (txn.isErr) return this._settle(submission, txn.error)
+    if (!txn.value.applied) return this._conflict()
+    log.event('info', 'manifest.accepted', { revision: txn.value.revision })
+    this._adopt({ revision: txn.value.revision, manifest }, 'submit')
+    return Result.ok({ kind: 'accepted', revision: txn.value.revision })
+  }
+
+  private async _conflict (): Promise<Result<SubmitOutcome, CallError>> {
+    const read = await this._options.platform.get(MANIFEST_KEY)
+    return read.map(stored => {
+      this._adoptStored(stored)
+      return { kind: 'conflict', revision: stored?.modRevision ?? 0 }
+    })
+  }
+
+  /** Finds out whether a write whose answer was lost has taken effect. */
+  private async _settle (submission: string, err: CallError): Promise<Result<SubmitOutcome, CallError>> {
+    for (let attempt = 0; attempt < SETTLE_READS; attempt++) {
+      const read = await this._options.platform.get(MANIFEST_KEY)
+      if (read.isErr) continue
+      this._adoptStored(read.value)
+      const isOwn = read.value !== undefined && (JSON.parse(read.value.value) as StoredManifest).submission === submission
+      if (isOwn) return Result.ok({ kind: 'accepted', revision: read.value!.modRevision })
+    }
+    const advice = 'ask for the status and submit again against its revision when the manifest is not in force'
+    return Result.err(new CallError('the answer was lost, and whether the manifest was committed could not be settled',
+      { step: 'manifest.submit', peer: err.peer, effect: EFFECTS.unknown, advice, cause: err }))
+  }
+
+  private async _read (): Promise<void> {
+    const read = await this._options.platform.get(MANIFEST_KEY)
+    match(read)
+      .with({ isOk: true }, ({ value }) => this._adoptStored(value))
+      .otherwise(() => this._options.log.event('debug', 'manifest.read.failed', { step: 'platform.get' }))
+  }
+
+  private async _fetch (vm: string): Promise<void> {
+    const fetched = await this._options.fetchFromPeer(vm)
+    if (fetched.isOk) this._adopt(fetched.value, vm)
+  }
+
+  private _checkWatch (): void {
+    const { platform, shouldWatch, log } = this._options
+    if (!shouldWatch()) {
+      this._watch?.close()
+      this._watch = undefined
+      return
+    }
+    if (this._watch) return
+    this._watch = platform.watch(MANIFEST_KEY, this._current.revision + 1, {
+      onEvents: events => { for (const event of events) this._adoptStored(event.value) },
+      onEnd: reason => {
+        log.event('info', 'manifest.watch.ended', { step: 'platform.watch', reason })
+        this._watch = undefined
+      }
+    })
+  }
+
+  private _adoptStored (stored: StoredValue | undefined): void {
+    if (!stored || stored.modRevision <= this._current.revision) return
+    const parsed = manifestSchema.safeParse((JSON.parse(stored.value) as StoredManifest).manifest)
+    if (parsed.success) this._adopt({ revision: stored.modRevision, manifest: parsed.data }, 'platform')
+    else this._options.log.event('error', 'manifest.unreadable', { revision: stored.modRevision, detail: parsed.error.message })
+  }
+
+  private _adopt (next: RevisedManifest, from: string): void {
+    if (next.revision <= this._current.revision) return
+    this._current = next
+    this._options.log.event('info', 'manifest.in-force', { revision: next.revision, peer: from })
+    for (const listener of this._listeners) listener(next)
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/edge/peerListener.ts
@@ -0,0 +1,139 @@
+/**
+ * Serves the connections that peers open: one task for each connection.
+ *
+ * @module
+ */
+
+import type { Server, Socket } from 'node:net'
+import { CallError, EFFECTS, errorText } from '../utils/errors.js'
+import type { EventLog } from '../utils/eventLog.js'
+import { encodeFrame, FrameDecoder } from '../protocol/framing.js'
+import { frameSchema, helloSchema, PEER_PROTOCOL_VERSION, peerMethodSchemas, type PeerMethod } from '../protocol/peerMessages.js'
+import type { PeerHandlers, PeerIdentity } from '../seams/peerTransport.js'
+import type { Timers } from '../seams/timers.js'
+
+/** Time for a new connection to say who it is, in milliseconds. */
+const HELLO_TIMEOUT_MS = 5_000
+
+/** Options of a {@link PeerListener}. */
+export interface PeerListenerOptions {
+  self: PeerIdentity
+  handlers: PeerHandlers
+  /** VMs that may connect, with their failure domains. */
+  members: ReadonlyMap<string, { failureDomain: string }>
+  timers: Timers
+  log: EventLog
+  createServer: (onConnection: (socket: Socket) => void) => Server
+}
+
+/** Accepts connections of peers and answers their calls. */
+export class PeerListener {
+  private readonly _options: PeerListenerOptions
+  private readonly _server: Server
+  private readonly _sockets = new Set<Socket>()
+
+  constructor (options: PeerListenerOptions) {
+    this._options = options
+    this._server = options.createServer(socket => { this._serve(socket) })
+  }
+
+  /** Starts to listen at `host:port`. Rejects when the address cannot be used. */
+  listen (host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen({ host, port }, () => {
+        this._server.off('error', reject)
+        this._server.on('error', err => this._options.log.event('error', 'peer.listener', { step: 'peer.accept', detail: err.message }))
+        resolve()
+      })
+    })
+  }
+
+  /** Port in use, for tests that listen at port 0. */
+  get port (): number {
+    const address = this._server.address()
+    return typeof address === 'object' && address ? address.port : 0
+  }
+
+  /** Stops listening and closes all connections. */
+  close (): Promise<void> {
+    for (const socket of this._sockets) socket.destroy()
+    return new Promise(resolve => this._server.close(() => resolve()))
+  }
+
+  private async _serve (socket: Socket): Promise<void> {
+    const { log } = this._options
+    const remote = `${socket.remoteAddress}:${socket.remotePort}`
+    this._sockets.add(socket)
+    socket.setNoDelay(true)
+    socket.on('error', () => {})
+    try {
+      await this._serveFrames(socket, remote)
+    } catch (err) {
+      log.event('warn', 'peer.connection.ended', { step: 'peer.read', peer: remote, detail: errorText(err) })
+    } finally {
+      socket.destroy()
+      this._sockets.delete(socket)
+    }
+  }
+
+  private async _serveFrames (socket: Socket, remote: string): Promise<void> {
+    const decoder = new FrameDecoder()
+    const helloTimer = this._options.timers.after(HELLO_TIMEOUT_MS, () => socket.destroy())
+    let from: PeerIdentity | undefined
+    for await (const chunk of socket) {
+      for (const frame of decoder.push(chunk as Buffer)) {
+        if (from) {
+          this._serveCall(socket, from, frame)
+          continue
+        }
+        from = this._admit(socket, frame, remote)
+        helloTimer.cancel()
+        if (!from) return
+      }
+    }
+  }
+
+  private _admit (socket: Socket, frame: unknown, remote: string): PeerIdentity | undefined {
+    const { self, members, log } = this._options
+    const hello = helloSchema.safeParse(frame)
+    const refuse = (reason: string): undefined => {
+      log.event('warn', 'peer.refused', { step: 'peer.hello', peer: remote, reason })
+      socket.end(encodeFrame({ type: 'refused', reason }))
+      return undefined
+    }
+    if (!hello.success) return refuse('the first frame must be a hello')
+    const { protocol, vm, failureDomain, incarnation } = hello.data
+    if (protocol !== PEER_PROTOCOL_VERSION) return refuse(`protocol version ${protocol}; this daemon speaks ${PEER_PROTOCOL_VERSION}`)
+    if (members.get(vm)?.failureDomain !== failureDomain) return refuse(`${vm} in ${failureDomain} is not in the settings of ${self.vm}`)
+    socket.write(encodeFrame({ type: 'welcome', vm: self.vm, incarnation: self.incarnation }))
+    return { vm, failureDomain, incarnation }
+  }
+
+  private async _serveCall (socket: Socket, from: PeerIdentity, raw: unknown): Promise<void> {
+    const frame = frameSchema.safeParse(raw)
+    if (!frame.success || frame.data.type !== 'call') {
+      this._options.log.event('warn', 'peer.frame.refused', { step: 'peer.read', peer: from.vm })
+      socket.destroy()
+      return
+    }
+    const { id, method, params } = frame.data
+    try {
+      const result = await this._dispatch(method, params, from)
+      if (!socket.destroyed) socket.write(encodeFrame({ type: 'result', id, result }))
+    } catch (err) {
+      const effect = err instanceof CallError ? err.effect : EFFECTS.unknown
+      this._options.log.event('warn', 'peer.call.failed', { step: `peer.${method}`, peer: from.vm, detail: errorText(err) })
+      if (!socket.destroyed) socket.write(encodeFrame({ type: 'error', id, message: errorText(err), effect }))
+    }
+  }
+
+  private _dispatch (method: string, params: unknown, from: PeerIdentity): Promise<unknown> {
+    const details = { step: `peer.${method}`, peer: this._options.self.vm, effect: EFFECTS.none }
+    const handler = Object.hasOwn(peerMethodSchemas, method) ? this._options.handlers[method as PeerMethod] : undefined
+    if (!handler) throw new CallError('method is not known', details)
+    const parsed = peerMethodSchemas[method as PeerMethod].params.safeParse(params)
+    if (!parsed.success) throw new CallError(`parameters are not valid: ${parsed.error.message}`, details)
+    return (handler as (params: unknown, from: PeerIdentity) => Promise<unknown>)(parsed.data, from)
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/edge/tcpPeerTransport.ts
@@ -0,0 +1,86 @@
+/**
+ * Peer transport over TCP: one connection to each peer, opened at the first call and again after it ended.
+ *
+ * @module
+ */
+
+import { connect, createServer } from 'node:net'
+import Result from 'true-myth/result'
+import { CallError, EFFECTS } from '../utils/errors.js'
+import type { EventLog } from '../utils/eventLog.js'
+import type { PeerMethod, PeerMethods } from '../protocol/peerMessages.js'
+import type { PeerHandlers, PeerIdentity, PeerTransport } from '../seams/peerTransport.js'
+import type { Timers } from '../seams/timers.js'
+import { splitAddress } from '../utils/address.js'
+import { PeerConnection } from './peerConnection.js'
+import { PeerListener } from './peerListener.js'
+
+/** Shortest time between two attempts to connect to the same peer, in milliseconds. */
+const RECONNECT_INTERVAL_MS = 200
+
+/** Options of a {@link TcpPeerTransport}. */
+export interface TcpPeerTransportOptions {
+  self: PeerIdentity
+  /** Address where this daemon listens, `host:port`. */
+  address: string
+  /** All entry VMs of the cell. */
+  members: Array<{ vm: string, failureDomain: string, address: string }>
+  timers: Timers
+  log: EventLog
+}
+
+interface Link {
+  connection: PeerConnection
+  openedMs: number
+}
+
+/** {@link PeerTransport} over TCP with CBOR frames. */
+export class TcpPeerTransport implements PeerTransport {
+  private readonly _options: TcpPeerTransportOptions
+  private readonly _members: Map<string, { failureDomain: string, address: string }>
+  private readonly _links = new Map<string, Link>()
+  private _listener: PeerListener | undefined
+  private _closed = false
+
+  constructor (options: TcpPeerTransportOptions) {
+    this._options = options
+    this._members = new Map(options.members.map(member => [member.vm, member]))
+  }
+
+  async call<M extends PeerMethod> (vm: string, method: M, params: PeerMethods[M]['params'], timeoutMs: number):
+  Promise<Result<PeerMethods[M]['result'], CallError>> {
+    const connection = this._connectionTo(vm)
+    if (typeof connection === 'string') {
+      return Result.err(new CallError(connection, { step: `peer.${method}`, peer: vm, effect: EFFECTS.none }))
+    }
+    return connection.call(method, params, timeoutMs)
+  }
+
+  async listen (handlers: PeerHandlers): Promise<void> {
+    const { self, address, timers, log } = this._options
+    const { host, port } = splitAddress(address)
+    this._listener = new PeerListener({ self, handlers, members: this._members, timers, log, createServer })
+    await this._listener.listen(host, port)
+  }
+
+  async close (): Promise<void> {
+    this._closed = true
+    for (const { connection } of this._links.values()) connection.close()
+    await this._listener?.close()
+  }
+
+  /** The open connection, a new one, or why there is none. */
+  private _connectionTo (vm: string): PeerConnection | string {
+    const { self, timers } = this._options
+    if (this._closed) return 'this daemon is shutting down'
+    const link = this._links.get(vm)
+    if (link && !link.connection.ended) return link.connection
+    if (link && timers.now() - link.openedMs < RECONNECT_INTERVAL_MS) return 'the connection has just failed'
+    const member = this._members.get(vm)
+    if (!member) return 'the VM is not in the settings'
+    const { host, port } = splitAddress(member.address)
+    const connection = new PeerConnection({ peer: vm, self, timers, connect: () => connect({ host, port }) })
+    this._links.set(vm, { connection, openedMs: timers.now() })
+    return connection
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/outcomes/keyedRequests.ts
@@ -0,0 +1,247 @@
+/**
+ * Requests with an idempotency key: each key's work is sent to an upstream at most once,
+ * through whichever entry VMs the key arrives.
+ *
+ * Before the work is sent, a record of the key is created in the platform's service, which fails when
+ * there is one already. So the decision does not rest on claims, clocks or peers. While the platform
+ * cannot be reached, keyed requests are refused with outcome `not-run`. See `docs/design/outcomes.md`.
+ *
+ * @module
+ */
+
+import { z } from 'zod'
+import Result from 'true-myth/result'
+import { match } from 'ts-pattern'
+import type { CallError } from '../utils/errors.js'
+import type { EventLog } from '../utils/eventLog.js'
+import { OUTCOMES, serviceAnswerSchema, type Outcome, type ServiceAnswer } from '../protocol/requests.js'
+import type { Change, Guard, PlatformClient, StoredValue } from '../seams/platformClient.js'
+import { delay, type Timers } from '../seams/timers.js'
+
+/** Prefix of the records in the platform's service. */
+export const KEYED_PREFIX = 'pomelofold/keyed/'
+
+/** Largest answer kept with a record, in bytes. Of larger ones only the outcome is kept. */
+const MAX_KEPT_ANSWER_BYTES = 16_384
+
+/** Refused requests remembered by this process, to tell others that they did not run. */
+const MAX_REFUSED_IDS = 20_000
+
+/** Wait between attempts to record an outcome while the platform cannot be reached, in milliseconds. */
+const RECORD_RETRY_MS = 2_000
+
+/** When to come back after the platform could not be reached, in milliseconds. */
+const PLATFORM_RETRY_AFTER_MS = 2_000
+
+/** Parts of the retention period for which one platform lease is used. */
+const LEASES_PER_RETENTION = 4
+
+const recordSchema = z.object({
+  digest: z.string(),
+  requestId: z.string(),
+  vm: z.string(),
+  incarnation: z.string(),
+  outcome: z.enum([OUTCOMES.running, OUTCOMES.ran, OUTCOMES.unknown]),
+  answer: z.object({ status: z.number(), headers: z.record(z.string(), z.string()), bodyBase64: z.string() }).optional()
+})
+type KeyRecord = z.infer<typeof recordSchema>
+
+/** What to do with a keyed request. */
+export type KeyedDecision =
+  /** Send it. Then call {@link KeyedRequests.finish}. */
+  | { decision: 'run' }
+  /** It ran under this request id. The answer is absent when it was too large to keep. */
+  | { decision: 'ran', requestId: string, answer?: ServiceAnswer }
+  | { decision: 'running', requestId: string }
+  | { decision: 'unknown', requestId: string }
+  /** The key was used with another body. */
+  | { decision: 'conflict', requestId: string }
+  /** The platform cannot be reached; the request did not run. */
+  | { decision: 'refused', detail: string, retryAfterMs: number }
+
+/** Writes to the platform together with writes of others. `applied` is false when a guard did not hold. */
+export interface Committer {
+  commit (changes: Change[], guards?: Guard[]): Promise<Result<{ applied: boolean }, CallError>>
+}
+
+/** Asks the process that recorded a key. Undefined when it cannot be reached. */
+export type AskRecorder = (vm: string, key: string, requestId: string) =>
+Promise<{ outcome: Outcome, answer?: ServiceAnswer } | undefined>
+
+/** Options of {@link KeyedRequests}. */
+export interface KeyedRequestsOptions {
+  timers: Timers
+  platform: PlatformClient
+  committer: Committer
+  log: EventLog
+  vm: string
+  incarnation: string
+  askRecorder: AskRecorder
+  /** How long a key is remembered, in milliseconds. */
+  retentionMs?: number
+}
+
+interface LocalKey {
+  requestId: string
+  digest: string
+  outcome: Outcome
+  answer?: ServiceAnswer
+}
+
+/** Decides which keyed requests may be sent. */
+export class KeyedRequests {
+  private readonly _options: Required<KeyedRequestsOptions>
+  /** Keys whose requests are in flight here, or whose outcome is not recorded yet. */
+  private readonly _local = new Map<string, LocalKey>()
+  private readonly _refusedIds = new Set<string>()
+  private _lease: { id: string, untilMs: number } | undefined
+
+  constructor ({ retentionMs = 3_600_000, ...options }: KeyedRequestsOptions) {
+    this._options = { retentionMs, ...options }
+  }
+
+  /** Decides what to do with a request that carries `key`. `digest` identifies its content. */
+  async begin (key: string, digest: string, requestId: string): Promise<KeyedDecision> {
+    const own = this._local.get(key)
+    if (own && own.outcome !== OUTCOMES.notRun) return this._known(own, digest)
+    this._local.set(key, { requestId, digest, outcome: OUTCOMES.running })
+    const decision = await this._decide(key, digest, requestId)
+    if (decision.decision !== 'run') this._local.delete(key)
+    if (decision.decision === 'refused') this._noteRefused(requestId)
+    return decision
+  }
+
+  /**
+   * Records what became of a request for which {@link begin} said `run`. Returns at once; the record
+   * is written in the background, again and again while the platform cannot be reached.
+   */
+  finish (key: string, answer: ServiceAnswer): void {
+    const own = this._local.get(key)
+    if (!own) return
+    this._local.set(key, { ...own, outcome: answer.outcome, answer })
+    if (answer.outcome === OUTCOMES.notRun) this._noteRefused(own.requestId)
+    this._record(key, own, answer)
+  }
+
+  /** What became of the request that this process recorded under `key`. */
+  outcomeOf (key: string, requestId: string): { outcome: Outcome, answer?: ServiceAnswer } {
+    if (this._refusedIds.has(requestId)) return { outcome: OUTCOMES.notRun }
+    const own = this._local.get(key)
+    if (own?.requestId !== requestId) return { outcome: OUTCOMES.unknown }
+    return { outcome: own.outcome, answer: own.answer }
+  }
+
+  private async _decide (key: string, digest: string, requestId: string): Promise<KeyedDecision> {
+    const created = await this._create(key, 0, { digest, requestId })
+    if (created !== 'exists') return created
+    const read = await this._options.platform.get(KEYED_PREFIX + key)
+    if (read.isErr) return this._refused(read.error)
+    if (!read.value) return this._refused('the record of the key has just expired')
+    return this._decideByRecord(key, digest, requestId, read.value)
+  }
+
+  private async _decideByRecord (key: string, digest: string, requestId: string, stored: StoredValue): Promise<KeyedDecision> {
+    const record = recordSchema.parse(JSON.parse(stored.value))
+    if (record.digest !== digest) return { decision: 'conflict', requestId: record.requestId }
+    if (record.outcome !== OUTCOMES.running) return decisionOf(record.outcome, record.requestId, keptAnswer(record))
+    const told = await this._askRecorder(record, key)
+    if (told?.outcome !== OUTCOMES.notRun) return decisionOf(told?.outcome ?? OUTCOMES.unknown, record.requestId, told?.answer)
+    const taken = await this._create(key, stored.modRevision, { digest, requestId })
+    return taken === 'exists' ? this._refused('the key is being used through another entry VM') : taken
+  }
+
+  private async _askRecorder ({ vm, incarnation, requestId }: KeyRecord, key: string):
+  Promise<{ outcome: Outcome, answer?: ServiceAnswer } | undefined> {
+    const isOwn = vm === this._options.vm && incarnation === this._options.incarnation
+    return isOwn ? this.outcomeOf(key, requestId) : await this._options.askRecorder(vm, key, requestId)
+  }
+
+  /** Creates the record, or replaces the one of revision `modRevision`, of which its writer says that it did not run. */
+  private async _create (key: string, modRevision: number, { digest, requestId }: Pick<KeyRecord, 'digest' | 'requestId'>):
+  Promise<KeyedDecision | 'exists'> {
+    const { vm, incarnation, committer } = this._options
+    const leaseId = await this._leaseId()
+    if (leaseId.isErr) return this._refused(leaseId.error)
+    const record: KeyRecord = { digest, requestId, vm, incarnation, outcome: OUTCOMES.running }
+    const put: Change = { op: 'put', key: KEYED_PREFIX + key, value: JSON.stringify(record), leaseId: leaseId.value }
+    const committed = await committer.commit([put], [{ key: put.key, modRevision }])
+    if (committed.isErr) return this._refused(committed.error)
+    return committed.value.applied ? { decision: 'run' } : 'exists'
+  }
+
+  private async _record (key: string, own: LocalKey, answer: ServiceAnswer): Promise<void> {
+    const { timers, log } = this._options
+    for (let attempt = 0; ; attempt++) {
+      if (attempt > 0) await delay(timers, RECORD_RETRY_MS)
+      const recorded = await this._tryRecord(key, own, answer)
+      if (recorded.isOk) break
+      log.event('warn', 'keyed.record.failed', { requestId: own.requestId, step: recorded.error.step, detail: recorded.error.message })
+    }
+    if (this._local.get(key)?.requestId === own.requestId) this._local.delete(key)
+  }
+
+  /** Writes the outcome if the record is still that of the request. */
+  private async _tryRecord (key: string, { digest, requestId }: LocalKey, answer: ServiceAnswer): Promise<Result<unknown, CallError>> {
+    const { platform, committer, vm, incarnation } = this._options
+    const read = await platform.get(KEYED_PREFIX + key)
+    if (read.isErr || !read.value) return read
+    if (recordSchema.parse(JSON.parse(read.value.value)).requestId !== requestId) return read
+    const leaseId = await this._leaseId()
+    if (leaseId.isErr) return leaseId
+    const change = recordChange(key, { digest, requestId, vm, incarnation }, answer, leaseId.value)
+    return committer.commit([change], [{ key: change.key, modRevision: read.value.modRevision }])
+  }
+
+  /** A platform lease under which records expire. One is used for many records. */
+  private async _leaseId (): Promise<Result<string, CallError>> {
+    const { timers, platform, retentionMs } = this._options
+    if (this._lease && timers.now() < this._lease.untilMs) return Result.ok(this._lease.id)
+    const usableMs = retentionMs / LEASES_PER_RETENTION
+    const untilMs = timers.now() + usableMs
+    const granted = await platform.grantLease(retentionMs + usableMs)
+    if (granted.isErr) return Result.err(granted.error)
+    this._lease = { id: granted.value.leaseId, untilMs }
+    return Result.ok(this._lease.id)
+  }
+
+  private _known (own: LocalKey, digest: string): KeyedDecision {
+    if (own.digest !== digest) return { decision: 'conflict', requestId: own.requestId }
+    return decisionOf(own.outcome, own.requestId, own.answer)
+  }
+
+  private _refused (cause: CallError | string): KeyedDecision {
+    const detail = typeof cause === 'string' ? cause : `the key could not be recorded: ${cause.message}`
+    return { decision: 'refused', detail, retryAfterMs: PLATFORM_RETRY_AFTER_MS }
+  }
+
+  private _noteRefused (requestId: string): void {
+    this._refusedIds.add(requestId)
+    if (this._refusedIds.size <= MAX_REFUSED_IDS) return
+    const [oldest] = this._refusedIds
+    this._refusedIds.delete(oldest)
+  }
+}
+
+function decisionOf (outcome: Outcome, requestId: string, answer: ServiceAnswer | undefined): KeyedDecision {
+  return match(outcome)
+    .returnType<KeyedDecision>()
+    .with(OUTCOMES.ran, () => ({ decision: 'ran', requestId, answer }))
+    .with(OUTCOMES.running, () => ({ decision: 'running', requestId }))
+    .otherwise(() => ({ decision: 'unknown', requestId }))
+}
+
+/** The change that records an outcome. A record of work that did not run is deleted, so that the key may be used again. */
+function recordChange (key: string, record: Omit<KeyRecord, 'outcome' | 'answer'>, answer: ServiceAnswer, leaseId: string): Change {
+  if (answer.outcome === OUTCOMES.notRun) return { op: 'delete', key: KEYED_PREFIX + key }
+  const kept = answer.body.length <= MAX_KEPT_ANSWER_BYTES
+    ? { status: answer.status, headers: answer.headers, bodyBase64: Buffer.from(answer.body).toString('base64') }
+    : undefined
+  const value: KeyRecord = { ...record, outcome: answer.outcome, answer: answer.outcome === OUTCOMES.ran ? kept : undefined }
+  return { op: 'put', key: KEYED_PREFIX + key, value: JSON.stringify(value), leaseId }
+}
+
+function keptAnswer ({ answer }: KeyRecord): ServiceAnswer | undefined {
+  if (!answer) return undefined
+  const { status, headers, bodyBase64 } = answer
+  return serviceAnswerSchema.parse({ outcome: OUTCOMES.ran, status, headers, body: new Uint8Array(Buffer.from(bodyBase64, 'base64')) })
+}
--- /dev/null
+++ b/packages/pomelofold/src/peers/peerTable.ts
@@ -0,0 +1,103 @@
+/**
+ * What this process knows of the other entry daemons: one task for each sends heartbeats.
+ *
+ * @module
+ */
+
+import type { EventLog } from '../utils/eventLog.js'
+import type { ServiceLoad } from '../protocol/requests.js'
+import type { PeerMethods } from '../protocol/peerMessages.js'
+import type { PeerTransport } from '../seams/peerTransport.js'
+import { delay, type Timers } from '../seams/timers.js'
+
+/** Heartbeats to other failure domains are sent this many times less often than within the own one. */
+const REMOTE_PERIOD_FACTOR = 5
+
+/** Heartbeats that stay without answer until a peer counts as unreachable. */
+const MISSED_LIMIT = 2
+
+/** An entry daemon as seen from this one. */
+export interface PeerState {
+  vm: string
+  failureDomain: string
+  reachable: boolean
+  leaving: boolean
+  /** Manifest revision in force there, by its last heartbeat. */
+  revision: number
+  /** Time of a heartbeat and its answer, in milliseconds. */
+  roundTripMs: number
+  loads: Record<string, ServiceLoad>
+}
+
+/** What a heartbeat carries. */
+export type Heartbeat = PeerMethods['heartbeat']['result']
+
+/** Options of a {@link PeerTable}. */
+export interface PeerTableOptions {
+  timers: Timers
+  transport: PeerTransport
+  log: EventLog
+  /** The other entry VMs. */
+  peers: Array<{ vm: string, failureDomain: string }>
+  /** Failure domain of this process. */
+  failureDomain: string
+  /** Period of heartbeats within the failure domain, in milliseconds. */
+  heartbeatMs: number
+  /** What this process tells. */
+  own: () => Heartbeat
+  /** Called with each answer. */
+  onHeartbeat: (vm: string, heartbeat: Heartbeat) => void
+}
+
+/** Sends heartbeats and keeps the last answer of each peer. */
+export class PeerTable {
+  private readonly _options: PeerTableOptions
+  private readonly _states = new Map<string, PeerState>()
+  private _stopped = false
+
+  constructor (options: PeerTableOptions) {
+    this._options = options
+    for (const { vm, failureDomain } of options.peers) {
+      this._states.set(vm, { vm, failureDomain, reachable: false, leaving: false, revision: 0, roundTripMs: 0, loads: {} })
+    }
+  }
+
+  /** All other entry VMs, reachable or not. */
+  all (): PeerState[] {
+    return [...this._states.values()]
+  }
+
+  start (): void {
+    for (const state of this._states.values()) this._runHeartbeats(state)
+  }
+
+  stop (): void {
+    this._stopped = true
+  }
+
+  private async _runHeartbeats (state: PeerState): Promise<void> {
+    const { timers, failureDomain, heartbeatMs } = this._options
+    const periodMs = state.failureDomain === failureDomain ? heartbeatMs : heartbeatMs * REMOTE_PERIOD_FACTOR
+    let missed = 0
+    while (!this._stopped) {
+      const answered = await this._beat(state, periodMs)
+      missed = answered ? 0 : missed + 1
+      const reachable = answered || (state.reachable && missed < MISSED_LIMIT)
+      if (reachable !== state.reachable) this._options.log.event(reachable ? 'info' : 'warn', reachable ? 'peer.reachable' : 'peer.unreachable', { peer: state.vm })
+      state.reachable = reachable
+      await delay(timers, state.reachable ? periodMs : Math.min(periodMs, heartbeatMs))
+    }
+  }
+
+  private async _beat (state: PeerState, timeoutMs: number): Promise<boolean> {
+    const { timers, transport, own, onHeartbeat } = this._options
+    const sentMs = timers.now()
+    const { revision, loads } = own()
+    const answer = await transport.call(state.vm, 'heartbeat', { revision, loads }, timeoutMs)
+    if (answer.isErr) return false
+    const heartbeat = answer.value
+    Object.assign(state, heartbeat, { roundTripMs: timers.now() - sentMs })
+    onHeartbeat(state.vm, heartbeat)
+    return true
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/protocol/framing.ts
@@ -0,0 +1,73 @@
+/**
+ * Frames between entry daemons: a length of 4 bytes, big-endian, then that many bytes of CBOR.
+ *
+ * @module
+ */
+
+import { Decoder, Encoder } from 'cbor-x'
+
+/** Bytes of the length in front of each frame. */
+export const LENGTH_BYTES = 4
+
+/** Largest frame accepted, in bytes, the length not counted. */
+export const MAX_FRAME_BYTES = 4_000_000
+
+const CODEC_OPTIONS = { useRecords: false, mapsAsObjects: true, tagUint8Array: false }
+const encoder = new Encoder(CODEC_OPTIONS)
+const decoder = new Decoder(CODEC_OPTIONS)
+
+/** A frame that is too large, or whose content is not CBOR. The connection cannot be used further. */
+export class FrameError extends Error {
+  override readonly name = 'FrameError'
+}
+
+/** Encodes a value with its length. Throws {@link FrameError} when it is too large. */
+export function encodeFrame (value: unknown): Buffer {
+  const content = encoder.encode(value)
+  if (content.length > MAX_FRAME_BYTES) throw new FrameError(`frame of ${content.length} bytes is over ${MAX_FRAME_BYTES} bytes`)
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + content.length)
+  frame.writeUInt32BE(content.length, 0)
+  frame.set(content, LENGTH_BYTES)
+  return frame
+}
+
+/** Cuts a stream of bytes into decoded frames. Holds at most one incomplete frame. */
+export class FrameDecoder {
+  private _chunks: Buffer[] = []
+  private _bufferedBytes = 0
+
+  /** Takes the next bytes and returns the frames that are complete. Throws {@link FrameError}. */
+  push (chunk: Buffer): unknown[] {
+    this._chunks.push(chunk)
+    this._bufferedBytes += chunk.length
+    const frames: unknown[] = []
+    while (true) {
+      const length = this._nextLength()
+      if (length === undefined || this._bufferedBytes < LENGTH_BYTES + length) return frames
+      frames.push(this._decode(this._take(LENGTH_BYTES + length).subarray(LENGTH_BYTES)))
+    }
+  }
+
+  private _nextLength (): number | undefined {
+    if (this._bufferedBytes < LENGTH_BYTES) return undefined
+    if (this._chunks[0].length < LENGTH_BYTES) this._chunks = [Buffer.concat(this._chunks)]
+    const length = this._chunks[0].readUInt32BE(0)
+    if (length > MAX_FRAME_BYTES) throw new FrameError(`frame of ${length} bytes is over ${MAX_FRAME_BYTES} bytes`)
+    return length
+  }
+
+  private _take (bytes: number): Buffer {
+    const all = this._chunks.length === 1 ? this._chunks[0] : Buffer.concat(this._chunks)
+    this._chunks = all.length > bytes ? [all.subarray(bytes)] : []
+    this._bufferedBytes -= bytes
+    return all.subarray(0, bytes)
+  }
+
+  private _decode (content: Buffer): unknown {
+    try {
+      return decoder.decode(content)
+    } catch (err) {
+      throw new FrameError(`frame of ${content.length} bytes is not CBOR`, { cause: err })
+    }
+  }
+}
--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -8,7 +8,7 @@
 import { z } from 'zod'
 import { jobSpecSchema, jobViewSchema } from './jobs.js'
 import { manifestSchema } from './manifest.js'
-import { requestRecordSchema, serviceAnswerSchema, serviceLoadSchema, serviceRequestSchema } from './requests.js'
+import { outcomeSchema, requestRecordSchema, serviceAnswerSchema, serviceLoadSchema, serviceRequestSchema } from './requests.js'
 
 /** Version of the protocol between entry daemons. Peers of another version are refused. */
 export const PEER_PROTOCOL_VERSION = 1
@@ -16,28 +16,19 @@
 /** Loads by service name. */
 const loadsSchema = z.record(z.string(), serviceLoadSchema)
 
-/** What a peer knows of a keyed request before it is dispatched. */
-export const onceDecisionSchema = z.discriminatedUnion('decision', [
-  /** The caller of this method, and nobody else, may send the request. */
-  z.object({ decision: z.literal('run'), token: z.string() }),
-  z.object({ decision: z.literal('ran'), answer: serviceAnswerSchema }),
-  z.object({ decision: z.literal('running') }),
-  z.object({ decision: z.literal('unknown') }),
-  /** The key was used with another body. */
-  z.object({ decision: z.literal('conflict') }),
-  z.object({ decision: z.literal('refused'), detail: z.string(), retryAfterMs: z.number() })
-])
-
-/** What a peer knows of a keyed request before it is dispatched. */
-export type OnceDecision = z.infer<typeof onceDecisionSchema>
-
 /** Answer to a call about one job. */
 export const jobAnswerSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('job'), job: jobViewSchema }),
   z.object({ kind: z.literal('notFound') }),
   z.object({ kind: z.literal('conflict'), detail: z.string() }),
   z.object({ kind: z.literal('cannotRun'), detail: z.string() }),
-  z.object({ kind: z.literal('unavailable'), detail: z.string(), retryAfterMs: z.number() })
+  z.object({
+    kind: z.literal('unavailable'),
+    detail: z.string(),
+    retryAfterMs: z.number(),
+    /** True when the call may have taken effect all the same. */
+    mayHaveEffect: z.boolean().default(false)
+  })
 ])
 
 /** Answer to a call about one job. */
@@ -59,15 +50,10 @@
     params: z.object({ request: serviceRequestSchema }),
     result: z.object({ answer: serviceAnswerSchema, load: serviceLoadSchema.optional() })
   },
-  /** Asks the home of a key whether the request may be sent. */
-  beginOnce: {
-    params: z.object({ key: z.string(), digest: z.string(), requestId: z.string(), deadlineMs: z.number() }),
-    result: onceDecisionSchema
-  },
-  /** Tells the home of a key what became of the request. */
-  finishOnce: {
-    params: z.object({ key: z.string(), token: z.string(), answer: serviceAnswerSchema }),
-    result: z.object({})
+  /** Asks the process that recorded a key what became of its request. */
+  keyedOutcome: {
+    params: z.object({ key: z.string(), requestId: z.string() }),
+    result: z.object({ outcome: outcomeSchema, answer: serviceAnswerSchema.optional() })
   },
   /**
    * Asks the peer not to take over claims of the sender while the platform cannot be reached.
@@ -85,7 +71,8 @@
   cancelJob: { params: z.object({ jobId: z.string() }), result: jobAnswerSchema },
   listJobs: {
     params: z.object({}),
-    result: z.object({ jobs: z.array(jobViewSchema) })
+    /** `active` is false at an entry VM that does not keep its failure domain's jobs. */
+    result: z.object({ jobs: z.array(jobViewSchema), active: z.boolean().default(true) })
   },
   explainRequest: { params: z.object({ requestId: z.string() }), result: requestRecordSchema.nullable() },
   /** Figures for reports; see `reports/`. */
--- /dev/null
+++ b/packages/pomelofold/src/server/http/httpApp.ts
@@ -0,0 +1,46 @@
+/**
+ * The whole HTTP interface of an entry daemon.
+ *
+ * @module
+ */
+
+import { Hono } from 'hono'
+import { bodyLimit } from 'hono/body-limit'
+import type { EventLog } from '../../utils/eventLog.js'
+import { errorText } from '../../utils/errors.js'
+import { problem } from '../../protocol/problem.js'
+import { sendProblem } from './problems.js'
+
+/** Options of {@link httpApp}. */
+export interface HttpAppOptions {
+  routes: Hono[]
+  log: EventLog
+  /** Largest body accepted, in bytes. */
+  maxBodyBytes: number
+  /** Whether this daemon takes requests. */
+  ready: () => { ready: boolean, reason?: string }
+  /** Metrics in the text format of Prometheus. */
+  metrics: () => Promise<string>
+}
+
+/** Builds the HTTP interface. */
+export function httpApp ({ routes, log, maxBodyBytes, ready, metrics }: HttpAppOptions): Hono {
+  const app = new Hono()
+  app.use('/v1/*', bodyLimit({
+    maxSize: maxBodyBytes,
+    onError: c => sendProblem(c, problem('tooLarge', `the body is over ${maxBodyBytes} bytes`))
+  }))
+  for (const route of routes) app.route('/v1', route)
+  app.get('/healthz', c => c.text('ok\n'))
+  app.get('/readyz', c => {
+    const { ready: isReady, reason } = ready()
+    return isReady ? c.text('ready\n') : c.text(`${reason}\n`, 503)
+  })
+  app.get('/metrics', async c => c.text(await metrics(), 200, { 'content-type': 'text/plain; version=0.0.4' }))
+  app.notFound(c => sendProblem(c, problem('notFound', `there is no ${c.req.method} ${c.req.path}; see docs/API.md`)))
+  app.onError((err, c) => {
+    log.event('error', 'http.failed', { step: `${c.req.method} ${c.req.path}`, detail: errorText(err) })
+    return sendProblem(c, { ...problem('unavailable', 'the daemon failed to serve this; see its log'), status: 500 })
+  })
+  return app
+}
--- /dev/null
+++ b/packages/pomelofold/src/server/http/jobRoutes.ts
@@ -0,0 +1,58 @@
+/**
+ * Callers' routes for jobs.
+ *
+ * @module
+ */
+
+import { Hono, type Context } from 'hono'
+import { match } from 'ts-pattern'
+import { jobSpecSchema } from '../../protocol/jobs.js'
+import type { Manifest } from '../../protocol/manifest.js'
+import type { JobAnswer } from '../../protocol/peerMessages.js'
+import { problem } from '../../protocol/problem.js'
+import { HEADERS, OUTCOMES } from '../../protocol/requests.js'
+import type { JobService } from '../jobService.js'
+import { readJson, sendFaults, sendProblem } from './problems.js'
+
+/** Longest idempotency key accepted, in characters. */
+const MAX_KEY_CHARS = 256
+
+/** Options of {@link jobRoutes}. */
+export interface JobRoutesOptions {
+  jobs: JobService
+  manifest: () => Manifest
+}
+
+/** Routes under `/v1` for jobs. */
+export function jobRoutes ({ jobs, manifest }: JobRoutesOptions): Hono {
+  const app = new Hono()
+
+  app.post('/jobs', async c => {
+    const body = await readJson(c)
+    if ('refusal' in body) return body.refusal
+    const spec = jobSpecSchema.safeParse(body.json)
+    if (!spec.success) return sendFaults(c, spec.error, body.json)
+    const key = c.req.header(HEADERS.idempotencyKey)
+    if (key !== undefined && (key.length === 0 || key.length > MAX_KEY_CHARS)) return sendProblem(c, problem('invalid', `${HEADERS.idempotencyKey}: must have 1 to ${MAX_KEY_CHARS} characters`))
+    const teams = manifest().teams.map(team => team.name)
+    if (!teams.includes(spec.data.team)) return sendProblem(c, problem('invalid', `team: the manifest in force names no team ${spec.data.team}; it names: ${teams.join(', ') || '(none)'}`))
+    return sendJobAnswer(c, await jobs.submit(spec.data, key), 202)
+  })
+
+  app.get('/jobs', async c => c.json(await jobs.list()))
+  app.get('/jobs/:id', async c => sendJobAnswer(c, await jobs.get(c.req.param('id')), 200))
+  app.delete('/jobs/:id', async c => sendJobAnswer(c, await jobs.cancel(c.req.param('id')), 200))
+
+  return app
+}
+
+function sendJobAnswer (c: Context, answer: JobAnswer, status: 200 | 202): Response {
+  return match(answer)
+    .with({ kind: 'job' }, ({ job }) => c.json(job, status))
+    .with({ kind: 'notFound' }, () => sendProblem(c, problem('notFound', `there is no job ${c.req.param('id') ?? ''}`)))
+    .with({ kind: 'conflict' }, ({ detail }) => sendProblem(c, problem('conflict', detail)))
+    .with({ kind: 'cannotRun' }, ({ detail }) => sendProblem(c, problem('cannotRun', detail, { outcome: OUTCOMES.notRun })))
+    .with({ kind: 'unavailable' }, ({ detail, retryAfterMs, mayHaveEffect }) =>
+      sendProblem(c, problem('unavailable', detail, { outcome: mayHaveEffect ? OUTCOMES.unknown : OUTCOMES.notRun, retryAfterMs })))
+    .exhaustive()
+}
--- /dev/null
+++ b/packages/pomelofold/src/server/http/operatorRoutes.ts
@@ -0,0 +1,55 @@
+/**
+ * Operators' routes: manifest, status and drain.
+ *
+ * @module
+ */
+
+import { Hono } from 'hono'
+import { match } from 'ts-pattern'
+import { z } from 'zod'
+import type { ManifestKeeper } from '../../config/manifestKeeper.js'
+import { manifestSchema } from '../../protocol/manifest.js'
+import { problem } from '../../protocol/problem.js'
+import { readJson, sendFaults, sendProblem } from './problems.js'
+
+const submissionSchema = z.strictObject({
+  /** Revision that the manifest was made against; 0 when there was none. */
+  baseRevision: z.number().int().nonnegative(),
+  manifest: manifestSchema
+})
+
+/** Options of {@link operatorRoutes}. */
+export interface OperatorRoutesOptions {
+  manifest: ManifestKeeper
+  status: () => Promise<Record<string, unknown>>
+  drain: () => void
+}
+
+/** Routes under `/v1` for operators. */
+export function operatorRoutes ({ manifest, status, drain }: OperatorRoutesOptions): Hono {
+  const app = new Hono()
+
+  app.get('/manifest', c => c.json(manifest.current()))
+
+  app.put('/manifest', async c => {
+    const body = await readJson(c)
+    if ('refusal' in body) return body.refusal
+    const submission = submissionSchema.safeParse(body.json)
+    if (!submission.success) return sendFaults(c, submission.error, body.json)
+    const submitted = await manifest.submit(submission.data.manifest, submission.data.baseRevision)
+    if (submitted.isErr) return sendProblem(c, problem('unavailable', submitted.error.message, { step: submitted.error.step, peer: submitted.error.peer }))
+    return match(submitted.value)
+      .with({ kind: 'accepted' }, ({ revision }) => c.json({ revision }))
+      .with({ kind: 'conflict' }, ({ revision }) => sendProblem(c, problem('conflict',
+        `the manifest was made against revision ${submission.data.baseRevision}, but ${revision} is in force; compare with it and submit against ${revision}`)))
+      .exhaustive()
+  })
+
+  app.get('/status', async c => c.json(await status()))
+  app.post('/drain', c => {
+    drain()
+    return c.json({ leaving: true }, 202)
+  })
+
+  return app
+}
--- /dev/null
+++ b/packages/pomelofold/src/server/http/problems.ts
@@ -0,0 +1,34 @@
+/**
+ * Error answers of the HTTP interface.
+ *
+ * @module
+ */
+
+import type { Context } from 'hono'
+import type { ContentfulStatusCode } from 'hono/utils/http-status'
+import type { z } from 'zod'
+import { fieldFaults, PROBLEM_CONTENT_TYPE, problem, type Problem } from '../../protocol/problem.js'
+
+/** Sends a problem document, with `Retry-After` in whole seconds when it says when to come back. */
+export function sendProblem (c: Context, body: Problem): Response {
+  const headers: Record<string, string> = { 'content-type': PROBLEM_CONTENT_TYPE }
+  if (body.retryAfterMs !== undefined) headers['retry-after'] = String(Math.max(1, Math.ceil(body.retryAfterMs / 1000)))
+  return c.body(JSON.stringify(body), body.status as ContentfulStatusCode, headers)
+}
+
+/** Sends the faults of an input that a schema has refused. */
+export function sendFaults (c: Context, err: z.ZodError, input: unknown): Response {
+  const faults = fieldFaults(err, input)
+  const detail = faults.map(fault => `${fault.path}: ${fault.message}`).join('; ')
+  return sendProblem(c, problem('invalid', detail, { faults }))
+}
+
+/** Reads a JSON body. Undefined, with the problem to send, when it is not JSON. */
+export async function readJson (c: Context): Promise<{ json: unknown } | { refusal: Response }> {
+  const text = await c.req.text()
+  try {
+    return { json: JSON.parse(text) }
+  } catch (err) {
+    return { refusal: sendProblem(c, problem('invalid', `the body is not JSON: ${(err as Error).message}`)) }
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/server/http/requestRoutes.ts
@@ -0,0 +1,115 @@
+/**
+ * Callers' routes for requests to services.
+ *
+ * @module
+ */
+
+import { Hono, type Context } from 'hono'
+import type { ContentfulStatusCode } from 'hono/utils/http-status'
+import { z } from 'zod'
+import { problem, type ProblemKind } from '../../protocol/problem.js'
+import { HEADERS, OUTCOMES, requestClassSchema, type ServiceAnswer } from '../../protocol/requests.js'
+import type { Manifest } from '../../protocol/manifest.js'
+import type { RandomSource } from '../../seams/randomSource.js'
+import type { IncomingRequest, RequestService } from '../requestService.js'
+import { sendFaults, sendProblem } from './problems.js'
+
+/** Longest deadline that a caller may ask for, in milliseconds. */
+const MAX_DEADLINE_MS = 300_000
+
+const callerHeadersSchema = z.object({
+  [HEADERS.idempotencyKey]: z.string().min(1).max(256).optional(),
+  [HEADERS.class]: requestClassSchema.default('normal'),
+  [HEADERS.deadlineMs]: z.string().regex(/^\d+$/, 'must be a whole number of milliseconds').transform(Number).pipe(z.number().min(1).max(MAX_DEADLINE_MS)).optional(),
+  [HEADERS.atMostOnce]: z.enum(['true', 'false']).default('false'),
+  [HEADERS.team]: z.string().min(1).max(63).optional()
+})
+
+/** Headers passed on to the upstream besides those of this interface. */
+const PASSED_HEADERS = ['content-type', 'accept', 'accept-language', 'traceparent', 'tracestate']
+
+/** Options of {@link requestRoutes}. */
+export interface RequestRoutesOptions {
+  requests: RequestService
+  manifest: () => Manifest
+  random: RandomSource
+  vm: string
+  /** Largest body accepted, in bytes. */
+  maxBodyBytes: number
+}
+
+/** Routes under `/v1` for requests to services. */
+export function requestRoutes ({ requests, manifest, random, vm, maxBodyBytes }: RequestRoutesOptions): Hono {
+  const app = new Hono()
+
+  app.post('/services/:service/requests', async c => {
+    const service = manifest().services.find(({ name }) => name === c.req.param('service'))
+    if (!service) return sendProblem(c, unknownService(c.req.param('service'), manifest()))
+    const headers = callerHeadersSchema.safeParse(c.req.header())
+    if (!headers.success) return sendFaults(c, headers.error, c.req.header())
+    const team = headers.data[HEADERS.team]
+    if (team !== undefined && !manifest().teams.some(({ name }) => name === team)) return sendProblem(c, unknownTeam(team, manifest()))
+
+    const body = new Uint8Array(await c.req.arrayBuffer())
+    const limit = Math.min(maxBodyBytes, service.maxBodyBytes)
+    if (body.length > limit) return sendProblem(c, problem('tooLarge', `the body has ${body.length} bytes; ${service.name} takes ${limit}`, { outcome: OUTCOMES.notRun }))
+
+    const requestId = `${vm}.${random.hex(10)}`
+    const incoming: IncomingRequest = {
+      requestId,
+      service: service.name,
+      class: headers.data[HEADERS.class],
+      team,
+      deadlineMs: headers.data[HEADERS.deadlineMs] ?? service.defaultDeadlineMs,
+      atMostOnce: headers.data[HEADERS.atMostOnce] === 'true',
+      idempotencyKey: headers.data[HEADERS.idempotencyKey],
+      headers: passedHeaders(c, requestId),
+      body
+    }
+    return sendAnswer(c, requestId, await requests.handle(incoming))
+  })
+
+  app.get('/requests/:id', async c => {
+    const record = await requests.explain(c.req.param('id'))
+    return record ? c.json(record) : sendProblem(c, problem('notFound', `no reachable entry daemon knows the request ${c.req.param('id')}; what became of it is unknown`, { outcome: OUTCOMES.unknown }))
+  })
+
+  return app
+}
+
+function passedHeaders (c: Context, requestId: string): Record<string, string> {
+  const passed = PASSED_HEADERS.flatMap(name => {
+    const value = c.req.header(name)
+    return value === undefined ? [] : [[name, value]]
+  })
+  return Object.fromEntries([...passed, [HEADERS.requestId, requestId]])
+}
+
+/** Sends the upstream's whole answer, or a problem document when there is none. */
+function sendAnswer (c: Context, requestId: string, answer: ServiceAnswer): Response {
+  c.header(HEADERS.requestId, requestId)
+  c.header(HEADERS.outcome, answer.outcome)
+  if (answer.outcome === OUTCOMES.ran && answer.detail === undefined) {
+    return c.body(answer.body as Uint8Array<ArrayBuffer>, answer.status as ContentfulStatusCode, answer.headers)
+  }
+  const { outcome, step, peer, retryAfterMs } = answer
+  const body = problem(PROBLEM_BY_STATUS[answer.status] ?? 'unavailable', answer.detail ?? 'the request was not answered', { outcome, step, peer, requestId, retryAfterMs })
+  return sendProblem(c, { ...body, status: answer.status })
+}
+
+const PROBLEM_BY_STATUS: Record<number, ProblemKind> = {
+  404: 'notFound',
+  409: 'conflict',
+  503: 'overloaded',
+  504: 'upstreamLost'
+}
+
+function unknownService (name: string, manifest: Manifest): ReturnType<typeof problem> {
+  const known = manifest.services.map(service => service.name).join(', ') || '(none)'
+  return problem('notFound', `the manifest in force names no service ${name}; it names: ${known}`, { outcome: OUTCOMES.notRun })
+}
+
+function unknownTeam (name: string, manifest: Manifest): ReturnType<typeof problem> {
+  const known = manifest.teams.map(team => team.name).join(', ') || '(none)'
+  return problem('invalid', `${HEADERS.team}: the manifest in force names no team ${name}; it names: ${known}`, { outcome: OUTCOMES.notRun })
+}
--- /dev/null
+++ b/packages/pomelofold/src/server/jobService.ts
@@ -0,0 +1,199 @@
+/**
+ * Takes jobs from callers and passes them to the failure domain that keeps them.
+ * A job's id starts with the name of its failure domain, so any entry daemon finds it.
+ *
+ * @module
+ */
+
+import { createHash } from 'node:crypto'
+import { match } from 'ts-pattern'
+import type { JobSpec, JobView } from '../protocol/jobs.js'
+import type { JobAnswer, PeerMethod, PeerMethods } from '../protocol/peerMessages.js'
+import { CLAIMS, type Authority } from '../seams/authority.js'
+import type { PeerTransport } from '../seams/peerTransport.js'
+import type { PlatformClient } from '../seams/platformClient.js'
+import type { RandomSource } from '../seams/randomSource.js'
+import { EFFECTS } from '../utils/errors.js'
+
+/** Prefix of the records that tie an idempotency key to a job. */
+const JOB_KEYS_PREFIX = 'pomelofold/jobkeys/'
+
+/** Deadline of one call to the entry daemon that keeps a job, in milliseconds. */
+const CALL_TIMEOUT_MS = 5_000
+
+/** When to come back after the keeper of a job could not be reached, in milliseconds. */
+const UNAVAILABLE_RETRY_AFTER_MS = 2_000
+
+type JobMethod = 'submitJob' | 'getJob' | 'cancelJob'
+
+/** Handlers of this process's own job manager. */
+export type OwnJobs = { [M in JobMethod | 'listJobs']: (params: PeerMethods[M]['params']) => Promise<PeerMethods[M]['result']> }
+
+/** The job that an idempotency key stands for, and the revision of the record that says so. */
+interface BoundKey {
+  jobId: string
+  modRevision: number
+}
+
+/** Options of a {@link JobService}. */
+export interface JobServiceOptions {
+  vm: string
+  failureDomain: string
+  /** All entry VMs of the cell. */
+  members: Array<{ vm: string, failureDomain: string }>
+  authority: Authority
+  transport: PeerTransport
+  platform: PlatformClient
+  random: RandomSource
+  own: OwnJobs
+}
+
+/** Serves jobs. */
+export class JobService {
+  private readonly _options: JobServiceOptions
+  /** Entry VM that last answered for a failure domain's jobs. */
+  private readonly _lastKeeper = new Map<string, string>()
+
+  constructor (options: JobServiceOptions) {
+    this._options = options
+  }
+
+  /** Submits a job. The same key with the same job answers the job that it made first. */
+  async submit (spec: JobSpec, idempotencyKey?: string): Promise<JobAnswer> {
+    const digest = createHash('sha256').update(JSON.stringify(spec)).digest('hex')
+    if (idempotencyKey === undefined) return this._submitAnywhere(spec, digest)
+    const key = JOB_KEYS_PREFIX + createHash('sha256').update(JSON.stringify([spec.team, idempotencyKey])).digest('hex')
+    let bound = await this._bindKey(key, digest)
+    let answer = 'jobId' in bound ? await this._call(bound.jobId, 'submitJob', { jobId: bound.jobId, spec, digest }) : bound
+    for (const domain of this._domains().slice(1)) {
+      if (!('jobId' in bound) || answer.kind !== 'cannotRun') break
+      bound = await this._rebindKey(key, digest, bound, domain)
+      answer = 'jobId' in bound ? await this._call(bound.jobId, 'submitJob', { jobId: bound.jobId, spec, digest }) : bound
+    }
+    return answer
+  }
+
+  get (jobId: string): Promise<JobAnswer> {
+    return this._call(jobId, 'getJob', { jobId })
+  }
+
+  cancel (jobId: string): Promise<JobAnswer> {
+    return this._call(jobId, 'cancelJob', { jobId })
+  }
+
+  /** Jobs of all failure domains; those that cannot be reached are named. */
+  async list (): Promise<{ jobs: JobView[], unreachable: string[] }> {
+    const domains = this._domains()
+    const lists = await Promise.all(domains.map(domain => this._listDomain(domain)))
+    return {
+      jobs: lists.flatMap(list => list ?? []),
+      unreachable: domains.filter((_, i) => lists[i] === undefined)
+    }
+  }
+
+  private async _submitAnywhere (spec: JobSpec, digest: string): Promise<JobAnswer> {
+    let refusal: JobAnswer | undefined
+    for (const domain of this._domains()) {
+      const jobId = this._newJobId(domain)
+      const answer = await this._call(jobId, 'submitJob', { jobId, spec, digest })
+      const isFinal = answer.kind === 'job' || answer.kind === 'conflict' || (answer.kind === 'unavailable' && answer.mayHaveEffect)
+      if (isFinal) return answer
+      refusal = preferred(refusal, answer)
+    }
+    return refusal!
+  }
+
+  /** Records which job the key stands for, before the job is submitted, or reads what was recorded first. */
+  private async _bindKey (key: string, digest: string): Promise<BoundKey | JobAnswer> {
+    const { platform, failureDomain } = this._options
+    const created = await this._writeKey(key, digest, 0, failureDomain)
+    if ('jobId' in created) return created
+    const read = await platform.get(key)
+    if (read.isErr) return unavailable(`the key could not be recorded: ${read.error.message}`, true)
+    if (!read.value) return unavailable('the key could not be recorded', false)
+    const recorded = JSON.parse(read.value.value) as { jobId: string, digest: string }
+    if (recorded.digest !== digest) return { kind: 'conflict', detail: `the key was used with another job, ${recorded.jobId}; use a new key` }
+    return { jobId: recorded.jobId, modRevision: read.value.modRevision }
+  }
+
+  /** Ties the key to a job in another failure domain, after the first has said that the job can never run there. */
+  private _rebindKey (key: string, digest: string, bound: BoundKey, domain: string): Promise<BoundKey | JobAnswer> {
+    return this._writeKey(key, digest, bound.modRevision, domain)
+  }
+
+  private async _writeKey (key: string, digest: string, modRevision: number, domain: string): Promise<BoundKey | JobAnswer> {
+    const jobId = this._newJobId(domain)
+    const written = await this._options.platform.txn([{ key, modRevision }], [{ op: 'put', key, value: JSON.stringify({ jobId, digest }) }])
+    if (written.isErr) return unavailable(`the key could not be recorded: ${written.error.message}`, written.error.effect === EFFECTS.unknown)
+    if (!written.value.applied) return unavailable('the key is being used through another entry VM', false)
+    return { jobId, modRevision: written.value.revision }
+  }
+
+  private async _call<M extends JobMethod> (jobId: string, method: M, params: PeerMethods[M]['params']): Promise<JobAnswer> {
+    const { vm, transport, own } = this._options
+    const domain = jobId.split('.')[0]
+    const keepers = this._keepersOf(domain)
+    if (keepers.length === 0) return { kind: 'notFound' }
+    let answer: JobAnswer = unavailable(`no entry VM of ${domain} can be reached`, false)
+    for (const keeper of keepers) {
+      const called = keeper === vm
+        ? await own[method](params as never)
+        : await callPeer(transport, keeper, method, params)
+      answer = called
+      if (answer.kind === 'unavailable' && !answer.mayHaveEffect) continue
+      this._lastKeeper.set(domain, keeper)
+      return answer
+    }
+    return answer
+  }
+
+  private async _listDomain (domain: string): Promise<JobView[] | undefined> {
+    const { vm, transport, own } = this._options
+    for (const keeper of this._keepersOf(domain)) {
+      if (keeper === vm && this._options.authority.epochOf(CLAIMS.placer(domain)) !== undefined) return (await own.listJobs({})).jobs
+      if (keeper === vm) continue
+      const listed = await transport.call(keeper, 'listJobs', {}, CALL_TIMEOUT_MS)
+      if (listed.isOk && listed.value.active) return listed.value.jobs
+    }
+    return undefined
+  }
+
+  /** Entry VMs of a failure domain, the one that most likely keeps its jobs first. */
+  private _keepersOf (domain: string): string[] {
+    const { members, authority } = this._options
+    const known = authority.holderOf(CLAIMS.placer(domain)) ?? this._lastKeeper.get(domain)
+    const vms = members.filter(member => member.failureDomain === domain).map(member => member.vm)
+    return vms.sort((a, b) => Number(b === known) - Number(a === known))
+  }
+
+  /** All failure domains, the own one first. */
+  private _domains (): string[] {
+    const { members, failureDomain } = this._options
+    const others = new Set(members.map(member => member.failureDomain))
+    others.delete(failureDomain)
+    return [failureDomain, ...others]
+  }
+
+  private _newJobId (domain: string): string {
+    return `${domain}.${this._options.random.hex(10)}`
+  }
+}
+
+async function callPeer<M extends JobMethod & PeerMethod> (transport: PeerTransport, vm: string, method: M, params: PeerMethods[M]['params']):
+Promise<JobAnswer> {
+  const called = await transport.call(vm, method, params, CALL_TIMEOUT_MS)
+  if (called.isOk) return called.value as JobAnswer
+  return unavailable(called.error.message, called.error.effect === EFFECTS.unknown)
+}
+
+function unavailable (detail: string, mayHaveEffect: boolean): JobAnswer {
+  return { kind: 'unavailable', detail, retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS, mayHaveEffect }
+}
+
+/** Of two refusals the one that tells the caller more: that a domain cannot be reached counts before that another is too small. */
+function preferred (a: JobAnswer | undefined, b: JobAnswer): JobAnswer {
+  return match(a)
+    .with(undefined, () => b)
+    .with({ kind: 'unavailable' }, first => first)
+    .otherwise(first => b.kind === 'unavailable' ? b : first)
+}
--- /dev/null
+++ b/packages/pomelofold/src/server/requestService.ts
@@ -0,0 +1,118 @@
+/**
+ * Takes requests to services from callers: checks the idempotency key, routes, and notes the history.
+ *
+ * @module
+ */
+
+import { createHash } from 'node:crypto'
+import { match } from 'ts-pattern'
+import type { EventLog } from '../utils/eventLog.js'
+import { OUTCOMES, type RequestRecord, type ServiceAnswer, type ServiceRequest } from '../protocol/requests.js'
+import type { KeyedDecision, KeyedRequests } from '../outcomes/keyedRequests.js'
+import type { RequestHistory } from '../outcomes/requestHistory.js'
+
+/** When to ask again for a request that is still running, in milliseconds. */
+const RUNNING_RETRY_AFTER_MS = 1_000
+
+/** Routes a request to its upstream and waits for the answer. */
+export interface Route {
+  route (req: ServiceRequest): Promise<ServiceAnswer>
+}
+
+/** Options of a {@link RequestService}. */
+export interface RequestServiceOptions {
+  router: Route
+  keyed: KeyedRequests
+  history: RequestHistory
+  log: EventLog
+  /** Asks the other entry daemons for a request. */
+  askPeers: (requestId: string) => Promise<RequestRecord[]>
+}
+
+/** A request with its idempotency key, if it has one. */
+export interface IncomingRequest extends ServiceRequest {
+  idempotencyKey?: string
+}
+
+/** Serves requests to services. */
+export class RequestService {
+  private readonly _options: RequestServiceOptions
+  private readonly _inFlight = new Set<string>()
+
+  constructor (options: RequestServiceOptions) {
+    this._options = options
+  }
+
+  /** Requests taken and not answered yet. */
+  get inFlight (): number {
+    return this._inFlight.size
+  }
+
+  /** Serves one request and gives its final answer. */
+  async handle ({ idempotencyKey, ...req }: IncomingRequest): Promise<ServiceAnswer> {
+    const { history, log } = this._options
+    this._inFlight.add(req.requestId)
+    history.note(req.requestId, 'accepted', { detail: `service ${req.service}, class ${req.class}` })
+    const answer = idempotencyKey === undefined ? await this._options.router.route(req) : await this._handleKeyed(req, idempotencyKey)
+    history.finish(req.requestId, answer)
+    this._inFlight.delete(req.requestId)
+    log.event('info', 'request.answered', {
+      requestId: req.requestId,
+      service: req.service,
+      class: req.class,
+      outcome: answer.outcome,
+      status: answer.status,
+      step: answer.step,
+      peer: answer.peer,
+      waitedMs: answer.waitedMs === undefined ? undefined : Math.round(answer.waitedMs)
+    })
+    return answer
+  }
+
+  /** What became of a request, as far as any reachable entry daemon knows. */
+  async explain (requestId: string): Promise<RequestRecord | undefined> {
+    const own = this._options.history.get(requestId)
+    if (own && own.outcome !== OUTCOMES.unknown) return own
+    const told = await this._options.askPeers(requestId)
+    const records = own ? [own, ...told] : told
+    return records.find(record => record.outcome === OUTCOMES.ran) ?? records[0]
+  }
+
+  private async _handleKeyed (req: ServiceRequest, idempotencyKey: string): Promise<ServiceAnswer> {
+    const { router, keyed, history } = this._options
+    const key = createHash('sha256').update(JSON.stringify([req.service, req.team ?? '', idempotencyKey])).digest('hex')
+    const decision = await keyed.begin(key, digestOf(req), req.requestId)
+    history.note(req.requestId, 'keyed', { detail: decision.decision })
+    if (decision.decision !== 'run') return answerOfDecision(decision)
+    const answer = await router.route({ ...req, atMostOnce: true })
+    keyed.finish(key, answer)
+    return answer
+  }
+}
+
+function digestOf ({ service, body }: ServiceRequest): string {
+  return createHash('sha256').update(service).update('\n').update(body).digest('hex')
+}
+
+/** Answer to a keyed request that is not to be sent. */
+function answerOfDecision (decision: Exclude<KeyedDecision, { decision: 'run' }>): ServiceAnswer {
+  const empty = { headers: {}, body: new Uint8Array(), step: 'idempotency-key' }
+  return match(decision)
+    .returnType<ServiceAnswer>()
+    .with({ decision: 'ran' }, ({ requestId, answer }) => answer ?? {
+      ...empty, outcome: OUTCOMES.ran, status: 409, detail: `the key's request ${requestId} has run; its answer was too large to keep`
+    })
+    .with({ decision: 'running' }, ({ requestId }) => ({
+      ...empty, outcome: OUTCOMES.unknown, status: 409, detail: `the key's request ${requestId} is running`, retryAfterMs: RUNNING_RETRY_AFTER_MS
+    }))
+    .with({ decision: 'unknown' }, ({ requestId }) => ({
+      ...empty, outcome: OUTCOMES.unknown, status: 409, detail: `the key's request ${requestId} may have run; it will not be sent again`
+    }))
+    .with({ decision: 'conflict' }, ({ requestId }) => ({
+      ...empty, outcome: OUTCOMES.notRun, status: 409, detail: `the key was used with another body by request ${requestId}; use a new key`
+    }))
+    .with({ decision: 'refused' }, ({ detail, retryAfterMs }) => ({
+      ...empty, outcome: OUTCOMES.notRun, status: 503, detail, retryAfterMs
+    }))
+    .exhaustive()
+}
--- /dev/null
+++ b/packages/pomelofold/src/utils/address.ts
@@ -0,0 +1,11 @@
+/**
+ * Addresses of the form `host:port`.
+ *
+ * @module
+ */
+
+/** Splits `host:port`; brackets around an IPv6 number are removed. */
+export function splitAddress (address: string): { host: string, port: number } {
+  const at = address.lastIndexOf(':')
+  return { host: address.slice(0, at).replace(/^\[|\]$/g, ''), port: Number(address.slice(at + 1)) }
+}
