--- /dev/null
+++ b/packages/cli/src/commands/manifest.ts
@@ -0,0 +1,85 @@
+/**
+ * `validate`, `diff` and `submit`.
+ *
+ * @module
+ */
+
+import { Command } from 'commander'
+import { manifestSchema, type Manifest } from 'pomelofold/protocol/manifest'
+import { readJsonFile } from 'pomelofold/utils/jsonFile'
+import { clientOf, EXIT_CODES, fail, finish, print, withServer, type GlobalOptions } from '../context.js'
+
+/** One difference between two manifests. */
+interface Difference {
+  path: string
+  from: unknown
+  to: unknown
+}
+
+/** Checks a manifest file. Needs no entry daemon. */
+export function validateCommand (): Command {
+  return new Command('validate')
+    .description('check a manifest file')
+    .argument('<file>', 'manifest, JSON')
+    .option('--json', 'print JSON')
+    .action((file: string, options: { json?: boolean }) => {
+      const read = readJsonFile(file, manifestSchema)
+      if (read.isErr) return fail(read.error, options)
+      print({ valid: true, ...counts(read.value) }, options, ({ services, longRunning, teams }) =>
+        `${file} is valid: ${services} services, ${longRunning} long-running services, ${teams} teams`)
+    })
+}
+
+/** Shows what a manifest file would change. */
+export function diffCommand (): Command {
+  return withServer(new Command('diff'))
+    .description('show what a manifest file would change; exits with 1 when there are differences')
+    .argument('<file>', 'manifest, JSON')
+    .action(async (file: string, options: GlobalOptions) => {
+      const read = readJsonFile(file, manifestSchema)
+      if (read.isErr) return fail(read.error, options)
+      const current = await clientOf(options).manifest()
+      if (current.isErr) return fail(current.error, options)
+      const differences = compare(current.value.manifest, read.value, '')
+      print({ revision: current.value.revision, differences }, options, formatDifferences)
+      if (differences.length) process.exitCode = EXIT_CODES.failed
+    })
+}
+
+/** Commits a manifest file. */
+export function submitCommand (): Command {
+  return withServer(new Command('submit'))
+    .description('commit a manifest file against the revision that it was made against')
+    .argument('<file>', 'manifest, JSON')
+    .requiredOption('--base-revision <n>', 'revision in force when the manifest was made (see status); 0 for the first', Number)
+    .action(async (file: string, options: GlobalOptions & { baseRevision: number }) => {
+      const read = readJsonFile(file, manifestSchema)
+      if (read.isErr) return fail(read.error, options)
+      finish(await clientOf(options).submitManifest(read.value, options.baseRevision), options, ({ revision }) => `committed as revision ${revision}`)
+    })
+}
+
+function counts ({ services, longRunning, teams }: Manifest): { services: number, longRunning: number, teams: number } {
+  return { services: services.length, longRunning: longRunning.length, teams: teams.length }
+}
+
+/** Differences between two JSON values. Members of lists are matched by name. */
+function compare (from: unknown, to: unknown, path: string): Difference[] {
+  if (JSON.stringify(from) === JSON.stringify(to)) return []
+  const [fromFields, toFields] = [fieldsOf(from), fieldsOf(to)]
+  if (!fromFields || !toFields) return [{ path, from, to }]
+  const names = new Set([...Object.keys(fromFields), ...Object.keys(toFields)])
+  return [...names].flatMap(name => compare(fromFields[name], toFields[name], path ? `${path}.${name}` : name))
+}
+
+function fieldsOf (value: unknown): Record<string, unknown> | undefined {
+  if (value === null || typeof value !== 'object') return undefined
+  if (!Array.isArray(value)) return value as Record<string, unknown>
+  return Object.fromEntries(value.map((item, i) => [item?.name ?? item?.class ?? String(i), item]))
+}
+
+function formatDifferences ({ revision, differences }: { revision: number, differences: Difference[] }): string {
+  if (differences.length === 0) return `no difference to revision ${revision}`
+  const lines = differences.map(({ path, from, to }) => `${path}: ${JSON.stringify(from) ?? '(absent)'} -> ${JSON.stringify(to) ?? '(absent)'}`)
+  return [`against revision ${revision}:`, ...lines].join('\n')
+}
--- /dev/null
+++ b/packages/cli/src/context.ts
@@ -0,0 +1,85 @@
+/**
+ * What all commands share: options, output and exit codes.
+ *
+ * @module
+ */
+
+import { Command } from 'commander'
+import type Result from 'true-myth/result'
+import { ApiClient, ApiError } from 'pomelofold/client/apiClient'
+import { CallError } from 'pomelofold/utils/errors'
+import type { FileError } from 'pomelofold/utils/jsonFile'
+
+/** Exit codes of `pomelofold`. */
+export const EXIT_CODES = {
+  ok: 0,
+  /** The command ran and the answer is no, such as a failed request. */
+  failed: 1,
+  /** An argument, a manifest or a settings file is not valid. */
+  invalid: 2,
+  /** Somebody else has changed what the command was made against. */
+  conflict: 3,
+  /** The entry daemon cannot be reached, or a part that it needs. */
+  unavailable: 4
+} as const
+
+/** One of {@link EXIT_CODES}. */
+export type ExitCode = typeof EXIT_CODES[keyof typeof EXIT_CODES]
+
+/** Options of every command. */
+export interface GlobalOptions {
+  server: string
+  token?: string
+  json?: boolean
+}
+
+/** Adds the options of every command that talks to an entry daemon. */
+export function withServer (command: Command): Command {
+  return command
+    .option('--server <url>', 'entry daemon to ask', process.env.POMELOFOLD_SERVER ?? 'http://127.0.0.1:8080')
+    .option('--token <token>', 'bearer token; better given in POMELOFOLD_TOKEN', process.env.POMELOFOLD_TOKEN)
+    .option('--json', 'print JSON')
+}
+
+/** Client for the options of a command. */
+export function clientOf ({ server, token }: GlobalOptions): ApiClient {
+  return new ApiClient({ server, token })
+}
+
+/** Prints a value as JSON, or as the text that `format` makes of it. */
+export function print<T> (value: T, { json }: { json?: boolean }, format: (value: T) => string): void {
+  console.log(json ? JSON.stringify(value, null, 2) : format(value))
+}
+
+/** Prints an error and sets the exit code for it. */
+export function fail (err: CallError | FileError, { json }: { json?: boolean } = {}): void {
+  const problem = err instanceof ApiError ? err.problem : undefined
+  if (json) console.log(JSON.stringify({ error: problem ?? { detail: err.message } }, null, 2))
+  else console.error(`pomelofold: ${err.message}`)
+  process.exitCode = exitCodeOf(err)
+}
+
+/** Prints the value of a result, or its error. */
+export function finish<T> (result: Result<T, CallError>, options: { json?: boolean }, format: (value: T) => string): void {
+  if (result.isErr) fail(result.error, options)
+  else print(result.value, options, format)
+}
+
+/** Formats rows as a table with aligned columns. */
+export function table (header: string[], rows: Array<Array<string | number>>): string {
+  const lines = [header, ...rows].map(row => row.map(String))
+  const widths = header.map((_, column) => Math.max(...lines.map(line => line[column].length)))
+  return lines.map(line => line.map((cell, column) => cell.padEnd(widths[column])).join('  ').trimEnd()).join('\n')
+}
+
+const EXIT_BY_STATUS: Record<number, ExitCode> = {
+  400: EXIT_CODES.invalid,
+  409: EXIT_CODES.conflict,
+  413: EXIT_CODES.invalid,
+  503: EXIT_CODES.unavailable
+}
+
+function exitCodeOf (err: CallError | FileError): ExitCode {
+  if (err instanceof ApiError) return EXIT_BY_STATUS[err.problem.status] ?? EXIT_CODES.failed
+  return err instanceof CallError ? EXIT_CODES.unavailable : EXIT_CODES.invalid
+}
--- /dev/null
+++ b/packages/pomelofold/src/client/apiClient.ts
@@ -0,0 +1,166 @@
+/**
+ * Client of the HTTP interface, for the command line and for programs of callers and operators.
+ *
+ * @module
+ */
+
+import { request, type Dispatcher } from 'undici'
+import Result from 'true-myth/result'
+import { CallError, CallTimeoutError, EFFECTS, errorText } from '../utils/errors.js'
+import type { JobSpec, JobView } from '../protocol/jobs.js'
+import type { Manifest, RevisedManifest } from '../protocol/manifest.js'
+import type { Problem } from '../protocol/problem.js'
+import { HEADERS, type Outcome, type RequestClass, type RequestRecord } from '../protocol/requests.js'
+
+/** An answer other than success, with its problem document. */
+export class ApiError extends CallError {
+  override readonly name = 'ApiError'
+  readonly problem: Problem
+
+  constructor (step: string, peer: string, problem: Problem) {
+    super(`${problem.title}: ${problem.detail}`, { step, peer, effect: EFFECTS.unknown })
+    this.problem = problem
+  }
+}
+
+/** Options of an {@link ApiClient}. */
+export interface ApiClientOptions {
+  /** Such as `http://127.0.0.1:8080`. */
+  server: string
+  /** Bearer token. */
+  token?: string
+  /** Deadline of a call, in milliseconds. */
+  timeoutMs?: number
+}
+
+/** Options of {@link ApiClient.sendRequest}. */
+export interface SendRequestOptions {
+  class?: RequestClass
+  deadlineMs?: number
+  idempotencyKey?: string
+  atMostOnce?: boolean
+  team?: string
+  contentType?: string
+}
+
+/** A service's answer to a caller. */
+export interface CallerAnswer {
+  status: number
+  requestId: string
+  outcome: Outcome
+  headers: Record<string, string>
+  body: Buffer
+}
+
+interface HttpAnswer {
+  status: number
+  headers: Record<string, string>
+  body: Buffer
+}
+
+/** Calls an entry daemon. Failures are results, never exceptions. */
+export class ApiClient {
+  private readonly _options: Required<Omit<ApiClientOptions, 'token'>> & Pick<ApiClientOptions, 'token'>
+
+  constructor ({ timeoutMs = 30_000, ...options }: ApiClientOptions) {
+    this._options = { timeoutMs, ...options }
+  }
+
+  manifest (): Promise<Result<RevisedManifest, CallError>> {
+    return this._json('GET', '/v1/manifest')
+  }
+
+  /** Commits a manifest made against `baseRevision`. */
+  submitManifest (manifest: Manifest, baseRevision: number): Promise<Result<{ revision: number }, CallError>> {
+    return this._json('PUT', '/v1/manifest', { baseRevision, manifest })
+  }
+
+  status (): Promise<Result<Record<string, unknown>, CallError>> {
+    return this._json('GET', '/v1/status')
+  }
+
+  /** Makes the entry daemon hand over its claims and take no more work. */
+  drain (): Promise<Result<{ leaving: boolean }, CallError>> {
+    return this._json('POST', '/v1/drain')
+  }
+
+  submitJob (spec: JobSpec, idempotencyKey?: string): Promise<Result<JobView, CallError>> {
+    return this._json('POST', '/v1/jobs', spec, idempotencyKey === undefined ? {} : { [HEADERS.idempotencyKey]: idempotencyKey })
+  }
+
+  jobs (): Promise<Result<{ jobs: JobView[], unreachable: string[] }, CallError>> {
+    return this._json('GET', '/v1/jobs')
+  }
+
+  job (jobId: string): Promise<Result<JobView, CallError>> {
+    return this._json('GET', `/v1/jobs/${encodeURIComponent(jobId)}`)
+  }
+
+  explainJob (jobId: string): Promise<Result<Record<string, unknown>, CallError>> {
+    return this._json('GET', `/v1/jobs/${encodeURIComponent(jobId)}/history`)
+  }
+
+  cancelJob (jobId: string): Promise<Result<JobView, CallError>> {
+    return this._json('DELETE', `/v1/jobs/${encodeURIComponent(jobId)}`)
+  }
+
+  explainRequest (requestId: string): Promise<Result<RequestRecord, CallError>> {
+    return this._json('GET', `/v1/requests/${encodeURIComponent(requestId)}`)
+  }
+
+  /** Figures of all reachable entry daemons for reports. */
+  figures (): Promise<Result<{ figures: Record<string, unknown>, unreachable: string[] }, CallError>> {
+    return this._json('GET', '/v1/figures')
+  }
+
+  /** Sends a request to a service. Problem documents come back as answers too. */
+  async sendRequest (service: string, body: Uint8Array | string, options: SendRequestOptions = {}): Promise<Result<CallerAnswer, CallError>> {
+    const headers: Record<string, string> = { 'content-type': options.contentType ?? 'application/octet-stream' }
+    if (options.class !== undefined) headers[HEADERS.class] = options.class
+    if (options.deadlineMs !== undefined) headers[HEADERS.deadlineMs] = String(options.deadlineMs)
+    if (options.idempotencyKey !== undefined) headers[HEADERS.idempotencyKey] = options.idempotencyKey
+    if (options.atMostOnce) headers[HEADERS.atMostOnce] = 'true'
+    if (options.team !== undefined) headers[HEADERS.team] = options.team
+    const sent = await this._send('POST', `/v1/services/${encodeURIComponent(service)}/requests`, body, headers)
+    return sent.map(({ status, headers, body }) => ({
+      status,
+      requestId: headers[HEADERS.requestId] ?? '',
+      outcome: (headers[HEADERS.outcome] ?? 'unknown') as Outcome,
+      headers,
+      body
+    }))
+  }
+
+  private async _json<T> (method: Dispatcher.HttpMethod, path: string, body?: unknown, headers: Record<string, string> = {}):
+  Promise<Result<T, CallError>> {
+    const text = body === undefined ? undefined : JSON.stringify(body)
+    const sent = await this._send(method, path, text, { 'content-type': 'application/json', ...headers })
+    if (sent.isErr) return Result.err(sent.error)
+    const { status, body: answer } = sent.value
+    try {
+      const parsed = JSON.parse(answer.toString('utf8'))
+      return status < 300 ? Result.ok(parsed as T) : Result.err(new ApiError(`${method} ${path}`, this._options.server, parsed as Problem))
+    } catch (err) {
+      return Result.err(this._failed(method, path, `status ${status} with an answer that is not JSON`, err))
+    }
+  }
+
+  private async _send (method: Dispatcher.HttpMethod, path: string, body: Uint8Array | string | undefined, headers: Record<string, string>):
+  Promise<Result<HttpAnswer, CallError>> {
+    const { server, token, timeoutMs } = this._options
+    if (token !== undefined) headers.authorization = `Bearer ${token}`
+    try {
+      const res = await request(server + path, { method, body, headers, signal: AbortSignal.timeout(timeoutMs) })
+      const answer = Buffer.from(await res.body.arrayBuffer())
+      return Result.ok({ status: res.statusCode, headers: res.headers as Record<string, string>, body: answer })
+    } catch (err) {
+      if ((err as Error).name === 'TimeoutError') return Result.err(new CallTimeoutError(timeoutMs, { step: `${method} ${path}`, peer: server, effect: EFFECTS.unknown, advice: 'ask another entry VM' }))
+      return Result.err(this._failed(method, path, errorText(err), err))
+    }
+  }
+
+  private _failed (method: string, path: string, message: string, cause: unknown): CallError {
+    const refused = (cause as { code?: string }).code === 'ECONNREFUSED'
+    return new CallError(message, { step: `${method} ${path}`, peer: this._options.server, effect: refused ? EFFECTS.none : EFFECTS.unknown, advice: 'check --server, or ask another entry VM', cause })
+  }
+}
