--- /dev/null
+++ b/packages/pomelofold/src/edge/httpCaller.ts
@@ -0,0 +1,226 @@
+/**
+ * HTTP calls with exact knowledge of whether a call can have reached the other side.
+ *
+ * @module
+ */
+
+import { Pool, type Dispatcher } from 'undici'
+import Result from 'true-myth/result'
+import type { Timers, TimerSubscription } from '../seams/timers.js'
+import { CallError, CallTimeoutError, EFFECTS, type CallErrorOptions, type Effect } from '../utils/errors.js'
+import { ManualPromise } from '../utils/manualPromise.js'
+
+/** Options of an {@link HttpCaller}. */
+export interface HttpCallerOptions {
+  timers: Timers
+  /** Connections open at once to one address. Further calls wait for a free connection until their deadline. */
+  connections?: number
+  /** Longest wait for a TCP connection, in milliseconds. */
+  connectTimeoutMs?: number
+  /** Largest answer body, in bytes. */
+  maxAnswerBytes?: number
+  /** Connections to an address without calls for this long are closed, in milliseconds. */
+  idleMs?: number
+}
+
+/** One HTTP call. */
+export interface HttpCall {
+  /** Name of the call in errors. */
+  step: string
+  method: string
+  path: string
+  headers?: Record<string, string>
+  body?: Uint8Array | string
+  timeoutMs: number
+  /** False for a call that changes nothing: its errors then always have the effect `none`. */
+  changes?: boolean
+}
+
+/** A whole HTTP answer. Header names are lower-case. */
+export interface HttpAnswer {
+  status: number
+  headers: Record<string, string>
+  body: Uint8Array
+}
+
+type RawHeaders = Record<string, string | string[] | undefined>
+
+interface PoolEntry {
+  pool: Pool
+  calls: number
+  lastUsedMs: number
+}
+
+/** Delay until the first TCP keep-alive probe on a connection, in milliseconds. */
+export const TCP_KEEP_ALIVE_DELAY_MS = 5_000
+
+/** Statuses whose answers have no body. */
+const BODILESS_STATUSES = new Set([204, 304])
+
+/**
+ * Sends calls over kept-alive connections, one call at a time on each. Nothing is ever sent twice.
+ * A failed call has the effect `none` only when its request was not handed to a connected socket, and never will be.
+ */
+export class HttpCaller {
+  private readonly _timers: Timers
+  private readonly _pools = new Map<string, PoolEntry>()
+  private readonly _connections: number
+  private readonly _connectTimeoutMs: number
+  private readonly _maxAnswerBytes: number
+  private readonly _idleMs: number
+  private readonly _sweep: TimerSubscription
+  private _closed = false
+
+  constructor ({ timers, connections = 64, connectTimeoutMs = 1_000, maxAnswerBytes = 1_000_000, idleMs = 30_000 }: HttpCallerOptions) {
+    this._timers = timers
+    this._connections = connections
+    this._connectTimeoutMs = connectTimeoutMs
+    this._maxAnswerBytes = maxAnswerBytes
+    this._idleMs = idleMs
+    this._sweep = timers.every(idleMs, () => this._closeIdle())
+  }
+
+  /** Addresses with open pools. */
+  addresses (): string[] {
+    return [...this._pools.keys()]
+  }
+
+  /** Sends `call` to `address` (`host:port`) and waits for the whole answer. Never rejects. */
+  async call (address: string, call: HttpCall): Promise<Result<HttpAnswer, CallError>> {
+    if (this._closed) return Result.err(new CallError('the client is closed', { step: call.step, peer: address, effect: EFFECTS.none }))
+    const exchange = new Exchange(address, call, this._maxAnswerBytes)
+    const entry = this._entry(address)
+    entry.calls++
+    const deadline = this._timers.after(call.timeoutMs, () => exchange.timeOut())
+    entry.pool.dispatch({
+      method: call.method as Dispatcher.HttpMethod,
+      path: call.path,
+      headers: call.headers,
+      body: call.body,
+      headersTimeout: 0,
+      bodyTimeout: 0
+    }, exchange)
+    const result = await exchange.result
+    deadline.cancel()
+    entry.calls--
+    entry.lastUsedMs = this._timers.now()
+    return result
+  }
+
+  /** Closes all connections. Calls in flight fail. */
+  async close (): Promise<void> {
+    this._closed = true
+    this._sweep.cancel()
+    const entries = [...this._pools.values()]
+    this._pools.clear()
+    await Promise.all(entries.map(entry => entry.pool.destroy()))
+  }
+
+  private _entry (address: string): PoolEntry {
+    const known = this._pools.get(address)
+    if (known) return known
+    const pool = new Pool(`http://${address}`, {
+      connections: this._connections,
+      pipelining: 1,
+      connect: { timeout: this._connectTimeoutMs, keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS }
+    })
+    const entry = { pool, calls: 0, lastUsedMs: this._timers.now() }
+    this._pools.set(address, entry)
+    return entry
+  }
+
+  private _closeIdle (): void {
+    const idleSinceMs = this._timers.now() - this._idleMs
+    for (const [address, entry] of this._pools) {
+      if (entry.calls > 0 || entry.lastUsedMs > idleSinceMs) continue
+      this._pools.delete(address)
+      entry.pool.destroy().catch(() => {})
+    }
+  }
+}
+
+/** One call on its way: collects the answer and knows whether the request was handed to a socket. */
+class Exchange implements Dispatcher.DispatchHandler {
+  private readonly _address: string
+  private readonly _call: HttpCall
+  private readonly _maxAnswerBytes: number
+  private readonly _settled = new ManualPromise<Result<HttpAnswer, CallError>>()
+  private readonly _chunks: Buffer[] = []
+  private _controller: Dispatcher.DispatchController | undefined
+  private _status = 0
+  private _headers: Record<string, string> = {}
+  private _bytes = 0
+
+  constructor (address: string, call: HttpCall, maxAnswerBytes: number) {
+    this._address = address
+    this._call = call
+    this._maxAnswerBytes = maxAnswerBytes
+  }
+
+  /** Resolves with the answer or the error. */
+  get result (): Promise<Result<HttpAnswer, CallError>> {
+    return this._settled.promise
+  }
+
+  /** Ends the call at its deadline. A request that has not been sent will not be. */
+  timeOut (): void {
+    this._abort(new CallTimeoutError(this._call.timeoutMs, this._details()))
+  }
+
+  /** Called right before the request is written to a connected socket. Refuses calls that have ended, and a second send. */
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    if (this._controller || this._settled.isSettled()) {
+      this._abort(new CallError('the connection was lost', this._details()))
+      controller.abort(new Error('the call has ended'))
+      return
+    }
+    this._controller = controller
+  }
+
+  onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: RawHeaders): void {
+    if (status < 200) return
+    this._status = status
+    this._headers = joinedHeaders(headers)
+    const delimited = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+    if (delimited || BODILESS_STATUSES.has(status) || this._call.method === 'HEAD') return
+    this._abort(new CallError('the answer does not give its length', this._details()))
+  }
+
+  onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this._bytes += chunk.length
+    if (this._bytes > this._maxAnswerBytes) {
+      return this._abort(new CallError(`the answer is over ${this._maxAnswerBytes} bytes`, this._details()))
+    }
+    this._chunks.push(chunk)
+  }
+
+  onResponseEnd (): void {
+    this._settled.resolve(Result.ok({ status: this._status, headers: this._headers, body: Buffer.concat(this._chunks) }))
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
+    this._settled.resolve(Result.err(new CallError(failureText(err), this._details(err))))
+  }
+
+  private _abort (err: CallError): void {
+    this._settled.resolve(Result.err(err))
+    this._controller?.abort(err)
+  }
+
+  private _details (cause?: unknown): CallErrorOptions {
+    const { step, changes = true } = this._call
+    const effect: Effect = this._controller && changes ? EFFECTS.unknown : EFFECTS.none
+    return { step, peer: this._address, effect, cause }
+  }
+}
+
+/** Text of a connection's failure; failures of several addresses have a code only. */
+function failureText (err: Error & { code?: string }): string {
+  return err.message || err.code || err.name
+}
+
+function joinedHeaders (headers: RawHeaders): Record<string, string> {
+  return Object.fromEntries(Object.entries(headers)
+    .filter((entry): entry is [string, string | string[]] => entry[1] !== undefined)
+    .map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value]))
+}
--- /dev/null
+++ b/packages/pomelofold/src/edge/httpPlatformClient.ts
@@ -0,0 +1,234 @@
+/**
+ * The platform over HTTP: its key-value service by the etcd v3 JSON gateway, and `GET /vms`.
+ *
+ * @module
+ */
+
+import { Client } from 'undici'
+import Result from 'true-myth/result'
+import { z } from 'zod'
+import { HttpCaller, TCP_KEEP_ALIVE_DELAY_MS, type HttpAnswer } from './httpCaller.js'
+import * as messages from './platformMessages.js'
+import type { VmRecord } from '../protocol/vms.js'
+import type {
+  CallOptions, Change, Guard, PlatformClient, RangeResult, StoredValue, TxnOutcome, Watch, WatchHandlers
+} from '../seams/platformClient.js'
+import type { Timers } from '../seams/timers.js'
+import { CallError, EFFECTS, errorText } from '../utils/errors.js'
+
+/** Options of an {@link HttpPlatformClient}. */
+export interface HttpPlatformClientOptions {
+  timers: Timers
+  /** `host:port` of the platform. */
+  address: string
+  /** Deadline of calls that give none, in milliseconds. */
+  timeoutMs?: number
+  /** Connections open at once, watches not counted. */
+  connections?: number
+}
+
+interface PlatformCall<T> {
+  step: string
+  path: string
+  body?: object
+  schema: z.ZodType<T>
+  changes: boolean
+}
+
+/** Largest answer, in bytes. */
+const MAX_ANSWER_BYTES = 64_000_000
+
+/** Longest line of a watch, in characters. */
+const MAX_WATCH_LINE_CHARS = 64_000_000
+
+/** gRPC status codes by which the service says that a call was refused and had no effect. */
+const REFUSAL_CODES = new Set([
+  3, // INVALID_ARGUMENT
+  5, // NOT_FOUND
+  7, // PERMISSION_DENIED
+  8, // RESOURCE_EXHAUSTED
+  9, // FAILED_PRECONDITION
+  11, // OUT_OF_RANGE
+  16 // UNAUTHENTICATED
+])
+
+/**
+ * Client of the platform by HTTP. It never sends a call twice. The effect of a failed call is `none`
+ * when its request was never sent, when it changes nothing, or when the service refused it by a definite status.
+ */
+export class HttpPlatformClient implements PlatformClient {
+  private readonly _caller: HttpCaller
+  private readonly _address: string
+  private readonly _timeoutMs: number
+  private readonly _watches = new Set<Watch>()
+
+  constructor ({ timers, address, timeoutMs = 1_000, connections = 8 }: HttpPlatformClientOptions) {
+    this._caller = new HttpCaller({ timers, connections, maxAnswerBytes: MAX_ANSWER_BYTES })
+    this._address = address
+    this._timeoutMs = timeoutMs
+  }
+
+  range (prefix: string, options?: CallOptions): Promise<Result<RangeResult, CallError>> {
+    return this._call({
+      step: 'platform.range',
+      path: '/v3/kv/range',
+      body: { ...messages.prefixRange(prefix), sort_order: 'ASCEND', sort_target: 'KEY' },
+      schema: messages.rangeAnswerSchema,
+      changes: false
+    }, options)
+  }
+
+  async get (key: string, options?: CallOptions): Promise<Result<StoredValue | undefined, CallError>> {
+    const result = await this._call({
+      step: 'platform.get',
+      path: '/v3/kv/range',
+      body: { key: messages.base64(key) },
+      schema: messages.rangeAnswerSchema,
+      changes: false
+    }, options)
+    return result.map(({ values }) => values.find(value => value.key === key))
+  }
+
+  txn (guards: Guard[], changes: Change[], options?: CallOptions): Promise<Result<TxnOutcome, CallError>> {
+    return this._call({
+      step: 'platform.txn',
+      path: '/v3/kv/txn',
+      body: messages.txnBody(guards, changes),
+      schema: messages.txnAnswerSchema,
+      changes: true
+    }, options)
+  }
+
+  grantLease (ttlMs: number, options?: CallOptions): Promise<Result<{ leaseId: string, ttlMs: number }, CallError>> {
+    return this._call({
+      step: 'platform.grantLease',
+      path: '/v3/lease/grant',
+      body: { TTL: String(Math.ceil(ttlMs / 1_000)) },
+      schema: messages.grantAnswerSchema,
+      changes: true
+    }, options)
+  }
+
+  keepAlive (leaseId: string, options?: CallOptions): Promise<Result<{ ttlMs: number }, CallError>> {
+    return this._call({
+      step: 'platform.keepAlive',
+      path: '/v3/lease/keepalive',
+      body: { ID: leaseId },
+      schema: messages.keepAliveAnswerSchema,
+      changes: true
+    }, options)
+  }
+
+  revokeLease (leaseId: string, options?: CallOptions): Promise<Result<void, CallError>> {
+    return this._call({
+      step: 'platform.revokeLease',
+      path: '/v3/lease/revoke',
+      body: { ID: leaseId },
+      schema: messages.revokeAnswerSchema,
+      changes: true
+    }, options)
+  }
+
+  watch (prefix: string, fromRevision: number, handlers: WatchHandlers): Watch {
+    const abort = new AbortController()
+    const watch: Watch = {
+      close: () => {
+        this._watches.delete(watch)
+        abort.abort()
+      }
+    }
+    this._watches.add(watch)
+    this._readWatch(prefix, fromRevision, handlers, abort.signal)
+      .catch(errorText)
+      .then(reason => {
+        this._watches.delete(watch)
+        if (!abort.signal.aborted) handlers.onEnd(reason)
+      })
+    return watch
+  }
+
+  listVms (options?: CallOptions): Promise<Result<VmRecord[], CallError>> {
+    return this._call({ step: 'platform.listVms', path: '/vms', schema: messages.vmsAnswerSchema, changes: false }, options)
+  }
+
+  /** Ends all watches and closes all connections. */
+  close (): Promise<void> {
+    for (const watch of [...this._watches]) watch.close()
+    return this._caller.close()
+  }
+
+  private async _call<T> (call: PlatformCall<T>, { timeoutMs = this._timeoutMs }: CallOptions = {}): Promise<Result<T, CallError>> {
+    const { step, path, body, changes } = call
+    const result = await this._caller.call(this._address, {
+      step,
+      method: body ? 'POST' : 'GET',
+      path,
+      headers: body ? { 'content-type': 'application/json' } : {},
+      body: body && JSON.stringify(body),
+      timeoutMs,
+      changes
+    })
+    return result.andThen(answer => this._parse(call, answer))
+  }
+
+  private _parse<T> ({ step, schema, changes }: PlatformCall<T>, answer: HttpAnswer): Result<T, CallError> {
+    const details = { step, peer: this._address, effect: changes ? EFFECTS.unknown : EFFECTS.none }
+    try {
+      const json: unknown = JSON.parse(Buffer.from(answer.body).toString('utf8'))
+      if (answer.status === 200) return Result.ok(schema.parse(json))
+      const { code, message, error } = messages.errorAnswerSchema.parse(json)
+      const effect = REFUSAL_CODES.has(code) ? EFFECTS.none : details.effect
+      return Result.err(new CallError(`refused with code ${code}: ${message || error}`, { ...details, effect }))
+    } catch (err) {
+      const text = err instanceof z.ZodError ? z.prettifyError(err) : errorText(err)
+      return Result.err(new CallError(`status ${answer.status} with an answer that is not valid: ${text}`, { ...details, cause: err }))
+    }
+  }
+
+  /** Reads a watch until it ends. Returns why. Each watch has a connection of its own. */
+  private async _readWatch (prefix: string, fromRevision: number, handlers: WatchHandlers, signal: AbortSignal): Promise<string> {
+    const client = new Client(`http://${this._address}`, {
+      connect: { timeout: this._timeoutMs, keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS },
+      headersTimeout: this._timeoutMs,
+      bodyTimeout: 0
+    })
+    try {
+      const { statusCode, body } = await client.request({
+        method: 'POST',
+        path: '/v3/watch',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ create_request: { ...messages.prefixRange(prefix), start_revision: String(Math.max(1, fromRevision)) } }),
+        signal
+      })
+      if (statusCode !== 200) return `refused with status ${statusCode}`
+      for await (const line of lines(body)) {
+        const end = deliver(line, handlers, signal)
+        if (end !== undefined) return end
+      }
+      return 'the platform closed the watch'
+    } finally {
+      await client.destroy()
+    }
+  }
+}
+
+/** Hands on the events of one line of a watch. Returns why the watch ended, if it did. */
+function deliver (line: string, handlers: WatchHandlers, signal: AbortSignal): string | undefined {
+  const message = messages.watchLineSchema.parse(JSON.parse(line))
+  const { canceled, cancel_reason: reason, compact_revision: compacted } = message.result
+  if (compacted > 0) return `revisions before ${compacted} are no longer kept`
+  if (canceled) return `cancelled by the platform: ${reason}`
+  const events = messages.watchEvents(message)
+  if (events.length && !signal.aborted) handlers.onEvents(events)
+}
+
+async function * lines (chunks: AsyncIterable<Buffer>): AsyncGenerator<string> {
+  const decoder = new TextDecoder()
+  let rest = ''
+  for await (const chunk of chunks) {
+    const parts = (rest + decoder.decode(chunk, { stream: true })).split('\n')
+    rest = parts.pop() ?? ''
+    if (rest.length > MAX_WATCH_LINE_CHARS) throw new Error('the line is too long')
+    yield * parts.filter(part => part.trim() !== '')
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/edge/systemTimers.ts
@@ -0,0 +1,31 @@
+/**
+ * The process's own clocks.
+ *
+ * @module
+ */
+
+import type { Timers, TimerSubscription } from '../seams/timers.js'
+
+/** Longest delay that the runtime's timers take, in milliseconds. */
+const MAX_DELAY_MS = 2_147_483_647
+
+/** Timers by the system's monotonic and wall clocks. */
+export class SystemTimers implements Timers {
+  now (): number {
+    return performance.now()
+  }
+
+  wallClock (): number {
+    return Date.now()
+  }
+
+  after (delayMs: number, fn: () => void): TimerSubscription {
+    const timer = setTimeout(fn, Math.min(delayMs, MAX_DELAY_MS))
+    return { cancel () { clearTimeout(timer) } }
+  }
+
+  every (periodMs: number, fn: () => void): TimerSubscription {
+    const timer = setInterval(fn, Math.min(periodMs, MAX_DELAY_MS))
+    return { cancel () { clearInterval(timer) } }
+  }
+}
--- a/packages/pomelofold/src/seams/upstreamClient.ts
+++ b/packages/pomelofold/src/seams/upstreamClient.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Result } from 'true-myth/result'
-import type { CallError } from '../utils/errors.js'
+import { CallError, type CallErrorOptions } from '../utils/errors.js'
 import type { TaskStart, TaskStartAnswer, WorkerReport } from '../protocol/worker.js'
 
 /** A request as sent to a service instance. */
@@ -33,6 +33,18 @@
 /** One of {@link TASK_COMMANDS}. */
 export type TaskCommand = typeof TASK_COMMANDS[keyof typeof TASK_COMMANDS]
 
+/** A worker refused an epoch older than the newest it has seen. Nothing of the refused call ran. */
+export class StaleEpochError extends CallError {
+  /** Newest epoch that the worker has seen. */
+  readonly epoch: number
+
+  constructor (epoch: number, options: CallErrorOptions) {
+    super(`the worker has seen the newer epoch ${epoch}`, options)
+    this.name = 'StaleEpochError'
+    this.epoch = epoch
+  }
+}
+
 /**
  * Client of upstream VMs. A failed call whose `effect` is `none` reached nobody:
  * no byte of the work was sent. With `unknown`, the work may run now or later.
