--- /dev/null
+++ b/packages/standins/src/etcdGateway.ts
@@ -0,0 +1,119 @@
+/**
+ * The server's side of the etcd v3 JSON gateway subset, over a {@link KeyValueStore}.
+ *
+ * @module
+ */
+
+import { z } from 'zod'
+import type { Change, Guard, StoredValue, WatchEvent } from 'pomelofold/seams/platformClient'
+import type { KeyValueStore } from './keyValueStore.js'
+
+const base64Schema = z.string().default('').transform(text => Buffer.from(text, 'base64'))
+const textSchema = base64Schema.transform(bytes => bytes.toString('utf8'))
+const int64Schema = z.union([z.string(), z.number()]).default('0').transform(Number)
+const leaseIdSchema = z.union([z.string(), z.number()]).transform(String)
+
+const rangeSchema = z.object({ key: base64Schema, range_end: base64Schema })
+const putSchema = z.object({ key: textSchema, value: textSchema, lease: leaseIdSchema.optional() })
+const deleteSchema = z.object({ key: textSchema })
+const txnSchema = z.object({
+  compare: z.array(z.object({ key: textSchema, target: z.literal('MOD'), result: z.literal('EQUAL').default('EQUAL'), mod_revision: int64Schema })).default([]),
+  success: z.array(z.union([z.object({ request_put: putSchema }), z.object({ request_delete_range: deleteSchema })])).default([])
+})
+const grantSchema = z.object({ TTL: int64Schema })
+const leaseSchema = z.object({ ID: leaseIdSchema })
+const watchSchema = z.object({ create_request: rangeSchema.extend({ start_revision: int64Schema }) })
+
+/** Handlers of the gateway's calls that are answered once, by path. Each throws on a request that is not valid. */
+export const GATEWAY_CALLS: Record<string, { write: boolean, call: (store: KeyValueStore, body: unknown) => object }> = {
+  '/v3/kv/range': {
+    write: false,
+    call: (store, body) => {
+      const { key, range_end: end } = rangeSchema.parse(body)
+      if (end.length > 0) {
+        const { values, revision } = store.range(prefixOf(key, end))
+        return { header: header(revision), kvs: values.map(gatewayValue), count: String(values.length) }
+      }
+      const value = store.get(key.toString('utf8'))
+      return { header: header(store.revision), ...(value && { kvs: [gatewayValue(value)], count: '1' }) }
+    }
+  },
+  '/v3/kv/txn': {
+    write: true,
+    call: (store, body) => {
+      const { compare, success } = txnSchema.parse(body)
+      const guards = compare.map(({ key, mod_revision: modRevision }): Guard => ({ key, modRevision }))
+      const { applied, revision } = store.txn(guards, success.map(change))
+      return { header: header(revision), ...(applied && { succeeded: true }) }
+    }
+  },
+  '/v3/lease/grant': {
+    write: true,
+    call: (store, body) => {
+      const { leaseId, ttlMs } = store.grantLease(grantSchema.parse(body).TTL * 1_000)
+      return { header: header(store.revision), ID: leaseId, TTL: String(ttlMs / 1_000) }
+    }
+  },
+  '/v3/lease/keepalive': {
+    write: true,
+    call: (store, body) => {
+      const { ID } = leaseSchema.parse(body)
+      const { ttlMs } = store.keepAlive(ID)
+      return { result: { header: header(store.revision), ID, ...(ttlMs > 0 && { TTL: String(ttlMs / 1_000) }) } }
+    }
+  },
+  '/v3/lease/revoke': {
+    write: true,
+    call: (store, body) => {
+      store.revokeLease(leaseSchema.parse(body).ID)
+      return { header: header(store.revision) }
+    }
+  }
+}
+
+/** Opens a watch; `send` gets one object for each line of the answer. */
+export function openWatch (store: KeyValueStore, body: unknown, send: (line: object) => void): { close: () => void } {
+  const { key, range_end: end, start_revision: startRevision } = watchSchema.parse(body).create_request
+  const from = startRevision > 0 ? startRevision : store.revision + 1
+  send({ result: { header: header(store.revision), watch_id: '0', created: true } })
+  if (from < store.oldestWatchable) {
+    send({ result: { header: header(store.revision), watch_id: '0', canceled: true, compact_revision: String(store.oldestWatchable) } })
+    return { close () {} }
+  }
+  return store.watch(prefixOf(key, end), from, events => {
+    send({ result: { header: header(store.revision), watch_id: '0', events: events.map(gatewayEvent) } })
+  })
+}
+
+function header (revision: number): object {
+  return { cluster_id: '1', member_id: '1', revision: String(revision), raft_term: '1' }
+}
+
+function change (request: z.infer<typeof txnSchema>['success'][number]): Change {
+  if ('request_delete_range' in request) return { op: 'delete', key: request.request_delete_range.key }
+  const { key, value, lease } = request.request_put
+  return { op: 'put', key, value, leaseId: lease === '0' ? undefined : lease }
+}
+
+/** The prefix that a range stands for. Other ranges are not served. */
+function prefixOf (key: Buffer, end: Buffer): string {
+  if (key.equals(Buffer.of(0)) && end.equals(Buffer.of(0))) return ''
+  const next = Buffer.from(key)
+  if (next.length > 0) next[next.length - 1]++
+  if (!next.equals(end)) throw new Error('only ranges that stand for a prefix are served')
+  return key.toString('utf8')
+}
+
+function gatewayValue ({ key, value, createRevision, modRevision }: StoredValue): object {
+  return {
+    key: Buffer.from(key).toString('base64'),
+    value: Buffer.from(value).toString('base64'),
+    create_revision: String(createRevision),
+    mod_revision: String(modRevision)
+  }
+}
+
+function gatewayEvent ({ key, value, revision }: WatchEvent): object {
+  if (value) return { kv: gatewayValue(value) }
+  return { type: 'DELETE', kv: { key: Buffer.from(key).toString('base64'), mod_revision: String(revision) } }
+}
--- a/packages/standins/src/keyValueStore.ts
+++ b/packages/standins/src/keyValueStore.ts
@@ -41,6 +41,7 @@
   private readonly _watchers = new Set<Watcher>()
   private _history: WatchEvent[] = []
   private _revision = 0
+  private _forgottenRevision = 0
   private _leaseNumber = 0
 
   constructor ({ timers }: { timers: Timers }) {
@@ -51,6 +52,11 @@
     return this._revision
   }
 
+  /** Oldest revision from which a watch sees every event. */
+  get oldestWatchable (): number {
+    return this._forgottenRevision + 1
+  }
+
   range (prefix: string): RangeResult {
     this.counts.reads++
     const values = [...this._values.values()].filter(value => value.key.startsWith(prefix)).map(plainValue)
@@ -143,7 +149,10 @@
 
   private _publish (events: WatchEvent[]): void {
     this._history.push(...events)
-    if (this._history.length > 2 * HISTORY_EVENTS) this._history = this._history.slice(-HISTORY_EVENTS)
+    if (this._history.length > 2 * HISTORY_EVENTS) {
+      this._forgottenRevision = this._history[this._history.length - HISTORY_EVENTS - 1].revision
+      this._history = this._history.slice(-HISTORY_EVENTS)
+    }
     for (const watcher of [...this._watchers]) {
       const own = events.filter(event => event.key.startsWith(watcher.prefix))
       if (own.length) watcher.onEvents(own)
--- /dev/null
+++ b/packages/standins/src/platformStandin.ts
@@ -0,0 +1,172 @@
+/**
+ * The platform behind HTTP: the key-value service, the lagging list of VMs, and `/control`.
+ *
+ * @module
+ */
+
+import type { Context } from 'hono'
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
+import type { VmRecord } from 'pomelofold/protocol/vms'
+import { vmRecordSchema } from 'pomelofold/protocol/vms'
+import { delay, type Timers } from 'pomelofold/seams/timers'
+import { errorText } from 'pomelofold/utils/errors'
+import { GATEWAY_CALLS, openWatch } from './etcdGateway.js'
+import { KeyValueStore } from './keyValueStore.js'
+import {
+  OUTAGES, platformFaultsSchema, platformSettingsSchema, vmChangeSchema,
+  type PlatformCounts, type PlatformSettings, type PlatformStandinFaults
+} from './platformSettings.js'
+import { resetConnection, StandinServer, type Standin, type StandinEnv } from './standinServer.js'
+
+/** A call to be answered once. */
+interface PlatformCall {
+  write: boolean
+  call: () => object
+}
+
+/** gRPC status codes, with the HTTP statuses that the gateway gives them. */
+const REFUSALS = {
+  invalid: { code: 3, status: 400 },
+  notFound: { code: 5, status: 404 },
+  unavailable: { code: 14, status: 503 }
+} as const
+
+/** The platform. */
+export class PlatformStandin implements Standin {
+  readonly store: KeyValueStore
+  readonly faults: PlatformStandinFaults = { outage: OUTAGES.none, delayMs: 0, loseAnswers: false }
+  private readonly _timers: Timers
+  private readonly _vmLagMs: number
+  private readonly _server = new StandinServer()
+  private readonly _watches = new Set<Context<StandinEnv>>()
+  private readonly _vms: Map<string, VmRecord>
+  private _listedVms: VmRecord[]
+  private _vmLists = 0
+
+  constructor ({ timers, settings }: { timers: Timers, settings: PlatformSettings }) {
+    const { vms, vmLagMs } = platformSettingsSchema.parse(settings)
+    this._timers = timers
+    this._vmLagMs = vmLagMs
+    this._vms = new Map(vms.map(vm => [vm.name, vm]))
+    this._listedVms = vms
+    this.store = new KeyValueStore({ timers })
+    this._serveCalls()
+    this._serveControl()
+  }
+
+  listen (address: string): Promise<string> {
+    return this._server.listen(address)
+  }
+
+  close (): Promise<void> {
+    return this._server.close()
+  }
+
+  /** Calls since the start. */
+  counts (): PlatformCounts {
+    return { ...this.store.counts, vmLists: this._vmLists, openWatches: this._watches.size, wallClockMs: this._timers.wallClock() }
+  }
+
+  /** Adds or replaces a VM. The list shows it after the lag. */
+  setVm (vm: VmRecord): void {
+    this._vms.set(vm.name, vm)
+    this._publishVms()
+  }
+
+  /** Removes a VM. The list shows it after the lag. */
+  removeVm (name: string): void {
+    this._vms.delete(name)
+    this._publishVms()
+  }
+
+  private _publishVms (): void {
+    const vms = [...this._vms.values()]
+    this._timers.after(this._vmLagMs, () => { this._listedVms = vms })
+  }
+
+  private _serveCalls (): void {
+    const { app } = this._server
+    for (const [path, { write, call }] of Object.entries(GATEWAY_CALLS)) {
+      app.post(path, async c => {
+        const body: unknown = await c.req.json()
+        return this._answer(c, { write, call: () => call(this.store, body) })
+      })
+    }
+    app.get('/vms', c => this._answer(c, { write: false, call: () => this._listVms() }))
+    app.post('/v3/watch', async c => {
+      const body: unknown = await c.req.json()
+      return await this._outage(c) ?? this._serveWatch(c, body)
+    })
+  }
+
+  private _serveControl (): void {
+    const { app } = this._server
+    this._server.serveFaults(this.faults, platformFaultsSchema, () => {
+      if (this.faults.outage !== OUTAGES.none) this._endWatches()
+    })
+    app.get('/control/counts', c => c.json(this.counts()))
+    app.get('/control/vms', c => c.json({ vms: [...this._vms.values()] }))
+    app.put('/control/vms', async c => {
+      this.setVm(vmRecordSchema.parse(await c.req.json()))
+      return c.json({})
+    })
+    app.post('/control/vms/:name', async c => {
+      const vm = this._vms.get(c.req.param('name'))
+      if (!vm) return c.json({ error: `no VM is named ${c.req.param('name')}` }, 404)
+      const { state } = vmChangeSchema.parse(await c.req.json())
+      if (state === 'gone') this.removeVm(vm.name)
+      else this.setVm({ ...vm, state })
+      return c.json({})
+    })
+  }
+
+  private _listVms (): object {
+    this._vmLists++
+    return { vms: this._listedVms }
+  }
+
+  private async _answer (c: Context<StandinEnv>, { write, call }: PlatformCall): Promise<Response> {
+    const refusal = await this._outage(c)
+    if (refusal) return refusal
+    try {
+      const answer = call()
+      return write && this.faults.loseAnswers ? resetConnection(c) : c.json(answer)
+    } catch (err) {
+      const message = errorText(err)
+      return refuse(c, message.startsWith('lease ') ? 'notFound' : 'invalid', message)
+    }
+  }
+
+  /** Delays the call, and answers it when the platform is out of service. */
+  private async _outage (c: Context<StandinEnv>): Promise<Response | undefined> {
+    if (this.faults.delayMs > 0) await delay(this._timers, this.faults.delayMs)
+    const answers = {
+      none: () => undefined,
+      reset: () => resetConnection(c),
+      silent: () => RESPONSE_ALREADY_SENT,
+      unavailable: () => refuse(c, 'unavailable', 'the platform is out of service')
+    }
+    return answers[this.faults.outage]()
+  }
+
+  private _serveWatch (c: Context<StandinEnv>, body: unknown): Response {
+    const { outgoing } = c.env
+    outgoing.writeHead(200, { 'content-type': 'application/json' })
+    this._watches.add(c)
+    const watch = openWatch(this.store, body, line => outgoing.write(`${JSON.stringify(line)}\n`))
+    outgoing.on('close', () => {
+      this._watches.delete(c)
+      watch.close()
+    })
+    return RESPONSE_ALREADY_SENT
+  }
+
+  private _endWatches (): void {
+    for (const c of this._watches) resetConnection(c)
+  }
+}
+
+function refuse (c: Context<StandinEnv>, kind: keyof typeof REFUSALS, message: string): Response {
+  const { code, status } = REFUSALS[kind]
+  return c.json({ error: message, code, message }, status)
+}
--- /dev/null
+++ b/packages/standins/src/workerModel.ts
@@ -0,0 +1,262 @@
+/**
+ * Model of a worker: tasks under leases, fenced by epoch, with lagging usage reports and faults.
+ *
+ * @module
+ */
+
+import Result from 'true-myth/result'
+import type { Capacity } from 'pomelofold/protocol/vms'
+import { WORKER_TASK_STATES, type TaskStart, type TaskStartAnswer, type WorkerReport, type WorkerTask } from 'pomelofold/protocol/worker'
+import type { RandomSource } from 'pomelofold/seams/randomSource'
+import type { Timers, TimerSubscription } from 'pomelofold/seams/timers'
+import type { TaskCommand } from 'pomelofold/seams/upstreamClient'
+import { countTimes, type TaskRun, type WorkerRecord } from './records.js'
+
+/** Faults of a worker. Each may be changed at any moment. */
+export interface WorkerFaults {
+  /** Every task that starts fails soon after. */
+  failTasks: boolean
+  /** Calls wait, unprocessed, until this is switched off. Tasks run on. */
+  hang: boolean
+  /** Calls take effect, but their answers are lost. */
+  dropAnswers: boolean
+}
+
+/** Options of a {@link WorkerModel}. */
+export interface WorkerModelOptions {
+  timers: Timers
+  random: RandomSource
+  vm?: string
+  rack?: string
+  capacity?: Capacity
+  /** Work done in a millisecond, relative to an ordinary VM. */
+  speed?: number
+  /** Least and largest factor between the declared size and true usage of processors and memory. */
+  usageFactor?: [number, number]
+  /** Usage is reported this long after a task's start, in milliseconds. */
+  usageLagMs?: number
+}
+
+/** A refused call: the newest epoch that the worker has seen. */
+export interface StaleEpoch {
+  epoch: number
+}
+
+type EndState = NonNullable<TaskRun['end']>
+
+interface HeldTask {
+  start: TaskStart
+  state: WorkerTask['state']
+  run: TaskRun
+  startedMs: number
+  endedMs?: number
+  /** Work left, in milliseconds at speed 1; infinite for a task that runs until stopped. */
+  leftMs: number
+  /** Moment of the last change of `leftMs`. */
+  countedMs: number
+  rate: number
+  checkpoint?: string
+  lease?: TimerSubscription
+  completion?: TimerSubscription
+}
+
+/** Time from the start of a task until it fails, under the fault `failTasks`, in milliseconds. */
+const FAIL_AFTER_MS = 50
+
+/** Factor on the speed of a throttled task. */
+const THROTTLE_FACTOR = 0.5
+
+/** A worker. It does not refuse tasks beyond its capacity; it records them. */
+export class WorkerModel {
+  readonly faults: WorkerFaults = { failTasks: false, hang: false, dropAnswers: false }
+  private readonly _timers: Timers
+  private readonly _random: RandomSource
+  private readonly _options: Required<Omit<WorkerModelOptions, 'timers' | 'random'>>
+  private readonly _tasks = new Map<string, HeldTask>()
+  private readonly _runs: TaskRun[] = []
+  private readonly _refused: WorkerRecord['refusedStarts'] = []
+  private _epoch = 0
+  private _overfilledStarts = 0
+  private _peakDeclared: Capacity = { cpus: 0, memoryMb: 0, accelerators: 0 }
+  private _peakUsage: Capacity = { cpus: 0, memoryMb: 0, accelerators: 0 }
+
+  constructor ({
+    timers,
+    random,
+    vm = 'worker',
+    rack = 'rack',
+    capacity = { cpus: 64, memoryMb: 128_000, accelerators: 0 },
+    speed = 1,
+    usageFactor = [1, 1],
+    usageLagMs = 5_000
+  }: WorkerModelOptions) {
+    this._timers = timers
+    this._random = random
+    this._options = { vm, rack, capacity, speed, usageFactor, usageLagMs }
+  }
+
+  /** Starts tasks. A task id that is still listed is refused. */
+  start (epoch: number, starts: TaskStart[]): Result<TaskStartAnswer[], StaleEpoch> {
+    if (!this._acceptEpoch(epoch)) {
+      for (const { taskId } of starts) this._refuse(taskId, epoch, `epoch ${epoch} is older than ${this._epoch}`)
+      return Result.err({ epoch: this._epoch })
+    }
+    return Result.ok(starts.map(start => this._startOne(epoch, start)))
+  }
+
+  /** Renews the leases of all running tasks, drops acknowledged ones, and lists the rest. */
+  renew (epoch: number, leaseMs: number, acknowledged: string[]): Result<WorkerReport, StaleEpoch> {
+    if (!this._acceptEpoch(epoch)) return Result.err({ epoch: this._epoch })
+    for (const taskId of acknowledged) {
+      if (this._tasks.get(taskId)?.endedMs !== undefined) this._tasks.delete(taskId)
+    }
+    for (const task of this._runningTasks()) this._armLease(task, leaseMs)
+    const tasks = [...this._tasks.values()].map(task => this._listed(task))
+    return Result.ok({ epoch: this._epoch, capacity: this._options.capacity, tasks })
+  }
+
+  /** Applies a command to a task. False when no such task runs. */
+  command (epoch: number, taskId: string, command: TaskCommand): Result<boolean, StaleEpoch> {
+    if (!this._acceptEpoch(epoch)) return Result.err({ epoch: this._epoch })
+    const task = this._tasks.get(taskId)
+    if (task?.state !== WORKER_TASK_STATES.running) return Result.ok(false)
+    this._commands[command](task)
+    return Result.ok(true)
+  }
+
+  /** What ran so far. */
+  record (): WorkerRecord {
+    const { vm, rack, capacity } = this._options
+    return {
+      vm,
+      rack,
+      epoch: this._epoch,
+      capacity,
+      peakDeclared: this._peakDeclared,
+      peakUsage: this._peakUsage,
+      overfilledStarts: this._overfilledStarts,
+      timesRun: countTimes(this._runs.map(run => run.taskId)),
+      runs: this._runs,
+      refusedStarts: this._refused
+    }
+  }
+
+  private readonly _commands: Record<TaskCommand, (task: HeldTask) => void> = {
+    stop: task => this._end(task, WORKER_TASK_STATES.stopped, 'stopped by command'),
+    checkpoint: task => {
+      this._countWork(task)
+      task.checkpoint = String(Math.round(task.leftMs))
+    },
+    throttle: task => {
+      this._countWork(task)
+      task.rate = this._options.speed * THROTTLE_FACTOR
+      this._armCompletion(task)
+    }
+  }
+
+  private _acceptEpoch (epoch: number): boolean {
+    if (epoch < this._epoch) return false
+    this._epoch = epoch
+    return true
+  }
+
+  private _refuse (taskId: string, epoch: number, reason: string): TaskStartAnswer {
+    this._refused.push({ taskId, epoch, reason, atMs: this._timers.wallClock() })
+    return { taskId, started: false, reason }
+  }
+
+  private _startOne (epoch: number, start: TaskStart): TaskStartAnswer {
+    const { taskId, size, runMs } = start
+    const listed = this._tasks.get(taskId)
+    if (listed) return this._refuse(taskId, epoch, `the task was already started here and is ${listed.state}`)
+    const run: TaskRun = { taskId, epoch, size, usage: this._drawUsage(size), startMs: this._timers.wallClock() }
+    const nowMs = this._timers.now()
+    const leftMs = runMs === 0 ? Infinity : Number(start.checkpoint ?? runMs)
+    const task: HeldTask = {
+      start,
+      state: WORKER_TASK_STATES.running,
+      run,
+      startedMs: nowMs,
+      leftMs,
+      countedMs: nowMs,
+      rate: this._options.speed,
+      checkpoint: start.checkpoint
+    }
+    this._tasks.set(taskId, task)
+    this._runs.push(run)
+    this._notePeaks()
+    this._armLease(task, start.leaseMs)
+    this._armCompletion(task)
+    return { taskId, started: true }
+  }
+
+  private _runningTasks (): HeldTask[] {
+    return [...this._tasks.values()].filter(task => task.state === WORKER_TASK_STATES.running)
+  }
+
+  private _armLease (task: HeldTask, leaseMs: number): void {
+    task.lease?.cancel()
+    task.lease = this._timers.after(leaseMs, () => this._end(task, WORKER_TASK_STATES.stopped, 'the lease ended'))
+  }
+
+  private _armCompletion (task: HeldTask): void {
+    task.completion?.cancel()
+    if (this.faults.failTasks) {
+      task.completion = this._timers.after(FAIL_AFTER_MS, () => this._end(task, WORKER_TASK_STATES.failed, 'the worker is faulty'))
+    } else if (Number.isFinite(task.leftMs)) {
+      task.completion = this._timers.after(task.leftMs / task.rate, () => this._end(task, WORKER_TASK_STATES.finished))
+    }
+  }
+
+  private _countWork (task: HeldTask): void {
+    const nowMs = this._timers.now()
+    task.leftMs = Math.max(0, task.leftMs - (nowMs - task.countedMs) * task.rate)
+    task.countedMs = nowMs
+  }
+
+  private _end (task: HeldTask, state: EndState, reason?: string): void {
+    if (task.state !== WORKER_TASK_STATES.running) return
+    task.lease?.cancel()
+    task.completion?.cancel()
+    task.state = state
+    task.endedMs = this._timers.now()
+    Object.assign(task.run, { end: state, endMs: this._timers.wallClock(), reason })
+  }
+
+  private _listed ({ start, state, run, startedMs, endedMs, checkpoint }: HeldTask): WorkerTask {
+    const ranMs = (endedMs ?? this._timers.now()) - startedMs
+    const usage = ranMs >= this._options.usageLagMs ? run.usage : undefined
+    return { taskId: start.taskId, state, size: start.size, usage, ranMs, reason: run.reason, checkpoint }
+  }
+
+  private _drawUsage (size: Capacity): Capacity {
+    const [least, largest] = this._options.usageFactor
+    const factor = (): number => least + (largest - least) * this._random.next()
+    return { cpus: size.cpus * factor(), memoryMb: size.memoryMb * factor(), accelerators: size.accelerators }
+  }
+
+  private _notePeaks (): void {
+    const running = this._runningTasks()
+    const declared = sum(running.map(task => task.start.size))
+    this._peakDeclared = largest(this._peakDeclared, declared)
+    this._peakUsage = largest(this._peakUsage, sum(running.map(task => task.run.usage)))
+    const { cpus, memoryMb, accelerators } = this._options.capacity
+    if (declared.cpus > cpus || declared.memoryMb > memoryMb || declared.accelerators > accelerators) this._overfilledStarts++
+  }
+}
+
+function sum (sizes: Capacity[]): Capacity {
+  return sizes.reduce((total, size) => ({
+    cpus: total.cpus + size.cpus,
+    memoryMb: total.memoryMb + size.memoryMb,
+    accelerators: total.accelerators + size.accelerators
+  }), { cpus: 0, memoryMb: 0, accelerators: 0 })
+}
+
+function largest (a: Capacity, b: Capacity): Capacity {
+  return {
+    cpus: Math.max(a.cpus, b.cpus),
+    memoryMb: Math.max(a.memoryMb, b.memoryMb),
+    accelerators: Math.max(a.accelerators, b.accelerators)
+  }
+}
--- /dev/null
+++ b/packages/standins/src/workerStandin.ts
@@ -0,0 +1,88 @@
+/**
+ * A worker behind HTTP: the interface of `protocol/worker.ts`, and `/control`.
+ *
+ * @module
+ */
+
+import type { Context } from 'hono'
+import type { Result } from 'true-myth/result'
+import { z } from 'zod'
+import { capacitySchema } from 'pomelofold/protocol/vms'
+import { renewalRequestSchema, startsRequestSchema } from 'pomelofold/protocol/worker'
+import { delay, type Timers } from 'pomelofold/seams/timers'
+import { TASK_COMMANDS } from 'pomelofold/seams/upstreamClient'
+import { SeededRandom } from './seededRandom.js'
+import { resetConnection, StandinServer, type Standin, type StandinEnv } from './standinServer.js'
+import { WorkerModel, type StaleEpoch, type WorkerFaults } from './workerModel.js'
+
+/** Settings of a worker's stand-in. */
+export const workerSettingsSchema = z.strictObject({
+  address: z.string().default('127.0.0.1:0'),
+  vm: z.string().min(1),
+  rack: z.string().default('rack'),
+  capacity: capacitySchema.default({ cpus: 64, memoryMb: 128_000, accelerators: 0 }),
+  speed: z.number().positive().default(1),
+  usageFactor: z.tuple([z.number().nonnegative(), z.number().nonnegative()]).default([1, 1]),
+  usageLagMs: z.number().nonnegative().default(5_000),
+  seed: z.number().int().default(1)
+})
+
+/** Settings of a worker's stand-in. */
+export type WorkerSettings = z.input<typeof workerSettingsSchema>
+
+/** Body of `POST /control/faults`. */
+export const workerFaultsSchema: z.ZodType<Partial<WorkerFaults>> = z.strictObject({
+  failTasks: z.boolean(),
+  hang: z.boolean(),
+  dropAnswers: z.boolean()
+}).partial()
+
+const commandSchema = z.enum(TASK_COMMANDS)
+const commandBodySchema = z.strictObject({ epoch: z.number().int() })
+
+/** Delay between looks at whether a waiting call may go on, in milliseconds. */
+const HANG_CHECK_MS = 10
+
+/** A worker. */
+export class WorkerStandin implements Standin {
+  readonly model: WorkerModel
+  private readonly _timers: Timers
+  private readonly _server = new StandinServer()
+
+  constructor ({ timers, settings }: { timers: Timers, settings: WorkerSettings }) {
+    const { seed, ...options } = workerSettingsSchema.parse(settings)
+    this._timers = timers
+    this.model = new WorkerModel({ ...options, timers, random: new SeededRandom(seed) })
+    this._server.serveFaults(this.model.faults, workerFaultsSchema)
+    this._server.app.get('/control/record', c => c.json(this.model.record()))
+    this._server.app.post('/v1/starts', c => this._answer(c, body => {
+      const { epoch, starts } = startsRequestSchema.parse(body)
+      return this.model.start(epoch, starts)
+    }))
+    this._server.app.post('/v1/renewals', c => this._answer(c, body => {
+      const { epoch, leaseMs, acknowledged } = renewalRequestSchema.parse(body)
+      return this.model.renew(epoch, leaseMs, acknowledged)
+    }))
+    this._server.app.post('/v1/tasks/:taskId/:command', c => this._answer(c, body => {
+      const { epoch } = commandBodySchema.parse(body)
+      return this.model.command(epoch, c.req.param('taskId'), commandSchema.parse(c.req.param('command')))
+        .map(found => ({ found }))
+    }))
+  }
+
+  listen (address: string): Promise<string> {
+    return this._server.listen(address)
+  }
+
+  close (): Promise<void> {
+    return this._server.close()
+  }
+
+  private async _answer (c: Context<StandinEnv>, act: (body: unknown) => Result<object, StaleEpoch>): Promise<Response> {
+    const body: unknown = await c.req.json()
+    while (this.model.faults.hang) await delay(this._timers, HANG_CHECK_MS)
+    const result = act(body)
+    if (this.model.faults.dropAnswers) return resetConnection(c)
+    return result.isOk ? c.json(result.value) : c.json(result.error, 409)
+  }
+}
