Place tasks on workers: policies per kind, quotas, reservations, preemption

Cause: the job manager needs a Placement to choose workers against; the interface stands, nothing implements it. Ruled out: scanning every worker per decision (kept out by an index of free room: planes by free accelerators, rows by processors, columns by memory); float sums in the books (whole units, so that a recount is exact).

--- /dev/null
+++ b/packages/pomelofold/src/tasks/placement/cluster.ts
@@ -0,0 +1,175 @@
+/**
+ * Workers by name, rack and failure domain, and the tasks counted at them.
+ *
+ * @module
+ */
+
+import type { TaskRequest, WorkerInfo } from '../placementTypes.js'
+import { FreeIndex } from './freeIndex.js'
+import { TeamLedger, countForTeam } from './teamLedger.js'
+import { addUnits, zeroUnits, type Units } from './units.js'
+import { CLASS_RANK, WorkerNode, type GroupKind, type PlacedTask, type WorkerGroup } from './workerNode.js'
+
+/** Books of all workers, tasks and teams. Changes keep the index of free room in step. */
+export class Cluster {
+  readonly nodes = new Map<string, WorkerNode>()
+  readonly tasks = new Map<string, PlacedTask>()
+  readonly teams = new TeamLedger()
+  readonly index = new FreeIndex()
+  /** Sums over the listed workers. */
+  readonly capacity = zeroUnits()
+  readonly used = zeroUnits()
+  private readonly _groups: Record<GroupKind, Map<string, WorkerGroup>> = { rack: new Map(), failureDomain: new Map() }
+  private readonly _shapes = new Map<string, { capacity: Units, count: number }>()
+  private readonly _jobs = new Map<string, Set<PlacedTask>>()
+
+  setWorker (info: WorkerInfo): void {
+    const known = this.nodes.get(info.name)
+    const moved = known && (known.rack !== info.rack || known.failureDomain !== info.failureDomain)
+    const node = known && !moved ? known : this._addNode(info)
+    if (moved) this._moveTasks(known, node)
+    this._countCapacity(node, -1)
+    node.update(info)
+    this._countCapacity(node, 1)
+    this.index.update(node)
+  }
+
+  /** Forgets a worker and the tasks counted there. */
+  removeWorker (name: string): void {
+    const node = this.nodes.get(name)
+    if (!node) return
+    for (const task of [...node.tasks]) this.removeTask(task.id)
+    this._removeNode(node)
+  }
+
+  addTask (req: TaskRequest, size: Units, node: WorkerNode): void {
+    const task: PlacedTask = {
+      id: req.taskId,
+      jobId: req.jobId,
+      kind: req.kind,
+      rank: CLASS_RANK[req.class],
+      team: this.teams.team(req.team),
+      size,
+      node
+    }
+    this._addTask(task)
+  }
+
+  removeTask (taskId: string): void {
+    const task = this.tasks.get(taskId)
+    if (!task) return
+    this.tasks.delete(taskId)
+    task.node.removeTask(task)
+    countForTeam(task.team, task.size, -1)
+    addUnits(this.used, task.size, -1)
+    this._removeFromJob(task)
+    this.index.update(task.node)
+    if (!task.node.listed && !task.node.tasks.size) this._removeNode(task.node)
+  }
+
+  resizeTask (taskId: string, size: Units): void {
+    const task = this.tasks.get(taskId)
+    if (!task) return
+    task.node.removeTask(task)
+    countForTeam(task.team, task.size, -1)
+    addUnits(this.used, task.size, -1)
+    task.size = size
+    task.node.addTask(task)
+    countForTeam(task.team, size, 1)
+    addUnits(this.used, size)
+    this.index.update(task.node)
+  }
+
+  /** The worker of this name. One that is not listed yet holds tasks and takes no work. */
+  nodeOrUnlisted (name: string): WorkerNode {
+    return this.nodes.get(name) ?? this._addNode({ name, rack: '', failureDomain: '' })
+  }
+
+  /** The distinct capacities of the listed workers. */
+  shapes (): Units[] {
+    return [...this._shapes.values()].map(shape => shape.capacity)
+  }
+
+  /** Tasks of a job that are counted somewhere. */
+  tasksOfJob (jobId: string): ReadonlySet<PlacedTask> {
+    return this._jobs.get(jobId) ?? NO_TASKS
+  }
+
+  groups (kind: GroupKind): Iterable<WorkerGroup> {
+    return this._groups[kind].values()
+  }
+
+  /** Changes the room held at a worker. */
+  hold (node: WorkerNode, amount: Units, times: 1 | -1): void {
+    addUnits(node.held, amount, times)
+    this.index.update(node)
+  }
+
+  private _addTask (task: PlacedTask): void {
+    this.tasks.set(task.id, task)
+    task.node.addTask(task)
+    countForTeam(task.team, task.size, 1)
+    addUnits(this.used, task.size)
+    const jobTasks = this._jobs.get(task.jobId)
+    if (jobTasks) jobTasks.add(task)
+    else this._jobs.set(task.jobId, new Set([task]))
+    this.index.update(task.node)
+  }
+
+  private _removeFromJob (task: PlacedTask): void {
+    const jobTasks = this._jobs.get(task.jobId)
+    jobTasks?.delete(task)
+    if (jobTasks?.size === 0) this._jobs.delete(task.jobId)
+  }
+
+  private _countCapacity ({ listed, capacity }: WorkerNode, times: 1 | -1): void {
+    if (!listed) return
+    addUnits(this.capacity, capacity, times)
+    const key = `${capacity.cpus} ${capacity.memory} ${capacity.accelerators}`
+    const shape = this._shapes.get(key) ?? { capacity, count: 0 }
+    shape.count += times
+    if (shape.count) this._shapes.set(key, shape)
+    else this._shapes.delete(key)
+  }
+
+  private _addNode ({ name, rack, failureDomain }: Pick<WorkerInfo, 'name' | 'rack' | 'failureDomain'>): WorkerNode {
+    const groups = { rack: this._group('rack', `${failureDomain}\n${rack}`, rack), failureDomain: this._group('failureDomain', failureDomain, failureDomain) }
+    const node = new WorkerNode(name, rack, failureDomain, groups)
+    this.nodes.set(name, node)
+    for (const group of Object.values(groups)) group.nodes.add(node)
+    return node
+  }
+
+  /** The group under this key, made when there is none. Racks of different failure domains may bear the same name. */
+  private _group (kind: GroupKind, key: string, name: string): WorkerGroup {
+    let group = this._groups[kind].get(key)
+    if (!group) {
+      group = { key, name, nodes: new Set() }
+      this._groups[kind].set(key, group)
+    }
+    return group
+  }
+
+  private _removeNode (node: WorkerNode): void {
+    this.index.remove(node)
+    this._countCapacity(node, -1)
+    if (this.nodes.get(node.name) === node) this.nodes.delete(node.name)
+    for (const kind of GROUP_KINDS) {
+      const group = node.groups[kind]
+      group.nodes.delete(node)
+      if (!group.nodes.size) this._groups[kind].delete(group.key)
+    }
+  }
+
+  /** Moves tasks to a worker of the same name at another place. */
+  private _moveTasks (from: WorkerNode, to: WorkerNode): void {
+    for (const task of [...from.tasks]) {
+      this.removeTask(task.id)
+      this._addTask({ ...task, node: to })
+    }
+    this._removeNode(from)
+  }
+}
+
+const GROUP_KINDS = ['rack', 'failureDomain'] as const
+const NO_TASKS: ReadonlySet<PlacedTask> = new Set()
--- /dev/null
+++ b/packages/pomelofold/src/tasks/placement/policies.ts
@@ -0,0 +1,114 @@
+/**
+ * Placement policies.
+ *
+ * @module
+ */
+
+import { PLACEMENT_POLICIES } from '../../protocol/manifest.js'
+import type { TaskRequest } from '../placementTypes.js'
+import type { Cluster } from './cluster.js'
+import type { PlanRoom } from './gangPlanner.js'
+import type { Choice } from './freeIndex.js'
+import type { Units } from './units.js'
+import type { PlacedTask, WorkerGroup, WorkerNode } from './workerNode.js'
+
+/** One of {@link PLACEMENT_POLICIES}. */
+export type PolicyName = typeof PLACEMENT_POLICIES[keyof typeof PLACEMENT_POLICIES]
+
+/** How workers are chosen. */
+export interface PlacementPolicy {
+  /** Chooses among the workers that have room for the task. */
+  choose (cluster: Cluster, task: TaskRequest, need: Units): WorkerNode | undefined
+  /** Order in which a gang fills the workers of a rack or failure domain. */
+  compareRooms (a: PlanRoom, b: PlanRoom): number
+}
+
+/** Share of a worker by which an empty one ranks behind one in use. */
+const EMPTY_PENALTY = 0.25
+
+/** The handler of each policy. */
+export const POLICY_HANDLERS: Record<PolicyName, PlacementPolicy> = {
+  [PLACEMENT_POLICIES.tight]: { choose: chooseTight, compareRooms: fullerFirst },
+  [PLACEMENT_POLICIES.spread]: { choose: chooseSpread, compareRooms: (a, b) => fullerFirst(b, a) },
+  [PLACEMENT_POLICIES.together]: { choose: chooseTogether, compareRooms: fullerFirst }
+}
+
+/** Fills workers one after the other. */
+function chooseTight (cluster: Cluster, task: TaskRequest, need: Units): WorkerNode | undefined {
+  return cluster.index.tightest(choice(task, need))
+}
+
+/** Puts tasks of one job next to each other, else where they fit tightest. */
+function chooseTogether (cluster: Cluster, task: TaskRequest, need: Units): WorkerNode | undefined {
+  const racks = new Set([...cluster.tasksOfJob(task.jobId)].map(placed => placed.node.groups.rack))
+  const beside = racks.size && cluster.index.tightest(choice(task, need, node => racks.has(node.groups.rack)))
+  return beside || chooseTight(cluster, task, need)
+}
+
+/** Puts tasks of one job on different failure domains, racks and workers, and there where they fit tightest. */
+function chooseSpread (cluster: Cluster, task: TaskRequest, need: Units): WorkerNode | undefined {
+  const tasks = cluster.tasksOfJob(task.jobId)
+  if (!tasks.size) return chooseTight(cluster, task, need)
+  const domains = countBy(tasks, placed => placed.node.groups.failureDomain)
+  const racks = countBy(tasks, placed => placed.node.groups.rack)
+  const workers = countBy(tasks, placed => placed.node)
+  const byCount = [...cluster.groups('failureDomain')].sort((a, b) => (domains.get(a) ?? 0) - (domains.get(b) ?? 0))
+  for (const domain of byCount) {
+    const inFreshRack = (node: WorkerNode): boolean => domain.nodes.has(node) && !racks.has(node.groups.rack)
+    const fresh = cluster.index.tightest(choice(task, need, inFreshRack))
+    const node = fresh ?? leastShared(cluster, domain, task, need, racks, workers)
+    if (node) return node
+  }
+  return undefined
+}
+
+/** The worker with the fewest tasks of the job in its rack, then at itself. */
+function leastShared (
+  cluster: Cluster, domain: WorkerGroup, task: TaskRequest, need: Units, racks: Map<WorkerGroup, number>, workers: Map<WorkerNode, number>
+): WorkerNode | undefined {
+  let best: WorkerNode | undefined
+  let bestRank = [Infinity, Infinity, Infinity]
+  for (const node of domain.nodes) {
+    if (!node.fits(need) || task.avoid?.has(node.name)) continue
+    const rank = [
+      racks.get(node.groups.rack) ?? 0,
+      workers.get(node) ?? 0,
+      cluster.index.leftover(need, node.freeCpus(), node.freeMemory())
+    ]
+    if (compareRanks(rank, bestRank) >= 0) continue
+    best = node
+    bestRank = rank
+  }
+  return best
+}
+
+function choice (task: TaskRequest, need: Units, accepts: (node: WorkerNode) => boolean = () => true): Choice {
+  const { avoid } = task
+  return {
+    need,
+    accepts: avoid?.size ? node => !avoid.has(node.name) && accepts(node) : accepts,
+    penalty: node => node.tasks.size ? 0 : EMPTY_PENALTY
+  }
+}
+
+function countBy<T> (tasks: Iterable<PlacedTask>, keyOf: (task: PlacedTask) => T): Map<T, number> {
+  const counts = new Map<T, number>()
+  for (const task of tasks) {
+    const key = keyOf(task)
+    counts.set(key, (counts.get(key) ?? 0) + 1)
+  }
+  return counts
+}
+
+function compareRanks (a: number[], b: number[]): number {
+  const i = a.findIndex((value, at) => value !== b[at])
+  return i < 0 ? 0 : a[i] - b[i]
+}
+
+/** Workers without accelerators first, then workers with less room. */
+function fullerFirst (a: PlanRoom, b: PlanRoom): number {
+  return Math.sign(a.node.capacity.accelerators) - Math.sign(b.node.capacity.accelerators) ||
+    a.room.accelerators - b.room.accelerators ||
+    a.room.cpus - b.room.cpus ||
+    a.room.memory - b.room.memory
+}
--- /dev/null
+++ b/packages/pomelofold/src/tasks/placement/reservations.ts
@@ -0,0 +1,216 @@
+/**
+ * Room kept for gangs that do not fit yet.
+ *
+ * @module
+ */
+
+import type { Timers } from '../../seams/timers.js'
+import type { Cluster } from './cluster.js'
+import { planGang, type Gang, type GangShare, type PlanRoom } from './gangPlanner.js'
+import { addUnits, RESOURCES, zeroUnits, type Units } from './units.js'
+import type { GroupKind, WorkerGroup, WorkerNode } from './workerNode.js'
+
+/** Settings of reservations. */
+export interface ReservationConfig {
+  /** A reservation ends this long after the last attempt to place its gang. */
+  reservationMs: number
+  /** A reservation may move to other workers when its gang has not fitted for this long. */
+  retargetMs: number
+  /** More urgent single tasks may use the held room until a gang has waited this long. */
+  yieldMs: number
+  /** Share of a failure domain that reservations hold together at most, unless there is just one. */
+  maxHeldShare: number
+}
+
+/** Room held for one gang. */
+export interface Reservation {
+  readonly jobId: string
+  readonly rank: number
+  readonly sinceMs: number
+  targetedAtMs: number
+  expiresAtMs: number
+  holds: Map<WorkerNode, Units>
+}
+
+/** A gang for which room is to be held. */
+export interface ReservationRequest {
+  jobId: string
+  rank: number
+  gang: Gang
+  within: GroupKind
+}
+
+interface Target {
+  holds: Map<WorkerNode, Units>
+  /** Share of a worker that must be freed before the gang fits. */
+  missing: number
+}
+
+/** The reservations of all waiting gangs, oldest first. */
+export class Reservations {
+  private readonly _cluster: Cluster
+  private readonly _timers: Timers
+  private readonly _cfg: ReservationConfig
+  private readonly _byJob = new Map<string, Reservation>()
+  private _nextExpiryMs = Infinity
+
+  constructor ({ cluster, timers, cfg }: { cluster: Cluster, timers: Timers, cfg: ReservationConfig }) {
+    this._cluster = cluster
+    this._timers = timers
+    this._cfg = cfg
+  }
+
+  get size (): number {
+    return this._byJob.size
+  }
+
+  /** Room held for the job at the worker. */
+  heldBy (jobId: string, node: WorkerNode): Units | undefined {
+    return this._byJob.get(jobId)?.holds.get(node)
+  }
+
+  has (jobId: string): boolean {
+    return this._byJob.has(jobId)
+  }
+
+  /** Reservations that give way to a task of this rank for the time being. */
+  yieldingTo (rank: number): Reservation[] {
+    const nowMs = this._timers.now()
+    return [...this._byJob.values()].filter(item => item.rank > rank && nowMs - item.sinceMs < this._cfg.yieldMs)
+  }
+
+  /** Workers at which room is held. */
+  heldNodes (): Set<WorkerNode> {
+    return new Set([...this._byJob.values()].flatMap(item => [...item.holds.keys()]))
+  }
+
+  /** Ends the reservations whose time is over. */
+  expire (): void {
+    const nowMs = this._timers.now()
+    if (nowMs < this._nextExpiryMs) return
+    for (const { jobId, expiresAtMs } of this._byJob.values()) {
+      if (expiresAtMs <= nowMs) this.release(jobId)
+    }
+    this._nextExpiryMs = Math.min(Infinity, ...[...this._byJob.values()].map(item => item.expiresAtMs))
+  }
+
+  /** Ends the reservation of a job. */
+  release (jobId: string): void {
+    const reservation = this._byJob.get(jobId)
+    if (!reservation) return
+    this._setHolds(reservation, new Map())
+    this._byJob.delete(jobId)
+  }
+
+  /** Drops the holds at a worker that is gone. */
+  forgetNode (node: WorkerNode): void {
+    for (const { holds } of this._byJob.values()) {
+      const held = holds.get(node)
+      if (held) addUnits(node.held, held, -1)
+      holds.delete(node)
+    }
+  }
+
+  /** Makes or renews the reservation of a gang that does not fit now. False when no room can be held for it. */
+  reserve (req: ReservationRequest): boolean {
+    const nowMs = this._timers.now()
+    const known = this._byJob.get(req.jobId)
+    const expiresAtMs = nowMs + this._cfg.reservationMs
+    this._nextExpiryMs = Math.min(this._nextExpiryMs, expiresAtMs)
+    if (known && !this._isStale(known, req.gang)) {
+      known.expiresAtMs = expiresAtMs
+      return true
+    }
+    if (known) this._setHolds(known, new Map())
+    const target = this._target(req)
+    if (!target) {
+      this._byJob.delete(req.jobId)
+      return false
+    }
+    const { jobId, rank } = req
+    const reservation = known ?? { jobId, rank, sinceMs: nowMs, targetedAtMs: nowMs, expiresAtMs, holds: new Map() }
+    Object.assign(reservation, { targetedAtMs: nowMs, expiresAtMs })
+    this._byJob.set(jobId, reservation)
+    this._setHolds(reservation, target.holds)
+    return true
+  }
+
+  private _isStale ({ holds, targetedAtMs }: Reservation, gang: Gang): boolean {
+    if (this._timers.now() - targetedAtMs >= this._cfg.retargetMs) return true
+    const sum = zeroUnits()
+    for (const [node, held] of holds) {
+      if (!node.takesWork) return true
+      addUnits(sum, held)
+    }
+    return RESOURCES.some(resource => sum[resource] !== gang.total[resource])
+  }
+
+  private _setHolds (reservation: Reservation, holds: Map<WorkerNode, Units>): void {
+    for (const [node, held] of reservation.holds) this._cluster.hold(node, held, -1)
+    for (const [node, held] of holds) this._cluster.hold(node, held, 1)
+    reservation.holds = holds
+  }
+
+  /** The rack or failure domain in which the least has to be freed. */
+  private _target ({ gang, within }: ReservationRequest): Target | undefined {
+    let best: Target | undefined
+    for (const group of this._cluster.groups(within)) {
+      const target = this._targetIn(group, gang)
+      if (target && (!best || target.missing < best.missing)) best = target
+    }
+    return best
+  }
+
+  private _targetIn (group: WorkerGroup, gang: Gang): Target | undefined {
+    if (!this._mayHold(group, gang)) return undefined
+    const rooms = [...group.nodes].filter(node => node.takesWork).map(node => ({ node, room: drainedRoom(node) }))
+    const shares = planGang(gang, rooms.sort(emptierFirst))
+    return shares && toTarget(shares, this._cluster.index.largest)
+  }
+
+  /** Whether the domain of the group has room to hold beside the other reservations. */
+  private _mayHold (group: WorkerGroup, gang: Gang): boolean {
+    const [first] = group.nodes
+    const held = zeroUnits()
+    const capacity = zeroUnits()
+    for (const node of first.groups.failureDomain.nodes) {
+      addUnits(held, node.held)
+      addUnits(capacity, node.capacity)
+    }
+    const { maxHeldShare } = this._cfg
+    return RESOURCES.every(resource => held[resource] === 0 || held[resource] + gang.total[resource] <= capacity[resource] * maxHeldShare)
+  }
+}
+
+/** Room once all tasks but services have ended, beside what other gangs hold. */
+function drainedRoom (node: WorkerNode): Units {
+  const room = { ...node.capacity }
+  addUnits(room, node.pinned, -1)
+  addUnits(room, node.held, -1)
+  return room
+}
+
+function emptierFirst (a: PlanRoom, b: PlanRoom): number {
+  return Math.sign(a.node.capacity.accelerators) - Math.sign(b.node.capacity.accelerators) || b.node.freeCpus() - a.node.freeCpus()
+}
+
+function toTarget (shares: GangShare[], largest: Units): Target {
+  const holds = new Map<WorkerNode, Units>()
+  for (const { node, part, count } of shares) {
+    const held = holds.get(node) ?? zeroUnits()
+    addUnits(held, part.need, count)
+    holds.set(node, held)
+  }
+  return { holds, missing: missingShare(holds, largest) }
+}
+
+function missingShare (holds: Map<WorkerNode, Units>, largest: Units): number {
+  let missing = 0
+  for (const [node, held] of holds) {
+    const room = node.roomBesides(undefined)
+    for (const resource of RESOURCES) {
+      missing += Math.max(0, held[resource] - Math.max(0, room[resource])) / Math.max(1, largest[resource])
+    }
+  }
+  return missing
+}
--- /dev/null
+++ b/packages/pomelofold/src/tasks/placement/workerNode.ts
@@ -0,0 +1,129 @@
+/**
+ * Books of one worker.
+ *
+ * @module
+ */
+
+import { JOB_CLASSES, JOB_KINDS } from '../../protocol/jobs.js'
+import type { TaskRequest, WorkerInfo } from '../placementTypes.js'
+import { addUnits, capacityUnits, fitsUnits, zeroUnits, type Units } from './units.js'
+import type { Team } from './teamLedger.js'
+
+/** Rank of each class: 0 is the most urgent. */
+export const CLASS_RANK: Record<TaskRequest['class'], number> = {
+  [JOB_CLASSES.urgent]: 0,
+  [JOB_CLASSES.normal]: 1,
+  [JOB_CLASSES.overnight]: 2
+}
+
+/** A task that is counted at a worker. */
+export interface PlacedTask {
+  readonly id: string
+  readonly jobId: string
+  readonly kind: TaskRequest['kind']
+  readonly rank: number
+  readonly team: Team
+  size: Units
+  readonly node: WorkerNode
+}
+
+/** What a gang's `within` names. */
+export type GroupKind = 'rack' | 'failureDomain'
+
+/** Workers that stand together: a rack or a failure domain. */
+export interface WorkerGroup {
+  /** Unique among the groups of its kind. */
+  readonly key: string
+  readonly name: string
+  readonly nodes: Set<WorkerNode>
+}
+
+/** A worker with its tasks and the room held for gangs. */
+export class WorkerNode {
+  readonly name: string
+  readonly rack: string
+  readonly failureDomain: string
+  readonly groups: Readonly<Record<GroupKind, WorkerGroup>>
+  readonly tasks = new Set<PlacedTask>()
+  readonly used = zeroUnits()
+  /** Room held by reservations of gangs. */
+  readonly held = zeroUnits()
+  /** The part of `used` that belongs to long-running services, which no wait frees. */
+  readonly pinned = zeroUnits()
+  capacity = zeroUnits()
+  takesWork = false
+  /** False while the worker is known only from a task found there. */
+  listed = false
+  /** Place in the index of free room: cell and position in it. -1 when not indexed. */
+  cell = -1
+  cellPosition = -1
+
+  constructor (name: string, rack: string, failureDomain: string, groups: Record<GroupKind, WorkerGroup>) {
+    this.name = name
+    this.rack = rack
+    this.failureDomain = failureDomain
+    this.groups = groups
+  }
+
+  /** Takes over what the platform tells of the worker. */
+  update ({ capacity, takesWork }: WorkerInfo): void {
+    this.capacity = capacityUnits(capacity)
+    this.takesWork = takesWork
+    this.listed = true
+  }
+
+  freeCpus (): number {
+    return this.capacity.cpus - this.used.cpus - this.held.cpus
+  }
+
+  freeMemory (): number {
+    return this.capacity.memory - this.used.memory - this.held.memory
+  }
+
+  freeAccelerators (): number {
+    return this.capacity.accelerators - this.used.accelerators - this.held.accelerators
+  }
+
+  /** Whether the worker takes a task of this size beside its tasks and the held room. */
+  fits (need: Units): boolean {
+    return this.takesWork &&
+      need.cpus <= this.freeCpus() && need.memory <= this.freeMemory() && need.accelerators <= this.freeAccelerators()
+  }
+
+  /** Room beside the tasks, held or not. Negative where the worker is overfull. */
+  room (): Units {
+    return {
+      cpus: this.capacity.cpus - this.used.cpus,
+      memory: this.capacity.memory - this.used.memory,
+      accelerators: this.capacity.accelerators - this.used.accelerators
+    }
+  }
+
+  /** Room beside the tasks and what other gangs than the owner of `own` hold. */
+  roomBesides (own: Units | undefined): Units {
+    const room = this.room()
+    addUnits(room, this.held, -1)
+    if (own) addUnits(room, own)
+    return room
+  }
+
+  /** Whether more runs here than the worker can hold. */
+  isOverfull (): boolean {
+    return !fitsUnits(this.used, this.capacity)
+  }
+
+  addTask (task: PlacedTask): void {
+    this.tasks.add(task)
+    this._count(task, 1)
+  }
+
+  removeTask (task: PlacedTask): void {
+    this.tasks.delete(task)
+    this._count(task, -1)
+  }
+
+  private _count (task: PlacedTask, times: 1 | -1): void {
+    addUnits(this.used, task.size, times)
+    if (task.kind === JOB_KINDS.service) addUnits(this.pinned, task.size, times)
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/tasks/placement/workerPlacement.ts
@@ -0,0 +1,211 @@
+/**
+ * Places tasks on workers.
+ *
+ * @module
+ */
+
+import { Result } from 'true-myth/result'
+import { JOB_KINDS } from '../../protocol/jobs.js'
+import { PLACEMENT_POLICIES } from '../../protocol/manifest.js'
+import type { Capacity } from '../../protocol/vms.js'
+import type { Timers } from '../../seams/timers.js'
+import { NO_PLACE, type NoPlace, type Placement, type PlacementFigures, type PreemptionPlan, type TaskRequest, type WorkerInfo } from '../placementTypes.js'
+import { Cluster } from './cluster.js'
+import { checkEverFit } from './everFit.js'
+import { assignTasks, planGang, toGang, type Gang, type GangShare } from './gangPlanner.js'
+import { missText, nearestMiss } from './nearestMiss.js'
+import { POLICY_HANDLERS, type PlacementPolicy, type PolicyName } from './policies.js'
+import { planPreemption } from './preemption.js'
+import { Reservations, type ReservationConfig } from './reservations.js'
+import { overQuota, quotaFault, quotaText } from './teamLedger.js'
+import { fitsUnits, sizeUnits, toCapacity, type Units } from './units.js'
+import { CLASS_RANK, type GroupKind, type WorkerNode } from './workerNode.js'
+
+/** Settings of placement. */
+export interface PlacementConfig extends ReservationConfig {}
+
+/** Settings used where none are given. */
+export const DEFAULT_PLACEMENT_CONFIG: PlacementConfig = {
+  reservationMs: 60_000,
+  retargetMs: 30_000,
+  yieldMs: 60_000,
+  maxHeldShare: 0.5
+}
+
+/** Options of a {@link WorkerPlacement}. */
+export interface WorkerPlacementOptions {
+  timers: Timers
+  cfg?: Partial<PlacementConfig>
+}
+
+/**
+ * Keeps what runs where and chooses workers by the policy of the task's kind.
+ *
+ * A task has one worker: `occupy` at another worker moves it, and `place` of a task that has a worker returns that one.
+ * `removeWorker` drops the worker's tasks from the books; a lost worker whose tasks may still run is kept by
+ * `setWorker` with `takesWork: false`.
+ */
+export class WorkerPlacement implements Placement {
+  private readonly _cluster = new Cluster()
+  private readonly _reservations: Reservations
+  private readonly _policies: Record<TaskRequest['kind'], PolicyName> = {
+    [JOB_KINDS.batch]: PLACEMENT_POLICIES.tight,
+    [JOB_KINDS.gang]: PLACEMENT_POLICIES.together,
+    [JOB_KINDS.service]: PLACEMENT_POLICIES.spread
+  }
+
+  constructor ({ timers, cfg = {} }: WorkerPlacementOptions) {
+    this._reservations = new Reservations({ cluster: this._cluster, timers, cfg: { ...DEFAULT_PLACEMENT_CONFIG, ...cfg } })
+  }
+
+  setWorker (worker: WorkerInfo): void {
+    const before = this._cluster.nodes.get(worker.name)
+    this._cluster.setWorker(worker)
+    if (before && before !== this._cluster.nodes.get(worker.name)) this._reservations.forgetNode(before)
+  }
+
+  removeWorker (name: string): void {
+    const node = this._cluster.nodes.get(name)
+    if (!node) return
+    this._cluster.removeWorker(name)
+    this._reservations.forgetNode(node)
+  }
+
+  setTeams (teams: Array<{ name: string, quota: Capacity, borrow: boolean }>): void {
+    this._cluster.teams.setTeams(teams)
+  }
+
+  setPolicies (policies: Partial<Record<TaskRequest['kind'], PolicyName>>): void {
+    Object.assign(this._policies, policies)
+  }
+
+  place (task: TaskRequest): Result<string, NoPlace> {
+    this._reservations.expire()
+    const placed = this._cluster.tasks.get(task.taskId)
+    if (placed) return Result.ok(placed.node.name)
+    const need = sizeUnits(task.size)
+    const fault = quotaFault(this._cluster.teams.find(task.team), task.team, need)
+    if (fault) return Result.err({ reason: NO_PLACE.quota, detail: fault })
+    const node = this._policyOf(task).choose(this._cluster, task, need) ?? this._chooseHeld(task, need)
+    if (!node) return Result.err(this._whyNot(task, need))
+    this._cluster.addTask(task, need, node)
+    return Result.ok(node.name)
+  }
+
+  placeGang (tasks: TaskRequest[], within: GroupKind): Result<Map<string, string>, NoPlace> {
+    this._reservations.expire()
+    if (!tasks.length) return Result.ok(new Map())
+    const gang = toGang(tasks, this._cluster.index.largest)
+    const [{ jobId, team }] = tasks
+    const placed = this._placedFault(tasks)
+    if (placed) return Result.err({ reason: NO_PLACE.full, detail: placed })
+    const fault = quotaFault(this._cluster.teams.find(team), team, gang.total)
+    if (fault) return Result.err({ reason: NO_PLACE.quota, detail: fault })
+    const shares = this._planGang(gang, tasks[0], within)
+    if (!shares) return Result.err(this._reserve(gang, tasks, within))
+    this._reservations.release(jobId)
+    const workers = new Map<string, string>()
+    for (const [task, node] of assignTasks(shares)) {
+      this._cluster.addTask(task, sizeUnits(task.size), node)
+      workers.set(task.taskId, node.name)
+    }
+    return Result.ok(workers)
+  }
+
+  releaseReservation (jobId: string): void {
+    this._reservations.release(jobId)
+  }
+
+  occupy (task: TaskRequest, worker: string): void {
+    this._cluster.removeTask(task.taskId)
+    this._cluster.addTask(task, sizeUnits(task.size), this._cluster.nodeOrUnlisted(worker))
+  }
+
+  resize (taskId: string, size: Capacity): void {
+    this._cluster.resizeTask(taskId, sizeUnits(size))
+  }
+
+  release (taskId: string): void {
+    this._cluster.removeTask(taskId)
+  }
+
+  canEverFit (tasks: TaskRequest[], { gang, within = 'failureDomain' }: { gang: boolean, within?: GroupKind }): Result<void, NoPlace> {
+    return checkEverFit(this._cluster, tasks, gang ? within : undefined)
+  }
+
+  planPreemption (task: TaskRequest): PreemptionPlan | undefined {
+    this._reservations.expire()
+    return planPreemption(this._cluster, task)
+  }
+
+  workerOf (taskId: string): string | undefined {
+    return this._cluster.tasks.get(taskId)?.node.name
+  }
+
+  figures (): PlacementFigures {
+    const nodes = [...this._cluster.nodes.values()]
+    return {
+      workers: nodes.filter(node => node.listed).length,
+      tasks: this._cluster.tasks.size,
+      capacity: toCapacity(this._cluster.capacity),
+      used: toCapacity(this._cluster.used),
+      workersInUse: nodes.filter(node => node.tasks.size).length
+    }
+  }
+
+  private _policyOf ({ kind }: TaskRequest): PlacementPolicy {
+    return POLICY_HANDLERS[this._policies[kind]]
+  }
+
+  /** A worker with room that is held for a less urgent gang that has not waited long. */
+  private _chooseHeld (task: TaskRequest, need: Units): WorkerNode | undefined {
+    if (!this._reservations.size) return undefined
+    for (const { holds } of this._reservations.yieldingTo(CLASS_RANK[task.class])) {
+      for (const [node, held] of holds) {
+        if (node.takesWork && !task.avoid?.has(node.name) && fitsUnits(need, node.roomBesides(held))) return node
+      }
+    }
+    return undefined
+  }
+
+  private _whyNot (task: TaskRequest, need: Units): NoPlace {
+    const never = checkEverFit(this._cluster, [task], undefined)
+    if (never.isErr) return never.error
+    const team = this._cluster.teams.team(task.team)
+    const borrowed = overQuota(team, need)
+    if (borrowed) {
+      return { reason: NO_PLACE.quota, detail: `${quotaText(team, borrowed, need)}, and no worker has room to borrow` }
+    }
+    const usable = [...this._cluster.nodes.values()].filter(node => node.takesWork && !task.avoid?.has(node.name))
+    const isHeld = this._reservations.size > 0 && usable.some(node => fitsUnits(need, node.room()))
+    const detail = missText(need, nearestMiss(need, usable, node => node.roomBesides(undefined)), { free: true })
+    return isHeld ? { reason: NO_PLACE.reserved, detail: `${detail}; other room is reserved for a gang` } : { reason: NO_PLACE.full, detail }
+  }
+
+  private _placedFault (tasks: TaskRequest[]): string | undefined {
+    const placed = tasks.find(task => this._cluster.tasks.has(task.taskId))
+    return placed && `task ${placed.taskId} is still counted at ${this.workerOf(placed.taskId)}`
+  }
+
+  private _planGang (gang: Gang, task: TaskRequest, within: GroupKind): GangShare[] | undefined {
+    const { compareRooms } = this._policyOf(task)
+    for (const group of this._cluster.groups(within)) {
+      const rooms = [...group.nodes]
+        .filter(node => node.takesWork)
+        .map(node => ({ node, room: node.roomBesides(this._reservations.heldBy(task.jobId, node)) }))
+        .sort(compareRooms)
+      const shares = planGang(gang, rooms)
+      if (shares) return shares
+    }
+    return undefined
+  }
+
+  private _reserve (gang: Gang, tasks: TaskRequest[], within: GroupKind): NoPlace {
+    const [{ jobId, class: jobClass }] = tasks
+    const reserved = this._reservations.reserve({ jobId, rank: CLASS_RANK[jobClass], gang, within })
+    if (reserved) return { reason: NO_PLACE.full, detail: `needs room for ${tasks.length} tasks at once; room is reserved as it frees up` }
+    const never = checkEverFit(this._cluster, tasks, within)
+    if (never.isErr) return never.error
+    return { reason: NO_PLACE.reserved, detail: `needs room for ${tasks.length} tasks at once; other gangs came first` }
+  }
+}
