--- a/packages/pomelofold/src/client/apiClient.ts
+++ b/packages/pomelofold/src/client/apiClient.ts
@@ -52,6 +52,8 @@
   body: Buffer
 }
 
+type HttpBody = Uint8Array | string | undefined
+
 interface HttpAnswer {
   status: number
   headers: Record<string, string>
@@ -114,7 +116,8 @@
   }
 
   /** Sends a request to a service. Problem documents come back as answers too. */
-  async sendRequest (service: string, body: Uint8Array | string, options: SendRequestOptions = {}): Promise<Result<CallerAnswer, CallError>> {
+  async sendRequest (service: string, body: Uint8Array | string, options: SendRequestOptions = {}):
+  Promise<Result<CallerAnswer, CallError>> {
     const headers: Record<string, string> = { 'content-type': options.contentType ?? 'application/octet-stream' }
     if (options.class !== undefined) headers[HEADERS.class] = options.class
     if (options.deadlineMs !== undefined) headers[HEADERS.deadlineMs] = String(options.deadlineMs)
@@ -145,7 +148,7 @@
     }
   }
 
-  private async _send (method: Dispatcher.HttpMethod, path: string, body: Uint8Array | string | undefined, headers: Record<string, string>):
+  private async _send (method: Dispatcher.HttpMethod, path: string, body: HttpBody, headers: Record<string, string>):
   Promise<Result<HttpAnswer, CallError>> {
     const { server, token, timeoutMs } = this._options
     if (token !== undefined) headers.authorization = `Bearer ${token}`
--- a/packages/pomelofold/src/protocol/requests.ts
+++ b/packages/pomelofold/src/protocol/requests.ts
@@ -37,7 +37,9 @@
   atMostOnce: 'pomelofold-at-most-once',
   team: 'pomelofold-team',
   requestId: 'pomelofold-request-id',
-  outcome: 'pomelofold-outcome'
+  outcome: 'pomelofold-outcome',
+  /** Time from arrival until the request was sent to its upstream, in milliseconds. */
+  waitedMs: 'pomelofold-waited-ms'
 } as const
 
 /** A request to a service as it travels between entry daemons. */
--- a/packages/pomelofold/src/server/http/requestRoutes.ts
+++ b/packages/pomelofold/src/server/http/requestRoutes.ts
@@ -89,6 +89,7 @@
 function sendAnswer (c: Context, requestId: string, answer: ServiceAnswer): Response {
   c.header(HEADERS.requestId, requestId)
   c.header(HEADERS.outcome, answer.outcome)
+  if (answer.waitedMs !== undefined) c.header(HEADERS.waitedMs, answer.waitedMs.toFixed(1))
   if (answer.outcome === OUTCOMES.ran && answer.detail === undefined) {
     return c.body(answer.body as Uint8Array<ArrayBuffer>, answer.status as ContentfulStatusCode, answer.headers)
   }
--- /dev/null
+++ b/tests/peers/framing.test.ts
@@ -0,0 +1,48 @@
+import t from 'tap'
+import fc from 'fast-check'
+import { encodeFrame, FrameDecoder, FrameError, MAX_FRAME_BYTES } from 'pomelofold/protocol/framing'
+import { frameSchema, helloSchema } from 'pomelofold/protocol/peerMessages'
+
+const SEED = 4_201
+
+t.test('frames come out whole however the stream of bytes is cut', async t => {
+  const dictionary = fc.dictionary(fc.string().filter(key => key !== '__proto__'), fc.string())
+  const values = fc.array(fc.oneof(fc.string(), fc.integer(), fc.uint8Array({ maxLength: 300 }), dictionary), { maxLength: 8 })
+  fc.assert(fc.property(values, fc.integer({ min: 1, max: 50 }), (values, step) => {
+    const stream = Buffer.concat(values.map(encodeFrame))
+    const decoder = new FrameDecoder()
+    const out: unknown[] = []
+    for (let at = 0; at < stream.length; at += step) out.push(...decoder.push(stream.subarray(at, at + step)))
+    const plain = (value: unknown): unknown => value instanceof Uint8Array ? [...value] : value
+    return JSON.stringify(out.map(plain)) === JSON.stringify(values.map(plain))
+  }), { seed: SEED, numRuns: 500 })
+})
+
+t.test('a field named __proto__ becomes an ordinary field', async t => {
+  const [frame] = new FrameDecoder().push(encodeFrame(JSON.parse('{"__proto__":{"polluted":true}}'))) as Array<Record<string, unknown>>
+  t.equal(frame.polluted, undefined)
+  t.equal(Object.getPrototypeOf(frame), Object.prototype)
+})
+
+t.test('a frame over the limit is refused before its content is read', async t => {
+  const length = Buffer.alloc(4)
+  length.writeUInt32BE(MAX_FRAME_BYTES + 1)
+  t.throws(() => new FrameDecoder().push(length), FrameError)
+})
+
+t.test('ten thousand random streams end in frames that a validator has checked, or in a FrameError', async t => {
+  let refused = 0
+  fc.assert(fc.property(fc.uint8Array({ minLength: 1, maxLength: 64 }), bytes => {
+    const decoder = new FrameDecoder()
+    const framed = Buffer.concat([Buffer.from([0, 0, 0, bytes.length]), bytes])
+    try {
+      for (const frame of decoder.push(framed)) {
+        if (!frameSchema.safeParse(frame).success && !helloSchema.safeParse(frame).success) refused++
+      }
+    } catch (err) {
+      if (!(err instanceof FrameError)) throw err
+      refused++
+    }
+  }), { seed: SEED, numRuns: 10_000 })
+  t.equal(refused, 10_000)
+})
