Add RequestScheduler and RequestRouter

Cause: requests need a queue at the claim holder and a choice between the own queue and those of peers. Ruled out: counting a slot as free at a timeout (the work may go on at the instance; the slot stays counted until instanceStatus shows it free); refusing by the slow-start allowance of new instances (a burst of 100 was refused to half although the instances grow within tens of milliseconds). Message changes: ServiceLoad.startsPerMs and the forwardRequest result's tookMs, both optional; bodies are typed Uint8Array whatever buffer is below, as the upstream client's answers are.

--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -57,7 +57,12 @@
   /** Runs a request on the peer's own service instances. */
   forwardRequest: {
     params: z.object({ request: serviceRequestSchema }),
-    result: z.object({ answer: serviceAnswerSchema, load: serviceLoadSchema.optional() })
+    result: z.object({
+      answer: serviceAnswerSchema,
+      load: serviceLoadSchema.optional(),
+      /** Time from the peer's receipt until its answer, in milliseconds. */
+      tookMs: z.number().nonnegative().optional()
+    })
   },
   /** Asks the home of a key whether the request may be sent. */
   beginOnce: {
--- a/packages/pomelofold/src/protocol/requests.ts
+++ b/packages/pomelofold/src/protocol/requests.ts
@@ -40,6 +40,9 @@
   outcome: 'pomelofold-outcome'
 } as const
 
+/** Bytes, whatever memory they are in. */
+const bytesSchema: z.ZodType<Uint8Array> = z.instanceof(Uint8Array)
+
 /** A request to a service as it travels between entry daemons. */
 export const serviceRequestSchema = z.object({
   requestId: z.string().min(1),
@@ -51,7 +54,7 @@
   /** True when the request must not be sent to a second upstream after it may have reached a first. */
   atMostOnce: z.boolean(),
   headers: z.record(z.string(), z.string()),
-  body: z.instanceof(Uint8Array)
+  body: bytesSchema
 })
 
 /** A request to a service. */
@@ -63,7 +66,7 @@
   /** HTTP status for the caller. The upstream's own when `outcome` is `ran`. */
   status: z.number().int(),
   headers: z.record(z.string(), z.string()),
-  body: z.instanceof(Uint8Array),
+  body: bytesSchema,
   /** Step and peer at which a refusal or failure arose. */
   step: z.string().optional(),
   peer: z.string().optional(),
@@ -81,7 +84,9 @@
 export const serviceLoadSchema = z.object({
   /** Expected time until a new request of each class would be sent, in milliseconds. */
   expectedWaitMs: z.record(z.string(), z.number()),
-  freeSlots: z.number().int()
+  freeSlots: z.number().int(),
+  /** Requests that can be sent per millisecond while all slots are busy. */
+  startsPerMs: z.number().nonnegative().optional()
 })
 
 /** Load of one service at one entry daemon. */
--- /dev/null
+++ b/packages/pomelofold/src/requests/answers.ts
@@ -0,0 +1,46 @@
+/**
+ * Final answers that do not come from an upstream.
+ *
+ * @module
+ */
+
+import { OUTCOMES, type ServiceAnswer } from '../protocol/requests.js'
+import { PROBLEM_CONTENT_TYPE, problem, type ProblemKind } from '../protocol/problem.js'
+
+/** Where and why a request failed. */
+export interface FailureDetails {
+  step: string
+  detail: string
+  peer?: string
+  requestId?: string
+  retryAfterMs?: number
+  waitedMs?: number
+}
+
+const encoder = new TextEncoder()
+
+function failure (outcome: 'not-run' | 'unknown', kind: ProblemKind, details: FailureDetails): ServiceAnswer {
+  const { step, detail, peer, requestId, retryAfterMs, waitedMs } = details
+  const body = problem(kind, detail, { outcome, step, peer, requestId, retryAfterMs })
+  return {
+    outcome,
+    status: body.status,
+    headers: { 'content-type': PROBLEM_CONTENT_TYPE },
+    body: encoder.encode(JSON.stringify(body)),
+    step,
+    peer,
+    detail,
+    retryAfterMs,
+    waitedMs
+  }
+}
+
+/** The request has not run and never will. */
+export function notRun (details: FailureDetails, kind: ProblemKind = 'overloaded'): ServiceAnswer {
+  return failure(OUTCOMES.notRun, kind, details)
+}
+
+/** The request may have run. */
+export function unknownOutcome (details: FailureDetails): ServiceAnswer {
+  return failure(OUTCOMES.unknown, 'upstreamLost', details)
+}
--- /dev/null
+++ b/packages/pomelofold/src/requests/requestFigures.ts
@@ -0,0 +1,129 @@
+/**
+ * Counts and waiting times of requests, for reports and metrics.
+ *
+ * @module
+ */
+
+import { build, type Histogram } from 'hdr-histogram-js'
+import type { Outcome, RequestClass } from '../protocol/requests.js'
+import type { QueuedRequest, ServiceSpec } from './queuedRequest.js'
+
+/** Histograms count in microseconds. */
+const MICROS_PER_MS = 1_000
+/** Longest waiting time told apart, in milliseconds. */
+const MAX_WAIT_MS = 3_600_000
+
+const HISTOGRAM = { highestTrackableValue: MAX_WAIT_MS * MICROS_PER_MS, numberOfSignificantValueDigits: 2, bitBucketSize: 64 } as const
+
+/** Number of requests that ended with one outcome. */
+export interface RequestCount {
+  service: string
+  class: RequestClass
+  team: string
+  outcome: Outcome
+  count: number
+}
+
+/** Waiting times before the first send, of one service and class. */
+export interface WaitFigures {
+  service: string
+  class: RequestClass
+  count: number
+  p50Ms: number
+  p99Ms: number
+  p999Ms: number
+  maxMs: number
+}
+
+/** How many requests met the service's objective. Those that were never sent count against it. */
+export interface ObjectiveFigures {
+  service: string
+  class: RequestClass
+  waitMs: number
+  target: number
+  good: number
+  bad: number
+}
+
+/** Figures since the start of the process. */
+export interface SchedulerFigures {
+  requests: RequestCount[]
+  waits: WaitFigures[]
+  objectives: ObjectiveFigures[]
+  retries: number
+}
+
+/** Collects the figures of one scheduler. */
+export class RequestFigures {
+  private readonly _counts = new Map<string, RequestCount>()
+  private readonly _waits = new Map<string, { service: string, class: RequestClass, histogram: Histogram }>()
+  private readonly _objectives = new Map<string, ObjectiveFigures>()
+  private _retries = 0
+
+  /** Sets the objectives to count. Counts of those that stay the same go on. */
+  setObjectives (services: ServiceSpec[]): void {
+    const known = new Set<string>()
+    for (const { name, objectives } of services) {
+      for (const { class: cls, waitMs, target } of objectives) {
+        const key = `${name}/${cls}`
+        known.add(key)
+        const old = this._objectives.get(key)
+        if (old?.waitMs === waitMs && old.target === target) continue
+        this._objectives.set(key, { service: name, class: cls, waitMs, target, good: 0, bad: 0 })
+      }
+    }
+    for (const key of this._objectives.keys()) if (!known.has(key)) this._objectives.delete(key)
+  }
+
+  /** Counts the first send of a request. */
+  started (entry: QueuedRequest, waitedMs: number): void {
+    const { service, class: cls } = entry.req
+    const key = `${service}/${cls}`
+    let wait = this._waits.get(key)
+    if (!wait) {
+      wait = { service, class: cls, histogram: build(HISTOGRAM) }
+      this._waits.set(key, wait)
+    }
+    wait.histogram.recordValue(Math.round(Math.min(waitedMs, MAX_WAIT_MS) * MICROS_PER_MS))
+    const objective = this._objectives.get(key)
+    if (!objective) return
+    if (waitedMs <= objective.waitMs) objective.good++
+    else objective.bad++
+  }
+
+  /** Counts the final answer of a request. */
+  ended (entry: QueuedRequest, outcome: Outcome): void {
+    const { service, class: cls } = entry.req
+    const key = `${service}/${cls}/${outcome}/${entry.team}`
+    let count = this._counts.get(key)
+    if (!count) {
+      count = { service, class: cls, team: entry.team, outcome, count: 0 }
+      this._counts.set(key, count)
+    }
+    count.count++
+    const objective = entry.attempts === 0 ? this._objectives.get(`${service}/${cls}`) : undefined
+    if (objective) objective.bad++
+  }
+
+  retried (): void {
+    this._retries++
+  }
+
+  /** The figures as plain data. */
+  snapshot (): SchedulerFigures {
+    return {
+      requests: [...this._counts.values()].map(count => ({ ...count })),
+      waits: [...this._waits.values()].map(({ service, class: cls, histogram }) => ({
+        service,
+        class: cls,
+        count: histogram.totalCount,
+        p50Ms: histogram.getValueAtPercentile(50) / MICROS_PER_MS,
+        p99Ms: histogram.getValueAtPercentile(99) / MICROS_PER_MS,
+        p999Ms: histogram.getValueAtPercentile(99.9) / MICROS_PER_MS,
+        maxMs: histogram.maxValue / MICROS_PER_MS
+      })),
+      objectives: [...this._objectives.values()].map(objective => ({ ...objective })),
+      retries: this._retries
+    }
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/requests/serviceDispatcher.ts
@@ -0,0 +1,355 @@
+/**
+ * Sends the waiting requests of one service to the instances whose claims this process holds.
+ *
+ * @module
+ */
+
+import { CLAIMS, type Authority } from '../seams/authority.js'
+import type { RandomSource } from '../seams/randomSource.js'
+import type { Timers, TimerSubscription } from '../seams/timers.js'
+import type { InstanceAnswer, UpstreamClient } from '../seams/upstreamClient.js'
+import { OUTCOMES, type RequestClass, type ServiceAnswer, type ServiceLoad } from '../protocol/requests.js'
+import { VM_STATES, type VmRecord } from '../protocol/vms.js'
+import { EFFECTS, type CallError } from '../utils/errors.js'
+import type { EventLog } from '../utils/eventLog.js'
+import { notRun, unknownOutcome } from './answers.js'
+import { OccupancyReader } from './occupancyReader.js'
+import type { QueuedRequest, ServiceSpec } from './queuedRequest.js'
+import type { RequestFigures } from './requestFigures.js'
+import { CLASS_ORDER, RequestQueue } from './requestQueue.js'
+import { RetryBudget } from './retryBudget.js'
+import { ServiceInstance, type Attempt } from './serviceInstance.js'
+import { ServiceTime } from './serviceTime.js'
+import { WaitEstimator } from './waitEstimator.js'
+
+/** Method and path of requests to service instances. */
+const INSTANCE_METHOD = 'POST'
+const INSTANCE_PATH = '/'
+/** A claim must last this much longer for a send under it, in milliseconds. */
+const SEND_MARGIN_MS = 100
+/** Least status of an answer that counts as a failure of its instance. */
+const SERVER_ERROR_STATUS = 500
+
+/** Options of a {@link ServiceDispatcher}. */
+export interface ServiceDispatcherOptions {
+  spec: ServiceSpec
+  failureDomain: string
+  maxQueued: number
+  timers: Timers
+  random: RandomSource
+  authority: Authority
+  upstream: UpstreamClient
+  log: EventLog
+  figures: RequestFigures
+}
+
+interface KnownInstance {
+  instance: ServiceInstance
+  reader: OccupancyReader
+}
+
+/** Queue and instances of one service. */
+export class ServiceDispatcher {
+  private _spec: ServiceSpec
+  private readonly _options: ServiceDispatcherOptions
+  private readonly _timers: Timers
+  private readonly _queue = new RequestQueue()
+  private readonly _known = new Map<string, KnownInstance>()
+  private _instances: ServiceInstance[] = []
+  private readonly _budget = new RetryBudget()
+  private readonly _serviceTime = new ServiceTime()
+  private readonly _estimator: WaitEstimator
+  private _wake: TimerSubscription | undefined
+  private _wakeAtMs = Infinity
+  private _dispatching = false
+
+  constructor (options: ServiceDispatcherOptions) {
+    this._options = options
+    this._spec = options.spec
+    this._timers = options.timers
+    this._estimator = new WaitEstimator({ queue: this._queue })
+  }
+
+  setSpec (spec: ServiceSpec): void {
+    this._spec = spec
+  }
+
+  /** Sets the service's instances of the failure domain. */
+  setInstances (records: VmRecord[]): void {
+    const listed = new Set(records.map(instanceKey))
+    for (const record of records) {
+      const { instance } = this._known.get(instanceKey(record)) ?? this._add(record)
+      instance.leaving = record.state === VM_STATES.leaving
+    }
+    for (const [key, { instance }] of this._known) {
+      if (listed.has(key)) continue
+      instance.leaving = true
+      if (instance.idle) this._known.delete(key)
+    }
+    this._instances = [...this._known.values()].map(({ instance }) => instance)
+    this.refreshClaims()
+  }
+
+  /** Compares the held claims with those under which instances are used. */
+  refreshClaims (): void {
+    for (const { instance, reader } of this._known.values()) {
+      const epoch = this._epochOf(instance)
+      if (epoch === undefined) {
+        instance.epoch = undefined
+        continue
+      }
+      if (epoch !== instance.lastEpoch) instance.uncounted = true
+      instance.lastEpoch = epoch
+      instance.epoch = epoch
+      reader.start()
+    }
+    this.dispatch()
+  }
+
+  /** Takes a request, or answers it at once when it cannot start in time. */
+  accept (entry: QueuedRequest): void {
+    const nowMs = this._timers.now()
+    this._budget.earn()
+    this._estimator.arrived(entry.class, nowMs)
+    entry.startByMs = this._startBy(entry)
+    this._capacity(nowMs)
+    const waitMs = this._estimator.waitMs(entry, nowMs)
+    if (nowMs + waitMs > entry.startByMs) return this._refuse(entry, waitMs)
+    if (this._queue.size >= this._options.maxQueued && !this._makeRoom(entry.class)) return this._refuse(entry, waitMs)
+    this._queue.push(entry)
+    this.dispatch()
+  }
+
+  /** Answers all waiting requests. */
+  refuseWaiting (detail: string): void {
+    for (const entry of this._queue.clear()) this._giveUp(entry, detail)
+  }
+
+  /** Whether this process holds the claim of an instance that takes requests. */
+  serves (): boolean {
+    return this._instances.some(instance => instance.usable())
+  }
+
+  load (): ServiceLoad {
+    const nowMs = this._timers.now()
+    this._capacity(nowMs)
+    const deadlineMs = this._spec.defaultDeadlineMs
+    const expectedWaitMs: Record<string, number> = {}
+    for (const cls of CLASS_ORDER) {
+      expectedWaitMs[cls] = this._estimator.waitMs({ class: cls, team: '', startByMs: nowMs + deadlineMs }, nowMs)
+    }
+    return { expectedWaitMs, freeSlots: this._freeSlots(nowMs), startsPerMs: this._estimator.capacityPerMs }
+  }
+
+  /** Expected time until a request would be sent, in milliseconds. */
+  expectedWaitMs (cls: RequestClass, team: string, deadlineMs: number): number {
+    const nowMs = this._timers.now()
+    this._capacity(nowMs)
+    return this._estimator.waitMs({ class: cls, team, startByMs: nowMs + deadlineMs - this._expectedMs() }, nowMs)
+  }
+
+  /** Number of instances whose claims this process holds. */
+  heldInstances (): number {
+    return this._instances.filter(instance => instance.epoch !== undefined).length
+  }
+
+  /** Sends what can be sent and answers what cannot start any more. */
+  dispatch (): void {
+    if (this._dispatching) return
+    this._dispatching = true
+    const nowMs = this._timers.now()
+    this._answerExpired(nowMs)
+    const aside: QueuedRequest[] = []
+    for (let instance = this._pick(nowMs); instance && this._queue.size > 0; instance = this._pick(nowMs)) {
+      const entry = this._queue.take() as QueuedRequest
+      const target = entry.failedAt?.has(instance.name) ? this._pick(nowMs, entry.failedAt) : instance
+      if (target) this._send(entry, target, nowMs)
+      else aside.push(entry)
+    }
+    for (const entry of aside) this._queue.push(entry)
+    this._armWake(nowMs)
+    this._dispatching = false
+  }
+
+  private _add (record: VmRecord): KnownInstance {
+    const { timers, upstream, random } = this._options
+    const instance = new ServiceInstance({ record, random })
+    const reader = new OccupancyReader({ instance, timers, upstream, onChange: () => this.dispatch() })
+    const known = { instance, reader }
+    this._known.set(instanceKey(record), known)
+    return known
+  }
+
+  private _epochOf (instance: ServiceInstance): number | undefined {
+    return this._options.authority.epochOf(CLAIMS.instance(this._options.failureDomain, instance.name), SEND_MARGIN_MS)
+  }
+
+  /** The free instance with the earliest expected completion whose claim is held now. */
+  private _pick (nowMs: number, without?: Set<string>): ServiceInstance | undefined {
+    const expectedMs = this._expectedMs()
+    for (;;) {
+      let best: ServiceInstance | undefined
+      let bestScore = Infinity
+      for (const instance of this._instances) {
+        if (instance.free(nowMs) === 0 || without?.has(instance.name)) continue
+        const score = instance.score(expectedMs)
+        if (score >= bestScore) continue
+        best = instance
+        bestScore = score
+      }
+      if (!best || this._epochOf(best) === best.epoch) return best
+      best.epoch = undefined
+    }
+  }
+
+  private _send (entry: QueuedRequest, instance: ServiceInstance, nowMs: number): void {
+    const attempt = instance.begin(nowMs)
+    entry.attempts++
+    if (entry.attempts === 1) this._options.figures.started(entry, nowMs - entry.arrivedMs)
+    const { headers, body } = entry.req
+    const timeoutMs = Math.max(1, entry.deadlineAtMs - nowMs)
+    const waitedMs = nowMs - entry.arrivedMs
+    this._options.upstream.request(instance.address, { method: INSTANCE_METHOD, path: INSTANCE_PATH, headers, body }, timeoutMs)
+      .then(result => {
+        if (result.isOk) this._answered(entry, instance, attempt, result.value, waitedMs)
+        else this._failed(entry, instance, attempt, result.error, waitedMs)
+        this._slotChanged(instance)
+      })
+  }
+
+  private _answered (entry: QueuedRequest, instance: ServiceInstance, attempt: Attempt, answer: InstanceAnswer, waitedMs: number): void {
+    const nowMs = this._timers.now()
+    const elapsedMs = nowMs - attempt.sentAtMs
+    instance.end(attempt, false)
+    if (answer.status >= SERVER_ERROR_STATUS) {
+      instance.health.failed(nowMs)
+    } else {
+      instance.health.succeeded()
+      instance.serviceTime.add(elapsedMs)
+      this._serviceTime.add(elapsedMs)
+    }
+    this._finish(entry, { outcome: OUTCOMES.ran, ...answer, waitedMs })
+  }
+
+  private _failed (entry: QueuedRequest, instance: ServiceInstance, attempt: Attempt, err: CallError, waitedMs: number): void {
+    const nowMs = this._timers.now()
+    const mayRun = err.effect !== EFFECTS.none
+    instance.end(attempt, mayRun)
+    if (mayRun) instance.health.failed(nowMs)
+    else instance.health.pause(nowMs)
+    if (mayRun) entry.mayHaveRun = true
+    const { requestId } = entry.req
+    this._options.log.event('warn', 'request.failed', { requestId, step: err.step, peer: err.peer, effect: err.effect, attempt: entry.attempts })
+    if (this._retry(entry, instance, nowMs)) return
+    const details = { step: err.step, peer: err.peer, detail: err.message, requestId, waitedMs }
+    if (entry.mayHaveRun) this._finish(entry, unknownOutcome(details))
+    else this._finish(entry, notRun({ ...details, retryAfterMs: this._retryAfterMs(entry, 0) }, 'unavailable'))
+  }
+
+  /** Puts the request back into the queue when it may be sent again. */
+  private _retry (entry: QueuedRequest, instance: ServiceInstance, nowMs: number): boolean {
+    if (entry.mayHaveRun && (entry.req.atMostOnce || !this._spec.idempotent)) return false
+    entry.failedAt = (entry.failedAt ?? new Set()).add(instance.name)
+    entry.startByMs = this._startBy(entry)
+    if (entry.startByMs < nowMs || !this._instances.some(other => other.usable() && !entry.failedAt?.has(other.name))) return false
+    if (!this._budget.spend()) return false
+    this._options.figures.retried()
+    this._queue.push(entry)
+    return true
+  }
+
+  private _slotChanged (instance: ServiceInstance): void {
+    const known = this._known.get(instanceKey(instance))
+    known?.reader.start()
+    if (instance.inFlight === 0) known?.reader.instanceDrained()
+    this.dispatch()
+  }
+
+  private _answerExpired (nowMs: number): void {
+    if (this._queue.earliestStartBy() >= nowMs) return
+    for (let entry = this._queue.takeExpired(nowMs); entry; entry = this._queue.takeExpired(nowMs)) {
+      this._giveUp(entry, 'the request could not start before its deadline')
+    }
+  }
+
+  private _makeRoom (cls: RequestClass): boolean {
+    const evicted = this._queue.evictBelow(cls)
+    if (evicted) this._giveUp(evicted, `the queue is full and a request of class ${cls} goes first`)
+    return evicted !== undefined
+  }
+
+  /** Answers a request that leaves the queue without being sent. */
+  private _giveUp (entry: QueuedRequest, detail: string): void {
+    const { requestId, service } = entry.req
+    const details = { step: 'request.queue', peer: service, detail, requestId, waitedMs: this._timers.now() - entry.arrivedMs }
+    if (entry.mayHaveRun) return this._finish(entry, unknownOutcome(details))
+    this._finish(entry, notRun({ ...details, retryAfterMs: this._retryAfterMs(entry, 0) }))
+  }
+
+  private _refuse (entry: QueuedRequest, waitMs: number): void {
+    const { requestId, service } = entry.req
+    const detail = this.serves()
+      ? `the request would wait ${Math.ceil(waitMs)} ms, beyond its deadline`
+      : 'no service instance takes requests here'
+    this._finish(entry, notRun({ step: 'request.admit', peer: service, detail, requestId, retryAfterMs: this._retryAfterMs(entry, waitMs) }))
+  }
+
+  private _finish (entry: QueuedRequest, answer: ServiceAnswer): void {
+    this._options.figures.ended(entry, answer.outcome)
+    entry.answer(answer)
+  }
+
+  /** Time after which a request like this one is expected to start before its deadline. */
+  private _retryAfterMs (entry: QueuedRequest, waitMs: number): number {
+    const nowMs = this._timers.now()
+    this._capacity(nowMs)
+    const wait = waitMs || this._estimator.waitMs(entry, nowMs)
+    return this._estimator.retryAfterMs(wait - (entry.deadlineAtMs - entry.arrivedMs - this._expectedMs()), this._options.random)
+  }
+
+  private _startBy (entry: QueuedRequest): number {
+    return entry.deadlineAtMs - this._expectedMs()
+  }
+
+  private _expectedMs (): number {
+    return this._serviceTime.expectedMs(this._spec.expectedMs)
+  }
+
+  private _freeSlots (nowMs: number): number {
+    return this._instances.reduce((sum, instance) => sum + instance.free(nowMs), 0)
+  }
+
+  private _capacity (nowMs: number): void {
+    const expectedMs = this._expectedMs()
+    let perMs = 0
+    let free = 0
+    let resumesAtMs = Infinity
+    for (const instance of this._instances) {
+      perMs += instance.capacityPerMs(nowMs, expectedMs)
+      free += instance.free(nowMs)
+      if (instance.usable()) resumesAtMs = Math.min(resumesAtMs, instance.health.pausedUntilMs())
+    }
+    this._estimator.setCapacity({ perMs, free, resumesInMs: Math.max(0, resumesAtMs - nowMs), expectedMs })
+  }
+
+  /** Wakes up when the first waiting request expires or a paused instance may be probed. */
+  private _armWake (nowMs: number): void {
+    if (this._queue.size === 0) return
+    let atMs = this._queue.earliestStartBy()
+    for (const instance of this._instances) {
+      const pausedUntilMs = instance.health.pausedUntilMs()
+      if (pausedUntilMs > nowMs) atMs = Math.min(atMs, pausedUntilMs)
+    }
+    if (atMs >= this._wakeAtMs) return
+    this._wake?.cancel()
+    this._wakeAtMs = atMs
+    this._wake = this._timers.after(Math.max(1, Math.ceil(atMs - nowMs + 1)), () => {
+      this._wakeAtMs = Infinity
+      this.dispatch()
+    })
+  }
+}
+
+function instanceKey ({ name, address }: { name: string, address: string }): string {
+  return `${name} ${address}`
+}
--- /dev/null
+++ b/packages/pomelofold/src/requests/serviceTime.ts
@@ -0,0 +1,28 @@
+/**
+ * Learned time to answer.
+ *
+ * @module
+ */
+
+/** Weight of a new sample. */
+const SAMPLE_WEIGHT = 0.1
+/** Samples after which the learned value replaces the expected one. */
+const ENOUGH_SAMPLES = 10
+
+/** Exponentially weighted average of service times. */
+export class ServiceTime {
+  private _meanMs = 0
+  private _samples = 0
+
+  add (elapsedMs: number): void {
+    this._samples++
+    const weight = Math.max(SAMPLE_WEIGHT, 1 / this._samples)
+    this._meanMs += weight * (elapsedMs - this._meanMs)
+  }
+
+  /** The learned mean. With few samples, leans on `fallbackMs`. */
+  expectedMs (fallbackMs: number): number {
+    if (this._samples >= ENOUGH_SAMPLES) return this._meanMs
+    return (this._samples * this._meanMs + (ENOUGH_SAMPLES - this._samples) * fallbackMs) / ENOUGH_SAMPLES
+  }
+}
--- /dev/null
+++ b/tests/requests/requestRouter.test.ts
@@ -0,0 +1,89 @@
+import t from 'tap'
+import { ManualTimers } from '@pomelofold/standins/manualTimers'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import type { ServiceAnswer, ServiceRequest } from 'pomelofold/protocol/requests'
+import { MemoryInstances, RUN_MS_HEADER } from '../../utils/benchInstances.js'
+import { instanceRecord, MemoryCell, SERVICE, type MemoryCellOptions } from '../../utils/benchCell.js'
+
+function request (number: number, options: Partial<ServiceRequest> = {}): ServiceRequest {
+  const headers = { [RUN_MS_HEADER]: '50' }
+  return { requestId: `r${number}`, service: SERVICE, class: 'normal', deadlineMs: 1_000, atMostOnce: false, headers, body: Buffer.from(`r${number}`), ...options }
+}
+
+/** Two entry VMs in one failure domain, one in another; only the second and third hold instances unless `holder` says otherwise. */
+function setup (options: Partial<MemoryCellOptions> = {}) {
+  const timers = new ManualTimers()
+  const upstream = new MemoryInstances({ timers })
+  const records = [instanceRecord('i1'), instanceRecord('i2', { failureDomain: 'fd2' })]
+  for (const record of records) upstream.add({ address: record.address })
+  const entries = { fd1: ['e1', 'e2'], fd2: ['e3'] }
+  const holder = (record: { failureDomain: string }): string => record.failureDomain === 'fd1' ? 'e2' : 'e3'
+  const cell = new MemoryCell({ timers, upstream, random: new SeededRandom(7), records, entries, holder, ...options })
+  const answers: ServiceAnswer[] = []
+  let number = 0
+  const send = (options: Partial<ServiceRequest> = {}) => {
+    cell.entry('e1').router.submit(request(++number, options)).then(answer => answers.push(answer))
+  }
+  return { timers, upstream, cell, answers, send }
+}
+
+t.test('a request that no own instance can start goes to a peer of the same failure domain', async t => {
+  const { timers, cell, answers, send } = setup()
+  await timers.advance(10)
+  cell.exchangeLoads()
+  send()
+  await timers.advance(100)
+  t.match(answers, [{ outcome: 'ran' }])
+  t.match(cell.entry('e2').scheduler.figures().requests, [{ outcome: 'ran', count: 1 }])
+})
+
+t.test('a request goes to another failure domain when the own one is much later', async t => {
+  const { timers, cell, answers, send } = setup()
+  await timers.advance(10)
+  cell.exchangeLoads()
+  cell.entry('e1').router.onPeerLoads('e2', { [SERVICE]: { expectedWaitMs: { normal: 400 }, freeSlots: 0 } })
+  send()
+  await timers.advance(100)
+  t.match(answers, [{ outcome: 'ran' }])
+  t.match(cell.entry('e3').scheduler.figures().requests, [{ outcome: 'ran', count: 1 }])
+})
+
+t.test('a forward that reached nobody is tried at another peer', async t => {
+  const { timers, cell, answers, send } = setup()
+  await timers.advance(10)
+  cell.exchangeLoads()
+  cell.faults.refusing.add('e2')
+  send({ atMostOnce: true })
+  await timers.advance(100)
+  t.match(answers, [{ outcome: 'ran' }])
+})
+
+t.test('a forward whose answer is lost is unknown and runs once', async t => {
+  const { timers, cell, upstream, answers, send } = setup()
+  await timers.advance(10)
+  cell.exchangeLoads()
+  cell.faults.silent.add('e2')
+  send()
+  await timers.advance(2_000)
+  t.match(answers, [{ outcome: 'unknown', peer: 'e2' }])
+  t.equal(upstream.runs.get('r1'), 1)
+})
+
+t.test('without a peer that takes requests the answer is not-run', async t => {
+  const { timers, answers, send } = setup()
+  await timers.advance(10)
+  send()
+  await timers.advance(10)
+  t.match(answers, [{ outcome: 'not-run', status: 503 }])
+})
+
+t.test('a burst is spread over the peers though their loads are known from before', async t => {
+  const { timers, cell, answers, send } = setup()
+  await timers.advance(10)
+  cell.exchangeLoads()
+  for (let i = 0; i < 100; i++) send()
+  await timers.advance(2_000)
+  t.equal(answers.filter(answer => answer.outcome === 'ran').length, 100)
+  const counts = ['e2', 'e3'].map(vm => cell.entry(vm).scheduler.figures().requests[0].count)
+  t.ok(Math.min(...counts) > 30, counts.join(' and '))
+})
