Add the claim keeper: leases, claim map by compare-and-swap, promises in outages

Cause: one authority for each upstream is the base of every promise, and the daemon needs it for its first end-to-end path. Ruled out: separate prefixes for the claim map and the member keys, which cost two watches and two range reads per daemon; both stand now under pomelofold/claims/<domain>/. Ruled out: promises renewed after the right to act had lapsed; a claimant may have taken over and lost the platform in between. Changed message: promise takes a sequence, and forMs 0 releases it.

--- /dev/null
+++ b/packages/pomelofold/src/claims/domainView.ts
@@ -0,0 +1,160 @@
+/**
+ * What this process knows of its failure domain from the platform: the claim map and the live members.
+ *
+ * @module
+ */
+
+import type { PlatformClient, StoredValue, Watch } from '../seams/platformClient.js'
+import type { Timers } from '../seams/timers.js'
+import { errorText } from '../utils/errors.js'
+import type { EventLog } from '../utils/eventLog.js'
+import { claimMapSchema, EMPTY_CLAIM_MAP, type ClaimMap, type ProcessId } from './claimMap.js'
+import { CLAIM_KEYS, memberSchema, type Member } from './memberKey.js'
+
+/** Options of a {@link DomainView}. */
+export interface DomainViewOptions {
+  timers: Timers
+  platform: PlatformClient
+  log: EventLog
+  failureDomain: string
+  timeoutMs: number
+  /** Called after the view has changed. */
+  onChange: () => void
+}
+
+/** Time until a broken watch is opened again, in milliseconds. */
+const WATCH_RETRY_MS = 1_000
+
+/** One range read, then one watch. Revisions of the map never go back. */
+export class DomainView {
+  private readonly _options: DomainViewOptions
+  private readonly _members = new Map<string, Member>()
+  private readonly _known = new Map<string, number>()
+  private _map = EMPTY_CLAIM_MAP
+  private _mapRevision = 0
+  private _readRevision = 0
+  private _watch: Watch | undefined
+  private _watchNumber = 0
+  private _closed = false
+
+  constructor (options: DomainViewOptions) {
+    this._options = options
+  }
+
+  /** The latest claim map known. */
+  get map (): ClaimMap {
+    return this._map
+  }
+
+  /** Revision of {@link map}; 0 when none was ever written. */
+  get mapRevision (): number {
+    return this._mapRevision
+  }
+
+  /** Revision of the store up to which this view is complete. */
+  get readRevision (): number {
+    return this._readRevision
+  }
+
+  /** Members whose keys exist, by VM. */
+  get members (): ReadonlyMap<string, Member> {
+    return this._members
+  }
+
+  /** Largest epoch that the process has shown to know. */
+  knownBy (process: ProcessId): number {
+    return this._known.get(processKey(process)) ?? 0
+  }
+
+  /** Reads everything and watches from there on. False when the platform did not answer. */
+  async refresh (): Promise<boolean> {
+    const { platform, failureDomain, timeoutMs } = this._options
+    const prefix = CLAIM_KEYS.prefix(failureDomain)
+    const watchNumber = ++this._watchNumber
+    this._watch?.close()
+    const read = await platform.range(prefix, { timeoutMs })
+    if (this._closed || watchNumber !== this._watchNumber) return false
+    if (read.isErr) {
+      this._retry(watchNumber)
+      return false
+    }
+    const { values, revision } = read.value
+    if (revision >= this._readRevision) this._load(values, revision)
+    this._watch = platform.watch(prefix, revision + 1, {
+      onEvents: events => {
+        if (watchNumber !== this._watchNumber) return
+        for (const { key, value, revision } of events) this._take(key, value, revision)
+        this._options.onChange()
+      },
+      onEnd: () => this._retry(watchNumber)
+    })
+    this._options.onChange()
+    return true
+  }
+
+  /** Takes in a map that this process wrote itself. */
+  adopt (map: ClaimMap, mapRevision: number): void {
+    if (mapRevision <= this._mapRevision) return
+    this._map = map
+    this._mapRevision = mapRevision
+    this._options.onChange()
+  }
+
+  close (): void {
+    this._closed = true
+    this._watchNumber++
+    this._watch?.close()
+  }
+
+  private _retry (watchNumber: number): void {
+    this._options.timers.after(WATCH_RETRY_MS, () => {
+      if (watchNumber === this._watchNumber) this.refresh()
+    })
+  }
+
+  private _load (values: StoredValue[], revision: number): void {
+    this._members.clear()
+    for (const value of values) this._take(value.key, value, value.modRevision)
+    this._readRevision = revision
+  }
+
+  private _take (key: string, value: StoredValue | undefined, revision: number): void {
+    this._readRevision = Math.max(this._readRevision, revision)
+    const { failureDomain } = this._options
+    const members = CLAIM_KEYS.members(failureDomain)
+    if (key === CLAIM_KEYS.map(failureDomain)) this._takeMap(value)
+    else if (key.startsWith(members)) this._takeMember(key.slice(members.length), value)
+  }
+
+  private _takeMap (value: StoredValue | undefined): void {
+    if (!value || value.modRevision <= this._mapRevision) return
+    const map = this._parse(value, text => claimMapSchema.parse(JSON.parse(text)))
+    if (!map) return
+    this._map = map
+    this._mapRevision = value.modRevision
+  }
+
+  private _takeMember (vm: string, value: StoredValue | undefined): void {
+    const member = value && this._parse(value, text => memberSchema.parse(JSON.parse(text)))
+    if (!member) {
+      this._members.delete(vm)
+      return
+    }
+    this._members.set(vm, member)
+    const process = processKey({ vm, incarnation: member.incarnation })
+    this._known.set(process, Math.max(member.knows, this._known.get(process) ?? 0))
+  }
+
+  private _parse<T> ({ key, value }: StoredValue, parse: (text: string) => T): T | undefined {
+    try {
+      return parse(value)
+    } catch (err) {
+      this._options.log.event('error', 'claims.badValue', { step: 'claims.parse', peer: 'platform', key, detail: errorText(err) })
+      return undefined
+    }
+  }
+}
+
+function processKey ({ vm, incarnation }: ProcessId): string {
+  return `${vm}/${incarnation}`
+}
--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -71,10 +71,11 @@
   },
   /**
    * Asks the peer not to take over claims of the sender while the platform cannot be reached.
-   * The promise lasts `forMs` milliseconds from the peer's receipt.
+   * The promise lasts `forMs` milliseconds from the peer's receipt; 0 releases it.
+   * `sequence` grows with each message of an incarnation; the peer ignores older ones.
    */
   promise: {
-    params: z.object({ forMs: z.number().positive(), mapRevision: z.number().int() }),
+    params: z.object({ forMs: z.number().nonnegative(), sequence: z.number().int(), mapRevision: z.number().int() }),
     result: z.object({ granted: z.boolean(), mapRevision: z.number().int() })
   },
   submitJob: {
--- /dev/null
+++ b/tests/claims/claimDomain.ts
@@ -0,0 +1,147 @@
+/**
+ * A failure domain's claim keepers in one process, on one store and one manual clock.
+ *
+ * @module
+ */
+
+import Result from 'true-myth/result'
+import { ClaimKeeper, type CallPeerPromise } from 'pomelofold/claims/claimKeeper'
+import { CallError, EFFECTS } from 'pomelofold/utils/errors'
+import { CLAIMS } from 'pomelofold/seams/authority'
+import { KeyValueStore } from '@pomelofold/standins/keyValueStore'
+import { ManualTimers } from '@pomelofold/standins/manualTimers'
+import { MemoryPlatform } from '@pomelofold/standins/memoryPlatform'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import { ProcessTimers } from './processTimers.js'
+
+/** One entry VM. */
+export interface Daemon {
+  vm: string
+  keeper: ClaimKeeper
+  platform: MemoryPlatform
+  timers: ProcessTimers
+}
+
+/** Options of a {@link ClaimDomain}. */
+export interface ClaimDomainOptions {
+  /** Sizes by VM. */
+  sizes: Record<string, number>
+  instances?: number
+  seed?: number
+}
+
+const FAILURE_DOMAIN = 'fd1'
+
+/** Step of the clock while a condition is awaited, in milliseconds. */
+const STEP_MS = 10
+
+/** Keepers by VM. Before each callback of a process it is checked that no claim has two holders. */
+export class ClaimDomain {
+  readonly clock = new ManualTimers()
+  readonly store = new KeyValueStore({ timers: this.clock })
+  readonly daemons = new Map<string, Daemon>()
+  readonly wanted: string[]
+  readonly listed: Set<string>
+  /** Moments at which more than one process believed to hold a claim. */
+  readonly conflicts: string[] = []
+  private readonly _options: ClaimDomainOptions
+  private _incarnation = 0
+
+  constructor (options: ClaimDomainOptions) {
+    this._options = options
+    this.listed = new Set(Object.keys(options.sizes))
+    const instances = Array.from({ length: options.instances ?? 6 }, (_, i) => CLAIMS.instance(FAILURE_DOMAIN, `i${i}`))
+    this.wanted = [CLAIMS.placer(FAILURE_DOMAIN), ...instances]
+  }
+
+  /** Starts a process on `vm`; a running one is killed first. */
+  start (vm: string): Daemon {
+    this.kill(vm)
+    const timers = new ProcessTimers({ timers: this.clock, beforeCallback: () => this._check() })
+    const platform = new MemoryPlatform({ store: this.store, timers })
+    const incarnation = `${vm}-${++this._incarnation}`
+    const members = Object.entries(this._options.sizes).map(([name, size]) => ({ vm: name, failureDomain: FAILURE_DOMAIN, size }))
+    const from = { vm, failureDomain: FAILURE_DOMAIN, incarnation }
+    const callPeerPromise: CallPeerPromise = async (peer, params) => {
+      const target = this.daemons.get(peer)
+      if (!target?.timers.isRunning()) {
+        return Result.err(new CallError('refused', { step: 'peer.call', peer, effect: EFFECTS.none }))
+      }
+      return Result.ok(target.keeper.onPromiseRequest(params, from))
+    }
+    const random = new SeededRandom((this._options.seed ?? 1) + this._incarnation)
+    const options = { timers, random, platform, callPeerPromise, members }
+    const keeper = new ClaimKeeper({ ...options, vm, incarnation, failureDomain: FAILURE_DOMAIN })
+    const daemon = { vm, keeper, platform, timers }
+    this.daemons.set(vm, daemon)
+    keeper.setListedVms(this.listed)
+    keeper.setWanted(this.wanted)
+    keeper.start()
+    return daemon
+  }
+
+  /** Starts a process on every VM. */
+  startAll (): void {
+    for (const vm of Object.keys(this._options.sizes)) this.start(vm)
+  }
+
+  /** Ends a process without a word. */
+  kill (vm: string): void {
+    this.daemons.get(vm)?.timers.kill()
+    this.daemons.delete(vm)
+  }
+
+  freeze (vm: string): void {
+    this.get(vm).timers.freeze()
+  }
+
+  thaw (vm: string): void {
+    this.get(vm).timers.thaw()
+    this._check()
+  }
+
+  /** Cuts `vms` off the platform, or all. */
+  cut (vms: Iterable<string> = this.daemons.keys()): void {
+    for (const vm of vms) this.get(vm).platform.faults.cut = true
+  }
+
+  heal (): void {
+    for (const { platform } of this.daemons.values()) platform.faults.cut = false
+  }
+
+  get (vm: string): Daemon {
+    return this.daemons.get(vm)!
+  }
+
+  held (vm: string): string[] {
+    return this.get(vm).keeper.held().sort()
+  }
+
+  /** Number of claims that running processes hold. */
+  heldInAll (): number {
+    return this._running().flatMap(({ keeper }) => keeper.held()).length
+  }
+
+  allHeld (): boolean {
+    return this.heldInAll() === this.wanted.length
+  }
+
+  advance (ms: number): Promise<void> {
+    return this.clock.advance(ms)
+  }
+
+  until (condition: () => boolean, limitMs = 60_000): Promise<void> {
+    return this.clock.until(condition, { limitMs, stepMs: STEP_MS })
+  }
+
+  private _running (): Daemon[] {
+    return [...this.daemons.values()].filter(({ timers }) => timers.isRunning())
+  }
+
+  private _check (): void {
+    for (const name of this.wanted) {
+      const holders = this._running().filter(({ keeper }) => keeper.epochOf(name) !== undefined).map(({ vm }) => vm)
+      if (holders.length > 1) this.conflicts.push(`${this.clock.now()} ms: ${name} held by ${holders.join(' and ')}`)
+    }
+  }
+}
--- /dev/null
+++ b/tests/claims/claimKeeper.test.ts
@@ -0,0 +1,103 @@
+import t from 'tap'
+import { ClaimDomain } from './claimDomain.js'
+
+const THREE_VMS = { a: 1, b: 1, c: 1 }
+
+t.test('claims are shared out in proportion to size', async t => {
+  const domain = new ClaimDomain({ sizes: { a: 2, b: 1, c: 1 }, instances: 7 })
+  domain.startAll()
+  await domain.until(() => domain.allHeld())
+  await domain.advance(5_000)
+  t.same(['a', 'b', 'c'].map(vm => domain.held(vm).length), [4, 2, 2])
+  t.same(domain.conflicts, [])
+})
+
+t.test('claims of a killed holder are taken over after its lease, and not before', async t => {
+  const domain = new ClaimDomain({ sizes: THREE_VMS })
+  domain.startAll()
+  await domain.until(() => domain.allHeld())
+  await domain.advance(10_000)
+  domain.kill('a')
+  await domain.advance(3_000)
+  t.equal(domain.allHeld(), false)
+  await domain.until(() => domain.allHeld(), 5_000)
+  t.same(domain.conflicts, [])
+})
+
+t.test('a process frozen past its lease holds nothing when it wakes', async t => {
+  const domain = new ClaimDomain({ sizes: THREE_VMS })
+  domain.startAll()
+  await domain.until(() => domain.allHeld())
+  await domain.advance(10_000)
+  const [claim] = domain.held('a')
+  const epoch = domain.get('a').keeper.epochOf(claim)!
+  domain.freeze('a')
+  await domain.until(() => domain.allHeld(), 10_000)
+  domain.thaw('a')
+  t.equal(domain.get('a').keeper.epochOf(claim), undefined)
+  const holder = domain.get('b').keeper.holderOf(claim)!
+  t.ok(domain.get(holder).keeper.epochOf(claim)! > epoch)
+  await domain.advance(10_000)
+  t.equal(domain.allHeld(), true)
+  t.same(domain.conflicts, [])
+})
+
+t.test('claims of a VM that alone is cut off the platform pass to the others', async t => {
+  const domain = new ClaimDomain({ sizes: THREE_VMS })
+  domain.startAll()
+  await domain.until(() => domain.allHeld())
+  await domain.advance(10_000)
+  domain.cut(['a'])
+  await domain.advance(10_000)
+  t.same(domain.held('a'), [])
+  t.equal(domain.allHeld(), true)
+  domain.heal()
+  await domain.until(() => domain.held('a').length > 0)
+  t.same(domain.conflicts, [])
+})
+
+t.test('in an outage of the platform all go on and nothing is taken over', async t => {
+  const domain = new ClaimDomain({ sizes: THREE_VMS })
+  domain.startAll()
+  await domain.until(() => domain.allHeld())
+  await domain.advance(10_000)
+  const before = ['a', 'b', 'c'].map(vm => domain.held(vm))
+  domain.cut()
+  for (let minute = 0; minute < 20; minute++) {
+    await domain.advance(60_000)
+    t.equal(domain.allHeld(), true)
+  }
+  domain.heal()
+  await domain.advance(20_000)
+  t.same(['a', 'b', 'c'].map(vm => domain.held(vm)), before)
+  t.same(domain.conflicts, [])
+})
+
+t.test('a restarted process takes its claims back at once with new epochs', async t => {
+  const domain = new ClaimDomain({ sizes: THREE_VMS })
+  domain.startAll()
+  await domain.until(() => domain.allHeld())
+  await domain.advance(10_000)
+  const before = domain.held('a')
+  const epoch = domain.get('a').keeper.epochOf(before[0])!
+  domain.start('a')
+  await domain.until(() => domain.allHeld(), 1_000)
+  t.same(domain.held('a'), before)
+  t.ok(domain.get('a').keeper.epochOf(before[0])! > epoch)
+  t.same(domain.conflicts, [])
+})
+
+t.test('a leaving VM hands its claims over without a wait for its lease', async t => {
+  const domain = new ClaimDomain({ sizes: THREE_VMS })
+  domain.startAll()
+  await domain.until(() => domain.allHeld())
+  await domain.advance(10_000)
+  const { keeper } = domain.get('a')
+  const handedOver = keeper.handOverAll()
+  t.same(domain.held('a'), [])
+  await domain.advance(500)
+  t.equal(await handedOver, true)
+  t.equal(domain.allHeld(), true)
+  await Promise.all([keeper.stop(), domain.advance(100)])
+  t.same(domain.conflicts, [])
+})
--- /dev/null
+++ b/tests/claims/processTimers.ts
@@ -0,0 +1,67 @@
+/**
+ * The clock of one process on a shared manual clock.
+ *
+ * @module
+ */
+
+import type { Timers, TimerSubscription } from 'pomelofold/seams/timers'
+
+/** Timers of a process that can be frozen, woken and killed. Its time goes on while it is frozen; its callbacks wait. */
+export class ProcessTimers implements Timers {
+  private readonly _timers: Timers
+  private readonly _beforeCallback: () => void
+  private _waiting: Array<() => void> = []
+  private _frozen = false
+  private _killed = false
+
+  constructor ({ timers, beforeCallback }: { timers: Timers, beforeCallback: () => void }) {
+    this._timers = timers
+    this._beforeCallback = beforeCallback
+  }
+
+  /** False while the process is frozen and after it was killed. */
+  isRunning (): boolean {
+    return !this._frozen && !this._killed
+  }
+
+  freeze (): void {
+    this._frozen = true
+  }
+
+  thaw (): void {
+    this._frozen = false
+    const waiting = this._waiting
+    this._waiting = []
+    for (const fn of waiting) this._timers.after(0, () => this._run(fn))
+  }
+
+  kill (): void {
+    this._killed = true
+  }
+
+  now (): number {
+    return this._timers.now()
+  }
+
+  wallClock (): number {
+    return this._timers.wallClock()
+  }
+
+  after (delayMs: number, fn: () => void): TimerSubscription {
+    return this._timers.after(delayMs, () => this._run(fn))
+  }
+
+  every (periodMs: number, fn: () => void): TimerSubscription {
+    return this._timers.every(periodMs, () => this._run(fn))
+  }
+
+  private _run (fn: () => void): void {
+    if (this._killed) return
+    if (this._frozen) {
+      this._waiting.push(fn)
+      return
+    }
+    this._beforeCallback()
+    fn()
+  }
+}
