Commit changes of many callers in one platform write (GroupCommitter)

Cause: records of jobs must be durable before they are acknowledged, and the cell has a few hundred platform writes a second for everything.

Each write is chained to the writer's last one by a guard on the writer's own key, which carries incarnation and number. A write whose answer was lost is read back and sent again until its outcome is certain; a late copy fails the chain. A refused batch is halved until the caller whose guard fails is found.

Ruled out: reading back without the chain (a copy that arrives after the verdict still applies); a key per incarnation (grows with every restart).

--- /dev/null
+++ b/tests/jobs/groupCommit.test.ts
@@ -0,0 +1,86 @@
+import t from 'tap'
+import { KeyValueStore } from '@pomelofold/standins/keyValueStore'
+import { ManualTimers } from '@pomelofold/standins/manualTimers'
+import { MemoryPlatform } from '@pomelofold/standins/memoryPlatform'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import { CommitRefusedError, GroupCommitter, type CommitResult } from 'pomelofold/utils/groupCommit'
+import type { Change, Guard } from 'pomelofold/seams/platformClient'
+
+function setUp ({ fence }: { fence?: () => Guard | undefined } = {}) {
+  const timers = new ManualTimers()
+  const store = new KeyValueStore({ timers })
+  const platform = new MemoryPlatform({ store, timers })
+  const committer = new GroupCommitter({ timers, platform, random: new SeededRandom(1), writer: 'entry-0/jobs', minIntervalMs: 250, fence })
+  return { timers, store, platform, committer }
+}
+
+const put = (key: string, value = key): Change => ({ op: 'put', key, value })
+const kind = (result: CommitResult): string => result.isOk ? 'ok' : result.error instanceof CommitRefusedError ? result.error.reason : result.error.effect
+
+t.test('changes of many callers share writes of at most 100 changes, spaced by the interval', async t => {
+  const { timers, store, committer } = setUp()
+  const commits = Array.from({ length: 250 }, (_, i) => committer.commit([put(`key-${i}`)]))
+  await timers.advance(499)
+  t.equal(store.counts.writes, 2)
+  await timers.advance(100)
+  t.equal(store.counts.writes, 3)
+  t.ok((await Promise.all(commits)).every(result => result.isOk))
+  t.equal(store.range('key-').values.length, 250)
+})
+
+t.test('a caller whose guard fails does not fail the others', async t => {
+  const { timers, store, committer } = setUp()
+  store.txn([], [put('taken', 'before')])
+  const commits = ['one', 'taken', 'two', 'three'].map(key => committer.commit([put(key)], { guards: [{ key, modRevision: 0 }] }))
+  await timers.advance(3_000)
+  t.same((await Promise.all(commits)).map(kind), ['ok', 'guard', 'ok', 'ok'])
+  t.equal(store.get('taken')?.value, 'before')
+})
+
+t.test('a write whose answer was lost is settled by reading back and applied once', async t => {
+  const { timers, store, platform, committer } = setUp()
+  platform.faults.loseAnswers = true
+  const commit = committer.commit([put('one')], { guards: [{ key: 'one', modRevision: 0 }] })
+  await timers.advance(1_500)
+  platform.faults.loseAnswers = false
+  await timers.advance(5_000)
+  t.equal(kind(await commit), 'ok')
+  t.equal(store.get('one')?.value, 'one')
+})
+
+t.test('copies of a write that arrive after it was settled have no effect', async t => {
+  const { timers, store, platform, committer } = setUp()
+  const opened = committer.commit([put('zero')])
+  await timers.advance(300)
+  t.equal(kind(await opened), 'ok')
+  platform.faults.delayMs = 4_000
+  const first = committer.commit([put('one', 'first')])
+  await timers.advance(3_000)
+  platform.faults.delayMs = 1
+  const second = first.then(() => committer.commit([put('one', 'second')]))
+  await timers.advance(20_000)
+  t.same([kind(await first), kind(await second)], ['ok', 'ok'])
+  t.equal(store.get('one')?.value, 'second')
+})
+
+t.test('a writer whose fence does not hold writes nothing', async t => {
+  const { timers, store, committer } = setUp({ fence: () => ({ key: 'fence', modRevision: 1 }) })
+  store.txn([], [put('fence')])
+  const held = committer.commit([put('one')])
+  await timers.advance(1_000)
+  store.txn([], [put('fence')])
+  const fenced = committer.commit([put('two')])
+  await timers.advance(1_000)
+  t.same([kind(await held), kind(await fenced)], ['ok', 'fence'])
+  t.equal(store.get('two'), undefined)
+})
+
+t.test('a caller is answered by its deadline, with no effect only when its write was not sent', async t => {
+  const { timers, platform, committer } = setUp()
+  platform.faults.cut = true
+  const sent = committer.commit([put('one')], { timeoutMs: 400 })
+  await timers.advance(1)
+  const queued = committer.commit([put('two')], { timeoutMs: 400 })
+  await timers.advance(500)
+  t.same([kind(await sent), kind(await queued)], ['unknown', 'none'])
+})
