--- /dev/null
+++ b/packages/pomelofold/src/tasks/jobs/failureTracker.ts
@@ -0,0 +1,72 @@
+/**
+ * Tells workers that fail every task from jobs that fail everywhere.
+ *
+ * @module
+ */
+
+import type { JobSettings } from './jobSettings.js'
+
+/** Failures of unrelated families that put a worker on probation. */
+const FAMILIES_FOR_PROBATION = 3
+/** Other workers at which a family must have failed for the failure to speak against the family. */
+const WORKERS_AGAINST_FAMILY = 2
+const WINDOW_MS = 600_000
+
+interface Probation {
+  untilMs: number
+  lengthMs: number
+}
+
+/** Failures by worker and by family, within a window of time. */
+export class FailureTracker {
+  private readonly _cfg: JobSettings
+  /** Worker -> family -> time of the last failure. */
+  private readonly _byWorker = new Map<string, Map<string, number>>()
+  private readonly _probations = new Map<string, Probation>()
+
+  constructor ({ cfg }: { cfg: JobSettings }) {
+    this._cfg = cfg
+  }
+
+  /** Notes a failure. True when it puts the worker on probation. */
+  record (worker: string, family: string, nowMs: number): boolean {
+    const families = this._byWorker.get(worker) ?? new Map<string, number>()
+    this._byWorker.set(worker, families.set(family, nowMs))
+    if (this.onProbation(worker, nowMs)) return false
+    const own = [...families].filter(([name, atMs]) => nowMs - atMs < WINDOW_MS && !this._failsElsewhere(name, worker, nowMs))
+    if (own.length < FAMILIES_FOR_PROBATION) return false
+    const last = this._probations.get(worker)
+    const lengthMs = Math.min(this._cfg.maxProbationMs, last ? 2 * last.lengthMs : this._cfg.probationMs)
+    this._probations.set(worker, { lengthMs, untilMs: nowMs + lengthMs })
+    families.clear()
+    return true
+  }
+
+  onProbation (worker: string, nowMs: number): boolean {
+    return nowMs < this.probationEndMs(worker)
+  }
+
+  /** End of the worker's last probation. */
+  probationEndMs (worker: string): number {
+    return this._probations.get(worker)?.untilMs ?? Number.NEGATIVE_INFINITY
+  }
+
+  /** True when the worker has ever been on probation, so that its failures do not speak against jobs. */
+  isSuspect (worker: string): boolean {
+    return this._probations.has(worker)
+  }
+
+  forget (worker: string): void {
+    this._byWorker.delete(worker)
+    this._probations.delete(worker)
+  }
+
+  private _failsElsewhere (family: string, worker: string, nowMs: number): boolean {
+    let workers = 0
+    for (const [name, families] of this._byWorker) {
+      const atMs = families.get(family)
+      if (name !== worker && atMs !== undefined && nowMs - atMs < WINDOW_MS && !this.isSuspect(name)) workers++
+    }
+    return workers >= WORKERS_AGAINST_FAMILY
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
@@ -0,0 +1,318 @@
+/**
+ * What happens to jobs when their tasks start, end, or are lost.
+ *
+ * @module
+ */
+
+import type { Timers } from '../../seams/timers.js'
+import { JOB_STATES } from '../../protocol/jobs.js'
+import type { WorkerTask } from '../../protocol/worker.js'
+import type { EventLog } from '../../utils/eventLog.js'
+import { FailureTracker } from './failureTracker.js'
+import { RUN_STATES, type Job, type TaskRun } from './job.js'
+import type { JobQueue } from './jobQueue.js'
+import type { JobSettings } from './jobSettings.js'
+import type { JobStore } from './jobStore.js'
+import type { TaskLedger } from './taskLedger.js'
+import type { WorkerLink } from './workerLink.js'
+
+/** Distinct workers at which a job must have failed before it may be given up, when there are as many. */
+const WORKERS_AGAINST_JOB = 3
+const REFUSAL_PAUSE_MS = 100
+const MAX_REFUSAL_DOUBLINGS = 6
+
+/** Options of a {@link JobLifecycle}. */
+export interface JobLifecycleOptions {
+  timers: Timers
+  cfg: JobSettings
+  log: EventLog
+  ledger: TaskLedger
+  queue: JobQueue
+  store: JobStore
+  failures: FailureTracker
+  links: ReadonlyMap<string, WorkerLink>
+  /** Asks for a turn of the scheduler at monotonic time `atMs`. */
+  wake: (atMs?: number) => void
+  /** A worker has been put on probation. */
+  onProbation: (worker: string) => void
+}
+
+/** Counts of one job's setbacks. In memory only: a new placer starts afresh. */
+interface Setbacks {
+  refusals: number
+  /** Failures by worker. */
+  failures: Map<string, number>
+}
+
+/** Commands that change jobs. */
+export class JobLifecycle {
+  private readonly _timers: Timers
+  private readonly _cfg: JobSettings
+  private readonly _log: EventLog
+  private readonly _ledger: TaskLedger
+  private readonly _queue: JobQueue
+  private readonly _store: JobStore
+  private readonly _failures: FailureTracker
+  private readonly _links: ReadonlyMap<string, WorkerLink>
+  private readonly _wake: (atMs?: number) => void
+  private readonly _onProbation: (worker: string) => void
+  private readonly _setbacks = new WeakMap<Job, Setbacks>()
+  /** Ended jobs whose runs are still to be stopped. */
+  private readonly _toStop = new Set<Job>()
+
+  constructor ({ timers, cfg, log, ledger, queue, store, failures, links, wake, onProbation }: JobLifecycleOptions) {
+    this._timers = timers
+    this._cfg = cfg
+    this._log = log
+    this._ledger = ledger
+    this._queue = queue
+    this._store = store
+    this._failures = failures
+    this._links = links
+    this._wake = wake
+    this._onProbation = onProbation
+  }
+
+  /** The worker has started the run, or lists it as running. */
+  started (run: TaskRun, expectedMs: number, ranMs: number): void {
+    const { job } = run
+    const now = this._timers.now()
+    run.endDueMs = expectedMs > 0 ? now + Math.max(0, expectedMs - ranMs) : Number.POSITIVE_INFINITY
+    if (run.state !== RUN_STATES.stopping) run.state = RUN_STATES.running
+    if (!job || job.ended) return this.stop(run)
+    if (job.firstStartAtMs !== undefined) return
+    job.firstStartAtMs = this._timers.wallClock() - ranMs
+    job.history.add(this._timers.wallClock(), `first task started at ${run.worker}`)
+  }
+
+  /** The worker will never run the run: it refused, or was not reached. */
+  refused (run: TaskRun, reason: string): void {
+    const { job, index } = run
+    this._ledger.remove(run)
+    if (!job) return
+    this._dropIntent(job, index)
+    if (job.ended) return
+    job.history.add(this._timers.wallClock(), `start refused by ${run.worker}: ${reason}`)
+    const setbacks = this._setbacksOf(job)
+    setbacks.refusals = Math.min(setbacks.refusals + 1, MAX_REFUSAL_DOUBLINGS)
+    this._holdBack(job, REFUSAL_PAUSE_MS * 2 ** setbacks.refusals)
+    if (job.isGang) return this._gangBroken(job, `a start was refused by ${run.worker}`)
+    this._requeue(job, index)
+  }
+
+  /** A run that was given up before it was sent. */
+  withdrawn (run: TaskRun): void {
+    const { job, index } = run
+    this._ledger.remove(run)
+    if (!job) return
+    this._dropIntent(job, index)
+    this._requeue(job, index)
+  }
+
+  /** The worker lists the task as finished. */
+  finished (job: Job, index: number, worker: string, taskId: string): void {
+    if (job.isService || job.regrouping) {
+      this._acknowledge(worker, taskId)
+      return this._requeue(job, index)
+    }
+    const isNew = !job.isSettled(index) || job.unknown.delete(index)
+    job.acks.push({ worker, taskId })
+    if (isNew) this._settle(job, index, job.finished)
+    if (!job.isGang || job.ended) this._saveAndAcknowledge(job)
+    this._endIfComplete(job)
+  }
+
+  /** The worker lists the task as failed. */
+  failed (job: Job, index: number, worker: string, task: Pick<WorkerTask, 'taskId' | 'reason'>): void {
+    const { taskId, reason = 'no reason given' } = task
+    this._note(job, `task ${index} failed at ${worker}: ${reason}`)
+    if (this._failures.record(worker, job.plan.family, this._timers.now())) this._onProbation(worker)
+    const setbacks = this._setbacksOf(job)
+    setbacks.failures.set(worker, (setbacks.failures.get(worker) ?? 0) + 1)
+    if (job.ended || !job.plan.atMostOnce) this._acknowledge(worker, taskId)
+    if (job.ended || job.isSettled(index)) return
+    if (job.plan.atMostOnce) {
+      job.acks.push({ worker, taskId })
+      this._settle(job, index, job.failed)
+      this._saveAndAcknowledge(job)
+      return this._endIfComplete(job)
+    }
+    this._retryAfterFailure(job, index, worker, reason)
+  }
+
+  /** The worker lists the task as stopped before its end. */
+  stopped (job: Job, index: number, worker: string, { taskId, checkpoint }: WorkerTask): void {
+    if (job.ended || job.isSettled(index)) return this._acknowledge(worker, taskId)
+    job.acks.push({ worker, taskId })
+    if (checkpoint !== undefined) job.checkpoints.set(index, checkpoint)
+    if (job.plan.atMostOnce) this._settle(job, index, job.failed)
+    else if (job.isGang) this._gangBroken(job, `task ${index} was stopped at ${worker}`)
+    else this._requeue(job, index)
+    this._saveAndAcknowledge(job)
+    this._endIfComplete(job)
+  }
+
+  /** The run has ended or its lease has; nobody knows how. */
+  lost (run: TaskRun): void {
+    const { job, index, worker } = run
+    this._ledger.remove(run)
+    if (!job || job.ended) return
+    this._note(job, `task ${index} was lost with ${worker}`)
+    if (job.plan.atMostOnce) return this.outcomeUnknown(job, index)
+    if (job.isGang) return this._gangBroken(job, `task ${index} was lost with ${worker}`)
+    this._requeue(job, index)
+  }
+
+  /** At most once: the task may have run and is not run again. */
+  outcomeUnknown (job: Job, index: number): void {
+    this._settle(job, index, job.unknown)
+    this._store.save(job)
+    this._endIfComplete(job)
+  }
+
+  /** Stops the runs of a gang that is not whole, so that it starts again as a whole. */
+  regroup (job: Job, reason: string): void {
+    if (job.regrouping || job.ended) return this.afterRemoval(job)
+    job.regrouping = true
+    this._note(job, `starts again as a whole: ${reason}`)
+    this._queue.remove(job)
+    for (const index of job.finished) job.waiting.add(index)
+    job.finished.clear()
+    for (const { worker, taskId } of job.acks.splice(0)) this._acknowledge(worker, taskId)
+    for (const run of [...job.runs.values()]) this._giveUp(run)
+    this.afterRemoval(job)
+  }
+
+  /** A gang whose last run has ended may start again. */
+  afterRemoval (job: Job): void {
+    if (!job.regrouping || job.runs.size > 0) return
+    job.regrouping = false
+    for (let index = 0; index < job.total; index++) {
+      if (!job.isSettled(index)) job.waiting.add(index)
+    }
+    if (job.ended) return
+    this._queue.add(job)
+    this._wake(job.notBeforeMs)
+  }
+
+  /** Ends a job at once; its runs are stopped over the next turns. The caller makes the end durable. */
+  end (job: Job, state: NonNullable<Job['ended']>, reason?: string): void {
+    job.ended = state
+    job.reason = reason
+    job.endedAtMs = this._timers.wallClock()
+    this._note(job, reason === undefined ? state : `${state}: ${reason}`)
+    this._queue.remove(job)
+    if (job.runs.size > 0) this._toStop.add(job)
+    this._wake()
+  }
+
+  /** Ends a job that can never succeed. */
+  fail (job: Job, reason: string): void {
+    this.end(job, JOB_STATES.failed, reason)
+    this._saveAndAcknowledge(job)
+  }
+
+  /** Stops up to `bound` runs of ended jobs. True when more are left. */
+  stopEnded (bound: number): boolean {
+    let left = bound
+    for (const job of this._toStop) {
+      for (const run of [...job.runs.values()]) {
+        if (left-- <= 0) return true
+        this._giveUp(run)
+      }
+      this._toStop.delete(job)
+    }
+    return false
+  }
+
+  /** Asks the worker to stop the run. It counts until the worker says that it has ended. */
+  stop (run: TaskRun): void {
+    run.state = RUN_STATES.stopping
+    const link = this._links.get(run.worker)
+    link?.command(run.taskId, 'stop')
+    link?.pollAt(this._timers.now() + this._cfg.minPollMs)
+  }
+
+  private _giveUp (run: TaskRun): void {
+    const unsent = run.state === RUN_STATES.intending || this._links.get(run.worker)?.withdraw(run)
+    if (unsent) this.withdrawn(run)
+    else if (run.state !== RUN_STATES.stopping) this.stop(run)
+  }
+
+  private _retryAfterFailure (job: Job, index: number, worker: string, reason: string): void {
+    const counted = [...this._setbacksOf(job).failures].filter(([name]) => !this._failures.isSuspect(name))
+    const total = counted.reduce((sum, [, count]) => sum + count, 0)
+    const needed = Math.min(WORKERS_AGAINST_JOB, this._links.size)
+    const hopeless = total >= this._cfg.maxTaskFailures && counted.length >= needed && !job.isService
+    if (hopeless) return this.fail(job, `failed ${total} times at ${counted.length} workers; last: ${reason}`)
+    job.avoid.add(worker)
+    if (job.avoid.size >= this._links.size) job.avoid.clear()
+    this._holdBack(job, Math.min(this._cfg.maxBackoffMs, this._cfg.backoffMs * 2 ** Math.max(0, total - 1)))
+    if (job.isGang) this._gangBroken(job, `task ${index} failed at ${worker}`)
+    else this._requeue(job, index)
+  }
+
+  private _gangBroken (job: Job, reason: string): void {
+    const started = [...job.runs.values()].filter(run => run.state !== RUN_STATES.queued && run.state !== RUN_STATES.intending)
+    const mayNotRepeat = job.plan.atMostOnce && (started.length > 0 || job.finished.size > 0)
+    if (!mayNotRepeat) return this.regroup(job, reason)
+    for (const run of started) this._settle(job, run.index, job.unknown)
+    this.fail(job, `not all tasks could start, and it may not run twice: ${reason}`)
+  }
+
+  private _requeue (job: Job, index: number): void {
+    if (job.ended || job.isSettled(index) || job.runs.has(index)) return
+    job.waiting.add(index)
+    if (job.regrouping) return this.afterRemoval(job)
+    if (job.held) return
+    this._queue.add(job)
+    this._wake(job.notBeforeMs)
+  }
+
+  private _dropIntent (job: Job, index: number): void {
+    if (job.intents.delete(index) && !job.ended) this._store.save(job)
+  }
+
+  private _settle (job: Job, index: number, set: Set<number>): void {
+    job.waiting.delete(index)
+    job.checkpoints.delete(index)
+    job.intents.delete(index)
+    set.add(index)
+  }
+
+  private _endIfComplete (job: Job): void {
+    if (job.ended || !job.isComplete || job.isService) return
+    const { failed, unknown } = job
+    const whole = failed.size === 0 && unknown.size === 0
+    if (whole) this.end(job, JOB_STATES.done)
+    else this.end(job, JOB_STATES.failed, `${failed.size} tasks failed, the outcome of ${unknown.size} is unknown`)
+    this._saveAndAcknowledge(job)
+  }
+
+  private _saveAndAcknowledge (job: Job): void {
+    const acks = job.acks.splice(0)
+    this._store.save(job).then(result => {
+      if (result.isErr) return
+      for (const { worker, taskId } of acks) this._acknowledge(worker, taskId)
+    })
+  }
+
+  private _acknowledge (worker: string, taskId: string): void {
+    this._links.get(worker)?.acknowledge(taskId)
+  }
+
+  private _holdBack (job: Job, forMs: number): void {
+    job.notBeforeMs = Math.max(job.notBeforeMs, this._timers.now() + forMs)
+  }
+
+  private _note (job: Job, text: string): void {
+    job.history.add(this._timers.wallClock(), text)
+    this._log.event('debug', 'jobs.job', { jobId: job.jobId, text })
+  }
+
+  private _setbacksOf (job: Job): Setbacks {
+    let setbacks = this._setbacks.get(job)
+    if (!setbacks) this._setbacks.set(job, setbacks = { refusals: 0, failures: new Map() })
+    return setbacks
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/tasks/jobs/jobManager.ts
@@ -0,0 +1,214 @@
+/**
+ * Jobs of one failure domain: active on the entry VM that holds the placer claim.
+ *
+ * @module
+ */
+
+import Result from 'true-myth/result'
+import { CLAIMS, type Authority, type Subscription } from '../../seams/authority.js'
+import type { PlatformClient } from '../../seams/platformClient.js'
+import type { RandomSource } from '../../seams/randomSource.js'
+import type { Timers } from '../../seams/timers.js'
+import type { UpstreamClient } from '../../seams/upstreamClient.js'
+import { EMPTY_MANIFEST, type Manifest } from '../../protocol/manifest.js'
+import type { JobAnswer, PeerMethods } from '../../protocol/peerMessages.js'
+import type { VmRecord } from '../../protocol/vms.js'
+import { SILENT_LOG, type EventLog } from '../../utils/eventLog.js'
+import { COMMIT_REFUSALS, CommitRefusedError } from '../../utils/groupCommit.js'
+import type { Placement } from '../placementTypes.js'
+import { Job, planOf } from './job.js'
+import type { JobEvent } from './jobHistory.js'
+import { DEFAULT_JOB_SETTINGS, type JobSettings } from './jobSettings.js'
+import { PlacerSession } from './placerSession.js'
+import { JOB_ID_PATTERN } from './taskId.js'
+
+const RETRY_AFTER_MS = 1_000
+
+/** Options of a {@link JobManager}. */
+export interface JobManagerOptions {
+  timers: Timers
+  random: RandomSource
+  authority: Authority
+  platform: PlatformClient
+  upstream: UpstreamClient
+  placement: Placement
+  failureDomain: string
+  /** All failure domains of the cell; quotas and replicas are divided among them. */
+  failureDomains?: readonly string[]
+  vm: string
+  log?: EventLog
+  cfg?: Partial<JobSettings>
+}
+
+/** What is known of a job, for operators. */
+export interface JobExplanation {
+  jobId: string
+  state: string
+  waitingFor?: string
+  events: JobEvent[]
+  /** Events left out between the first and the latest. */
+  dropped: number
+  runs: Array<{ index: number, worker: string, state: string }>
+}
+
+const MAX_EXPLAINED_RUNS = 100
+
+/** Accepts, places, follows and ends jobs while this process holds the placer claim; otherwise refuses. */
+export class JobManager {
+  private readonly _options: Required<Omit<JobManagerOptions, 'cfg'>> & { cfg: JobSettings }
+  private readonly _claim: string
+  private _session: PlacerSession | undefined
+  private _subscription: Subscription | undefined
+  private _workers: VmRecord[] = []
+  private _manifest: Manifest = EMPTY_MANIFEST
+
+  constructor ({ cfg = {}, log = SILENT_LOG, failureDomain, failureDomains = [failureDomain], ...options }: JobManagerOptions) {
+    this._options = { ...options, log, failureDomain, failureDomains, cfg: { ...DEFAULT_JOB_SETTINGS, ...cfg } }
+    this._claim = CLAIMS.placer(failureDomain)
+  }
+
+  /** Follows the placer claim from now on. */
+  start (): void {
+    this._subscription = this._options.authority.onChange(() => this._followClaim())
+    this._followClaim()
+  }
+
+  /** Places nothing more. Tasks keep running at their workers. */
+  stop (): void {
+    this._subscription?.cancel()
+    this._endSession()
+  }
+
+  /** Takes in the platform's list of VMs. Call after every reading of the list, also when nothing has changed. */
+  setWorkers (vms: VmRecord[]): void {
+    this._workers = vms
+    this._session?.setWorkers(vms)
+  }
+
+  setManifest (manifest: Manifest): void {
+    this._manifest = manifest
+    this._session?.setManifest(manifest)
+  }
+
+  /** Accepts a job. The answer is given after the commit. */
+  async submitJob ({ jobId, spec, digest }: PeerMethods['submitJob']['params']): Promise<JobAnswer> {
+    const session = this._activeSession()
+    if (!session) return this._notPlacer()
+    const known = session.ledger.jobs.get(jobId)
+    if (known) return this._sameOrConflict(known, digest)
+    if (!JOB_ID_PATTERN.test(jobId)) return { kind: 'cannotRun', detail: 'a job id has 1 to 200 letters, digits, dots, underscores or dashes' }
+    const record = { jobId, spec, digest, acceptedAtMs: this._options.timers.wallClock() }
+    const fit = this._checkFit(session, new Job({ plan: planOf(record), record }))
+    if (fit.isErr) return { kind: 'cannotRun', detail: fit.error }
+    const created = await session.create(record)
+    const job = session.ledger.jobs.get(jobId)
+    if (job) return this._sameOrConflict(job, digest)
+    if (created.isOk) return this._notPlacer()
+    const taken = created.error instanceof CommitRefusedError && created.error.reason === COMMIT_REFUSALS.guard
+    if (taken) return { kind: 'conflict', detail: `the job id ${jobId} is taken` }
+    return { kind: 'unavailable', detail: `the job could not be recorded: ${created.error.message}`, retryAfterMs: RETRY_AFTER_MS }
+  }
+
+  async getJob ({ jobId }: { jobId: string }): Promise<JobAnswer> {
+    const session = this._activeSession()
+    if (!session) return this._notPlacer()
+    return this._answer(session.ledger.jobs.get(jobId))
+  }
+
+  /** Cancels a job. A job that has ended stays as it is. */
+  async cancelJob ({ jobId }: { jobId: string }): Promise<JobAnswer> {
+    const session = this._activeSession()
+    if (!session) return this._notPlacer()
+    const job = session.ledger.jobs.get(jobId)
+    if (!job?.record) return { kind: 'notFound' }
+    if (job.ended && job.ended !== 'cancelled') return this._answer(job)
+    const committed = await session.cancel(job)
+    if (committed.isOk) return this._answer(job)
+    return { kind: 'unavailable', detail: `the cancellation could not be recorded: ${committed.error.message}`, retryAfterMs: RETRY_AFTER_MS }
+  }
+
+  async listJobs (): Promise<PeerMethods['listJobs']['result']> {
+    const jobs = [...this._activeSession()?.ledger.jobs.values() ?? []]
+    return { jobs: jobs.map(job => job.view(this._options.failureDomain)).filter(view => view !== undefined) }
+  }
+
+  /** History of a job that this process places. */
+  explain (jobId: string): JobExplanation | undefined {
+    const job = this._activeSession()?.ledger.jobs.get(jobId)
+    if (!job) return undefined
+    const runs = [...job.runs.values()].slice(0, MAX_EXPLAINED_RUNS).map(({ index, worker, state }) => ({ index, worker, state }))
+    const state = job.ended ?? (job.firstStartAtMs === undefined ? 'accepted' : 'running')
+    return { jobId, state, waitingFor: job.ended ? job.reason : job.waitingFor, ...job.history.read(), runs }
+  }
+
+  /** Figures for reports. */
+  figures (): Record<string, unknown> {
+    const session = this._activeSession()
+    if (!session) return { active: false }
+    const { ledger, queue, links, epoch } = session
+    const answering = [...links.values()].filter(link => link.answering).length
+    return {
+      active: true,
+      epoch,
+      jobs: ledger.jobs.size,
+      waitingJobs: queue.size,
+      runs: ledger.runs.size,
+      workers: links.size,
+      answeringWorkers: answering,
+      placement: this._options.placement.figures()
+    }
+  }
+
+  private _followClaim (): void {
+    const { authority } = this._options
+    const epoch = authority.epochOf(this._claim)
+    if (epoch === undefined) {
+      if (!authority.held().includes(this._claim)) this._endSession()
+      return
+    }
+    if (this._session?.epoch === epoch) return
+    this._endSession()
+    const epochOf = (): number | undefined => {
+      const current = authority.epochOf(this._claim)
+      return current === epoch ? current : undefined
+    }
+    this._session = new PlacerSession({ ...this._options, epoch, epochOf })
+    this._session.open(() => this._workers, () => this._manifest)
+  }
+
+  private _endSession (): void {
+    this._session?.close()
+    this._session = undefined
+  }
+
+  /** The session, when it knows all jobs and holds the claim at this moment. */
+  private _activeSession (): PlacerSession | undefined {
+    const epoch = this._options.authority.epochOf(this._claim)
+    return this._session?.ready && this._session.epoch === epoch ? this._session : undefined
+  }
+
+  private _checkFit (session: PlacerSession, job: Job): Result<void, string> {
+    if (!this._manifest.teams.some(team => team.name === job.plan.team)) {
+      const known = this._manifest.teams.map(team => team.name).join(', ') || '(none)'
+      return Result.err(`team ${job.plan.team} is not in the manifest; known teams: ${known}`)
+    }
+    const sizesKnown = [...session.links.values()].every(link => link.vm.capacity)
+    if (session.links.size === 0 || !sizesKnown) return Result.ok(undefined)
+    return session.canEverFit(job).mapErr(miss => miss.detail)
+  }
+
+  private _sameOrConflict (job: Job, digest: string): JobAnswer {
+    if (job.record?.digest === digest) return this._answer(job)
+    return { kind: 'conflict', detail: `the job id ${job.jobId} is taken by another job` }
+  }
+
+  private _answer (job: Job | undefined): JobAnswer {
+    const view = job?.view(this._options.failureDomain)
+    return view ? { kind: 'job', job: view } : { kind: 'notFound' }
+  }
+
+  private _notPlacer (): JobAnswer {
+    const holder = this._options.authority.holderOf(this._claim) ?? 'unknown'
+    return { kind: 'unavailable', detail: `this entry VM does not place jobs of ${this._options.failureDomain} now; last known placer: ${holder}`, retryAfterMs: RETRY_AFTER_MS }
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/tasks/jobs/jobQueue.ts
@@ -0,0 +1,104 @@
+/**
+ * Order of jobs that wait: class, then the team that holds least of its quota, then age.
+ *
+ * @module
+ */
+
+import { Heap } from 'heap-js'
+import { JOB_CLASSES } from '../../protocol/jobs.js'
+import type { Job } from './job.js'
+
+/** Classes in the order in which they are served. */
+export const CLASS_ORDER = [JOB_CLASSES.urgent, JOB_CLASSES.normal, JOB_CLASSES.overnight] as const
+
+/** What became of an attempt to place tasks of a job. */
+export const ATTEMPTS = {
+  /** Some were placed and more may be. */
+  more: 'more',
+  /** Nothing more can be placed of it now. */
+  enough: 'enough',
+  /** The bound of this turn is reached. */
+  stop: 'stop'
+} as const
+
+/** One of {@link ATTEMPTS}. */
+export type Attempt = typeof ATTEMPTS[keyof typeof ATTEMPTS]
+
+interface Cursor {
+  team: string
+  jobs: Job[]
+  at: number
+  share: number
+}
+
+/** Jobs with waiting tasks. */
+export class JobQueue {
+  private readonly _jobs = new Set<Job>()
+  private readonly _teams = new Map<string, Job[]>()
+
+  get size (): number {
+    return this._jobs.size
+  }
+
+  has (job: Job): boolean {
+    return this._jobs.has(job)
+  }
+
+  /** Adds a job behind those of its team and class that were accepted earlier. */
+  add (job: Job): void {
+    if (this._jobs.has(job)) return
+    this._jobs.add(job)
+    const jobs = this._listOf(job)
+    let at = jobs.length
+    while (at > 0 && jobs[at - 1].plan.acceptedAtMs > job.plan.acceptedAtMs) at--
+    jobs.splice(at, 0, job)
+  }
+
+  /** Removes a job. Its place in the list is cleared by the next walk. */
+  remove (job: Job): void {
+    this._jobs.delete(job)
+  }
+
+  /**
+   * Offers jobs in order to `attempt` until it says stop. `shareOf` gives what a team holds
+   * of its quota; it is asked again after each attempt.
+   */
+  walk (shareOf: (team: string) => number, attempt: (job: Job) => Attempt): void {
+    for (const jobClass of CLASS_ORDER) {
+      const cursors = new Heap<Cursor>((a, b) => a.share - b.share)
+      for (const [key, jobs] of this._teams) {
+        if (!key.startsWith(`${jobClass}/`)) continue
+        const team = key.slice(jobClass.length + 1)
+        const waiting = this._compact(key, jobs)
+        if (waiting.length > 0) cursors.push({ team, jobs: waiting, at: 0, share: shareOf(team) })
+      }
+      if (!this._walkClass(cursors, shareOf, attempt)) return
+    }
+  }
+
+  private _walkClass (cursors: Heap<Cursor>, shareOf: (team: string) => number, attempt: (job: Job) => Attempt): boolean {
+    for (let cursor = cursors.pop(); cursor; cursor = cursors.pop()) {
+      const job = cursor.jobs[cursor.at]
+      const outcome = this._jobs.has(job) ? attempt(job) : ATTEMPTS.enough
+      if (outcome === ATTEMPTS.stop) return false
+      if (outcome === ATTEMPTS.enough) cursor.at++
+      cursor.share = shareOf(cursor.team)
+      if (cursor.at < cursor.jobs.length) cursors.push(cursor)
+    }
+    return true
+  }
+
+  private _compact (key: string, jobs: Job[]): Job[] {
+    const waiting = [...new Set(jobs)].filter(job => this._jobs.has(job))
+    if (waiting.length > 0) this._teams.set(key, waiting)
+    else this._teams.delete(key)
+    return waiting
+  }
+
+  private _listOf (job: Job): Job[] {
+    const key = `${job.plan.class}/${job.plan.team}`
+    let jobs = this._teams.get(key)
+    if (!jobs) this._teams.set(key, jobs = [])
+    return jobs
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/tasks/jobs/placerSession.ts
@@ -0,0 +1,305 @@
+/**
+ * Everything a placer does under one epoch of its claim.
+ *
+ * @module
+ */
+
+import Result from 'true-myth/result'
+import type { Timers, TimerSubscription } from '../../seams/timers.js'
+import type { PlatformClient } from '../../seams/platformClient.js'
+import type { RandomSource } from '../../seams/randomSource.js'
+import type { UpstreamClient } from '../../seams/upstreamClient.js'
+import type { Manifest } from '../../protocol/manifest.js'
+import { VM_STATES, type Capacity, type VmRecord } from '../../protocol/vms.js'
+import type { WorkerReport } from '../../protocol/worker.js'
+import { CallError, CallTimeoutError, EFFECTS, errorText } from '../../utils/errors.js'
+import type { EventLog } from '../../utils/eventLog.js'
+import type { CommitResult } from '../../utils/groupCommit.js'
+import { ManualPromise } from '../../utils/manualPromise.js'
+import type { Placement } from '../placementTypes.js'
+import { FailureTracker } from './failureTracker.js'
+import { Job, planOf } from './job.js'
+import { JobLifecycle } from './jobLifecycle.js'
+import { JobQueue } from './jobQueue.js'
+import type { JobRecord } from './jobRecord.js'
+import type { JobSettings } from './jobSettings.js'
+import { JobStore } from './jobStore.js'
+import { RunTracker } from './runTracker.js'
+import { Scheduler } from './scheduler.js'
+import { Takeover } from './takeover.js'
+import { TaskLedger } from './taskLedger.js'
+import { Teams } from './teams.js'
+import { UsageLearner } from './usageLearner.js'
+import { WorkerLink } from './workerLink.js'
+
+const SWEEP_EVERY_MS = 600_000
+/** Writes that may wait before new jobs are refused. */
+const MAX_BACKLOG = 5_000
+const TOO_MANY_WRITES = new CallError('too many writes wait', { step: 'placerSession.create', peer: 'platform', effect: EFFECTS.none })
+
+const NO_CAPACITY: Capacity = { cpus: 0, memoryMb: 0, accelerators: 0 }
+
+/** Options of a {@link PlacerSession}. */
+export interface PlacerSessionOptions {
+  timers: Timers
+  random: RandomSource
+  platform: PlatformClient
+  upstream: UpstreamClient
+  placement: Placement
+  log: EventLog
+  failureDomain: string
+  failureDomains: readonly string[]
+  vm: string
+  cfg: JobSettings
+  epoch: number
+  /** Epoch under which may be sent now. */
+  epochOf: () => number | undefined
+}
+
+/** The placer of a failure domain, from taking its claim until losing it. */
+export class PlacerSession {
+  readonly epoch: number
+  readonly ledger: TaskLedger
+  readonly queue = new JobQueue()
+  readonly links = new Map<string, WorkerLink>()
+  private readonly _options: PlacerSessionOptions
+  private readonly _store: JobStore
+  private readonly _failures: FailureTracker
+  private readonly _usage = new UsageLearner()
+  private readonly _teams: Teams
+  private readonly _lifecycle: JobLifecycle
+  private readonly _tracker: RunTracker
+  private readonly _scheduler: Scheduler
+  private readonly _takeover: Takeover
+  private readonly _sweep: TimerSubscription
+  private readonly _creating = new Map<string, Promise<CommitResult>>()
+  private _loaded = false
+  private _closed = false
+
+  constructor (options: PlacerSessionOptions) {
+    const { timers, random, placement, log, failureDomains, cfg, epoch } = options
+    this._options = options
+    this.epoch = epoch
+    this.ledger = new TaskLedger({ timers, placement, runPrefix: `${epoch}-${random.hex(2)}` })
+    this._store = new JobStore(options)
+    this._failures = new FailureTracker({ cfg })
+    this._teams = new Teams({ placement, ledger: this.ledger, domains: failureDomains.length })
+    const { ledger, queue, links, _store: store, _usage: usage, _failures: failures } = this
+    const wake = (atMs?: number): void => this._scheduler.wake(atMs)
+    const onProbation = (name: string): void => this._onProbation(name)
+    this._lifecycle = new JobLifecycle({ timers, cfg, log, ledger, queue, store, failures, links, wake, onProbation })
+    const { _lifecycle: lifecycle } = this
+    this._tracker = new RunTracker({
+      timers,
+      cfg,
+      ledger,
+      lifecycle,
+      usage,
+      onAvailability: link => this._onAvailability(link),
+      onReportRead: (link, report) => this._onReportRead(link, report)
+    })
+    this._scheduler = new Scheduler({
+      timers,
+      turnMs: cfg.turnMs,
+      placement,
+      ledger,
+      queue,
+      lifecycle,
+      store,
+      usage,
+      links,
+      shareOf: team => this._teams.shareOf(team),
+      onNoRoom: () => {}
+    })
+    this._takeover = new Takeover({ timers, cfg, ledger, lifecycle, queue, links, wake })
+    this._sweep = timers.every(SWEEP_EVERY_MS, () => { this._forgetOldJobs() })
+  }
+
+  /** True once all jobs are known. */
+  get ready (): boolean {
+    return this._loaded && !this._closed
+  }
+
+  /** Fences earlier placers, reads the jobs, and starts to talk to the workers. */
+  async open (workers: () => VmRecord[], manifest: () => Manifest): Promise<void> {
+    const jobs = await this._store.open()
+    if (this._closed) return
+    if (jobs.isErr) return this._options.log.event('warn', 'jobs.openFailed', { step: jobs.error.step, peer: jobs.error.peer, error: errorText(jobs.error) })
+    this.setManifest(manifest())
+    for (const job of jobs.value) this.ledger.jobs.set(job.jobId, job)
+    this._takeover.hold(jobs.value.filter(job => !job.ended))
+    this._loaded = true
+    this.setWorkers(workers())
+    this._options.log.event('info', 'jobs.opened', { step: 'placerSession.open', epoch: this.epoch, jobs: jobs.value.length, workers: this.links.size })
+  }
+
+  /** Takes in the platform's list of VMs. Called after every reading of the list, also when nothing has changed. */
+  setWorkers (vms: VmRecord[]): void {
+    if (!this.ready) return
+    const { failureDomain } = this._options
+    const own = vms.filter(vm => vm.kind === 'worker' && vm.failureDomain === failureDomain)
+    const names = new Set(own.map(vm => vm.name))
+    for (const [name, link] of [...this.links]) {
+      if (!names.has(name)) this._removeWorker(name, link)
+    }
+    for (const vm of own) this._setWorker(vm)
+    this._takeover.listRead()
+    this._recheckWaiting()
+  }
+
+  setManifest (manifest: Manifest): void {
+    this._teams.set(manifest.teams)
+    this._options.placement.setPolicies({ batch: manifest.placement.batch, gang: manifest.placement.gang })
+    this.ledger.version++
+    this._scheduler.wake()
+  }
+
+  /**
+   * Commits an accepted job and queues it. Call only for a job id that is not known.
+   * A commit that is late for its caller still queues the job when it takes effect.
+   */
+  async create (record: JobRecord): Promise<CommitResult> {
+    if (this._store.backlog >= MAX_BACKLOG) return Result.err(TOO_MANY_WRITES)
+    const pending = this._creating.get(record.jobId) ?? this._commitNew(record)
+    return await this._byDeadline(pending)
+  }
+
+  /** Cancels a job at once; answers after the commit. */
+  async cancel (job: Job): Promise<CommitResult> {
+    if (!job.ended) {
+      if (job.isGang) this._options.placement.releaseReservation(job.jobId)
+      this._lifecycle.end(job, 'cancelled')
+    }
+    return await this._byDeadline(this._store.cancel(job))
+  }
+
+  /** Whether the job's tasks could ever run, as far as workers are known. */
+  canEverFit (job: Job): ReturnType<Placement['canEverFit']> {
+    return this._options.placement.canEverFit(job.declaredRequests(), { gang: job.isGang, within: job.plan.within })
+  }
+
+  close (): void {
+    this._closed = true
+    this._sweep.cancel()
+    this._scheduler.close()
+    this._takeover.close()
+    this._store.close()
+    for (const link of this.links.values()) link.close()
+    for (const run of [...this.ledger.runs.values()]) this._options.placement.release(run.taskId)
+    for (const name of this.links.keys()) this._options.placement.removeWorker(name)
+  }
+
+  private _commitNew (record: JobRecord): Promise<CommitResult> {
+    const created = this._store.create(record).then(result => {
+      this._creating.delete(record.jobId)
+      if (result.isOk && !this._closed) this._admit(record)
+      return result
+    })
+    this._creating.set(record.jobId, created)
+    return created
+  }
+
+  private _byDeadline (commit: Promise<CommitResult>): Promise<CommitResult> {
+    const { timers, cfg: { commitTimeoutMs } } = this._options
+    const settled = new ManualPromise<CommitResult>()
+    const err = new CallTimeoutError(commitTimeoutMs, { step: 'placerSession.commit', peer: 'platform', effect: EFFECTS.unknown, advice: 'the same call again is safe' })
+    const timeout = timers.after(commitTimeoutMs, () => settled.resolve(Result.err(err)))
+    commit.then(result => {
+      timeout.cancel()
+      settled.resolve(result)
+    })
+    return settled.promise
+  }
+
+  private _admit (record: JobRecord): void {
+    const job = new Job({ plan: planOf(record), record })
+    job.history.add(record.acceptedAtMs, 'accepted')
+    this.ledger.jobs.set(job.jobId, job)
+    this.queue.add(job)
+    this._scheduler.wake()
+  }
+
+  private _setWorker (vm: VmRecord): void {
+    const { timers, random, upstream, cfg, epochOf } = this._options
+    const link = this.links.get(vm.name)
+    if (link && link.vm.address === vm.address) {
+      const changed = link.vm.state !== vm.state
+      link.vm = vm
+      if (changed) this._describe(link)
+      return
+    }
+    if (link) this._removeWorker(vm.name, link)
+    const created = new WorkerLink({ vm, timers, random, upstream, cfg, epochOf, events: this._tracker })
+    this.links.set(vm.name, created)
+    this._describe(created)
+  }
+
+  /** The VM is gone, and its tasks with it. */
+  private _removeWorker (name: string, link: WorkerLink): void {
+    link.close()
+    this.links.delete(name)
+    this._failures.forget(name)
+    for (const run of [...this.ledger.runsAt(name)]) this._lifecycle.lost(run)
+    this._options.placement.removeWorker(name)
+    this._takeover.check()
+  }
+
+  /** Tells placement what the worker is and whether it takes work. */
+  private _describe (link: WorkerLink): void {
+    const { name, rack, failureDomain, state, capacity = NO_CAPACITY } = link.vm
+    const onProbation = this._failures.onProbation(name, this._options.timers.now())
+    const takesWork = link.answering && state === VM_STATES.live && !onProbation
+    this._options.placement.setWorker({ name, rack, failureDomain, capacity, takesWork })
+    this.ledger.version++
+    this._scheduler.wake()
+  }
+
+  private _onAvailability (link: WorkerLink): void {
+    this._describe(link)
+    if (!link.answering) this._takeover.check()
+  }
+
+  private _onReportRead (link: WorkerLink, report: WorkerReport): void {
+    const known = link.vm.capacity
+    const { capacity } = report
+    if (known?.cpus !== capacity.cpus || known.memoryMb !== capacity.memoryMb || known.accelerators !== capacity.accelerators) {
+      link.vm = { ...link.vm, capacity }
+      this._describe(link)
+    }
+    this._takeover.check()
+  }
+
+  private _onProbation (name: string): void {
+    const { timers, log } = this._options
+    const endMs = this._failures.probationEndMs(name)
+    const redescribe = (): void => {
+      const link = this._closed ? undefined : this.links.get(name)
+      if (link) this._describe(link)
+    }
+    log.event('warn', 'jobs.probation', { step: 'failureTracker.record', peer: name, forMs: endMs - timers.now() })
+    redescribe()
+    timers.after(endMs - timers.now(), redescribe)
+  }
+
+  /** Jobs that no worker can ever hold say so, after each change of the fleet. */
+  private _recheckWaiting (): void {
+    for (const job of this.ledger.jobs.values()) {
+      if (job.ended || !job.waitingFor?.startsWith('never') || job.blockedAt === this.ledger.version) continue
+      const fit = this.canEverFit(job)
+      if (fit.isErr) job.waitingFor = `never: ${fit.error.detail}`
+    }
+  }
+
+  private async _forgetOldJobs (): Promise<void> {
+    if (!this.ready) return
+    const beforeMs = this._options.timers.wallClock() - this._options.cfg.retentionMs
+    const old = [...this.ledger.jobs.values()].filter(({ endedAtMs = Infinity, runs }) => endedAtMs < beforeMs && runs.size === 0)
+    const result = await this._store.forget(old, beforeMs)
+    if (result.isErr) return this._logForgetFailed(result.error)
+    for (const job of old) this.ledger.jobs.delete(job.jobId)
+  }
+
+  private _logForgetFailed (err: CallError): void {
+    this._options.log.event('warn', 'jobs.forgetFailed', { step: err.step, peer: err.peer, error: errorText(err) })
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/tasks/jobs/runTracker.ts
@@ -0,0 +1,181 @@
+/**
+ * Follows runs through what workers answer and list.
+ *
+ * @module
+ */
+
+import type { Timers } from '../../seams/timers.js'
+import { WORKER_TASK_STATES, type TaskStart, type TaskStartAnswer, type WorkerReport, type WorkerTask } from '../../protocol/worker.js'
+import type { JobLifecycle } from './jobLifecycle.js'
+import { RUN_STATES, type Job, type TaskRun } from './job.js'
+import type { JobSettings } from './jobSettings.js'
+import { parseTaskId } from './taskId.js'
+import type { TaskLedger } from './taskLedger.js'
+import type { UsageLearner } from './usageLearner.js'
+import type { WorkerLink, WorkerLinkEvents } from './workerLink.js'
+
+/** Delay between a task's expected end and the poll for it, in milliseconds. */
+const END_SLACK_MS = 50
+/** Share of the time by which a task is overdue that passes until the next poll for it. */
+const OVERDUE_SHARE = 0.25
+
+/** Options of a {@link RunTracker}. */
+export interface RunTrackerOptions {
+  timers: Timers
+  cfg: JobSettings
+  ledger: TaskLedger
+  lifecycle: JobLifecycle
+  usage: UsageLearner
+  /** After a report has been taken in. */
+  onReportRead: (link: WorkerLink, report: WorkerReport, sentAtMs: number) => void
+  onAvailability: (link: WorkerLink) => void
+}
+
+/** What the links to workers report to. */
+export class RunTracker implements WorkerLinkEvents {
+  private readonly _timers: Timers
+  private readonly _cfg: JobSettings
+  private readonly _ledger: TaskLedger
+  private readonly _lifecycle: JobLifecycle
+  private readonly _usage: UsageLearner
+  private readonly _onReportRead: RunTrackerOptions['onReportRead']
+  private readonly _onAvailability: RunTrackerOptions['onAvailability']
+  private readonly _listed: Record<WorkerTask['state'], (link: WorkerLink, task: WorkerTask) => void> = {
+    [WORKER_TASK_STATES.running]: (link, task) => this._onRunning(link, task),
+    [WORKER_TASK_STATES.finished]: (link, task) => this._onEnded(link, task, (job, index) => {
+      this._usage.observeDuration(job.plan.family, job.groupOf(index).expectedMs, task.ranMs)
+      this._lifecycle.finished(job, index, link.vm.name, task.taskId)
+    }),
+    [WORKER_TASK_STATES.failed]: (link, task) => this._onEnded(link, task, (job, index) => {
+      this._lifecycle.failed(job, index, link.vm.name, task)
+    }),
+    [WORKER_TASK_STATES.stopped]: (link, task) => this._onEnded(link, task, (job, index) => {
+      this._lifecycle.stopped(job, index, link.vm.name, task)
+    })
+  }
+
+  constructor ({ timers, cfg, ledger, lifecycle, usage, onReportRead, onAvailability }: RunTrackerOptions) {
+    this._timers = timers
+    this._cfg = cfg
+    this._ledger = ledger
+    this._lifecycle = lifecycle
+    this._usage = usage
+    this._onReportRead = onReportRead
+    this._onAvailability = onAvailability
+  }
+
+  prepareStart (run: TaskRun): TaskStart | undefined {
+    const { job, index, taskId, size } = run
+    if (!this._ledger.runs.has(taskId)) return undefined
+    if (!job || job.ended || job.regrouping) {
+      this._lifecycle.withdrawn(run)
+      return undefined
+    }
+    run.state = RUN_STATES.sent
+    run.sentAtMs = this._timers.now()
+    const { expectedMs, payload } = job.groupOf(index)
+    return { taskId, size, leaseMs: this._cfg.leaseMs, runMs: expectedMs, payload, checkpoint: job.checkpoints.get(index) }
+  }
+
+  onStartAnswers (runs: TaskRun[], answers: TaskStartAnswer[]): void {
+    runs.forEach((run, at) => {
+      const answer = answers[at]
+      if (!this._ledger.runs.has(run.taskId)) return
+      if (answer?.taskId !== run.taskId) run.state = RUN_STATES.unsure
+      else if (answer.started) this._lifecycle.started(run, this._expectedMs(run), 0)
+      else this._lifecycle.refused(run, answer.reason ?? 'no reason given')
+    })
+  }
+
+  onStartsFailed (runs: TaskRun[], mayRun: boolean): void {
+    for (const run of runs.filter(run => this._ledger.runs.has(run.taskId))) {
+      if (!mayRun) this._lifecycle.refused(run, 'it was not reached')
+      else if (run.state !== RUN_STATES.stopping) run.state = RUN_STATES.unsure
+    }
+  }
+
+  onReport (link: WorkerLink, report: WorkerReport, sentAtMs: number): void {
+    for (const task of report.tasks) this._listed[task.state](link, task)
+    const listed = new Set(report.tasks.map(task => task.taskId))
+    for (const run of [...this._ledger.runsAt(link.vm.name)]) {
+      if (!listed.has(run.taskId)) this._onMissing(run, sentAtMs)
+    }
+    this._onReportRead(link, report, sentAtMs)
+  }
+
+  onLost (link: WorkerLink): void {
+    for (const run of [...this._ledger.runsAt(link.vm.name)]) this._lifecycle.lost(run)
+    this._onAvailability(link)
+  }
+
+  onAvailability (link: WorkerLink): void {
+    if (!link.answering) {
+      for (const run of [...this._ledger.runsAt(link.vm.name)]) {
+        if (link.withdraw(run)) this._lifecycle.withdrawn(run)
+      }
+    }
+    this._onAvailability(link)
+  }
+
+  nextPollMs (link: WorkerLink): number {
+    const now = this._timers.now()
+    let next = Number.POSITIVE_INFINITY
+    for (const run of this._ledger.runsAt(link.vm.name)) next = Math.min(next, this._pollFor(run, now))
+    return next
+  }
+
+  private _pollFor (run: TaskRun, now: number): number {
+    if (run.state === RUN_STATES.stopping) return now + this._cfg.minPollMs
+    if (run.state === RUN_STATES.unsure) return run.sentAtMs + this._cfg.sendBoundMs
+    if (run.endDueMs + END_SLACK_MS > now) return run.endDueMs + END_SLACK_MS
+    return now + Math.min(this._cfg.maxPollMs, Math.max(this._cfg.minPollMs, OVERDUE_SHARE * (now - run.endDueMs)))
+  }
+
+  private _onRunning (link: WorkerLink, task: WorkerTask): void {
+    const run = this._ledger.runs.get(task.taskId) ?? this._adopt(link, task)
+    if (run.state === RUN_STATES.stopping || !run.job || run.job.ended || run.job.regrouping) return this._lifecycle.stop(run)
+    this._lifecycle.started(run, this._expectedMs(run), task.ranMs)
+  }
+
+  /** Counts a task that this placer has not started, and stops it when its job has no use for it. */
+  private _adopt (link: WorkerLink, { taskId, size }: WorkerTask): TaskRun {
+    const { jobId = taskId, index = 0 } = parseTaskId(taskId) ?? {}
+    const job = this._ledger.jobs.get(jobId)
+    const other = job?.runs.get(index)
+    if (other && (other.state === RUN_STATES.queued || other.state === RUN_STATES.intending)) this._lifecycle.withdrawn(other)
+    const wanted = job && !job.ended && this._isWanted(job, index)
+    return this._ledger.adopt({ job: wanted ? job : undefined, jobId, index, taskId, worker: link.vm.name, size })
+  }
+
+  private _isWanted (job: Job, index: number): boolean {
+    if (index >= job.total || job.runs.has(index)) return false
+    if (job.plan.atMostOnce && job.unknown.delete(index)) return true
+    return job.waiting.has(index)
+  }
+
+  private _onEnded (link: WorkerLink, task: WorkerTask, handle: (job: Job, index: number) => void): void {
+    const run = this._ledger.runs.get(task.taskId)
+    const id = parseTaskId(task.taskId)
+    const job = id && this._ledger.jobs.get(id.jobId)
+    if (run) this._ledger.remove(run)
+    if (!job || id.index >= job.total) return link.acknowledge(task.taskId)
+    const elsewhere = job.runs.get(id.index)
+    if (!elsewhere) return handle(job, id.index)
+    if (task.state !== WORKER_TASK_STATES.finished) return link.acknowledge(task.taskId)
+    handle(job, id.index)
+    this._lifecycle.stop(elsewhere)
+  }
+
+  /** A run that its worker does not list. */
+  private _onMissing (run: TaskRun, sentAtMs: number): void {
+    const unsent = run.state === RUN_STATES.intending || run.state === RUN_STATES.queued
+    if (unsent) return
+    const mayArrive = run.state === RUN_STATES.unsure && sentAtMs < run.sentAtMs + this._cfg.sendBoundMs
+    if (!mayArrive) this._lifecycle.lost(run)
+  }
+
+  private _expectedMs (run: TaskRun): number {
+    if (!run.job) return 0
+    return this._usage.expectedMs(run.job.plan.family, run.job.groupOf(run.index).expectedMs)
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/tasks/jobs/taskLedger.ts
@@ -0,0 +1,103 @@
+/**
+ * What runs where, as the placer knows it. Every run counts at its worker from its placement until it is removed.
+ *
+ * @module
+ */
+
+import type { Timers } from '../../seams/timers.js'
+import type { Capacity } from '../../protocol/vms.js'
+import type { Placement } from '../placementTypes.js'
+import { RUN_STATES, type Job, type TaskRun } from './job.js'
+import { formatTaskId } from './taskId.js'
+
+/** Options of {@link TaskLedger.adopt}. */
+export interface AdoptOptions {
+  job?: Job
+  taskId: string
+  jobId: string
+  index: number
+  worker: string
+  size: Capacity
+}
+
+/** Jobs and runs of one epoch. */
+export class TaskLedger {
+  readonly jobs = new Map<string, Job>()
+  readonly runs = new Map<string, TaskRun>()
+  /** Grows whenever a job that found no room might find some. */
+  version = 0
+  /** Called after a run has been removed. */
+  onRemoved: (run: TaskRun) => void = () => {}
+  private readonly _timers: Timers
+  private readonly _placement: Placement
+  private readonly _runPrefix: string
+  private readonly _byWorker = new Map<string, Set<TaskRun>>()
+  private readonly _teamCpus = new Map<string, number>()
+  private _runNumber = 0
+
+  constructor ({ timers, placement, runPrefix }: { timers: Timers, placement: Placement, runPrefix: string }) {
+    this._timers = timers
+    this._placement = placement
+    this._runPrefix = runPrefix
+  }
+
+  /** A name for the next run of a task. */
+  nextTaskId (job: Job, index: number): string {
+    return formatTaskId(job.jobId, index, `${this._runPrefix}-${++this._runNumber}`)
+  }
+
+  /** Notes a run that placement has counted. */
+  add (job: Job, index: number, taskId: string, worker: string, size: Capacity): TaskRun {
+    job.waiting.delete(index)
+    return this._insert({ taskId, job, index, worker, size, state: RUN_STATES.queued })
+  }
+
+  /** Notes a task found at a worker. */
+  adopt ({ job, taskId, jobId, index, worker, size }: AdoptOptions): TaskRun {
+    const owner = job?.plan ?? { jobId, kind: 'batch' as const, class: 'normal' as const, team: '' }
+    this._placement.occupy({ taskId, jobId, kind: owner.kind, class: owner.class, team: owner.team, size }, worker)
+    job?.waiting.delete(index)
+    return this._insert({ taskId, job, index, worker, size, state: RUN_STATES.running })
+  }
+
+  /** Forgets a run: it does not run any more, and never will. */
+  remove (run: TaskRun): void {
+    if (!this.runs.delete(run.taskId)) return
+    this._placement.release(run.taskId)
+    this._byWorker.get(run.worker)?.delete(run)
+    if (run.job?.runs.get(run.index) === run) run.job.runs.delete(run.index)
+    if (run.job) this._countTeam(run.job.plan.team, -run.size.cpus)
+    this.version++
+    this.onRemoved(run)
+  }
+
+  resize (run: TaskRun, size: Capacity): void {
+    if (run.job) this._countTeam(run.job.plan.team, size.cpus - run.size.cpus)
+    run.size = size
+    this._placement.resize(run.taskId, size)
+  }
+
+  runsAt (worker: string): ReadonlySet<TaskRun> {
+    return this._byWorker.get(worker) ?? new Set()
+  }
+
+  /** Cores that the team's tasks count with. */
+  teamCpus (team: string): number {
+    return this._teamCpus.get(team) ?? 0
+  }
+
+  private _insert (placed: Omit<TaskRun, 'sentAtMs' | 'endDueMs'>): TaskRun {
+    const run: TaskRun = { ...placed, sentAtMs: this._timers.now(), endDueMs: Number.POSITIVE_INFINITY }
+    this.runs.set(run.taskId, run)
+    run.job?.runs.set(run.index, run)
+    if (run.job) this._countTeam(run.job.plan.team, run.size.cpus)
+    const atWorker = this._byWorker.get(run.worker)
+    if (atWorker) atWorker.add(run)
+    else this._byWorker.set(run.worker, new Set([run]))
+    return run
+  }
+
+  private _countTeam (team: string, cpus: number): void {
+    this._teamCpus.set(team, this.teamCpus(team) + cpus)
+  }
+}
--- /dev/null
+++ b/tests/jobs/jobCell.ts
@@ -0,0 +1,162 @@
+/**
+ * One failure domain with entry VMs and workers in memory, for tests of the life of jobs.
+ *
+ * @module
+ */
+
+import { KeyValueStore } from '@pomelofold/standins/keyValueStore'
+import { ManualTimers } from '@pomelofold/standins/manualTimers'
+import { MemoryPlatform } from '@pomelofold/standins/memoryPlatform'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import { jobSpecSchema, type JobSpec } from 'pomelofold/protocol/jobs'
+import { manifestSchema, type Manifest } from 'pomelofold/protocol/manifest'
+import type { JobAnswer } from 'pomelofold/protocol/peerMessages'
+import type { VmRecord } from 'pomelofold/protocol/vms'
+import { CLAIMS, type Authority } from 'pomelofold/seams/authority'
+import { JobManager } from 'pomelofold/tasks/jobs/jobManager'
+import type { JobSettings } from 'pomelofold/tasks/jobs/jobSettings'
+import { FirstFit } from './firstFit.js'
+import { TinyUpstream, TinyWorker, type RunRecord } from './tinyWorkers.js'
+
+const CLAIM = CLAIMS.placer('a')
+
+/** An authority set by the test. */
+export class SetAuthority implements Authority {
+  epoch: number | undefined
+  private readonly _listeners = new Set<() => void>()
+
+  epochOf (claim: string): number | undefined { return claim === CLAIM ? this.epoch : undefined }
+  held (): string[] { return this.epoch === undefined ? [] : [CLAIM] }
+  holderOf (): string | undefined { return undefined }
+
+  onChange (fn: () => void): { cancel: () => void } {
+    this._listeners.add(fn)
+    return { cancel: () => { this._listeners.delete(fn) } }
+  }
+
+  set (epoch: number | undefined): void {
+    this.epoch = epoch
+    for (const fn of this._listeners) fn()
+  }
+}
+
+/** An entry VM with a job manager. */
+export interface EntryVm { manager: JobManager, authority: SetAuthority, platform: MemoryPlatform, placement: FirstFit }
+
+const TEAM_QUOTA = { cpus: 1e6, memoryMb: 1e9, accelerators: 1e3 }
+export const MANIFEST: Manifest = manifestSchema.parse({ format: 1, teams: [{ name: 'growth', quota: TEAM_QUOTA }, { name: 'street', quota: TEAM_QUOTA }] })
+
+/** A job of equal tasks. */
+export type SpecOptions = Partial<JobSpec> & { count?: number, cpus?: number, runMs?: number }
+
+/** Options of a {@link JobCell}. */
+export interface JobCellOptions { workers?: number, cpus?: number, seed?: number, cfg?: Partial<JobSettings> }
+
+/** The cell. */
+export class JobCell {
+  readonly timers = new ManualTimers()
+  readonly store = new KeyValueStore({ timers: this.timers })
+  readonly upstream = new TinyUpstream({ timers: this.timers })
+  readonly workers: TinyWorker[]
+  /** Everything that ran, as the workers know it. */
+  readonly runs: RunRecord[] = []
+  vms: VmRecord[]
+  private readonly _entryVms: EntryVm[] = []
+  private readonly _random: SeededRandom
+  private readonly _cfg: Partial<JobSettings>
+  private _epoch = 0
+
+  constructor ({ workers = 3, cpus = 4, seed = 1, cfg = {} }: JobCellOptions = {}) {
+    this._random = new SeededRandom(seed)
+    this._cfg = cfg
+    const capacity = { cpus, memoryMb: 1e6, accelerators: 4 }
+    this.vms = Array.from({ length: workers }, (_, i) => (
+      { name: `worker-${i}`, kind: 'worker', state: 'live', failureDomain: 'a', rack: `rack-${i % 2}`, address: `worker-${i}:1`, capacity }))
+    this.workers = this.vms.map(vm => new TinyWorker(vm, { timers: this.timers, runs: this.runs }))
+    for (const worker of this.workers) this.upstream.workers.set(worker.vm.address, worker)
+    this.timers.every(1_000, () => this.readList())
+  }
+
+  /** Adds an entry VM that does not hold the claim. */
+  addEntryVm (): EntryVm {
+    const authority = new SetAuthority()
+    const platform = new MemoryPlatform({ store: this.store, timers: this.timers })
+    const placement = new FirstFit()
+    const { timers, upstream, _random: random, _cfg: cfg } = this
+    const vm = `entry-${this._entryVms.length}`
+    const manager = new JobManager({ timers, random, authority, platform, upstream, placement, failureDomain: 'a', vm, cfg })
+    const entry = { manager, authority, platform, placement }
+    this._entryVms.push(entry)
+    manager.setManifest(MANIFEST)
+    manager.setWorkers(this.vms)
+    manager.start()
+    return entry
+  }
+
+  /** Adds an entry VM, gives it the claim, and waits until it takes jobs. */
+  async addPlacer (): Promise<EntryVm> {
+    const entry = this.addEntryVm()
+    entry.authority.set(++this._epoch)
+    await this.timers.until(() => entry.manager.figures().active === true)
+    return entry
+  }
+
+  /** The process of an entry VM dies. */
+  kill (entry: EntryVm): void {
+    entry.manager.stop()
+    entry.authority.epoch = undefined
+  }
+
+  readList (): void {
+    for (const entry of this._entryVms) entry.manager.setWorkers(this.vms)
+  }
+
+  /** Submits a job and waits for the answer. */
+  async submit (entry: EntryVm, jobId: string, spec: SpecOptions = {}): Promise<JobAnswer> {
+    return await this.wait(entry.manager.submitJob({ jobId, digest: 'd', spec: specOf(jobId, spec) }))
+  }
+
+  /** Moves time on until `answer` has come. */
+  async wait<T> (answer: Promise<T>): Promise<T> {
+    let done = false
+    answer.then(() => { done = true })
+    await this.timers.until(() => done)
+    return await answer
+  }
+
+  /** The job's state. */
+  async stateOf (entry: EntryVm, jobId: string): Promise<string> {
+    const answer = await entry.manager.getJob({ jobId })
+    return answer.kind === 'job' ? answer.job.state : answer.kind
+  }
+
+  /** Moves time on until the job has the state. */
+  async untilState (entry: EntryVm, jobId: string, state: string, limitMs = 600_000): Promise<void> {
+    let current = ''
+    for (let waitedMs = 0; current !== state; waitedMs += 100) {
+      if (waitedMs > limitMs) throw new Error(`${jobId} is ${current}, not ${state}, after ${limitMs} ms`)
+      await this.timers.advance(100)
+      current = await this.stateOf(entry, jobId)
+    }
+  }
+
+  /** Tasks that have run in two places at once, and finishes beyond the first. */
+  violations (): string[] {
+    const faults: string[] = []
+    const byTask = new Map<string, RunRecord[]>()
+    for (const run of this.runs) byTask.set(run.task, [...byTask.get(run.task) ?? [], run])
+    for (const [task, runs] of byTask) {
+      runs.slice(1).forEach((run, i) => {
+        if (run.fromMs < runs[i].toMs) faults.push(`${task} ran at ${runs[i].worker} and ${run.worker} at once`)
+      })
+      if (runs.filter(run => run.end === 'finished').length > 1) faults.push(`${task} finished twice`)
+    }
+    return faults
+  }
+}
+
+/** A job of equal tasks. */
+export function specOf (name: string, { count = 1, cpus = 1, runMs = 5_000, ...rest }: SpecOptions = {}): JobSpec {
+  const tasks = [{ count, expectedMs: runMs, size: { cpus, memoryMb: 100, accelerators: 0 } }]
+  return jobSpecSchema.parse({ name, kind: 'batch', team: 'growth', tasks, ...rest })
+}
--- /dev/null
+++ b/tests/jobs/tinyWorkers.ts
@@ -0,0 +1,170 @@
+/**
+ * Workers in memory with their own record of what ran, for tests of the life of jobs.
+ *
+ * @module
+ */
+
+import Result from 'true-myth/result'
+import { CallError, CallTimeoutError, EFFECTS } from 'pomelofold/utils/errors'
+import type { Capacity, VmRecord } from 'pomelofold/protocol/vms'
+import type { TaskStart, TaskStartAnswer, WorkerReport, WorkerTask } from 'pomelofold/protocol/worker'
+import { delay, type Timers } from 'pomelofold/seams/timers'
+import type { TaskCommand, UpstreamClient } from 'pomelofold/seams/upstreamClient'
+
+/** One run of a task at a worker. */
+export interface RunRecord {
+  task: string
+  worker: string
+  fromMs: number
+  toMs: number
+  end?: WorkerTask['state']
+  /** Checkpoint that it resumed from. */
+  checkpoint?: string
+}
+
+interface HeldTask {
+  start: TaskStart
+  run: RunRecord
+  leaseEndMs: number
+  state: WorkerTask['state']
+  checkpoint?: string
+  throttled: boolean
+}
+
+/** A worker. Faults may be changed at any moment. */
+export class TinyWorker {
+  readonly faults = { cut: false, loseAnswers: false, failTasks: false, refuse: false, startDelayMs: 0 }
+  /** Usage over declared size of each task. */
+  usageFactor = 1
+  readonly tasks = new Map<string, HeldTask>()
+  readonly commands: string[] = []
+  epoch = 0
+  private readonly _timers: Timers
+  private readonly _runs: RunRecord[]
+
+  constructor (readonly vm: VmRecord, { timers, runs }: { timers: Timers, runs: RunRecord[] }) {
+    this._timers = timers
+    this._runs = runs
+    timers.every(500, () => this._expire())
+  }
+
+  start (start: TaskStart): TaskStartAnswer {
+    const { taskId } = start
+    const used = [...this.tasks.values()].reduce((sum, task) => sum + (task.state === 'running' ? task.start.size.cpus : 0), 0)
+    if (this.faults.refuse) return { taskId, started: false, reason: 'told to refuse' }
+    if (used + start.size.cpus > this.vm.capacity!.cpus) return { taskId, started: false, reason: 'full' }
+    const now = this._timers.now()
+    const run: RunRecord = { task: taskId.slice(0, taskId.lastIndexOf(':')), worker: this.vm.name, fromMs: now, toMs: Infinity, checkpoint: start.checkpoint }
+    const task: HeldTask = { start, run, leaseEndMs: now + start.leaseMs, state: 'running', throttled: false }
+    this._runs.push(run)
+    this.tasks.set(taskId, task)
+    if (this.faults.failTasks) this._timers.after(10, () => this._end(task, 'failed'))
+    else if (start.runMs > 0) this._timers.after(start.runMs, () => this._end(task, 'finished'))
+    return { taskId, started: true }
+  }
+
+  renew (leaseMs: number, acknowledged: string[]): WorkerReport {
+    this._expire()
+    for (const taskId of acknowledged) if (this.tasks.get(taskId)?.state !== 'running') this.tasks.delete(taskId)
+    const now = this._timers.now()
+    for (const task of this.tasks.values()) task.leaseEndMs = now + leaseMs
+    return { epoch: this.epoch, capacity: this.vm.capacity!, tasks: [...this.tasks.values()].map(task => this._list(task, now)) }
+  }
+
+  command (taskId: string, command: TaskCommand): void {
+    const task = this.tasks.get(taskId)
+    this.commands.push(`${command} ${taskId.slice(0, taskId.lastIndexOf(':'))}`)
+    if (task?.state !== 'running') return
+    if (command === 'checkpoint') task.checkpoint = `at ${this._timers.now()}`
+    if (command === 'throttle') task.throttled = true
+    if (command === 'stop') this._end(task, 'stopped')
+  }
+
+  /** The VM dies and comes back empty. */
+  reset (): void {
+    for (const task of this.tasks.values()) this._end(task, 'stopped')
+    this.tasks.clear()
+  }
+
+  private _list ({ start, run, state, checkpoint, throttled }: HeldTask, now: number): WorkerTask {
+    const factor = throttled ? Math.min(1, this.usageFactor) : this.usageFactor
+    const { cpus, memoryMb, accelerators } = start.size
+    const usage: Capacity = { cpus: cpus * factor, memoryMb: memoryMb * factor, accelerators }
+    return { taskId: start.taskId, state, size: start.size, usage, ranMs: Math.min(now, run.toMs) - run.fromMs, checkpoint }
+  }
+
+  private _expire (): void {
+    for (const task of this.tasks.values()) {
+      if (task.state === 'running' && task.leaseEndMs <= this._timers.now()) this._end(task, 'stopped')
+    }
+  }
+
+  private _end (task: HeldTask, state: WorkerTask['state']): void {
+    if (task.state !== 'running') return
+    task.state = state
+    task.run.toMs = this._timers.now()
+    task.run.end = state
+  }
+}
+
+/** Calls to {@link TinyWorker}s by address. */
+export class TinyUpstream implements UpstreamClient {
+  readonly workers = new Map<string, TinyWorker>()
+  readonly calls = { starts: 0, started: 0, renewals: 0, probes: 0, commands: 0, bytes: 0 }
+  private readonly _timers: Timers
+
+  constructor ({ timers }: { timers: Timers }) {
+    this._timers = timers
+  }
+
+  async startTasks (address: string, epoch: number, starts: TaskStart[], timeoutMs: number):
+  Promise<Result<TaskStartAnswer[], CallError>> {
+    if (starts.length > 0) this.calls.starts++
+    else this.calls.probes++
+    this.calls.started += starts.length
+    const extraMs = starts.length > 0 ? this.workers.get(address)?.faults.startDelayMs : 0
+    return await this._call(address, epoch, timeoutMs, worker => starts.map(start => worker.start(start)), extraMs)
+  }
+
+  async renew (address: string, epoch: number, leaseMs: number, acknowledged: string[], timeoutMs: number):
+  Promise<Result<WorkerReport, CallError>> {
+    this.calls.renewals++
+    const answer = await this._call(address, epoch, timeoutMs, worker => worker.renew(leaseMs, acknowledged))
+    this.calls.bytes += JSON.stringify({ epoch, leaseMs, acknowledged }).length + JSON.stringify(answer.unwrapOr(null as never)).length
+    return answer
+  }
+
+  async command (address: string, epoch: number, taskId: string, command: TaskCommand, timeoutMs: number):
+  Promise<Result<void, CallError>> {
+    this.calls.commands++
+    return await this._call(address, epoch, timeoutMs, worker => worker.command(taskId, command))
+  }
+
+  request (): never { throw new Error('no service instances here') }
+  instanceStatus (): never { throw new Error('no service instances here') }
+  async close (): Promise<void> {}
+
+  private async _call<T> (address: string, epoch: number, timeoutMs: number, act: (worker: TinyWorker) => T, extraMs = 0):
+  Promise<Result<T, CallError>> {
+    const worker = this.workers.get(address)
+    const details = { step: 'upstream', peer: address, effect: EFFECTS.unknown }
+    const late = extraMs >= timeoutMs
+    if (late) this._timers.after(extraMs, () => { if (worker && this._admits(worker, epoch)) act(worker) })
+    if (late || !worker || worker.faults.cut) {
+      await delay(this._timers, timeoutMs)
+      return Result.err(new CallTimeoutError(timeoutMs, details))
+    }
+    await delay(this._timers, 1 + extraMs)
+    if (!this._admits(worker, epoch)) return Result.err(new CallError('epoch is too old', { ...details, effect: EFFECTS.none }))
+    const value = act(worker)
+    if (!worker.faults.loseAnswers) return Result.ok(value)
+    await delay(this._timers, timeoutMs)
+    return Result.err(new CallTimeoutError(timeoutMs, details))
+  }
+
+  private _admits (worker: TinyWorker, epoch: number): boolean {
+    if (epoch < worker.epoch) return false
+    worker.epoch = epoch
+    return true
+  }
+}
