--- a/packages/pomelofold/src/tasks/jobs/placerSession.ts
+++ b/packages/pomelofold/src/tasks/jobs/placerSession.ts
@@ -54,6 +54,8 @@
   epoch: number
   /** Epoch under which may be sent now. */
   epochOf: () => number | undefined
+  /** Another placer has taken over, whatever the claim says. */
+  onSuperseded: () => void
 }
 
 /** The placer of a failure domain, from taking its claim until losing it. */
@@ -111,6 +113,7 @@
       shareOf: team => this._teams.shareOf(team),
       onNoRoom: () => {}
     })
+    ledger.onRemoved = () => wake()
     this._takeover = new Takeover({ timers, cfg, ledger, lifecycle, queue, links, wake })
     this._sweep = timers.every(SWEEP_EVERY_MS, () => { this._forgetOldJobs() })
   }
