--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -10,6 +10,7 @@
   protocol: ['utils'],
   seams: ['utils', 'protocol'],
   settings: ['utils', 'protocol'],
+  platform: ['utils', 'protocol', 'seams'],
   edge: ['utils', 'protocol', 'seams'],
   client: ['utils', 'protocol', 'settings'],
   claims: ['utils', 'protocol', 'seams'],
@@ -17,9 +18,9 @@
   config: ['utils', 'protocol', 'seams', 'peers'],
   requests: ['utils', 'protocol', 'seams'],
   outcomes: ['utils', 'protocol', 'seams'],
-  tasks: ['utils', 'protocol', 'seams'],
+  tasks: ['utils', 'protocol', 'seams', 'platform'],
   reports: ['utils', 'protocol', 'seams'],
-  server: ['utils', 'protocol', 'seams', 'settings', 'edge', 'claims', 'peers', 'config', 'requests', 'outcomes', 'tasks', 'reports']
+  server: ['utils', 'protocol', 'seams', 'settings', 'platform', 'edge', 'claims', 'peers', 'config', 'requests', 'outcomes', 'tasks', 'reports']
 }
 
 const folderRules = Object.entries(ALLOWED).map(([folder, allowed]) => ({
--- a/packages/daemon/src/pomelofoldd.ts
+++ b/packages/daemon/src/pomelofoldd.ts
@@ -1,1 +1,72 @@
-export {}
+#!/usr/bin/env node
+/**
+ * Entry daemon: a thin process around the library.
+ *
+ * @module
+ */
+
+import { Command } from 'commander'
+import { EventLogger } from 'pomelofold/edge/eventLogger'
+import { HttpPlatformClient } from 'pomelofold/edge/httpPlatformClient'
+import { HttpServer } from 'pomelofold/edge/httpServer'
+import { HttpUpstreamClient } from 'pomelofold/edge/httpUpstreamClient'
+import { SystemRandom } from 'pomelofold/edge/systemRandom'
+import { SystemTimers } from 'pomelofold/edge/systemTimers'
+import { TcpPeerTransport } from 'pomelofold/edge/tcpPeerTransport'
+import { EntryDaemon } from 'pomelofold/server/entryDaemon'
+import { daemonSettingsSchema, type DaemonSettings } from 'pomelofold/settings/daemonSettings'
+import { errorText } from 'pomelofold/utils/errors'
+import { readJsonFile } from 'pomelofold/utils/jsonFile'
+
+/** Exit codes of `pomelofoldd`. */
+const EXIT_CODES = { ok: 0, failed: 1, invalidSettings: 2 } as const
+
+/** Bytes of the name of an incarnation. */
+const INCARNATION_BYTES = 8
+
+async function run (settings: DaemonSettings): Promise<void> {
+  const { vm, failureDomain, peers } = settings
+  const timers = new SystemTimers()
+  const random = new SystemRandom()
+  const log = new EventLogger({ vm, level: settings.log.level })
+  const incarnation = random.hex(INCARNATION_BYTES)
+  const platform = new HttpPlatformClient({ address: settings.platform.address, timers, timeoutMs: settings.platform.timeoutMs })
+  const upstream = new HttpUpstreamClient({ timers })
+  const self = { vm, failureDomain, incarnation }
+  const address = peers.find(peer => peer.vm === vm)!.address
+  const transport = new TcpPeerTransport({ self, address, members: peers, timers, log })
+  const daemon = new EntryDaemon(settings, { timers, random, platform, upstream, transport, log, incarnation })
+  const http = new HttpServer(settings.http)
+
+  await daemon.start()
+  await http.listen(daemon.app)
+  log.event('info', 'http.listening', { address: settings.http.address })
+
+  const stop = async (signal: string): Promise<void> => {
+    log.event('info', 'daemon.signal', { signal })
+    const closed = http.close()
+    await daemon.shutdown()
+    await closed
+    process.exit(EXIT_CODES.ok)
+  }
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => { stop(signal) })
+}
+
+await new Command('pomelofoldd')
+  .description('Entry daemon of a pomelofold cell.')
+  .version('0.1.0')
+  .requiredOption('--settings <file>', 'settings, JSON; see docs/SETTINGS.md')
+  .action(async ({ settings: file }: { settings: string }) => {
+    const settings = readJsonFile(file, daemonSettingsSchema)
+    if (settings.isErr) {
+      console.error(`pomelofoldd: ${settings.error.message}`)
+      process.exit(EXIT_CODES.invalidSettings)
+    }
+    try {
+      await run(settings.value)
+    } catch (err) {
+      console.error(`pomelofoldd: ${errorText(err)}`)
+      process.exit(EXIT_CODES.failed)
+    }
+  })
+  .parseAsync()
--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -80,6 +80,8 @@
     /** `active` is false at an entry VM that does not keep its failure domain's jobs. */
     result: z.object({ jobs: z.array(jobViewSchema), active: z.boolean().default(true) })
   },
+  /** History of a job; null at an entry VM that does not keep it. */
+  explainJob: { params: z.object({ jobId: z.string() }), result: z.record(z.string(), z.unknown()).nullable() },
   explainRequest: { params: z.object({ requestId: z.string() }), result: requestRecordSchema.nullable() },
   /** Figures for reports; see `reports/`. */
   figures: { params: z.object({}), result: z.record(z.string(), z.unknown()) }
--- a/packages/pomelofold/src/server/http/jobRoutes.ts
+++ b/packages/pomelofold/src/server/http/jobRoutes.ts
@@ -41,6 +41,10 @@
 
   app.get('/jobs', async c => c.json(await jobs.list()))
   app.get('/jobs/:id', async c => sendJobAnswer(c, await jobs.get(c.req.param('id')), 200))
+  app.get('/jobs/:id/history', async c => {
+    const explained = await jobs.explain(c.req.param('id'))
+    return explained ? c.json(explained) : sendProblem(c, problem('notFound', `no reachable entry daemon keeps the job ${c.req.param('id')}`))
+  })
   app.delete('/jobs/:id', async c => sendJobAnswer(c, await jobs.cancel(c.req.param('id')), 200))
 
   return app
--- a/packages/pomelofold/src/server/http/operatorRoutes.ts
+++ b/packages/pomelofold/src/server/http/operatorRoutes.ts
@@ -21,12 +21,13 @@
 /** Options of {@link operatorRoutes}. */
 export interface OperatorRoutesOptions {
   manifest: ManifestKeeper
-  status: () => Promise<Record<string, unknown>>
+  status: () => Record<string, unknown>
+  figures: () => Promise<{ figures: Record<string, unknown>, unreachable: string[] }>
   drain: () => void
 }
 
 /** Routes under `/v1` for operators. */
-export function operatorRoutes ({ manifest, status, drain }: OperatorRoutesOptions): Hono {
+export function operatorRoutes ({ manifest, status, figures, drain }: OperatorRoutesOptions): Hono {
   const app = new Hono()
 
   app.get('/manifest', c => c.json(manifest.current()))
@@ -45,7 +46,8 @@
       .exhaustive()
   })
 
-  app.get('/status', async c => c.json(await status()))
+  app.get('/status', c => c.json(status()))
+  app.get('/figures', async c => c.json(await figures()))
   app.post('/drain', c => {
     drain()
     return c.json({ leaving: true }, 202)
--- a/packages/pomelofold/src/server/http/problems.ts
+++ b/packages/pomelofold/src/server/http/problems.ts
@@ -7,11 +7,13 @@
 import type { Context } from 'hono'
 import type { ContentfulStatusCode } from 'hono/utils/http-status'
 import type { z } from 'zod'
+import { HEADERS } from '../../protocol/requests.js'
 import { fieldFaults, PROBLEM_CONTENT_TYPE, problem, type Problem } from '../../protocol/problem.js'
 
-/** Sends a problem document, with `Retry-After` in whole seconds when it says when to come back. */
+/** Sends a problem document, with the outcome in a header and with `Retry-After` in whole seconds when it says when to come back. */
 export function sendProblem (c: Context, body: Problem): Response {
   const headers: Record<string, string> = { 'content-type': PROBLEM_CONTENT_TYPE }
+  if (body.outcome !== undefined) headers[HEADERS.outcome] = body.outcome
   if (body.retryAfterMs !== undefined) headers['retry-after'] = String(Math.max(1, Math.ceil(body.retryAfterMs / 1000)))
   return c.body(JSON.stringify(body), body.status as ContentfulStatusCode, headers)
 }
--- a/packages/pomelofold/src/server/jobService.ts
+++ b/packages/pomelofold/src/server/jobService.ts
@@ -27,7 +27,9 @@
 type JobMethod = 'submitJob' | 'getJob' | 'cancelJob'
 
 /** Handlers of this process's own job manager. */
-export type OwnJobs = { [M in JobMethod | 'listJobs']: (params: PeerMethods[M]['params']) => Promise<PeerMethods[M]['result']> }
+export type OwnJobs = { [M in JobMethod | 'listJobs']: (params: PeerMethods[M]['params']) => Promise<PeerMethods[M]['result']> } & {
+  explain (jobId: string): object | undefined
+}
 
 /** The job that an idempotency key stands for, and the revision of the record that says so. */
 interface BoundKey {
@@ -81,6 +83,18 @@
     return this._call(jobId, 'cancelJob', { jobId })
   }
 
+  /** History of a job, told by the entry daemon that keeps it. */
+  async explain (jobId: string): Promise<Record<string, unknown> | undefined> {
+    const { vm, transport, own } = this._options
+    for (const keeper of this._keepersOf(jobId.split('.')[0])) {
+      const explained = keeper === vm
+        ? own.explain(jobId)
+        : (await transport.call(keeper, 'explainJob', { jobId }, CALL_TIMEOUT_MS)).unwrapOr(null)
+      if (explained) return { ...explained }
+    }
+    return undefined
+  }
+
   /** Jobs of all failure domains; those that cannot be reached are named. */
   async list (): Promise<{ jobs: JobView[], unreachable: string[] }> {
     const domains = this._domains()
--- a/utils/cell/checkRecords.ts
+++ b/utils/cell/checkRecords.ts
@@ -30,9 +30,13 @@
   })
 }
 
+/** Runs by task. A worker knows a run as `job:index:run`; the task is `job:index`. */
 function groupRuns<T extends TaskRun> (runs: T[]): Map<string, T[]> {
   const groups = new Map<string, T[]>()
-  for (const run of runs) groups.set(run.taskId, [...groups.get(run.taskId) ?? [], run])
+  for (const run of runs) {
+    const task = run.taskId.split(':').slice(0, 2).join(':')
+    groups.set(task, [...groups.get(task) ?? [], run])
+  }
   return groups
 }
 
