--- a/packages/standins/src/keyValueStore.ts
+++ b/packages/standins/src/keyValueStore.ts
@@ -112,6 +112,11 @@
     return { close: () => { this._watchers.delete(watcher) } }
   }
 
+  /** Stops all timers. Leases stay as they are. */
+  close (): void {
+    for (const lease of this._leases.values()) lease.expiry.cancel()
+  }
+
   private _check (change: Change): void {
     if (change.op !== 'put') return
     if (Buffer.byteLength(change.value) > MAX_VALUE_BYTES) throw new Error(`value of ${change.key} is over ${MAX_VALUE_BYTES} bytes`)
--- /dev/null
+++ b/packages/standins/src/memoryUpstreams.ts
@@ -0,0 +1,159 @@
+/**
+ * Upstream VMs in one process: a client for each entry daemon under test, with faults switched per link.
+ *
+ * @module
+ */
+
+import Result from 'true-myth/result'
+import type { TaskStart, TaskStartAnswer, WorkerReport } from 'pomelofold/protocol/worker'
+import { delay, type Timers } from 'pomelofold/seams/timers'
+import {
+  StaleEpochError, type InstanceAnswer, type InstanceRequest, type TaskCommand, type UpstreamClient
+} from 'pomelofold/seams/upstreamClient'
+import { CallError, CallTimeoutError, EFFECTS, errorText, type CallErrorOptions } from 'pomelofold/utils/errors'
+import { ManualPromise } from 'pomelofold/utils/manualPromise'
+import type { InstanceModel } from './instanceModel.js'
+import type { StaleEpoch, WorkerModel } from './workerModel.js'
+
+/** Models by address, shared by all clients of one cell. A VM that is taken out refuses connections. */
+export interface UpstreamModels {
+  instances: Map<string, InstanceModel>
+  workers: Map<string, WorkerModel>
+}
+
+/** Faults of one client's link to one address. Each may be changed at any moment. */
+export interface LinkFaults {
+  /** Nothing passes in either direction; each call ends by its deadline. */
+  cut: boolean
+  /** Calls arrive, but their answers are lost. */
+  loseAnswers: boolean
+  /** Time one way, in milliseconds. A call arrives also when its deadline has passed on the way. */
+  delayMs: number
+}
+
+interface LinkCall<M, T> {
+  step: string
+  address: string
+  model: M | undefined
+  timeoutMs: number
+  act: (model: M) => Promise<Result<T, CallError>>
+}
+
+/** Options of a {@link MemoryUpstreams}. */
+export interface MemoryUpstreamsOptions {
+  timers: Timers
+  models: UpstreamModels
+  /** Time one way on each link, in milliseconds. */
+  delayMs?: number
+}
+
+/** One entry daemon's client of upstreams in the same process. */
+export class MemoryUpstreams implements UpstreamClient {
+  private readonly _timers: Timers
+  private readonly _models: UpstreamModels
+  private readonly _delayMs: number
+  private readonly _links = new Map<string, LinkFaults>()
+  private _closed = false
+
+  constructor ({ timers, models, delayMs = 0.5 }: MemoryUpstreamsOptions) {
+    this._timers = timers
+    this._models = models
+    this._delayMs = delayMs
+  }
+
+  /** The link to `address`. */
+  link (address: string): LinkFaults {
+    const known = this._links.get(address)
+    if (known) return known
+    const link: LinkFaults = { cut: false, loseAnswers: false, delayMs: this._delayMs }
+    this._links.set(address, link)
+    return link
+  }
+
+  request (address: string, req: InstanceRequest, timeoutMs: number): Promise<Result<InstanceAnswer, CallError>> {
+    const step = 'upstream.request'
+    return this._call({
+      step,
+      address,
+      timeoutMs,
+      model: this._models.instances.get(address),
+      act: async instance => {
+        const reply = await instance.handle(req)
+        return reply.kind === 'answer' ? Result.ok(reply.answer) : lost(step, address)
+      }
+    })
+  }
+
+  instanceStatus (address: string, timeoutMs: number): Promise<Result<{ running: number, slots: number }, CallError>> {
+    const model = this._models.instances.get(address)
+    return this._call({ step: 'upstream.instanceStatus', address, timeoutMs, model, act: async instance => Result.ok(instance.status()) })
+  }
+
+  startTasks (address: string, epoch: number, starts: TaskStart[], timeoutMs: number): Promise<Result<TaskStartAnswer[], CallError>> {
+    return this._callWorker('upstream.startTasks', address, timeoutMs, worker => worker.start(epoch, starts))
+  }
+
+  renew (address: string, epoch: number, leaseMs: number, acknowledged: string[], timeoutMs: number):
+  Promise<Result<WorkerReport, CallError>> {
+    return this._callWorker('upstream.renew', address, timeoutMs, worker => worker.renew(epoch, leaseMs, acknowledged))
+  }
+
+  async command (address: string, epoch: number, taskId: string, command: TaskCommand, timeoutMs: number):
+  Promise<Result<void, CallError>> {
+    const result = await this._callWorker(`upstream.${command}`, address, timeoutMs, worker => worker.command(epoch, taskId, command))
+    return result.map(() => undefined)
+  }
+
+  async close (): Promise<void> {
+    this._closed = true
+  }
+
+  private _callWorker<T> (step: string, address: string, timeoutMs: number, act: (worker: WorkerModel) => Result<T, StaleEpoch>):
+  Promise<Result<T, CallError>> {
+    return this._call({
+      step,
+      address,
+      timeoutMs,
+      model: this._models.workers.get(address),
+      act: async worker => {
+        await worker.ready()
+        const result = act(worker)
+        if (worker.faults.dropAnswers) return lost(step, address)
+        return result.mapErr(({ epoch }) => new StaleEpochError(epoch, { step, peer: address, effect: EFFECTS.unknown }))
+      }
+    })
+  }
+
+  private async _call<M, T> (call: LinkCall<M, T>): Promise<Result<T, CallError>> {
+    const { step, address, model, timeoutMs } = call
+    const details: CallErrorOptions = { step, peer: address, effect: EFFECTS.none }
+    if (this._closed) return Result.err(new CallError('the client is closed', details))
+    if (model === undefined) return Result.err(new CallError('connection refused', details))
+    const settled = new ManualPromise<Result<T, CallError>>()
+    const deadline = this._timers.after(timeoutMs, () => {
+      settled.resolve(Result.err(new CallTimeoutError(timeoutMs, { ...details, effect: EFFECTS.unknown })))
+    })
+    this._exchange(call, model).then(
+      result => { if (result) settled.resolve(result) },
+      err => settled.resolve(Result.err(new CallError(errorText(err), { ...details, effect: EFFECTS.unknown }))))
+    const result = await settled.promise
+    deadline.cancel()
+    return result
+  }
+
+  /** Carries a call there and its answer back. Undefined when either is lost. */
+  private async _exchange<M, T> ({ address, act }: LinkCall<M, T>, model: M): Promise<Result<T, CallError> | undefined> {
+    const link = this.link(address)
+    if (link.cut) return
+    await delay(this._timers, link.delayMs)
+    if (link.cut) return
+    const result = await act(model)
+    if (link.cut || link.loseAnswers) return
+    await delay(this._timers, link.delayMs)
+    return link.cut ? undefined : result
+  }
+}
+
+function lost<T> (step: string, peer: string): Result<T, CallError> {
+  return Result.err(new CallError('the connection was reset', { step, peer, effect: EFFECTS.unknown }))
+}
--- a/packages/standins/src/platformStandin.ts
+++ b/packages/standins/src/platformStandin.ts
@@ -8,7 +8,7 @@
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
 import type { VmRecord } from 'pomelofold/protocol/vms'
 import { vmRecordSchema } from 'pomelofold/protocol/vms'
-import { delay, type Timers } from 'pomelofold/seams/timers'
+import { delay, type Timers, type TimerSubscription } from 'pomelofold/seams/timers'
 import { errorText } from 'pomelofold/utils/errors'
 import { GATEWAY_CALLS, openWatch } from './etcdGateway.js'
 import { KeyValueStore } from './keyValueStore.js'
@@ -40,6 +40,7 @@
   private readonly _server = new StandinServer()
   private readonly _watches = new Set<Context<StandinEnv>>()
   private readonly _vms: Map<string, VmRecord>
+  private readonly _publications = new Set<TimerSubscription>()
   private _listedVms: VmRecord[]
   private _vmLists = 0
 
@@ -59,6 +60,8 @@
   }
 
   close (): Promise<void> {
+    this.store.close()
+    for (const publication of this._publications) publication.cancel()
     return this._server.close()
   }
 
@@ -81,7 +84,11 @@
 
   private _publishVms (): void {
     const vms = [...this._vms.values()]
-    this._timers.after(this._vmLagMs, () => { this._listedVms = vms })
+    const publication = this._timers.after(this._vmLagMs, () => {
+      this._publications.delete(publication)
+      this._listedVms = vms
+    })
+    this._publications.add(publication)
   }
 
   private _serveCalls (): void {
--- a/packages/standins/src/workerModel.ts
+++ b/packages/standins/src/workerModel.ts
@@ -8,7 +8,7 @@
 import type { Capacity } from 'pomelofold/protocol/vms'
 import { WORKER_TASK_STATES, type TaskStart, type TaskStartAnswer, type WorkerReport, type WorkerTask } from 'pomelofold/protocol/worker'
 import type { RandomSource } from 'pomelofold/seams/randomSource'
-import type { Timers, TimerSubscription } from 'pomelofold/seams/timers'
+import { delay, type Timers, type TimerSubscription } from 'pomelofold/seams/timers'
 import type { TaskCommand } from 'pomelofold/seams/upstreamClient'
 import { countTimes, type TaskRun, type WorkerRecord } from './records.js'
 
@@ -60,6 +60,9 @@
   completion?: TimerSubscription
 }
 
+/** Delay between looks at whether a waiting call may go on, in milliseconds. */
+const HANG_CHECK_MS = 10
+
 /** Time from the start of a task until it fails, under the fault `failTasks`, in milliseconds. */
 const FAIL_AFTER_MS = 50
 
@@ -95,6 +98,11 @@
     this._options = { vm, rack, capacity, speed, usageFactor, usageLagMs }
   }
 
+  /** Resolves when calls are processed: at once, or at the end of the fault `hang`. */
+  async ready (): Promise<void> {
+    while (this.faults.hang) await delay(this._timers, HANG_CHECK_MS)
+  }
+
   /** Starts tasks. A task id that is still listed is refused. */
   start (epoch: number, starts: TaskStart[]): Result<TaskStartAnswer[], StaleEpoch> {
     if (!this._acceptEpoch(epoch)) {
@@ -124,6 +132,14 @@
     return Result.ok(true)
   }
 
+  /** Stops all timers. Tasks stay as they are. */
+  close (): void {
+    for (const task of this._tasks.values()) {
+      task.lease?.cancel()
+      task.completion?.cancel()
+    }
+  }
+
   /** What ran so far. */
   record (): WorkerRecord {
     const { vm, rack, capacity } = this._options
--- a/packages/standins/src/workerStandin.ts
+++ b/packages/standins/src/workerStandin.ts
@@ -9,7 +9,7 @@
 import { z } from 'zod'
 import { capacitySchema } from 'pomelofold/protocol/vms'
 import { renewalRequestSchema, startsRequestSchema } from 'pomelofold/protocol/worker'
-import { delay, type Timers } from 'pomelofold/seams/timers'
+import type { Timers } from 'pomelofold/seams/timers'
 import { TASK_COMMANDS } from 'pomelofold/seams/upstreamClient'
 import { SeededRandom } from './seededRandom.js'
 import { resetConnection, StandinServer, type Standin, type StandinEnv } from './standinServer.js'
@@ -40,18 +40,13 @@
 const commandSchema = z.enum(TASK_COMMANDS)
 const commandBodySchema = z.strictObject({ epoch: z.number().int() })
 
-/** Delay between looks at whether a waiting call may go on, in milliseconds. */
-const HANG_CHECK_MS = 10
-
 /** A worker. */
 export class WorkerStandin implements Standin {
   readonly model: WorkerModel
-  private readonly _timers: Timers
   private readonly _server = new StandinServer()
 
   constructor ({ timers, settings }: { timers: Timers, settings: WorkerSettings }) {
     const { seed, ...options } = workerSettingsSchema.parse(settings)
-    this._timers = timers
     this.model = new WorkerModel({ ...options, timers, random: new SeededRandom(seed) })
     this._server.serveFaults(this.model.faults, workerFaultsSchema)
     this._server.app.get('/control/record', c => c.json(this.model.record()))
@@ -75,12 +70,13 @@
   }
 
   close (): Promise<void> {
+    this.model.close()
     return this._server.close()
   }
 
   private async _answer (c: Context<StandinEnv>, act: (body: unknown) => Result<object, StaleEpoch>): Promise<Response> {
     const body: unknown = await c.req.json()
-    while (this.model.faults.hang) await delay(this._timers, HANG_CHECK_MS)
+    await this.model.ready()
     const result = act(body)
     if (this.model.faults.dropAnswers) return resetConnection(c)
     return result.isOk ? c.json(result.value) : c.json(result.error, 409)
