Check calls before they reach the connection pool

Cause: a malformed call (a space in its path, a line end in a header value) made undici's Pool mark one of its connections as busy for good: Pool expects a 'drain' event that a refused dispatch never emits. With one connection, every later call to that instance ended at its deadline; 64 malformed calls would have stopped an instance. An address that is no URL made call() reject.

Ruled out: dropping the pool after such an error (calls waiting in it would be lost, and callers could make the client reconnect at will).

The caller now checks method, path, headers and address first, by node:http's own validators and undici's path pattern. Calls with CONNECT are refused.

Conclusion: a malformed call has the effect 'none' and costs no connection.

--- a/packages/pomelofold/src/edge/httpCaller.ts
+++ b/packages/pomelofold/src/edge/httpCaller.ts
@@ -6,6 +6,7 @@
 
 import { Pool, type Dispatcher } from 'undici'
 import Result from 'true-myth/result'
+import { malformedPart } from './httpCallCheck.js'
 import type { Timers, TimerSubscription } from '../seams/timers.js'
 import { CallError, CallTimeoutError, EFFECTS, type CallErrorOptions, type Effect } from '../utils/errors.js'
 import { ManualPromise } from '../utils/manualPromise.js'
@@ -54,6 +55,9 @@
 /** Delay until the first TCP keep-alive probe on a connection, in milliseconds. */
 export const TCP_KEEP_ALIVE_DELAY_MS = 5_000
 
+/** `host:port`, with IPv6 numbers in brackets. */
+const ADDRESS_PATTERN = /^(\[[0-9a-f:.]+\]|[a-z0-9.-]+):\d{1,5}$/i
+
 /** Statuses whose answers have no body. */
 const BODILESS_STATUSES = new Set([204, 304])
 
@@ -87,10 +91,14 @@
 
   /** Sends `call` to `address` (`host:port`) and waits for the whole answer. Never rejects. */
   async call (address: string, call: HttpCall): Promise<Result<HttpAnswer, CallError>> {
-    if (this._closed) return Result.err(new CallError('the client is closed', { step: call.step, peer: address, effect: EFFECTS.none }))
-    const exchange = new Exchange(address, call, this._maxAnswerBytes)
+    const unsent: CallErrorOptions = { step: call.step, peer: address, effect: EFFECTS.none }
+    if (this._closed) return Result.err(new CallError('the client is closed', unsent))
+    const malformed = malformedPart(call)
+    if (malformed !== undefined) return Result.err(new CallError(malformed, unsent))
     const entry = this._entry(address)
+    if (!entry) return Result.err(new CallError('the address is not valid', unsent))
     entry.calls++
+    const exchange = new Exchange(address, call, this._maxAnswerBytes)
     const deadline = this._timers.after(call.timeoutMs, () => exchange.timeOut())
     entry.pool.dispatch({
       method: call.method as Dispatcher.HttpMethod,
@@ -116,9 +124,11 @@
     await Promise.all(entries.map(entry => entry.pool.destroy()))
   }
 
-  private _entry (address: string): PoolEntry {
+  /** The pool of an address. Undefined when the address is not `host:port`. */
+  private _entry (address: string): PoolEntry | undefined {
     const known = this._pools.get(address)
     if (known) return known
+    if (!URL.canParse(`http://${address}`) || !ADDRESS_PATTERN.test(address)) return
     const pool = new Pool(`http://${address}`, {
       connections: this._connections,
       pipelining: 1,
--- a/packages/pomelofold/src/edge/httpUpstreamClient.ts
+++ b/packages/pomelofold/src/edge/httpUpstreamClient.ts
@@ -43,7 +43,7 @@
     const result = await this._caller.call(address, {
       step: 'upstream.request',
       method,
-      path: `/requests${path === '/' ? '' : path}`,
+      path: requestPath(path),
       headers: endToEndHeaders(headers),
       body: body.length ? body : undefined,
       timeoutMs
@@ -90,6 +90,11 @@
   }
 }
 
+function requestPath (path: string): string {
+  if (path === '/') return '/requests'
+  return path.startsWith('/') ? `/requests${path}` : `/requests/${path}`
+}
+
 function jsonCall (step: string, path: string, body: unknown, timeoutMs: number): HttpCall {
   return { step, method: 'POST', path, headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), timeoutMs }
 }
--- a/tests/edge/httpUpstreamClient.test.ts
+++ b/tests/edge/httpUpstreamClient.test.ts
@@ -5,7 +5,7 @@
 import { endToEndHeaders, HttpUpstreamClient } from 'pomelofold/edge/httpUpstreamClient'
 import type { HttpCallerOptions } from 'pomelofold/edge/httpCaller'
 import { SystemTimers } from 'pomelofold/edge/systemTimers'
-import { StaleEpochError } from 'pomelofold/seams/upstreamClient'
+import { StaleEpochError, type InstanceRequest } from 'pomelofold/seams/upstreamClient'
 import { CallTimeoutError } from 'pomelofold/utils/errors'
 
 const LONG_MS = 30_000
@@ -142,6 +142,37 @@
   t.equal(answer.isOk && Buffer.from(answer.value.body).toString(), 'fine')
 })
 
+t.test('a malformed call has no effect and does not block its connection for the calls after it', async t => {
+  const address = await listen(t, socket => socket.write(OK_ANSWER))
+  const client = makeClient(t, { connections: 1 })
+  const malformed: Array<Partial<InstanceRequest>> = [{ path: '/a b' }, { path: '/\n' }, { method: 'NO SUCH' }, { method: 'CONNECT' }, { headers: { a: 'x\ny' } }, { headers: { a: '€' } }, { headers: { 'a b': '' } }]
+  for (const part of malformed) {
+    t.match(await client.request(address, { ...READING, ...part }, LONG_MS), { error: { effect: 'none' } })
+    t.match(await client.request(address, READING, LONG_MS), { value: { status: 200 } })
+  }
+})
+
+t.test('an address that is not host:port is an error without effect', async t => {
+  for (const address of ['', 'nowhere', '127.0.0.1:1/x', '127.0.0.1:99999']) {
+    t.match(await makeClient(t).request(address, READING, LONG_MS), { error: { effect: 'none', message: /address/ } })
+  }
+})
+
+t.test('an informational answer is not taken for the final one', async t => {
+  const address = await listen(t, socket => socket.write(`HTTP/1.1 103 Early Hints\r\n\r\n${OK_ANSWER}`))
+  t.match(await makeClient(t).request(address, READING, LONG_MS), { value: { status: 200 } })
+})
+
+t.test('connections to an address without calls are closed', async t => {
+  const ended = new Set<Socket>()
+  const address = await listen(t, socket => {
+    socket.on('close', () => ended.add(socket))
+    socket.write(OK_ANSWER.replace('Content', 'Keep-Alive: timeout=600\r\nContent'))
+  })
+  t.match(await makeClient(t, { idleMs: SHORT_MS }).request(address, READING, LONG_MS), { value: { status: 200 } })
+  while (ended.size === 0) await new Promise(setImmediate)
+})
+
 t.test('headers of one connection are not passed on', async t => {
   const headers = { Connection: 'close, X-Hop', 'X-Hop': '1', 'Keep-Alive': 'timeout=5', Upgrade: 'h2c', 'Content-Length': '5', Expect: 'x', 'X-Pot': '7' }
   t.same(endToEndHeaders(headers), { 'x-pot': '7' })
