--- a/utils/benchInstances.ts
+++ b/utils/benchInstances.ts
@@ -53,12 +53,13 @@
   readonly runs = new Map<string, number>()
   private readonly _timers: Timers
   private readonly _delayMs: number
-  private readonly _recordRuns: boolean
+  private readonly _onRun: ((req: InstanceRequest) => void) | undefined
 
-  constructor ({ timers, delayMs = 0.2, recordRuns = true }: { timers: Timers, delayMs?: number, recordRuns?: boolean }) {
+  /** Calls `onRun` for each request that reaches an instance; without it, runs are counted by body. */
+  constructor ({ timers, delayMs = 0.2, onRun }: { timers: Timers, delayMs?: number, onRun?: (req: InstanceRequest) => void }) {
     this._timers = timers
     this._delayMs = delayMs
-    this._recordRuns = recordRuns
+    this._onRun = onRun
   }
 
   add ({ address, slots = 8, speed = 1 }: { address: string, slots?: number, speed?: number }): MemoryInstance {
@@ -106,10 +107,8 @@
     const { mode } = instance
     instance.running++
     instance.peak = Math.max(instance.peak, instance.running)
-    if (this._recordRuns) {
-      const text = Buffer.from(req.body).toString()
-      this.runs.set(text, (this.runs.get(text) ?? 0) + 1)
-    }
+    if (this._onRun) this._onRun(req)
+    else this._count(req)
     if (mode === INSTANCE_MODES.resets) {
       this._timers.after(RESET_AFTER_MS, () => settle(Result.err(this._error(instance.address, EFFECTS.unknown))))
     }
@@ -122,6 +121,11 @@
     })
   }
 
+  private _count ({ body }: InstanceRequest): void {
+    const text = Buffer.from(body).toString()
+    this.runs.set(text, (this.runs.get(text) ?? 0) + 1)
+  }
+
   private _error (address: string, effect: 'none' | 'unknown'): CallError {
     const text = effect === EFFECTS.none ? 'connection refused' : 'connection reset'
     return new CallError(text, { step: 'instance.request', peer: address, effect })
--- /dev/null
+++ b/utils/benchPolicy.ts
@@ -0,0 +1,101 @@
+/**
+ * Runs the requests of a benchmark through the real scheduler and router.
+ *
+ * @module
+ */
+
+import { ManualTimers } from '@pomelofold/standins/manualTimers'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import { OUTCOMES } from 'pomelofold/protocol/requests'
+import { BenchResult } from './benchResult.js'
+import { instanceRecord, MemoryCell, SERVICE, type MemoryCellOptions } from './benchCell.js'
+import { MemoryInstances, RUN_MS_HEADER } from './benchInstances.js'
+import { domainOf, END_MS, MEAN_RUN_MS, NEAR_DELAY_MS, SLOTS, speedOf, type BenchRequest, type RunPlan } from './benchWorkload.js'
+
+/** Header that carries a request's number. */
+const NUMBER_HEADER = 'number'
+/** Period of heartbeats between entry VMs, in milliseconds. */
+const HEARTBEAT_MS = 1_000
+/** Time for the last answers, in milliseconds. */
+const TAIL_MS = 12_000
+
+type Seams = Pick<MemoryCellOptions, 'timers' | 'upstream' | 'random'>
+
+/** How a failure domain's instances are shared out among its entry VMs. */
+export const CLAIM_LAYOUTS = {
+  /** Instance by instance. */
+  spread: 'spread',
+  /** All to the first entry VM. */
+  single: 'single'
+} as const
+
+/** One of {@link CLAIM_LAYOUTS}. */
+export type ClaimLayout = typeof CLAIM_LAYOUTS[keyof typeof CLAIM_LAYOUTS]
+
+/** Runs the requests of `plan` under the policy of this repository. */
+export async function runPolicy (plan: RunPlan, layout: ClaimLayout = CLAIM_LAYOUTS.spread): Promise<BenchResult> {
+  const { scenario, requests, seed } = plan
+  const result = new BenchResult()
+  const timers = new ManualTimers()
+  const started = new Set<number>()
+  const upstream = new MemoryInstances({
+    timers,
+    delayMs: NEAR_DELAY_MS,
+    onRun ({ headers }) {
+      const number = Number(headers[NUMBER_HEADER])
+      if (!started.has(number)) result.started(requests[number], timers.now())
+      started.add(number)
+    }
+  })
+  const cell = makeCell(plan, layout, { timers, upstream, random: new SeededRandom(seed) })
+  for (const { atMs, instance, mode } of scenario.faults ?? []) {
+    timers.after(atMs, () => { upstream.instances.get(`i${instance}`)!.mode = mode })
+  }
+  timers.every(HEARTBEAT_MS, () => cell.exchangeLoads())
+  const feed = (index: number): void => {
+    const req = requests[index]
+    if (!req) return
+    timers.after(req.atMs - timers.now(), () => {
+      feed(index + 1)
+      submit(cell, req, result, timers)
+    })
+  }
+  feed(0)
+  await timers.advance(END_MS + TAIL_MS)
+  return result
+}
+
+function submit (cell: MemoryCell, req: BenchRequest, result: BenchResult, timers: ManualTimers): void {
+  result.offered(req)
+  cell.entries[req.entry].router.submit({
+    requestId: String(req.number),
+    service: SERVICE,
+    class: req.class,
+    deadlineMs: req.deadlineMs,
+    atMostOnce: false,
+    headers: { [RUN_MS_HEADER]: String(req.runMs), [NUMBER_HEADER]: String(req.number) },
+    body: new Uint8Array(0)
+  }).then(({ outcome, status }) => {
+    if (outcome === OUTCOMES.ran && status === 200) result.answered(req, timers.now())
+  })
+}
+
+function makeCell ({ deployment, scenario }: RunPlan, layout: ClaimLayout, seams: Seams): MemoryCell {
+  const entries: Record<string, string[]> = {}
+  for (let domain = 0; domain < deployment.failureDomains; domain++) {
+    entries[`fd${domain}`] = Array.from({ length: deployment.entriesPerDomain }, (_, i) => `e${domain}-${i}`)
+  }
+  const records = Array.from({ length: deployment.instances }, (_, i) => {
+    seams.upstream.add({ address: `i${i}`, slots: SLOTS, speed: speedOf(i) })
+    return instanceRecord(`i${i}`, { failureDomain: `fd${domainOf(i, deployment)}`, slots: SLOTS })
+  })
+  return new MemoryCell({
+    ...seams,
+    records,
+    entries,
+    holder: (_, index, vms) => layout === CLAIM_LAYOUTS.single ? vms[0] : vms[index % vms.length],
+    service: { expectedMs: scenario.expectedMs ?? MEAN_RUN_MS },
+    nearDelayMs: NEAR_DELAY_MS,
+    farDelayMs: deployment.farDelayMs
+  })
+}
