Split the instance pool from the dispatcher and bear a throwing upstream client

Ruled out: counting a timeout as a plain sample when it is below the mean (the request takes at least as long, so it would pull the mean down).

--- a/packages/pomelofold/src/requests/requestScheduler.ts
+++ b/packages/pomelofold/src/requests/requestScheduler.ts
@@ -106,13 +106,13 @@
 
   /** Whether an instance of `service` takes requests from this process. */
   serves (service: string): boolean {
-    return !this._drained && (this._dispatchers.get(service)?.serves() ?? false)
+    return !this._drained && this._specs.has(service) && (this._dispatchers.get(service)?.serves() ?? false)
   }
 
   /** Expected time until a request would be sent by this process. Infinite when it cannot be. */
   expectedWaitMs (req: ServiceRequest): number {
-    const dispatcher = this._drained ? undefined : this._dispatchers.get(req.service)
-    return dispatcher?.expectedWaitMs(req.class, req.team ?? NO_TEAM, req.deadlineMs) ?? Infinity
+    if (!this.serves(req.service)) return Infinity
+    return this._dispatchers.get(req.service)?.expectedWaitMs(req.class, req.team ?? NO_TEAM, req.deadlineMs) ?? Infinity
   }
 
   /** The declaration of `service`, when there is one. */
--- a/packages/pomelofold/src/requests/serviceDispatcher.ts
+++ b/packages/pomelofold/src/requests/serviceDispatcher.ts
@@ -4,29 +4,28 @@
  * @module
  */
 
-import { CLAIMS, type Authority } from '../seams/authority.js'
+import Result from 'true-myth/result'
+import type { Authority } from '../seams/authority.js'
 import type { RandomSource } from '../seams/randomSource.js'
 import type { Timers, TimerSubscription } from '../seams/timers.js'
-import type { InstanceAnswer, UpstreamClient } from '../seams/upstreamClient.js'
+import type { InstanceAnswer, InstanceRequest, UpstreamClient } from '../seams/upstreamClient.js'
 import { OUTCOMES, type RequestClass, type ServiceAnswer, type ServiceLoad } from '../protocol/requests.js'
-import { VM_STATES, type VmRecord } from '../protocol/vms.js'
-import { EFFECTS, type CallError } from '../utils/errors.js'
+import type { VmRecord } from '../protocol/vms.js'
+import { CallError, EFFECTS, errorText } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
 import { notRun, unknownOutcome } from './answers.js'
-import { OccupancyReader } from './occupancyReader.js'
+import { InstancePool } from './instancePool.js'
 import type { QueuedRequest, ServiceSpec } from './queuedRequest.js'
 import type { RequestFigures } from './requestFigures.js'
 import { CLASS_ORDER, RequestQueue } from './requestQueue.js'
 import { RetryBudget } from './retryBudget.js'
-import { ServiceInstance, type Attempt } from './serviceInstance.js'
+import type { Attempt, ServiceInstance } from './serviceInstance.js'
 import { ServiceTime } from './serviceTime.js'
-import { WaitEstimator } from './waitEstimator.js'
+import { WaitEstimator, type CapacityView } from './waitEstimator.js'
 
 /** Method and path of requests to service instances. */
 const INSTANCE_METHOD = 'POST'
 const INSTANCE_PATH = '/'
-/** A claim must last this much longer for a send under it, in milliseconds. */
-const SEND_MARGIN_MS = 100
 /** Least status of an answer that counts as a failure of its instance. */
 const SERVER_ERROR_STATUS = 500
 
@@ -43,19 +42,13 @@
   figures: RequestFigures
 }
 
-interface KnownInstance {
-  instance: ServiceInstance
-  reader: OccupancyReader
-}
-
 /** Queue and instances of one service. */
 export class ServiceDispatcher {
   private _spec: ServiceSpec
   private readonly _options: ServiceDispatcherOptions
   private readonly _timers: Timers
   private readonly _queue = new RequestQueue()
-  private readonly _known = new Map<string, KnownInstance>()
-  private _instances: ServiceInstance[] = []
+  private readonly _pool: InstancePool
   private readonly _budget = new RetryBudget()
   private readonly _serviceTime = new ServiceTime()
   private readonly _estimator: WaitEstimator
@@ -67,6 +60,7 @@
     this._options = options
     this._spec = options.spec
     this._timers = options.timers
+    this._pool = new InstancePool({ ...options, onChange: () => this.dispatch() })
     this._estimator = new WaitEstimator({ queue: this._queue })
   }
 
@@ -76,33 +70,13 @@
 
   /** Sets the service's instances of the failure domain. */
   setInstances (records: VmRecord[]): void {
-    const listed = new Set(records.map(instanceKey))
-    for (const record of records) {
-      const { instance } = this._known.get(instanceKey(record)) ?? this._add(record)
-      instance.leaving = record.state === VM_STATES.leaving
-    }
-    for (const [key, { instance }] of this._known) {
-      if (listed.has(key)) continue
-      instance.leaving = true
-      if (instance.idle) this._known.delete(key)
-    }
-    this._instances = [...this._known.values()].map(({ instance }) => instance)
-    this.refreshClaims()
+    this._pool.setInstances(records)
+    this.dispatch()
   }
 
   /** Compares the held claims with those under which instances are used. */
   refreshClaims (): void {
-    for (const { instance, reader } of this._known.values()) {
-      const epoch = this._epochOf(instance)
-      if (epoch === undefined) {
-        instance.epoch = undefined
-        continue
-      }
-      if (epoch !== instance.lastEpoch) instance.uncounted = true
-      instance.lastEpoch = epoch
-      instance.epoch = epoch
-      reader.start()
-    }
+    this._pool.refreshClaims()
     this.dispatch()
   }
 
@@ -127,18 +101,18 @@
 
   /** Whether this process holds the claim of an instance that takes requests. */
   serves (): boolean {
-    return this._instances.some(instance => instance.usable())
+    return this._pool.serves()
   }
 
   load (): ServiceLoad {
     const nowMs = this._timers.now()
-    this._capacity(nowMs)
+    const { free, perMs } = this._capacity(nowMs)
     const deadlineMs = this._spec.defaultDeadlineMs
     const expectedWaitMs: Record<string, number> = {}
     for (const cls of CLASS_ORDER) {
       expectedWaitMs[cls] = this._estimator.waitMs({ class: cls, team: '', startByMs: nowMs + deadlineMs }, nowMs)
     }
-    return { expectedWaitMs, freeSlots: this._freeSlots(nowMs), startsPerMs: this._estimator.capacityPerMs }
+    return { expectedWaitMs, freeSlots: free, startsPerMs: perMs }
   }
 
   /** Expected time until a request would be sent, in milliseconds. */
@@ -150,56 +124,35 @@
 
   /** Number of instances whose claims this process holds. */
   heldInstances (): number {
-    return this._instances.filter(instance => instance.epoch !== undefined).length
+    return this._pool.held()
   }
 
   /** Sends what can be sent and answers what cannot start any more. */
   dispatch (): void {
     if (this._dispatching) return
     this._dispatching = true
-    const nowMs = this._timers.now()
-    this._answerExpired(nowMs)
+    try {
+      const nowMs = this._timers.now()
+      this._answerExpired(nowMs)
+      this._sendWaiting(nowMs)
+      this._armWake(nowMs)
+    } finally {
+      this._dispatching = false
+    }
+  }
+
+  private _sendWaiting (nowMs: number): void {
     const aside: QueuedRequest[] = []
-    for (let instance = this._pick(nowMs); instance && this._queue.size > 0; instance = this._pick(nowMs)) {
+    const expectedMs = this._expectedMs()
+    while (this._queue.size > 0) {
+      const instance = this._pool.pick(nowMs, expectedMs)
+      if (!instance) break
       const entry = this._queue.take() as QueuedRequest
-      const target = entry.failedAt?.has(instance.name) ? this._pick(nowMs, entry.failedAt) : instance
+      const target = entry.failedAt?.has(instance.name) ? this._pool.pick(nowMs, expectedMs, entry.failedAt) : instance
       if (target) this._send(entry, target, nowMs)
       else aside.push(entry)
     }
     for (const entry of aside) this._queue.push(entry)
-    this._armWake(nowMs)
-    this._dispatching = false
-  }
-
-  private _add (record: VmRecord): KnownInstance {
-    const { timers, upstream, random } = this._options
-    const instance = new ServiceInstance({ record, random })
-    const reader = new OccupancyReader({ instance, timers, upstream, onChange: () => this.dispatch() })
-    const known = { instance, reader }
-    this._known.set(instanceKey(record), known)
-    return known
-  }
-
-  private _epochOf (instance: ServiceInstance): number | undefined {
-    return this._options.authority.epochOf(CLAIMS.instance(this._options.failureDomain, instance.name), SEND_MARGIN_MS)
-  }
-
-  /** The free instance with the earliest expected completion whose claim is held now. */
-  private _pick (nowMs: number, without?: Set<string>): ServiceInstance | undefined {
-    const expectedMs = this._expectedMs()
-    for (;;) {
-      let best: ServiceInstance | undefined
-      let bestScore = Infinity
-      for (const instance of this._instances) {
-        if (instance.free(nowMs) === 0 || without?.has(instance.name)) continue
-        const score = instance.score(expectedMs)
-        if (score >= bestScore) continue
-        best = instance
-        bestScore = score
-      }
-      if (!best || this._epochOf(best) === best.epoch) return best
-      best.epoch = undefined
-    }
   }
 
   private _send (entry: QueuedRequest, instance: ServiceInstance, nowMs: number): void {
@@ -209,12 +162,21 @@
     const { headers, body } = entry.req
     const timeoutMs = Math.max(1, entry.deadlineAtMs - nowMs)
     const waitedMs = nowMs - entry.arrivedMs
-    this._options.upstream.request(instance.address, { method: INSTANCE_METHOD, path: INSTANCE_PATH, headers, body }, timeoutMs)
-      .then(result => {
-        if (result.isOk) this._answered(entry, instance, attempt, result.value, waitedMs)
-        else this._failed(entry, instance, attempt, result.error, waitedMs)
-        this._slotChanged(instance)
-      })
+    this._request(instance.address, { method: INSTANCE_METHOD, path: INSTANCE_PATH, headers, body }, timeoutMs).then(result => {
+      if (result.isOk) this._answered(entry, instance, attempt, result.value, waitedMs)
+      else this._failed(entry, instance, attempt, result.error, waitedMs)
+      this._pool.slotChanged(instance)
+      this.dispatch()
+    })
+  }
+
+  /** Sends a request. A client that throws may have sent it. */
+  private async _request (address: string, req: InstanceRequest, timeoutMs: number): Promise<Result<InstanceAnswer, CallError>> {
+    try {
+      return await this._options.upstream.request(address, req, timeoutMs)
+    } catch (err) {
+      return Result.err(new CallError(errorText(err), { step: 'instance.request', peer: address, effect: EFFECTS.unknown, cause: err }))
+    }
   }
 
   private _answered (entry: QueuedRequest, instance: ServiceInstance, attempt: Attempt, answer: InstanceAnswer, waitedMs: number): void {
@@ -235,9 +197,13 @@
     const nowMs = this._timers.now()
     const mayRun = err.effect !== EFFECTS.none
     instance.end(attempt, mayRun)
-    if (mayRun) instance.health.failed(nowMs)
-    else instance.health.pause(nowMs)
-    if (mayRun) entry.mayHaveRun = true
+    if (mayRun) {
+      entry.mayHaveRun = true
+      instance.health.failed(nowMs)
+      this._learnAtLeast(instance, nowMs - attempt.sentAtMs)
+    } else {
+      instance.health.pause(nowMs)
+    }
     const { requestId } = entry.req
     this._options.log.event('warn', 'request.failed', { requestId, step: err.step, peer: err.peer, effect: err.effect, attempt: entry.attempts })
     if (this._retry(entry, instance, nowMs)) return
@@ -246,25 +212,25 @@
     else this._finish(entry, notRun({ ...details, retryAfterMs: this._retryAfterMs(entry, 0) }, 'unavailable'))
   }
 
+  /** Learns from a request that was not answered: it takes at least as long as was waited for it. */
+  private _learnAtLeast (instance: ServiceInstance, elapsedMs: number): void {
+    const expectedMs = this._expectedMs()
+    if (elapsedMs > instance.serviceTime.expectedMs(expectedMs)) instance.serviceTime.add(elapsedMs)
+    if (elapsedMs > expectedMs) this._serviceTime.add(elapsedMs)
+  }
+
   /** Puts the request back into the queue when it may be sent again. */
   private _retry (entry: QueuedRequest, instance: ServiceInstance, nowMs: number): boolean {
     if (entry.mayHaveRun && (entry.req.atMostOnce || !this._spec.idempotent)) return false
     entry.failedAt = (entry.failedAt ?? new Set()).add(instance.name)
     entry.startByMs = this._startBy(entry)
-    if (entry.startByMs < nowMs || !this._instances.some(other => other.usable() && !entry.failedAt?.has(other.name))) return false
+    if (entry.startByMs < nowMs || !this._pool.serves(entry.failedAt)) return false
     if (!this._budget.spend()) return false
     this._options.figures.retried()
     this._queue.push(entry)
     return true
   }
 
-  private _slotChanged (instance: ServiceInstance): void {
-    const known = this._known.get(instanceKey(instance))
-    known?.reader.start()
-    if (instance.inFlight === 0) known?.reader.instanceDrained()
-    this.dispatch()
-  }
-
   private _answerExpired (nowMs: number): void {
     if (this._queue.earliestStartBy() >= nowMs) return
     for (let entry = this._queue.takeExpired(nowMs); entry; entry = this._queue.takeExpired(nowMs)) {
@@ -315,31 +281,16 @@
     return this._serviceTime.expectedMs(this._spec.expectedMs)
   }
 
-  private _freeSlots (nowMs: number): number {
-    return this._instances.reduce((sum, instance) => sum + instance.free(nowMs), 0)
-  }
-
-  private _capacity (nowMs: number): void {
-    const expectedMs = this._expectedMs()
-    let perMs = 0
-    let free = 0
-    let resumesAtMs = Infinity
-    for (const instance of this._instances) {
-      perMs += instance.capacityPerMs(nowMs, expectedMs)
-      free += instance.free(nowMs)
-      if (instance.usable()) resumesAtMs = Math.min(resumesAtMs, instance.health.pausedUntilMs())
-    }
-    this._estimator.setCapacity({ perMs, free, resumesInMs: Math.max(0, resumesAtMs - nowMs), expectedMs })
+  private _capacity (nowMs: number): CapacityView {
+    const capacity = this._pool.capacity(nowMs, this._expectedMs())
+    this._estimator.setCapacity(capacity)
+    return capacity
   }
 
   /** Wakes up when the first waiting request expires or a paused instance may be probed. */
   private _armWake (nowMs: number): void {
     if (this._queue.size === 0) return
-    let atMs = this._queue.earliestStartBy()
-    for (const instance of this._instances) {
-      const pausedUntilMs = instance.health.pausedUntilMs()
-      if (pausedUntilMs > nowMs) atMs = Math.min(atMs, pausedUntilMs)
-    }
+    const atMs = Math.min(this._queue.earliestStartBy(), this._pool.nextResumeMs(nowMs))
     if (atMs >= this._wakeAtMs) return
     this._wake?.cancel()
     this._wakeAtMs = atMs
@@ -349,7 +300,3 @@
     })
   }
 }
-
-function instanceKey ({ name, address }: { name: string, address: string }): string {
-  return `${name} ${address}`
-}
--- a/packages/pomelofold/src/requests/waitEstimator.ts
+++ b/packages/pomelofold/src/requests/waitEstimator.ts
@@ -24,6 +24,8 @@
   perMs: number
   /** Requests that may be sent at once. */
   free: number
+  /** Slots of all usable instances. */
+  slots: number
   /** Time until a paused instance may be probed, in milliseconds. */
   resumesInMs: number
   /** Expected run time, in milliseconds. */
@@ -41,16 +43,12 @@
 export class WaitEstimator {
   private readonly _queue: RequestQueue
   private readonly _arrivals: Record<RequestClass, RateMeter> = { urgent: new RateMeter(), normal: new RateMeter(), batch: new RateMeter() }
-  private _capacity: CapacityView = { perMs: 0, free: 0, resumesInMs: Infinity, expectedMs: 1 }
+  private _capacity: CapacityView = { perMs: 0, free: 0, slots: 0, resumesInMs: Infinity, expectedMs: 1 }
 
   constructor ({ queue }: { queue: RequestQueue }) {
     this._queue = queue
   }
 
-  get capacityPerMs (): number {
-    return this._capacity.perMs
-  }
-
   setCapacity (capacity: CapacityView): void {
     this._capacity = capacity
   }
