--- a/packages/pomelofold/src/tasks/jobs/jobManager.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobManager.ts
@@ -175,10 +175,17 @@
       const current = authority.epochOf(this._claim)
       return current === epoch ? current : undefined
     }
-    this._session = new PlacerSession({ ...this._options, epoch, epochOf })
+    const session = new PlacerSession({ ...this._options, epoch, epochOf, onSuperseded: () => this._onSuperseded(session) })
+    this._session = session
     this._session.open(() => this._workers, () => this._manifest)
   }
 
+  private _onSuperseded (session: PlacerSession): void {
+    if (this._session !== session) return
+    this._options.log.event('warn', 'jobs.superseded', { step: 'jobStore.commit', epoch: session.epoch })
+    this._endSession()
+  }
+
   private _endSession (): void {
     this._session?.close()
     this._session = undefined
--- a/packages/pomelofold/src/tasks/jobs/jobStore.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobStore.ts
@@ -10,7 +10,7 @@
 import type { RandomSource } from '../../seams/randomSource.js'
 import { CallError, EFFECTS, errorText } from '../../utils/errors.js'
 import type { EventLog } from '../../utils/eventLog.js'
-import { GroupCommitter, type CommitResult } from '../../platform/groupCommit.js'
+import { COMMIT_REFUSALS, CommitRefusedError, GroupCommitter, type CommitResult } from '../../platform/groupCommit.js'
 import { ManualPromise } from '../../utils/manualPromise.js'
 import { Job, planOf } from './job.js'
 import { cancelListSchema, JOB_KEYS, jobProgressSchema, jobRecordSchema, type JobProgress, type JobRecord } from './jobRecord.js'
@@ -31,6 +31,8 @@
   vm: string
   epoch: number
   cfg: JobSettings
+  /** Another placer's fence was found. */
+  onSuperseded: () => void
 }
 
 /** Keeps the jobs of one failure domain under one epoch of the placer claim. */
@@ -42,6 +44,7 @@
   private readonly _epoch: number
   private readonly _token: string
   private readonly _committer: GroupCommitter
+  private readonly _onSuperseded: () => void
   private _fence: Guard | undefined
   private _dirty = new Map<Job, ManualPromise<CommitResult>>()
   private _cancels = new Map<Job, ManualPromise<CommitResult>>()
@@ -50,7 +53,8 @@
   private _flushing = false
   private _closed = false
 
-  constructor ({ timers, platform, random, log, failureDomain, vm, epoch, cfg }: JobStoreOptions) {
+  constructor ({ timers, platform, random, log, failureDomain, vm, epoch, cfg, onSuperseded }: JobStoreOptions) {
+    this._onSuperseded = onSuperseded
     this._timers = timers
     this._platform = platform
     this._log = log
@@ -85,7 +89,7 @@
   create (record: JobRecord): Promise<CommitResult> {
     const key = this._recordKey(record.jobId)
     const change: Change = { op: 'put', key, value: JSON.stringify(record) }
-    return this._committer.commit([change], { guards: [{ key, modRevision: 0 }] })
+    return this._commit([change], [{ key, modRevision: 0 }])
   }
 
   /** Writes the progress that the job has at the moment of the write. Answers after the commit. */
@@ -111,6 +115,13 @@
     return result
   }
 
+  private async _commit (changes: Change[], guards: Guard[] = []): Promise<CommitResult> {
+    const result = await this._committer.commit(changes, { guards })
+    const fenced = result.isErr && result.error instanceof CommitRefusedError && result.error.reason === COMMIT_REFUSALS.fence
+    if (fenced && !this._closed) this._onSuperseded()
+    return result
+  }
+
   private _enqueue (table: Map<Job, ManualPromise<CommitResult>>, job: Job): Promise<CommitResult> {
     let settled = table.get(job)
     if (!settled) table.set(job, settled = new ManualPromise())
@@ -129,9 +140,9 @@
     const cancels = takeFirst(this._cancels, CANCELS_PER_LIST)
     const dirty = takeFirst(this._dirty, JOBS_PER_WRITE)
     const parts = [this._cancelChange(cancels.map(([job]) => job)), ...dirty.map(([job]) => this._progressChanges(job))]
-    const results = await Promise.all(parts.filter(part => part.length > 0).map(part => this._committer.commit(part)))
+    const results = await Promise.all(parts.filter(part => part.length > 0).map(part => this._commit(part)))
     const failed = results.find(result => result.isErr)
-    const retry = failed?.isErr && failed.error.name !== 'CommitRefusedError'
+    const retry = failed?.isErr && !(failed.error instanceof CommitRefusedError)
     if (retry) return await this._retryLater(cancels, dirty, failed.error)
     for (const [, settled] of [...cancels, ...dirty]) settled.resolve(failed ?? Result.ok(0))
   }
--- a/packages/pomelofold/src/tasks/jobs/placerSession.ts
+++ b/packages/pomelofold/src/tasks/jobs/placerSession.ts
@@ -54,6 +54,8 @@
   epoch: number
   /** Epoch under which may be sent now. */
   epochOf: () => number | undefined
+  /** Another placer has taken over, whatever the claim says. */
+  onSuperseded: () => void
 }
 
 /** The placer of a failure domain, from taking its claim until losing it. */
--- /dev/null
+++ b/tests/jobs/takeover.test.ts
@@ -0,0 +1,154 @@
+import t from 'tap'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import { JobCell, specOf, type EntryVm } from './jobCell.js'
+
+const LEASE_MS = 12_000
+const SHORT = { leaseMs: LEASE_MS, renewEveryMs: 4_000, sendBoundMs: 3_000, probeEveryMs: 1_000 }
+
+t.test('a placer that was frozen while another took over starts and records nothing more', async t => {
+  const cell = new JobCell({ cfg: SHORT })
+  const frozen = await cell.addPlacer()
+  await cell.submit(frozen, 'nightly', { count: 30, runMs: 3_000 })
+  await cell.timers.advance(1_000)
+  const second = await cell.addPlacer()
+  t.equal((await cell.submit(frozen, 'late')).kind, 'unavailable')
+  await cell.untilState(second, 'nightly', 'done')
+  t.equal(await cell.stateOf(second, 'late'), 'notFound')
+  t.same(cell.violations(), [])
+})
+
+t.test('a start that was delayed in the network beyond a takeover does not run a task twice', async t => {
+  const cell = new JobCell({ cfg: SHORT })
+  const first = await cell.addPlacer()
+  for (const worker of cell.workers) worker.faults.startDelayMs = 2_500
+  await cell.submit(first, 'nightly', { count: 6, runMs: 3_000 })
+  await cell.timers.advance(500)
+  cell.kill(first)
+  for (const worker of cell.workers) worker.faults.startDelayMs = 0
+  const second = await cell.addPlacer()
+  await cell.untilState(second, 'nightly', 'done')
+  t.same(cell.violations(), [])
+  t.equal(cell.runs.length, 6)
+})
+
+t.test('tasks at a worker that does not answer the new placer run elsewhere only after their leases have ended', async t => {
+  const cell = new JobCell({ cfg: SHORT })
+  const first = await cell.addPlacer()
+  await cell.submit(first, 'long', { count: 9, runMs: 120_000 })
+  await cell.timers.advance(1_000)
+  const [cut] = cell.workers
+  const stranded = cell.runs.filter(run => run.worker === cut.vm.name)
+  cell.kill(first)
+  cut.faults.cut = true
+  await cell.addPlacer()
+  const takenMs = cell.timers.now()
+  await cell.timers.until(() => cell.runs.length === 9 + stranded.length)
+  const elsewhere = cell.runs.slice(9)
+  t.equal(stranded.length, 4)
+  t.ok(elsewhere.every(run => run.fromMs >= takenMs + LEASE_MS))
+  t.same(cell.violations(), [])
+})
+
+t.test('a worker that the list of VMs no longer has gives its tasks back at once', async t => {
+  const cell = new JobCell({ cfg: SHORT })
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'long', { count: 3, runMs: 60_000 })
+  await cell.timers.advance(1_000)
+  cell.workers[0].faults.cut = true
+  cell.workers[0].reset()
+  cell.vms = cell.vms.slice(1)
+  await cell.timers.advance(2_000)
+  t.equal(cell.runs.filter(run => run.worker === 'worker-1').length, 3)
+  t.same(cell.violations(), [])
+})
+
+t.test('a start whose answer was lost counts as running until a renewal tells', async t => {
+  const cell = new JobCell({ cfg: SHORT, workers: 2 })
+  const placer = await cell.addPlacer()
+  cell.workers[0].faults.loseAnswers = true
+  await cell.submit(placer, 'long', { count: 4, runMs: 20_000 })
+  await cell.timers.advance(4_000)
+  cell.workers[0].faults.loseAnswers = false
+  await cell.untilState(placer, 'long', 'done')
+  t.equal(cell.runs.length, 4)
+  t.same(cell.violations(), [])
+})
+
+t.test('at most once: a task whose worker was lost is told as unknown and not run again', async t => {
+  const cell = new JobCell({ cfg: SHORT })
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'reminders', { count: 6, runMs: 60_000, atMostOnce: true })
+  await cell.timers.advance(2_000)
+  t.equal(cell.runs.filter(run => run.worker === 'worker-0').length, 4)
+  cell.workers[0].reset()
+  await cell.untilState(placer, 'reminders', 'failed')
+  t.match(await placer.manager.getJob({ jobId: 'reminders' }), { job: { tasks: { unknown: 4, finished: 2 } } })
+  t.equal(cell.runs.length, 6)
+})
+
+t.test('at most once: after a takeover no task with an intent runs again', async t => {
+  const cell = new JobCell({ cfg: SHORT })
+  const first = await cell.addPlacer()
+  for (const worker of cell.workers) worker.faults.cut = true
+  await cell.submit(first, 'reminders', { count: 3, atMostOnce: true })
+  await cell.timers.advance(1_000)
+  cell.kill(first)
+  for (const worker of cell.workers) worker.faults.cut = false
+  const second = await cell.addPlacer()
+  await cell.untilState(second, 'reminders', 'failed')
+  t.match(await second.manager.getJob({ jobId: 'reminders' }), { job: { tasks: { unknown: 3, finished: 0 } } })
+  t.equal(cell.runs.length, 0)
+})
+
+for (const seed of [1, 2, 3, 4, 5, 6]) {
+  t.test(`random faults: tasks finish once, in one place, within capacity (seed ${seed})`, async t => {
+    const cell = new JobCell({ cfg: SHORT, workers: 4, seed })
+    const random = new SeededRandom(seed + 100)
+    let placer: EntryVm = await cell.addPlacer()
+    const accepted: string[] = []
+    const gangs = new Set<string>()
+    for (let step = 0; step < 40; step++) {
+      const jobId = `job-${step}`
+      const kind = random.int(4) === 0 ? 'gang' : 'batch'
+      const spec = { count: 1 + random.int(5), runMs: 500 + random.int(8_000), atMostOnce: random.int(5) === 0 }
+      const answer = await cell.submit(placer, jobId, { kind, ...spec })
+      if (kind === 'gang') gangs.add(jobId)
+      if (answer.kind === 'job') accepted.push(jobId)
+      const { faults } = cell.workers[random.int(4)]
+      Object.assign(faults, { cut: random.int(4) === 0, loseAnswers: random.int(4) === 0, startDelayMs: random.int(4) === 0 ? 2_500 : 0 })
+      placer.platform.faults.loseAnswers = random.int(6) === 0
+      if (random.int(8) === 0) cell.workers[random.int(4)].reset()
+      if (random.int(6) === 0) {
+        if (random.int(2) === 0) cell.kill(placer)
+        placer = await cell.addPlacer()
+      }
+      await cell.timers.advance(random.int(4_000))
+    }
+    for (const worker of cell.workers) Object.assign(worker.faults, { cut: false, loseAnswers: false, startDelayMs: 0 })
+    placer.platform.faults.loseAnswers = false
+    await cell.timers.advance(240_000)
+    t.same(cell.violations({ gangs }), [])
+    t.ok(accepted.length > 20, `${accepted.length} jobs were accepted`)
+    for (const jobId of accepted) t.match(await cell.stateOf(placer, jobId), /done|failed/, jobId)
+    const { jobs } = await placer.manager.listJobs()
+    const once = jobs.filter(job => job.spec.atMostOnce).map(job => job.jobId)
+    const repeated = once.filter(jobId => new Set(tasksOf(cell, jobId)).size !== tasksOf(cell, jobId).length)
+    t.same(repeated, [], 'at most once')
+    t.same(jobs.filter(job => job.state === 'failed' && !job.spec.atMostOnce), [])
+  })
+}
+
+function tasksOf (cell: JobCell, jobId: string): string[] {
+  return cell.runs.filter(run => run.task.startsWith(`${jobId}:`)).map(run => run.task)
+}
+
+t.test('a submission whose answer from the platform was lost is accepted once the commit is known', async t => {
+  const cell = new JobCell()
+  const placer = await cell.addPlacer()
+  placer.platform.faults.loseAnswers = true
+  const answer = placer.manager.submitJob({ jobId: 'nightly', digest: 'd', spec: specOf('nightly') })
+  t.equal((await cell.wait(answer)).kind, 'unavailable')
+  placer.platform.faults.loseAnswers = false
+  await cell.untilState(placer, 'nightly', 'done')
+  t.equal(cell.runs.length, 1)
+})
