--- a/packages/standins/src/workerModel.ts
+++ b/packages/standins/src/workerModel.ts
@@ -66,6 +66,9 @@
 /** Time from the start of a task until it fails, under the fault `failTasks`, in milliseconds. */
 const FAIL_AFTER_MS = 50
 
+/** Parts of a core or MB to which sums are rounded. */
+const ROUNDED_PARTS = 1_000_000
+
 /** Factor on the speed of a throttled task. */
 const THROTTLE_FACTOR = 0.5
 
@@ -261,12 +264,13 @@
   }
 }
 
+/** Sum of sizes, rounded so that errors of floating-point addition do not show as an overfilled worker. */
 function sum (sizes: Capacity[]): Capacity {
-  return sizes.reduce((total, size) => ({
-    cpus: total.cpus + size.cpus,
-    memoryMb: total.memoryMb + size.memoryMb,
-    accelerators: total.accelerators + size.accelerators
-  }), { cpus: 0, memoryMb: 0, accelerators: 0 })
+  const total = (kind: keyof Capacity): number => {
+    const exact = sizes.reduce((subtotal, size) => subtotal + size[kind], 0)
+    return Math.round(exact * ROUNDED_PARTS) / ROUNDED_PARTS
+  }
+  return { cpus: total('cpus'), memoryMb: total('memoryMb'), accelerators: total('accelerators') }
 }
 
 function largest (a: Capacity, b: Capacity): Capacity {
--- a/tests/edge/httpUpstreamClient.test.ts
+++ b/tests/edge/httpUpstreamClient.test.ts
@@ -135,8 +135,8 @@
   const result = await client.request(address, READING, SHORT_MS)
   t.ok(result.isErr && result.error instanceof CallTimeoutError && result.error.effect === 'unknown')
   const next = client.request(address, READING, LONG_MS)
-  sockets[0].write(OK_ANSWER.replace('fine', 'late'))
   while (sockets.length < 2) await new Promise(setImmediate)
+  sockets[0].write(OK_ANSWER.replace('fine', 'late'))
   sockets[1].write(OK_ANSWER)
   const answer = await next
   t.equal(answer.isOk && Buffer.from(answer.value.body).toString(), 'fine')
--- a/tests/standins/models.test.ts
+++ b/tests/standins/models.test.ts
@@ -74,6 +74,12 @@
   t.match(worker.record(), { overfilledStarts: 1, peakDeclared: { cpus: 12, memoryMb: 3_000, accelerators: 3 } })
 })
 
+t.test('fractions of cores that fill a worker exactly are not recorded as too much', async t => {
+  const { worker } = makeWorker({ capacity: { cpus: 0.3, memoryMb: 1, accelerators: 0 } })
+  worker.start(1, ['a', 'b', 'c'].map(taskId => task(taskId, { size: { cpus: 0.1, memoryMb: 0, accelerators: 0 } })))
+  t.match(worker.record(), { overfilledStarts: 0, peakDeclared: { cpus: 0.3 } })
+})
+
 t.test('a throttled task runs at half speed, and a checkpoint resumes where it was taken', async t => {
   const { timers, worker } = makeWorker()
   worker.start(1, [task('a', { runMs: 400, leaseMs: 10_000 })])
