Add the scenario language and 19 scenarios over real daemons in one process

Ruled out: cucumber's runner (its own process model and timers); the parser library and a lookup table of sentences are enough. HTTP inside scenarios (real I/O under a manual clock); the daemon's services are called directly.

--- a/packages/pomelofold/src/server/entryDaemon.ts
+++ b/packages/pomelofold/src/server/entryDaemon.ts
@@ -46,20 +46,22 @@
 
 /** All parts of an entry daemon. Construct, {@link start}, serve {@link app}, {@link shutdown}. */
 export class EntryDaemon {
+  /** The HTTP interface. */
   readonly app: Hono
+  /** Requests to services, for programs that use the library without HTTP. */
+  readonly requests: RequestService
+  readonly jobs: JobService
+  readonly manifest: ManifestKeeper
   private readonly _settings: DaemonSettings
   private readonly _parts: DaemonParts
   private readonly _claims: ClaimKeeper
-  private readonly _manifest: ManifestKeeper
   private readonly _peers: PeerTable
   private readonly _vms: VmDirectory
   private readonly _scheduler: RequestScheduler
   private readonly _router: RequestRouter
   private readonly _history: RequestHistory
   private readonly _keyed: KeyedRequests
-  private readonly _requests: RequestService
   private readonly _jobManager: JobManager
-  private readonly _jobs: JobService
   private readonly _metrics: Metrics
   private _leaving = false
   private _started = false
@@ -82,7 +84,7 @@
       cfg: { ...settings.claims, timeoutMs: settings.platform.timeoutMs },
       callPeerPromise: (peer, params, timeoutMs) => transport.call(peer, 'promise', params, timeoutMs)
     })
-    this._manifest = new ManifestKeeper({
+    this.manifest = new ManifestKeeper({
       timers,
       random,
       platform,
@@ -97,7 +99,7 @@
     this._history = new RequestHistory({ timers, vm })
     const committer = this._keyCommitter()
     this._keyed = new KeyedRequests({ timers, platform, log, vm, incarnation, committer, askRecorder: this._askRecorder })
-    this._requests = new RequestService({
+    this.requests = new RequestService({
       router: { route: req => this._router.submit(req) },
       keyed: this._keyed,
       history: this._history,
@@ -117,7 +119,7 @@
       vm,
       cfg: settings.tasks
     })
-    this._jobs = new JobService({
+    this.jobs = new JobService({
       vm, failureDomain, members: settings.peers, authority: this._claims, transport, platform, random, own: this._jobManager
     })
     this._vms = new VmDirectory({ timers, platform, log, periodMs: settings.platform.vmListPeriodMs, onList: vms => this._onVms(vms) })
@@ -128,15 +130,15 @@
       peers: others,
       failureDomain,
       heartbeatMs: settings.heartbeatMs,
-      own: () => ({ revision: this._manifest.current().revision, loads: this._scheduler.loads(), leaving: this._leaving }),
+      own: () => ({ revision: this.manifest.current().revision, loads: this._scheduler.loads(), leaving: this._leaving }),
       onHeartbeat: (peer, { revision, loads }) => this._onPeer(peer, revision, loads)
     })
-    this._manifest.onChange(current => this._onManifest(current))
+    this.manifest.onChange(current => this._onManifest(current))
     this._metrics = new Metrics({
       vm,
       requests: () => this._scheduler.figures(),
       claims: () => this._claims.figures(),
-      revision: () => this._manifest.current().revision
+      revision: () => this.manifest.current().revision
     })
     this.app = this._buildApp()
   }
@@ -148,7 +150,7 @@
     await transport.listen(this._handlers())
     this._claims.start()
     this._peers.start()
-    await this._manifest.start()
+    await this.manifest.start()
     await this._vms.start()
     this._jobManager.start()
     this._started = true
@@ -161,29 +163,34 @@
    */
   async shutdown (): Promise<void> {
     const { timers, transport, upstream, log } = this._parts
-    log.event('info', 'daemon.leaving', { inFlight: this._requests.inFlight })
+    log.event('info', 'daemon.leaving', { inFlight: this.requests.inFlight })
     const endMs = timers.now() + this._settings.shutdownMs
     this._leaving = true
     await Promise.race([this._scheduler.drain(), delay(timers, this._settings.shutdownMs)])
-    while (this._requests.inFlight > 0 && timers.now() < endMs) await delay(timers, SHUTDOWN_CHECK_MS)
+    while (this.requests.inFlight > 0 && timers.now() < endMs) await delay(timers, SHUTDOWN_CHECK_MS)
     await Promise.race([this._claims.handOverAll(), delay(timers, ASK_TIMEOUT_MS)])
     await this._jobManager.stop()
     this._peers.stop()
     this._vms.stop()
-    this._manifest.stop()
+    this.manifest.stop()
     await this._claims.stop()
     await transport.close()
     await upstream.close()
-    log.event('info', 'daemon.stopped', { inFlight: this._requests.inFlight })
+    log.event('info', 'daemon.stopped', { inFlight: this.requests.inFlight })
+  }
+
+  /** Whether this process holds the claim now. */
+  holds (claim: string): boolean {
+    return this._claims.epochOf(claim) !== undefined
   }
 
   private _handlers (): PeerHandlers {
     return {
       heartbeat: async ({ revision, loads }, from) => {
         this._onPeer(from.vm, revision, loads)
-        return { revision: this._manifest.current().revision, loads: this._scheduler.loads(), leaving: this._leaving }
+        return { revision: this.manifest.current().revision, loads: this._scheduler.loads(), leaving: this._leaving }
       },
-      fetchManifest: async () => this._manifest.current(),
+      fetchManifest: async () => this.manifest.current(),
       forwardRequest: this._router.forwardRequest,
       keyedOutcome: async ({ key, requestId }) => this._keyed.outcomeOf(key, requestId),
       promise: async (params, from) => this._claims.onPromiseRequest(params, from),
@@ -200,17 +207,17 @@
   private _buildApp (): Hono {
     const { random, log } = this._parts
     const { vm, http } = this._settings
-    const manifest = () => this._manifest.current().manifest
+    const manifest = () => this.manifest.current().manifest
     return httpApp({
       log,
       maxBodyBytes: http.maxBodyBytes,
       ready: () => this._readiness(),
       metrics: () => this._metrics.text(),
       routes: [
-        requestRoutes({ requests: this._requests, manifest, random, vm, maxBodyBytes: http.maxBodyBytes }),
-        jobRoutes({ jobs: this._jobs, manifest }),
+        requestRoutes({ requests: this.requests, manifest, random, vm, maxBodyBytes: http.maxBodyBytes }),
+        jobRoutes({ jobs: this.jobs, manifest }),
         operatorRoutes({
-          manifest: this._manifest,
+          manifest: this.manifest,
           status: () => this._status(),
           figures: () => this._allFigures(),
           drain: () => this._drain()
@@ -236,14 +243,14 @@
   }
 
   private _onPeer (vm: string, revision: number, loads: Parameters<RequestRouter['onPeerLoads']>[1]): void {
-    this._manifest.onPeerRevision(vm, revision)
+    this.manifest.onPeerRevision(vm, revision)
     this._router.onPeerLoads(vm, loads)
   }
 
   private _readiness (): { ready: boolean, reason?: string } {
     if (this._leaving) return { ready: false, reason: 'leaving' }
     if (!this._started) return { ready: false, reason: 'starting' }
-    return this._manifest.current().revision > 0 ? { ready: true } : { ready: false, reason: 'no manifest is in force' }
+    return this.manifest.current().revision > 0 ? { ready: true } : { ready: false, reason: 'no manifest is in force' }
   }
 
   private _status (): Record<string, unknown> {
@@ -253,9 +260,9 @@
       vm,
       failureDomain,
       leaving: this._leaving,
-      revision: this._manifest.current().revision,
+      revision: this.manifest.current().revision,
       claims: { ...this._claims.figures(), names: this._claims.held() },
-      inFlight: this._requests.inFlight,
+      inFlight: this.requests.inFlight,
       peers
     }
   }
@@ -290,7 +297,7 @@
   private _drain (): void {
     if (this._leaving) return
     this._leaving = true
-    this._parts.log.event('info', 'daemon.draining', { inFlight: this._requests.inFlight })
+    this._parts.log.event('info', 'daemon.draining', { inFlight: this.requests.inFlight })
     this._claims.handOverAll()
   }
 
--- a/packages/standins/src/instanceModel.ts
+++ b/packages/standins/src/instanceModel.ts
@@ -64,6 +64,7 @@
   private readonly _queue: Array<() => void> = []
   private readonly _runs: RequestRun[] = []
   private _running = 0
+  private _lost = false
   private _accepted = 0
   private _peakRunning = 0
   private _peakAccepted = 0
@@ -85,7 +86,13 @@
     this._giveSlot()
     if (this.faults.lateMs > 0) await delay(this._timers, this.faults.lateMs)
     this._accepted--
-    return this.faults.reset ? { kind: 'reset' } : { kind: 'answer', answer }
+    return this.faults.reset || this._lost ? { kind: 'reset' } : { kind: 'answer', answer }
+  }
+
+  /** The VM is lost: what runs ends now, and nobody is answered. */
+  lose (): void {
+    this._lost = true
+    for (const run of this._runs) run.endMs ??= this._timers.wallClock()
   }
 
   /** Requests that run now, and slots. */
--- /dev/null
+++ b/packages/standins/src/memoryPeers.ts
@@ -0,0 +1,88 @@
+/**
+ * The network between entry daemons in one process.
+ *
+ * @module
+ */
+
+import Result from 'true-myth/result'
+import { peerMethodSchemas, type PeerMethod, type PeerMethods } from 'pomelofold/protocol/peerMessages'
+import type { PeerHandlers, PeerIdentity, PeerTransport } from 'pomelofold/seams/peerTransport'
+import type { Timers } from 'pomelofold/seams/timers'
+import { CallError, CallTimeoutError, EFFECTS, errorText } from 'pomelofold/utils/errors'
+
+/** A process that can be called. */
+interface Endpoint {
+  identity: PeerIdentity
+  handlers: PeerHandlers
+  /** Clock of the process: its callbacks wait while it is frozen. */
+  timers: Timers
+  refuses: () => boolean
+}
+
+/** Options of a {@link PeerNetwork}. */
+export interface PeerNetworkOptions {
+  /** Clock of the network. */
+  timers: Timers
+  /** Time one way between two failure domains, in milliseconds. */
+  delayMs: (from: string, to: string) => number
+  /** Whether nothing passes between two failure domains. */
+  isCut: (from: string, to: string) => boolean
+}
+
+/** Carries calls between processes. Values are copied and checked as on the wire. */
+export class PeerNetwork {
+  private readonly _options: PeerNetworkOptions
+  private readonly _endpoints = new Map<string, Endpoint>()
+
+  constructor (options: PeerNetworkOptions) {
+    this._options = options
+  }
+
+  /** The transport of one process. `refuses` tells that the process is gone, so that connections to it are refused. */
+  transport (identity: PeerIdentity, timers: Timers, refuses: () => boolean): PeerTransport {
+    return {
+      call: (vm, method, params, timeoutMs) => this._call(identity, timers, vm, method, params, timeoutMs),
+      listen: async handlers => { this._endpoints.set(identity.vm, { identity, handlers, timers, refuses }) },
+      close: async () => { this._endpoints.delete(identity.vm) }
+    }
+  }
+
+  private _call<M extends PeerMethod> (
+    from: PeerIdentity, timers: Timers, vm: string, method: M, params: PeerMethods[M]['params'], timeoutMs: number
+  ): Promise<Result<PeerMethods[M]['result'], CallError>> {
+    const target = this._endpoints.get(vm)
+    const details = { step: `peer.${method}`, peer: vm, effect: EFFECTS.unknown }
+    if (!target || target.refuses()) return Promise.resolve(Result.err(new CallError('connection refused', { ...details, effect: EFFECTS.none })))
+    return new Promise(resolve => {
+      timers.after(timeoutMs, () => resolve(Result.err(new CallTimeoutError(timeoutMs, details))))
+      const message = structuredClone(params)
+      this._send(from, target.identity, target.timers, async () => {
+        const result = await this._serve(target, method, message, from)
+        this._send(target.identity, from, timers, () => { resolve(result.mapErr(text => new CallError(text, details))) })
+      })
+    })
+  }
+
+  /** Runs `fn` at the receiver after the way there, unless the way is cut at the start or at the end of it. */
+  private _send (from: PeerIdentity, to: PeerIdentity, receiver: Timers, fn: () => void): void {
+    const { timers, delayMs, isCut } = this._options
+    const [here, there] = [from.failureDomain, to.failureDomain]
+    if (isCut(here, there)) return
+    timers.after(delayMs(here, there), () => {
+      if (!isCut(here, there)) receiver.after(0, fn)
+    })
+  }
+
+  private async _serve<M extends PeerMethod> ({ handlers }: Endpoint, method: M, message: unknown, from: PeerIdentity):
+  Promise<Result<PeerMethods[M]['result'], string>> {
+    const handler = handlers[method]
+    if (!handler) return Result.err('method is not served')
+    try {
+      const params = peerMethodSchemas[method].params.parse(message) as PeerMethods[M]['params']
+      const result = await handler(params, from)
+      return Result.ok(peerMethodSchemas[method].result.parse(structuredClone(result)) as PeerMethods[M]['result'])
+    } catch (err) {
+      return Result.err(errorText(err))
+    }
+  }
+}
--- a/tests/claims/processTimers.ts
+++ b/packages/standins/src/processTimers.ts
@@ -14,7 +14,7 @@
   private _frozen = false
   private _killed = false
 
-  constructor ({ timers, beforeCallback }: { timers: Timers, beforeCallback: () => void }) {
+  constructor ({ timers, beforeCallback = () => {} }: { timers: Timers, beforeCallback?: () => void }) {
     this._timers = timers
     this._beforeCallback = beforeCallback
   }
@@ -65,3 +65,23 @@
     fn()
   }
 }
+
+/**
+ * A client as a process sees it whose messages travel on by themselves: calls go out at once, but answers
+ * are taken in only while the process runs. What was sent before a kill still arrives.
+ */
+export function gatedBy<T extends object> (timers: Timers, client: T): T {
+  return new Proxy(client, {
+    get (target, name) {
+      const member = Reflect.get(target, name)
+      if (typeof member !== 'function') return member
+      return (...args: unknown[]) => {
+        const result = member.apply(target, args)
+        if (!(result instanceof Promise)) return result
+        return new Promise((resolve, reject) => {
+          result.then(value => timers.after(0, () => resolve(value)), err => timers.after(0, () => reject(err)))
+        })
+      }
+    }
+  })
+}
--- a/packages/standins/src/workerModel.ts
+++ b/packages/standins/src/workerModel.ts
@@ -135,6 +135,11 @@
     return Result.ok(true)
   }
 
+  /** The VM is lost: every task ends now. */
+  lose (): void {
+    for (const task of this._runningTasks()) this._end(task, WORKER_TASK_STATES.stopped, 'the VM was lost')
+  }
+
   /** Stops all timers. Tasks stay as they are. */
   close (): void {
     for (const task of this._tasks.values()) {
--- a/tests/claims/claimDomain.ts
+++ b/tests/claims/claimDomain.ts
@@ -12,7 +12,7 @@
 import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import { MemoryPlatform } from '@pomelofold/standins/memoryPlatform'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
-import { ProcessTimers } from './processTimers.js'
+import { ProcessTimers } from '@pomelofold/standins/processTimers'
 
 /** One entry VM. */
 export interface Daemon {
--- /dev/null
+++ b/tests/scenarios/configuration.test.ts
@@ -0,0 +1,3 @@
+import { runFeature } from './runFeature.js'
+
+runFeature('configuration.feature')
--- /dev/null
+++ b/tests/scenarios/invariants.ts
@@ -0,0 +1,81 @@
+/**
+ * What must always hold, checked against the stand-ins' own records and the callers' own notes.
+ *
+ * @module
+ */
+
+import { checkRecords } from '../../utils/cell/checkRecords.js'
+import type { ScenarioCell } from './scenarioCell.js'
+import { digestOf, type Workload } from './workload.js'
+
+/** Time after the list's word from which a leaving upstream gets nothing new, in milliseconds. */
+const LEAVING_BOUND_MS = 3_000
+
+/** Everything that a check reads. */
+export interface Evidence {
+  cell: ScenarioCell
+  workload: Workload
+}
+
+/** Checks by name. Each returns the violations that it finds. */
+export const INVARIANTS: Record<string, (evidence: Evidence) => string[]> = {
+  'no VM is overfull and no task is in two places': ({ cell }) =>
+    checkRecords([...cell.instances.values()].map(model => model.record()), [...cell.workers.values()].map(model => model.record())),
+
+  'what was answered not-run did not run': ({ cell, workload }) => {
+    const times = timesRun(cell)
+    return workload.calls.filter(call => call.outcome === 'not-run' && times.has(call.requestId))
+      .map(call => `${call.requestId} through ${call.vm} ran, but was answered not-run: ${call.answer?.detail}`)
+  },
+
+  'a keyed request runs at most once': ({ cell, workload }) => {
+    const times = timesRun(cell)
+    const byKey = new Map<string, number>()
+    for (const { key, requestId } of workload.calls) {
+      if (key !== undefined) byKey.set(key, (byKey.get(key) ?? 0) + (times.get(requestId) ?? 0))
+    }
+    return [...byKey].filter(([, count]) => count > 1).map(([key, count]) => `${key} ran ${count} times`)
+  },
+
+  'every caller gets the whole answer to its own request': ({ workload }) =>
+    workload.calls.filter(call => call.outcome === 'ran' && call.answer?.status === 200)
+      .filter(call => (JSON.parse(Buffer.from(call.answer!.body).toString()) as { digest: string }).digest !== digestOf(call.body))
+      .map(call => `${call.requestId} got another's answer`),
+
+  'an upstream that is leaving gets nothing new': ({ cell }) =>
+    [...cell.leavingSinceMs].flatMap(([vm, sinceMs]) => {
+      const runs = cell.instances.get(vm)?.record().runs ?? cell.workers.get(vm)?.record().runs ?? []
+      return runs.filter(run => run.startMs > sinceMs + LEAVING_BOUND_MS).map(run => `${vm} was given work ${run.startMs - sinceMs} ms after it was listed as leaving`)
+    }),
+
+  'the manifest in force never goes back': ({ cell }) =>
+    [...cell.revisionsByVm()].filter(([, revisions]) => revisions.some((revision, i) => i > 0 && revision < revisions[i - 1]))
+      .map(([vm, revisions]) => `${vm} had the revisions ${revisions.join(', ')} in force`),
+
+  'a task is done once': ({ cell, workload }) => {
+    const finished = new Map<string, string[]>()
+    for (const [vm, model] of cell.workers) {
+      for (const run of model.record().runs) {
+        const task = run.taskId.split(':').slice(0, 2).join(':')
+        if (run.end === 'finished') finished.set(task, [...finished.get(task) ?? [], vm])
+      }
+    }
+    const gangs = new Set(workload.jobs.filter(job => job.spec.kind === 'gang').map(job => job.jobId))
+    return [...finished].filter(([task, vms]) => vms.length > 1 && !gangs.has(task.split(':')[0]) && !vms.some(vm => cell.lostVms.has(vm)))
+      .map(([task, vms]) => `${task} finished at ${vms.join(' and ')}`)
+  }
+}
+
+/** How often each request ran, by request id. */
+export function timesRun (cell: ScenarioCell): Map<string, number> {
+  const times = new Map<string, number>()
+  for (const model of cell.instances.values()) {
+    for (const { requestId } of model.record().runs) times.set(requestId, (times.get(requestId) ?? 0) + 1)
+  }
+  return times
+}
+
+/** All violations found, each with the name of what does not hold. */
+export function violations (evidence: Evidence): string[] {
+  return Object.entries(INVARIANTS).flatMap(([name, check]) => check(evidence).map(found => `${name}: ${found}`))
+}
--- /dev/null
+++ b/tests/scenarios/scenarioCell.ts
@@ -0,0 +1,225 @@
+/**
+ * A whole cell in one process: real entry daemons on a manual clock, between in-memory stand-ins.
+ *
+ * @module
+ */
+
+import { EntryDaemon } from 'pomelofold/server/entryDaemon'
+import { CLAIMS } from 'pomelofold/seams/authority'
+import { daemonSettingsSchema, type DaemonSettings } from 'pomelofold/settings/daemonSettings'
+import type { VmRecord } from 'pomelofold/protocol/vms'
+import { SILENT_LOG } from 'pomelofold/utils/eventLog'
+import { InstanceModel } from '@pomelofold/standins/instanceModel'
+import { KeyValueStore } from '@pomelofold/standins/keyValueStore'
+import { ManualTimers } from '@pomelofold/standins/manualTimers'
+import { PeerNetwork } from '@pomelofold/standins/memoryPeers'
+import { MemoryPlatform, type PlatformFaults } from '@pomelofold/standins/memoryPlatform'
+import { MemoryUpstreams } from '@pomelofold/standins/memoryUpstreams'
+import { gatedBy, ProcessTimers } from '@pomelofold/standins/processTimers'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import { WorkerModel } from '@pomelofold/standins/workerModel'
+
+/** Time until a change shows in the platform's list of VMs, in milliseconds. */
+const VM_LIST_LAG_MS = 2_000
+
+/** Time one way within a failure domain and between two, in milliseconds. */
+const NEAR_MS = 0.3
+const FAR_MS = 1.5
+
+/** Options of a {@link ScenarioCell}. */
+export interface ScenarioCellOptions {
+  domains?: string[]
+  entriesPerDomain?: number
+  instancesPerDomain?: number
+  workersPerDomain?: number
+  seed?: number
+}
+
+/** A process on an entry VM. */
+export interface EntryProcess {
+  vm: string
+  failureDomain: string
+  daemon: EntryDaemon
+  timers: ProcessTimers
+  platform: MemoryPlatform
+  /** True from a kill or a finished shutdown on. */
+  gone: boolean
+  /** Revisions of the manifest that were in force here, in their order. */
+  revisions: number[]
+}
+
+/** A cell under test. */
+export class ScenarioCell {
+  readonly clock = new ManualTimers()
+  readonly store = new KeyValueStore({ timers: this.clock })
+  readonly processes = new Map<string, EntryProcess>()
+  readonly instances = new Map<string, InstanceModel>()
+  readonly workers = new Map<string, WorkerModel>()
+  /** Wall-clock moment at which a VM was first listed as leaving. */
+  readonly leavingSinceMs = new Map<string, number>()
+  readonly lostVms = new Set<string>()
+  readonly random: SeededRandom
+  private readonly _models = { instances: new Map<string, InstanceModel>(), workers: new Map<string, WorkerModel>() }
+  private readonly _peers: DaemonSettings['peers']
+  private readonly _cuts = new Set<string>()
+  private readonly _platformFaults = new Map<string, Partial<PlatformFaults>>()
+  private readonly _network: PeerNetwork
+  private readonly _seed: number
+  private _vms: VmRecord[] = []
+  private _starts = 0
+  private readonly _ended: EntryProcess[] = []
+
+  constructor ({ domains = ['a', 'b', 'c'], entriesPerDomain = 2, instancesPerDomain = 2, workersPerDomain = 2, seed = 1 }: ScenarioCellOptions = {}) {
+    this._seed = seed
+    this.random = new SeededRandom(seed)
+    this._network = new PeerNetwork({
+      timers: this.clock,
+      delayMs: (from, to) => from === to ? NEAR_MS : FAR_MS,
+      isCut: (from, to) => this._cuts.has(`${from}|${to}`)
+    })
+    this._peers = domains.flatMap(failureDomain => numbers(entriesPerDomain).map(i =>
+      ({ vm: `${failureDomain}${i}`, failureDomain, address: '127.0.0.1:1', size: 1 })))
+    for (const failureDomain of domains) {
+      for (const i of numbers(instancesPerDomain)) this._addInstance(`instance-${failureDomain}${i}`, failureDomain, i)
+      for (const i of numbers(workersPerDomain)) this._addWorker(`worker-${failureDomain}${i}`, failureDomain, i)
+    }
+    for (const { vm, failureDomain } of this._peers) this._vms.push({ name: vm, kind: 'entry', state: 'live', failureDomain, rack: '', address: vm })
+  }
+
+  get entryVms (): string[] {
+    return this._peers.map(peer => peer.vm)
+  }
+
+  get domains (): string[] {
+    return [...new Set(this._peers.map(peer => peer.failureDomain))]
+  }
+
+  /** Starts a process on an entry VM; one that runs is killed first. */
+  start (vm: string): EntryProcess {
+    const earlier = this.processes.get(vm)
+    if (earlier) this._ended.push(earlier)
+    this.kill(vm)
+    const { failureDomain } = this._peers.find(peer => peer.vm === vm)!
+    const incarnation = `${vm}-${++this._starts}`
+    const timers = new ProcessTimers({ timers: this.clock })
+    const random = new SeededRandom(this._seed * 1_000 + this._starts)
+    const platform = new MemoryPlatform({ store: this.store, timers: this.clock, vms: () => this._vms })
+    const process = { vm, failureDomain, timers, platform, gone: false, revisions: [] } as unknown as EntryProcess
+    const settings = daemonSettingsSchema.parse({ vm, failureDomain, http: { address: '127.0.0.1:1' }, peers: this._peers, platform: { address: '127.0.0.1:1' } })
+    process.daemon = new EntryDaemon(settings, {
+      timers,
+      random,
+      platform: gatedBy(timers, platform),
+      upstream: gatedBy(timers, new MemoryUpstreams({ timers: this.clock, models: this._models })),
+      transport: this._network.transport({ vm, failureDomain, incarnation }, timers, () => process.gone),
+      log: SILENT_LOG,
+      incarnation
+    })
+    process.daemon.manifest.onChange(({ revision }) => process.revisions.push(revision))
+    this.processes.set(vm, process)
+    this._applyFaults(process)
+    process.daemon.start()
+    return process
+  }
+
+  /** Starts all entry VMs and waits until every upstream's claims are held. */
+  async startAll (): Promise<void> {
+    for (const vm of this.entryVms) this.start(vm)
+    await this.clock.until(() => this.domains.every(domain => this.placerOf(domain) !== undefined))
+    await this.clock.advance(2_000)
+  }
+
+  kill (vm: string): void {
+    const process = this.processes.get(vm)
+    if (!process || process.gone) return
+    process.gone = true
+    process.timers.kill()
+  }
+
+  /** Ends a process gracefully. Resolves when it has ended. */
+  async shutdown (vm: string): Promise<void> {
+    const process = this.processes.get(vm)!
+    await process.daemon.shutdown()
+    process.gone = true
+    process.timers.kill()
+  }
+
+  /** Revisions of the manifest that were in force at each entry VM, over all processes that ran there. */
+  revisionsByVm (): Map<string, number[]> {
+    const revisions = new Map<string, number[]>()
+    for (const process of [...this._ended, ...this.processes.values()]) {
+      revisions.set(process.vm, [...revisions.get(process.vm) ?? [], ...process.revisions])
+    }
+    return revisions
+  }
+
+  /** The entry VM that holds the placer claim of a failure domain now, by its own belief. */
+  placerOf (domain: string): string | undefined {
+    return this.running().find(({ failureDomain, daemon }) => failureDomain === domain && daemon.holds(CLAIMS.placer(domain)))?.vm
+  }
+
+  /** Processes that are neither gone nor frozen. */
+  running (): EntryProcess[] {
+    return [...this.processes.values()].filter(process => !process.gone && process.timers.isRunning())
+  }
+
+  /** Cuts or mends all links between two groups of failure domains. */
+  setCut (from: string[], to: string[], cut: boolean): void {
+    for (const a of from) {
+      for (const b of to.filter(b => b !== a)) {
+        for (const pair of [`${a}|${b}`, `${b}|${a}`]) cut ? this._cuts.add(pair) : this._cuts.delete(pair)
+      }
+    }
+  }
+
+  /** Sets faults of the platform as seen from some failure domains, also for processes started later. */
+  setPlatformFaults (domains: string[], faults: Partial<PlatformFaults>): void {
+    for (const domain of domains) this._platformFaults.set(domain, { ...this._platformFaults.get(domain), ...faults })
+    for (const process of this.processes.values()) this._applyFaults(process)
+  }
+
+  /** Marks a VM as leaving in the platform's list, after its lag. */
+  leave (name: string): void {
+    this.clock.after(VM_LIST_LAG_MS, () => {
+      this.leavingSinceMs.set(name, this.clock.wallClock())
+      this._vms = this._vms.map(vm => vm.name === name ? { ...vm, state: 'leaving' } : vm)
+    })
+  }
+
+  /** Loses a VM with all that runs on it. The platform's list follows after its lag. */
+  lose (name: string): void {
+    this.kill(name)
+    this.lostVms.add(name)
+    this._models.instances.delete(name)
+    this._models.workers.delete(name)
+    this.workers.get(name)?.lose()
+    this.instances.get(name)?.lose()
+    this.clock.after(VM_LIST_LAG_MS, () => { this._vms = this._vms.filter(vm => vm.name !== name) })
+  }
+
+  private _addInstance (name: string, failureDomain: string, i: number): void {
+    const random = new SeededRandom(this._seed * 100 + this.instances.size)
+    const model = new InstanceModel({ timers: this.clock, random, vm: name, speed: i })
+    this.instances.set(name, model)
+    this._models.instances.set(name, model)
+    this._vms.push({ name, kind: 'instance', state: 'live', failureDomain, rack: `${failureDomain}-r${i}`, address: name, service: 'readings', slots: 8, connections: 64 })
+  }
+
+  private _addWorker (name: string, failureDomain: string, i: number): void {
+    const capacity = { cpus: 16, memoryMb: 32_000, accelerators: i === 1 ? 2 : 0 }
+    const rack = `${failureDomain}-r${i}`
+    const random = new SeededRandom(this._seed * 200 + this.workers.size)
+    const model = new WorkerModel({ timers: this.clock, random, vm: name, rack, capacity })
+    this.workers.set(name, model)
+    this._models.workers.set(name, model)
+    this._vms.push({ name, kind: 'worker', state: 'live', failureDomain, rack, address: name, capacity })
+  }
+
+  private _applyFaults ({ failureDomain, platform }: EntryProcess): void {
+    Object.assign(platform.faults, this._platformFaults.get(failureDomain))
+  }
+}
+
+function numbers (count: number): number[] {
+  return Array.from({ length: count }, (_, i) => i + 1)
+}
--- /dev/null
+++ b/tests/scenarios/steps.ts
@@ -0,0 +1,196 @@
+/**
+ * The scenario language: sentences and what they do. To add one, add an entry to {@link STEPS}.
+ *
+ * @module
+ */
+
+import { manifestSchema } from 'pomelofold/protocol/manifest'
+import type { RequestClass } from 'pomelofold/protocol/requests'
+import { violations } from './invariants.js'
+import { ScenarioCell } from './scenarioCell.js'
+import { Workload } from './workload.js'
+
+/** What the steps of one scenario share. */
+export interface World {
+  seed: number
+  cell: ScenarioCell
+  workload: Workload
+  submissions: string[]
+  shutdowns: Array<Promise<void>>
+}
+
+type StepHandler = (world: World, ...args: string[]) => Promise<void> | void
+
+/** Time for requests in flight and takeovers to come to an end, in milliseconds. */
+const SETTLE_MS = 30_000
+
+/** Time for the leases of tasks to come to an end, in milliseconds. */
+const TASKS_SETTLE_MS = 300_000
+
+/** Longest wait for accepted jobs to be done, in milliseconds. */
+const JOBS_DONE_MS = 900_000
+
+const MANIFEST = manifestSchema.parse({
+  format: 1,
+  services: [{ name: 'readings', expectedMs: 20 }],
+  teams: [{ name: 'gardeners', quota: { cpus: 10_000, memoryMb: 10_000_000, accelerators: 100 } }]
+})
+
+/** Fails a step with what was found. */
+function expect (holds: boolean, found: string): void {
+  if (!holds) throw new Error(found)
+}
+
+function others (world: World, domain: string): string[] {
+  return world.cell.domains.filter(name => name !== domain)
+}
+
+async function submitManifest (world: World, vm: string, baseRevision: number, extra: string[] = []): Promise<void> {
+  const manifest = { ...MANIFEST, services: [...MANIFEST.services, ...extra.map(name => ({ ...MANIFEST.services[0], name }))] }
+  const submitted = await world.cell.processes.get(vm)!.daemon.manifest.submit(manifest, baseRevision)
+  world.submissions.push(submitted.isOk ? submitted.value.kind : 'failed')
+}
+
+function submitJobs (world: World, count: number, kind: 'batch' | 'gang', tasks: number, cpus: number, seconds: number): void {
+  for (let i = 0; i < count; i++) {
+    world.workload.submitJob({
+      name: `${kind}-${i}`,
+      kind,
+      team: 'gardeners',
+      tasks: [{ count: tasks, size: { cpus, memoryMb: 1_000 }, expectedMs: seconds * 1_000 }]
+    })
+  }
+}
+
+/** Share of the calls of one failure domain that ran, of those sent between two moments. */
+function shareThatRan (world: World, domain: string, sinceMs: number): number {
+  const calls = world.workload.calls.filter(call => call.failureDomain === domain && call.sentAtMs >= sinceMs)
+  return calls.length === 0 ? 0 : calls.filter(call => call.outcome === 'ran').length / calls.length
+}
+
+/** Sentences of the scenario language with their handlers. */
+export const STEPS: Array<[RegExp, StepHandler]> = [
+  [/^a cell of (\d+) failure domains? with (\d+) entry VMs?, (\d+) service instances? and (\d+) workers? each$/, async (world, domains, entries, instances, workers) => {
+    world.cell = new ScenarioCell({
+      seed: world.seed,
+      domains: ['a', 'b', 'c', 'd'].slice(0, Number(domains)),
+      entriesPerDomain: Number(entries),
+      instancesPerDomain: Number(instances),
+      workersPerDomain: Number(workers)
+    })
+    world.workload = new Workload(world.cell)
+    await world.cell.startAll()
+    await Promise.all([submitManifest(world, 'a1', 0), world.cell.clock.advance(20_000)])
+    world.submissions = []
+  }],
+  [/^(\d+) (urgent|normal|batch) requests come in within (\d+) seconds?$/, (world, count, cls, seconds) =>
+    world.workload.sendRequests(Number(count), Number(seconds), { class: cls as RequestClass })],
+  [/^(\d+) requests come in through failure domain "(\w+)" within (\d+) seconds?$/, (world, count, domain, seconds) =>
+    world.workload.sendRequests(Number(count), Number(seconds), { domain })],
+  [/^(\d+) keyed requests come in within (\d+) seconds?, each through (\d+) entry VMs?$/, (world, count, seconds, copies) =>
+    world.workload.sendRequests(Number(count), Number(seconds), { copies: Number(copies), keyed: true })],
+  [/^(\d+) (batch|gang) jobs? of (\d+) tasks? with (\d+) cpus for (\d+) seconds? comes? in$/, (world, count, kind, tasks, cpus, seconds) =>
+    submitJobs(world, Number(count), kind as 'batch' | 'gang', Number(tasks), Number(cpus), Number(seconds))],
+  [/^every second job is cancelled$/, world => world.workload.jobs.forEach((job, i) => { if (i % 2 === 1) world.workload.cancelJob(job) })],
+
+  [/^entry VM "(\w+)" is killed$/, (world, vm) => world.cell.kill(vm)],
+  [/^entry VM "(\w+)" is frozen$/, (world, vm) => world.cell.processes.get(vm)!.timers.freeze()],
+  [/^entry VM "(\w+)" wakes up$/, (world, vm) => world.cell.processes.get(vm)!.timers.thaw()],
+  [/^entry VM "(\w+)" is lost$/, (world, vm) => world.cell.lose(vm)],
+  [/^entry VM "(\w+)" is restarted$/, (world, vm) => { world.cell.start(vm) }],
+  [/^entry VM "(\w+)" shuts down gracefully$/, (world, vm) => { world.shutdowns.push(world.cell.shutdown(vm)) }],
+  [/^the placer of failure domain "(\w+)" is (killed|frozen)$/, (world, domain, how) => {
+    const vm = world.cell.placerOf(domain)
+    expect(vm !== undefined, `failure domain ${domain} has no placer`)
+    if (how === 'killed') world.cell.kill(vm!)
+    else world.cell.processes.get(vm!)!.timers.freeze()
+  }],
+  [/^every entry VM is killed$/, world => world.cell.entryVms.forEach(vm => world.cell.kill(vm))],
+  [/^every entry VM is restarted$/, world => world.cell.entryVms.forEach(vm => { world.cell.start(vm) })],
+  [/^every frozen entry VM wakes up$/, world => world.cell.processes.forEach(process => process.timers.thaw())],
+
+  [/^failure domain "(\w+)" is cut off from the other failure domains$/, (world, domain) => world.cell.setCut([domain], others(world, domain), true)],
+  [/^failure domain "(\w+)" is cut off from the platform$/, (world, domain) => world.cell.setPlatformFaults([domain], { cut: true })],
+  [/^the platform is out$/, world => world.cell.setPlatformFaults(world.cell.domains, { cut: true })],
+  [/^the platform is slow by (\d+) milliseconds$/, (world, ms) => world.cell.setPlatformFaults(world.cell.domains, { delayMs: Number(ms) })],
+  [/^the platform loses its answers$/, world => world.cell.setPlatformFaults(world.cell.domains, { loseAnswers: true })],
+  [/^the platform is well again$/, world => world.cell.setPlatformFaults(world.cell.domains, { cut: false, loseAnswers: false, delayMs: 1 })],
+  [/^all cuts are mended$/, world => {
+    world.cell.setCut(world.cell.domains, world.cell.domains, false)
+    world.cell.setPlatformFaults(world.cell.domains, { cut: false })
+  }],
+
+  [/^(?:worker|service instance) "([\w-]+)" is lost$/, (world, name) => world.cell.lose(name)],
+  [/^(?:worker|service instance) "([\w-]+)" is listed as leaving$/, (world, name) => world.cell.leave(name)],
+  [/^worker "([\w-]+)" fails every task$/, (world, name) => { world.cell.workers.get(name)!.faults.failTasks = true }],
+  [/^service instance "([\w-]+)" fails every request$/, (world, name) => { world.cell.instances.get(name)!.faults.fail = true }],
+  [/^service instance "([\w-]+)" answers (\d+) milliseconds late$/, (world, name, ms) => { world.cell.instances.get(name)!.faults.lateMs = Number(ms) }],
+  [/^service instance "([\w-]+)" cuts off its answers$/, (world, name) => { world.cell.instances.get(name)!.faults.reset = true }],
+
+  [/^(\d+) operators submit changes against the same revision at once$/, async (world, count) => {
+    const { revision } = world.cell.running()[0].daemon.manifest.current()
+    const vms = world.cell.running().map(process => process.vm)
+    const submissions = Array.from({ length: Number(count) }, (_, i) => submitManifest(world, vms[i % vms.length], revision, [`extra-${i}`]))
+    await Promise.all([...submissions, world.cell.clock.advance(5_000)])
+  }],
+  [/^an operator submits a change through entry VM "(\w+)"$/, async (world, vm) => {
+    const { revision } = world.cell.processes.get(vm)!.daemon.manifest.current()
+    await Promise.all([submitManifest(world, vm, revision, ['extra']), world.cell.clock.advance(5_000)])
+  }],
+
+  [/^(\d+) seconds? pass(?:es)?$/, (world, seconds) => world.cell.clock.advance(Number(seconds) * 1_000)],
+
+  [/^what must always hold has held$/, async world => {
+    await world.cell.clock.advance(world.workload.jobs.length > 0 ? TASKS_SETTLE_MS : SETTLE_MS)
+    await Promise.all(world.shutdowns)
+    const found = violations(world)
+    expect(found.length === 0, `${found.length} violations: ${found.slice(0, 10).join('; ')}`)
+  }],
+  [/^every request was answered$/, world => {
+    const lost = world.workload.calls.filter(call => call.outcome === undefined || call.outcome === 'lost')
+    expect(lost.length === 0, `${lost.length} of ${world.workload.calls.length} requests were not answered, such as ${lost[0]?.requestId} through ${lost[0]?.vm}`)
+  }],
+  [/^at least (\d+) percent of the requests through failure domain "(\w+)" ran$/, (world, percent, domain) => {
+    const share = shareThatRan(world, domain, 0)
+    expect(share * 100 >= Number(percent), `${(share * 100).toFixed(1)} percent ran`)
+  }],
+  [/^at least (\d+) percent of the requests ran$/, (world, percent) => {
+    const { calls } = world.workload
+    const all = new Set(calls.map(call => call.key ?? call.requestId))
+    const ran = new Set(calls.filter(call => call.outcome === 'ran').map(call => call.key ?? call.requestId))
+    expect(ran.size * 100 >= Number(percent) * all.size, `${ran.size} of ${all.size} requests ran`)
+  }],
+  [/^every accepted job is done$/, async world => {
+    await world.cell.clock.until(() => unfinished(world).length === 0, { limitMs: JOBS_DONE_MS, stepMs: 1_000 })
+      .catch(() => expect(false, `not done: ${unfinished(world).join('; ')}`))
+  }],
+  [/^every job that was not cancelled is done$/, async world => {
+    await world.cell.clock.until(() => unfinished(world).length === 0, { limitMs: JOBS_DONE_MS, stepMs: 1_000 })
+      .catch(() => expect(false, `not done: ${unfinished(world).join('; ')}`))
+  }],
+  [/^one operator has won and the others were told of a conflict$/, world => {
+    const won = world.submissions.filter(kind => kind === 'accepted').length
+    const conflicts = world.submissions.filter(kind => kind === 'conflict').length
+    expect(won === 1 && conflicts === world.submissions.length - 1, `the operators were told: ${world.submissions.join(', ')}`)
+  }],
+  [/^the same revision is in force at every running entry VM$/, world => {
+    const revisions = world.cell.running().map(({ vm, daemon }) => `${vm}:${daemon.manifest.current().revision}`)
+    expect(new Set(revisions.map(text => text.split(':')[1])).size === 1, revisions.join(' '))
+  }]
+]
+
+/** Jobs that their callers wait for, with how many of their tasks have finished, by the workers' records. */
+function unfinished ({ cell, workload }: World): string[] {
+  const finished = new Map<string, Set<string>>()
+  for (const model of cell.workers.values()) {
+    for (const run of model.record().runs.filter(run => run.end === 'finished')) {
+      const [jobId, index] = run.taskId.split(':')
+      finished.set(jobId, (finished.get(jobId) ?? new Set()).add(index))
+    }
+  }
+  return workload.jobs.filter(job => !job.cancelled && job.refused === undefined).flatMap(job => {
+    const total = job.spec.tasks.reduce((sum, group) => sum + group.count, 0)
+    const done = finished.get(job.jobId ?? '')?.size ?? 0
+    return done === total ? [] : [`${job.jobId ?? 'a job that was never accepted'} ${done}/${total}`]
+  })
+}
