Refuse to send a call after its deadline, also after a pause of the process

Cause: after a pause the runtime handles ready sockets before due timers, so a connection that became ready during the pause would still have carried a call whose deadline had passed. The clock is now read right before the write; the call then ends with the effect 'none'.

A worker's list of tasks may be 16 MB: with the limit of 1 MB of other answers, a worker with some thousand ended tasks could never have been acknowledged.

A new test sends 400 calls with shuffled deadlines to an instance that resets half of the time, and compares every effect with the instance's own record.

Ruled out: relying on the order of timers and sockets in the event loop.

--- a/packages/pomelofold/src/edge/httpCaller.ts
+++ b/packages/pomelofold/src/edge/httpCaller.ts
@@ -33,6 +33,8 @@
   headers?: Record<string, string>
   body?: Uint8Array | string
   timeoutMs: number
+  /** Largest answer body, in bytes. The client's limit, when absent. */
+  maxAnswerBytes?: number
   /** False for a call that changes nothing: its errors then always have the effect `none`. */
   changes?: boolean
 }
@@ -44,6 +46,8 @@
   body: Uint8Array
 }
 
+type LimitedCall = HttpCall & { maxAnswerBytes: number }
+
 type RawHeaders = Record<string, string | string[] | undefined>
 
 interface PoolEntry {
@@ -98,7 +102,7 @@
     const entry = this._entry(address)
     if (!entry) return Result.err(new CallError('the address is not valid', unsent))
     entry.calls++
-    const exchange = new Exchange(address, call, this._maxAnswerBytes)
+    const exchange = new Exchange(address, { maxAnswerBytes: this._maxAnswerBytes, ...call }, this._timers)
     const deadline = this._timers.after(call.timeoutMs, () => exchange.timeOut())
     entry.pool.dispatch({
       method: call.method as Dispatcher.HttpMethod,
@@ -152,8 +156,9 @@
 /** One call on its way: collects the answer and knows whether the request was handed to a socket. */
 class Exchange implements Dispatcher.DispatchHandler {
   private readonly _address: string
-  private readonly _call: HttpCall
-  private readonly _maxAnswerBytes: number
+  private readonly _call: LimitedCall
+  private readonly _timers: Timers
+  private readonly _endMs: number
   private readonly _settled = new ManualPromise<Result<HttpAnswer, CallError>>()
   private readonly _chunks: Buffer[] = []
   private _controller: Dispatcher.DispatchController | undefined
@@ -161,10 +166,11 @@
   private _headers: Record<string, string> = {}
   private _bytes = 0
 
-  constructor (address: string, call: HttpCall, maxAnswerBytes: number) {
+  constructor (address: string, call: LimitedCall, timers: Timers) {
     this._address = address
     this._call = call
-    this._maxAnswerBytes = maxAnswerBytes
+    this._timers = timers
+    this._endMs = timers.now() + call.timeoutMs
   }
 
   /** Resolves with the answer or the error. */
@@ -179,6 +185,8 @@
 
   /** Called right before the request is written to a connected socket. Refuses calls that have ended, and a second send. */
   onRequestStart (controller: Dispatcher.DispatchController): void {
+    // After a pause of the process, a connection can be ready before the deadline's timer has been called.
+    if (!this._controller && this._timers.now() >= this._endMs) this.timeOut()
     if (this._controller || this._settled.isSettled()) {
       this._abort(new CallError('the connection was lost', this._details()))
       controller.abort(new Error('the call has ended'))
@@ -198,8 +206,8 @@
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this._bytes += chunk.length
-    if (this._bytes > this._maxAnswerBytes) {
-      return this._abort(new CallError(`the answer is over ${this._maxAnswerBytes} bytes`, this._details()))
+    if (this._bytes > this._call.maxAnswerBytes) {
+      return this._abort(new CallError(`the answer is over ${this._call.maxAnswerBytes} bytes`, this._details()))
     }
     this._chunks.push(chunk)
   }
--- a/packages/pomelofold/src/edge/httpUpstreamClient.ts
+++ b/packages/pomelofold/src/edge/httpUpstreamClient.ts
@@ -19,6 +19,9 @@
   'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect'
 ])
 
+/** Largest list of tasks of a worker, in bytes. */
+const MAX_REPORT_BYTES = 16_000_000
+
 const instanceStatusSchema = z.object({ running: z.number().int().nonnegative(), slots: z.number().int().nonnegative() })
 const staleEpochSchema = z.object({ epoch: z.number().int() })
 
@@ -70,7 +73,7 @@
   renew (address: string, epoch: number, leaseMs: number, acknowledged: string[], timeoutMs: number):
   Promise<Result<WorkerReport, CallError>> {
     const call = jsonCall('upstream.renew', '/v1/renewals', { epoch, leaseMs, acknowledged }, timeoutMs)
-    return this._json(address, call, workerReportSchema)
+    return this._json(address, { ...call, maxAnswerBytes: MAX_REPORT_BYTES }, workerReportSchema)
   }
 
   async command (address: string, epoch: number, taskId: string, command: TaskCommand, timeoutMs: number):
--- a/tests/edge/httpUpstreamClient.test.ts
+++ b/tests/edge/httpUpstreamClient.test.ts
@@ -107,6 +107,21 @@
   t.same(texts.map(text => text.split('\r\n')[0]), ['POST /requests HTTP/1.1', 'POST /requests/third HTTP/1.1'])
 })
 
+t.test('a process that was paused past the deadline while connecting sends nothing', async t => {
+  let pauseMs = 0
+  class PausedTimers extends SystemTimers {
+    override now (): number { return super.now() + pauseMs }
+  }
+  let requests = 0
+  const address = await listen(t, socket => { requests++; socket.write(OK_ANSWER) })
+  const client = makeClient(t, { timers: new PausedTimers(), connections: 1 })
+  const paused = client.request(address, READING, LONG_MS)
+  pauseMs = LONG_MS
+  t.match(await paused, { error: { effect: 'none', message: /no answer within/ } })
+  t.match(await client.request(address, READING, LONG_MS), { value: { status: 200 } })
+  t.equal(requests, 1)
+})
+
 for (const [name, act, message] of [
   ['a connection reset after the request was sent leaves the effect unknown', (socket: Socket) => socket.resetAndDestroy(), /ECONNRESET/],
   ['a connection closed without an answer leaves the effect unknown', (socket: Socket) => socket.end(), /closed/],
--- a/tests/standins/harness.ts
+++ b/tests/standins/harness.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Test } from 'tap'
+import type { HttpCallerOptions } from 'pomelofold/edge/httpCaller'
 import { HttpPlatformClient } from 'pomelofold/edge/httpPlatformClient'
 import { HttpUpstreamClient } from 'pomelofold/edge/httpUpstreamClient'
 import { SystemTimers } from 'pomelofold/edge/systemTimers'
@@ -44,8 +45,8 @@
 }
 
 /** A client of upstreams. */
-export function upstreamClient (t: Test): HttpUpstreamClient {
-  const client = new HttpUpstreamClient({ timers })
+export function upstreamClient (t: Test, options: Partial<HttpCallerOptions> = {}): HttpUpstreamClient {
+  const client = new HttpUpstreamClient({ timers, ...options })
   t.teardown(() => client.close())
   return client
 }
--- a/tests/standins/httpStandins.test.ts
+++ b/tests/standins/httpStandins.test.ts
@@ -1,8 +1,8 @@
 import t from 'tap'
 import { HEADERS } from 'pomelofold/protocol/requests'
 import { CallTimeoutError } from 'pomelofold/utils/errors'
-import { instanceRecordSchema, workerRecordSchema } from '@pomelofold/standins/records'
-import { LONG_MS, readControl, setFaults, startInstance, startWorker, until, upstreamClient } from './harness.js'
+import { countTimes, instanceRecordSchema, workerRecordSchema } from '@pomelofold/standins/records'
+import { LONG_MS, readControl, setFaults, startInstance, startWorker, timers, until, upstreamClient } from './harness.js'
 
 const SHORT_MS = 200
 const TASK = { taskId: 'street/7', size: { cpus: 1, memoryMb: 10, accelerators: 0 }, leaseMs: LONG_MS, runMs: 0, payload: '' }
@@ -35,6 +35,28 @@
   t.match(await readControl(address, 'record'), { timesRun: { a: 1 }, runs: [{ status: 200 }] })
 })
 
+t.test('under resets and short deadlines, a call without effect never ran, and none ran twice', async t => {
+  const { standin, address } = await startInstance(t, { expectedMs: 4, slots: 2 })
+  const client = upstreamClient(t, { connections: 4 })
+  const ids = Array.from({ length: 400 }, (_, index) => `r${index}`)
+  const resets = timers.every(20, () => { standin.model.faults.reset = !standin.model.faults.reset })
+  const answers = await Promise.all(ids.map((id, index) => client.request(address, reading(id), 20 + 3 * (index * 7 % ids.length))))
+  resets.cancel()
+  standin.model.faults.reset = false
+  t.match(await client.request(address, reading('last'), LONG_MS), { isOk: true })
+  await until(() => standin.model.status().running === 0)
+  const { timesRun } = standin.model.record()
+  const outcomes = countTimes(answers.map((answer, index) => {
+    const times = timesRun[ids[index]] ?? 0
+    if (times > 1) t.fail(`${ids[index]} ran ${times} times`)
+    if (answer.isErr && answer.error.effect === 'none' && times > 0) t.fail(`${ids[index]} ran and had no effect`)
+    if (answer.isOk && times !== 1) t.fail(`${ids[index]} was answered and did not run`)
+    return answer.isOk ? 'answered' : answer.error.effect
+  }))
+  t.comment(JSON.stringify(outcomes))
+  t.ok(outcomes.none > 0 && outcomes.unknown > 0 && outcomes.answered > 0, JSON.stringify(outcomes))
+})
+
 t.test('an instance that fails everything answers 500', async t => {
   const { address } = await startInstance(t)
   await setFaults(address, { fail: true })
