Add a client of the stand-ins' control interface

Cause: each test file spoke to /control by hand; the scenario tests with separate processes need the same calls.

Ruled out: leaving the calls in the tests' harness, which packages and other test folders cannot import cleanly.

Conclusion: one typed way to set faults and read records.

--- a/tests/edge/httpPlatformClient.test.ts
+++ b/tests/edge/httpPlatformClient.test.ts
@@ -2,8 +2,7 @@
 import { HttpPlatformClient } from 'pomelofold/edge/httpPlatformClient'
 import type { WatchEvent } from 'pomelofold/seams/platformClient'
 import { CallTimeoutError } from 'pomelofold/utils/errors'
-import { countsSchema } from '@pomelofold/standins/platformSettings'
-import { LONG_MS, readControl, setFaults, startPlatform, timers, until } from '../standins/harness.js'
+import { LONG_MS, startPlatform, timers, until } from '../standins/harness.js'
 
 const SHORT_MS = 200
 
@@ -43,7 +42,7 @@
 })
 
 t.test('a watch tells past and new events, deletions included, and ends once', async t => {
-  const { client, address } = await startPlatform(t)
+  const { client, control } = await startPlatform(t)
   await client.txn([], [{ op: 'put', key: 'cfg/1', value: 'old' }])
   await client.txn([], [{ op: 'put', key: 'cfg/1', value: 'new' }])
   const events: WatchEvent[] = []
@@ -53,8 +52,8 @@
   await client.txn([], [{ op: 'delete', key: 'cfg/1' }, { op: 'put', key: 'other', value: '' }])
   await until(() => events.length === 2)
   t.match(events, [{ key: 'cfg/1', value: { value: 'new', modRevision: 2 }, revision: 2 }, { key: 'cfg/1', value: undefined, revision: 3 }])
-  t.match(countsSchema.parse(await readControl(address, 'counts')), { writes: 3, watches: 1, openWatches: 1 })
-  await setFaults(address, { outage: 'reset' })
+  t.match(await control.counts(), { writes: 3, watches: 1, openWatches: 1 })
+  await control.setFaults({ outage: 'reset' })
   await until(() => ends.length > 0)
   t.equal(ends.length, 1)
 })
@@ -78,16 +77,16 @@
 })
 
 t.test('a write whose answer is lost is an error with unknown effect, and has taken effect', async t => {
-  const { client, address } = await startPlatform(t)
-  await setFaults(address, { loseAnswers: true })
+  const { client, address, control } = await startPlatform(t)
+  await control.setFaults({ loseAnswers: true })
   t.match(await client.txn([], [{ op: 'put', key: 'a', value: '1' }]), { error: { effect: 'unknown', step: 'platform.txn', peer: address } })
   t.match(await client.get('a'), { value: { value: '1' } })
-  t.match(countsSchema.parse(await readControl(address, 'counts')), { writes: 1 })
+  t.match(await control.counts(), { writes: 1 })
 })
 
 t.test('in an outage without answers calls end at their deadline; only those that change something leave the effect unknown', async t => {
-  const { client, address } = await startPlatform(t)
-  await setFaults(address, { outage: 'silent' })
+  const { client, control } = await startPlatform(t)
+  await control.setFaults({ outage: 'silent' })
   const write = await client.txn([], [], { timeoutMs: SHORT_MS })
   t.ok(write.isErr && write.error instanceof CallTimeoutError && write.error.effect === 'unknown')
   const read = await client.get('a', { timeoutMs: SHORT_MS })
@@ -95,8 +94,8 @@
 })
 
 t.test('a service that says unavailable leaves the effect of a write unknown', async t => {
-  const { client, address } = await startPlatform(t)
-  await setFaults(address, { outage: 'unavailable' })
+  const { client, control } = await startPlatform(t)
+  await control.setFaults({ outage: 'unavailable' })
   t.match(await client.grantLease(1_000), { error: { effect: 'unknown', message: /code 14/ } })
 })
 
@@ -122,24 +121,20 @@
 
 const VM = { name: 'worker-1', kind: 'worker', state: 'live', failureDomain: 'a', rack: 'r1', address: '127.0.0.1:9' } as const
 
-async function markVm (address: string, state: string): Promise<void> {
-  await fetch(`http://${address}/control/vms/${VM.name}`, { method: 'POST', body: JSON.stringify({ state }) })
-}
-
 t.test('the list of VMs does not show a change before the lag has passed', async t => {
-  const { client, address } = await startPlatform(t, { vms: [VM], vmLagMs: LONG_MS })
-  await markVm(address, 'leaving')
-  t.match(await readControl(address, 'vms'), { vms: [{ state: 'leaving' }] })
+  const { client, control } = await startPlatform(t, { vms: [VM], vmLagMs: LONG_MS })
+  await control.markVm(VM.name, 'leaving')
+  t.match(await control.vms(), [{ state: 'leaving' }])
   t.match(await client.listVms(), { value: [{ name: 'worker-1', state: 'live' }] })
-  t.match(await readControl(address, 'counts'), { vmLists: 1 })
+  t.match(await control.counts(), { vmLists: 1 })
 })
 
 t.test('the list of VMs shows leaving and gone VMs after the lag', async t => {
-  const { client, address } = await startPlatform(t, { vms: [VM], vmLagMs: 1 })
+  const { client, control } = await startPlatform(t, { vms: [VM], vmLagMs: 1 })
   const listed = async () => (await client.listVms()).unwrapOr([])[0]?.state
-  await markVm(address, 'leaving')
+  await control.markVm(VM.name, 'leaving')
   while (await listed() !== 'leaving');
-  await markVm(address, 'gone')
+  await control.markVm(VM.name, 'gone')
   while (await listed() !== undefined);
-  t.same(await readControl(address, 'vms'), { vms: [] })
+  t.same(await control.vms(), [])
 })
--- a/tests/standins/harness.ts
+++ b/tests/standins/harness.ts
@@ -9,6 +9,7 @@
 import { HttpPlatformClient } from 'pomelofold/edge/httpPlatformClient'
 import { HttpUpstreamClient } from 'pomelofold/edge/httpUpstreamClient'
 import { SystemTimers } from 'pomelofold/edge/systemTimers'
+import { ControlClient } from '@pomelofold/standins/controlClient'
 import { InstanceStandin, type InstanceSettings } from '@pomelofold/standins/instanceStandin'
 import { PlatformStandin } from '@pomelofold/standins/platformStandin'
 import type { PlatformSettings } from '@pomelofold/standins/platformSettings'
@@ -20,28 +21,34 @@
 /** Deadline of calls that are expected to be answered, in milliseconds. */
 export const LONG_MS = 30_000
 
-async function start<S extends Standin> (t: Test, standin: S): Promise<{ standin: S, address: string }> {
+interface Started<S> {
+  standin: S
+  address: string
+  control: ControlClient
+}
+
+async function start<S extends Standin> (t: Test, standin: S): Promise<Started<S>> {
   t.teardown(() => standin.close())
-  return { standin, address: await standin.listen('127.0.0.1:0') }
+  const address = await standin.listen('127.0.0.1:0')
+  return { standin, address, control: new ControlClient(address) }
 }
 
 /** Starts a service instance. */
-export function startInstance (t: Test, settings: Partial<InstanceSettings> = {}): Promise<{ standin: InstanceStandin, address: string }> {
+export function startInstance (t: Test, settings: Partial<InstanceSettings> = {}): Promise<Started<InstanceStandin>> {
   return start(t, new InstanceStandin({ timers, settings: { vm: 'instance-1', ...settings } }))
 }
 
 /** Starts a worker. */
-export function startWorker (t: Test, settings: Partial<WorkerSettings> = {}): Promise<{ standin: WorkerStandin, address: string }> {
+export function startWorker (t: Test, settings: Partial<WorkerSettings> = {}): Promise<Started<WorkerStandin>> {
   return start(t, new WorkerStandin({ timers, settings: { vm: 'worker-1', ...settings } }))
 }
 
 /** Starts the platform and a client of it. */
-export async function startPlatform (t: Test, settings: PlatformSettings = {}):
-Promise<{ standin: PlatformStandin, address: string, client: HttpPlatformClient }> {
-  const { standin, address } = await start(t, new PlatformStandin({ timers, settings }))
-  const client = new HttpPlatformClient({ timers, address, timeoutMs: LONG_MS })
+export async function startPlatform (t: Test, settings: PlatformSettings = {}) {
+  const started = await start(t, new PlatformStandin({ timers, settings }))
+  const client = new HttpPlatformClient({ timers, address: started.address, timeoutMs: LONG_MS })
   t.teardown(() => client.close())
-  return { standin, address, client }
+  return { ...started, client }
 }
 
 /** A client of upstreams. */
@@ -51,17 +58,6 @@
   return client
 }
 
-/** Changes faults through the control interface. */
-export async function setFaults (address: string, faults: object): Promise<void> {
-  const res = await fetch(`http://${address}/control/faults`, { method: 'POST', body: JSON.stringify(faults) })
-  if (!res.ok) throw new Error(await res.text())
-}
-
-/** Reads a document of the control interface. */
-export async function readControl (address: string, name: string): Promise<unknown> {
-  return (await fetch(`http://${address}/control/${name}`)).json()
-}
-
 /** Waits for a condition. The test's own timeout ends a wait in vain. */
 export async function until (condition: () => boolean): Promise<void> {
   while (!condition()) await new Promise(resolve => { timers.after(5, () => resolve(undefined)) })
--- a/tests/standins/httpStandins.test.ts
+++ b/tests/standins/httpStandins.test.ts
@@ -1,8 +1,8 @@
 import t from 'tap'
 import { HEADERS } from 'pomelofold/protocol/requests'
 import { CallTimeoutError } from 'pomelofold/utils/errors'
-import { countTimes, instanceRecordSchema, workerRecordSchema } from '@pomelofold/standins/records'
-import { LONG_MS, readControl, setFaults, startInstance, startWorker, timers, until, upstreamClient } from './harness.js'
+import { countTimes } from '@pomelofold/standins/records'
+import { LONG_MS, startInstance, startWorker, timers, until, upstreamClient } from './harness.js'
 
 const SHORT_MS = 200
 const TASK = { taskId: 'street/7', size: { cpus: 1, memoryMb: 10, accelerators: 0 }, leaseMs: LONG_MS, runMs: 0, payload: '' }
@@ -12,11 +12,11 @@
 }
 
 t.test('many requests at once each get the answer to their own body, within the slots', async t => {
-  const { address } = await startInstance(t, { expectedMs: 2 })
+  const { address, control } = await startInstance(t, { expectedMs: 2 })
   const client = upstreamClient(t)
   const ids = Array.from({ length: 300 }, (_, index) => `r${index}`)
   const answers = await Promise.all(ids.map(id => client.request(address, reading(id), LONG_MS)))
-  const record = instanceRecordSchema.parse(await readControl(address, 'record'))
+  const record = await control.instanceRecord()
   const digests = new Map(record.runs.map(run => [run.requestId, run.digest]))
   for (const [index, answer] of answers.entries()) {
     const body = answer.isOk && JSON.parse(Buffer.from(answer.value.body).toString())
@@ -29,10 +29,10 @@
 })
 
 t.test('a connection reset after the work ran leaves the effect unknown, and the work ran once', async t => {
-  const { address } = await startInstance(t)
-  await setFaults(address, { reset: true })
+  const { address, control } = await startInstance(t)
+  await control.setFaults({ reset: true })
   t.match(await upstreamClient(t).request(address, reading('a'), LONG_MS), { error: { effect: 'unknown' } })
-  t.match(await readControl(address, 'record'), { timesRun: { a: 1 }, runs: [{ status: 200 }] })
+  t.match(await control.instanceRecord(), { timesRun: { a: 1 }, runs: [{ status: 200 }] })
 })
 
 t.test('under resets and short deadlines, a call without effect never ran, and none ran twice', async t => {
@@ -58,41 +58,41 @@
 })
 
 t.test('an instance that fails everything answers 500', async t => {
-  const { address } = await startInstance(t)
-  await setFaults(address, { fail: true })
+  const { address, control } = await startInstance(t)
+  await control.setFaults({ fail: true })
   t.match(await upstreamClient(t).request(address, reading('a'), LONG_MS), { value: { status: 500 } })
 })
 
 t.test('a hanging instance keeps its slots until it goes on', async t => {
-  const { standin, address } = await startInstance(t)
-  await setFaults(address, { hang: true })
+  const { standin, address, control } = await startInstance(t)
+  await control.setFaults({ hang: true })
   const client = upstreamClient(t)
   const result = await client.request(address, reading('a'), SHORT_MS)
   t.ok(result.isErr && result.error instanceof CallTimeoutError && result.error.effect === 'unknown')
   t.match(await client.instanceStatus(address, LONG_MS), { value: { running: 1 } })
-  await setFaults(address, { hang: false })
+  await control.setFaults({ hang: false })
   await until(() => standin.model.status().running === 0)
 })
 
 t.test('a fault that does not exist is refused', async t => {
-  const { address } = await startInstance(t)
-  await t.rejects(setFaults(address, { explode: true }), /explode/)
+  const { control } = await startInstance(t)
+  await t.rejects(control.setFaults({ explode: true }), /explode/)
 })
 
 t.test('a worker starts, lists, commands and records tasks', async t => {
-  const { address } = await startWorker(t)
+  const { address, control } = await startWorker(t)
   const client = upstreamClient(t)
   t.match(await client.startTasks(address, 2, [TASK], LONG_MS), { value: [{ taskId: 'street/7', started: true }] })
   t.ok((await client.command(address, 2, 'street/7', 'stop', LONG_MS)).isOk)
   t.match(await client.renew(address, 2, LONG_MS, [], LONG_MS), { value: { epoch: 2, tasks: [{ state: 'stopped' }] } })
   t.match(await client.renew(address, 1, LONG_MS, [], LONG_MS), { error: { epoch: 2 } })
-  const record = workerRecordSchema.parse(await readControl(address, 'record'))
+  const record = await control.workerRecord()
   t.match(record, { timesRun: { 'street/7': 1 }, runs: [{ end: 'stopped', epoch: 2 }], peakDeclared: TASK.size })
 })
 
 t.test('a worker that drops its answers has acted', async t => {
-  const { address } = await startWorker(t)
-  await setFaults(address, { dropAnswers: true })
+  const { address, control } = await startWorker(t)
+  await control.setFaults({ dropAnswers: true })
   t.match(await upstreamClient(t).startTasks(address, 1, [TASK], LONG_MS), { error: { effect: 'unknown' } })
-  t.match(await readControl(address, 'record'), { timesRun: { 'street/7': 1 } })
+  t.match(await control.workerRecord(), { timesRun: { 'street/7': 1 } })
 })
