Test retries, probation, leaving, classes, teams, shutdown and figures of requests

Cause: these behaviours of the scheduler had no test of their own. Ruled out: nothing was changed in the code for them.

--- a/tests/requests/requestScheduler.test.ts
+++ b/tests/requests/requestScheduler.test.ts
@@ -130,3 +130,155 @@
   await timers.advance(500)
   t.match(answers, [{ outcome: 'ran' }, { outcome: 'ran' }])
 })
+
+t.test('a request whose connection ends early is sent again only when idempotent and not at-most-once', async t => {
+  for (const [idempotent, atMostOnce, outcome] of [[true, false, 'ran'], [true, true, 'unknown'], [false, false, 'unknown']] as const) {
+    const { timers, upstream, answers, send } = setup(['i1', 'i2'], { service: { idempotent } })
+    await timers.advance(10)
+    upstream.instances.get('i1')!.mode = INSTANCE_MODES.resets
+    upstream.instances.get('i2')!.speed = 0.9
+    send({ atMostOnce })
+    await timers.advance(500)
+    t.match(answers, [{ outcome }], `idempotent ${idempotent}, at most once ${atMostOnce}`)
+  }
+})
+
+t.test('retries stay within their budget when every instance refuses', async t => {
+  const { timers, upstream, scheduler, answers, send } = setup(['i1', 'i2', 'i3', 'i4'])
+  await timers.advance(10)
+  for (const instance of upstream.instances.values()) instance.mode = INSTANCE_MODES.refuses
+  for (let i = 0; i < 500; i++) {
+    send({ deadlineMs: 100 })
+    await timers.advance(20)
+  }
+  await timers.advance(1_000)
+  t.equal(answers.filter(answer => answer.outcome === 'not-run').length, 500)
+  t.ok(scheduler.figures().retries <= 20 + 50, `${scheduler.figures().retries} retries`)
+})
+
+t.test('a failing instance gets few requests and comes back by steps once it answers', async t => {
+  const { timers, upstream, answers, send } = setup(['i1', 'i2'], { slots: 8 })
+  await timers.advance(10)
+  const failing = upstream.instances.get('i1')!
+  failing.mode = INSTANCE_MODES.fails
+  const sendFor = async (seconds: number): Promise<ServiceAnswer[]> => {
+    answers.length = 0
+    for (let i = 0; i < seconds * 50; i++) {
+      send({ runMs: 50 })
+      await timers.advance(20)
+    }
+    return answers
+  }
+  const failed = (await sendFor(10)).filter(answer => answer.status === 500).length
+  t.ok(failed < 20, `${failed} of 500 failed`)
+  failing.mode = INSTANCE_MODES.answers
+  upstream.instances.get('i2')!.mode = INSTANCE_MODES.refuses
+  await sendFor(10)
+  t.match(await sendFor(1), new Array(40).fill({ outcome: 'ran', status: 200 }))
+})
+
+t.test('a leaving instance gets nothing new and finishes what it runs', async t => {
+  const { timers, upstream, records, scheduler, answers, send } = setup(['i1', 'i2'])
+  await timers.advance(10)
+  send()
+  await timers.advance(10)
+  const used = upstream.instances.get('i1')!.running === 1 ? 'i1' : 'i2'
+  scheduler.setInstances(records.map(record => record.name === used ? { ...record, state: 'leaving' } : record))
+  for (let i = 0; i < 4; i++) send({ deadlineMs: 5_000 })
+  await timers.advance(10)
+  t.ok(upstream.instances.get(used)!.running <= 1)
+  await timers.advance(1_000)
+  t.match(answers, new Array(5).fill({ outcome: 'ran' }))
+})
+
+t.test('urgent requests go first, batch still makes progress, and a full queue gives up batch for urgent', async t => {
+  const context = setup(['i1'], { slots: 1, maxQueued: 40 })
+  const { timers, scheduler, answers, send } = context
+  await timers.advance(10)
+  await warmUp(context)
+  for (let i = 0; i < 41; i++) send({ class: 'batch', runMs: 10, deadlineMs: 60_000 })
+  for (let i = 0; i < 10; i++) send({ class: 'urgent', runMs: 10, deadlineMs: 20_000 })
+  await timers.advance(0)
+  t.match(answers, new Array(10).fill({ outcome: 'not-run', retryAfterMs: Number }))
+  await timers.advance(150)
+  const ran = (cls: string) => scheduler.figures().requests.find(count => count.class === cls && count.outcome === 'ran')?.count ?? 0
+  t.equal(ran('urgent'), 10)
+  for (let i = 0; i < 200; i++) {
+    send({ class: 'urgent', runMs: 10, deadlineMs: 200 })
+    await timers.advance(10)
+  }
+  t.ok(ran('batch') >= 5, `${ran('batch')} batch requests ran under urgent load`)
+})
+
+t.test('shutting down refuses what has not started and waits for the rest', async t => {
+  const { timers, scheduler, answers, send } = setup()
+  await timers.advance(10)
+  for (let i = 0; i < 5; i++) send({ runMs: 100, deadlineMs: 5_000 })
+  await timers.advance(10)
+  let drained = false
+  scheduler.drain().then(() => { drained = true })
+  send()
+  await timers.advance(10)
+  t.equal(drained, false)
+  t.match(answers, new Array(5).fill({ outcome: 'not-run', retryAfterMs: Number }))
+  await timers.advance(200)
+  t.equal(drained, true)
+  t.match(answers[5], { outcome: 'ran' })
+})
+
+const QUOTA = { cpus: 1, memoryMb: 1, accelerators: 0 }
+
+t.test('a team over its limit is refused unless it may borrow what others leave', async t => {
+  const teams = [
+    { name: 'a', quota: QUOTA, requestLimit: 2, borrow: false },
+    { name: 'b', quota: QUOTA, requestLimit: 2, borrow: true }
+  ]
+  const { timers, answers, send } = setup(['i1'], { teams })
+  await timers.advance(10)
+  for (let i = 0; i < 3; i++) send({ team: 'a' })
+  await timers.advance(0)
+  t.match(answers, [{ outcome: 'not-run', detail: /limit/ }])
+  await timers.advance(500)
+  for (let i = 0; i < 5; i++) send({ team: 'b' })
+  await timers.advance(0)
+  t.equal(answers.filter(answer => answer.outcome === 'not-run').length, 2)
+})
+
+t.test('a team with many waiting requests does not hold up another team', async t => {
+  const context = setup(['i1'], { slots: 1 })
+  const { timers, scheduler, send } = context
+  await timers.advance(10)
+  await warmUp(context)
+  for (let i = 0; i < 200; i++) send({ team: 'a', runMs: 10, deadlineMs: 5_000 })
+  for (let i = 0; i < 10; i++) send({ team: 'b', runMs: 10, deadlineMs: 6_000 })
+  await timers.advance(400)
+  t.match(scheduler.figures().requests.find(count => count.team === 'b'), { outcome: 'ran', count: 10 })
+})
+
+t.test('slots are kept free for urgent requests while such requests come', async t => {
+  const context = setup(['i1', 'i2', 'i3', 'i4', 'i5'], { slots: 8 })
+  const { timers, scheduler, send, answers } = context
+  await timers.advance(10)
+  for (let i = 0; i < 400; i++) {
+    send({ class: 'urgent', runMs: 50 })
+    await timers.advance(10)
+  }
+  answers.length = 0
+  for (let i = 0; i < 60; i++) send({ class: 'normal', runMs: 200, deadlineMs: 5_000 })
+  await timers.advance(60)
+  t.ok(scheduler.loads()[SERVICE].freeSlots > 0)
+  send({ class: 'urgent' })
+  await timers.advance(70)
+  t.match(answers, [{ outcome: 'ran', waitedMs: 0 }])
+})
+
+t.test('figures count outcomes, waiting times and objectives', async t => {
+  const { timers, scheduler, send } = setup(['i1'], { service: { objectives: [{ class: 'normal', waitMs: 20, target: 0.99, windowDays: 28 }] } })
+  await timers.advance(10)
+  for (let i = 0; i < 3; i++) send()
+  await timers.advance(500)
+  const { requests, waits, objectives } = scheduler.figures()
+  t.match(requests, [{ service: SERVICE, class: 'normal', outcome: 'ran', count: 3 }])
+  t.match(waits, [{ service: SERVICE, class: 'normal', count: 3 }])
+  t.match(objectives, [{ good: 1, bad: 2 }])
+})
