--- /dev/null
+++ b/utils/bench.ts
@@ -0,0 +1,21 @@
+/**
+ * Runs a benchmark by name.
+ *
+ * Usage: `npm run bench -- NAME [options of the benchmark]`
+ *
+ * @module
+ */
+
+/** Benchmarks by name. Each module exports `run`, which is given the arguments after the name. */
+const BENCHES: Record<string, () => Promise<{ run: (args: string[]) => Promise<void> }>> = {
+  placement: () => import('./benchPlacement.js')
+}
+
+const [name, ...args] = process.argv.slice(2)
+const load = BENCHES[name]
+if (!load) {
+  console.error(`usage: npm run bench -- NAME; NAME is one of: ${Object.keys(BENCHES).join(', ')}`)
+  process.exit(2)
+}
+const { run } = await load()
+await run(args)
