Preempt, relieve overfull workers, keep long-running services, hold back failing jobs

Cause: urgent work must start within 7.3 s on a full domain, declared sizes are often far off, services of the manifest must stay up, and bad workers must be told from bad jobs.

Usage raises the planned size per family; a worker beyond its room is relieved by throttle, then checkpoint and stop, the least urgent class first. The session opens only once a manifest is known: without it every service would look abandoned.

--- a/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
@@ -18,6 +18,8 @@
 
 /** Distinct workers at which a job must have failed before it may be given up, when there are as many. */
 const WORKERS_AGAINST_JOB = 3
+/** A job without a failure for this long starts with a clean record. */
+const FAILURES_FORGOTTEN_MS = 600_000
 const REFUSAL_PAUSE_MS = 100
 const MAX_REFUSAL_DOUBLINGS = 6
 
@@ -42,6 +44,7 @@
   refusals: number
   /** Failures by worker. */
   failures: Map<string, number>
+  lastFailureMs: number
 }
 
 /** Commands that change jobs. */
@@ -113,6 +116,7 @@
   finished (job: Job, index: number, worker: string, taskId: string): void {
     if (job.isService || job.regrouping) {
       this._acknowledge(worker, taskId)
+      this._holdBack(job, this._cfg.backoffMs)
       return this._requeue(job, index)
     }
     const isNew = !job.isSettled(index) || job.unknown.delete(index)
@@ -128,6 +132,8 @@
     this._note(job, `task ${index} failed at ${worker}: ${reason}`)
     if (this._failures.record(worker, job.plan.family, this._timers.now())) this._onProbation(worker)
     const setbacks = this._setbacksOf(job)
+    if (this._timers.now() - setbacks.lastFailureMs > FAILURES_FORGOTTEN_MS) setbacks.failures.clear()
+    setbacks.lastFailureMs = this._timers.now()
     setbacks.failures.set(worker, (setbacks.failures.get(worker) ?? 0) + 1)
     if (job.ended || !job.plan.atMostOnce) this._acknowledge(worker, taskId)
     if (job.ended || job.isSettled(index)) return
@@ -312,7 +318,7 @@
 
   private _setbacksOf (job: Job): Setbacks {
     let setbacks = this._setbacks.get(job)
-    if (!setbacks) this._setbacks.set(job, setbacks = { refusals: 0, failures: new Map() })
+    if (!setbacks) this._setbacks.set(job, setbacks = { refusals: 0, failures: new Map(), lastFailureMs: 0 })
     return setbacks
   }
 }
--- a/packages/pomelofold/src/tasks/jobs/jobManager.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobManager.ts
@@ -60,7 +60,7 @@
   private _session: PlacerSession | undefined
   private _subscription: Subscription | undefined
   private _workers: VmRecord[] = []
-  private _manifest: Manifest = EMPTY_MANIFEST
+  private _manifest: Manifest | undefined
 
   constructor ({ cfg = {}, log = SILENT_LOG, failureDomain, failureDomains = [failureDomain], ...options }: JobManagerOptions) {
     this._options = { ...options, log, failureDomain, failureDomains, cfg: { ...DEFAULT_JOB_SETTINGS, ...cfg } }
@@ -85,8 +85,11 @@
     this._session?.setWorkers(vms)
   }
 
+  /** Sets the manifest in force. Nothing is placed before the first call, for without it long-running services would look abandoned. */
   setManifest (manifest: Manifest): void {
+    const isFirst = this._manifest === undefined
     this._manifest = manifest
+    if (isFirst && this._subscription) this._followClaim()
     this._session?.setManifest(manifest)
   }
 
@@ -155,6 +158,7 @@
       runs: ledger.runs.size,
       workers: links.size,
       answeringWorkers: answering,
+      longRunning: [...ledger.jobs.values()].filter(job => job.isService).map(longRunningFigures),
       placement: this._options.placement.figures()
     }
   }
@@ -166,7 +170,7 @@
       if (!authority.held().includes(this._claim)) this._endSession()
       return
     }
-    if (this._session?.epoch === epoch) return
+    if (this._session?.epoch === epoch || this._manifest === undefined) return
     this._endSession()
     const epochOf = (): number | undefined => {
       const current = authority.epochOf(this._claim)
@@ -174,7 +178,7 @@
     }
     const session = new PlacerSession({ ...this._options, epoch, epochOf, onSuperseded: () => this._onSuperseded(session) })
     this._session = session
-    this._session.open(() => this._workers, () => this._manifest)
+    this._session.open(() => this._workers, () => this._manifest ?? EMPTY_MANIFEST)
   }
 
   private _onSuperseded (session: PlacerSession): void {
@@ -195,8 +199,9 @@
   }
 
   private _checkFit (session: PlacerSession, job: Job): Result<void, string> {
-    if (!this._manifest.teams.some(team => team.name === job.plan.team)) {
-      const known = this._manifest.teams.map(team => team.name).join(', ') || '(none)'
+    const { teams } = this._manifest ?? EMPTY_MANIFEST
+    if (!teams.some(team => team.name === job.plan.team)) {
+      const known = teams.map(team => team.name).join(', ') || '(none)'
       return Result.err(`team ${job.plan.team} is not in the manifest; known teams: ${known}`)
     }
     const sizesKnown = [...session.links.values()].every(link => link.vm.capacity)
@@ -219,3 +224,7 @@
     return { kind: 'unavailable', detail: `this entry VM does not place jobs of ${this._options.failureDomain} now; last known placer: ${holder}`, retryAfterMs: RETRY_AFTER_MS }
   }
 }
+
+function longRunningFigures ({ jobId, total, runs }: Job): { jobId: string, replicas: number, placed: number } {
+  return { jobId, replicas: total, placed: runs.size }
+}
--- a/packages/pomelofold/src/tasks/jobs/placerSession.ts
+++ b/packages/pomelofold/src/tasks/jobs/placerSession.ts
@@ -24,6 +24,9 @@
 import type { JobRecord } from './jobRecord.js'
 import type { JobSettings } from './jobSettings.js'
 import { JobStore } from './jobStore.js'
+import { LongRunningServices } from './longRunning.js'
+import { Overuse } from './overuse.js'
+import { Preemption } from './preemption.js'
 import { RunTracker } from './runTracker.js'
 import { Scheduler } from './scheduler.js'
 import { Takeover } from './takeover.js'
@@ -37,6 +40,8 @@
 const MAX_BACKLOG = 5_000
 const TOO_MANY_WRITES = new CallError('too many writes wait', { step: 'placerSession.create', peer: 'platform', effect: EFFECTS.none })
 
+/** Time between two looks at a worker that is beyond its room. */
+const OVERUSE_LOOK_MS = 5_000
 const NO_CAPACITY: Capacity = { cpus: 0, memoryMb: 0, accelerators: 0 }
 
 /** Options of a {@link PlacerSession}. */
@@ -73,13 +78,16 @@
   private readonly _tracker: RunTracker
   private readonly _scheduler: Scheduler
   private readonly _takeover: Takeover
+  private readonly _preemption: Preemption
+  private readonly _overuse: Overuse
+  private readonly _services: LongRunningServices
   private readonly _sweep: TimerSubscription
   private readonly _creating = new Map<string, Promise<CommitResult>>()
   private _loaded = false
   private _closed = false
 
   constructor (options: PlacerSessionOptions) {
-    const { timers, random, placement, log, failureDomains, cfg, epoch } = options
+    const { timers, random, placement, log, failureDomain, failureDomains, cfg, epoch } = options
     this._options = options
     this.epoch = epoch
     this.ledger = new TaskLedger({ timers, placement, runPrefix: `${epoch}-${random.hex(2)}` })
@@ -98,7 +106,7 @@
       lifecycle,
       usage,
       onAvailability: link => this._onAvailability(link),
-      onReportRead: (link, report) => this._onReportRead(link, report)
+      onReportRead: (link, report, sentAtMs) => this._onReportRead(link, report, sentAtMs)
     })
     this._scheduler = new Scheduler({
       timers,
@@ -111,9 +119,15 @@
       usage,
       links,
       shareOf: team => this._teams.shareOf(team),
-      onNoRoom: () => {}
+      onNoRoom: (job, size) => this._preemption.makeRoom(job, size)
     })
-    ledger.onRemoved = () => wake()
+    this._preemption = new Preemption({ timers, cfg, placement, ledger, lifecycle, links })
+    this._overuse = new Overuse({ ledger, usage, preemption: this._preemption })
+    this._services = new LongRunningServices({ timers, ledger, lifecycle, queue, failureDomain, failureDomains })
+    ledger.onRemoved = run => {
+      this._preemption.onRemoved(run)
+      wake()
+    }
     this._takeover = new Takeover({ timers, cfg, ledger, lifecycle, queue, links, wake })
     this._sweep = timers.every(SWEEP_EVERY_MS, () => { this._forgetOldJobs() })
   }
@@ -128,10 +142,10 @@
     const jobs = await this._store.open()
     if (this._closed) return
     if (jobs.isErr) return this._options.log.event('warn', 'jobs.openFailed', { step: jobs.error.step, peer: jobs.error.peer, error: errorText(jobs.error) })
-    this.setManifest(manifest())
     for (const job of jobs.value) this.ledger.jobs.set(job.jobId, job)
-    this._takeover.hold(jobs.value.filter(job => !job.ended))
+    this._takeover.admit(jobs.value.filter(job => !job.ended))
     this._loaded = true
+    this.setManifest(manifest())
     this.setWorkers(workers())
     this._options.log.event('info', 'jobs.opened', { step: 'placerSession.open', epoch: this.epoch, jobs: jobs.value.length, workers: this.links.size })
   }
@@ -151,8 +165,10 @@
   }
 
   setManifest (manifest: Manifest): void {
+    if (!this.ready) return
     this._teams.set(manifest.teams)
     this._options.placement.setPolicies({ batch: manifest.placement.batch, gang: manifest.placement.gang })
+    this._takeover.admit(this._services.apply(manifest.longRunning))
     this.ledger.version++
     this._scheduler.wake()
   }
@@ -262,7 +278,12 @@
     if (!link.answering) this._takeover.check()
   }
 
-  private _onReportRead (link: WorkerLink, report: WorkerReport): void {
+  private _onReportRead (link: WorkerLink, report: WorkerReport, sentAtMs: number): void {
+    for (const task of report.tasks) {
+      const run = this.ledger.runs.get(task.taskId)
+      if (run) this._preemption.onListed(run, task, sentAtMs)
+    }
+    this._overuse.onReport(link, report, sentAtMs + OVERUSE_LOOK_MS)
     const known = link.vm.capacity
     const { capacity } = report
     if (known?.cpus !== capacity.cpus || known.memoryMb !== capacity.memoryMb || known.accelerators !== capacity.accelerators) {
--- /dev/null
+++ b/packages/pomelofold/src/tasks/jobs/preemption.ts
@@ -0,0 +1,98 @@
+/**
+ * Makes room for urgent work: checkpoints less urgent tasks, then stops them.
+ *
+ * @module
+ */
+
+import type { Timers } from '../../seams/timers.js'
+import { JOB_CLASSES } from '../../protocol/jobs.js'
+import type { Capacity } from '../../protocol/vms.js'
+import type { WorkerTask } from '../../protocol/worker.js'
+import type { Placement } from '../placementTypes.js'
+import { RUN_STATES, type Job, type TaskRun } from './job.js'
+import type { JobLifecycle } from './jobLifecycle.js'
+import type { JobSettings } from './jobSettings.js'
+import type { TaskLedger } from './taskLedger.js'
+import type { WorkerLink } from './workerLink.js'
+
+/** Jobs that may make room at the same time. */
+const MAX_PLANS = 64
+
+/** Options of an {@link Preemption}. */
+export interface PreemptionOptions {
+  timers: Timers
+  cfg: JobSettings
+  placement: Placement
+  ledger: TaskLedger
+  lifecycle: JobLifecycle
+  links: ReadonlyMap<string, WorkerLink>
+}
+
+/** Stops tasks with a checkpoint, for preemption and against overuse. */
+export class Preemption {
+  private readonly _timers: Timers
+  private readonly _cfg: JobSettings
+  private readonly _placement: Placement
+  private readonly _ledger: TaskLedger
+  private readonly _lifecycle: JobLifecycle
+  private readonly _links: ReadonlyMap<string, WorkerLink>
+  /** Tasks being stopped for each job. */
+  private readonly _plans = new Map<Job, Set<TaskRun>>()
+
+  constructor ({ timers, cfg, placement, ledger, lifecycle, links }: PreemptionOptions) {
+    this._timers = timers
+    this._cfg = cfg
+    this._placement = placement
+    this._ledger = ledger
+    this._lifecycle = lifecycle
+    this._links = links
+  }
+
+  /** An urgent task has found no room. One plan at a time for each job. */
+  makeRoom (job: Job, size: Capacity): void {
+    if (job.plan.class !== JOB_CLASSES.urgent || this._plans.has(job) || this._plans.size >= MAX_PLANS) return
+    const [index] = job.waiting
+    const plan = this._placement.planPreemption(job.request(index, this._ledger.nextTaskId(job, index), size))
+    const victims = plan?.victims.map(taskId => this._ledger.runs.get(taskId)) ?? []
+    if (victims.length === 0 || !victims.every(run => run && this._mayStop(run))) return
+    this._plans.set(job, new Set(victims as TaskRun[]))
+    job.history.add(this._timers.wallClock(), `stops ${victims.length} less urgent tasks at ${plan?.worker}`)
+    for (const run of victims as TaskRun[]) this.evict(run, `urgent job ${job.jobId}`)
+  }
+
+  /** Asks for a checkpoint, and for the stop once it is there or has taken too long. */
+  evict (run: TaskRun, reason: string): void {
+    if (run.checkpointAskedMs !== undefined || !run.job) return
+    run.job.history.add(this._timers.wallClock(), `task ${run.index} gives way at ${run.worker} to ${reason}`)
+    const unsent = run.state === RUN_STATES.queued && this._links.get(run.worker)?.withdraw(run)
+    if (unsent) return this._lifecycle.withdrawn(run)
+    run.checkpointAskedMs = this._timers.now()
+    const link = this._links.get(run.worker)
+    link?.command(run.taskId, 'checkpoint')
+    link?.pollAt(run.checkpointAskedMs + this._cfg.minPollMs)
+    this._timers.after(this._cfg.checkpointWaitMs, () => this._stop(run))
+  }
+
+  /** A worker lists the run as running. Keeps its checkpoint; stops it when the checkpoint that was asked for is there. */
+  onListed (run: TaskRun, { checkpoint }: WorkerTask, reportSentMs: number): void {
+    if (checkpoint === undefined) return
+    run.job?.checkpoints.set(run.index, checkpoint)
+    if (run.checkpointAskedMs !== undefined && reportSentMs > run.checkpointAskedMs) this._stop(run)
+  }
+
+  /** A run has ended. */
+  onRemoved (run: TaskRun): void {
+    for (const [job, victims] of this._plans) {
+      if (victims.delete(run) && victims.size === 0) this._plans.delete(job)
+    }
+  }
+
+  /** Work that may not run twice is never stopped, for it could not start again. */
+  private _mayStop ({ job, checkpointAskedMs }: TaskRun): boolean {
+    return job !== undefined && !job.plan.atMostOnce && checkpointAskedMs === undefined
+  }
+
+  private _stop (run: TaskRun): void {
+    if (this._ledger.runs.get(run.taskId) === run && run.state !== RUN_STATES.stopping) this._lifecycle.stop(run)
+  }
+}
--- a/packages/pomelofold/src/tasks/jobs/takeover.ts
+++ b/packages/pomelofold/src/tasks/jobs/takeover.ts
@@ -35,6 +35,7 @@
   private readonly _wake: () => void
   private readonly _deadline: TimerSubscription
   private _held: Job[] = []
+  private _released = false
   private _listsRead = 0
   private _leasesEnded = false
 
@@ -50,10 +51,13 @@
     })
   }
 
-  /** Keeps the jobs' missing tasks from being placed. */
-  hold (jobs: Job[]): void {
-    this._held = jobs
-    for (const job of jobs) job.held = true
+  /** Queues jobs that an earlier placer may have known, as soon as their missing tasks may be placed. */
+  admit (jobs: Job[]): void {
+    for (const job of jobs) {
+      job.held = true
+      this._held.push(job)
+    }
+    if (this._released) this._releaseAll()
   }
 
   /** The list of VMs has been read. */
@@ -64,18 +68,23 @@
 
   /** Releases the jobs once every worker's list is known or its leases have ended. */
   check (): void {
-    if (this._held.length === 0) return
+    if (this._released) return
     if (this._listsRead < LISTS_NEEDED && !this._leasesEnded) return this._explain('the list of workers is read again')
     const silent = [...this._links.values()].filter(link => !link.resolved).map(link => link.vm.name)
     if (silent.length > 0) return this._explain(`no answer yet from ${silent.slice(0, 3).join(', ')}${silent.length > 3 ? ` and ${silent.length - 3} more` : ''}`)
-    for (const job of this._held.splice(0)) this._release(job)
-    this._wake()
+    this._released = true
+    this._releaseAll()
   }
 
   close (): void {
     this._deadline.cancel()
   }
 
+  private _releaseAll (): void {
+    for (const job of this._held.splice(0)) this._release(job)
+    this._wake()
+  }
+
   private _explain (reason: string): void {
     for (const job of this._held) {
       if (job.waiting.size > 0) job.waitingFor = `takeover: a task may still run at an earlier worker; ${reason}`
--- a/packages/pomelofold/src/tasks/jobs/taskLedger.ts
+++ b/packages/pomelofold/src/tasks/jobs/taskLedger.ts
@@ -71,6 +71,15 @@
     this.onRemoved(run)
   }
 
+  /** Makes the run one of `job`. */
+  reassign (run: TaskRun, job: Job): void {
+    if (run.job) this._countTeam(run.job.plan.team, -run.size.cpus)
+    this._countTeam(job.plan.team, run.size.cpus)
+    run.job = job
+    job.runs.set(run.index, run)
+    job.waiting.delete(run.index)
+  }
+
   resize (run: TaskRun, size: Capacity): void {
     if (run.job) this._countTeam(run.job.plan.team, size.cpus - run.size.cpus)
     run.size = size
--- /dev/null
+++ b/tests/jobs/decisions.test.ts
@@ -0,0 +1,202 @@
+import t from 'tap'
+import { manifestSchema, type Manifest } from 'pomelofold/protocol/manifest'
+import { JobCell, MANIFEST, specOf } from './jobCell.js'
+
+const SHORT = { leaseMs: 12_000, renewEveryMs: 4_000, sendBoundMs: 3_000, probeEveryMs: 1_000 }
+const SIZE = { cpus: 1, memoryMb: 10, accelerators: 0 }
+
+function withServices (...longRunning: Array<{ name: string, replicas: number, payload?: string }>): Manifest {
+  const declared = longRunning.map(service => ({ ...service, team: 'street', size: SIZE }))
+  return manifestSchema.parse({ ...MANIFEST, longRunning: declared })
+}
+
+function runningOf (cell: JobCell, prefix: string): number {
+  return cell.runs.filter(run => run.task.startsWith(prefix) && run.toMs === Infinity).length
+}
+
+t.test('a gang of which one start is refused is stopped and starts again as a whole', async t => {
+  const cell = new JobCell({ cfg: SHORT })
+  const placer = await cell.addPlacer()
+  cell.workers[2].faults.refuse = true
+  await cell.submit(placer, 'gang', { kind: 'gang', count: 12, runMs: 60_000 })
+  await cell.timers.advance(8_000)
+  t.ok(cell.runs.some(run => run.end === 'stopped'))
+  cell.workers[2].faults.refuse = false
+  await cell.untilState(placer, 'gang', 'done')
+  const lastStarts = cell.runs.filter(run => run.end === 'finished')
+  t.equal(lastStarts.length, 12)
+  t.same(cell.violations(), [])
+})
+
+t.test('a gang of which a member is lost starts again as a whole, also across a takeover', async t => {
+  const cell = new JobCell({ cfg: SHORT, workers: 4 })
+  const first = await cell.addPlacer()
+  await cell.submit(first, 'gang', { kind: 'gang', count: 12, runMs: 30_000 })
+  await cell.timers.advance(1_000)
+  cell.kill(first)
+  cell.workers[0].reset()
+  const second = await cell.addPlacer()
+  await cell.untilState(second, 'gang', 'done')
+  const finished = cell.runs.filter(run => run.end === 'finished')
+  t.equal(finished.length, 12)
+  const spreadMs = Math.max(...finished.map(run => run.fromMs)) - Math.min(...finished.map(run => run.fromMs))
+  t.ok(spreadMs < 1_000, `starts lie ${spreadMs} ms apart`)
+  t.same(cell.violations(), [])
+})
+
+t.test('a wave of 10,000 cancels is committed in a few writes, blocks no placement, and wins over unsent starts', async t => {
+  const cell = new JobCell({ workers: 2, cfg: { commitEveryMs: 20 } })
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'filler', { count: 8, runMs: 600_000 })
+  const ids = Array.from({ length: 10_000 }, (_, i) => `wave-${i}`)
+  for (let at = 0; at < ids.length; at += 2_000) {
+    const submits = ids.slice(at, at + 2_000).map(jobId => placer.manager.submitJob({ jobId, digest: 'd', spec: specOf(jobId) }))
+    await cell.wait(Promise.all(submits))
+  }
+  const { writes } = cell.store.counts
+  const startMs = performance.now()
+  const cancels = Promise.all(ids.map(async jobId => await placer.manager.cancelJob({ jobId })))
+  const freed = placer.manager.cancelJob({ jobId: 'filler' })
+  const submitted = cell.submit(placer, 'after', { class: 'urgent' })
+  t.ok((await cell.wait(cancels)).every(answer => answer.kind === 'job' && answer.job.state === 'cancelled'))
+  t.equal((await cell.wait(freed)).kind, 'job')
+  t.comment(`10,000 cancels: ${Math.round(performance.now() - startMs)} ms, ${cell.store.counts.writes - writes} writes`)
+  t.ok(cell.store.counts.writes - writes <= 10)
+  t.equal((await cell.wait(submitted)).kind, 'job')
+  await cell.untilState(placer, 'after', 'done', 15_000)
+  t.equal(cell.runs.filter(run => run.task.startsWith('wave')).length, 0)
+})
+
+t.test('a cancelled task whose start has not been sent never starts', async t => {
+  const cell = new JobCell({ workers: 1 })
+  const placer = await cell.addPlacer()
+  cell.workers[0].faults.startDelayMs = 1_000
+  await cell.submit(placer, 'first', { runMs: 1_000 })
+  await cell.timers.advance(100)
+  await cell.submit(placer, 'second', { runMs: 1_000 })
+  await cell.timers.advance(100)
+  t.match(placer.manager.explain('second'), { runs: [{ state: 'queued' }] })
+  await cell.wait(placer.manager.cancelJob({ jobId: 'second' }))
+  await cell.timers.advance(10_000)
+  t.same(cell.runs.map(run => run.task), ['first:0'])
+})
+
+t.test('cancellations survive a takeover', async t => {
+  const cell = new JobCell({ cfg: SHORT })
+  const first = await cell.addPlacer()
+  await cell.submit(first, 'nightly', { count: 3, runMs: 60_000 })
+  await cell.timers.advance(500)
+  t.match(await cell.wait(first.manager.cancelJob({ jobId: 'nightly' })), { job: { state: 'cancelled' } })
+  cell.kill(first)
+  const second = await cell.addPlacer()
+  await cell.timers.advance(10_000)
+  t.equal(await cell.stateOf(second, 'nightly'), 'cancelled')
+  t.equal(runningOf(cell, 'nightly'), 0)
+})
+
+t.test('urgent work stops less urgent tasks with a checkpoint, starts within 7.3 s, and they resume from it', async t => {
+  const cell = new JobCell({ workers: 2 })
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'overnight', { class: 'overnight', count: 8, runMs: 60_000 })
+  await cell.timers.advance(10_000)
+  const submittedMs = cell.timers.now()
+  await cell.submit(placer, 'urgent', { class: 'urgent', cpus: 2, runMs: 5_000 })
+  await cell.untilState(placer, 'urgent', 'done')
+  const urgent = cell.runs.find(run => run.task === 'urgent:0')!
+  t.comment(`urgent work waited ${urgent.fromMs - submittedMs} ms`)
+  t.ok(urgent.fromMs - submittedMs < 7_300)
+  const { commands } = cell.workers[0]
+  t.same(commands.map(command => command.split(' ')[0]), ['checkpoint', 'checkpoint', 'stop', 'stop'])
+  await cell.untilState(placer, 'overnight', 'done')
+  t.equal(cell.runs.filter(run => run.checkpoint?.startsWith('at ')).length, 2)
+  t.same(cell.violations(), [])
+})
+
+t.test('a job that does not fit blocks no other, and tells what it waits for', async t => {
+  const cell = new JobCell({ workers: 2 })
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'filler', { count: 5, runMs: 20_000 })
+  await cell.submit(placer, 'wide', { cpus: 4 })
+  await cell.submit(placer, 'small', { cpus: 1, runMs: 1_000 })
+  await cell.untilState(placer, 'small', 'done', 5_000)
+  t.match(await placer.manager.getJob({ jobId: 'wide' }), { job: { state: 'accepted', waitingFor: 'full: needs 4 cpus' } })
+})
+
+t.test('a long-running service keeps its replicas, replaces lost ones, and ends with its declaration', async t => {
+  const cell = new JobCell({ cfg: SHORT })
+  const first = await cell.addPlacer()
+  first.manager.setManifest(withServices({ name: 'street', replicas: 5 }, { name: 'gone', replicas: 1 }))
+  await cell.timers.advance(2_000)
+  t.equal(runningOf(cell, 'service:street'), 5)
+  cell.workers[0].reset()
+  await cell.timers.advance(20_000)
+  t.equal(runningOf(cell, 'service:street'), 5)
+  cell.kill(first)
+  const second = cell.addEntryVm()
+  second.manager.setManifest(withServices({ name: 'street', replicas: 3 }))
+  second.authority.set(9)
+  await cell.timers.advance(30_000)
+  t.same([runningOf(cell, 'service:street'), runningOf(cell, 'service:gone')], [3, 0])
+  second.manager.setManifest(withServices({ name: 'street', replicas: 5, payload: 'new' }))
+  await cell.timers.advance(30_000)
+  t.equal(runningOf(cell, 'service:street'), 5)
+  t.same(cell.violations(), [])
+})
+
+t.test('a declaration that comes back starts no replica that may still run', async t => {
+  const cell = new JobCell({ cfg: SHORT })
+  const placer = await cell.addPlacer()
+  placer.manager.setManifest(withServices({ name: 'street', replicas: 3 }))
+  await cell.timers.advance(2_000)
+  cell.workers[0].faults.cut = true
+  placer.manager.setManifest(withServices())
+  await cell.timers.advance(100)
+  placer.manager.setManifest(withServices({ name: 'street', replicas: 3 }))
+  await cell.timers.advance(5_000)
+  cell.workers[0].faults.cut = false
+  await cell.timers.advance(20_000)
+  t.equal(runningOf(cell, 'service:street'), 3)
+  t.same(cell.violations(), [])
+})
+
+t.test('tasks that use more than declared are throttled, then stopped with a checkpoint, the least urgent first', async t => {
+  const cell = new JobCell({ workers: 1, cfg: SHORT })
+  const placer = await cell.addPlacer()
+  cell.workers[0].usageFactor = 2
+  await cell.submit(placer, 'normal', { count: 2, runMs: 40_000, family: 'liar' })
+  await cell.submit(placer, 'overnight', { class: 'overnight', count: 2, runMs: 40_000, family: 'liar' })
+  await cell.timers.advance(12_000)
+  t.same([...new Set(cell.workers[0].commands)].slice(0, 2).sort(), ['throttle overnight:0', 'throttle overnight:1'])
+  t.notOk(cell.workers[0].commands.some(command => command.startsWith('stop normal')))
+  await cell.untilState(placer, 'normal', 'done')
+  await cell.untilState(placer, 'overnight', 'done')
+  cell.workers[0].commands.length = 0
+  await cell.submit(placer, 'next', { count: 4, runMs: 10_000, family: 'liar' })
+  await cell.timers.advance(5_000)
+  t.equal(runningOf(cell, 'next'), 2, 'planned with the learned size')
+})
+
+t.test('a worker that fails tasks of unrelated jobs goes on probation; the jobs succeed elsewhere', async t => {
+  const cell = new JobCell()
+  const placer = await cell.addPlacer()
+  cell.workers[0].faults.failTasks = true
+  for (const jobId of ['one', 'two', 'three', 'four']) await cell.submit(placer, jobId, { runMs: 1_000 })
+  for (const jobId of ['one', 'two', 'three', 'four']) await cell.untilState(placer, jobId, 'done', 30_000)
+  const before = cell.runs.filter(run => run.worker === 'worker-0').length
+  await cell.submit(placer, 'five', { runMs: 1_000 })
+  await cell.untilState(placer, 'five', 'done', 10_000)
+  t.equal(cell.runs.filter(run => run.worker === 'worker-0').length, before)
+})
+
+t.test('jobs that fail on several workers are held back, then failed, and no worker goes on probation', async t => {
+  const cell = new JobCell()
+  const placer = await cell.addPlacer()
+  for (const worker of cell.workers) worker.faults.failTasks = true
+  for (const jobId of ['one', 'two', 'three']) {
+    await cell.submit(placer, jobId, { runMs: 1_000 })
+    await cell.untilState(placer, jobId, 'failed', 120_000)
+    t.match(await placer.manager.getJob({ jobId }), { job: { waitingFor: /failed 5 times at 3 workers/ } })
+  }
+  t.equal(cell.runs.length, 15)
+  t.ok([...placer.placement.workers.values()].every(worker => worker.takesWork))
+})
