--- a/tests/jobs/firstFit.ts
+++ b/tests/jobs/firstFit.ts
@@ -17,6 +17,7 @@
 export class FirstFit implements Placement {
   readonly workers = new Map<string, WorkerInfo>()
   readonly placed = new Map<string, Placed>()
+  private readonly _used = new Map<string, Capacity>()
 
   setWorker (worker: WorkerInfo): void { this.workers.set(worker.name, worker) }
   removeWorker (name: string): void { this.workers.delete(name) }
@@ -28,7 +29,7 @@
     const worker = [...this.workers.values()]
       .find(worker => worker.takesWork && !task.avoid?.has(worker.name) && fits(task.size, this._free(worker)))
     if (!worker) return Result.err({ reason: 'full', detail: `needs ${task.size.cpus} cpus` })
-    this.placed.set(task.taskId, { task, worker: worker.name })
+    this.occupy(task, worker.name)
     return Result.ok(worker.name)
   }
 
@@ -45,13 +46,24 @@
     return Result.ok(places)
   }
 
-  occupy (task: TaskRequest, worker: string): void { this.placed.set(task.taskId, { task, worker }) }
-  release (taskId: string): void { this.placed.delete(taskId) }
+  occupy (task: TaskRequest, worker: string): void {
+    this.placed.set(task.taskId, { task, worker })
+    this._count(worker, task.size, 1)
+  }
+
+  release (taskId: string): void {
+    const placed = this.placed.get(taskId)
+    if (placed) this._count(placed.worker, placed.task.size, -1)
+    this.placed.delete(taskId)
+  }
+
   workerOf (taskId: string): string | undefined { return this.placed.get(taskId)?.worker }
 
   resize (taskId: string, size: Capacity): void {
     const placed = this.placed.get(taskId)
-    if (placed) placed.task = { ...placed.task, size }
+    if (!placed) return
+    this.release(taskId)
+    this.occupy({ ...placed.task, size }, placed.worker)
   }
 
   canEverFit (tasks: TaskRequest[]): Result<void, NoPlace> {
@@ -84,11 +96,16 @@
   }
 
   private _free ({ name, capacity }: WorkerInfo): Capacity {
-    const free = { ...capacity }
-    for (const { task } of this._at(name)) {
-      for (const dimension of DIMENSIONS) free[dimension] -= task.size[dimension]
-    }
-    return free
+    const used = this._used.get(name)
+    if (!used) return capacity
+    const { cpus, memoryMb, accelerators } = capacity
+    return { cpus: cpus - used.cpus, memoryMb: memoryMb - used.memoryMb, accelerators: accelerators - used.accelerators }
+  }
+
+  private _count (worker: string, size: Capacity, sign: number): void {
+    const used = this._used.get(worker) ?? { cpus: 0, memoryMb: 0, accelerators: 0 }
+    for (const dimension of DIMENSIONS) used[dimension] += sign * size[dimension]
+    this._used.set(worker, used)
   }
 }
 
