Let workers list only what has changed since the last report

Choice: a report may carry listVersion; the next renewal names it as since, and a worker that knows it lists changes only. Both fields are optional, so a worker that always lists everything still serves. Whole lists are asked for after any failed call, while a run is not settled (a start whose answer was lost, a stop or checkpoint that was asked for), and once in 20 reports. Overuse is summed from the last usage of each run.

Ruled out: a longer period (a lost worker would be noticed after 9 minutes).

Protocol: renewalRequestSchema.since, workerReportSchema.listVersion and since, and the last parameter of UpstreamClient.renew, all optional.

--- a/packages/pomelofold/src/protocol/worker.ts
+++ b/packages/pomelofold/src/protocol/worker.ts
@@ -63,14 +63,20 @@
   epoch: z.number().int(),
   leaseMs: z.number().positive(),
   /** Ended tasks that are recorded and need not be listed again. */
-  acknowledged: z.array(z.string())
+  acknowledged: z.array(z.string()),
+  /** `listVersion` of an earlier answer: the worker may list only what has changed since then. */
+  since: z.string().optional()
 })
 
 /** Answer to a renewal. */
 export const workerReportSchema = z.object({
   epoch: z.number().int(),
   capacity: capacitySchema,
-  tasks: z.array(workerTaskSchema)
+  tasks: z.array(workerTaskSchema),
+  /** Names this state of the list. Differs after a restart of the worker. Absent when the worker always lists everything. */
+  listVersion: z.string().optional(),
+  /** Present when `tasks` holds only tasks that have changed since that version. All others are as they were. */
+  since: z.string().optional()
 })
 
 /** A worker's own list. */
--- a/packages/pomelofold/src/seams/upstreamClient.ts
+++ b/packages/pomelofold/src/seams/upstreamClient.ts
@@ -48,8 +48,9 @@
   /**
    * Renews the leases of all tasks placed under `epoch` or an earlier one, acknowledges finished
    * tasks, and returns the worker's own list. A worker refuses epochs older than it has seen.
+   * With `since`, a worker that knows that version of its list may return only what has changed.
    */
-  renew (address: string, epoch: number, leaseMs: number, acknowledged: string[], timeoutMs: number):
+  renew (address: string, epoch: number, leaseMs: number, acknowledged: string[], timeoutMs: number, since?: string):
   Promise<Result<WorkerReport, CallError>>
   /** Sends `command` for `taskId`. */
   command (address: string, epoch: number, taskId: string, command: TaskCommand, timeoutMs: number): Promise<Result<void, CallError>>
--- a/packages/pomelofold/src/tasks/jobs/job.ts
+++ b/packages/pomelofold/src/tasks/jobs/job.ts
@@ -42,6 +42,8 @@
   /** Calls for a checkpoint before the stop. */
   checkpointAskedMs?: number
   throttled?: boolean
+  /** Usage as last reported. */
+  usage?: Capacity
 }
 
 /** A group of equal tasks. `expectedMs` 0 runs until stopped. */
--- a/packages/pomelofold/src/tasks/jobs/overuse.ts
+++ b/packages/pomelofold/src/tasks/jobs/overuse.ts
@@ -40,7 +40,8 @@
 
   /** Takes in the usage of a report. Polls again soon while the worker is beyond its room. */
   onReport (link: WorkerLink, { tasks, capacity }: WorkerReport, nextLookMs: number): void {
-    const uses = tasks.map(task => this._take(task)).filter(use => use !== undefined)
+    for (const task of tasks) this._take(task)
+    const uses = [...this._ledger.runsAt(link.vm.name)].map(run => ({ run, usage: run.usage })).filter(isKnown)
     const over: Capacity = { cpus: -capacity.cpus, memoryMb: -capacity.memoryMb, accelerators: 0 }
     for (const { usage } of uses) add(over, usage, 1)
     if (over.cpus <= 0 && over.memoryMb <= 0) return
@@ -50,15 +51,15 @@
   }
 
   /** Counts a task with what it uses when that is more than planned. */
-  private _take ({ taskId, state, usage }: WorkerTask): Use | undefined {
+  private _take ({ taskId, usage }: WorkerTask): void {
     const run = this._ledger.runs.get(taskId)
-    if (!run?.job || !usage || state !== 'running' || run.state === RUN_STATES.stopping) return undefined
+    if (!run?.job || !usage) return
+    run.usage = usage
     const declared = run.job.groupOf(run.index).size
     if (!run.throttled) this._usage.observe(run.job.plan.family, declared, usage)
     const { cpus, memoryMb, accelerators } = run.size
     const size = { cpus: Math.max(cpus, usage.cpus), memoryMb: Math.max(memoryMb, usage.memoryMb), accelerators }
     if (size.cpus > cpus || size.memoryMb > memoryMb) this._ledger.resize(run, size)
-    return { run, usage }
   }
 
   /** Throttles what exceeds its declaration in the least urgent class that has such. False when none is left. */
@@ -83,6 +84,10 @@
   }
 }
 
+function isKnown (use: { run: TaskRun, usage?: Capacity }): use is Use {
+  return use.usage !== undefined && use.run.state !== RUN_STATES.stopping
+}
+
 function rank (run: TaskRun): number {
   return run.job ? CLASS_ORDER.indexOf(run.job.plan.class) : 0
 }
--- a/packages/pomelofold/src/tasks/jobs/runTracker.ts
+++ b/packages/pomelofold/src/tasks/jobs/runTracker.ts
@@ -96,13 +96,16 @@
 
   onReport (link: WorkerLink, report: WorkerReport, sentAtMs: number): void {
     for (const task of report.tasks) this._listed[task.state](link, task)
-    const listed = new Set(report.tasks.map(task => task.taskId))
-    for (const run of [...this._ledger.runsAt(link.vm.name)]) {
-      if (!listed.has(run.taskId)) this._onMissing(run, sentAtMs)
-    }
+    if (report.since === undefined) this._readMissing(link, report, sentAtMs)
     this._onReportRead(link, report, sentAtMs)
   }
 
+  /** What is not as its worker last listed it needs to be seen again: an end that was asked for, a start that may have been lost. */
+  needsWholeList (link: WorkerLink): boolean {
+    const settled = new Set<string>([RUN_STATES.running, RUN_STATES.queued, RUN_STATES.intending])
+    return [...this._ledger.runsAt(link.vm.name)].some(run => !settled.has(run.state) || run.checkpointAskedMs !== undefined)
+  }
+
   onLost (link: WorkerLink): void {
     for (const run of [...this._ledger.runsAt(link.vm.name)]) this._lifecycle.lost(run)
     this._onAvailability(link)
@@ -166,6 +169,13 @@
     this._lifecycle.stop(elsewhere)
   }
 
+  private _readMissing (link: WorkerLink, report: WorkerReport, sentAtMs: number): void {
+    const listed = new Set(report.tasks.map(task => task.taskId))
+    for (const run of [...this._ledger.runsAt(link.vm.name)]) {
+      if (!listed.has(run.taskId)) this._onMissing(run, sentAtMs)
+    }
+  }
+
   /** A run that its worker does not list. */
   private _onMissing (run: TaskRun, sentAtMs: number): void {
     const unsent = run.state === RUN_STATES.intending || run.state === RUN_STATES.queued
--- a/packages/pomelofold/src/tasks/jobs/workerLink.ts
+++ b/packages/pomelofold/src/tasks/jobs/workerLink.ts
@@ -17,6 +17,8 @@
 
 const MAX_STARTS_PER_CALL = 200
 const MAX_ACKS_PER_CALL = 2_000
+/** Reports of changes between two that list everything. */
+const MAX_CHANGES_READ = 20
 const NO_EPOCH_PAUSE_MS = 200
 
 /** What a link tells its owner. All are called synchronously. */
@@ -33,6 +35,8 @@
   onLost (link: WorkerLink): void
   /** Whether the worker answers has changed. */
   onAvailability (link: WorkerLink): void
+  /** Whether the next report must list everything. */
+  needsWholeList (link: WorkerLink): boolean
   /** Monotonic time at which the worker's list is next of interest. */
   nextPollMs (link: WorkerLink): number
 }
@@ -72,6 +76,9 @@
   private _leaseEndMs: number
   private _firstPhaseMs: number
   private _probing = false
+  private _listVersion: string | undefined
+  /** Reports since the last one that listed everything. */
+  private _changesRead = 0
 
   constructor ({ vm, timers, random, upstream, epochOf, cfg, events }: WorkerLinkOptions) {
     this.vm = vm
@@ -195,12 +202,16 @@
     const sentAtMs = this._timers.now()
     const acks = [...this._acks].slice(0, MAX_ACKS_PER_CALL)
     this._pollMs = Number.POSITIVE_INFINITY
-    const { address } = this.vm
-    const answer = await this._upstream.renew(address, epoch, this._cfg.leaseMs, acks, this._cfg.callTimeoutMs)
+    const { leaseMs, callTimeoutMs } = this._cfg
+    const whole = this._changesRead >= MAX_CHANGES_READ || this._events.needsWholeList(this)
+    const since = whole ? undefined : this._listVersion
+    const answer = await this._upstream.renew(this.vm.address, epoch, leaseMs, acks, callTimeoutMs, since)
     if (this._closed) return
     if (answer.isErr) return this._onRenewFailed(answer, sentAtMs)
     for (const taskId of acks) this._acks.delete(taskId)
     this._onAnswer(sentAtMs)
+    this._listVersion = answer.value.listVersion
+    this._changesRead = answer.value.since === undefined ? 0 : this._changesRead + 1
     this._events.onReport(this, answer.value, sentAtMs)
     this.pollAt(this._acks.size > 0 ? sentAtMs + this._cfg.minPollMs : this._events.nextPollMs(this))
   }
@@ -226,6 +237,7 @@
   private _onSilent (): void {
     const now = this._timers.now()
     this._probing = true
+    this._listVersion = undefined
     this._renewDueMs = now + this._cfg.probeEveryMs
     this._pollMs = Number.POSITIVE_INFINITY
     if (this.answering) {
--- a/tests/jobs/peak.test.ts
+++ b/tests/jobs/peak.test.ts
@@ -8,6 +8,7 @@
 const CELL_WRITES_PER_SECOND = 200
 const CELL_READS_PER_SECOND = 500
 const DOMAIN_WORKERS = 550
+const CONTROL_BYTES_PER_SECOND = 5_000
 
 t.test('2,000 starts a second in 11 failure domains keep within the budget of platform calls', async t => {
   const seconds = 20
@@ -59,5 +60,6 @@
   t.comment(`${DOMAIN_WORKERS} workers with ${tasksPerWorker} tasks each: ${(perWorker / seconds * DOMAIN_WORKERS).toFixed(1)} renewals/s, ` +
     `${Math.round(bytesPerSecond)} B/s of bodies`)
   t.ok(perWorker <= seconds / 40 + 1, `${perWorker} renewals of each worker`)
+  t.ok(bytesPerSecond <= CONTROL_BYTES_PER_SECOND)
   t.equal(cell.runs.length, workers * tasksPerWorker)
 })
--- a/tests/jobs/tinyWorkers.ts
+++ b/tests/jobs/tinyWorkers.ts
@@ -31,6 +31,8 @@
   state: WorkerTask['state']
   checkpoint?: string
   throttled: boolean
+  /** Version of the list at its last change. */
+  version: number
 }
 
 /** A worker. Faults may be changed at any moment. */
@@ -45,6 +47,8 @@
   epoch = 0
   private readonly _timers: Timers
   private readonly _runs: RunRecord[]
+  private _version = 0
+  private _restarts = 0
 
   constructor (readonly vm: VmRecord, { timers, runs }: { timers: Timers, runs: RunRecord[] }) {
     this._timers = timers
@@ -59,7 +63,7 @@
     this.peakCpus = Math.max(this.peakCpus, used + start.size.cpus)
     const now = this._timers.now()
     const run: RunRecord = { task: taskId.slice(0, taskId.lastIndexOf(':')), worker: this.vm.name, fromMs: now, toMs: Infinity, checkpoint: start.checkpoint }
-    const task: HeldTask = { start, run, leaseEndMs: now + start.leaseMs, state: 'running', throttled: false }
+    const task: HeldTask = { start, run, leaseEndMs: now + start.leaseMs, state: 'running', throttled: false, version: ++this._version }
     this._runs.push(run)
     this.tasks.set(taskId, task)
     if (this.faults.failTasks) this._timers.after(10, () => this._end(task, 'failed'))
@@ -67,18 +71,23 @@
     return { taskId, started: true }
   }
 
-  renew (leaseMs: number, acknowledged: string[]): WorkerReport {
+  renew (leaseMs: number, acknowledged: string[], since?: string): WorkerReport {
     this._expire()
     const now = this._timers.now()
     for (const taskId of acknowledged) this._forget(taskId, now)
     for (const task of this.tasks.values()) task.leaseEndMs = now + leaseMs
-    return { epoch: this.epoch, capacity: this.vm.capacity!, tasks: [...this.tasks.values()].map(task => this._list(task, now)) }
+    const [restarts, version] = since?.split('.').map(Number) ?? []
+    const known = restarts === this._restarts
+    const tasks = [...this.tasks.values()].filter(task => !known || task.version > version).map(task => this._list(task, now))
+    const listVersion = `${this._restarts}.${this._version}`
+    return { epoch: this.epoch, capacity: this.vm.capacity!, tasks, listVersion, since: known ? since : undefined }
   }
 
   command (taskId: string, command: TaskCommand): void {
     const task = this.tasks.get(taskId)
     this.commands.push(`${command} ${taskId.slice(0, taskId.lastIndexOf(':'))}`)
     if (task?.state !== 'running') return
+    task.version = ++this._version
     if (command === 'checkpoint') task.checkpoint = `at ${this._timers.now()}`
     if (command === 'throttle') task.throttled = true
     if (command === 'stop') this._end(task, 'stopped')
@@ -88,6 +97,7 @@
   reset (): void {
     for (const task of this.tasks.values()) this._end(task, 'stopped')
     this.tasks.clear()
+    this._restarts++
   }
 
   private _forget (taskId: string, now: number): void {
@@ -113,6 +123,7 @@
   private _end (task: HeldTask, state: WorkerTask['state']): void {
     if (task.state !== 'running') return
     task.state = state
+    task.version = ++this._version
     task.run.toMs = this._timers.now()
     task.run.end = state
   }
@@ -137,11 +148,12 @@
     return await this._call(address, epoch, timeoutMs, worker => starts.map(start => worker.start(start)), extraMs)
   }
 
-  async renew (address: string, epoch: number, leaseMs: number, acknowledged: string[], timeoutMs: number):
+  async renew (address: string, epoch: number, leaseMs: number, acknowledged: string[], timeoutMs: number, since?: string):
   Promise<Result<WorkerReport, CallError>> {
     this.calls.renewals++
-    const answer = await this._call(address, epoch, timeoutMs, worker => worker.renew(leaseMs, acknowledged))
-    this.calls.bytes += JSON.stringify({ epoch, leaseMs, acknowledged }).length + JSON.stringify(answer.unwrapOr(null as never)).length
+    const answer = await this._call(address, epoch, timeoutMs, worker => worker.renew(leaseMs, acknowledged, since))
+    this.calls.bytes += JSON.stringify({ epoch, leaseMs, acknowledged, since }).length
+    this.calls.bytes += JSON.stringify(answer.unwrapOr(null as never)).length
     return answer
   }
 
