--- a/packages/pomelofold/src/utils/groupCommit.ts
+++ b/packages/pomelofold/src/platform/groupCommit.ts
@@ -5,8 +5,8 @@
  */
 
 import Result from 'true-myth/result'
-import { CallError, CallTimeoutError, EFFECTS, type Effect } from './errors.js'
-import { ManualPromise } from './manualPromise.js'
+import { CallError, CallTimeoutError, EFFECTS, type Effect } from '../utils/errors.js'
+import { ManualPromise } from '../utils/manualPromise.js'
 
 /** Most changes in one transaction, the writer's own key included. */
 export const MAX_CHANGES_PER_WRITE = 100
--- /dev/null
+++ b/packages/pomelofold/src/server/entryDaemon.ts
@@ -0,0 +1,322 @@
+/**
+ * An entry daemon: all parts wired together, from the HTTP interface to the upstreams.
+ *
+ * @module
+ */
+
+import type { Hono } from 'hono'
+import Result from 'true-myth/result'
+import { ClaimKeeper } from '../claims/claimKeeper.js'
+import { ManifestKeeper } from '../config/manifestKeeper.js'
+import { KeyedRequests, type Committer } from '../outcomes/keyedRequests.js'
+import { RequestHistory } from '../outcomes/requestHistory.js'
+import { PeerTable } from '../peers/peerTable.js'
+import type { RevisedManifest } from '../protocol/manifest.js'
+import { VM_KINDS, type VmRecord } from '../protocol/vms.js'
+import { RequestRouter } from '../requests/requestRouter.js'
+import { RequestScheduler } from '../requests/requestScheduler.js'
+import { CLAIMS } from '../seams/authority.js'
+import type { PeerHandlers } from '../seams/peerTransport.js'
+import { delay } from '../seams/timers.js'
+import type { DaemonSettings } from '../settings/daemonSettings.js'
+import { JobManager } from '../tasks/jobs/jobManager.js'
+import { WorkerPlacement } from '../tasks/placement/workerPlacement.js'
+import { COMMIT_REFUSALS, CommitRefusedError, GroupCommitter } from '../platform/groupCommit.js'
+import type { DaemonParts } from './daemonParts.js'
+import { httpApp } from './http/httpApp.js'
+import { jobRoutes } from './http/jobRoutes.js'
+import { operatorRoutes } from './http/operatorRoutes.js'
+import { requestRoutes } from './http/requestRoutes.js'
+import { JobService } from './jobService.js'
+import { Metrics } from './metrics.js'
+import { RequestService } from './requestService.js'
+import { VmDirectory } from './vmDirectory.js'
+
+/** Deadline of questions to peers, in milliseconds. */
+const ASK_TIMEOUT_MS = 2_000
+
+/** Least time between two group commits of keyed requests, for each entry VM of the cell, in milliseconds. */
+const COMMIT_INTERVAL_PER_VM_MS = 10
+
+/** Deadline of recording an idempotency key, in milliseconds. */
+const KEY_COMMIT_TIMEOUT_MS = 3_000
+
+/** Period of looking whether the work in flight has ended, while shutting down, in milliseconds. */
+const SHUTDOWN_CHECK_MS = 50
+
+/** All parts of an entry daemon. Construct, {@link start}, serve {@link app}, {@link shutdown}. */
+export class EntryDaemon {
+  readonly app: Hono
+  private readonly _settings: DaemonSettings
+  private readonly _parts: DaemonParts
+  private readonly _claims: ClaimKeeper
+  private readonly _manifest: ManifestKeeper
+  private readonly _peers: PeerTable
+  private readonly _vms: VmDirectory
+  private readonly _scheduler: RequestScheduler
+  private readonly _router: RequestRouter
+  private readonly _history: RequestHistory
+  private readonly _keyed: KeyedRequests
+  private readonly _requests: RequestService
+  private readonly _jobManager: JobManager
+  private readonly _jobs: JobService
+  private readonly _metrics: Metrics
+  private _leaving = false
+  private _started = false
+
+  constructor (settings: DaemonSettings, parts: DaemonParts) {
+    const { timers, random, platform, upstream, transport, log, incarnation } = parts
+    const { vm, failureDomain } = settings
+    const others = settings.peers.filter(peer => peer.vm !== vm)
+    this._settings = settings
+    this._parts = parts
+    this._claims = new ClaimKeeper({
+      timers,
+      random,
+      platform,
+      log,
+      vm,
+      incarnation,
+      failureDomain,
+      members: settings.peers,
+      cfg: { ...settings.claims, timeoutMs: settings.platform.timeoutMs },
+      callPeerPromise: (peer, params, timeoutMs) => transport.call(peer, 'promise', params, timeoutMs)
+    })
+    this._manifest = new ManifestKeeper({
+      timers,
+      random,
+      platform,
+      log,
+      peers: others.map(peer => peer.vm),
+      fetchFromPeer: async peer => transport.call(peer, 'fetchManifest', {}, ASK_TIMEOUT_MS),
+      shouldWatch: () => this._claims.epochOf(CLAIMS.placer(failureDomain)) !== undefined
+    })
+    this._scheduler = new RequestScheduler({ failureDomain, timers, random, authority: this._claims, upstream, log })
+    this._router = new RequestRouter({ vm, failureDomain, scheduler: this._scheduler, transport, timers, random, log })
+    this._router.setPeers(settings.peers)
+    this._history = new RequestHistory({ timers, vm })
+    const committer = this._keyCommitter()
+    this._keyed = new KeyedRequests({ timers, platform, log, vm, incarnation, committer, askRecorder: this._askRecorder })
+    this._requests = new RequestService({
+      router: { route: req => this._router.submit(req) },
+      keyed: this._keyed,
+      history: this._history,
+      log,
+      askPeers: requestId => this._askPeers(requestId)
+    })
+    this._jobManager = new JobManager({
+      timers,
+      random,
+      authority: this._claims,
+      platform,
+      upstream,
+      placement: new WorkerPlacement({ timers }),
+      log,
+      failureDomain,
+      failureDomains: [...new Set(settings.peers.map(peer => peer.failureDomain))],
+      vm,
+      cfg: settings.tasks
+    })
+    this._jobs = new JobService({
+      vm, failureDomain, members: settings.peers, authority: this._claims, transport, platform, random, own: this._jobManager
+    })
+    this._vms = new VmDirectory({ timers, platform, log, periodMs: settings.platform.vmListPeriodMs, onList: vms => this._onVms(vms) })
+    this._peers = new PeerTable({
+      timers,
+      transport,
+      log,
+      peers: others,
+      failureDomain,
+      heartbeatMs: settings.heartbeatMs,
+      own: () => ({ revision: this._manifest.current().revision, loads: this._scheduler.loads(), leaving: this._leaving }),
+      onHeartbeat: (peer, { revision, loads }) => this._onPeer(peer, revision, loads)
+    })
+    this._manifest.onChange(current => this._onManifest(current))
+    this._metrics = new Metrics({
+      vm,
+      requests: () => this._scheduler.figures(),
+      claims: () => this._claims.figures(),
+      revision: () => this._manifest.current().revision
+    })
+    this.app = this._buildApp()
+  }
+
+  /** Starts to serve peers, then takes the manifest, the list of VMs and claims. */
+  async start (): Promise<void> {
+    const { transport, log } = this._parts
+    const { vm, failureDomain } = this._settings
+    await transport.listen(this._handlers())
+    this._claims.start()
+    this._peers.start()
+    await this._manifest.start()
+    await this._vms.start()
+    this._jobManager.start()
+    this._started = true
+    log.event('info', 'daemon.started', { vm, failureDomain, incarnation: this._parts.incarnation })
+  }
+
+  /**
+   * Takes no more work, hands over the claims, answers `not-run` to what has not been sent, and waits for
+   * the rest, at most `shutdownMs`.
+   */
+  async shutdown (): Promise<void> {
+    const { timers, transport, upstream, log } = this._parts
+    log.event('info', 'daemon.leaving', { inFlight: this._requests.inFlight })
+    const endMs = timers.now() + this._settings.shutdownMs
+    this._leaving = true
+    await Promise.race([this._scheduler.drain(), delay(timers, this._settings.shutdownMs)])
+    while (this._requests.inFlight > 0 && timers.now() < endMs) await delay(timers, SHUTDOWN_CHECK_MS)
+    await Promise.race([this._claims.handOverAll(), delay(timers, ASK_TIMEOUT_MS)])
+    await this._jobManager.stop()
+    this._peers.stop()
+    this._vms.stop()
+    this._manifest.stop()
+    await this._claims.stop()
+    await transport.close()
+    await upstream.close()
+    log.event('info', 'daemon.stopped', { inFlight: this._requests.inFlight })
+  }
+
+  private _handlers (): PeerHandlers {
+    return {
+      heartbeat: async ({ revision, loads }, from) => {
+        this._onPeer(from.vm, revision, loads)
+        return { revision: this._manifest.current().revision, loads: this._scheduler.loads(), leaving: this._leaving }
+      },
+      fetchManifest: async () => this._manifest.current(),
+      forwardRequest: this._router.forwardRequest,
+      keyedOutcome: async ({ key, requestId }) => this._keyed.outcomeOf(key, requestId),
+      promise: async (params, from) => this._claims.onPromiseRequest(params, from),
+      submitJob: params => this._jobManager.submitJob(params),
+      getJob: params => this._jobManager.getJob(params),
+      cancelJob: params => this._jobManager.cancelJob(params),
+      listJobs: () => this._jobManager.listJobs(),
+      explainJob: async ({ jobId }) => this._explainOwnJob(jobId),
+      explainRequest: async ({ requestId }) => this._history.get(requestId) ?? null,
+      figures: async () => this._figures()
+    }
+  }
+
+  private _buildApp (): Hono {
+    const { random, log } = this._parts
+    const { vm, http } = this._settings
+    const manifest = () => this._manifest.current().manifest
+    return httpApp({
+      log,
+      maxBodyBytes: http.maxBodyBytes,
+      ready: () => this._readiness(),
+      metrics: () => this._metrics.text(),
+      routes: [
+        requestRoutes({ requests: this._requests, manifest, random, vm, maxBodyBytes: http.maxBodyBytes }),
+        jobRoutes({ jobs: this._jobs, manifest }),
+        operatorRoutes({
+          manifest: this._manifest,
+          status: () => this._status(),
+          figures: () => this._allFigures(),
+          drain: () => this._drain()
+        })
+      ]
+    })
+  }
+
+  private _onVms (vms: VmRecord[]): void {
+    const { failureDomain } = this._settings
+    const own = vms.filter(vm => vm.failureDomain === failureDomain)
+    const instances = own.filter(vm => vm.kind === VM_KINDS.instance)
+    this._claims.setListedVms(own.filter(vm => vm.kind === VM_KINDS.entry).map(vm => vm.name))
+    this._claims.setWanted([CLAIMS.placer(failureDomain), ...instances.map(vm => CLAIMS.instance(failureDomain, vm.name))])
+    this._scheduler.setInstances(instances)
+    this._jobManager.setWorkers(own.filter(vm => vm.kind === VM_KINDS.worker))
+  }
+
+  private _onManifest ({ manifest }: RevisedManifest): void {
+    this._scheduler.setServices(manifest.services)
+    this._scheduler.setTeams(manifest.teams)
+    this._jobManager.setManifest(manifest)
+  }
+
+  private _onPeer (vm: string, revision: number, loads: Parameters<RequestRouter['onPeerLoads']>[1]): void {
+    this._manifest.onPeerRevision(vm, revision)
+    this._router.onPeerLoads(vm, loads)
+  }
+
+  private _readiness (): { ready: boolean, reason?: string } {
+    if (this._leaving) return { ready: false, reason: 'leaving' }
+    if (!this._started) return { ready: false, reason: 'starting' }
+    return this._manifest.current().revision > 0 ? { ready: true } : { ready: false, reason: 'no manifest is in force' }
+  }
+
+  private _status (): Record<string, unknown> {
+    const { vm, failureDomain } = this._settings
+    const peers = this._peers.all().map(({ loads, ...peer }) => peer)
+    return {
+      vm,
+      failureDomain,
+      leaving: this._leaving,
+      revision: this._manifest.current().revision,
+      claims: { ...this._claims.figures(), names: this._claims.held() },
+      inFlight: this._requests.inFlight,
+      peers
+    }
+  }
+
+  private _figures (): Record<string, unknown> {
+    return {
+      vm: this._settings.vm,
+      failureDomain: this._settings.failureDomain,
+      requests: this._scheduler.figures(),
+      claims: this._claims.figures(),
+      jobs: this._jobManager.figures()
+    }
+  }
+
+  private _explainOwnJob (jobId: string): Record<string, unknown> | null {
+    const explained = this._jobManager.explain(jobId)
+    return explained ? { ...explained } : null
+  }
+
+  /** Figures of this and all other entry daemons, by VM; those that cannot be reached are named. */
+  private async _allFigures (): Promise<{ figures: Record<string, unknown>, unreachable: string[] }> {
+    const peers = this._peers.all()
+    const told = await Promise.all(peers.map(peer => this._parts.transport.call(peer.vm, 'figures', {}, ASK_TIMEOUT_MS)))
+    const figures = Object.fromEntries(told.flatMap((answer, i) => answer.isOk ? [[peers[i].vm, answer.value]] : []))
+    return {
+      figures: { [this._settings.vm]: this._figures(), ...figures },
+      unreachable: peers.filter((_, i) => told[i].isErr).map(peer => peer.vm)
+    }
+  }
+
+  /** Hands over the claims and takes no more work, but goes on to serve what callers send by way of the peers. */
+  private _drain (): void {
+    if (this._leaving) return
+    this._leaving = true
+    this._parts.log.event('info', 'daemon.draining', { inFlight: this._requests.inFlight })
+    this._claims.handOverAll()
+  }
+
+  private _keyCommitter (): Committer {
+    const { timers, platform, random } = this._parts
+    const minIntervalMs = COMMIT_INTERVAL_PER_VM_MS * this._settings.peers.length
+    const committer = new GroupCommitter({ timers, platform, random, writer: `${this._settings.vm}/keys`, minIntervalMs })
+    return {
+      commit: async (changes, guards) => {
+        const committed = await committer.commit(changes, { guards, timeoutMs: KEY_COMMIT_TIMEOUT_MS })
+        if (committed.isOk) return Result.ok({ applied: true })
+        const guardFailed = committed.error instanceof CommitRefusedError && committed.error.reason === COMMIT_REFUSALS.guard
+        return guardFailed ? Result.ok({ applied: false }) : Result.err(committed.error)
+      }
+    }
+  }
+
+  private readonly _askRecorder = async (vm: string, key: string, requestId: string) => {
+    const told = await this._parts.transport.call(vm, 'keyedOutcome', { key, requestId }, ASK_TIMEOUT_MS)
+    return told.isOk ? told.value : undefined
+  }
+
+  private async _askPeers (requestId: string) {
+    const { transport } = this._parts
+    const reachable = this._peers.all().filter(peer => peer.reachable)
+    const told = await Promise.all(reachable.map(peer => transport.call(peer.vm, 'explainRequest', { requestId }, ASK_TIMEOUT_MS)))
+    return told.flatMap(answer => answer.isOk && answer.value ? [answer.value] : [])
+  }
+}
--- a/packages/pomelofold/src/tasks/jobs/jobManager.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobManager.ts
@@ -13,8 +13,9 @@
 import { EMPTY_MANIFEST, type Manifest } from '../../protocol/manifest.js'
 import type { JobAnswer, PeerMethods } from '../../protocol/peerMessages.js'
 import type { VmRecord } from '../../protocol/vms.js'
+import { EFFECTS } from '../../utils/errors.js'
 import { SILENT_LOG, type EventLog } from '../../utils/eventLog.js'
-import { COMMIT_REFUSALS, CommitRefusedError } from '../../utils/groupCommit.js'
+import { COMMIT_REFUSALS, CommitRefusedError } from '../../platform/groupCommit.js'
 import type { Placement } from '../placementTypes.js'
 import { Job, planOf } from './job.js'
 import type { JobEvent } from './jobHistory.js'
@@ -109,7 +110,7 @@
     if (created.isOk) return this._notPlacer()
     const taken = created.error instanceof CommitRefusedError && created.error.reason === COMMIT_REFUSALS.guard
     if (taken) return { kind: 'conflict', detail: `the job id ${jobId} is taken` }
-    return { kind: 'unavailable', detail: `the job could not be recorded: ${created.error.message}`, retryAfterMs: RETRY_AFTER_MS }
+    return { kind: 'unavailable', detail: `the job could not be recorded: ${created.error.message}`, retryAfterMs: RETRY_AFTER_MS, mayHaveEffect: created.error.effect === EFFECTS.unknown }
   }
 
   async getJob ({ jobId }: { jobId: string }): Promise<JobAnswer> {
@@ -127,12 +128,14 @@
     if (job.ended && job.ended !== 'cancelled') return this._answer(job)
     const committed = await session.cancel(job)
     if (committed.isOk) return this._answer(job)
-    return { kind: 'unavailable', detail: `the cancellation could not be recorded: ${committed.error.message}`, retryAfterMs: RETRY_AFTER_MS }
+    return { kind: 'unavailable', detail: `the cancellation could not be recorded: ${committed.error.message}`, retryAfterMs: RETRY_AFTER_MS, mayHaveEffect: committed.error.effect === EFFECTS.unknown }
   }
 
   async listJobs (): Promise<PeerMethods['listJobs']['result']> {
-    const jobs = [...this._activeSession()?.ledger.jobs.values() ?? []]
-    return { jobs: jobs.map(job => job.view(this._options.failureDomain)).filter(view => view !== undefined) }
+    const session = this._activeSession()
+    const jobs = [...session?.ledger.jobs.values() ?? []]
+    const views = jobs.map(job => job.view(this._options.failureDomain)).filter(view => view !== undefined)
+    return { jobs: views, active: session !== undefined }
   }
 
   /** History of a job that this process places. */
@@ -221,7 +224,7 @@
 
   private _notPlacer (): JobAnswer {
     const holder = this._options.authority.holderOf(this._claim) ?? 'unknown'
-    return { kind: 'unavailable', detail: `this entry VM does not place jobs of ${this._options.failureDomain} now; last known placer: ${holder}`, retryAfterMs: RETRY_AFTER_MS }
+    return { kind: 'unavailable', detail: `this entry VM does not place jobs of ${this._options.failureDomain} now; last known placer: ${holder}`, retryAfterMs: RETRY_AFTER_MS, mayHaveEffect: false }
   }
 }
 
--- a/packages/standins/src/keyValueStore.ts
+++ b/packages/standins/src/keyValueStore.ts
@@ -41,6 +41,7 @@
   private readonly _watchers = new Set<Watcher>()
   private _history: WatchEvent[] = []
   private _revision = 0
+  private _forgottenRevision = 0
   private _leaseNumber = 0
 
   constructor ({ timers }: { timers: Timers }) {
@@ -51,6 +52,11 @@
     return this._revision
   }
 
+  /** Oldest revision from which a watch sees every event. */
+  get oldestWatchable (): number {
+    return this._forgottenRevision + 1
+  }
+
   range (prefix: string): RangeResult {
     this.counts.reads++
     const values = [...this._values.values()].filter(value => value.key.startsWith(prefix)).map(plainValue)
@@ -106,6 +112,11 @@
     return { close: () => { this._watchers.delete(watcher) } }
   }
 
+  /** Stops all timers. Leases stay as they are. */
+  close (): void {
+    for (const lease of this._leases.values()) lease.expiry.cancel()
+  }
+
   private _check (change: Change): void {
     if (change.op !== 'put') return
     if (Buffer.byteLength(change.value) > MAX_VALUE_BYTES) throw new Error(`value of ${change.key} is over ${MAX_VALUE_BYTES} bytes`)
@@ -143,7 +154,10 @@
 
   private _publish (events: WatchEvent[]): void {
     this._history.push(...events)
-    if (this._history.length > 2 * HISTORY_EVENTS) this._history = this._history.slice(-HISTORY_EVENTS)
+    if (this._history.length > 2 * HISTORY_EVENTS) {
+      this._forgottenRevision = this._history[this._history.length - HISTORY_EVENTS - 1].revision
+      this._history = this._history.slice(-HISTORY_EVENTS)
+    }
     for (const watcher of [...this._watchers]) {
       const own = events.filter(event => event.key.startsWith(watcher.prefix))
       if (own.length) watcher.onEvents(own)
