Make room for several urgent tasks at once; describe the life of jobs

Cause: one preemption plan for one task at a time let an urgent job of many tasks wait about two seconds for each. Choice: one plan at each of up to 16 workers, workers with a plan under way left out. Ruled out: releasing victims in the placement while planning (it would wake reservations). In the random test a frozen placer now loses its claim without noticing.

--- a/packages/pomelofold/src/tasks/jobs/preemption.ts
+++ b/packages/pomelofold/src/tasks/jobs/preemption.ts
@@ -16,7 +16,9 @@
 import type { WorkerLink } from './workerLink.js'
 
 /** Jobs that may make room at the same time. */
-const MAX_PLANS = 64
+const MAX_JOBS = 64
+/** Workers at which one job may make room at the same time. */
+const MAX_WORKERS_PER_JOB = 16
 
 /** Options of an {@link Preemption}. */
 export interface PreemptionOptions {
@@ -48,16 +50,14 @@
     this._links = links
   }
 
-  /** An urgent task has found no room. One plan at a time for each job. */
+  /** An urgent task has found no room: makes some for it and for those that wait with it, at one worker for each. */
   makeRoom (job: Job, size: Capacity): void {
-    if (job.plan.class !== JOB_CLASSES.urgent || this._plans.has(job) || this._plans.size >= MAX_PLANS) return
-    const [index] = job.waiting
-    const plan = this._placement.planPreemption(job.request(index, this._ledger.nextTaskId(job, index), size))
-    const victims = plan?.victims.map(taskId => this._ledger.runs.get(taskId)) ?? []
-    if (victims.length === 0 || !victims.every(run => run && this._mayStop(run))) return
-    this._plans.set(job, new Set(victims as TaskRun[]))
-    job.history.add(this._timers.wallClock(), `stops ${victims.length} less urgent tasks at ${plan?.worker}`)
-    for (const run of victims as TaskRun[]) this.evict(run, `urgent job ${job.jobId}`)
+    if (job.plan.class !== JOB_CLASSES.urgent || this._plans.has(job) || this._plans.size >= MAX_JOBS) return
+    const victims = this._chooseVictims(job, size)
+    if (victims.size === 0) return
+    this._plans.set(job, victims)
+    job.history.add(this._timers.wallClock(), `stops ${victims.size} less urgent tasks`)
+    for (const run of victims) this.evict(run, `urgent job ${job.jobId}`)
   }
 
   /** Asks for a checkpoint, and for the stop once it is there or has taken too long. */
@@ -87,6 +87,20 @@
     }
   }
 
+  private _chooseVictims (job: Job, size: Capacity): Set<TaskRun> {
+    const chosen = new Set<TaskRun>()
+    const avoid = new Set([...job.avoid, ...[...this._plans.values()].flatMap(victims => [...victims].map(run => run.worker))])
+    for (const index of [...job.waiting].slice(0, MAX_WORKERS_PER_JOB)) {
+      const plan = this._placement.planPreemption({ ...job.request(index, this._ledger.nextTaskId(job, index), size), avoid })
+      if (!plan || plan.victims.length === 0) break
+      avoid.add(plan.worker)
+      const victims = plan.victims.map(taskId => this._ledger.runs.get(taskId)).filter(run => run !== undefined)
+      if (victims.length < plan.victims.length || !victims.every(run => this._mayStop(run))) continue
+      for (const run of victims) chosen.add(run)
+    }
+    return chosen
+  }
+
   /** Work that may not run twice is never stopped, for it could not start again. */
   private _mayStop ({ job, checkpointAskedMs }: TaskRun): boolean {
     return job !== undefined && !job.plan.atMostOnce && checkpointAskedMs === undefined
--- a/tests/jobs/decisions.test.ts
+++ b/tests/jobs/decisions.test.ts
@@ -112,6 +112,18 @@
   t.same(cell.violations(), [])
 })
 
+t.test('an urgent job of several tasks makes room for them at the same time', async t => {
+  const cell = new JobCell({ workers: 6 })
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'overnight', { class: 'overnight', count: 24, runMs: 60_000 })
+  await cell.timers.advance(10_000)
+  const submittedMs = cell.timers.now()
+  await cell.submit(placer, 'urgent', { class: 'urgent', count: 5, cpus: 3, runMs: 5_000 })
+  await cell.untilState(placer, 'urgent', 'done')
+  t.ok(cell.runs.filter(run => run.task.startsWith('urgent')).every(run => run.fromMs - submittedMs < 7_300))
+  t.same(cell.violations(), [])
+})
+
 t.test('a job that does not fit blocks no other, and tells what it waits for', async t => {
   const cell = new JobCell({ workers: 2 })
   const placer = await cell.addPlacer()
--- a/tests/jobs/jobCell.ts
+++ b/tests/jobs/jobCell.ts
@@ -107,6 +107,11 @@
     entry.authority.epoch = undefined
   }
 
+  /** The claim of an entry VM lapses without its noticing. */
+  freeze (entry: EntryVm): void {
+    entry.authority.epoch = undefined
+  }
+
   readList (): void {
     for (const entry of this._entryVms) entry.manager.setWorkers(this.vms)
   }
--- a/tests/jobs/takeover.test.ts
+++ b/tests/jobs/takeover.test.ts
@@ -122,6 +122,7 @@
       if (random.int(8) === 0) cell.workers[random.int(4)].reset()
       if (random.int(6) === 0) {
         if (random.int(2) === 0) cell.kill(placer)
+        else cell.freeze(placer)
         placer = await cell.addPlacer()
       }
       await cell.timers.advance(random.int(4_000))
