Keep the scenario language free of the test runner

Cause: a random walk run by hand from a script started the runner, which ended it with a time-out of its own after 30 s although the walk held. Conclusion: sentences live in steps.ts; only runFeature.ts knows tap.

--- a/tests/scenarios/randomWalk.ts
+++ b/tests/scenarios/randomWalk.ts
@@ -6,8 +6,7 @@
 
 import fc from 'fast-check'
 import { violations } from './invariants.js'
-import { runSentence } from './runFeature.js'
-import type { World } from './steps.js'
+import { runSentence, type World } from './steps.js'
 
 /** Time for work in flight and for tasks' leases to come to an end, in milliseconds. */
 const SETTLE_MS = 300_000
--- a/tests/scenarios/runFeature.ts
+++ b/tests/scenarios/runFeature.ts
@@ -8,20 +8,11 @@
 import { AstBuilder, GherkinClassicTokenMatcher, Parser } from '@cucumber/gherkin'
 import { IdGenerator } from '@cucumber/messages'
 import t from 'tap'
-import { STEPS, type World } from './steps.js'
+import { runSentence, type World } from './steps.js'
 
 const FEATURES = new URL('../../../tests/scenarios/features/', import.meta.url)
 const SEED = 1
 
-/** Does what a sentence of the scenario language says. Rejects when it does not hold or is not known. */
-export async function runSentence (world: World, text: string): Promise<void> {
-  for (const [pattern, handler] of STEPS) {
-    const match = pattern.exec(text)
-    if (match) return await handler(world, ...match.slice(1))
-  }
-  throw new Error(`the scenario language has no sentence like: ${text}`)
-}
-
 /** Runs every scenario of `file`. A step that fails is named with its line. */
 export function runFeature (file: string): void {
   const parser = new Parser(new AstBuilder(IdGenerator.incrementing()), new GherkinClassicTokenMatcher())
--- a/tests/scenarios/steps.ts
+++ b/tests/scenarios/steps.ts
@@ -179,6 +179,15 @@
   }]
 ]
 
+/** Does what a sentence of the scenario language says. Rejects when it does not hold or is not known. */
+export async function runSentence (world: World, text: string): Promise<void> {
+  for (const [pattern, handler] of STEPS) {
+    const match = pattern.exec(text)
+    if (match) return await handler(world, ...match.slice(1))
+  }
+  throw new Error(`the scenario language has no sentence like: ${text}`)
+}
+
 /** Jobs that their callers wait for, with how many of their tasks have finished, by the workers' records. */
 function unfinished ({ cell, workload }: World): string[] {
   const finished = new Map<string, Set<string>>()
