--- a/packages/pomelofold/src/requests/serviceTime.ts
+++ b/packages/pomelofold/src/requests/serviceTime.ts
@@ -10,7 +10,7 @@
 const ENOUGH_SAMPLES = 10
 
 /** Deviations above the mean that an answer is allowed for. */
-const SPREAD_DEVIATIONS = 2
+const SPREAD_DEVIATIONS = 3
 
 /** Exponentially weighted average and mean deviation of service times. */
 export class ServiceTime {
--- a/utils/benchCell.ts
+++ b/utils/benchCell.ts
@@ -134,9 +134,10 @@
     return entry
   }
 
-  /** Tells every entry VM the loads of the others, as heartbeats do. */
-  exchangeLoads (): void {
+  /** Tells every entry VM the loads of the others but the `lost` ones, as heartbeats do. */
+  exchangeLoads (lost: ReadonlySet<string> = new Set()): void {
     for (const from of this.entries) {
+      if (lost.has(from.vm)) continue
       const loads = from.scheduler.loads()
       for (const to of this.entries) if (to !== from) to.router.onPeerLoads(from.vm, loads)
     }
