Try another peer when one no longer holds the service's instances

Cause: between a handover of claims and the next heartbeat every forward to the old holder came back not-run and was answered so to the caller. Ruled out: forwarding by the receiving side (ping-pong between stale views). Conclusion: the answer without a load drops the peer's load and counts as not reached.

--- a/packages/pomelofold/src/requests/peerLoads.ts
+++ b/packages/pomelofold/src/requests/peerLoads.ts
@@ -49,6 +49,11 @@
     this._loads.set(service, { ...load, atMs: nowMs, sentSince: 0 })
   }
 
+  /** The peer holds no instance of the service any more. */
+  dropLoad (service: string): void {
+    this._loads.delete(service)
+  }
+
   /** Expected time until a request forwarded now would be sent by the peer. Infinite when it cannot be. */
   expectedWaitMs (service: string, cls: RequestClass, nowMs: number): number {
     const load = this._loads.get(service)
--- a/packages/pomelofold/src/requests/requestRouter.ts
+++ b/packages/pomelofold/src/requests/requestRouter.ts
@@ -45,7 +45,7 @@
 /** What came of a forward. */
 interface Forwarded {
   answer: ServiceAnswer
-  /** False when no byte of the request has reached the peer. */
+  /** False when no byte of the request has reached the peer, or the peer holds no instance of the service. */
   reached: boolean
 }
 
@@ -186,12 +186,15 @@
     const result = await this._options.transport.call(peer.vm, 'forwardRequest', { request: left }, timeoutMs)
     if (result.isErr) return { reached: result.error.effect !== EFFECTS.none, answer: this._lost(req, peer, result.error) }
     this._learn(req, peer, result.value, sentMs)
-    return { reached: true, answer: delayed(result.value.answer, sentMs - arrivedMs + peer.delayMs) }
+    const { answer, load } = result.value
+    const noInstance = answer.outcome === OUTCOMES.notRun && load === undefined
+    return { reached: !noInstance, answer: delayed(answer, sentMs - arrivedMs + peer.delayMs) }
   }
 
   private _learn (req: ServiceRequest, peer: PeerLoads, { load, tookMs }: ForwardResult, sentMs: number): void {
     const nowMs = this._timers.now()
     if (load) peer.setLoad(req.service, load, nowMs)
+    else peer.dropLoad(req.service)
     if (tookMs !== undefined) peer.measured(nowMs - sentMs, tookMs)
   }
 
--- a/tests/requests/requestRouter.test.ts
+++ b/tests/requests/requestRouter.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap'
 import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import { CLAIMS } from 'pomelofold/seams/authority'
 import type { ServiceAnswer, ServiceRequest } from 'pomelofold/protocol/requests'
 import { MemoryInstances, RUN_MS_HEADER } from '../../utils/benchInstances.js'
 import { instanceRecord, MemoryCell, SERVICE, type MemoryCellOptions } from '../../utils/benchCell.js'
@@ -58,6 +59,19 @@
   t.match(answers, [{ outcome: 'ran' }])
 })
 
+t.test('a peer that has lost its claims since its last heartbeat does not cost requests', async t => {
+  const { timers, cell, answers, send } = setup()
+  await timers.advance(10)
+  cell.exchangeLoads()
+  cell.entry('e2').authority.revoke(CLAIMS.instance('fd1', 'i1'))
+  for (let i = 0; i < 5; i++) {
+    send()
+    await timers.advance(100)
+  }
+  t.match(answers, new Array(5).fill({ outcome: 'ran' }))
+  t.match(cell.entry('e2').scheduler.figures().requests, [{ outcome: 'not-run', count: 1 }])
+})
+
 t.test('a forward whose answer is lost is unknown and runs once', async t => {
   const { timers, cell, upstream, answers, send } = setup()
   await timers.advance(10)
