Bound how many instances failed requests may pause; follow changed slot counts

Cause: requests that fail everywhere (a caller's fault, or deadlines below the run time) paused every instance, so that other requests were refused; an instance listed with another number of slots kept the old one. Ruled out: not counting status 500 as a failure (a failing instance answers fastest and would draw the requests). Conclusion: at most half of the instances are paused for failed requests; refused connections still pause each.

--- a/packages/pomelofold/src/requests/instanceHealth.ts
+++ b/packages/pomelofold/src/requests/instanceHealth.ts
@@ -21,7 +21,7 @@
 
 /** Circuit breaker with slow start: how many requests an instance may have in flight. */
 export class InstanceHealth {
-  private readonly _slots: number
+  private _slots: number
   private readonly _random: RandomSource
   private _allowance: number
   private _failureShare = 0
@@ -62,9 +62,18 @@
     if (this._allowance === this._slots) this._pauses = 0
   }
 
-  failed (nowMs: number): void {
+  /** Sets the number of slots of the instance. */
+  resize (slots: number): void {
+    if (this._allowance === this._slots) this._allowance = slots
+    this._slots = slots
+    this._allowance = Math.min(this._allowance, slots)
+  }
+
+  /** Counts a failed request. With `mayPause`, many of them start a pause. */
+  failed (nowMs: number, mayPause: boolean): void {
     this._failuresInRow++
     this._failureShare += RESULT_WEIGHT * (1 - this._failureShare)
+    if (!mayPause) return
     const probing = this._pauses > 0 && this._allowance < this._slots
     if (probing || this._failuresInRow >= FAILURES_TO_OPEN || this._failureShare > FAILURE_SHARE_TO_OPEN) this.pause(nowMs)
   }
--- a/packages/pomelofold/src/requests/instancePool.ts
+++ b/packages/pomelofold/src/requests/instancePool.ts
@@ -8,7 +8,7 @@
 import type { RandomSource } from '../seams/randomSource.js'
 import type { Timers } from '../seams/timers.js'
 import type { UpstreamClient } from '../seams/upstreamClient.js'
-import { VM_STATES, type VmRecord } from '../protocol/vms.js'
+import type { VmRecord } from '../protocol/vms.js'
 import { OccupancyReader } from './occupancyReader.js'
 import { ServiceInstance } from './serviceInstance.js'
 import type { CapacityView } from './waitEstimator.js'
@@ -16,6 +16,9 @@
 /** A claim must last this much longer for a send under it, in milliseconds. */
 const SEND_MARGIN_MS = 100
 
+/** Share of the instances that failed requests may pause at once. */
+const MAX_PAUSED_SHARE = 0.5
+
 /** Options of an {@link InstancePool}. */
 export interface InstancePoolOptions {
   failureDomain: string
@@ -47,7 +50,7 @@
     const listed = new Set(records.map(instanceKey))
     for (const record of records) {
       const { instance } = this._known.get(instanceKey(record)) ?? this._add(record)
-      instance.leaving = record.state === VM_STATES.leaving
+      instance.setRecord(record)
     }
     for (const [key, { instance }] of this._known) {
       if (listed.has(key)) continue
@@ -92,6 +95,18 @@
     return this._instances.some(instance => instance.usable() && !without?.has(instance.name))
   }
 
+  /** Whether one more instance may be paused: when most of them fail, the cause is not the instance. */
+  mayPause (nowMs: number): boolean {
+    let usable = 0
+    let paused = 0
+    for (const instance of this._instances) {
+      if (!instance.usable()) continue
+      usable++
+      if (instance.health.pausedUntilMs() > nowMs) paused++
+    }
+    return paused < usable * MAX_PAUSED_SHARE
+  }
+
   /** Number of instances whose claims are held. */
   held (): number {
     return this._instances.filter(instance => instance.epoch !== undefined).length
--- a/packages/pomelofold/src/requests/serviceDispatcher.ts
+++ b/packages/pomelofold/src/requests/serviceDispatcher.ts
@@ -195,7 +195,7 @@
     const elapsedMs = nowMs - attempt.sentAtMs
     instance.end(attempt, false)
     if (answer.status >= SERVER_ERROR_STATUS) {
-      instance.health.failed(nowMs)
+      instance.health.failed(nowMs, this._pool.mayPause(nowMs))
     } else {
       instance.health.succeeded()
       instance.serviceTime.add(elapsedMs)
@@ -210,7 +210,7 @@
     instance.end(attempt, mayRun)
     if (mayRun) {
       entry.mayHaveRun = true
-      instance.health.failed(nowMs)
+      instance.health.failed(nowMs, this._pool.mayPause(nowMs))
       this._learnAtLeast(instance, nowMs - attempt.sentAtMs)
     } else {
       instance.health.pause(nowMs)
--- a/packages/pomelofold/src/requests/serviceInstance.ts
+++ b/packages/pomelofold/src/requests/serviceInstance.ts
@@ -5,7 +5,7 @@
  */
 
 import type { RandomSource } from '../seams/randomSource.js'
-import type { VmRecord } from '../protocol/vms.js'
+import { VM_STATES, type VmRecord } from '../protocol/vms.js'
 import { InstanceHealth } from './instanceHealth.js'
 import { ServiceTime } from './serviceTime.js'
 
@@ -23,9 +23,10 @@
 export class ServiceInstance {
   readonly name: string
   readonly address: string
-  readonly slots: number
   readonly health: InstanceHealth
   readonly serviceTime = new ServiceTime()
+  /** Requests that may run at once. */
+  slots: number
   /** True when it gets nothing new. */
   leaving = false
   /** Epoch under which the claim is held. Undefined while it is not. */
@@ -43,10 +44,19 @@
   constructor ({ record, random }: { record: VmRecord, random: RandomSource }) {
     this.name = record.name
     this.address = record.address
-    this.slots = Math.min(record.slots ?? DEFAULT_SLOTS, record.connections ?? Infinity)
+    this.slots = slotsOf(record)
     this.health = new InstanceHealth({ slots: this.slots, random })
   }
 
+  /** Takes over what the platform's list says of the instance. */
+  setRecord (record: VmRecord): void {
+    this.leaving = record.state === VM_STATES.leaving
+    const slots = slotsOf(record)
+    if (slots === this.slots) return
+    this.slots = slots
+    this.health.resize(slots)
+  }
+
   /** Requests whose answer is awaited. */
   get inFlight (): number {
     return this._inFlight.size
@@ -121,3 +131,7 @@
     this._unknown = [...older.slice(0, Math.max(0, bound)), ...newer]
   }
 }
+
+function slotsOf ({ slots, connections }: VmRecord): number {
+  return Math.min(slots ?? DEFAULT_SLOTS, connections ?? Infinity)
+}
--- a/tests/requests/requestScheduler.test.ts
+++ b/tests/requests/requestScheduler.test.ts
@@ -177,6 +177,35 @@
   t.match(await sendFor(1), new Array(40).fill({ outcome: 'ran', status: 200 }))
 })
 
+t.test('requests that fail everywhere do not keep others from being sent', async t => {
+  const { timers, upstream, answers, send } = setup(['i1', 'i2', 'i3', 'i4'])
+  await timers.advance(10)
+  for (const instance of upstream.instances.values()) instance.mode = INSTANCE_MODES.fails
+  for (let i = 0; i < 200; i++) {
+    send({ deadlineMs: 500 })
+    await timers.advance(20)
+  }
+  const refused = answers.filter(answer => answer.outcome === 'not-run').length
+  t.equal(refused, 0, `${refused} of 200 were refused`)
+})
+
+t.test('a change of slots in the list is followed', async t => {
+  const { timers, upstream, records, scheduler, send } = setup(['i1'], { slots: 4 })
+  await timers.advance(10)
+  for (let i = 0; i < 10; i++) {
+    send({ runMs: 5 })
+    await timers.advance(20)
+  }
+  const instance = upstream.instances.get('i1')!
+  for (const [slots, running] of [[1, 1], [6, 6]]) {
+    scheduler.setInstances([{ ...records[0], slots }])
+    for (let i = 0; i < 10; i++) send({ deadlineMs: 5_000 })
+    await timers.advance(10)
+    t.equal(instance.running, running)
+    await timers.advance(5_000)
+  }
+})
+
 t.test('a leaving instance gets nothing new and finishes what it runs', async t => {
   const { timers, upstream, records, scheduler, answers, send } = setup(['i1', 'i2'])
   await timers.advance(10)
