Give waiting times as histograms that add up

Cause: percentiles of several entry VMs cannot be merged for a report. Ruled out: fixed buckets (objectives choose their own bounds; good and bad counts serve them). Figures: the test of figures decodes the histogram and finds its three requests. Conclusion: figures() carries a compressed HDR histogram for each service and class.

--- a/packages/pomelofold/src/requests/requestFigures.ts
+++ b/packages/pomelofold/src/requests/requestFigures.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { build, type Histogram } from 'hdr-histogram-js'
+import { build, encodeIntoCompressedBase64, type Histogram } from 'hdr-histogram-js'
 import type { Outcome, RequestClass } from '../protocol/requests.js'
 import type { QueuedRequest, ServiceSpec } from './queuedRequest.js'
 
@@ -33,6 +33,8 @@
   p99Ms: number
   p999Ms: number
   maxMs: number
+  /** The waiting times in microseconds, as a compressed HDR histogram. Histograms of several processes can be added up. */
+  histogram: string
 }
 
 /** How many requests met the service's objective. Those that were never sent count against it. */
@@ -120,7 +122,8 @@
         p50Ms: histogram.getValueAtPercentile(50) / MICROS_PER_MS,
         p99Ms: histogram.getValueAtPercentile(99) / MICROS_PER_MS,
         p999Ms: histogram.getValueAtPercentile(99.9) / MICROS_PER_MS,
-        maxMs: histogram.maxValue / MICROS_PER_MS
+        maxMs: histogram.maxValue / MICROS_PER_MS,
+        histogram: encodeIntoCompressedBase64(histogram)
       })),
       objectives: [...this._objectives.values()].map(objective => ({ ...objective })),
       retries: this._retries
--- a/tests/requests/requestScheduler.test.ts
+++ b/tests/requests/requestScheduler.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import { decodeFromCompressedBase64 } from 'hdr-histogram-js'
 import { CLAIMS } from 'pomelofold/seams/authority'
 import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
@@ -310,4 +311,5 @@
   t.match(requests, [{ service: SERVICE, class: 'normal', outcome: 'ran', count: 3 }])
   t.match(waits, [{ service: SERVICE, class: 'normal', count: 3 }])
   t.match(objectives, [{ good: 1, bad: 2 }])
+  t.equal(decodeFromCompressedBase64(waits[0].histogram).totalCount, 3)
 })
