Bound what team names, hung requests and undeclared services can do

Ruled out: leaving requests that are not answered out of the learned time (a service slower than its deadlines would be admitted without bound). Conclusion: unanswered requests count at most twice the expected time.

--- a/packages/pomelofold/src/requests/queuedRequest.ts
+++ b/packages/pomelofold/src/requests/queuedRequest.ts
@@ -10,7 +10,7 @@
 /** A service as the manifest declares it. */
 export type ServiceSpec = Manifest['services'][number]
 
-/** Name under which requests without a team are counted. */
+/** Name under which requests without a declared team are counted. */
 export const NO_TEAM = ''
 
 /** A request that waits or runs. */
--- a/packages/pomelofold/src/requests/requestScheduler.ts
+++ b/packages/pomelofold/src/requests/requestScheduler.ts
@@ -51,6 +51,7 @@
   private readonly _claims: Subscription
   private _specs = new Map<string, ServiceSpec>()
   private _teamSpecs: Manifest['teams'] = []
+  private _teamNames = new Set<string>()
   private _records: VmRecord[] = []
   private _open = 0
   private _drained: ManualPromise | undefined
@@ -79,6 +80,7 @@
   /** Sets the teams of the manifest in force. */
   setTeams (teams: Manifest['teams']): void {
     this._teamSpecs = teams
+    this._teamNames = new Set(teams.map(team => team.name))
     this._shareTeamLimits()
   }
 
@@ -98,7 +100,8 @@
     const entry = this._entry(req, done)
     const dispatcher = this._specs.has(req.service) ? this._dispatchers.get(req.service) : undefined
     if (!dispatcher) {
-      this._refuse(entry, done, { step: 'request.admit', peer: req.service, detail: `no service ${req.service} is declared` }, 'notFound')
+      const detail = `no service ${req.service} is declared`
+      done.resolve(notRun({ step: 'request.admit', peer: req.service, detail, requestId: req.requestId }, 'notFound'))
     } else if (this._drained) {
       const detail = 'the entry VM is shutting down'
       this._refuse(entry, done, { step: 'request.admit', peer: req.service, detail, retryAfterMs: LEAVING_RETRY_AFTER_MS }, 'unavailable')
@@ -120,7 +123,7 @@
   /** Expected time until a request would be sent by this process. Infinite when it cannot be. */
   expectedWaitMs (req: ServiceRequest): number {
     if (!this.serves(req.service)) return Infinity
-    return this._dispatchers.get(req.service)?.expectedWaitMs(req.class, req.team ?? NO_TEAM, req.deadlineMs) ?? Infinity
+    return this._dispatchers.get(req.service)?.expectedWaitMs(req.class, this._teamOf(req), req.deadlineMs) ?? Infinity
   }
 
   /** The declaration of `service`, when there is one. */
@@ -159,7 +162,7 @@
 
   private _entry (req: ServiceRequest, done: ManualPromise<ServiceAnswer>): QueuedRequest {
     const nowMs = this._options.timers.now()
-    const team = req.team ?? NO_TEAM
+    const team = this._teamOf(req)
     const answer = (final: ServiceAnswer): void => {
       this._teams.leave(team)
       this._open--
@@ -181,6 +184,11 @@
     }
   }
 
+  /** The request's team when the manifest declares it. Others share one place, so that made-up names gain nothing. */
+  private _teamOf ({ team }: ServiceRequest): string {
+    return team !== undefined && this._teamNames.has(team) ? team : NO_TEAM
+  }
+
   private _refuse (entry: QueuedRequest, done: ManualPromise<ServiceAnswer>, details: FailureDetails, kind?: ProblemKind): void {
     this._figures.ended(entry, OUTCOMES.notRun)
     done.resolve(notRun({ ...details, requestId: entry.req.requestId }, kind))
--- a/packages/pomelofold/src/requests/serviceDispatcher.ts
+++ b/packages/pomelofold/src/requests/serviceDispatcher.ts
@@ -92,8 +92,8 @@
     entry.startByMs = this._startBy(entry)
     this._capacity(nowMs)
     const waitMs = this._estimator.waitMs(entry, nowMs)
-    if (nowMs + waitMs > entry.startByMs) return this._refuse(entry, waitMs)
-    if (this._queue.size >= this._options.maxQueued && !this._makeRoom(entry.class)) return this._refuse(entry, waitMs)
+    if (nowMs + waitMs > entry.startByMs) return this._refuse(entry, waitMs, this._waitDetail(waitMs))
+    if (!this._makeRoom(entry.class)) return this._refuse(entry, waitMs, 'the queue is full')
     this._queue.push(entry)
     this.dispatch()
   }
@@ -226,8 +226,8 @@
   /** Learns from a request that was not answered: it takes at least as long as was waited for it. */
   private _learnAtLeast (instance: ServiceInstance, elapsedMs: number): void {
     const expectedMs = this._expectedMs()
-    if (elapsedMs > instance.serviceTime.expectedMs(expectedMs)) instance.serviceTime.add(elapsedMs)
-    if (elapsedMs > expectedMs) this._serviceTime.add(elapsedMs)
+    instance.serviceTime.addAtLeast(elapsedMs, expectedMs)
+    this._serviceTime.addAtLeast(elapsedMs, expectedMs)
   }
 
   /** Puts the request back into the queue when it may be sent again. */
@@ -249,7 +249,9 @@
     }
   }
 
+  /** Whether the queue has room for a request of the class, if need be by giving up one of a lower class. */
   private _makeRoom (cls: RequestClass): boolean {
+    if (this._queue.size < this._options.maxQueued) return true
     const evicted = this._queue.evictBelow(cls)
     if (evicted) this._giveUp(evicted, `the queue is full and a request of class ${cls} goes first`)
     return evicted !== undefined
@@ -263,11 +265,13 @@
     this._finish(entry, notRun({ ...details, retryAfterMs: this._retryAfterMs(entry, 0) }))
   }
 
-  private _refuse (entry: QueuedRequest, waitMs: number): void {
+  private _waitDetail (waitMs: number): string {
+    if (!this.serves()) return 'no service instance takes requests here'
+    return `the request would wait ${Math.ceil(waitMs)} ms, beyond its deadline`
+  }
+
+  private _refuse (entry: QueuedRequest, waitMs: number, detail: string): void {
     const { requestId, service } = entry.req
-    const detail = this.serves()
-      ? `the request would wait ${Math.ceil(waitMs)} ms, beyond its deadline`
-      : 'no service instance takes requests here'
     this._finish(entry, notRun({ step: 'request.admit', peer: service, detail, requestId, retryAfterMs: this._retryAfterMs(entry, waitMs) }))
   }
 
--- a/packages/pomelofold/src/requests/serviceTime.ts
+++ b/packages/pomelofold/src/requests/serviceTime.ts
@@ -9,6 +9,8 @@
 /** Samples after which the learned value replaces the expected one. */
 const ENOUGH_SAMPLES = 10
 
+/** Most that an unfinished sample counts, in expected values. */
+const MAX_GROWTH = 2
 /** Deviations above the mean that an answer is allowed for. */
 const SPREAD_DEVIATIONS = 3
 
@@ -25,6 +27,12 @@
     this._meanMs += weight * (elapsedMs - this._meanMs)
   }
 
+  /** Adds a sample that may be longer than `elapsedMs`. It counts as at most a few times the expected value. */
+  addAtLeast (elapsedMs: number, fallbackMs: number): void {
+    const expectedMs = this.expectedMs(fallbackMs)
+    if (elapsedMs > expectedMs) this.add(Math.min(elapsedMs, expectedMs * MAX_GROWTH))
+  }
+
   /** The learned mean. With few samples, leans on `fallbackMs`. */
   expectedMs (fallbackMs: number): number {
     if (this._samples >= ENOUGH_SAMPLES) return this._meanMs
--- a/tests/requests/requestScheduler.test.ts
+++ b/tests/requests/requestScheduler.test.ts
@@ -80,6 +80,19 @@
   t.match(answers, [{ outcome: 'ran' }])
 })
 
+t.test('a reading that was started under an earlier epoch is not used', async t => {
+  const { timers, upstream, authority, send } = setup()
+  const instance = upstream.instances.get('i1')!
+  await timers.advance(0.3)
+  instance.running = 2
+  authority.grant(CLAIMS.instance('fd1', 'i1'), 3)
+  for (let i = 0; i < 2; i++) send({ deadlineMs: 5_000 })
+  await timers.advance(1_000)
+  for (let i = 0; i < 2; i++) send({ deadlineMs: 5_000 })
+  await timers.advance(1_000)
+  t.equal(instance.peak, 0)
+})
+
 t.test('a claim that has lapsed without notice stops sending', async t => {
   const { timers, authority, upstream, answers, send } = setup()
   await timers.advance(10)
@@ -275,7 +288,7 @@
 })
 
 t.test('a team with many waiting requests does not hold up another team', async t => {
-  const context = setup(['i1'], { slots: 1 })
+  const context = setup(['i1'], { slots: 1, teams: [{ name: 'a', quota: QUOTA, borrow: true }, { name: 'b', quota: QUOTA, borrow: true }] })
   const { timers, scheduler, send } = context
   await timers.advance(10)
   await warmUp(context)
@@ -285,6 +298,32 @@
   t.match(scheduler.figures().requests.find(count => count.team === 'b'), { outcome: 'ran', count: 10 })
 })
 
+t.test('a team that is not declared gains nothing by its name', async t => {
+  const context = setup(['i1'], { slots: 1 })
+  const { timers, scheduler, send } = context
+  await timers.advance(10)
+  await warmUp(context)
+  for (let i = 0; i < 100; i++) send({ team: `made-up-${i}`, runMs: 10, deadlineMs: 5_000 })
+  await timers.advance(5_000)
+  t.same(new Set(scheduler.figures().requests.map(count => count.team)), new Set(['']))
+})
+
+t.test('a few requests that hang do not make the others be refused', async t => {
+  const context = setup(['i1', 'i2'], { slots: 4 })
+  const { timers, upstream, answers, send } = context
+  await timers.advance(10)
+  await warmUp(context)
+  upstream.instances.get('i1')!.mode = INSTANCE_MODES.silent
+  upstream.instances.get('i2')!.mode = INSTANCE_MODES.silent
+  for (let i = 0; i < 2; i++) send({ deadlineMs: 10_000 })
+  await timers.advance(20_000)
+  for (const instance of upstream.instances.values()) instance.mode = INSTANCE_MODES.answers
+  answers.length = 0
+  send({ deadlineMs: 200 })
+  await timers.advance(500)
+  t.match(answers, [{ outcome: 'ran' }])
+})
+
 t.test('slots are kept free for urgent requests while such requests come', async t => {
   const context = setup(['i1', 'i2', 'i3', 'i4', 'i5'], { slots: 8 })
   const { timers, scheduler, send, answers } = context
