--- a/packages/pomelofold/src/tasks/placement/cluster.ts
+++ b/packages/pomelofold/src/tasks/placement/cluster.ts
@@ -15,7 +15,13 @@
   readonly nodes = new Map<string, WorkerNode>()
   readonly tasks = new Map<string, PlacedTask>()
   readonly teams = new TeamLedger()
-  readonly index = new FreeIndex()
+  /** All workers by the room for tasks without accelerators. */
+  readonly plainIndex = new FreeIndex({ slot: 0, cpusOf: node => node.plainCpus(), memoryOf: node => node.plainMemory(), planeOf: () => 0 })
+  /** Workers with accelerators by free accelerators, then by all free room. */
+  readonly acceleratedIndex = new FreeIndex({
+    slot: 1, cpusOf: node => node.freeCpus(), memoryOf: node => node.freeMemory(), planeOf: node => node.freeAccelerators()
+  })
+
   /** Sums over the listed workers. */
   readonly capacity = zeroUnits()
   readonly used = zeroUnits()
@@ -31,7 +37,7 @@
     this._countCapacity(node, -1)
     node.update(info)
     this._countCapacity(node, 1)
-    this.index.update(node)
+    this._reindex(node)
   }
 
   /** Forgets a worker and the tasks counted there. */
@@ -63,7 +69,7 @@
     countForTeam(task.team, task.size, -1)
     addUnits(this.used, task.size, -1)
     this._removeFromJob(task)
-    this.index.update(task.node)
+    this._reindex(task.node)
     if (!task.node.listed && !task.node.tasks.size) this._removeNode(task.node)
   }
 
@@ -77,7 +83,7 @@
     task.node.addTask(task)
     countForTeam(task.team, size, 1)
     addUnits(this.used, size)
-    this.index.update(task.node)
+    this._reindex(task.node)
   }
 
   /** The worker of this name. One that is not listed yet holds tasks and takes no work. */
@@ -85,6 +91,11 @@
     return this.nodes.get(name) ?? this._addNode({ name, rack: '', failureDomain: '' })
   }
 
+  /** The most processors and memory of any worker. */
+  get largest (): Units {
+    return this.plainIndex.largest
+  }
+
   /** The distinct capacities of the listed workers. */
   shapes (): Units[] {
     return [...this._shapes.values()].map(shape => shape.capacity)
@@ -102,7 +113,7 @@
   /** Changes the room held at a worker. */
   hold (node: WorkerNode, amount: Units, times: 1 | -1): void {
     addUnits(node.held, amount, times)
-    this.index.update(node)
+    this._reindex(node)
   }
 
   private _addTask (task: PlacedTask): void {
@@ -113,7 +124,7 @@
     const jobTasks = this._jobs.get(task.jobId)
     if (jobTasks) jobTasks.add(task)
     else this._jobs.set(task.jobId, new Set([task]))
-    this.index.update(task.node)
+    this._reindex(task.node)
   }
 
   private _removeFromJob (task: PlacedTask): void {
@@ -122,6 +133,12 @@
     if (jobTasks?.size === 0) this._jobs.delete(task.jobId)
   }
 
+  private _reindex (node: WorkerNode): void {
+    this.plainIndex.update(node)
+    if (node.capacity.accelerators) this.acceleratedIndex.update(node)
+    else this.acceleratedIndex.remove(node)
+  }
+
   private _countCapacity ({ listed, capacity }: WorkerNode, times: 1 | -1): void {
     if (!listed) return
     addUnits(this.capacity, capacity, times)
@@ -151,7 +168,8 @@
   }
 
   private _removeNode (node: WorkerNode): void {
-    this.index.remove(node)
+    this.plainIndex.remove(node)
+    this.acceleratedIndex.remove(node)
     this._countCapacity(node, -1)
     if (this.nodes.get(node.name) === node) this.nodes.delete(node.name)
     for (const kind of GROUP_KINDS) {
--- a/packages/pomelofold/src/tasks/placement/everFit.ts
+++ b/packages/pomelofold/src/tasks/placement/everFit.ts
@@ -16,7 +16,7 @@
 
 /** Whether each task alone, or all of a gang at once, could run. The error names the nearest miss. */
 export function checkEverFit (cluster: Cluster, tasks: TaskRequest[], within: GroupKind | undefined): Result<void, NoPlace> {
-  const gang = toGang(tasks.map(task => ({ ...task, avoid: undefined })), cluster.index.largest)
+  const gang = toGang(tasks.map(task => ({ ...task, avoid: undefined })), cluster.largest)
   const single = singleFault(cluster, gang)
   const detail = single ?? (within && gangFault(cluster, gang, within))
   return detail ? Result.err({ reason: NO_PLACE.never, detail }) : Result.ok(undefined)
--- a/packages/pomelofold/src/tasks/placement/freeIndex.ts
+++ b/packages/pomelofold/src/tasks/placement/freeIndex.ts
@@ -17,8 +17,8 @@
 /** Upper over lower bound of a range. */
 const RANGE_RATIO = 1.18
 
-/** Plane 0 holds workers that have no accelerators, plane 1 + n those with n free, the last one those with more. */
-const PLANES = 18
+/** Plane n holds the workers with n free accelerators, the last one those with more. */
+const PLANES = 17
 
 /** Workers that fit and are scored in one cell. */
 const MAX_SCORED_PER_CELL = 16
@@ -32,6 +32,15 @@
   penalty: (node: WorkerNode) => number
 }
 
+/** Which free room an index goes by. */
+export interface IndexOptions {
+  /** Number of the index among those of a worker. */
+  slot: 0 | 1
+  cpusOf: (node: WorkerNode) => number
+  memoryOf: (node: WorkerNode) => number
+  planeOf: (node: WorkerNode) => number
+}
+
 interface Cell {
   nodes: WorkerNode[]
   /** Bounds above the free room of each worker of the cell. */
@@ -44,8 +53,9 @@
   score: number
 }
 
-/** Workers of one failure domain, ordered by free room. */
+/** Workers ordered by free room. */
 export class FreeIndex {
+  private readonly _options: IndexOptions
   private readonly _cells: Array<Cell | undefined> = new Array(PLANES * RANGES * RANGES)
   /** For each plane and row the columns whose cells are not empty. */
   private readonly _columns = new Int32Array(PLANES * RANGES)
@@ -55,14 +65,20 @@
   private _lowCpus: Float64Array = new Float64Array(RANGES)
   private _lowMemory: Float64Array = new Float64Array(RANGES)
 
+  constructor (options: IndexOptions) {
+    this._options = options
+  }
+
   /** Puts the worker where its free room belongs. */
   update (node: WorkerNode): void {
     if (!node.takesWork) return this.remove(node)
     if (node.capacity.cpus > this.largest.cpus || node.capacity.memory > this.largest.memory) this._rescale(node.capacity)
-    const cpus = node.freeCpus()
-    const memory = node.freeMemory()
-    const index = (this._plane(node) * RANGES + range(cpus, this.largest.cpus)) * RANGES + range(memory, this.largest.memory)
-    if (index !== node.cell) {
+    const { slot, cpusOf, memoryOf, planeOf } = this._options
+    const cpus = cpusOf(node)
+    const memory = memoryOf(node)
+    const plane = Math.max(0, Math.min(PLANES - 1, planeOf(node)))
+    const index = (plane * RANGES + range(cpus, this.largest.cpus)) * RANGES + range(memory, this.largest.memory)
+    if (index !== node.cells[slot]) {
       this.remove(node)
       this._insert(node, index)
     }
@@ -72,22 +88,23 @@
   }
 
   remove (node: WorkerNode): void {
-    if (node.cell < 0) return
-    const { nodes } = this._cells[node.cell]!
+    const { slot } = this._options
+    const index = node.cells[slot]
+    if (index < 0) return
+    const { nodes } = this._cells[index]!
     const last = nodes.pop()!
     if (last !== node) {
-      nodes[node.cellPosition] = last
-      last.cellPosition = node.cellPosition
+      nodes[node.cellPositions[slot]] = last
+      last.cellPositions[slot] = node.cellPositions[slot]
     }
-    if (!nodes.length) this._clearCell(node.cell)
-    this._planeSizes[Math.floor(node.cell / (RANGES * RANGES))]--
-    node.cell = -1
+    if (!nodes.length) this._clearCell(index)
+    this._planeSizes[Math.floor(index / (RANGES * RANGES))]--
+    node.cells[slot] = -1
   }
 
   /** The worker that would have the least share left free, or one close to it. */
   tightest (choice: Choice): WorkerNode | undefined {
-    const first = choice.need.accelerators > 0 ? Math.min(1 + choice.need.accelerators, PLANES - 1) : 0
-    for (let plane = first; plane < PLANES; plane++) {
+    for (let plane = Math.min(choice.need.accelerators, PLANES - 1); plane < PLANES; plane++) {
       if (!this._planeSizes[plane]) continue
       const node = this._tightestOfPlane(plane, choice)
       if (node) return node
@@ -95,8 +112,7 @@
     return undefined
   }
 
-  /** All workers that take work: those without accelerators first, then fuller ones first. */
-  ascending (): WorkerNode[] {
+  private _all (): WorkerNode[] {
     const all: WorkerNode[] = []
     for (let row = 0; row < PLANES * RANGES; row++) {
       for (let columns = this._columns[row]; columns; columns &= columns - 1) {
@@ -136,15 +152,16 @@
 
   private _searchCell (cell: Cell, { need, accepts, penalty }: Choice, best: Best): void {
     if (need.cpus > cell.maxCpus || need.memory > cell.maxMemory) return
+    const { cpusOf, memoryOf } = this._options
     let scored = 0
     let maxCpus = 0
     let maxMemory = 0
     for (const node of cell.nodes) {
-      const cpus = node.freeCpus()
-      const memory = node.freeMemory()
+      const cpus = cpusOf(node)
+      const memory = memoryOf(node)
       if (cpus > maxCpus) maxCpus = cpus
       if (memory > maxMemory) maxMemory = memory
-      if (!node.fits(need) || !accepts(node)) continue
+      if (need.cpus > cpus || need.memory > memory || !node.fits(need) || !accepts(node)) continue
       const score = this.leftover(need, cpus, memory) + penalty(node)
       if (score < best.score) {
         best.score = score
@@ -156,15 +173,10 @@
     cell.maxMemory = maxMemory
   }
 
-  private _plane (node: WorkerNode): number {
-    if (node.capacity.accelerators === 0) return 0
-    return Math.min(1 + Math.max(0, node.freeAccelerators()), PLANES - 1)
-  }
-
   private _insert (node: WorkerNode, index: number): void {
     const cell = this._cells[index] ??= { nodes: [], maxCpus: 0, maxMemory: 0 }
-    node.cell = index
-    node.cellPosition = cell.nodes.push(node) - 1
+    node.cells[this._options.slot] = index
+    node.cellPositions[this._options.slot] = cell.nodes.push(node) - 1
     this._columns[Math.floor(index / RANGES)] |= 1 << (index % RANGES)
     this._planeSizes[Math.floor(index / (RANGES * RANGES))]++
   }
@@ -178,7 +190,7 @@
 
   /** Sets the ranges for a larger worker and puts all workers into their new cells. */
   private _rescale (capacity: Units): void {
-    const nodes = this.ascending()
+    const nodes = this._all()
     for (const node of nodes) this.remove(node)
     this.largest.cpus = Math.max(this.largest.cpus, capacity.cpus)
     this.largest.memory = Math.max(this.largest.memory, capacity.memory)
--- a/packages/pomelofold/src/tasks/placement/policies.ts
+++ b/packages/pomelofold/src/tasks/placement/policies.ts
@@ -23,8 +23,14 @@
   compareRooms (a: PlanRoom, b: PlanRoom): number
 }
 
-/** Share of a worker by which an empty one ranks behind one in use. */
-const EMPTY_PENALTY = 0.25
+/** Share of a worker by which an empty one ranks behind one in use: more than any share left free. */
+const EMPTY_PENALTY = 6
+
+/** Factor by which empty workers with more room rank before those with less. */
+const LARGE_FACTOR = 2
+
+/** Share of a worker by which an empty one with accelerators ranks behind one without. */
+const ACCELERATED_PENALTY = 1
 
 /** The handler of each policy. */
 export const POLICY_HANDLERS: Record<PolicyName, PlacementPolicy> = {
@@ -35,13 +41,13 @@
 
 /** Fills workers one after the other. */
 function chooseTight (cluster: Cluster, task: TaskRequest, need: Units): WorkerNode | undefined {
-  return cluster.index.tightest(choice(task, need))
+  return findTightest(cluster, choice(cluster, task, need))
 }
 
 /** Puts tasks of one job next to each other, else where they fit tightest. */
 function chooseTogether (cluster: Cluster, task: TaskRequest, need: Units): WorkerNode | undefined {
   const racks = new Set([...cluster.tasksOfJob(task.jobId)].map(placed => placed.node.groups.rack))
-  const beside = racks.size && cluster.index.tightest(choice(task, need, node => racks.has(node.groups.rack)))
+  const beside = racks.size && findTightest(cluster, choice(cluster, task, need, node => racks.has(node.groups.rack)))
   return beside || chooseTight(cluster, task, need)
 }
 
@@ -55,7 +61,7 @@
   const byCount = [...cluster.groups('failureDomain')].sort((a, b) => (domains.get(a) ?? 0) - (domains.get(b) ?? 0))
   for (const domain of byCount) {
     const inFreshRack = (node: WorkerNode): boolean => domain.nodes.has(node) && !racks.has(node.groups.rack)
-    const fresh = cluster.index.tightest(choice(task, need, inFreshRack))
+    const fresh = findTightest(cluster, choice(cluster, task, need, inFreshRack))
     const node = fresh ?? leastShared(cluster, domain, task, need, racks, workers)
     if (node) return node
   }
@@ -67,13 +73,14 @@
   cluster: Cluster, domain: WorkerGroup, task: TaskRequest, need: Units, racks: Map<WorkerGroup, number>, workers: Map<WorkerNode, number>
 ): WorkerNode | undefined {
   let best: WorkerNode | undefined
-  let bestRank = [Infinity, Infinity, Infinity]
+  let bestRank = [Infinity, Infinity, Infinity, Infinity]
   for (const node of domain.nodes) {
     if (!node.fits(need) || task.avoid?.has(node.name)) continue
     const rank = [
       racks.get(node.groups.rack) ?? 0,
       workers.get(node) ?? 0,
-      cluster.index.leftover(need, node.freeCpus(), node.freeMemory())
+      node.tasks.size ? 0 : 1,
+      cluster.plainIndex.leftover(need, node.freeCpus(), node.freeMemory())
     ]
     if (compareRanks(rank, bestRank) >= 0) continue
     best = node
@@ -82,15 +89,27 @@
   return best
 }
 
-function choice (task: TaskRequest, need: Units, accepts: (node: WorkerNode) => boolean = () => true): Choice {
+/** Room kept for accelerators is used by other tasks only when there is no other. */
+function findTightest (cluster: Cluster, choice: Choice): WorkerNode | undefined {
+  const plain = choice.need.accelerators ? undefined : cluster.plainIndex.tightest(choice)
+  return plain ?? cluster.acceleratedIndex.tightest(choice)
+}
+
+function choice (cluster: Cluster, task: TaskRequest, need: Units, accepts: (node: WorkerNode) => boolean = () => true): Choice {
   const { avoid } = task
   return {
     need,
     accepts: avoid?.size ? node => !avoid.has(node.name) && accepts(node) : accepts,
-    penalty: node => node.tasks.size ? 0 : EMPTY_PENALTY
+    penalty: node => node.tasks.size ? 0 : emptyPenalty(cluster, node)
   }
 }
 
+/** Empty workers come last, the larger ones of them first. */
+function emptyPenalty ({ largest }: Cluster, { capacity }: WorkerNode): number {
+  const size = capacity.cpus / largest.cpus + capacity.memory / largest.memory
+  return EMPTY_PENALTY - LARGE_FACTOR * size + (capacity.accelerators ? ACCELERATED_PENALTY : 0)
+}
+
 function countBy<T> (tasks: Iterable<PlacedTask>, keyOf: (task: PlacedTask) => T): Map<T, number> {
   const counts = new Map<T, number>()
   for (const task of tasks) {
@@ -105,9 +124,10 @@
   return i < 0 ? 0 : a[i] - b[i]
 }
 
-/** Workers without accelerators first, then workers with less room. */
+/** Workers in use first, then workers without accelerators, then workers with less room. */
 function fullerFirst (a: PlanRoom, b: PlanRoom): number {
-  return Math.sign(a.node.capacity.accelerators) - Math.sign(b.node.capacity.accelerators) ||
+  return Number(a.node.tasks.size === 0) - Number(b.node.tasks.size === 0) ||
+    Math.sign(a.node.capacity.accelerators) - Math.sign(b.node.capacity.accelerators) ||
     a.room.accelerators - b.room.accelerators ||
     a.room.cpus - b.room.cpus ||
     a.room.memory - b.room.memory
--- a/packages/pomelofold/src/tasks/placement/preemption.ts
+++ b/packages/pomelofold/src/tasks/placement/preemption.ts
@@ -43,7 +43,7 @@
   let best: { node: WorkerNode, plan: Plan } | undefined
   for (const node of cluster.nodes.values()) {
     if (!node.takesWork || task.avoid?.has(node.name)) continue
-    const plan = planAt(node, asker, cluster.index.largest)
+    const plan = planAt(node, asker, cluster.largest)
     if (plan && (!best || plan.cost < best.plan.cost)) best = { node, plan }
   }
   return best && { worker: best.node.name, victims: best.plan.victims.map(victim => victim.id) }
--- a/packages/pomelofold/src/tasks/placement/reservations.ts
+++ b/packages/pomelofold/src/tasks/placement/reservations.ts
@@ -165,7 +165,7 @@
     if (!this._mayHold(group, gang)) return undefined
     const rooms = [...group.nodes].filter(node => node.takesWork).map(node => ({ node, room: drainedRoom(node) }))
     const shares = planGang(gang, rooms.sort(emptierFirst))
-    return shares && toTarget(shares, this._cluster.index.largest)
+    return shares && toTarget(shares, this._cluster.largest)
   }
 
   /** Whether the domain of the group has room to hold beside the other reservations. */
--- a/packages/pomelofold/src/tasks/placement/workerNode.ts
+++ b/packages/pomelofold/src/tasks/placement/workerNode.ts
@@ -16,6 +16,9 @@
   [JOB_CLASSES.overnight]: 2
 }
 
+/** Share of its processors and memory that a worker keeps for its accelerators while all of them are free. */
+const KEPT_SHARE = 0.5
+
 /** A task that is counted at a worker. */
 export interface PlacedTask {
   readonly id: string
@@ -54,9 +57,13 @@
   takesWork = false
   /** False while the worker is known only from a task found there. */
   listed = false
-  /** Place in the index of free room: cell and position in it. -1 when not indexed. */
-  cell = -1
-  cellPosition = -1
+  /** Sizes of the tasks other than services by rank of their class. */
+  readonly usedByRank = [zeroUnits(), zeroUnits(), zeroUnits()]
+  /** Sizes of the services by rank of their class. */
+  readonly servicesByRank = [zeroUnits(), zeroUnits(), zeroUnits()]
+  /** Cell in each index of free room, -1 when not indexed, and position in that cell. */
+  readonly cells = [-1, -1]
+  readonly cellPositions = [-1, -1]
 
   constructor (name: string, rack: string, failureDomain: string, groups: Record<GroupKind, WorkerGroup>) {
     this.name = name
@@ -84,6 +91,16 @@
     return this.capacity.accelerators - this.used.accelerators - this.held.accelerators
   }
 
+  /** Processors free for tasks without accelerators: a share is kept for each free accelerator. */
+  plainCpus (): number {
+    return this.freeCpus() - this._keptShare() * this.capacity.cpus
+  }
+
+  /** Memory free for tasks without accelerators. */
+  plainMemory (): number {
+    return this.freeMemory() - this._keptShare() * this.capacity.memory
+  }
+
   /** Whether the worker takes a task of this size beside its tasks and the held room. */
   fits (need: Units): boolean {
     return this.takesWork &&
@@ -122,8 +139,15 @@
     this._count(task, -1)
   }
 
+  private _keptShare (): number {
+    const { accelerators } = this.capacity
+    return accelerators ? KEPT_SHARE * Math.max(0, this.freeAccelerators()) / accelerators : 0
+  }
+
   private _count (task: PlacedTask, times: 1 | -1): void {
     addUnits(this.used, task.size, times)
-    if (task.kind === JOB_KINDS.service) addUnits(this.pinned, task.size, times)
+    const isService = task.kind === JOB_KINDS.service
+    if (isService) addUnits(this.pinned, task.size, times)
+    addUnits((isService ? this.servicesByRank : this.usedByRank)[task.rank], task.size, times)
   }
 }
--- a/packages/pomelofold/src/tasks/placement/workerPlacement.ts
+++ b/packages/pomelofold/src/tasks/placement/workerPlacement.ts
@@ -95,7 +95,7 @@
   placeGang (tasks: TaskRequest[], within: GroupKind): Result<Map<string, string>, NoPlace> {
     this._reservations.expire()
     if (!tasks.length) return Result.ok(new Map())
-    const gang = toGang(tasks, this._cluster.index.largest)
+    const gang = toGang(tasks, this._cluster.largest)
     const [{ jobId, team }] = tasks
     const placed = this._placedFault(tasks)
     if (placed) return Result.err({ reason: NO_PLACE.full, detail: placed })
