--- a/packages/pomelofold/src/tasks/placement/cluster.ts
+++ b/packages/pomelofold/src/tasks/placement/cluster.ts
@@ -16,10 +16,19 @@
   readonly tasks = new Map<string, PlacedTask>()
   readonly teams = new TeamLedger()
   /** All workers by the room for tasks without accelerators. */
-  readonly plainIndex = new FreeIndex({ slot: 0, cpusOf: node => node.plainCpus(), memoryOf: node => node.plainMemory(), planeOf: () => 0 })
+  readonly plainIndex = new FreeIndex({
+    slot: 0,
+    cpusOf: node => node.plainCpus(),
+    memoryOf: node => node.plainMemory(),
+    planeOf: node => node.tasks.size ? 0 : Math.sign(node.capacity.accelerators)
+  })
+
   /** Workers with accelerators by free accelerators, then by all free room. */
   readonly acceleratedIndex = new FreeIndex({
-    slot: 1, cpusOf: node => node.freeCpus(), memoryOf: node => node.freeMemory(), planeOf: node => node.freeAccelerators()
+    slot: 1,
+    cpusOf: node => node.freeCpus(),
+    memoryOf: node => node.freeMemory(),
+    planeOf: node => node.freeAccelerators()
   })
 
   /** Sums over the listed workers. */
--- a/packages/pomelofold/src/tasks/placement/everFit.ts
+++ b/packages/pomelofold/src/tasks/placement/everFit.ts
@@ -8,9 +8,13 @@
 import { NO_PLACE, type NoPlace, type TaskRequest } from '../placementTypes.js'
 import type { Cluster } from './cluster.js'
 import { countFitting, planGang, toGang, type Gang, type PlanRoom } from './gangPlanner.js'
+import { mayHoldGang, missingUnits, sumRoom } from './groupRoom.js'
 import { missText, nearestMiss } from './nearestMiss.js'
-import { amountText, fitsUnits, RESOURCES, zeroUnits, type Resource } from './units.js'
-import type { GroupKind, WorkerGroup } from './workerNode.js'
+import { amountText, fitsUnits, RESOURCES, type Resource, type Units } from './units.js'
+import type { GroupKind, WorkerGroup, WorkerNode } from './workerNode.js'
+
+const capacityOf = (node: WorkerNode): Units => node.capacity
+const isListed = (node: WorkerNode): boolean => node.listed
 
 const GROUP_WORDS: Record<GroupKind, string> = { rack: 'rack', failureDomain: 'failure domain' }
 
@@ -35,14 +39,17 @@
 
 /** The nearest miss of a gang that no rack or failure domain can hold. */
 function gangFault (cluster: Cluster, gang: Gang, within: GroupKind): string | undefined {
-  let best = { fitting: -1, group: undefined as WorkerGroup | undefined }
+  let closest: WorkerGroup | undefined
+  let least = Infinity
   for (const group of cluster.groups(within)) {
-    if (planGang(gang, emptyRooms(group))) return undefined
-    const fitting = countFitting(gang, emptyRooms(group))
-    if (fitting > best.fitting) best = { fitting, group }
+    if (mayHoldGang(group, gang, capacityOf, isListed) && planGang(gang, emptyRooms(group))) return undefined
+    const missing = missingUnits(gang.total, sumRoom(group, capacityOf, isListed), cluster.largest)
+    if (missing >= least) continue
+    least = missing
+    closest = group
   }
-  if (!best.group) return 'no workers are known'
-  return gangMissText(gang, best.group, best.fitting, within)
+  if (!closest) return 'no workers are known'
+  return gangMissText(gang, closest, countFitting(gang, emptyRooms(closest)), within)
 }
 
 function gangMissText (gang: Gang, group: WorkerGroup, fitting: number, within: GroupKind): string {
@@ -54,10 +61,7 @@
 
 /** The resource of which the group has least in proportion to the need. */
 function scarcest ({ total }: Gang, group: WorkerGroup): { resource: Resource, has: number } {
-  const sum = zeroUnits()
-  for (const { room } of emptyRooms(group)) {
-    for (const resource of RESOURCES) sum[resource] += room[resource]
-  }
+  const sum = sumRoom(group, capacityOf, isListed)
   const needed = RESOURCES.filter(resource => total[resource] > 0)
   const resource = needed.reduce((least, next) => sum[next] / total[next] < sum[least] / total[least] ? next : least)
   return { resource, has: sum[resource] }
@@ -66,6 +70,7 @@
 /** Workers with accelerators come last, so that they are left for tasks that need them. */
 function emptyRooms (group: WorkerGroup): PlanRoom[] {
   return [...group.nodes]
+    .filter(isListed)
     .map(node => ({ node, room: { ...node.capacity } }))
     .sort((a, b) => a.room.accelerators - b.room.accelerators)
 }
--- a/packages/pomelofold/src/tasks/placement/freeIndex.ts
+++ b/packages/pomelofold/src/tasks/placement/freeIndex.ts
@@ -17,18 +17,22 @@
 /** Upper over lower bound of a range. */
 const RANGE_RATIO = 1.18
 
-/** Plane n holds the workers with n free accelerators, the last one those with more. */
-const PLANES = 17
+/** Plane n holds the workers in use with n free accelerators, the last one those with more. The empty ones have as many planes. */
+const PLANES_IN_USE = 16
+const PLANES = 2 * PLANES_IN_USE
 
 /** Workers that fit and are scored in one cell. */
-const MAX_SCORED_PER_CELL = 16
+const MAX_SCORED_PER_CELL = 8
+
+/** Weight of the share left free beside the tilt: the difference between the shares of processors and memory left free. */
+const LEFTOVER_WEIGHT = 0.03
 
 /** A way of choosing among workers that fit. */
 export interface Choice {
   need: Units
   /** Whether the worker may be used at all. */
   accepts: (node: WorkerNode) => boolean
-  /** Added to the share left free, to rank a worker lower. Not negative. */
+  /** Added to the score, to rank a worker lower. Not negative. */
   penalty: (node: WorkerNode) => number
 }
 
@@ -76,7 +80,7 @@
     const { slot, cpusOf, memoryOf, planeOf } = this._options
     const cpus = cpusOf(node)
     const memory = memoryOf(node)
-    const plane = Math.max(0, Math.min(PLANES - 1, planeOf(node)))
+    const plane = clampPlane(planeOf(node)) + (node.tasks.size ? 0 : PLANES_IN_USE)
     const index = (plane * RANGES + range(cpus, this.largest.cpus)) * RANGES + range(memory, this.largest.memory)
     if (index !== node.cells[slot]) {
       this.remove(node)
@@ -102,14 +106,11 @@
     node.cells[slot] = -1
   }
 
-  /** The worker that would have the least share left free, or one close to it. */
+  /** The worker that would be left with processors and memory in balance and little free, or one close to it. In use before empty. */
   tightest (choice: Choice): WorkerNode | undefined {
-    for (let plane = Math.min(choice.need.accelerators, PLANES - 1); plane < PLANES; plane++) {
-      if (!this._planeSizes[plane]) continue
-      const node = this._tightestOfPlane(plane, choice)
-      if (node) return node
-    }
-    return undefined
+    const first = clampPlane(choice.need.accelerators)
+    return this._tightestOfPlanes(first, PLANES_IN_USE, choice) ??
+      this._tightestOfPlanes(PLANES_IN_USE + first, PLANES, choice)
   }
 
   private _all (): WorkerNode[] {
@@ -127,6 +128,15 @@
     return (cpus - need.cpus) / this.largest.cpus + (memory - need.memory) / this.largest.memory
   }
 
+  private _tightestOfPlanes (first: number, end: number, choice: Choice): WorkerNode | undefined {
+    for (let plane = first; plane < end; plane++) {
+      if (!this._planeSizes[plane]) continue
+      const node = this._tightestOfPlane(plane, choice)
+      if (node) return node
+    }
+    return undefined
+  }
+
   private _tightestOfPlane (plane: number, choice: Choice): WorkerNode | undefined {
     const { need } = choice
     const best: Best = { node: undefined, score: Infinity }
@@ -135,7 +145,7 @@
       const columns = this._columns[plane * RANGES + row] & firstColumns
       if (!columns) continue
       const lowCpus = Math.max(this._lowCpus[row], need.cpus)
-      if (this.leftover(need, lowCpus, need.memory) >= best.score) break
+      if (LEFTOVER_WEIGHT * this.leftover(need, lowCpus, need.memory) >= best.score) break
       this._searchRow(plane * RANGES + row, columns, lowCpus, choice, best)
     }
     return best.node
@@ -145,7 +155,7 @@
     for (; columns; columns &= columns - 1) {
       const column = lowestBit(columns)
       const lowMemory = Math.max(this._lowMemory[column], choice.need.memory)
-      if (this.leftover(choice.need, lowCpus, lowMemory) >= best.score) return
+      if (LEFTOVER_WEIGHT * this.leftover(choice.need, lowCpus, lowMemory) >= best.score) return
       this._searchCell(this._cells[row * RANGES + column]!, choice, best)
     }
   }
@@ -162,7 +172,8 @@
       if (cpus > maxCpus) maxCpus = cpus
       if (memory > maxMemory) maxMemory = memory
       if (need.cpus > cpus || need.memory > memory || !node.fits(need) || !accepts(node)) continue
-      const score = this.leftover(need, cpus, memory) + penalty(node)
+      const tilt = (cpus - need.cpus) / node.capacity.cpus - (memory - need.memory) / node.capacity.memory
+      const score = LEFTOVER_WEIGHT * this.leftover(need, cpus, memory) + Math.abs(tilt) + penalty(node)
       if (score < best.score) {
         best.score = score
         best.node = node
@@ -200,6 +211,10 @@
   }
 }
 
+function clampPlane (accelerators: number): number {
+  return Math.max(0, Math.min(PLANES_IN_USE - 1, accelerators))
+}
+
 /** The range of a free amount. */
 function range (free: number, largest: number): number {
   if (free <= 0 || largest <= 0) return 0
--- a/packages/pomelofold/src/tasks/placement/policies.ts
+++ b/packages/pomelofold/src/tasks/placement/policies.ts
@@ -23,14 +23,8 @@
   compareRooms (a: PlanRoom, b: PlanRoom): number
 }
 
-/** Share of a worker by which an empty one ranks behind one in use: more than any share left free. */
-const EMPTY_PENALTY = 6
-
-/** Factor by which empty workers with more room rank before those with less. */
-const LARGE_FACTOR = 2
-
-/** Share of a worker by which an empty one with accelerators ranks behind one without. */
-const ACCELERATED_PENALTY = 1
+/** Weight of the size of empty workers: larger ones are taken first. */
+const EMPTY_SIZE_WEIGHT = 1
 
 /** The handler of each policy. */
 export const POLICY_HANDLERS: Record<PolicyName, PlacementPolicy> = {
@@ -104,10 +98,10 @@
   }
 }
 
-/** Empty workers come last, the larger ones of them first. */
+/** Larger empty workers come first. */
 function emptyPenalty ({ largest }: Cluster, { capacity }: WorkerNode): number {
   const size = capacity.cpus / largest.cpus + capacity.memory / largest.memory
-  return EMPTY_PENALTY - LARGE_FACTOR * size + (capacity.accelerators ? ACCELERATED_PENALTY : 0)
+  return EMPTY_SIZE_WEIGHT * (2 - size)
 }
 
 function countBy<T> (tasks: Iterable<PlacedTask>, keyOf: (task: PlacedTask) => T): Map<T, number> {
--- a/packages/pomelofold/src/tasks/placement/preemption.ts
+++ b/packages/pomelofold/src/tasks/placement/preemption.ts
@@ -21,6 +21,14 @@
 /** Factor on the cost of a task whose end stops a whole gang. */
 const GANG_FACTOR = 4
 
+/** Workers for which victims are chosen in full. */
+const MAX_PLANNED = 8
+
+/** Rank of the least urgent class. */
+const LEAST_URGENT = 2
+
+const NOTHING: Readonly<Units> = zeroUnits()
+
 interface Asker {
   task: TaskRequest
   need: Units
@@ -34,19 +42,104 @@
   cost: number
 }
 
+interface NodePlan {
+  node: WorkerNode
+  plan: Plan
+}
+
+/** A worker with a bound below the cost of its plan. */
+interface Candidate {
+  node: WorkerNode
+  bound: number
+}
+
 /** The worker and the cheapest tasks on it whose end would let the task fit. */
 export function planPreemption (cluster: Cluster, task: TaskRequest): PreemptionPlan | undefined {
   const need = sizeUnits(task.size)
   const team = cluster.teams.find(task.team)
   if (!team || quotaFault(team, task.team, need)) return undefined
   const asker = { task, need, rank: CLASS_RANK[task.class], entitled: !overQuota(team, need) }
-  let best: { node: WorkerNode, plan: Plan } | undefined
+  const best = (asker.entitled ? cheapestOfLessUrgent(cluster, asker) : undefined) ?? firstOfBorrowers(cluster, asker)
+  return best && { worker: best.node.name, victims: best.plan.victims.map(victim => victim.id) }
+}
+
+/** Plans in full only at the workers with the lowest bounds. */
+function cheapestOfLessUrgent (cluster: Cluster, asker: Asker): NodePlan | undefined {
+  const { largest } = cluster
+  const candidates: Candidate[] = []
+  for (const node of cluster.nodes.values()) {
+    if (!isUsable(node, asker)) continue
+    const bound = costBound(node, asker, largest)
+    if (bound < (candidates[MAX_PLANNED - 1]?.bound ?? Infinity)) insert(candidates, { node, bound })
+  }
+  return cheapest(candidates, asker, largest)
+}
+
+/** Plans at the first workers whose tasks of borrowing teams make enough room. */
+function firstOfBorrowers (cluster: Cluster, asker: Asker): NodePlan | undefined {
+  const none = zeroUnits()
+  const borrowers = new Set(cluster.teams.all().filter(team => team.name !== asker.task.team && borrows(team, none)))
+  if (!borrowers.size) return undefined
+  const candidates: Candidate[] = []
   for (const node of cluster.nodes.values()) {
-    if (!node.takesWork || task.avoid?.has(node.name)) continue
-    const plan = planAt(node, asker, cluster.largest)
+    if (candidates.length === MAX_PLANNED) break
+    if (isUsable(node, asker) && holdsEnough(node, asker, borrowers)) candidates.push({ node, bound: 0 })
+  }
+  return cheapest(candidates, asker, cluster.largest)
+}
+
+function cheapest (candidates: Candidate[], asker: Asker, largest: Units): NodePlan | undefined {
+  let best: NodePlan | undefined
+  for (const { node, bound } of candidates) {
+    if (best && best.plan.cost <= bound) break
+    const plan = planAt(node, asker, largest)
     if (plan && (!best || plan.cost < best.plan.cost)) best = { node, plan }
   }
-  return best && { worker: best.node.name, victims: best.plan.victims.map(victim => victim.id) }
+  return best
+}
+
+function isUsable (node: WorkerNode, { task }: Asker): boolean {
+  return node.takesWork && !task.avoid?.has(node.name)
+}
+
+/** Bound below the cost of making room by ending less urgent tasks. Infinite when that makes too little room. */
+function costBound (node: WorkerNode, { task, need, rank }: Asker, largest: Units): number {
+  const missing = {
+    cpus: need.cpus - node.freeCpus(),
+    memory: need.memory - node.freeMemory(),
+    accelerators: need.accelerators - node.freeAccelerators()
+  }
+  let cost = RANK_COST[LEAST_URGENT] * VICTIM_COST
+  for (let victimRank = LEAST_URGENT; victimRank > rank; victimRank--) {
+    const before = missingShare(missing, largest)
+    addUnits(missing, node.usedByRank[victimRank], -1)
+    if (task.kind === JOB_KINDS.service) addUnits(missing, node.servicesByRank[victimRank], -1)
+    cost += RANK_COST[victimRank] * (before - missingShare(missing, largest))
+    if (fitsUnits(missing, NOTHING)) return cost
+  }
+  return fitsUnits(missing, NOTHING) ? cost : Infinity
+}
+
+function missingShare (missing: Units, largest: Units): number {
+  return Math.max(0, missing.cpus / largest.cpus, missing.memory / largest.memory)
+}
+
+/** Whether the tasks of borrowing teams make enough room, were all of them ended. */
+function holdsEnough (node: WorkerNode, asker: Asker, borrowers: ReadonlySet<Team>): boolean {
+  const room = node.roomBesides(undefined)
+  const none = zeroUnits()
+  for (const task of node.tasks) {
+    if ((borrowers.has(task.team) || (asker.entitled && task.rank > asker.rank)) && mayStop(task, asker, none)) addUnits(room, task.size)
+  }
+  return fitsUnits(asker.need, room)
+}
+
+/** Inserts in the order of the bounds and keeps the lowest. */
+function insert (candidates: Candidate[], candidate: Candidate): void {
+  let at = candidates.length
+  while (at > 0 && candidates[at - 1].bound > candidate.bound) at--
+  candidates.splice(at, 0, candidate)
+  if (candidates.length > MAX_PLANNED) candidates.pop()
 }
 
 function planAt (node: WorkerNode, asker: Asker, largest: Units): Plan | undefined {
--- a/packages/pomelofold/src/tasks/placement/reservations.ts
+++ b/packages/pomelofold/src/tasks/placement/reservations.ts
@@ -7,9 +7,13 @@
 import type { Timers } from '../../seams/timers.js'
 import type { Cluster } from './cluster.js'
 import { planGang, type Gang, type GangShare, type PlanRoom } from './gangPlanner.js'
+import { mayHoldGang, missingUnits, sumRoom } from './groupRoom.js'
 import { addUnits, RESOURCES, zeroUnits, type Units } from './units.js'
 import type { GroupKind, WorkerGroup, WorkerNode } from './workerNode.js'
 
+/** Racks or failure domains for which a reservation is planned in full. */
+const MAX_CANDIDATES = 8
+
 /** Settings of reservations. */
 export interface ReservationConfig {
   /** A reservation ends this long after the last attempt to place its gang. */
@@ -64,13 +68,9 @@
     return this._byJob.size
   }
 
-  /** Room held for the job at the worker. */
-  heldBy (jobId: string, node: WorkerNode): Units | undefined {
-    return this._byJob.get(jobId)?.holds.get(node)
-  }
-
-  has (jobId: string): boolean {
-    return this._byJob.has(jobId)
+  /** Room held for the job by worker. */
+  holdsOf (jobId: string): ReadonlyMap<WorkerNode, Units> | undefined {
+    return this._byJob.get(jobId)?.holds
   }
 
   /** Reservations that give way to a task of this rank for the time being. */
@@ -154,26 +154,37 @@
   /** The rack or failure domain in which the least has to be freed. */
   private _target ({ gang, within }: ReservationRequest): Target | undefined {
     let best: Target | undefined
-    for (const group of this._cluster.groups(within)) {
+    for (const group of this._candidates(gang, within)) {
       const target = this._targetIn(group, gang)
       if (target && (!best || target.missing < best.missing)) best = target
     }
     return best
   }
 
+  /** The racks or failure domains with most room now among those that hold the gang once their tasks have ended. */
+  private _candidates (gang: Gang, within: GroupKind): WorkerGroup[] {
+    const domains = new Map([...this._cluster.groups('failureDomain')].map(domain => [domain, this._mayHold(domain, gang)]))
+    const { largest } = this._cluster
+    return [...this._cluster.groups(within)]
+      .filter(group => domains.get(domainOf(group)) && mayHoldGang(group, gang, drainedRoom))
+      .map(group => ({ group, room: sumRoom(group, node => node.roomBesides(undefined)) }))
+      .map(({ group, room }) => ({ group, missing: missingUnits(gang.total, room, largest) }))
+      .sort((a, b) => a.missing - b.missing)
+      .slice(0, MAX_CANDIDATES)
+      .map(({ group }) => group)
+  }
+
   private _targetIn (group: WorkerGroup, gang: Gang): Target | undefined {
-    if (!this._mayHold(group, gang)) return undefined
     const rooms = [...group.nodes].filter(node => node.takesWork).map(node => ({ node, room: drainedRoom(node) }))
     const shares = planGang(gang, rooms.sort(emptierFirst))
     return shares && toTarget(shares, this._cluster.largest)
   }
 
-  /** Whether the domain of the group has room to hold beside the other reservations. */
-  private _mayHold (group: WorkerGroup, gang: Gang): boolean {
-    const [first] = group.nodes
+  /** Whether the failure domain has room to hold beside the other reservations. */
+  private _mayHold (domain: WorkerGroup, gang: Gang): boolean {
     const held = zeroUnits()
     const capacity = zeroUnits()
-    for (const node of first.groups.failureDomain.nodes) {
+    for (const node of domain.nodes) {
       addUnits(held, node.held)
       addUnits(capacity, node.capacity)
     }
@@ -182,6 +193,11 @@
   }
 }
 
+function domainOf ({ nodes }: WorkerGroup): WorkerGroup {
+  const [first] = nodes
+  return first.groups.failureDomain
+}
+
 /** Room once all tasks but services have ended, beside what other gangs hold. */
 function drainedRoom (node: WorkerNode): Units {
   const room = { ...node.capacity }
@@ -207,10 +223,7 @@
 function missingShare (holds: Map<WorkerNode, Units>, largest: Units): number {
   let missing = 0
   for (const [node, held] of holds) {
-    const room = node.roomBesides(undefined)
-    for (const resource of RESOURCES) {
-      missing += Math.max(0, held[resource] - Math.max(0, room[resource])) / Math.max(1, largest[resource])
-    }
+    missing += missingUnits(held, node.roomBesides(undefined), largest)
   }
   return missing
 }
--- a/packages/pomelofold/src/tasks/placement/teamLedger.ts
+++ b/packages/pomelofold/src/tasks/placement/teamLedger.ts
@@ -44,6 +44,10 @@
     return team
   }
 
+  all (): Team[] {
+    return [...this._teams.values()]
+  }
+
   find (name: string): Team | undefined {
     return this._teams.get(name)
   }
--- a/packages/pomelofold/src/tasks/placement/workerPlacement.ts
+++ b/packages/pomelofold/src/tasks/placement/workerPlacement.ts
@@ -13,6 +13,7 @@
 import { Cluster } from './cluster.js'
 import { checkEverFit } from './everFit.js'
 import { assignTasks, planGang, toGang, type Gang, type GangShare } from './gangPlanner.js'
+import { mayHoldGang } from './groupRoom.js'
 import { missText, nearestMiss } from './nearestMiss.js'
 import { POLICY_HANDLERS, type PlacementPolicy, type PolicyName } from './policies.js'
 import { planPreemption } from './preemption.js'
@@ -32,6 +33,9 @@
   maxHeldShare: 0.5
 }
 
+const isInUse = (node: WorkerNode): boolean => node.takesWork && node.tasks.size > 0
+const isAny = (node: WorkerNode): boolean => node.takesWork
+
 /** Options of a {@link WorkerPlacement}. */
 export interface WorkerPlacementOptions {
   timers: Timers
@@ -189,13 +193,15 @@
 
   private _planGang (gang: Gang, task: TaskRequest, within: GroupKind): GangShare[] | undefined {
     const { compareRooms } = this._policyOf(task)
-    for (const group of this._cluster.groups(within)) {
-      const rooms = [...group.nodes]
-        .filter(node => node.takesWork)
-        .map(node => ({ node, room: node.roomBesides(this._reservations.heldBy(task.jobId, node)) }))
-        .sort(compareRooms)
-      const shares = planGang(gang, rooms)
-      if (shares) return shares
+    const holds = this._reservations.holdsOf(task.jobId)
+    const roomOf = (node: WorkerNode): Units => node.roomBesides(holds?.get(node))
+    for (const accepts of [isInUse, isAny]) {
+      for (const group of this._cluster.groups(within)) {
+        if (!mayHoldGang(group, gang, roomOf, accepts)) continue
+        const rooms = [...group.nodes].filter(accepts).map(node => ({ node, room: roomOf(node) }))
+        const shares = planGang(gang, rooms.sort(compareRooms))
+        if (shares) return shares
+      }
     }
     return undefined
   }
