--- a/packages/pomelofold/src/tasks/placement/freeIndex.ts
+++ b/packages/pomelofold/src/tasks/placement/freeIndex.ts
@@ -17,21 +17,34 @@
 /** Upper over lower bound of a range. */
 const RANGE_RATIO = 1.18
 
-/** Plane 0 holds workers that have no accelerators, plane 1 + n those with n free, the last one those with more. */
-const PLANES = 18
+/** Plane n holds the workers in use with n free accelerators, the last one those with more. The empty ones have as many planes. */
+const PLANES_IN_USE = 16
+const PLANES = 2 * PLANES_IN_USE
 
 /** Workers that fit and are scored in one cell. */
-const MAX_SCORED_PER_CELL = 16
+const MAX_SCORED_PER_CELL = 8
+
+/** Weight of the share left free beside the tilt: the difference between the shares of processors and memory left free. */
+const LEFTOVER_WEIGHT = 0.03
 
 /** A way of choosing among workers that fit. */
 export interface Choice {
   need: Units
   /** Whether the worker may be used at all. */
   accepts: (node: WorkerNode) => boolean
-  /** Added to the share left free, to rank a worker lower. Not negative. */
+  /** Added to the score, to rank a worker lower. Not negative. */
   penalty: (node: WorkerNode) => number
 }
 
+/** Which free room an index goes by. */
+export interface IndexOptions {
+  /** Number of the index among those of a worker. */
+  slot: 0 | 1
+  cpusOf: (node: WorkerNode) => number
+  memoryOf: (node: WorkerNode) => number
+  planeOf: (node: WorkerNode) => number
+}
+
 interface Cell {
   nodes: WorkerNode[]
   /** Bounds above the free room of each worker of the cell. */
@@ -44,8 +57,9 @@
   score: number
 }
 
-/** Workers of one failure domain, ordered by free room. */
+/** Workers ordered by free room. */
 export class FreeIndex {
+  private readonly _options: IndexOptions
   private readonly _cells: Array<Cell | undefined> = new Array(PLANES * RANGES * RANGES)
   /** For each plane and row the columns whose cells are not empty. */
   private readonly _columns = new Int32Array(PLANES * RANGES)
@@ -55,14 +69,20 @@
   private _lowCpus: Float64Array = new Float64Array(RANGES)
   private _lowMemory: Float64Array = new Float64Array(RANGES)
 
+  constructor (options: IndexOptions) {
+    this._options = options
+  }
+
   /** Puts the worker where its free room belongs. */
   update (node: WorkerNode): void {
     if (!node.takesWork) return this.remove(node)
     if (node.capacity.cpus > this.largest.cpus || node.capacity.memory > this.largest.memory) this._rescale(node.capacity)
-    const cpus = node.freeCpus()
-    const memory = node.freeMemory()
-    const index = (this._plane(node) * RANGES + range(cpus, this.largest.cpus)) * RANGES + range(memory, this.largest.memory)
-    if (index !== node.cell) {
+    const { slot, cpusOf, memoryOf, planeOf } = this._options
+    const cpus = cpusOf(node)
+    const memory = memoryOf(node)
+    const plane = clampPlane(planeOf(node)) + (node.tasks.size ? 0 : PLANES_IN_USE)
+    const index = (plane * RANGES + range(cpus, this.largest.cpus)) * RANGES + range(memory, this.largest.memory)
+    if (index !== node.cells[slot]) {
       this.remove(node)
       this._insert(node, index)
     }
@@ -72,31 +92,28 @@
   }
 
   remove (node: WorkerNode): void {
-    if (node.cell < 0) return
-    const { nodes } = this._cells[node.cell]!
+    const { slot } = this._options
+    const index = node.cells[slot]
+    if (index < 0) return
+    const { nodes } = this._cells[index]!
     const last = nodes.pop()!
     if (last !== node) {
-      nodes[node.cellPosition] = last
-      last.cellPosition = node.cellPosition
+      nodes[node.cellPositions[slot]] = last
+      last.cellPositions[slot] = node.cellPositions[slot]
     }
-    if (!nodes.length) this._clearCell(node.cell)
-    this._planeSizes[Math.floor(node.cell / (RANGES * RANGES))]--
-    node.cell = -1
+    if (!nodes.length) this._clearCell(index)
+    this._planeSizes[Math.floor(index / (RANGES * RANGES))]--
+    node.cells[slot] = -1
   }
 
-  /** The worker that would have the least share left free, or one close to it. */
+  /** The worker that would be left with processors and memory in balance and little free, or one close to it. In use before empty. */
   tightest (choice: Choice): WorkerNode | undefined {
-    const first = choice.need.accelerators > 0 ? Math.min(1 + choice.need.accelerators, PLANES - 1) : 0
-    for (let plane = first; plane < PLANES; plane++) {
-      if (!this._planeSizes[plane]) continue
-      const node = this._tightestOfPlane(plane, choice)
-      if (node) return node
-    }
-    return undefined
+    const first = clampPlane(choice.need.accelerators)
+    return this._tightestOfPlanes(first, PLANES_IN_USE, choice) ??
+      this._tightestOfPlanes(PLANES_IN_USE + first, PLANES, choice)
   }
 
-  /** All workers that take work: those without accelerators first, then fuller ones first. */
-  ascending (): WorkerNode[] {
+  private _all (): WorkerNode[] {
     const all: WorkerNode[] = []
     for (let row = 0; row < PLANES * RANGES; row++) {
       for (let columns = this._columns[row]; columns; columns &= columns - 1) {
@@ -111,6 +128,15 @@
     return (cpus - need.cpus) / this.largest.cpus + (memory - need.memory) / this.largest.memory
   }
 
+  private _tightestOfPlanes (first: number, end: number, choice: Choice): WorkerNode | undefined {
+    for (let plane = first; plane < end; plane++) {
+      if (!this._planeSizes[plane]) continue
+      const node = this._tightestOfPlane(plane, choice)
+      if (node) return node
+    }
+    return undefined
+  }
+
   private _tightestOfPlane (plane: number, choice: Choice): WorkerNode | undefined {
     const { need } = choice
     const best: Best = { node: undefined, score: Infinity }
@@ -119,7 +145,7 @@
       const columns = this._columns[plane * RANGES + row] & firstColumns
       if (!columns) continue
       const lowCpus = Math.max(this._lowCpus[row], need.cpus)
-      if (this.leftover(need, lowCpus, need.memory) >= best.score) break
+      if (LEFTOVER_WEIGHT * this.leftover(need, lowCpus, need.memory) >= best.score) break
       this._searchRow(plane * RANGES + row, columns, lowCpus, choice, best)
     }
     return best.node
@@ -129,23 +155,25 @@
     for (; columns; columns &= columns - 1) {
       const column = lowestBit(columns)
       const lowMemory = Math.max(this._lowMemory[column], choice.need.memory)
-      if (this.leftover(choice.need, lowCpus, lowMemory) >= best.score) return
+      if (LEFTOVER_WEIGHT * this.leftover(choice.need, lowCpus, lowMemory) >= best.score) return
       this._searchCell(this._cells[row * RANGES + column]!, choice, best)
     }
   }
 
   private _searchCell (cell: Cell, { need, accepts, penalty }: Choice, best: Best): void {
     if (need.cpus > cell.maxCpus || need.memory > cell.maxMemory) return
+    const { cpusOf, memoryOf } = this._options
     let scored = 0
     let maxCpus = 0
     let maxMemory = 0
     for (const node of cell.nodes) {
-      const cpus = node.freeCpus()
-      const memory = node.freeMemory()
+      const cpus = cpusOf(node)
+      const memory = memoryOf(node)
       if (cpus > maxCpus) maxCpus = cpus
       if (memory > maxMemory) maxMemory = memory
-      if (!node.fits(need) || !accepts(node)) continue
-      const score = this.leftover(need, cpus, memory) + penalty(node)
+      if (need.cpus > cpus || need.memory > memory || !node.fits(need) || !accepts(node)) continue
+      const tilt = (cpus - need.cpus) / node.capacity.cpus - (memory - need.memory) / node.capacity.memory
+      const score = LEFTOVER_WEIGHT * this.leftover(need, cpus, memory) + Math.abs(tilt) + penalty(node)
       if (score < best.score) {
         best.score = score
         best.node = node
@@ -156,15 +184,10 @@
     cell.maxMemory = maxMemory
   }
 
-  private _plane (node: WorkerNode): number {
-    if (node.capacity.accelerators === 0) return 0
-    return Math.min(1 + Math.max(0, node.freeAccelerators()), PLANES - 1)
-  }
-
   private _insert (node: WorkerNode, index: number): void {
     const cell = this._cells[index] ??= { nodes: [], maxCpus: 0, maxMemory: 0 }
-    node.cell = index
-    node.cellPosition = cell.nodes.push(node) - 1
+    node.cells[this._options.slot] = index
+    node.cellPositions[this._options.slot] = cell.nodes.push(node) - 1
     this._columns[Math.floor(index / RANGES)] |= 1 << (index % RANGES)
     this._planeSizes[Math.floor(index / (RANGES * RANGES))]++
   }
@@ -178,7 +201,7 @@
 
   /** Sets the ranges for a larger worker and puts all workers into their new cells. */
   private _rescale (capacity: Units): void {
-    const nodes = this.ascending()
+    const nodes = this._all()
     for (const node of nodes) this.remove(node)
     this.largest.cpus = Math.max(this.largest.cpus, capacity.cpus)
     this.largest.memory = Math.max(this.largest.memory, capacity.memory)
@@ -188,6 +211,10 @@
   }
 }
 
+function clampPlane (accelerators: number): number {
+  return Math.max(0, Math.min(PLANES_IN_USE - 1, accelerators))
+}
+
 /** The range of a free amount. */
 function range (free: number, largest: number): number {
   if (free <= 0 || largest <= 0) return 0
