Hold back a gang that breaks during a takeover

Cause: a gang of which a member was lost while another was at a worker that had not answered the new placer was queued again at once, and ran in two places. Fix: jobs are queued in one place, which leaves out held ones.

--- a/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
@@ -196,9 +196,7 @@
     for (let index = 0; index < job.total; index++) {
       if (!job.isSettled(index)) job.waiting.add(index)
     }
-    if (job.ended) return
-    this._queue.add(job)
-    this._wake(job.notBeforeMs)
+    this._enqueue(job)
   }
 
   /** Ends a job at once; its runs are stopped over the next turns. The caller makes the end durable. */
@@ -270,7 +268,11 @@
     if (job.ended || job.isSettled(index) || job.runs.has(index)) return
     job.waiting.add(index)
     if (job.regrouping) return this.afterRemoval(job)
-    if (job.held) return
+    this._enqueue(job)
+  }
+
+  private _enqueue (job: Job): void {
+    if (job.ended || job.held) return
     this._queue.add(job)
     this._wake(job.notBeforeMs)
   }
