--- a/tests/jobs/jobCell.ts
+++ b/tests/jobs/jobCell.ts
@@ -61,6 +61,8 @@
   /** Everything that ran, as the workers know it. */
   readonly runs: RunRecord[] = []
   vms: VmRecord[]
+  /** Manifest of the entry VMs that are added. */
+  manifest = MANIFEST
   private readonly _entryVms: EntryVm[] = []
   private readonly _random: SeededRandom
   private readonly _cfg: Partial<JobSettings>
@@ -87,7 +89,7 @@
     const manager = new JobManager({ timers, random, authority, platform, upstream, placement, failureDomain: 'a', vm, cfg })
     const entry = { manager, authority, platform, placement }
     this._entryVms.push(entry)
-    manager.setManifest(MANIFEST)
+    manager.setManifest(this.manifest)
     manager.setWorkers(this.vms)
     manager.start()
     return entry
--- a/tests/jobs/takeover.test.ts
+++ b/tests/jobs/takeover.test.ts
@@ -1,8 +1,11 @@
 import t from 'tap'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
-import { JobCell, specOf, type EntryVm } from './jobCell.js'
+import { manifestSchema } from 'pomelofold/protocol/manifest'
+import { CLASS_ORDER } from 'pomelofold/tasks/jobs/jobQueue'
+import { JobCell, MANIFEST, specOf, type EntryVm } from './jobCell.js'
 
 const LEASE_MS = 12_000
+const SIZE = { cpus: 1, memoryMb: 10, accelerators: 0 }
 const SHORT = { leaseMs: LEASE_MS, renewEveryMs: 4_000, sendBoundMs: 3_000, probeEveryMs: 1_000 }
 
 t.test('a placer that was frozen while another took over starts and records nothing more', async t => {
@@ -120,13 +123,15 @@
   t.test(`random faults: tasks finish once, in one place, within capacity (seed ${seed})`, async t => {
     const cell = new JobCell({ cfg: SHORT, workers: 4, seed })
     const random = new SeededRandom(seed + 100)
+    cell.manifest = manifestSchema.parse({ ...MANIFEST, longRunning: [{ name: 'listener', team: 'street', replicas: 3, size: SIZE }] })
     let placer: EntryVm = await cell.addPlacer()
     const accepted: string[] = []
     const gangs = new Set<string>()
     for (let step = 0; step < 40; step++) {
       const jobId = `job-${step}`
       const kind = random.int(4) === 0 ? 'gang' : 'batch'
-      const spec = { count: 1 + random.int(5), runMs: 500 + random.int(8_000), atMostOnce: random.int(5) === 0 }
+      const jobClass = CLASS_ORDER[random.int(3)]
+      const spec = { count: 1 + random.int(5), runMs: 500 + random.int(8_000), atMostOnce: random.int(5) === 0, class: jobClass }
       const answer = await cell.submit(placer, jobId, { kind, ...spec })
       if (kind === 'gang') gangs.add(jobId)
       if (answer.kind === 'job') accepted.push(jobId)
@@ -134,6 +139,7 @@
       Object.assign(faults, { cut: random.int(4) === 0, loseAnswers: random.int(4) === 0, startDelayMs: random.int(4) === 0 ? 2_500 : 0 })
       placer.platform.faults.loseAnswers = random.int(6) === 0
       if (random.int(8) === 0) cell.workers[random.int(4)].reset()
+      if (random.int(5) === 0) await cell.wait(placer.manager.cancelJob({ jobId: `job-${random.int(step + 1)}` }))
       if (random.int(6) === 0) {
         if (random.int(2) === 0) cell.kill(placer)
         else cell.freeze(placer)
@@ -146,12 +152,13 @@
     await cell.timers.advance(240_000)
     t.same(cell.violations({ gangs }), [])
     t.ok(accepted.length > 20, `${accepted.length} jobs were accepted`)
-    for (const jobId of accepted) t.match(await cell.stateOf(placer, jobId), /done|failed/, jobId)
+    for (const jobId of accepted) t.match(await cell.stateOf(placer, jobId), /done|failed|cancelled/, jobId)
     const { jobs } = await placer.manager.listJobs()
     const once = jobs.filter(job => job.spec.atMostOnce).map(job => job.jobId)
     const repeated = once.filter(jobId => new Set(tasksOf(cell, jobId)).size !== tasksOf(cell, jobId).length)
     t.same(repeated, [], 'at most once')
     t.same(jobs.filter(job => job.state === 'failed' && !job.spec.atMostOnce), [])
+    t.equal(cell.runs.filter(run => run.task.startsWith('service:listener') && run.toMs === Infinity).length, 3)
   })
 }
 
