Wait for a third list of VMs after a takeover; keep the capacity that a worker reported

Cause: the directory now may deliver two lists in one reading, from the platform and from a relay, so two lists may both have been asked for before the takeover. A list of VMs also replaced the capacity that the worker itself had reported. Ruled out: telling readings apart (the interface is one call per list).

--- a/packages/pomelofold/src/tasks/jobs/placerSession.ts
+++ b/packages/pomelofold/src/tasks/jobs/placerSession.ts
@@ -248,8 +248,8 @@
     const { timers, random, upstream, cfg, epochOf } = this._options
     const link = this.links.get(vm.name)
     if (link && link.vm.address === vm.address) {
-      const changed = link.vm.state !== vm.state
-      link.vm = vm
+      const changed = link.vm.state !== vm.state || link.vm.rack !== vm.rack
+      link.vm = { ...vm, capacity: link.vm.capacity ?? vm.capacity }
       if (changed) this._describe(link)
       return
     }
--- a/packages/pomelofold/src/tasks/jobs/takeover.ts
+++ b/packages/pomelofold/src/tasks/jobs/takeover.ts
@@ -12,8 +12,8 @@
 import type { TaskLedger } from './taskLedger.js'
 import type { WorkerLink } from './workerLink.js'
 
-/** Readings of the list of VMs until one has surely begun after the takeover. */
-const LISTS_NEEDED = 2
+/** Lists of VMs until one has surely been asked for after the takeover; one reading may deliver two. */
+const LISTS_NEEDED = 3
 
 /** Options of a {@link Takeover}. */
 export interface TakeoverOptions {
