--- a/utils/bench.ts
+++ b/utils/bench.ts
@@ -1,22 +1,22 @@
 /**
- * Runs a benchmark by name: `npm run bench -- requests`.
+ * Runs a benchmark by name.
+ *
+ * Usage: `npm run bench -- NAME [options of the benchmark]`
  *
  * @module
  */
 
-/** A module with a benchmark. */
-interface Bench {
-  run (): Promise<void>
-}
-
-const BENCHES: Record<string, () => Promise<Bench>> = {
+/** Benchmarks by name. Each module exports `run`, which is given the arguments after the name. */
+const BENCHES: Record<string, () => Promise<{ run: (args: string[]) => Promise<void> }>> = {
+  placement: () => import('./benchPlacement.js'),
   requests: () => import('./benchRequests.js')
 }
 
-const [name = ''] = process.argv.slice(2)
+const [name, ...args] = process.argv.slice(2)
 const load = BENCHES[name]
 if (!load) {
-  console.error(`usage: npm run bench -- NAME, with NAME one of ${Object.keys(BENCHES).join(', ')}`)
+  console.error(`usage: npm run bench -- NAME; NAME is one of: ${Object.keys(BENCHES).join(', ')}`)
   process.exit(2)
 }
-await (await load()).run()
+const { run } = await load()
+await run(args)
