--- a/packages/cli/src/commands/jobs.ts
+++ b/packages/cli/src/commands/jobs.ts
@@ -5,6 +5,7 @@
  */
 
 import { Command } from 'commander'
+import type { JobExplanationView } from 'pomelofold/client/apiClient'
 import { jobSpecSchema, type JobView } from 'pomelofold/protocol/jobs'
 import { readJsonFile } from 'pomelofold/utils/jsonFile'
 import { clientOf, fail, finish, table, withServer, type GlobalOptions } from '../context.js'
@@ -21,7 +22,7 @@
     .action(async (id: string, options: GlobalOptions) => finish(await clientOf(options).job(id), options, formatJob))
   withServer(command.command('explain')).description('show the history of a job and why it waits').argument('<id>', 'job id')
     .action(async (id: string, options: GlobalOptions) => {
-      finish(await clientOf(options).explainJob(id), options, value => JSON.stringify(value, null, 2))
+      finish(await clientOf(options).explainJob(id), options, formatExplanation)
     })
   withServer(command.command('submit')).description('submit a job file').argument('<file>', 'job, JSON')
     .option('--key <key>', 'idempotency key; the same key with the same job makes no second job')
@@ -43,3 +44,11 @@
 function formatJob (job: JobView): string {
   return jobTable([job])
 }
+
+function formatExplanation ({ jobId, state, waitingFor, events, runs }: JobExplanationView): string {
+  return [
+    `job ${jobId}: ${state}${waitingFor ? `, ${waitingFor}` : ''}`,
+    ...events.map(({ atMs, text }) => `  ${new Date(atMs).toISOString()} ${text}`),
+    ...(runs.length ? [table(['TASK', 'WORKER', 'STATE'], runs.map(run => [run.index, run.worker, run.state]))] : [])
+  ].join('\n')
+}
--- a/packages/pomelofold/src/client/apiClient.ts
+++ b/packages/pomelofold/src/client/apiClient.ts
@@ -61,6 +61,17 @@
   body: Buffer
 }
 
+/** History of a job and its runs, as its keeper tells them. */
+export interface JobExplanationView {
+  jobId: string
+  state: string
+  waitingFor?: string
+  events: Array<{ atMs: number, text: string }>
+  /** Events that were dropped from the middle of the history. */
+  dropped: number
+  runs: Array<{ index: number, worker: string, state: string }>
+}
+
 type HttpBody = Uint8Array | string | undefined
 
 interface HttpAnswer {
@@ -115,7 +126,7 @@
     return this._json('GET', `/v1/jobs/${encodeURIComponent(jobId)}`)
   }
 
-  explainJob (jobId: string): Promise<Result<Record<string, unknown>, CallError>> {
+  explainJob (jobId: string): Promise<Result<JobExplanationView, CallError>> {
     return this._json('GET', `/v1/jobs/${encodeURIComponent(jobId)}/history`)
   }
 
