--- a/packages/pomelofold/src/tasks/placement/cluster.ts
+++ b/packages/pomelofold/src/tasks/placement/cluster.ts
@@ -170,7 +170,7 @@
   private _group (kind: GroupKind, key: string, name: string): WorkerGroup {
     let group = this._groups[kind].get(key)
     if (!group) {
-      group = { key, name, nodes: new Set() }
+      group = { key, name, nodes: new Set(), nodesInUse: 0 }
       this._groups[kind].set(key, group)
     }
     return group
--- a/packages/pomelofold/src/tasks/placement/everFit.ts
+++ b/packages/pomelofold/src/tasks/placement/everFit.ts
@@ -13,7 +13,7 @@
 import { amountText, fitsUnits, RESOURCES, type Resource, type Units } from './units.js'
 import type { GroupKind, WorkerGroup, WorkerNode } from './workerNode.js'
 
-const capacityOf = (node: WorkerNode): Units => node.capacity
+const readCapacity = (node: WorkerNode, room: Units): void => { Object.assign(room, node.capacity) }
 const isListed = (node: WorkerNode): boolean => node.listed
 
 const GROUP_WORDS: Record<GroupKind, string> = { rack: 'rack', failureDomain: 'failure domain' }
@@ -42,8 +42,8 @@
   let closest: WorkerGroup | undefined
   let least = Infinity
   for (const group of cluster.groups(within)) {
-    if (mayHoldGang(group, gang, capacityOf, isListed) && planGang(gang, emptyRooms(group))) return undefined
-    const missing = missingUnits(gang.total, sumRoom(group, capacityOf, isListed), cluster.largest)
+    if (mayHoldGang(group, gang, readCapacity, isListed) && planGang(gang, emptyRooms(group))) return undefined
+    const missing = missingUnits(gang.total, sumRoom(group, readCapacity, isListed), cluster.largest)
     if (missing >= least) continue
     least = missing
     closest = group
@@ -61,7 +61,7 @@
 
 /** The resource of which the group has least in proportion to the need. */
 function scarcest ({ total }: Gang, group: WorkerGroup): { resource: Resource, has: number } {
-  const sum = sumRoom(group, capacityOf, isListed)
+  const sum = sumRoom(group, readCapacity, isListed)
   const needed = RESOURCES.filter(resource => total[resource] > 0)
   const resource = needed.reduce((least, next) => sum[next] / total[next] < sum[least] / total[least] ? next : least)
   return { resource, has: sum[resource] }
--- a/packages/pomelofold/src/tasks/placement/freeIndex.ts
+++ b/packages/pomelofold/src/tasks/placement/freeIndex.ts
@@ -21,8 +21,9 @@
 const PLANES_IN_USE = 16
 const PLANES = 2 * PLANES_IN_USE
 
-/** Workers that fit and are scored in one cell. */
-const MAX_SCORED_PER_CELL = 8
+/** Workers that fit and are scored in one cell: of those in use, and of the empty ones. */
+const MAX_SCORED_IN_USE = 8
+const MAX_SCORED_EMPTY = 256
 
 /** Weight of the share left free beside the tilt: the difference between the shares of processors and memory left free. */
 const LEFTOVER_WEIGHT = 0.03
@@ -178,7 +179,7 @@
         best.score = score
         best.node = node
       }
-      if (++scored === MAX_SCORED_PER_CELL) return
+      if (++scored === (node.tasks.size ? MAX_SCORED_IN_USE : MAX_SCORED_EMPTY)) return
     }
     cell.maxCpus = maxCpus
     cell.maxMemory = maxMemory
--- a/packages/pomelofold/src/tasks/placement/groupRoom.ts
+++ b/packages/pomelofold/src/tasks/placement/groupRoom.ts
@@ -5,33 +5,41 @@
  */
 
 import type { Gang } from './gangPlanner.js'
-import { addUnits, RESOURCES, zeroUnits, type Units } from './units.js'
+import { addUnits, fitsUnits, RESOURCES, zeroUnits, type Units } from './units.js'
 import type { WorkerGroup, WorkerNode } from './workerNode.js'
 
-/** Reads the room of a worker that counts for a gang. */
-export type RoomReader = (node: WorkerNode) => Units
+/** Writes the room of a worker that counts for a gang into `room`. */
+export type RoomReader = (node: WorkerNode, room: Units) => void
+
+const NOTHING: Readonly<Units> = zeroUnits()
 
 /** Whether a plan for the gang can succeed: its sum fits, and so does each part by itself. */
 export function mayHoldGang (
-  { nodes }: WorkerGroup, { parts, total }: Gang, roomOf: RoomReader, accepts: (node: WorkerNode) => boolean = takesWork
+  { nodes }: WorkerGroup, { parts, total }: Gang, readRoom: RoomReader, accepts: (node: WorkerNode) => boolean = takesWork
 ): boolean {
   const missing = { ...total }
+  const room = zeroUnits()
   const left = parts.map(part => part.tasks.length)
   for (const node of nodes) {
     if (!accepts(node)) continue
-    const room = roomOf(node)
-    for (const resource of RESOURCES) missing[resource] -= Math.max(0, room[resource])
-    parts.forEach((part, i) => { left[i] -= timesIn(part.need, room) })
-    if (left.every(count => count <= 0) && RESOURCES.every(resource => missing[resource] <= 0)) return true
+    readRoom(node, room)
+    missing.cpus -= Math.max(0, room.cpus)
+    missing.memory -= Math.max(0, room.memory)
+    missing.accelerators -= Math.max(0, room.accelerators)
+    for (let i = 0; i < parts.length; i++) left[i] -= timesIn(parts[i].need, room)
+    if (fitsUnits(missing, NOTHING) && left.every(count => count <= 0)) return true
   }
   return false
 }
 
 /** Sum of the room of the workers. */
-export function sumRoom ({ nodes }: WorkerGroup, roomOf: RoomReader, accepts: (node: WorkerNode) => boolean = takesWork): Units {
+export function sumRoom ({ nodes }: WorkerGroup, readRoom: RoomReader, accepts: (node: WorkerNode) => boolean = takesWork): Units {
   const sum = zeroUnits()
+  const room = zeroUnits()
   for (const node of nodes) {
-    if (accepts(node)) addUnits(sum, roomOf(node))
+    if (!accepts(node)) continue
+    readRoom(node, room)
+    addUnits(sum, room)
   }
   return sum
 }
--- a/packages/pomelofold/src/tasks/placement/policies.ts
+++ b/packages/pomelofold/src/tasks/placement/policies.ts
@@ -26,6 +26,9 @@
 /** Weight of the size of empty workers: larger ones are taken first. */
 const EMPTY_SIZE_WEIGHT = 1
 
+/** Added to the score of workers in empty racks: these are left for gangs. */
+const EMPTY_RACK_PENALTY = 4
+
 /** The handler of each policy. */
 export const POLICY_HANDLERS: Record<PolicyName, PlacementPolicy> = {
   [PLACEMENT_POLICIES.tight]: { choose: chooseTight, compareRooms: fullerFirst },
@@ -98,10 +101,10 @@
   }
 }
 
-/** Larger empty workers come first. */
-function emptyPenalty ({ largest }: Cluster, { capacity }: WorkerNode): number {
+/** Workers in racks that are in use come first, then larger ones. */
+function emptyPenalty ({ largest }: Cluster, { capacity, groups }: WorkerNode): number {
   const size = capacity.cpus / largest.cpus + capacity.memory / largest.memory
-  return EMPTY_SIZE_WEIGHT * (2 - size)
+  return EMPTY_SIZE_WEIGHT * (2 - size) + (groups.rack.nodesInUse ? 0 : EMPTY_RACK_PENALTY)
 }
 
 function countBy<T> (tasks: Iterable<PlacedTask>, keyOf: (task: PlacedTask) => T): Map<T, number> {
--- a/packages/pomelofold/src/tasks/placement/reservations.ts
+++ b/packages/pomelofold/src/tasks/placement/reservations.ts
@@ -166,8 +166,8 @@
     const domains = new Map([...this._cluster.groups('failureDomain')].map(domain => [domain, this._mayHold(domain, gang)]))
     const { largest } = this._cluster
     return [...this._cluster.groups(within)]
-      .filter(group => domains.get(domainOf(group)) && mayHoldGang(group, gang, drainedRoom))
-      .map(group => ({ group, room: sumRoom(group, node => node.roomBesides(undefined)) }))
+      .filter(group => domains.get(domainOf(group)) && mayHoldGang(group, gang, readDrainedRoom))
+      .map(group => ({ group, room: sumRoom(group, (node, room) => node.readRoom(room)) }))
       .map(({ group, room }) => ({ group, missing: missingUnits(gang.total, room, largest) }))
       .sort((a, b) => a.missing - b.missing)
       .slice(0, MAX_CANDIDATES)
@@ -200,12 +200,17 @@
 
 /** Room once all tasks but services have ended, beside what other gangs hold. */
 function drainedRoom (node: WorkerNode): Units {
-  const room = { ...node.capacity }
-  addUnits(room, node.pinned, -1)
-  addUnits(room, node.held, -1)
+  const room = zeroUnits()
+  readDrainedRoom(node, room)
   return room
 }
 
+function readDrainedRoom ({ capacity, pinned, held }: WorkerNode, room: Units): void {
+  room.cpus = capacity.cpus - pinned.cpus - held.cpus
+  room.memory = capacity.memory - pinned.memory - held.memory
+  room.accelerators = capacity.accelerators - pinned.accelerators - held.accelerators
+}
+
 function emptierFirst (a: PlanRoom, b: PlanRoom): number {
   return Math.sign(a.node.capacity.accelerators) - Math.sign(b.node.capacity.accelerators) || b.node.freeCpus() - a.node.freeCpus()
 }
--- a/packages/pomelofold/src/tasks/placement/workerNode.ts
+++ b/packages/pomelofold/src/tasks/placement/workerNode.ts
@@ -39,6 +39,8 @@
   readonly key: string
   readonly name: string
   readonly nodes: Set<WorkerNode>
+  /** Workers with at least one task. */
+  nodesInUse: number
 }
 
 /** A worker with its tasks and the room held for gangs. */
@@ -118,12 +120,19 @@
 
   /** Room beside the tasks and what other gangs than the owner of `own` hold. */
   roomBesides (own: Units | undefined): Units {
-    const room = this.room()
-    addUnits(room, this.held, -1)
-    if (own) addUnits(room, own)
+    const room = zeroUnits()
+    this.readRoom(room, own)
     return room
   }
 
+  /** Writes {@link roomBesides} into `room`. */
+  readRoom (room: Units, own?: Units): void {
+    room.cpus = this.freeCpus()
+    room.memory = this.freeMemory()
+    room.accelerators = this.freeAccelerators()
+    if (own) addUnits(room, own)
+  }
+
   /** Whether more runs here than the worker can hold. */
   isOverfull (): boolean {
     return !fitsUnits(this.used, this.capacity)
@@ -131,14 +140,21 @@
 
   addTask (task: PlacedTask): void {
     this.tasks.add(task)
+    if (this.tasks.size === 1) this._countInUse(1)
     this._count(task, 1)
   }
 
   removeTask (task: PlacedTask): void {
     this.tasks.delete(task)
+    if (this.tasks.size === 0) this._countInUse(-1)
     this._count(task, -1)
   }
 
+  private _countInUse (times: 1 | -1): void {
+    this.groups.rack.nodesInUse += times
+    this.groups.failureDomain.nodesInUse += times
+  }
+
   private _keptShare (): number {
     const { accelerators } = this.capacity
     return accelerators ? KEPT_SHARE * Math.max(0, this.freeAccelerators()) / accelerators : 0
--- a/packages/pomelofold/src/tasks/placement/workerPlacement.ts
+++ b/packages/pomelofold/src/tasks/placement/workerPlacement.ts
@@ -13,7 +13,7 @@
 import { Cluster } from './cluster.js'
 import { checkEverFit } from './everFit.js'
 import { assignTasks, planGang, toGang, type Gang, type GangShare } from './gangPlanner.js'
-import { mayHoldGang } from './groupRoom.js'
+import { mayHoldGang, type RoomReader } from './groupRoom.js'
 import { missText, nearestMiss } from './nearestMiss.js'
 import { POLICY_HANDLERS, type PlacementPolicy, type PolicyName } from './policies.js'
 import { planPreemption } from './preemption.js'
@@ -194,11 +194,11 @@
   private _planGang (gang: Gang, task: TaskRequest, within: GroupKind): GangShare[] | undefined {
     const { compareRooms } = this._policyOf(task)
     const holds = this._reservations.holdsOf(task.jobId)
-    const roomOf = (node: WorkerNode): Units => node.roomBesides(holds?.get(node))
+    const readRoom: RoomReader = holds ? (node, room) => node.readRoom(room, holds.get(node)) : (node, room) => node.readRoom(room)
     for (const accepts of [isInUse, isAny]) {
       for (const group of this._cluster.groups(within)) {
-        if (!mayHoldGang(group, gang, roomOf, accepts)) continue
-        const rooms = [...group.nodes].filter(accepts).map(node => ({ node, room: roomOf(node) }))
+        if (!mayHoldGang(group, gang, readRoom, accepts)) continue
+        const rooms = [...group.nodes].filter(accepts).map(node => ({ node, room: node.roomBesides(holds?.get(node)) }))
         const shares = planGang(gang, rooms.sort(compareRooms))
         if (shares) return shares
       }
