--- a/utils/benchPlacement.ts
+++ b/utils/benchPlacement.ts
@@ -533,25 +533,32 @@
 }
 
 function benchMemory (seed: number): void {
-  setFlagsFromString('--expose_gc')
-  const collect = runInNewContext('gc') as () => void
-  const heap = (): number => { collect(); return process.memoryUsage().heapUsed + process.memoryUsage().arrayBuffers }
   console.log('\nmemory of the books, without the callers\' own:')
   for (const workers of WORKER_SIZES) {
-    const list = workersOf({ ...DESIGN, workers }, new SeededRandom(seed))
-    const workload = new Workload({ random: new SeededRandom(seed + 1), workers: list, memoryMbPerCpu: DESIGN.memoryMbPerCpu })
-    const tasks = Array.from({ length: Math.round(workers * TASKS_PER_WORKER) }, () => workload.next()[0])
-    const empty = heap()
-    const placement = newPlacement(list)
-    const listed = heap()
-    for (const task of tasks) placement.place(task)
-    const full = heap()
-    const placed = placement.figures().tasks
-    console.log(`  ${String(workers).padStart(5)} workers ${String(placed).padStart(6)} tasks: ${Math.round((listed - empty) / workers)} bytes a worker, ` +
-      `${Math.round((full - listed) / placed)} bytes a task, ${((full - empty) / 1e6).toFixed(1)} MB in all`)
+    const { listBytes, taskBytes, tasks } = measureBooks(workers, seed)
+    console.log(`  ${String(workers).padStart(5)} workers ${String(tasks).padStart(6)} tasks: ${Math.round(listBytes / workers)} bytes a worker, ` +
+      `${Math.round(taskBytes / tasks)} bytes a task, ${((listBytes + taskBytes) / 1e6).toFixed(1)} MB in all`)
   }
 }
 
+/** Heap taken by the workers and by the tasks of one placement. */
+function measureBooks (workers: number, seed: number): { listBytes: number, taskBytes: number, tasks: number } {
+  setFlagsFromString('--expose_gc')
+  const collect = runInNewContext('gc') as () => void
+  const heap = (): number => { collect(); return process.memoryUsage().heapUsed + process.memoryUsage().arrayBuffers }
+  const list = workersOf({ ...DESIGN, workers }, new SeededRandom(seed))
+  const workload = new Workload({ random: new SeededRandom(seed + 1), workers: list, memoryMbPerCpu: DESIGN.memoryMbPerCpu })
+  const tasks = Array.from({ length: Math.round(workers * TASKS_PER_WORKER) }, () => workload.next()[0])
+  const empty = heap()
+  const placement = newPlacement(list)
+  const listed = heap()
+  for (const task of tasks) placement.place(task)
+  const full = heap()
+  const held = placement.figures().tasks
+  if (held > tasks.length || !list.length || !workload.next().length) throw new Error('the callers\' own data was collected')
+  return { listBytes: listed - empty, taskBytes: full - listed, tasks: held }
+}
+
 function rackKey ({ failureDomain, rack }: WorkerInfo): string {
   return `${failureDomain}/${rack}`
 }
