Keep gangs whole when a start cannot be sent; keep finished at-most-once members

A gang's finished members are not recorded before its end, so that it can start again as a whole; one that may run at most once does not start again, and its progress then held neither their intents nor their ends. The trace showed a second fault: members whose start was given up because their worker fell silent waited alone while the others ran. Fix: ends of at-most-once members are recorded and acknowledged like those of batch tasks; a start that cannot be sent breaks the gang like a refused one.

--- a/packages/pomelofold/src/tasks/jobs/job.ts
+++ b/packages/pomelofold/src/tasks/jobs/job.ts
@@ -140,6 +140,11 @@
     return this.plan.kind === JOB_KINDS.gang
   }
 
+  /** True when members that have finished run again with their gang. */
+  get startsAgainAsWhole (): boolean {
+    return this.isGang && !this.plan.atMostOnce
+  }
+
   get isService (): boolean {
     return this.plan.kind === JOB_KINDS.service
   }
@@ -178,7 +183,7 @@
       else intents.set(worker, [index])
     }
     return {
-      finished: formatRanges(this.isGang && !this.ended ? [] : this.finished),
+      finished: formatRanges(this.startsAgainAsWhole && !this.ended ? [] : this.finished),
       failed: formatRanges(this.failed),
       unknown: formatRanges(this.unknown),
       intents: Object.fromEntries([...intents].map(([worker, indexes]) => [worker, formatRanges(indexes)])),
--- a/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
@@ -109,6 +109,7 @@
     this._ledger.remove(run)
     if (!job) return
     this._dropIntent(job, index)
+    if (job.isGang && !job.ended && !job.regrouping) return this._gangBroken(job, `a start could not be sent to ${run.worker}`)
     this._requeue(job, index)
   }
 
@@ -122,7 +123,7 @@
     const isNew = !job.isSettled(index) || job.unknown.delete(index)
     job.acks.push({ worker, taskId })
     if (isNew) this._settle(job, index, job.finished)
-    if (!job.isGang || job.ended) this._saveAndAcknowledge(job)
+    if (!job.startsAgainAsWhole || job.ended) this._saveAndAcknowledge(job)
     this.endIfComplete(job)
   }
 
--- a/packages/pomelofold/src/tasks/jobs/scheduler.ts
+++ b/packages/pomelofold/src/tasks/jobs/scheduler.ts
@@ -167,6 +167,7 @@
 
   /** Sends a run to its worker; at most once, only after the intent is committed. */
   private _dispatch (job: Job, run: TaskRun): void {
+    if (this._ledger.runs.get(run.taskId) !== run) return
     this._placed++
     job.waitingFor = undefined
     const link = this._links.get(run.worker)
--- a/tests/jobs/takeover.test.ts
+++ b/tests/jobs/takeover.test.ts
@@ -119,7 +119,38 @@
   t.equal(cell.runs.length, 0)
 })
 
-for (const seed of [1, 2, 3, 4, 5, 6, 7, 72]) {
+t.test('at most once: members of a gang that have finished stay finished across a takeover', async t => {
+  const cell = new JobCell({ cfg: SHORT, workers: 2 })
+  const first = await cell.addPlacer()
+  await cell.submit(first, 'spots', { kind: 'gang', count: 8, runMs: 2_000, atMostOnce: true })
+  await cell.timers.advance(500)
+  cell.workers[1].faults.cut = true
+  await cell.timers.advance(3_000)
+  cell.kill(first)
+  cell.workers[0].reset()
+  cell.workers[1].faults.cut = false
+  const second = await cell.addPlacer()
+  await cell.untilState(second, 'spots', 'done')
+  t.equal(cell.runs.length, 8)
+})
+
+t.test('a gang of which a start cannot be sent to a worker that fell silent starts no other member', async t => {
+  const cell = new JobCell({ cfg: { ...SHORT, callTimeoutMs: 300 }, workers: 2 })
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'filler', { kind: 'gang', cpus: 3, count: 2, runMs: 2_000 })
+  await cell.timers.advance(1_000)
+  placer.platform.faults.delayMs = 900
+  await cell.submit(placer, 'spots', { kind: 'gang', count: 2, runMs: 10_000, atMostOnce: true })
+  for (const worker of cell.workers.slice(1)) worker.faults.cut = true
+  await cell.timers.advance(4_000)
+  for (const worker of cell.workers) worker.faults.cut = false
+  await cell.untilState(placer, 'spots', 'done')
+  const times = cell.runs.filter(run => run.task.startsWith('spots')).map(run => run.fromMs)
+  t.ok(Math.max(...times) - Math.min(...times) < 1_000, `starts at ${times.join(', ')}`)
+  t.equal(times.length, 2)
+})
+
+for (const seed of [1, 2, 3, 4, 5, 6, 7, 72, 134]) {
   t.test(`random faults: tasks finish once, in one place, within capacity (seed ${seed})`, async t => {
     const cell = new JobCell({ cfg: SHORT, workers: 4, seed })
     const random = new SeededRandom(seed + 100)
