--- a/tests/requests/requestScheduler.test.ts
+++ b/tests/requests/requestScheduler.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import { decodeFromCompressedBase64 } from 'hdr-histogram-js'
 import { CLAIMS } from 'pomelofold/seams/authority'
 import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
@@ -79,6 +80,19 @@
   t.match(answers, [{ outcome: 'ran' }])
 })
 
+t.test('a reading that was started under an earlier epoch is not used', async t => {
+  const { timers, upstream, authority, send } = setup()
+  const instance = upstream.instances.get('i1')!
+  await timers.advance(0.3)
+  instance.running = 2
+  authority.grant(CLAIMS.instance('fd1', 'i1'), 3)
+  for (let i = 0; i < 2; i++) send({ deadlineMs: 5_000 })
+  await timers.advance(1_000)
+  for (let i = 0; i < 2; i++) send({ deadlineMs: 5_000 })
+  await timers.advance(1_000)
+  t.equal(instance.peak, 0)
+})
+
 t.test('a claim that has lapsed without notice stops sending', async t => {
   const { timers, authority, upstream, answers, send } = setup()
   await timers.advance(10)
@@ -177,6 +191,35 @@
   t.match(await sendFor(1), new Array(40).fill({ outcome: 'ran', status: 200 }))
 })
 
+t.test('requests that fail everywhere do not keep others from being sent', async t => {
+  const { timers, upstream, answers, send } = setup(['i1', 'i2', 'i3', 'i4'])
+  await timers.advance(10)
+  for (const instance of upstream.instances.values()) instance.mode = INSTANCE_MODES.fails
+  for (let i = 0; i < 200; i++) {
+    send({ deadlineMs: 500 })
+    await timers.advance(20)
+  }
+  const refused = answers.filter(answer => answer.outcome === 'not-run').length
+  t.equal(refused, 0, `${refused} of 200 were refused`)
+})
+
+t.test('a change of slots in the list is followed', async t => {
+  const { timers, upstream, records, scheduler, send } = setup(['i1'], { slots: 4 })
+  await timers.advance(10)
+  for (let i = 0; i < 10; i++) {
+    send({ runMs: 5 })
+    await timers.advance(20)
+  }
+  const instance = upstream.instances.get('i1')!
+  for (const [slots, running] of [[1, 1], [6, 6]]) {
+    scheduler.setInstances([{ ...records[0], slots }])
+    for (let i = 0; i < 10; i++) send({ deadlineMs: 5_000 })
+    await timers.advance(10)
+    t.equal(instance.running, running)
+    await timers.advance(5_000)
+  }
+})
+
 t.test('a leaving instance gets nothing new and finishes what it runs', async t => {
   const { timers, upstream, records, scheduler, answers, send } = setup(['i1', 'i2'])
   await timers.advance(10)
@@ -245,7 +288,7 @@
 })
 
 t.test('a team with many waiting requests does not hold up another team', async t => {
-  const context = setup(['i1'], { slots: 1 })
+  const context = setup(['i1'], { slots: 1, teams: [{ name: 'a', quota: QUOTA, borrow: true }, { name: 'b', quota: QUOTA, borrow: true }] })
   const { timers, scheduler, send } = context
   await timers.advance(10)
   await warmUp(context)
@@ -255,6 +298,32 @@
   t.match(scheduler.figures().requests.find(count => count.team === 'b'), { outcome: 'ran', count: 10 })
 })
 
+t.test('a team that is not declared gains nothing by its name', async t => {
+  const context = setup(['i1'], { slots: 1 })
+  const { timers, scheduler, send } = context
+  await timers.advance(10)
+  await warmUp(context)
+  for (let i = 0; i < 100; i++) send({ team: `made-up-${i}`, runMs: 10, deadlineMs: 5_000 })
+  await timers.advance(5_000)
+  t.same(new Set(scheduler.figures().requests.map(count => count.team)), new Set(['']))
+})
+
+t.test('a few requests that hang do not make the others be refused', async t => {
+  const context = setup(['i1', 'i2'], { slots: 4 })
+  const { timers, upstream, answers, send } = context
+  await timers.advance(10)
+  await warmUp(context)
+  upstream.instances.get('i1')!.mode = INSTANCE_MODES.silent
+  upstream.instances.get('i2')!.mode = INSTANCE_MODES.silent
+  for (let i = 0; i < 2; i++) send({ deadlineMs: 10_000 })
+  await timers.advance(20_000)
+  for (const instance of upstream.instances.values()) instance.mode = INSTANCE_MODES.answers
+  answers.length = 0
+  send({ deadlineMs: 200 })
+  await timers.advance(500)
+  t.match(answers, [{ outcome: 'ran' }])
+})
+
 t.test('slots are kept free for urgent requests while such requests come', async t => {
   const context = setup(['i1', 'i2', 'i3', 'i4', 'i5'], { slots: 8 })
   const { timers, scheduler, send, answers } = context
@@ -281,4 +350,5 @@
   t.match(requests, [{ service: SERVICE, class: 'normal', outcome: 'ran', count: 3 }])
   t.match(waits, [{ service: SERVICE, class: 'normal', count: 3 }])
   t.match(objectives, [{ good: 1, bad: 2 }])
+  t.equal(decodeFromCompressedBase64(waits[0].histogram).totalCount, 3)
 })
