--- a/tests/jobs/decisions.test.ts
+++ b/tests/jobs/decisions.test.ts
@@ -191,13 +191,17 @@
 t.test('a worker that fails tasks of unrelated jobs goes on probation; the jobs succeed elsewhere', async t => {
   const cell = new JobCell()
   const placer = await cell.addPlacer()
-  cell.workers[0].faults.failTasks = true
+  await cell.submit(placer, 'first', { runMs: 1_000 })
+  await cell.untilState(placer, 'first', 'done')
+  const failing = cell.workers.find(worker => worker.vm.name === cell.runs[0].worker)!
+  failing.faults.failTasks = true
   for (const jobId of ['one', 'two', 'three', 'four']) await cell.submit(placer, jobId, { runMs: 1_000 })
   for (const jobId of ['one', 'two', 'three', 'four']) await cell.untilState(placer, jobId, 'done', 30_000)
-  const before = cell.runs.filter(run => run.worker === 'worker-0').length
+  t.match(placer.manager.figures(), { workersOnProbation: [failing.vm.name] })
+  const before = cell.runs.filter(run => run.worker === failing.vm.name).length
   await cell.submit(placer, 'five', { runMs: 1_000 })
   await cell.untilState(placer, 'five', 'done', 10_000)
-  t.equal(cell.runs.filter(run => run.worker === 'worker-0').length, before)
+  t.equal(cell.runs.filter(run => run.worker === failing.vm.name).length, before)
 })
 
 t.test('jobs that fail on several workers are held back, then failed, and no worker goes on probation', async t => {
--- a/tests/jobs/jobCell.ts
+++ b/tests/jobs/jobCell.ts
@@ -103,6 +103,11 @@
     return entry
   }
 
+  /** The worker with the most tasks. */
+  busiestWorker (): TinyWorker {
+    return [...this.workers].sort((a, b) => b.tasks.size - a.tasks.size)[0]
+  }
+
   /** The process of an entry VM dies. */
   kill (entry: EntryVm): void {
     entry.manager.stop()
