Keep sums of free room by rack; no objects per worker in failed searches

Cause: a refused gang took 8.9 ms (p99) with 6,000 workers, a preemption plan 1.2 ms with 550; both looked at every worker with new objects. Found on the way: a gang whose tasks ask for no processors or memory was told that it does not fit (0 / 0 in the check before the plan); mended, with a test. Bench: 200 plans of warm-up before 1,000 that count.

--- a/packages/pomelofold/src/tasks/placement/cluster.ts
+++ b/packages/pomelofold/src/tasks/placement/cluster.ts
@@ -143,6 +143,7 @@
   }
 
   private _reindex (node: WorkerNode): void {
+    node.updateGroups()
     this.plainIndex.update(node)
     if (node.capacity.accelerators) this.acceleratedIndex.update(node)
     else this.acceleratedIndex.remove(node)
@@ -170,7 +171,7 @@
   private _group (kind: GroupKind, key: string, name: string): WorkerGroup {
     let group = this._groups[kind].get(key)
     if (!group) {
-      group = { key, name, nodes: new Set(), nodesInUse: 0 }
+      group = { key, name, nodes: new Set(), nodesInUse: 0, free: zeroUnits() }
       this._groups[kind].set(key, group)
     }
     return group
@@ -180,6 +181,8 @@
     this.plainIndex.remove(node)
     this.acceleratedIndex.remove(node)
     this._countCapacity(node, -1)
+    node.takesWork = false
+    node.updateGroups()
     if (this.nodes.get(node.name) === node) this.nodes.delete(node.name)
     for (const kind of GROUP_KINDS) {
       const group = node.groups[kind]
--- a/packages/pomelofold/src/tasks/placement/everFit.ts
+++ b/packages/pomelofold/src/tasks/placement/everFit.ts
@@ -32,7 +32,7 @@
     if (cluster.shapes().some(shape => fitsUnits(need, shape))) continue
     const listed = [...cluster.nodes.values()].filter(node => node.listed)
     if (!listed.length) return 'no workers are known'
-    return missText(need, nearestMiss(need, listed, node => node.capacity), { free: false })
+    return missText(need, nearestMiss(need, listed, readCapacity), { free: false })
   }
   return undefined
 }
--- a/packages/pomelofold/src/tasks/placement/groupRoom.ts
+++ b/packages/pomelofold/src/tasks/placement/groupRoom.ts
@@ -59,8 +59,8 @@
 
 function timesIn (need: Units, room: Units): number {
   if (room.cpus < need.cpus || room.memory < need.memory || room.accelerators < need.accelerators) return 0
-  const byCpus = Math.floor(room.cpus / need.cpus)
-  const byMemory = Math.floor(room.memory / need.memory)
+  const byCpus = need.cpus ? Math.floor(room.cpus / need.cpus) : Infinity
+  const byMemory = need.memory ? Math.floor(room.memory / need.memory) : Infinity
   const byAccelerators = need.accelerators ? Math.floor(room.accelerators / need.accelerators) : Infinity
   return Math.min(byCpus, byMemory, byAccelerators)
 }
--- a/packages/pomelofold/src/tasks/placement/nearestMiss.ts
+++ b/packages/pomelofold/src/tasks/placement/nearestMiss.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import { amountText, RESOURCES, type Resource, type Units } from './units.js'
+import type { RoomReader } from './groupRoom.js'
+import { amountText, RESOURCES, zeroUnits, type Resource, type Units } from './units.js'
 import type { WorkerNode } from './workerNode.js'
 
 /** The worker that comes closest and the resource it lacks most. */
@@ -17,11 +18,13 @@
 }
 
 /** Finds the worker whose room comes closest to `need`. */
-export function nearestMiss (need: Units, nodes: Iterable<WorkerNode>, roomOf: (node: WorkerNode) => Units): Miss | undefined {
+export function nearestMiss (need: Units, nodes: Iterable<WorkerNode>, readRoom: RoomReader): Miss | undefined {
+  const room = zeroUnits()
   let best: Miss | undefined
   for (const node of nodes) {
-    const miss = missAt(need, node, roomOf(node))
-    if (!best || miss.shortage < best.shortage) best = miss
+    readRoom(node, room)
+    if (best && shortageOf(need, room) >= best.shortage) continue
+    best = missAt(need, node, room)
   }
   return best
 }
@@ -34,6 +37,13 @@
     `${free ? ' free' : ''} (${node.name})`
 }
 
+function shortageOf (need: Units, room: Units): number {
+  const cpus = need.cpus ? (need.cpus - room.cpus) / need.cpus : 0
+  const memory = need.memory ? (need.memory - room.memory) / need.memory : 0
+  const accelerators = need.accelerators ? (need.accelerators - room.accelerators) / need.accelerators : 0
+  return Math.max(0, cpus, memory, accelerators)
+}
+
 function missAt (need: Units, node: WorkerNode, room: Units): Miss {
   let miss: Miss = { node, resource: 'cpus', has: room.cpus, shortage: 0 }
   for (const resource of RESOURCES) {
--- a/packages/pomelofold/src/tasks/placement/reservations.ts
+++ b/packages/pomelofold/src/tasks/placement/reservations.ts
@@ -7,7 +7,7 @@
 import type { Timers } from '../../seams/timers.js'
 import type { Cluster } from './cluster.js'
 import { planGang, type Gang, type GangShare, type PlanRoom } from './gangPlanner.js'
-import { mayHoldGang, missingUnits, sumRoom } from './groupRoom.js'
+import { mayHoldGang, missingUnits } from './groupRoom.js'
 import { addUnits, RESOURCES, zeroUnits, type Units } from './units.js'
 import type { GroupKind, WorkerGroup, WorkerNode } from './workerNode.js'
 
@@ -167,8 +167,7 @@
     const { largest } = this._cluster
     return [...this._cluster.groups(within)]
       .filter(group => domains.get(domainOf(group)) && mayHoldGang(group, gang, readDrainedRoom))
-      .map(group => ({ group, room: sumRoom(group, (node, room) => node.readRoom(room)) }))
-      .map(({ group, room }) => ({ group, missing: missingUnits(gang.total, room, largest) }))
+      .map(group => ({ group, missing: missingUnits(gang.total, group.free, largest) }))
       .sort((a, b) => a.missing - b.missing)
       .slice(0, MAX_CANDIDATES)
       .map(({ group }) => group)
--- a/packages/pomelofold/src/tasks/placement/workerNode.ts
+++ b/packages/pomelofold/src/tasks/placement/workerNode.ts
@@ -41,6 +41,8 @@
   readonly nodes: Set<WorkerNode>
   /** Workers with at least one task. */
   nodesInUse: number
+  /** Sum of what is free at the workers that take work. Overfull resources count as nothing free. */
+  readonly free: Units
 }
 
 /** A worker with its tasks and the room held for gangs. */
@@ -66,6 +68,8 @@
   /** Cell in each index of free room, -1 when not indexed, and position in that cell. */
   readonly cells = [-1, -1]
   readonly cellPositions = [-1, -1]
+  /** What the sums of the groups count for this worker. */
+  private readonly _counted = zeroUnits()
 
   constructor (name: string, rack: string, failureDomain: string, groups: Record<GroupKind, WorkerGroup>) {
     this.name = name
@@ -133,6 +137,16 @@
     if (own) addUnits(room, own)
   }
 
+  /** Brings the sums of free room of the groups up to date. */
+  updateGroups (): void {
+    const { rack, failureDomain } = this.groups
+    for (const sum of [rack.free, failureDomain.free]) addUnits(sum, this._counted, -1)
+    this._counted.cpus = this.takesWork ? Math.max(0, this.freeCpus()) : 0
+    this._counted.memory = this.takesWork ? Math.max(0, this.freeMemory()) : 0
+    this._counted.accelerators = this.takesWork ? Math.max(0, this.freeAccelerators()) : 0
+    for (const sum of [rack.free, failureDomain.free]) addUnits(sum, this._counted)
+  }
+
   /** Whether more runs here than the worker can hold. */
   isOverfull (): boolean {
     return !fitsUnits(this.used, this.capacity)
--- a/packages/pomelofold/src/tasks/placement/workerPlacement.ts
+++ b/packages/pomelofold/src/tasks/placement/workerPlacement.ts
@@ -182,7 +182,7 @@
     }
     const usable = [...this._cluster.nodes.values()].filter(node => node.takesWork && !task.avoid?.has(node.name))
     const isHeld = this._reservations.size > 0 && usable.some(node => fitsUnits(need, node.room()))
-    const detail = missText(need, nearestMiss(need, usable, node => node.roomBesides(undefined)), { free: true })
+    const detail = missText(need, nearestMiss(need, usable, (node, room) => node.readRoom(room)), { free: true })
     return isHeld ? { reason: NO_PLACE.reserved, detail: `${detail}; other room is reserved for a gang` } : { reason: NO_PLACE.full, detail }
   }
 
@@ -197,6 +197,7 @@
     const readRoom: RoomReader = holds ? (node, room) => node.readRoom(room, holds.get(node)) : (node, room) => node.readRoom(room)
     for (const accepts of [isInUse, isAny]) {
       for (const group of this._cluster.groups(within)) {
+        if (!holds && !fitsUnits(gang.total, group.free)) continue
         if (!mayHoldGang(group, gang, readRoom, accepts)) continue
         const rooms = [...group.nodes].filter(accepts).map(node => ({ node, room: node.roomBesides(holds?.get(node)) }))
         const shares = planGang(gang, rooms.sort(compareRooms))
--- a/tests/placement/workerPlacement.test.ts
+++ b/tests/placement/workerPlacement.test.ts
@@ -192,3 +192,10 @@
   t.equal(placement.canEverFit(gang, { gang: true, within: 'failureDomain' }).isOk, true)
   t.match(placement.placeGang(gang, 'rack'), { error: { reason: 'never' } })
 })
+
+t.test('a gang whose tasks ask for accelerators only is placed', async t => {
+  const placement = newPlacement({ a: { cpus: 4, accelerators: 2 } })
+  const gang = gangOf('g', 2, 0).map(task => ({ ...task, size: { cpus: 0, memoryMb: 0, accelerators: 1 } }))
+  t.equal(placement.canEverFit(gang, { gang: true, within: 'rack' }).isOk, true)
+  t.same([...placement.placeGang(gang, 'rack').unwrapOr(new Map()).values()], ['a', 'a'])
+})
--- a/utils/benchPlacement.ts
+++ b/utils/benchPlacement.ts
@@ -25,7 +25,8 @@
 /** Tasks of the unscaled mix that nearly fill a worker. */
 const TASKS_PER_FULL_WORKER = 11.5
 const MAX_REFUSED_IN_FILL = 300
-const PREEMPTION_PLANS = 500
+const PREEMPTION_PLANS = 1000
+const WARM_UP_PLANS = 200
 const BASELINE_DECISIONS = 5000
 const STARTS_PER_SECOND = 2000
 const TIMED_DECISIONS = 30_000
@@ -523,13 +524,13 @@
 /** Times plans for urgent tasks. */
 function timePreemption (cell: ChurningCell): Float64Array {
   const { placement } = cell.packer as PolicyPacker
-  const samples = Array.from({ length: PREEMPTION_PLANS }, () => {
+  const samples = Array.from({ length: PREEMPTION_PLANS + WARM_UP_PLANS }, () => {
     const task = { ...cell.nextArrival()[0], class: 'urgent' as const }
     const before = process.hrtime.bigint()
     placement.planPreemption(task)
     return Number(process.hrtime.bigint() - before) / 1000
   })
-  return Float64Array.from(samples).sort()
+  return Float64Array.from(samples.slice(WARM_UP_PLANS)).sort()
 }
 
 function benchMemory (seed: number): void {
