--- a/packages/pomelofold/src/tasks/placement/reservations.ts
+++ b/packages/pomelofold/src/tasks/placement/reservations.ts
@@ -79,11 +79,6 @@
     return [...this._byJob.values()].filter(item => item.rank > rank && nowMs - item.sinceMs < this._cfg.yieldMs)
   }
 
-  /** Workers at which room is held. */
-  heldNodes (): Set<WorkerNode> {
-    return new Set([...this._byJob.values()].flatMap(item => [...item.holds.keys()]))
-  }
-
   /** Ends the reservations whose time is over. */
   expire (): void {
     const nowMs = this._timers.now()
--- a/packages/pomelofold/src/tasks/placement/workerNode.ts
+++ b/packages/pomelofold/src/tasks/placement/workerNode.ts
@@ -6,7 +6,7 @@
 
 import { JOB_CLASSES, JOB_KINDS } from '../../protocol/jobs.js'
 import type { TaskRequest, WorkerInfo } from '../placementTypes.js'
-import { addUnits, capacityUnits, fitsUnits, zeroUnits, type Units } from './units.js'
+import { addUnits, capacityUnits, zeroUnits, type Units } from './units.js'
 import type { Team } from './teamLedger.js'
 
 /** Rank of each class: 0 is the most urgent. */
@@ -147,11 +147,6 @@
     for (const sum of [rack.free, failureDomain.free]) addUnits(sum, this._counted)
   }
 
-  /** Whether more runs here than the worker can hold. */
-  isOverfull (): boolean {
-    return !fitsUnits(this.used, this.capacity)
-  }
-
   addTask (task: PlacedTask): void {
     this.tasks.add(task)
     if (this.tasks.size === 1) this._countInUse(1)
