--- a/tests/jobs/jobCell.ts
+++ b/tests/jobs/jobCell.ts
@@ -114,6 +114,11 @@
     entry.authority.epoch = undefined
   }
 
+  /** The worker with most tasks. */
+  fullestWorker (): TinyWorker {
+    return this.workers.reduce((fullest, worker) => worker.tasks.size > fullest.tasks.size ? worker : fullest)
+  }
+
   readList (): void {
     for (const entry of this._entryVms) entry.manager.setWorkers(this.vms)
   }
