--- a/tests/jobs/jobCell.ts
+++ b/tests/jobs/jobCell.ts
@@ -103,11 +103,6 @@
     return entry
   }
 
-  /** The worker with the most tasks. */
-  busiestWorker (): TinyWorker {
-    return [...this.workers].sort((a, b) => b.tasks.size - a.tasks.size)[0]
-  }
-
   /** The process of an entry VM dies. */
   kill (entry: EntryVm): void {
     entry.manager.stop()
@@ -119,6 +114,11 @@
     entry.authority.epoch = undefined
   }
 
+  /** The worker with most tasks. */
+  fullestWorker (): TinyWorker {
+    return this.workers.reduce((fullest, worker) => worker.tasks.size > fullest.tasks.size ? worker : fullest)
+  }
+
   readList (): void {
     for (const entry of this._entryVms) entry.manager.setWorkers(this.vms)
   }
