Specify authority as a state machine and begin the right to act with an own write

Cause: the walk of the first design found two processes acting at once when a holder living on promises opened a new lease and only read the map: promise, lapse, expire, the claimant reads, open, read, promise ends, takeover sent, promise given again, lapse, expire, takeover applied. A takeover sent from an old view and delayed was not fenced. Ruled out: refusing promises while an own takeover is unsettled; the write of a process that has restarted since is not known to the new one. Removed from the code: the walk is clean without it once the own write stands. Conclusion: under each new lease a holder writes the claim map once before it counts on the lease.

--- a/packages/pomelofold/src/claims/claimKeeper.ts
+++ b/packages/pomelofold/src/claims/claimKeeper.ts
@@ -117,6 +117,7 @@
   private _reconciling = false
   private _reconcileAgain = false
   private _asking = false
+  private _ownWriteRevision = 0
   private _sequence = 0
   private _releasedSequence = 0
 
@@ -228,10 +229,10 @@
     return Math.max(this._isConfirmed() ? this._lease.validUntil() : -Infinity, this._promisedUntil())
   }
 
-  /** True when the claim map was read after the member key had come into being. */
+  /** True when this process has written the claim map under its present lease: no takeover that was sent before can take effect. */
   private _isConfirmed (): boolean {
     const openRevision = this._lease.openRevision()
-    return openRevision !== undefined && this._view.readRevision >= openRevision
+    return openRevision !== undefined && this._ownWriteRevision > openRevision
   }
 
   private _promisedUntil (): number {
@@ -255,12 +256,11 @@
 
   private async _contactConfirmed (): Promise<void> {
     const regained = !this._inContact
-    if (regained || !this._isConfirmed()) {
+    if (regained || !this._isViewCurrent()) {
       if (!await this._view.refresh()) return
       this._log.event('info', 'claims.contact', { step: 'claims.renew', peer: 'platform', epoch: this._view.map.epoch })
     }
     this._inContact = true
-    if (this._promised.size > 0 && this._isConfirmed()) this._releasePromises()
     this._notify()
     this._reconcile()
   }
@@ -316,7 +316,7 @@
   /** A process in contact with the platform does not promise: claims of a VM that is cut off alone pass to the others. */
   private _mayPromise (forMs: number, from: PeerIdentity): boolean {
     return !this._stopped && !this._inContact && from.failureDomain === this._options.failureDomain &&
-      forMs <= this._cfg.outagePromiseMs && !this._pending.takesFrom(from.vm)
+      forMs <= this._cfg.outagePromiseMs
   }
 
   private _viewChanged (): void {
@@ -346,12 +346,24 @@
 
   /** Does one thing that is due. False when nothing is due or the platform does not answer. */
   private async _step (): Promise<boolean> {
-    if (!this._inContact || !this._isConfirmed() || !this._lease.isValid()) return false
+    if (!this._inContact || !this._lease.isValid() || !this._isViewCurrent()) return false
+    if (this._isConfirmed() && this._promised.size > 0) this._releasePromises()
     if (this._isEntryUnseen()) return this._lease.show(this._view.map.epoch)
-    const proposal = this._propose() ?? this._pending.repeat(this._view.map)
+    const proposal = this._propose() ?? this._repeat()
     return proposal ? this._write(proposal) : false
   }
 
+  /** True when the view was read under the present lease. */
+  private _isViewCurrent (): boolean {
+    return this._view.readRevision >= (this._lease.openRevision() ?? Infinity)
+  }
+
+  /** A write of the map as it is, when this process has not written it under its lease or when an earlier write is unsettled. */
+  private _repeat (): Proposal | undefined {
+    if (this._isConfirmed() && !this._pending.isUnsettled()) return undefined
+    return { map: this._view.map, released: [], victims: [] }
+  }
+
   /** True when a claimant has entered that the member key does not show as known. */
   private _isEntryUnseen (): boolean {
     const latest = Math.max(0, ...Object.values(this._others()).map(({ entered }) => entered))
@@ -403,12 +415,13 @@
     const key = CLAIM_KEYS.map(failureDomain)
     const modRevision = this._view.mapRevision
     const absent = victims.map(vm => ({ key: CLAIM_KEYS.member(failureDomain, vm), modRevision: 0 }))
-    this._pending.begin({ modRevision, released, victims })
+    this._pending.begin({ modRevision, released })
     if (released.length) this._notify()
     this._counts.mapWrites++
     const written = await platform.txn([{ key, modRevision }, ...absent], [{ op: 'put', key, value: JSON.stringify(map) }], { timeoutMs: this._cfg.timeoutMs })
     if (written.isOk && written.value.applied) {
       this._counts.takeovers += victims.length
+      this._ownWriteRevision = written.value.revision
       this._view.adopt(map, written.value.revision)
       return true
     }
--- a/packages/pomelofold/src/claims/pendingWrite.ts
+++ b/packages/pomelofold/src/claims/pendingWrite.ts
@@ -4,28 +4,23 @@
  * @module
  */
 
-import type { ClaimMap } from './claimMap.js'
-import type { Proposal } from './proposeChange.js'
-
 /** What the write would change. */
 interface Pending {
   /** Revision of the map at which the write takes effect. */
   modRevision: number
   released: Set<string>
-  victims: Set<string>
 }
 
-/** Remembers released claims and victims until the map has moved on from the revision that the write needs. */
+/** Remembers released claims until the map has moved on from the revision that the write needs. */
 export class PendingWrite {
   private _pending: Pending | undefined
 
   /** Notes a write about to be sent. Writes against the same revision add up: any of them may still take effect. */
-  begin ({ modRevision, released, victims }: { modRevision: number, released: string[], victims: string[] }): void {
+  begin ({ modRevision, released }: { modRevision: number, released: string[] }): void {
     const earlier = this._pending?.modRevision === modRevision ? this._pending : undefined
     this._pending = {
       modRevision,
-      released: new Set([...earlier?.released ?? [], ...released]),
-      victims: new Set([...earlier?.victims ?? [], ...victims])
+      released: new Set([...earlier?.released ?? [], ...released])
     }
   }
 
@@ -39,13 +34,8 @@
     return this._pending?.released.has(claim) ?? false
   }
 
-  /** True when a write that may still take effect takes claims from the VM. */
-  takesFrom (vm: string): boolean {
-    return this._pending?.victims.has(vm) ?? false
-  }
-
-  /** A write of the map as it is, which makes an unsettled earlier write fail. */
-  repeat (map: ClaimMap): Proposal | undefined {
-    return this._pending && { map, released: [], victims: [] }
+  /** True while a write may still take effect. */
+  isUnsettled (): boolean {
+    return this._pending !== undefined
   }
 }
--- /dev/null
+++ b/tests/spec/walk.ts
@@ -0,0 +1,98 @@
+/**
+ * Walks a specification exhaustively with the state-space walk of xstate.
+ *
+ * @module
+ */
+
+import { getAdjacencyMap } from 'xstate/graph'
+import type { ActorLogic, EventObject, Snapshot } from 'xstate'
+
+/** A step of a specification. `type` names it; `args` are indices. */
+export interface Step extends EventObject {
+  args: number[]
+}
+
+/** A specification: what may happen in a state, and what must never hold in one. */
+export interface Spec<S extends object> {
+  initial: S
+  steps: (state: S) => Array<{ step: Step, next: S }>
+  /** Invariants by name; each returns true in a state that violates it. */
+  violated: Record<string, (state: S) => boolean>
+}
+
+/** What a walk found. */
+export interface WalkResult {
+  states: number
+  transitions: number
+  /** Name of the first invariant found violated. */
+  violation?: string
+  /** Shortest sequence of steps to that violation. */
+  trace?: string[]
+}
+
+type Node<S> = Snapshot<unknown> & {
+  spec: S
+  /** Number of the state in the order of discovery. */
+  id: number
+  /** How the state was first reached. */
+  reached?: { from: Node<S>, step: Step }
+}
+
+/** A step to a state that was not seen before. */
+type Discovery<S> = Step & { node: Node<S> }
+
+/** Visits all reachable states breadth first, or stops at the first violation; its trace is then a shortest one. */
+export function walk<S extends object> (spec: Spec<S>): WalkResult {
+  const initial: Node<S> = { ...ACTIVE, spec: spec.initial, id: 0 }
+  const seen = new Set([JSON.stringify(spec.initial)])
+  let transitions = 0
+  let found = isViolation(spec, initial) ? initial : undefined
+  const discover = (from: Node<S>): Array<Discovery<S>> => {
+    const discoveries: Array<Discovery<S>> = []
+    for (const { step, next } of found ? [] : spec.steps(from.spec)) {
+      transitions++
+      const key = JSON.stringify(next)
+      if (seen.has(key)) continue
+      const node = { ...ACTIVE, spec: next, id: seen.size, reached: { from, step } }
+      seen.add(key)
+      if (isViolation(spec, node)) found ??= node
+      discoveries.push({ ...step, node })
+    }
+    return discoveries
+  }
+  const logic: ActorLogic<Node<S>, Discovery<S>> = {
+    getInitialSnapshot: () => initial,
+    transition: (_, { node }) => node,
+    getPersistedSnapshot: node => node
+  }
+  getAdjacencyMap(logic, { events: discover, serializeState: ({ id }) => String(id), serializeEvent: formatStep })
+  const result = { states: seen.size, transitions }
+  return found ? { ...result, violation: violationIn(spec, found.spec), trace: traceTo(found) } : result
+}
+
+const ACTIVE = { status: 'active', output: undefined, error: undefined } as const
+
+/** State after `trace` from the initial state. Throws when a step is not possible. */
+export function follow<S extends object> ({ initial, steps }: Spec<S>, trace: string[]): S {
+  return trace.reduce((state, name) => {
+    const found = steps(state).find(({ step }) => formatStep(step) === name)
+    if (!found) throw new Error(`${name} is not possible`)
+    return found.next
+  }, initial)
+}
+
+function traceTo<S> ({ reached }: Node<S>): string[] {
+  return reached ? [...traceTo(reached.from), formatStep(reached.step)] : []
+}
+
+function isViolation<S extends object> (spec: Spec<S>, node: Node<S>): boolean {
+  return violationIn(spec, node.spec) !== undefined
+}
+
+function violationIn<S extends object> (spec: Spec<S>, state: S): string | undefined {
+  return Object.keys(spec.violated).find(name => spec.violated[name](state))
+}
+
+function formatStep ({ type, args }: Step): string {
+  return `${type}(${args.join(',')})`
+}
