Specify starts under a claim: fencing, listing, decisions bound to an epoch

Cause: onePlacePerTask, neverOverCapacity and atMostOnce depend on what the holder does with its authority. The first form of the specification failed: a process that decides, loses the claim and has it again under a new epoch sent the old decision (decide, lapse, takeOver, list, decide, send, lapse, takeOver, send, start, start). Ruled out: reading the check before send as enough by itself; Authority.epochOf now says that only what was decided under the same epoch may be sent.

--- a/packages/pomelofold/src/seams/authority.ts
+++ b/packages/pomelofold/src/seams/authority.ts
@@ -24,7 +24,8 @@
 export interface Authority {
   /**
    * Epoch under which this process holds `claim` now and will for at least `forMs` milliseconds more.
-   * Undefined when it does not. Ask right before each send.
+   * Undefined when it does not. Ask right before each send, and send only what was decided under the same
+   * epoch: a process that lost the claim and has it again may hold decisions that another holder has overtaken.
    */
   epochOf (claim: string, forMs?: number): number | undefined
   /** Names of the claims that this process holds now. */
--- /dev/null
+++ b/tests/spec/startsSpec.ts
@@ -0,0 +1,148 @@
+/**
+ * Specification of starts under a claim: one task, two workers that each hold one task, two processes that
+ * hold the claim one after the other. Authority itself is taken from `authoritySpec.ts`: a takeover happens
+ * only after the holder's right has lapsed. A start in flight may arrive at any later time.
+ *
+ * @module
+ */
+
+import type { Spec, Step } from './walk.js'
+
+/** Rules of the protocol. A variant of the specification lacks one. */
+export const START_RULES = {
+  /** The holder checks its right to act right before it sends, not only when it decides. */
+  checkBeforeSend: true,
+  /** A decision is dropped when the claim has a new epoch since, also with the same holder. */
+  decisionBoundToEpoch: true,
+  /** An upstream that honours epochs refuses starts of epochs older than it has seen. */
+  epochFencing: true,
+  /** At an upstream that does not, a new holder waits for the longest send of the earlier one before it lists. */
+  sendsWaitedOut: true,
+  /** A new holder lists what runs at every worker, with its epoch, before it places. */
+  listBeforePlacing: true,
+  /** A start whose answer was lost counts as running. */
+  unknownCountsAsRunning: true
+}
+
+/** Which rules hold. */
+export type StartRules = typeof START_RULES
+
+interface Holder {
+  /** Epoch under which the process holds or held the claim; 0 for none. */
+  epoch: number
+  listed: boolean[]
+  /** The process takes the task to run, or to be about to. */
+  placed: boolean
+  /** Worker chosen for a start that was not sent yet; -1 for none. */
+  decided: number
+  /** Epoch under which it was chosen. */
+  decidedEpoch: number
+}
+
+interface Worker { seen: number, running: number }
+
+interface Start { epoch: number, worker: number }
+
+/** State of the specification. */
+export interface StartsState {
+  epoch: number
+  valid: boolean
+  holders: Holder[]
+  workers: Worker[]
+  inFlight: Start[]
+  sent: number
+  ran: number
+}
+
+type Next = Array<{ step: Step, next: StartsState }>
+
+const WORKERS = [0, 1]
+const PROCESSES = [0, 1]
+const MAX_EPOCH = 3
+const MAX_STARTS = 3
+
+/** Builds the specification. */
+export function startsSpec (rules: StartRules, { honoursEpochs }: { honoursEpochs: boolean }): Spec<StartsState> {
+  const none = { epoch: 0, listed: [false, false], placed: false, decided: -1, decidedEpoch: 0 }
+  return {
+    initial: {
+      epoch: 1,
+      valid: true,
+      holders: [{ ...none, epoch: 1, listed: [true, true] }, none],
+      workers: WORKERS.map(() => ({ seen: 1, running: 0 })),
+      inFlight: [],
+      sent: 0,
+      ran: 0
+    },
+    steps: state => [
+      ...PROCESSES.flatMap(p => [...authoritySteps(state, p), ...placeSteps(state, p, rules, honoursEpochs)]),
+      ...arriveSteps(state, honoursEpochs && rules.epochFencing)
+    ],
+    violated: {
+      onePlacePerTask: ({ workers }) => workers.every(({ running }) => running > 0),
+      neverOverCapacity: ({ workers }) => workers.some(({ running }) => running > 1),
+      atMostOnce: ({ ran }) => ran > 1
+    }
+  }
+}
+
+function holds ({ valid, epoch, holders }: StartsState, p: number): boolean {
+  return valid && holders[p].epoch === epoch
+}
+
+function authoritySteps (state: StartsState, p: number): Next {
+  if (holds(state, p)) return [step('lapse', [p], { ...state, valid: false })]
+  if (state.valid || state.epoch === MAX_EPOCH) return []
+  const epoch = state.epoch + 1
+  const taken = withHolder({ ...state, epoch, valid: true }, p, { epoch, listed: [false, false], placed: false })
+  return [step('takeOver', [p], taken)]
+}
+
+function placeSteps (state: StartsState, p: number, rules: StartRules, honoursEpochs: boolean): Next {
+  const { epoch, listed, placed, decided, decidedEpoch } = state.holders[p]
+  const next: Next = []
+  if (holds(state, p)) {
+    for (const w of WORKERS) {
+      const { running } = state.workers[w]
+      const seen = { ...state, workers: set(state.workers, w, { running, seen: epoch }) }
+      const waits = !honoursEpochs && rules.sendsWaitedOut && state.inFlight.some(start => start.epoch < epoch)
+      const found = { listed: set(listed, w, true), placed: placed || running > 0 }
+      if (!listed[w] && !waits) next.push(step('list', [p, w], withHolder(seen, p, found)))
+      const ready = !rules.listBeforePlacing || listed.every(Boolean)
+      if (ready && !placed && decided < 0) next.push(step('decide', [p, w], withHolder(state, p, { decided: w, decidedEpoch: epoch })))
+    }
+  }
+  const stale = decidedEpoch !== epoch
+  if (stale && decided >= 0 && rules.decisionBoundToEpoch) {
+    next.push(step('drop', [p], withHolder(state, p, { decided: -1, decidedEpoch: 0 })))
+  } else if (decided >= 0 && state.sent < MAX_STARTS && (holds(state, p) || !rules.checkBeforeSend)) {
+    const sent = { ...state, sent: state.sent + 1, inFlight: [...state.inFlight, { epoch, worker: decided }] }
+    next.push(step('send', [p, decided], withHolder(sent, p, { decided: -1, decidedEpoch: 0, placed: true })))
+  }
+  if (placed && state.inFlight.length > 0 && !rules.unknownCountsAsRunning) {
+    next.push(step('answerLost', [p], withHolder(state, p, { placed: false })))
+  }
+  return next
+}
+
+function arriveSteps (state: StartsState, fenced: boolean): Next {
+  return state.inFlight.map(({ epoch, worker }, index) => {
+    const rest = { ...state, inFlight: state.inFlight.filter((_, i) => i !== index) }
+    const { seen, running } = state.workers[worker]
+    if (fenced && epoch < seen) return step('refuse', [worker], rest)
+    const workers = set(state.workers, worker, { seen: Math.max(seen, epoch), running: running + 1 })
+    return step('start', [worker], { ...rest, workers, ran: state.ran + 1 })
+  })
+}
+
+function step (type: string, args: number[], next: StartsState): { step: Step, next: StartsState } {
+  return { step: { type, args }, next }
+}
+
+function withHolder (state: StartsState, p: number, change: Partial<Holder>): StartsState {
+  return { ...state, holders: set(state.holders, p, { ...state.holders[p], ...change }) }
+}
+
+function set<T> (items: T[], index: number, item: T): T[] {
+  return items.map((old, i) => i === index ? item : old)
+}
