--- a/tests/claims/claimDomain.ts
+++ b/tests/claims/claimDomain.ts
@@ -126,6 +126,29 @@
     return this.heldInAll() === this.wanted.length
   }
 
+  /** Lets `count` random faults happen, some seconds apart. */
+  async runRandomFaults (seed: number, count: number): Promise<void> {
+    const random = new SeededRandom(seed)
+    const vms = Object.keys(this._options.sizes)
+    for (let fault = 0; fault < count; fault++) {
+      const vm = vms[random.int(vms.length)]
+      const faults = this.daemons.get(vm)?.platform.faults
+      const actions: Array<() => void> = [
+        () => this.start(vm),
+        () => this.kill(vm),
+        () => { if (faults) this.freeze(vm) },
+        () => { if (faults) this.thaw(vm) },
+        () => this.cut(),
+        () => this.heal(),
+        () => { if (faults) faults.cut = !faults.cut },
+        () => { if (faults) faults.loseAnswers = !faults.loseAnswers },
+        () => { if (faults) faults.delayMs = [1, 900, 3_000, 9_000][random.int(4)] }
+      ]
+      actions[random.int(actions.length)]()
+      await this.advance(random.int(9_000))
+    }
+  }
+
   advance (ms: number): Promise<void> {
     return this.clock.advance(ms)
   }
--- /dev/null
+++ b/tests/claims/outage.test.ts
@@ -0,0 +1,125 @@
+import t from 'tap'
+import { ClaimDomain } from './claimDomain.js'
+
+const PROMISE_MS = 600_000
+
+async function settledDomain (sizes: Record<string, number> = { a: 1, b: 1, c: 1 }): Promise<ClaimDomain> {
+  const domain = new ClaimDomain({ sizes })
+  domain.startAll()
+  await domain.until(() => domain.allHeld())
+  await domain.advance(10_000)
+  return domain
+}
+
+t.test('when a VM dies in an outage the others go on until its last promise ends, and nothing is taken over', async t => {
+  const domain = await settledDomain()
+  const others = domain.held('b').length + domain.held('c').length
+  domain.cut()
+  await domain.advance(60_000)
+  domain.kill('a')
+  await domain.advance(PROMISE_MS - 20_000)
+  t.equal(domain.heldInAll(), others)
+  await domain.advance(20_000)
+  t.equal(domain.heldInAll(), 0)
+  domain.heal()
+  await domain.until(() => domain.allHeld(), 30_000)
+  t.same(domain.conflicts, [])
+})
+
+t.test('claims of a VM that died in an outage are taken over once the promises to it have ended', async t => {
+  const domain = await settledDomain()
+  domain.cut()
+  await domain.advance(60_000)
+  domain.kill('a')
+  await domain.advance(10_000)
+  domain.heal()
+  await domain.advance(PROMISE_MS / 2)
+  t.equal(domain.allHeld(), false)
+  await domain.until(() => domain.allHeld(), PROMISE_MS / 2 + 30_000)
+  t.same(domain.conflicts, [])
+})
+
+t.test('claims of a VM that left the list of VMs are taken over without a wait for promises', async t => {
+  const domain = await settledDomain()
+  domain.cut()
+  await domain.advance(60_000)
+  domain.kill('a')
+  domain.heal()
+  for (const vm of ['b', 'c']) domain.get(vm).keeper.setListedVms(['b', 'c'])
+  await domain.until(() => domain.allHeld(), 60_000)
+  t.same(domain.conflicts, [])
+})
+
+t.test('a process that restarts in an outage holds nothing, promises again and reclaims after it', async t => {
+  const domain = await settledDomain()
+  const before = domain.held('a')
+  domain.cut()
+  await domain.advance(60_000)
+  domain.start('a')
+  domain.cut(['a'])
+  await domain.advance(2 * PROMISE_MS)
+  t.same(domain.held('a'), [])
+  t.equal(domain.heldInAll(), domain.wanted.length - before.length)
+  domain.heal()
+  await domain.until(() => domain.allHeld(), 30_000)
+  t.same(domain.held('a'), before)
+  t.same(domain.conflicts, [])
+})
+
+t.test('a restarted process does not take over from a holder that lives on a promise of its predecessor', async t => {
+  const domain = await settledDomain({ a: 1, b: 1 })
+  domain.cut()
+  await domain.advance(60_000)
+  domain.start('b')
+  await domain.advance(PROMISE_MS - 30_000)
+  t.not(domain.held('a').length, 0)
+  t.same(domain.held('b').filter(name => domain.held('a').includes(name)), [])
+  t.same(domain.conflicts, [])
+})
+
+t.test('a holder whose lease has lapsed does not act on promises that arrive later', async t => {
+  const domain = await settledDomain()
+  domain.cut(['a'])
+  await domain.until(() => domain.held('a').length === 0)
+  await domain.until(() => domain.allHeld())
+  domain.cut()
+  await domain.advance(30_000)
+  t.same(domain.held('a'), [])
+  t.equal(domain.allHeld(), true)
+  t.same(domain.conflicts, [])
+})
+
+t.test('lost answers of the platform lead to no second holder, and all is held when they end', async t => {
+  const domain = await settledDomain()
+  for (const { platform } of domain.daemons.values()) platform.faults.loseAnswers = true
+  domain.kill('a')
+  await domain.advance(30_000)
+  domain.start('a')
+  await domain.advance(30_000)
+  for (const { platform } of domain.daemons.values()) platform.faults.loseAnswers = false
+  await domain.until(() => domain.allHeld(), PROMISE_MS + 60_000)
+  t.same(domain.conflicts, [])
+})
+
+t.test('a write that takes effect after its deadline leads to no second holder', async t => {
+  const domain = await settledDomain()
+  domain.kill('a')
+  await domain.advance(5_500)
+  domain.get('b').platform.faults.delayMs = 3_000
+  await domain.advance(20_000)
+  domain.get('b').platform.faults.delayMs = 1
+  await domain.until(() => domain.allHeld(), 30_000)
+  t.same(domain.conflicts, [])
+})
+
+for (const seed of [1, 2, 3, 4, 5]) {
+  t.test(`random faults lead to no second holder, seed ${seed}`, async t => {
+    const domain = new ClaimDomain({ sizes: { a: 2, b: 1, c: 1 }, seed })
+    domain.startAll()
+    await domain.runRandomFaults(seed, 150)
+    t.same(domain.conflicts, [])
+    domain.startAll()
+    await domain.until(() => domain.allHeld(), 2 * PROMISE_MS)
+    t.same(domain.conflicts, [])
+  })
+}
