Notify of changes only, revoke a lease opened while stopping, share test set-up

Cause: listeners were called every 250 ms in an outage; a process stopped while it opened its lease left its member key until the platform's expiry. Conclusion: both mended, each with a test.

--- a/packages/pomelofold/src/claims/claimKeeper.ts
+++ b/packages/pomelofold/src/claims/claimKeeper.ts
@@ -114,6 +114,7 @@
   private readonly _counts = { mapWrites: 0, mapConflicts: 0, takeovers: 0 }
   private _wanted: ReadonlySet<string> | undefined
   private _startedMs = 0
+  private _notifiedState = ''
   private _inContact = false
   private _leaving = false
   private _stopped = false
@@ -333,7 +334,11 @@
     this._reconcile()
   }
 
+  /** Calls the listeners when the map or the set of held claims differs from the last call. */
   private _notify (): void {
+    const state = [this._view.mapRevision, ...this.held().sort()].join(' ')
+    if (state === this._notifiedState) return
+    this._notifiedState = state
     for (const fn of [...this._listeners]) fn()
   }
 
--- a/packages/pomelofold/src/claims/memberLease.ts
+++ b/packages/pomelofold/src/claims/memberLease.ts
@@ -39,6 +39,7 @@
   private readonly _options: MemberLeaseOptions
   private _open: OpenLease | undefined
   private _validUntilMs = -Infinity
+  private _closed = false
 
   constructor (options: MemberLeaseOptions) {
     this._options = options
@@ -98,11 +99,16 @@
     return false
   }
 
-  /** Ends the lease and deletes the key. */
+  /** Ends the lease and deletes the key. No new lease is opened after this. */
   async revoke (): Promise<void> {
     const leaseId = this._open?.leaseId
+    this._closed = true
     this._forget()
-    if (leaseId !== undefined) await this._options.platform.revokeLease(leaseId, { timeoutMs: this._options.timeoutMs })
+    if (leaseId !== undefined) await this._revoke(leaseId)
+  }
+
+  private async _revoke (leaseId: string): Promise<void> {
+    await this._options.platform.revokeLease(leaseId, { timeoutMs: this._options.timeoutMs })
   }
 
   private _forget (): void {
@@ -119,7 +125,8 @@
     if (granted.isErr) return false
     const { leaseId, ttlMs } = granted.value
     const revision = await this._put({ leaseId, keyRevision: present.value?.modRevision ?? 0, knows })
-    if (revision === undefined) return false
+    if (this._closed) await this._revoke(leaseId)
+    if (revision === undefined || this._closed) return false
     this._open = { leaseId, openRevision: revision, keyRevision: revision, knows }
     this._validUntilMs = sentMs + countedMs(ttlMs)
     return true
--- a/tests/claims/callBudget.test.ts
+++ b/tests/claims/callBudget.test.ts
@@ -1,14 +1,15 @@
 import t from 'tap'
-import { ClaimDomain } from './claimDomain.js'
+import { settledDomain, type ClaimDomain } from './claimDomain.js'
 
 /** Calls a second that the platform grants to the whole cell. */
 const BUDGET = { writes: 200, reads: 500 }
 const FAILURE_DOMAINS = 11
 const VMS_PER_DOMAIN = 9
 
-function largeDomain (): ClaimDomain {
-  const sizes = Object.fromEntries(Array.from({ length: VMS_PER_DOMAIN }, (_, i) => [`e${i}`, 1]))
-  return new ClaimDomain({ sizes, instances: 27 })
+async function largeDomain (): Promise<ClaimDomain> {
+  const domain = await settledDomain(Object.fromEntries(Array.from({ length: VMS_PER_DOMAIN }, (_, i) => [`e${i}`, 1])), 27)
+  await domain.advance(10_000)
+  return domain
 }
 
 /** Calls a second of the whole cell while `action` runs in every failure domain at once. */
@@ -23,10 +24,7 @@
 }
 
 t.test('99 entry VMs in steady state write once per VM and renewal, and read nothing', async t => {
-  const domain = largeDomain()
-  domain.startAll()
-  await domain.until(() => domain.allHeld())
-  await domain.advance(20_000)
+  const domain = await largeDomain()
   const { writes, reads } = await callsPerSecond(domain, 60)
   t.comment(`${writes} writes/s, ${reads} reads/s`)
   t.ok(writes <= FAILURE_DOMAINS * VMS_PER_DOMAIN / 2)
@@ -34,10 +32,7 @@
 })
 
 t.test('980 restarts a day stay far within the budget', async t => {
-  const domain = largeDomain()
-  domain.startAll()
-  await domain.until(() => domain.allHeld())
-  await domain.advance(20_000)
+  const domain = await largeDomain()
   const steady = await callsPerSecond(domain, 60)
   const restarted = await callsPerSecond(domain, 60, () => domain.start('e3'))
   const callsPerRestart = {
@@ -51,10 +46,7 @@
 })
 
 t.test('99 entry VMs that regain the platform at once stay within the budget of ten seconds', async t => {
-  const domain = largeDomain()
-  domain.startAll()
-  await domain.until(() => domain.allHeld())
-  await domain.advance(20_000)
+  const domain = await largeDomain()
   domain.cut()
   await domain.advance(60_000)
   domain.heal()
--- a/tests/claims/claimDomain.ts
+++ b/tests/claims/claimDomain.ts
@@ -168,3 +168,12 @@
     }
   }
 }
+
+/** A domain with all processes running and all claims held for a while. */
+export async function settledDomain (sizes: Record<string, number>, instances?: number): Promise<ClaimDomain> {
+  const domain = new ClaimDomain({ sizes, instances })
+  domain.startAll()
+  await domain.until(() => domain.allHeld())
+  await domain.advance(10_000)
+  return domain
+}
--- a/tests/claims/claimKeeper.test.ts
+++ b/tests/claims/claimKeeper.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap'
-import { ClaimDomain } from './claimDomain.js'
+import { ClaimDomain, settledDomain } from './claimDomain.js'
 
 const THREE_VMS = { a: 1, b: 1, c: 1 }
 
@@ -13,10 +13,7 @@
 })
 
 t.test('claims of a killed holder are taken over after its lease, and not before', async t => {
-  const domain = new ClaimDomain({ sizes: THREE_VMS })
-  domain.startAll()
-  await domain.until(() => domain.allHeld())
-  await domain.advance(10_000)
+  const domain = await settledDomain(THREE_VMS)
   domain.kill('a')
   await domain.advance(3_000)
   t.equal(domain.allHeld(), false)
@@ -25,10 +22,7 @@
 })
 
 t.test('a process frozen past its lease holds nothing when it wakes', async t => {
-  const domain = new ClaimDomain({ sizes: THREE_VMS })
-  domain.startAll()
-  await domain.until(() => domain.allHeld())
-  await domain.advance(10_000)
+  const domain = await settledDomain(THREE_VMS)
   const [claim] = domain.held('a')
   const epoch = domain.get('a').keeper.epochOf(claim)!
   domain.freeze('a')
@@ -43,10 +37,7 @@
 })
 
 t.test('claims of a VM that alone is cut off the platform pass to the others', async t => {
-  const domain = new ClaimDomain({ sizes: THREE_VMS })
-  domain.startAll()
-  await domain.until(() => domain.allHeld())
-  await domain.advance(10_000)
+  const domain = await settledDomain(THREE_VMS)
   domain.cut(['a'])
   await domain.advance(10_000)
   t.same(domain.held('a'), [])
@@ -57,10 +48,7 @@
 })
 
 t.test('in an outage of the platform all go on and nothing is taken over', async t => {
-  const domain = new ClaimDomain({ sizes: THREE_VMS })
-  domain.startAll()
-  await domain.until(() => domain.allHeld())
-  await domain.advance(10_000)
+  const domain = await settledDomain(THREE_VMS)
   const before = ['a', 'b', 'c'].map(vm => domain.held(vm))
   domain.cut()
   for (let minute = 0; minute < 20; minute++) {
@@ -74,10 +62,7 @@
 })
 
 t.test('a restarted process takes its claims back at once with new epochs', async t => {
-  const domain = new ClaimDomain({ sizes: THREE_VMS })
-  domain.startAll()
-  await domain.until(() => domain.allHeld())
-  await domain.advance(10_000)
+  const domain = await settledDomain(THREE_VMS)
   const before = domain.held('a')
   const epoch = domain.get('a').keeper.epochOf(before[0])!
   domain.start('a')
@@ -88,10 +73,7 @@
 })
 
 t.test('a leaving VM hands its claims over without a wait for its lease', async t => {
-  const domain = new ClaimDomain({ sizes: THREE_VMS })
-  domain.startAll()
-  await domain.until(() => domain.allHeld())
-  await domain.advance(10_000)
+  const domain = await settledDomain(THREE_VMS)
   const { keeper } = domain.get('a')
   const handedOver = keeper.handOverAll()
   t.same(domain.held('a'), [])
@@ -101,3 +83,38 @@
   await Promise.all([keeper.stop(), domain.advance(100)])
   t.same(domain.conflicts, [])
 })
+
+t.test('listeners hear of a lapse and of the return, and not in between', async t => {
+  const domain = await settledDomain(THREE_VMS)
+  const { keeper } = domain.get('a')
+  const heard: number[] = []
+  keeper.onChange(() => heard.push(keeper.held().length))
+  await domain.advance(10_000)
+  t.same(heard, [])
+  domain.cut(['a'])
+  await domain.advance(10_000)
+  t.same(heard, [0])
+  domain.heal()
+  await domain.until(() => domain.held('a').length > 0)
+  t.not(heard.at(-1), 0)
+})
+
+t.test('an unwanted claim is dropped by its holder, and a new one is assigned', async t => {
+  const domain = new ClaimDomain({ sizes: THREE_VMS })
+  domain.startAll()
+  await domain.until(() => domain.allHeld())
+  const wanted = [...domain.wanted.slice(0, -1), 'fd1/instance/new']
+  for (const { keeper } of domain.daemons.values()) keeper.setWanted(wanted)
+  await domain.advance(20_000)
+  const held = ['a', 'b', 'c'].flatMap(vm => domain.held(vm))
+  t.same(held.sort(), wanted.sort())
+})
+
+t.test('a process that is stopped while it opens its lease leaves no member key behind', async t => {
+  const domain = new ClaimDomain({ sizes: { a: 1 } })
+  const { keeper } = domain.start('a')
+  await domain.advance(2)
+  t.equal(domain.store.counts.writes, 1)
+  await Promise.all([keeper.stop(), domain.advance(1_000)])
+  t.same(domain.store.range('pomelofold/claims/').values, [])
+})
--- a/tests/claims/outage.test.ts
+++ b/tests/claims/outage.test.ts
@@ -1,18 +1,12 @@
 import t from 'tap'
-import { ClaimDomain } from './claimDomain.js'
+import { ClaimDomain, settledDomain } from './claimDomain.js'
 
 const PROMISE_MS = 600_000
 
-async function settledDomain (sizes: Record<string, number> = { a: 1, b: 1, c: 1 }): Promise<ClaimDomain> {
-  const domain = new ClaimDomain({ sizes })
-  domain.startAll()
-  await domain.until(() => domain.allHeld())
-  await domain.advance(10_000)
-  return domain
-}
+const THREE_VMS = { a: 1, b: 1, c: 1 }
 
 t.test('when a VM dies in an outage the others go on until its last promise ends, and nothing is taken over', async t => {
-  const domain = await settledDomain()
+  const domain = await settledDomain(THREE_VMS)
   const others = domain.held('b').length + domain.held('c').length
   domain.cut()
   await domain.advance(60_000)
@@ -27,7 +21,7 @@
 })
 
 t.test('claims of a VM that died in an outage are taken over once the promises to it have ended', async t => {
-  const domain = await settledDomain()
+  const domain = await settledDomain(THREE_VMS)
   domain.cut()
   await domain.advance(60_000)
   domain.kill('a')
@@ -40,7 +34,7 @@
 })
 
 t.test('claims of a VM that left the list of VMs are taken over without a wait for promises', async t => {
-  const domain = await settledDomain()
+  const domain = await settledDomain(THREE_VMS)
   domain.cut()
   await domain.advance(60_000)
   domain.kill('a')
@@ -51,7 +45,7 @@
 })
 
 t.test('a process that restarts in an outage holds nothing, promises again and reclaims after it', async t => {
-  const domain = await settledDomain()
+  const domain = await settledDomain(THREE_VMS)
   const before = domain.held('a')
   domain.cut()
   await domain.advance(60_000)
@@ -67,7 +61,7 @@
 })
 
 t.test('a restarted process lets the others go on through an outage longer than their promises', async t => {
-  const domain = await settledDomain()
+  const domain = await settledDomain(THREE_VMS)
   const others = domain.held('b').length + domain.held('c').length
   domain.cut()
   await domain.advance(60_000)
@@ -93,7 +87,7 @@
 })
 
 t.test('a holder whose lease has lapsed does not act on promises that arrive later', async t => {
-  const domain = await settledDomain()
+  const domain = await settledDomain(THREE_VMS)
   domain.cut(['a'])
   await domain.until(() => domain.held('a').length === 0)
   await domain.until(() => domain.allHeld())
@@ -105,7 +99,7 @@
 })
 
 t.test('lost answers of the platform lead to no second holder, and all is held when they end', async t => {
-  const domain = await settledDomain()
+  const domain = await settledDomain(THREE_VMS)
   for (const { platform } of domain.daemons.values()) platform.faults.loseAnswers = true
   domain.kill('a')
   await domain.advance(30_000)
@@ -117,7 +111,7 @@
 })
 
 t.test('a write that takes effect after its deadline leads to no second holder', async t => {
-  const domain = await settledDomain()
+  const domain = await settledDomain(THREE_VMS)
   domain.kill('a')
   await domain.advance(5_500)
   domain.get('b').platform.faults.delayMs = 3_000
--- a/tests/claims/replay.test.ts
+++ b/tests/claims/replay.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap'
 import { authoritySpec, RULES, type Bounds, type Rules } from '../spec/authoritySpec.js'
 import { walk } from '../spec/walk.js'
-import { ClaimDomain } from './claimDomain.js'
+import { settledDomain, type ClaimDomain } from './claimDomain.js'
 
 const BOUNDS: Bounds = { vms: 2, claimants: 2, mapRevisions: 4, restarts: 1, writesInFlight: 1, handOvers: false, promises: true }
 const VMS = ['a', 'b']
@@ -29,10 +29,7 @@
   t.test(`the trace to two holders without ${rule} leads to one in the claim keeper`, async t => {
     const { trace = [] } = walk(authoritySpec({ ...RULES, [rule]: false }, BOUNDS))
     t.not(trace.length, 0)
-    const domain = new ClaimDomain({ sizes: { a: 1, b: 1 } })
-    domain.startAll()
-    await domain.until(() => domain.allHeld())
-    await domain.advance(10_000)
+    const domain = await settledDomain({ a: 1, b: 1 })
     for (const name of trace) {
       const [, type, args] = /^(\w+)\((.*)\)$/.exec(name)!
       await STEPS[type]?.(domain, args.split(',').map(index => VMS[Number(index)]))
