--- a/packages/pomelofold/src/claims/claimKeeper.ts
+++ b/packages/pomelofold/src/claims/claimKeeper.ts
@@ -82,10 +82,13 @@
 /** Settings where none are given. */
 const DEFAULT_SETTINGS = { leaseMs: 6_000, renewEveryMs: 2_000, outagePromiseMs: 600_000, timeoutMs: 1_000 }
 
-/** Time until a failed renewal is tried again, in milliseconds. */
+/** Time until a failed renewal is tried again, in milliseconds; up to twice that. */
 const RENEW_RETRY_MS = 250
 
-/** Period of asking for promises while some are missing, in milliseconds. */
+/** Time until a failed renewal is tried again while all claimants have promised, in milliseconds; up to twice that. */
+const RENEW_RETRY_PROMISED_MS = 1_000
+
+/** Time until missing promises are asked for again, in milliseconds; up to twice that. */
 const PROMISE_RETRY_MS = 250
 
 /** Time until a write of the map that failed or conflicted is tried again, in milliseconds; up to twice that. */
@@ -111,12 +114,14 @@
   private readonly _counts = { mapWrites: 0, mapConflicts: 0, takeovers: 0 }
   private _wanted: ReadonlySet<string> | undefined
   private _startedMs = 0
+  private _notifiedState = ''
   private _inContact = false
   private _leaving = false
   private _stopped = false
   private _reconciling = false
   private _reconcileAgain = false
   private _asking = false
+  private _ownWriteRevision = 0
   private _sequence = 0
   private _releasedSequence = 0
 
@@ -228,10 +233,10 @@
     return Math.max(this._isConfirmed() ? this._lease.validUntil() : -Infinity, this._promisedUntil())
   }
 
-  /** True when the claim map was read after the member key had come into being. */
+  /** True when this process has written the claim map under its present lease: no takeover that was sent before can take effect. */
   private _isConfirmed (): boolean {
     const openRevision = this._lease.openRevision()
-    return openRevision !== undefined && this._view.readRevision >= openRevision
+    return openRevision !== undefined && this._ownWriteRevision > openRevision
   }
 
   private _promisedUntil (): number {
@@ -249,18 +254,22 @@
       if (this._stopped) break
       if (renewed) await this._contactConfirmed()
       else this._contactLost()
-      await this._pause(renewed ? this._cfg.renewEveryMs : RENEW_RETRY_MS)
+      await this._pause(renewed ? this._cfg.renewEveryMs : this._renewRetryMs())
     }
   }
 
+  private _renewRetryMs (): number {
+    const isPromised = this._promisedUntil() > this._options.timers.now() + this._cfg.leaseMs
+    return isPromised ? RENEW_RETRY_PROMISED_MS : RENEW_RETRY_MS
+  }
+
   private async _contactConfirmed (): Promise<void> {
     const regained = !this._inContact
-    if (regained || !this._isConfirmed()) {
+    if (regained || !this._isViewCurrent()) {
       if (!await this._view.refresh()) return
       this._log.event('info', 'claims.contact', { step: 'claims.renew', peer: 'platform', epoch: this._view.map.epoch })
     }
     this._inContact = true
-    if (this._promised.size > 0 && this._isConfirmed()) this._releasePromises()
     this._notify()
     this._reconcile()
   }
@@ -316,7 +325,7 @@
   /** A process in contact with the platform does not promise: claims of a VM that is cut off alone pass to the others. */
   private _mayPromise (forMs: number, from: PeerIdentity): boolean {
     return !this._stopped && !this._inContact && from.failureDomain === this._options.failureDomain &&
-      forMs <= this._cfg.outagePromiseMs && !this._pending.takesFrom(from.vm)
+      forMs <= this._cfg.outagePromiseMs
   }
 
   private _viewChanged (): void {
@@ -325,7 +334,11 @@
     this._reconcile()
   }
 
+  /** Calls the listeners when the map or the set of held claims differs from the last call. */
   private _notify (): void {
+    const state = [this._view.mapRevision, ...this.held().sort()].join(' ')
+    if (state === this._notifiedState) return
+    this._notifiedState = state
     for (const fn of [...this._listeners]) fn()
   }
 
@@ -346,12 +359,24 @@
 
   /** Does one thing that is due. False when nothing is due or the platform does not answer. */
   private async _step (): Promise<boolean> {
-    if (!this._inContact || !this._isConfirmed() || !this._lease.isValid()) return false
+    if (!this._inContact || !this._lease.isValid() || !this._isViewCurrent()) return false
+    if (this._isConfirmed() && this._promised.size > 0) this._releasePromises()
     if (this._isEntryUnseen()) return this._lease.show(this._view.map.epoch)
-    const proposal = this._propose() ?? this._pending.repeat(this._view.map)
+    const proposal = this._propose() ?? this._repeat()
     return proposal ? this._write(proposal) : false
   }
 
+  /** True when the view was read under the present lease. */
+  private _isViewCurrent (): boolean {
+    return this._view.readRevision >= (this._lease.openRevision() ?? Infinity)
+  }
+
+  /** A write of the map as it is, when this process has not written it under its lease or when an earlier write is unsettled. */
+  private _repeat (): Proposal | undefined {
+    if (this._isConfirmed() && !this._pending.isUnsettled()) return undefined
+    return { map: this._view.map, released: [], victims: [] }
+  }
+
   /** True when a claimant has entered that the member key does not show as known. */
   private _isEntryUnseen (): boolean {
     const latest = Math.max(0, ...Object.values(this._others()).map(({ entered }) => entered))
@@ -403,12 +428,13 @@
     const key = CLAIM_KEYS.map(failureDomain)
     const modRevision = this._view.mapRevision
     const absent = victims.map(vm => ({ key: CLAIM_KEYS.member(failureDomain, vm), modRevision: 0 }))
-    this._pending.begin({ modRevision, released, victims })
+    this._pending.begin({ modRevision, released })
     if (released.length) this._notify()
     this._counts.mapWrites++
     const written = await platform.txn([{ key, modRevision }, ...absent], [{ op: 'put', key, value: JSON.stringify(map) }], { timeoutMs: this._cfg.timeoutMs })
     if (written.isOk && written.value.applied) {
       this._counts.takeovers += victims.length
+      this._ownWriteRevision = written.value.revision
       this._view.adopt(map, written.value.revision)
       return true
     }
