--- a/packages/pomelofold/src/server/jobService.ts
+++ b/packages/pomelofold/src/server/jobService.ts
@@ -164,10 +164,10 @@
   private async _listDomain (domain: string): Promise<JobView[] | undefined> {
     const { vm, transport, own } = this._options
     for (const keeper of this._keepersOf(domain)) {
-      if (keeper === vm && this._options.authority.epochOf(CLAIMS.placer(domain)) !== undefined) return (await own.listJobs({})).jobs
-      if (keeper === vm) continue
-      const listed = await transport.call(keeper, 'listJobs', {}, CALL_TIMEOUT_MS)
-      if (listed.isOk && listed.value.active) return listed.value.jobs
+      const listed = keeper === vm
+        ? await own.listJobs({})
+        : (await transport.call(keeper, 'listJobs', {}, CALL_TIMEOUT_MS)).unwrapOr(undefined)
+      if (listed?.active) return listed.jobs
     }
     return undefined
   }
--- /dev/null
+++ b/tests/docs/settings.test.ts
@@ -0,0 +1,15 @@
+import t from 'tap'
+import { settingRows, settingsJsonSchema } from 'pomelofold/settings/settingsJsonSchema'
+import { readPage } from './pages.js'
+
+t.test('the page of settings has each setting with its meaning, type and default', async t => {
+  const page = readPage('docs/SETTINGS.md')
+  for (const { path, meaning, type, default: value } of settingRows()) {
+    t.ok(page.includes(`| \`${path}\` | ${meaning} | ${type} | ${value ?? ''} |`), `${path} has its row`)
+    t.not(meaning, '', `${path} has a meaning`)
+  }
+})
+
+t.test('the committed JSON schema of the settings is up to date', async t => {
+  t.same(JSON.parse(readPage('docs/settings.schema.json')), settingsJsonSchema())
+})
