--- a/tests/process/wholePath.test.ts
+++ b/tests/process/wholePath.test.ts
@@ -181,6 +181,9 @@
       }
       return ran.size === vms.length
     })
+    const keyed = (await cell.client().sendRequest('readings', 'new', { idempotencyKey: 'in-outage' })).unwrapOr(undefined)
+    t.match(keyed, { status: 503, outcome: 'not-run', headers: { 'retry-after': String } })
+    t.match(await cell.client().submitManifest(MANIFEST, 0), { isErr: true, error: { problem: { status: 503, retryAfterMs: Number } } })
     await cell.control('platform', 'faults', { outage: 'none' })
   })
   t.ok(load.ran > 0)
@@ -188,6 +191,20 @@
   for (const vm of vms) await waitForClaims(vm)
 })
 
+t.test('a drained entry daemon hands over its claims, passes requests on, and ends cleanly', async t => {
+  const vm = 'entry-a2'
+  const load = await underLoad(vms, async () => {
+    t.match(await cell.client(vm).drain(), { isOk: true })
+    await waitUntil('it holds no claims', async () => (await cell.client(vm).status()).map(({ claims }) => claims.held === 0).unwrapOr(false))
+    await waitForService(vm)
+  })
+  t.same(load.lost, [])
+  t.equal(await cell.end(vm), 0)
+  cell.startProcess(vm)
+  await cell.waitForEntry(vm)
+  await waitForClaims(vm)
+})
+
 t.test('an entry daemon that is ended by SIGTERM under load cuts off no request', async t => {
   const vm = 'entry-a1'
   await setSlowness(SLOWNESS)
