Refuse settings with ports, IP numbers or peers that cannot be right

Ruled out: two peers of one address as a refusal too; the scenarios' in-memory cell gives all entry VMs the same address, and its folder is another's. Before: those five cases were accepted.

--- a/packages/pomelofold/src/settings/daemonSettings.ts
+++ b/packages/pomelofold/src/settings/daemonSettings.ts
@@ -5,11 +5,22 @@
  */
 
 import { z } from 'zod'
+import { splitAddress } from '../utils/address.js'
+
+/** Highest number of a TCP port. */
+const MAX_PORT = 65_535
 
 /** `host:port` with an IP number or `localhost`. */
 const addressSchema = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]|localhost):\d{1,5}$/i, 'must be host:port with an IP number')
+  .refine(isUsable, 'must have an IP number, and a port from 1 to 65535')
 const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'must be 1 to 63 lower-case letters, digits or dashes')
 
+function isUsable (address: string): boolean {
+  const { host, port } = splitAddress(address)
+  const isHost = host === 'localhost' || z.ipv4().safeParse(host).success || z.ipv6().safeParse(host).success
+  return isHost && port >= 1 && port <= MAX_PORT
+}
+
 /** An entry VM of the cell, as every entry daemon's settings list it. */
 export const peerSettingsSchema = z.strictObject({
   vm: nameSchema.describe('Name of the entry VM'),
@@ -55,6 +66,9 @@
   const self = settings.peers.find(peer => peer.vm === settings.vm)
   if (!self) ctx.addIssue({ code: 'custom', path: ['vm'], message: `must be one of peers: ${settings.peers.map(peer => peer.vm).join(', ')}` })
   else if (self.failureDomain !== settings.failureDomain) ctx.addIssue({ code: 'custom', path: ['failureDomain'], message: `must be the failure domain that peers give for ${settings.vm}: ${self.failureDomain}` })
+  const names = settings.peers.map(peer => peer.vm)
+  const repeated = names.findIndex((name, i) => names.indexOf(name) < i)
+  if (repeated >= 0) ctx.addIssue({ code: 'custom', path: ['peers', repeated, 'vm'], message: 'must differ from the name of every other peer' })
   if (settings.claims.renewEveryMs * 2 > settings.claims.leaseMs) ctx.addIssue({ code: 'custom', path: ['claims', 'renewEveryMs'], message: 'must be at most half of claims.leaseMs' })
   if (settings.tasks.renewEveryMs * 2 > settings.tasks.leaseMs) ctx.addIssue({ code: 'custom', path: ['tasks', 'renewEveryMs'], message: 'must be at most half of tasks.leaseMs' })
 })
