--- a/packages/pomelofold/src/settings/settingsJsonSchema.ts
+++ b/packages/pomelofold/src/settings/settingsJsonSchema.ts
@@ -17,6 +17,8 @@
   path: string
   meaning: string
   type: string
+  /** Empty when the setting has none. */
+  unit: string
   /** JSON text of the default; absent when the setting must be given. */
   default?: string
 }
@@ -32,12 +34,20 @@
   return Object.entries(node.properties ?? {}).flatMap(([name, child]) => {
     const own = path ? `${path}.${name}` : name
     const schema = child as Node
-    const row = { path: own, meaning: schema.description ?? '', type: typeText(schema), default: JSON.stringify(schema.default) }
+    const row = { path: own, meaning: schema.description ?? '', type: typeText(schema), unit: unitOf(name), default: JSON.stringify(schema.default) }
     if (schema.type === 'object') return rowsOf(schema, own)
     return schema.type === 'array' ? [row, ...rowsOf(schema.items as Node, `${own}[]`)] : [row]
   })
 }
 
+/** Units by the last word of a setting's name. */
+const UNITS: Record<string, string> = { Ms: 'ms', Bytes: 'bytes' }
+
+function unitOf (name: string): string {
+  const [word] = /[A-Z][a-z]*$/.exec(name) ?? ['']
+  return UNITS[word] ?? ''
+}
+
 function typeText (node: Node): string {
   if (node.enum) return node.enum.join(', ')
   if (node.type === 'array') return `list of ${node.minItems ?? 0} to ${node.maxItems ?? 'any number'}`
