Count good and bad requests by cause over time windows

Cause: objectives were counted only since the start of a daemon, without team or cause, at the daemon that sent the request, so no burn rate over a window could be told. Ruled out: counting at the scheduler, since a forwarded request is tried at several daemons; counting repeated answers of an idempotency key, since these are no new requests. Conclusion: the daemon that received a request counts its final answer once. Counts end with the process, since VMs keep nothing.

--- a/packages/pomelofold/src/server/entryDaemon.ts
+++ b/packages/pomelofold/src/server/entryDaemon.ts
@@ -13,6 +13,7 @@
 import { PeerTable } from '../peers/peerTable.js'
 import type { RevisedManifest } from '../protocol/manifest.js'
 import { VM_KINDS, type VmRecord } from '../protocol/vms.js'
+import { BurnCounter } from '../reports/burnCounter.js'
 import { RequestRouter } from '../requests/requestRouter.js'
 import { RequestScheduler } from '../requests/requestScheduler.js'
 import { CLAIMS } from '../seams/authority.js'
@@ -63,6 +64,7 @@
   private readonly _keyed: KeyedRequests
   private readonly _jobManager: JobManager
   private readonly _metrics: Metrics
+  private readonly _burn: BurnCounter
   private _leaving = false
   private _started = false
 
@@ -99,11 +101,13 @@
     this._history = new RequestHistory({ timers, vm })
     const committer = this._keyCommitter()
     this._keyed = new KeyedRequests({ timers, platform, log, vm, incarnation, committer, askRecorder: this._askRecorder })
+    this._burn = new BurnCounter({ timers })
     this.requests = new RequestService({
       router: { route: req => this._router.submit(req) },
       keyed: this._keyed,
       history: this._history,
       log,
+      onAnswer: (req, answer) => this._burn.answered(req, answer),
       askPeers: requestId => this._askPeers(requestId)
     })
     this._jobManager = new JobManager({
@@ -256,6 +260,7 @@
   private _onManifest ({ manifest }: RevisedManifest): void {
     this._scheduler.setServices(manifest.services)
     this._scheduler.setTeams(manifest.teams)
+    this._burn.setManifest(manifest)
     this._jobManager.setManifest(manifest)
   }
 
@@ -290,7 +295,8 @@
       failureDomain: this._settings.failureDomain,
       requests: this._scheduler.figures(),
       claims: this._claims.figures(),
-      jobs: this._jobManager.figures()
+      jobs: this._jobManager.figures(),
+      burn: this._burn.figures()
     }
   }
 
--- a/packages/pomelofold/src/server/requestService.ts
+++ b/packages/pomelofold/src/server/requestService.ts
@@ -25,6 +25,8 @@
   keyed: KeyedRequests
   history: RequestHistory
   log: EventLog
+  /** Told the final answer of each request, but not the repeated answers of an idempotency key. */
+  onAnswer?: (req: ServiceRequest, answer: ServiceAnswer) => void
   /** Asks the other entry daemons for a request. */
   askPeers: (requestId: string) => Promise<RequestRecord[]>
 }
@@ -53,7 +55,7 @@
     const { history, log } = this._options
     this._inFlight.add(req.requestId)
     history.note(req.requestId, 'accepted', { detail: `service ${req.service}, class ${req.class}` })
-    const answer = idempotencyKey === undefined ? await this._options.router.route(req) : await this._handleKeyed(req, idempotencyKey)
+    const answer = idempotencyKey === undefined ? await this._route(req) : await this._handleKeyed(req, idempotencyKey)
     history.finish(req.requestId, answer)
     this._inFlight.delete(req.requestId)
     log.event('info', 'request.answered', {
@@ -79,15 +81,27 @@
   }
 
   private async _handleKeyed (req: ServiceRequest, idempotencyKey: string): Promise<ServiceAnswer> {
-    const { router, keyed, history } = this._options
+    const { keyed, history } = this._options
     const key = createHash('sha256').update(JSON.stringify([req.service, req.team ?? '', idempotencyKey])).digest('hex')
     const decision = await keyed.begin(key, digestOf(req), req.requestId)
     history.note(req.requestId, 'keyed', { detail: decision.decision })
-    if (decision.decision !== 'run') return answerOfDecision(decision)
-    const answer = await router.route({ ...req, atMostOnce: true })
+    if (decision.decision !== 'run') return this._answerWithoutRun(req, decision)
+    const answer = await this._route({ ...req, atMostOnce: true })
     keyed.finish(key, answer)
     return answer
   }
+
+  private async _route (req: ServiceRequest): Promise<ServiceAnswer> {
+    const answer = await this._options.router.route(req)
+    this._options.onAnswer?.(req, answer)
+    return answer
+  }
+
+  private _answerWithoutRun (req: ServiceRequest, decision: Exclude<KeyedDecision, { decision: 'run' }>): ServiceAnswer {
+    const answer = answerOfDecision(decision)
+    if (decision.decision === 'refused') this._options.onAnswer?.(req, answer)
+    return answer
+  }
 }
 
 function digestOf ({ service, body }: ServiceRequest): string {
