Report burn: budget left, burn rates, causes and alerts as table, JSON and page

Cause: the report showed one burn rate since the start of the daemons, with no window, team or cause. Ruled out: ratios per daemon, since their mean is wrong when daemons serve unlike numbers; a second command beside the old report, so the bare 'report' is now 'report burn' and objectiveBurn is gone. The checks of the bare 'report' stay as they were, with more added. Conclusion: counts summed first, ratios last. The page has not been looked at in a browser: chromium is not installed here.

--- a/packages/cli/src/commands/report.ts
+++ b/packages/cli/src/commands/report.ts
@@ -4,29 +4,60 @@
  * @module
  */
 
+import { writeFileSync } from 'node:fs'
 import { Command } from 'commander'
-import { objectiveBurn, type ObjectiveBurn } from 'pomelofold/client/cellStatus'
-import { clientOf, finish, table, withServer, type GlobalOptions } from '../context.js'
+import { burnReport, type BurnReport, type BurnRow } from 'pomelofold/reports/burnReport'
+import { burnPage } from 'pomelofold/reports/burnPage'
+import { BURN_CAUSES, BURN_WINDOWS } from 'pomelofold/reports/burnTypes'
+import { clientOf, EXIT_CODES, finish, table, withServer, type GlobalOptions } from '../context.js'
 
-interface Report {
-  objectives: ObjectiveBurn[]
-  /** Entry VMs that could not be asked; their requests are missing. */
-  unreachable: string[]
+interface BurnOptions extends GlobalOptions {
+  html?: string
 }
 
-/** Shows how fast each service-level objective burns its error budget. */
+const HEADER = ['SERVICE', 'CLASS', 'WITHIN MS', 'TARGET', 'TEAM', 'BUDGET LEFT', 'REQUESTS LEFT', 'BURN 5M', '1H', '6H', '3D', 'WINDOW', 'ALERT', 'REFUSED', 'LATE', 'FAILED', 'UNKNOWN']
+
+/** Causes of bad requests, in the order of the table. */
+const BAD_CAUSES = [BURN_CAUSES.refused, BURN_CAUSES.late, BURN_CAUSES.failed, BURN_CAUSES.unknown]
+
+/** Reports on a cell. */
 export function reportCommand (): Command {
-  return withServer(new Command('report'))
-    .description('show the service-level burn of each objective, counted since the start of each entry daemon')
-    .action(async (options: GlobalOptions) => {
-      const figures = await clientOf(options).figures()
-      finish(figures.map((cell): Report => ({ objectives: objectiveBurn(cell), unreachable: cell.unreachable })), options, formatReport)
+  return new Command('report')
+    .description('reports on a cell, from the figures of all entry daemons that can be reached')
+    .addCommand(burnCommand(), { isDefault: true })
+}
+
+/** Shows how fast each service-level objective burns its error budget. */
+function burnCommand (): Command {
+  return withServer(new Command('burn'))
+    .description('show the error budget, burn rates and causes of each objective, by team')
+    .option('--html <file>', 'write the report as an HTML page too')
+    .action(async ({ html, ...options }: BurnOptions) => {
+      const report = (await clientOf(options).figures()).map(burnReport)
+      if (html !== undefined && report.isOk && !writePage(html, report.value)) return
+      finish(report, options, formatBurn)
     })
 }
 
-function formatReport ({ objectives, unreachable }: Report): string {
-  const header = ['SERVICE', 'CLASS', 'WITHIN MS', 'TARGET', 'MET', 'MISSED', 'ATTAINED', 'BURN RATE']
-  const rows = objectives.map(({ service, class: cls, waitMs, target, good, bad, attained, burnRate }) =>
-    [service, cls, waitMs, target, good, bad, attained?.toFixed(4) ?? '-', burnRate?.toFixed(2) ?? '-'])
-  return [table(header, rows), ...unreachable.map(vm => `cannot be reached, not counted: ${vm}`)].join('\n')
+function writePage (file: string, report: BurnReport): boolean {
+  try {
+    writeFileSync(file, burnPage(report))
+    return true
+  } catch (err) {
+    console.error(`pomelofold: ${(err as Error).message}`)
+    process.exitCode = EXIT_CODES.invalid
+    return false
+  }
+}
+
+/** The burn report as a table. */
+function formatBurn ({ objectives, unreachable }: BurnReport): string {
+  return [table(HEADER, objectives.map(rowOf)), ...unreachable.map(vm => `cannot be reached, not counted: ${vm}`)].join('\n')
+}
+
+function rowOf (row: BurnRow): Array<string | number> {
+  const { service, class: cls, waitMs, target, team, budgetLeft, requestsLeft, burnRates, alert, windows } = row
+  const rates = Object.values(BURN_WINDOWS).map(window => burnRates[window]?.toFixed(2) ?? '-')
+  const left = budgetLeft === undefined ? '-' : `${(budgetLeft * 100).toFixed(1)}%`
+  return [service, cls, waitMs, target, team || '-', left, requestsLeft.toFixed(1), ...rates, alert, ...BAD_CAUSES.map(cause => windows.objective[cause])]
 }
--- a/packages/pomelofold/src/client/cellStatus.ts
+++ b/packages/pomelofold/src/client/cellStatus.ts
@@ -24,20 +24,11 @@
 /** Figures of one entry daemon. */
 export interface DaemonFigures {
   claims: { held: number }
-  requests: { objectives: ObjectiveCount[] }
+  /** Counts for the burn report. */
+  burn?: unknown
   [part: string]: unknown
 }
 
-/** How many requests met the objective of a service and class, since the start of a daemon. */
-export interface ObjectiveCount {
-  service: string
-  class: string
-  waitMs: number
-  target: number
-  good: number
-  bad: number
-}
-
 /** One entry VM of the cell. Revision and claims are absent while it cannot be reached. */
 export interface EntryStatus {
   vm: string
@@ -64,32 +55,3 @@
   })
   return { ...status, entries: [own, ...others].sort((a, b) => a.vm < b.vm ? -1 : 1) }
 }
-
-/** Burn of one service-level objective over the whole cell. */
-export interface ObjectiveBurn extends ObjectiveCount {
-  /** Share of requests that met the objective; absent when there were none. */
-  attained?: number
-  /** Rate at which the error budget is used: 1 uses it up exactly. Absent when there were no requests. */
-  burnRate?: number
-}
-
-/** Sums the counts of all entry daemons and works out how fast each error budget burns. */
-export function objectiveBurn ({ figures }: CellFigures): ObjectiveBurn[] {
-  const sums = new Map<string, ObjectiveCount>()
-  for (const { requests } of Object.values(figures)) {
-    for (const count of requests.objectives) addCount(sums, count)
-  }
-  return [...sums.values()].map(withBurn)
-}
-
-function addCount (sums: Map<string, ObjectiveCount>, count: ObjectiveCount): void {
-  const key = JSON.stringify([count.service, count.class, count.waitMs, count.target])
-  const sum = sums.get(key) ?? { ...count, good: 0, bad: 0 }
-  sums.set(key, { ...sum, good: sum.good + count.good, bad: sum.bad + count.bad })
-}
-
-function withBurn (count: ObjectiveCount): ObjectiveBurn {
-  const total = count.good + count.bad
-  if (total === 0) return count
-  return { ...count, attained: count.good / total, burnRate: count.bad / total / (1 - count.target) }
-}
--- /dev/null
+++ b/packages/pomelofold/src/reports/burnReport.ts
@@ -0,0 +1,108 @@
+/**
+ * Burn of the error budgets of a cell, from the counts of all entry daemons that could be asked.
+ *
+ * @module
+ */
+
+import { addCounts, BURN_WINDOWS, noCounts, type BurnFigures, type BurnKey, type BurnSeries, type BurnWindow, type CauseCounts } from './burnTypes.js'
+
+/** Burn rate over both short windows from which somebody is to be called at once. */
+const PAGE_BURN_RATE = 14.4
+/** Burn rate over both long windows from which a ticket is to be opened. */
+const TICKET_BURN_RATE = 1
+
+/** What an operator should do about the burn of an objective. */
+export const BURN_ALERTS = { none: 'none', ticket: 'ticket', page: 'page' } as const
+
+/** One of {@link BURN_ALERTS}. */
+export type BurnAlert = typeof BURN_ALERTS[keyof typeof BURN_ALERTS]
+
+/** Burn of one objective for one team. */
+export interface BurnRow extends BurnKey {
+  /** Share of the error budget that is left over the objective's window. Negative when it is overspent; absent without requests. */
+  budgetLeft?: number
+  /** Bad requests that the budget still allows at the present number of requests. */
+  requestsLeft: number
+  /** Burn rate by window; 1 spends the budget exactly by the end of the objective's window. Absent without requests. */
+  burnRates: Partial<Record<BurnWindow, number>>
+  alert: BurnAlert
+  windows: Record<BurnWindow, CauseCounts>
+}
+
+/** Figures of all entry daemons that could be asked, by VM. */
+export interface CellBurnFigures {
+  figures: Record<string, { burn?: unknown }>
+  unreachable: string[]
+}
+
+/** Burn of all objectives of a cell. */
+export interface BurnReport {
+  objectives: BurnRow[]
+  /** Shortest time that any asked daemon has counted, in milliseconds. */
+  countedMs: number
+  /** Entry VMs that could not be asked; their requests are missing. */
+  unreachable: string[]
+}
+
+const WINDOWS = Object.values(BURN_WINDOWS)
+
+/** Sums the counts of all entry daemons, then works out ratios. */
+export function burnReport ({ figures, unreachable }: CellBurnFigures): BurnReport {
+  const told = Object.values(figures).flatMap(({ burn }) => burn ? [burn as BurnFigures] : [])
+  const silent = Object.keys(figures).filter(vm => !figures[vm].burn)
+  const sums = new Map<string, BurnSeries>()
+  for (const { series } of told) for (const one of series) addSeries(sums, one)
+  const rows = [...sums.values()].map(burnOf).sort(byName)
+  return {
+    objectives: rows.filter(row => !isIdleDouble(row, rows)),
+    countedMs: told.length === 0 ? 0 : Math.min(...told.map(burn => burn.countedMs)),
+    unreachable: [...unreachable, ...silent]
+  }
+}
+
+/** Bad requests of these counts. */
+export function badCount ({ refused, late, failed, unknown }: CauseCounts): number {
+  return refused + late + failed + unknown
+}
+
+function addSeries (sums: Map<string, BurnSeries>, series: BurnSeries): void {
+  const { service, class: cls, team, waitMs, target, windowDays } = series
+  const name = JSON.stringify([service, cls, team, waitMs, target, windowDays])
+  const sum = sums.get(name)
+  const windows = Object.fromEntries(WINDOWS.map(window => [window, addCounts(sum?.windows[window] ?? noCounts(), series.windows[window])]))
+  sums.set(name, { ...series, windows: windows as BurnSeries['windows'] })
+}
+
+function burnOf (series: BurnSeries): BurnRow {
+  const { target, windows } = series
+  const burnRates = Object.fromEntries(WINDOWS.flatMap(window => {
+    const rate = burnRate(windows[window], target)
+    return rate === undefined ? [] : [[window, rate]]
+  })) as BurnRow['burnRates']
+  const bad = badCount(windows.objective)
+  const allowed = (bad + windows.objective.good) * (1 - target)
+  const budgetLeft = allowed === 0 ? undefined : 1 - bad / allowed
+  return { ...series, budgetLeft, requestsLeft: allowed - bad, burnRates, alert: alertOf(burnRates) }
+}
+
+function burnRate (counts: CauseCounts, target: number): number | undefined {
+  const bad = badCount(counts)
+  const total = counts.good + bad
+  return total === 0 ? undefined : bad / total / (1 - target)
+}
+
+function alertOf ({ fiveMinutes = 0, oneHour = 0, sixHours = 0, threeDays = 0 }: BurnRow['burnRates']): BurnAlert {
+  if (oneHour > PAGE_BURN_RATE && fiveMinutes > PAGE_BURN_RATE) return BURN_ALERTS.page
+  if (sixHours > TICKET_BURN_RATE && threeDays > TICKET_BURN_RATE) return BURN_ALERTS.ticket
+  return BURN_ALERTS.none
+}
+
+function byName (a: BurnRow, b: BurnRow): number {
+  return a.service.localeCompare(b.service) || a.class.localeCompare(b.class) || a.team.localeCompare(b.team)
+}
+
+/** Whether a row without a team has no requests, while a team of its service and class is counted. */
+function isIdleDouble ({ service, class: cls, team, budgetLeft }: BurnRow, rows: BurnRow[]): boolean {
+  if (team !== '' || budgetLeft !== undefined) return false
+  return rows.some(other => other.service === service && other.class === cls && other.team !== '')
+}
--- a/tests/cli/cli.test.ts
+++ b/tests/cli/cli.test.ts
@@ -1,4 +1,4 @@
-import { writeFileSync } from 'node:fs'
+import { readFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import t from 'tap'
 import { waitUntil } from '../../utils/cell/processCell.js'
@@ -6,7 +6,7 @@
 import { runCli } from './runCli.js'
 
 const COMMANDS = [
-  'validate', 'diff', 'submit', 'status', 'drain', 'report', 'jobs list', 'jobs show', 'jobs explain', 'jobs submit', 'jobs cancel',
+  'validate', 'diff', 'submit', 'status', 'drain', 'report burn', 'jobs list', 'jobs show', 'jobs explain', 'jobs submit', 'jobs cancel',
   'requests send', 'requests explain', 'settings check', 'settings schema'
 ]
 const NOWHERE = { POMELOFOLD_SERVER: 'http://127.0.0.1:9' }
@@ -112,6 +112,11 @@
 t.test('report shows the burn of each objective', async t => {
   t.match(await run('report'), { code: 0, stdout: /readings +urgent +50 +0\.999/ })
   t.match(await runJson('report'), { unreachable: [], objectives: Array })
+  t.match(await runJson('report', 'burn'), { unreachable: [], objectives: [{ service: 'readings', class: 'normal' }, { class: 'urgent', alert: 'none' }] })
+  const html = join(t.testdir(), 'burn.html')
+  t.match(await run('report', 'burn', '--html', html), { code: 0, stdout: /BUDGET LEFT/ })
+  t.match(readFileSync(html, 'utf8'), /<svg/)
+  t.match(await run('report', 'burn', '--html', join(html, 'none')), { code: 2, stderr: /burn\.html/ })
 })
 
 t.test('drain makes the entry daemon leave', async t => {
