Report placement: packing by failure domain and waiting times by class

Cause: no command told how full the workers are or how long requests wait over the whole cell. Ruled out: means of the daemons' percentiles; their histograms are added up by hdr-histogram-js instead. Conclusion: placement is that of the active job managers; waiting times count from the start of each daemon.

--- a/packages/cli/src/commands/report.ts
+++ b/packages/cli/src/commands/report.ts
@@ -8,6 +8,7 @@
 import { Command } from 'commander'
 import { burnReport, type BurnReport, type BurnRow } from 'pomelofold/reports/burnReport'
 import { burnPage } from 'pomelofold/reports/burnPage'
+import { placementReport, RESOURCES, type CellPlacementFigures, type PlacementReport } from 'pomelofold/reports/placementReport'
 import { BURN_CAUSES, BURN_WINDOWS } from 'pomelofold/reports/burnTypes'
 import { clientOf, EXIT_CODES, finish, table, withServer, type GlobalOptions } from '../context.js'
 
@@ -25,6 +26,34 @@
   return new Command('report')
     .description('reports on a cell, from the figures of all entry daemons that can be reached')
     .addCommand(burnCommand(), { isDefault: true })
+    .addCommand(placementCommand())
+}
+
+/** Shows how tightly work is packed and how long requests wait. */
+function placementCommand (): Command {
+  return withServer(new Command('placement'))
+    .description('show the capacity used on workers by failure domain, and the waiting times of requests by class')
+    .action(async (options: GlobalOptions) => {
+      const report = (await clientOf(options).figures()).map(cell => placementReport(cell as CellPlacementFigures))
+      finish(report, options, formatPlacement)
+    })
+}
+
+function formatPlacement ({ domains, waits, unreachable }: PlacementReport): string {
+  const packing = domains.map(({ failureDomain, workers, workersInUse, tasks, used, capacity }) =>
+    [failureDomain, workers, workersInUse, tasks, ...RESOURCES.map(name => `${used[name]} of ${capacity[name]}`)])
+  const waiting = waits.map(({ class: cls, count, ...times }) =>
+    [cls, count, ...[times.p50Ms, times.p99Ms, times.p999Ms, times.maxMs].map(ms => ms.toFixed(1))])
+  return [
+    table(['FAILURE DOMAIN', 'WORKERS', 'IN USE', 'TASKS', 'CPUS', 'MEMORY MB', 'ACCELERATORS'], packing),
+    '',
+    table(['CLASS', 'REQUESTS', 'WAIT P50 MS', 'P99 MS', 'P99.9 MS', 'MAX MS'], waiting),
+    ...missing(unreachable)
+  ].join('\n')
+}
+
+function missing (unreachable: string[]): string[] {
+  return unreachable.map(vm => `cannot be reached, not counted: ${vm}`)
 }
 
 /** Shows how fast each service-level objective burns its error budget. */
@@ -52,7 +81,7 @@
 
 /** The burn report as a table. */
 function formatBurn ({ objectives, unreachable }: BurnReport): string {
-  return [table(HEADER, objectives.map(rowOf)), ...unreachable.map(vm => `cannot be reached, not counted: ${vm}`)].join('\n')
+  return [table(HEADER, objectives.map(rowOf)), ...missing(unreachable)].join('\n')
 }
 
 function rowOf (row: BurnRow): Array<string | number> {
--- /dev/null
+++ b/packages/pomelofold/src/reports/placementReport.ts
@@ -0,0 +1,94 @@
+/**
+ * How tightly work is packed onto workers and how long requests wait, from the figures of all entry daemons.
+ *
+ * @module
+ */
+
+import { build, decodeFromCompressedBase64, type Histogram } from 'hdr-histogram-js'
+import type { RequestClass } from '../protocol/requests.js'
+import type { Capacity } from '../protocol/vms.js'
+
+/** Histograms count in microseconds. */
+const MICROS_PER_MS = 1_000
+const HISTOGRAM = { numberOfSignificantValueDigits: 2, bitBucketSize: 64, autoResize: true } as const
+
+/** Resources of a worker, by their names in a capacity. */
+export const RESOURCES = ['cpus', 'memoryMb', 'accelerators'] as const
+
+/** Placement of one failure domain, as its job manager counts it. */
+interface PlacementCounts {
+  workers: number
+  workersInUse: number
+  tasks: number
+  capacity: Capacity
+  used: Capacity
+}
+
+/** The figures of entry daemons that {@link placementReport} reads. */
+export interface CellPlacementFigures {
+  figures: Record<string, DaemonPlacementFigures>
+  unreachable: string[]
+}
+
+interface DaemonPlacementFigures {
+  failureDomain?: string
+  jobs?: { active: boolean, placement?: PlacementCounts }
+  requests?: { waits: WaitCounts[] }
+}
+
+interface WaitCounts {
+  class: RequestClass
+  histogram: string
+}
+
+/** Waiting times of one class before the first send. */
+export interface ClassWaits {
+  class: RequestClass
+  count: number
+  p50Ms: number
+  p99Ms: number
+  p999Ms: number
+  maxMs: number
+}
+
+/** Placement of one failure domain. */
+export interface DomainPlacement extends PlacementCounts {
+  failureDomain: string
+}
+
+/** Packing and waiting times of a cell. */
+export interface PlacementReport {
+  domains: DomainPlacement[]
+  /** Waiting times since the start of each daemon. */
+  waits: ClassWaits[]
+  /** Entry VMs that could not be asked; their figures are missing. */
+  unreachable: string[]
+}
+
+/** Gathers the active job managers' placement and adds up the waiting times of all daemons by class. */
+export function placementReport ({ figures, unreachable }: CellPlacementFigures): PlacementReport {
+  const daemons = Object.values(figures)
+  const domains = daemons.flatMap(({ failureDomain = '', jobs }) => jobs?.placement ? [{ failureDomain, ...jobs.placement }] : [])
+  return {
+    domains: domains.sort((a, b) => a.failureDomain.localeCompare(b.failureDomain)),
+    waits: waitsByClass(daemons.flatMap(({ requests }) => requests?.waits ?? [])),
+    unreachable
+  }
+}
+
+function waitsByClass (waits: WaitCounts[]): ClassWaits[] {
+  const sums = new Map<RequestClass, Histogram>()
+  for (const { class: cls, histogram } of waits) {
+    const sum = sums.get(cls) ?? build(HISTOGRAM)
+    sum.add(decodeFromCompressedBase64(histogram, HISTOGRAM.bitBucketSize))
+    sums.set(cls, sum)
+  }
+  return [...sums].map(([cls, histogram]) => ({
+    class: cls,
+    count: histogram.totalCount,
+    p50Ms: histogram.getValueAtPercentile(50) / MICROS_PER_MS,
+    p99Ms: histogram.getValueAtPercentile(99) / MICROS_PER_MS,
+    p999Ms: histogram.getValueAtPercentile(99.9) / MICROS_PER_MS,
+    maxMs: histogram.maxValue / MICROS_PER_MS
+  }))
+}
