Deliver watch events to a frozen process only after it wakes, last

Cause: the lease-check trial was still caught by no scenario. The fake let a frozen process go on hearing of takeovers: handlers of watches were not gated. Conclusion: a woken process acts first and hears of what it missed after that, as timers run before reads in the runtime.

--- a/packages/standins/src/processTimers.ts
+++ b/packages/standins/src/processTimers.ts
@@ -75,6 +75,7 @@
     get (target, name) {
       const member = Reflect.get(target, name)
       if (typeof member !== 'function') return member
+      if (name === 'watch') return (...args: unknown[]) => member.apply(target, args.map(arg => gatedHandlers(timers, arg)))
       return (...args: unknown[]) => {
         const result = member.apply(target, args)
         if (!(result instanceof Promise)) return result
@@ -85,3 +86,13 @@
     }
   })
 }
+
+/** Time that a process takes from reading a watch's event until it knows of it, in milliseconds. */
+const WATCH_READ_MS = 1
+
+/** Handlers of a watch that are called only while the process runs; after a freeze, after all else that waited. */
+function gatedHandlers (timers: Timers, arg: unknown): unknown {
+  if (typeof arg !== 'object' || arg === null) return arg
+  return Object.fromEntries(Object.entries(arg).map(([name, handler]) =>
+    [name, (...args: unknown[]) => { timers.after(0, () => { timers.after(WATCH_READ_MS, () => handler(...args)) }) }]))
+}
