--- a/packages/standins/src/memoryUpstreams.ts
+++ b/packages/standins/src/memoryUpstreams.ts
@@ -93,9 +93,9 @@
     return this._callWorker('upstream.startTasks', address, timeoutMs, worker => worker.start(epoch, starts))
   }
 
-  renew (address: string, epoch: number, leaseMs: number, acknowledged: string[], timeoutMs: number):
+  renew (address: string, epoch: number, leaseMs: number, acknowledged: string[], timeoutMs: number, since?: string):
   Promise<Result<WorkerReport, CallError>> {
-    return this._callWorker('upstream.renew', address, timeoutMs, worker => worker.renew(epoch, leaseMs, acknowledged))
+    return this._callWorker('upstream.renew', address, timeoutMs, worker => worker.renew(epoch, leaseMs, acknowledged, since))
   }
 
   async command (address: string, epoch: number, taskId: string, command: TaskCommand, timeoutMs: number):
--- a/packages/standins/src/workerModel.ts
+++ b/packages/standins/src/workerModel.ts
@@ -56,6 +56,9 @@
   countedMs: number
   rate: number
   checkpoint?: string
+  /** Version of the list in which the task last changed. */
+  changedIn: number
+  usageListed: boolean
   lease?: TimerSubscription
   completion?: TimerSubscription
 }
@@ -81,6 +84,8 @@
   private readonly _tasks = new Map<string, HeldTask>()
   private readonly _runs: TaskRun[] = []
   private readonly _refused: WorkerRecord['refusedStarts'] = []
+  private readonly _listId: string
+  private _version = 0
   private _epoch = 0
   private _overfilledStarts = 0
   private _peakDeclared: Capacity = { cpus: 0, memoryMb: 0, accelerators: 0 }
@@ -98,6 +103,7 @@
   }: WorkerModelOptions) {
     this._timers = timers
     this._random = random
+    this._listId = String(timers.wallClock())
     this._options = { vm, rack, capacity, speed, usageFactor, usageLagMs }
   }
 
@@ -115,15 +121,19 @@
     return Result.ok(starts.map(start => this._startOne(epoch, start)))
   }
 
-  /** Renews the leases of all running tasks, drops acknowledged ones, and lists the rest. */
-  renew (epoch: number, leaseMs: number, acknowledged: string[]): Result<WorkerReport, StaleEpoch> {
+  /** Renews the leases of all running tasks, drops acknowledged ones, and lists the rest, or what has changed since an earlier list. */
+  renew (epoch: number, leaseMs: number, acknowledged: string[], since?: string): Result<WorkerReport, StaleEpoch> {
     if (!this._acceptEpoch(epoch)) return Result.err({ epoch: this._epoch })
     for (const taskId of acknowledged) {
       if (this._tasks.get(taskId)?.endedMs !== undefined) this._tasks.delete(taskId)
     }
     for (const task of this._runningTasks()) this._armLease(task, leaseMs)
-    const tasks = [...this._tasks.values()].map(task => this._listed(task))
-    return Result.ok({ epoch: this._epoch, capacity: this._options.capacity, tasks })
+    this._noteUsage()
+    const [listId, version] = since?.split('/') ?? []
+    const known = listId === this._listId ? Number(version) : undefined
+    const tasks = [...this._tasks.values()].filter(task => task.changedIn > (known ?? -1)).map(task => this._listed(task))
+    const listVersion = `${this._listId}/${this._version}`
+    return Result.ok({ epoch: this._epoch, capacity: this._options.capacity, tasks, listVersion, since: known === undefined ? undefined : since })
   }
 
   /** Applies a command to a task. False when no such task runs. */
@@ -170,6 +180,7 @@
     checkpoint: task => {
       this._countWork(task)
       task.checkpoint = String(Math.round(task.leftMs))
+      task.changedIn = ++this._version
     },
     throttle: task => {
       this._countWork(task)
@@ -204,7 +215,9 @@
       leftMs,
       countedMs: nowMs,
       rate: this._options.speed,
-      checkpoint: start.checkpoint
+      checkpoint: start.checkpoint,
+      changedIn: ++this._version,
+      usageListed: false
     }
     this._tasks.set(taskId, task)
     this._runs.push(run)
@@ -244,9 +257,19 @@
     task.completion?.cancel()
     task.state = state
     task.endedMs = this._timers.now()
+    task.changedIn = ++this._version
     Object.assign(task.run, { end: state, endMs: this._timers.wallClock(), reason })
   }
 
+  /** Usage that has become known changes a task's entry. */
+  private _noteUsage (): void {
+    for (const task of this._tasks.values()) {
+      if (task.usageListed || this._listed(task).usage === undefined) continue
+      task.usageListed = true
+      task.changedIn = ++this._version
+    }
+  }
+
   private _listed ({ start, state, run, startedMs, endedMs, checkpoint }: HeldTask): WorkerTask {
     const ranMs = (endedMs ?? this._timers.now()) - startedMs
     const usage = ranMs >= this._options.usageLagMs ? run.usage : undefined
--- a/packages/standins/src/workerStandin.ts
+++ b/packages/standins/src/workerStandin.ts
@@ -55,8 +55,8 @@
       return this.model.start(epoch, starts)
     }))
     this._server.app.post('/v1/renewals', c => this._answer(c, body => {
-      const { epoch, leaseMs, acknowledged } = renewalRequestSchema.parse(body)
-      return this.model.renew(epoch, leaseMs, acknowledged)
+      const { epoch, leaseMs, acknowledged, since } = renewalRequestSchema.parse(body)
+      return this.model.renew(epoch, leaseMs, acknowledged, since)
     }))
     this._server.app.post('/v1/tasks/:taskId/:command', c => this._answer(c, body => {
       const { epoch } = commandBodySchema.parse(body)
--- a/tests/standins/models.test.ts
+++ b/tests/standins/models.test.ts
@@ -68,6 +68,21 @@
   t.match(worker.record().timesRun, { a: 1 })
 })
 
+t.test('a worker lists only what has changed since a version of its list that it knows', async t => {
+  const { worker, timers } = makeWorker({ usageLagMs: 500 })
+  const reportOf = (since?: string) => worker.renew(1, 60_000, [], since).unwrapOr(undefined)
+  worker.start(1, [task('a', { leaseMs: 60_000 }), task('b', { leaseMs: 60_000, runMs: 1_000 })])
+  const first = reportOf()
+  t.equal(first?.tasks.length, 2)
+  t.match(reportOf(first?.listVersion), { tasks: [], since: first?.listVersion })
+  await timers.advance(600)
+  const second = reportOf(first?.listVersion)
+  t.equal(second?.tasks.length, 2, 'usage has become known')
+  await timers.advance(600)
+  t.match(reportOf(second?.listVersion), { tasks: [{ taskId: 'b', state: 'finished' }] })
+  t.equal(reportOf('another/3')?.tasks.length, 2, 'a version of an earlier process')
+})
+
 t.test('starts beyond the capacity run and are recorded with their peak', async t => {
   const { worker } = makeWorker()
   t.match(worker.start(1, [task('a'), task('b'), task('c')]), { value: [{ started: true }, { started: true }, { started: true }] })
