--- a/packages/standins/src/workerModel.ts
+++ b/packages/standins/src/workerModel.ts
@@ -133,7 +133,8 @@
     const known = listId === this._listId ? Number(version) : undefined
     const tasks = [...this._tasks.values()].filter(task => task.changedIn > (known ?? -1)).map(task => this._listed(task))
     const listVersion = `${this._listId}/${this._version}`
-    return Result.ok({ epoch: this._epoch, capacity: this._options.capacity, tasks, listVersion, since: known === undefined ? undefined : since })
+    const { capacity } = this._options
+    return Result.ok({ epoch: this._epoch, capacity, tasks, listVersion, since: known === undefined ? undefined : since })
   }
 
   /** Applies a command to a task. False when no such task runs. */
