Part questions to peers and key commits from the entry daemon; gather the benches

Cause: the reading as a newcomer: the entry daemon did its own asking of peers and wrapped group commits, eleven bench files stood among the runners, the library's index left out the daemon and the client, and a claim name of a design that was not built was still there. Ruled out: splitting the wiring itself; it reads top to bottom as one list. Conclusion: no behaviour changed.

--- a/packages/pomelofold/src/index.ts
+++ b/packages/pomelofold/src/index.ts
@@ -1,12 +1,25 @@
 /**
- * The library's public interface.
+ * The library's public interface: an entry daemon with its parts, a client, and the seams to replace.
  *
  * @module
  */
 
+export * from './server/entryDaemon.js'
+export * from './server/daemonParts.js'
+export * from './client/apiClient.js'
+export * from './settings/daemonSettings.js'
+export * from './protocol/manifest.js'
+export * from './protocol/jobs.js'
+export * from './protocol/requests.js'
 export * from './seams/timers.js'
 export * from './seams/randomSource.js'
 export * from './seams/platformClient.js'
 export * from './seams/peerTransport.js'
 export * from './seams/upstreamClient.js'
-export * from './settings/daemonSettings.js'
+export * from './edge/eventLogger.js'
+export * from './edge/httpPlatformClient.js'
+export * from './edge/httpServer.js'
+export * from './edge/httpUpstreamClient.js'
+export * from './edge/systemRandom.js'
+export * from './edge/systemTimers.js'
+export * from './edge/tcpPeerTransport.js'
--- a/packages/pomelofold/src/seams/authority.ts
+++ b/packages/pomelofold/src/seams/authority.ts
@@ -9,8 +9,6 @@
 export const CLAIMS = {
   /** Placement of tasks on all workers of the failure domain. */
   placer: (failureDomain: string): string => `${failureDomain}/placer`,
-  /** Records of keyed requests whose home is the shard. */
-  home: (failureDomain: string, shard: number): string => `${failureDomain}/home/${shard}`,
   /** Sending of requests to the service instance. */
   instance: (failureDomain: string, instance: string): string => `${failureDomain}/instance/${instance}`
 } as const
--- a/packages/pomelofold/src/server/daemonParts.ts
+++ b/packages/pomelofold/src/server/daemonParts.ts
@@ -17,7 +17,6 @@
   random: RandomSource
   platform: PlatformClient
   upstream: UpstreamClient
-  /** Made once the daemon's incarnation is known. */
   transport: PeerTransport
   log: EventLog
   /** Distinguishes the processes that have run on this VM. */
--- a/packages/pomelofold/src/server/entryDaemon.ts
+++ b/packages/pomelofold/src/server/entryDaemon.ts
@@ -5,10 +5,9 @@
  */
 
 import type { Hono } from 'hono'
-import Result from 'true-myth/result'
 import { ClaimKeeper } from '../claims/claimKeeper.js'
 import { ManifestKeeper } from '../config/manifestKeeper.js'
-import { KeyedRequests, type Committer } from '../outcomes/keyedRequests.js'
+import { KeyedRequests } from '../outcomes/keyedRequests.js'
 import { RequestHistory } from '../outcomes/requestHistory.js'
 import { PeerTable } from '../peers/peerTable.js'
 import type { RevisedManifest } from '../protocol/manifest.js'
@@ -22,25 +21,20 @@
 import type { DaemonSettings } from '../settings/daemonSettings.js'
 import { JobManager } from '../tasks/jobs/jobManager.js'
 import { WorkerPlacement } from '../tasks/placement/workerPlacement.js'
-import { COMMIT_REFUSALS, CommitRefusedError, GroupCommitter } from '../platform/groupCommit.js'
 import type { DaemonParts } from './daemonParts.js'
 import { httpApp } from './http/httpApp.js'
 import { jobRoutes } from './http/jobRoutes.js'
 import { operatorRoutes } from './http/operatorRoutes.js'
 import { requestRoutes } from './http/requestRoutes.js'
 import { JobService } from './jobService.js'
+import { keyCommitter } from './keyCommitter.js'
 import { Metrics } from './metrics.js'
+import { PeerQuestions } from './peerQuestions.js'
 import { RequestService } from './requestService.js'
 import { VmDirectory } from './vmDirectory.js'
 
-/** Deadline of questions to peers, in milliseconds. */
-const ASK_TIMEOUT_MS = 2_000
-
-/** Least time between two group commits of keyed requests, for each entry VM of the cell, in milliseconds. */
-const COMMIT_INTERVAL_PER_VM_MS = 10
-
-/** Deadline of recording an idempotency key, in milliseconds. */
-const KEY_COMMIT_TIMEOUT_MS = 3_000
+/** Longest wait for the claims to be handed over, while shutting down, in milliseconds. */
+const HAND_OVER_TIMEOUT_MS = 2_000
 
 /** Period of looking whether the work in flight has ended, while shutting down, in milliseconds. */
 const SHUTDOWN_CHECK_MS = 50
@@ -57,6 +51,7 @@
   private readonly _parts: DaemonParts
   private readonly _claims: ClaimKeeper
   private readonly _peers: PeerTable
+  private readonly _questions: PeerQuestions
   private readonly _vms: VmDirectory
   private readonly _scheduler: RequestScheduler
   private readonly _router: RequestRouter
@@ -74,6 +69,17 @@
     const others = settings.peers.filter(peer => peer.vm !== vm)
     this._settings = settings
     this._parts = parts
+    this._peers = new PeerTable({
+      timers,
+      transport,
+      log,
+      peers: others,
+      failureDomain,
+      heartbeatMs: settings.heartbeatMs,
+      own: () => ({ revision: this.manifest.current().revision, loads: this._scheduler.loads(), leaving: this._leaving }),
+      onHeartbeat: (peer, { revision, loads }) => this._onPeer(peer, revision, loads)
+    })
+    this._questions = new PeerQuestions({ transport, peers: this._peers, failureDomain })
     this._claims = new ClaimKeeper({
       timers,
       random,
@@ -92,15 +98,15 @@
       platform,
       log,
       peers: others.map(peer => peer.vm),
-      fetchFromPeer: async peer => transport.call(peer, 'fetchManifest', {}, ASK_TIMEOUT_MS),
+      fetchFromPeer: peer => this._questions.manifest(peer),
       shouldWatch: () => this._claims.epochOf(CLAIMS.placer(failureDomain)) !== undefined
     })
     this._scheduler = new RequestScheduler({ failureDomain, timers, random, authority: this._claims, upstream, log })
     this._router = new RequestRouter({ vm, failureDomain, scheduler: this._scheduler, transport, timers, random, log })
     this._router.setPeers(settings.peers)
     this._history = new RequestHistory({ timers, vm })
-    const committer = this._keyCommitter()
-    this._keyed = new KeyedRequests({ timers, platform, log, vm, incarnation, committer, askRecorder: this._askRecorder })
+    const committer = keyCommitter({ parts, vm, entryVms: settings.peers.length })
+    this._keyed = new KeyedRequests({ timers, platform, log, vm, incarnation, committer, askRecorder: this._questions.keyedOutcome })
     this._burn = new BurnCounter({ timers })
     this.requests = new RequestService({
       router: { route: req => this._router.submit(req) },
@@ -108,7 +114,7 @@
       history: this._history,
       log,
       onAnswer: (req, answer) => this._burn.answered(req, answer),
-      askPeers: requestId => this._askPeers(requestId)
+      askPeers: requestId => this._questions.request(requestId)
     })
     this._jobManager = new JobManager({
       timers,
@@ -133,18 +139,8 @@
       failureDomain,
       periodMs: settings.platform.vmListPeriodMs,
       onList: vms => this._onVms(vms),
-      relays: () => this._relays(),
-      askRelay: peer => transport.call(peer, 'listVms', { failureDomain }, ASK_TIMEOUT_MS)
-    })
-    this._peers = new PeerTable({
-      timers,
-      transport,
-      log,
-      peers: others,
-      failureDomain,
-      heartbeatMs: settings.heartbeatMs,
-      own: () => ({ revision: this.manifest.current().revision, loads: this._scheduler.loads(), leaving: this._leaving }),
-      onHeartbeat: (peer, { revision, loads }) => this._onPeer(peer, revision, loads)
+      relays: () => this._questions.relays(),
+      askRelay: peer => this._questions.listVms(peer)
     })
     this.manifest.onChange(current => this._onManifest(current))
     this._metrics = new Metrics({
@@ -181,7 +177,7 @@
     this._leaving = true
     await Promise.race([this._scheduler.drain(), delay(timers, this._settings.shutdownMs)])
     while (this.requests.inFlight > 0 && timers.now() < endMs) await delay(timers, SHUTDOWN_CHECK_MS)
-    await Promise.race([this._claims.handOverAll(), delay(timers, ASK_TIMEOUT_MS)])
+    await Promise.race([this._claims.handOverAll(), delay(timers, HAND_OVER_TIMEOUT_MS)])
     await this._jobManager.stop()
     this._peers.stop()
     this._vms.stop()
@@ -249,14 +245,6 @@
     this._jobManager.setWorkers(vms.filter(vm => vm.kind === VM_KINDS.worker))
   }
 
-  /** One reachable entry VM of each other failure domain. */
-  private _relays (): string[] {
-    const byDomain = new Map(this._peers.all()
-      .filter(peer => peer.reachable && peer.failureDomain !== this._settings.failureDomain)
-      .map(peer => [peer.failureDomain, peer.vm]))
-    return [...byDomain.values()]
-  }
-
   private _onManifest ({ manifest }: RevisedManifest): void {
     this._scheduler.setServices(manifest.services)
     this._scheduler.setTeams(manifest.teams)
@@ -307,13 +295,8 @@
 
   /** Figures of this and all other entry daemons, by VM; those that cannot be reached are named. */
   private async _allFigures (): Promise<{ figures: Record<string, unknown>, unreachable: string[] }> {
-    const peers = this._peers.all()
-    const told = await Promise.all(peers.map(peer => this._parts.transport.call(peer.vm, 'figures', {}, ASK_TIMEOUT_MS)))
-    const figures = Object.fromEntries(told.flatMap((answer, i) => answer.isOk ? [[peers[i].vm, answer.value]] : []))
-    return {
-      figures: { [this._settings.vm]: this._figures(), ...figures },
-      unreachable: peers.filter((_, i) => told[i].isErr).map(peer => peer.vm)
-    }
+    const { figures, unreachable } = await this._questions.figures()
+    return { figures: { [this._settings.vm]: this._figures(), ...figures }, unreachable }
   }
 
   /** Hands over the claims and takes no more work, but goes on to serve what callers send by way of the peers. */
@@ -323,30 +306,4 @@
     this._parts.log.event('info', 'daemon.draining', { inFlight: this.requests.inFlight })
     this._claims.handOverAll()
   }
-
-  private _keyCommitter (): Committer {
-    const { timers, platform, random } = this._parts
-    const minIntervalMs = COMMIT_INTERVAL_PER_VM_MS * this._settings.peers.length
-    const committer = new GroupCommitter({ timers, platform, random, writer: `${this._settings.vm}/keys`, minIntervalMs })
-    return {
-      commit: async (changes, guards) => {
-        const committed = await committer.commit(changes, { guards, timeoutMs: KEY_COMMIT_TIMEOUT_MS })
-        if (committed.isOk) return Result.ok({ applied: true })
-        const guardFailed = committed.error instanceof CommitRefusedError && committed.error.reason === COMMIT_REFUSALS.guard
-        return guardFailed ? Result.ok({ applied: false }) : Result.err(committed.error)
-      }
-    }
-  }
-
-  private readonly _askRecorder = async (vm: string, key: string, requestId: string) => {
-    const told = await this._parts.transport.call(vm, 'keyedOutcome', { key, requestId }, ASK_TIMEOUT_MS)
-    return told.isOk ? told.value : undefined
-  }
-
-  private async _askPeers (requestId: string) {
-    const { transport } = this._parts
-    const reachable = this._peers.all().filter(peer => peer.reachable)
-    const told = await Promise.all(reachable.map(peer => transport.call(peer.vm, 'explainRequest', { requestId }, ASK_TIMEOUT_MS)))
-    return told.flatMap(answer => answer.isOk && answer.value ? [answer.value] : [])
-  }
 }
--- /dev/null
+++ b/packages/pomelofold/src/server/peerQuestions.ts
@@ -0,0 +1,77 @@
+/**
+ * Questions of one entry daemon to the others.
+ *
+ * @module
+ */
+
+import type Result from 'true-myth/result'
+import type { CallError } from '../utils/errors.js'
+import type { AskRecorder } from '../outcomes/keyedRequests.js'
+import type { PeerState, PeerTable } from '../peers/peerTable.js'
+import type { RevisedManifest } from '../protocol/manifest.js'
+import type { RequestRecord } from '../protocol/requests.js'
+import type { VmRecord } from '../protocol/vms.js'
+import type { PeerTransport } from '../seams/peerTransport.js'
+
+/** Deadline of a question, in milliseconds. */
+const ASK_TIMEOUT_MS = 2_000
+
+/** Options of {@link PeerQuestions}. */
+export interface PeerQuestionsOptions {
+  transport: PeerTransport
+  peers: PeerTable
+  failureDomain: string
+}
+
+/** Asks the other entry daemons. */
+export class PeerQuestions {
+  private readonly _options: PeerQuestionsOptions
+
+  constructor (options: PeerQuestionsOptions) {
+    this._options = options
+  }
+
+  /** One reachable entry VM of each other failure domain. */
+  relays (): string[] {
+    const { failureDomain } = this._options
+    const others = this._reachable().filter(peer => peer.failureDomain !== failureDomain)
+    return [...new Map(others.map(peer => [peer.failureDomain, peer.vm])).values()]
+  }
+
+  /** The list of VMs of the own failure domain, read by another entry VM. */
+  listVms (vm: string): Promise<Result<{ vms: VmRecord[] | null }, CallError>> {
+    const { transport, failureDomain } = this._options
+    return transport.call(vm, 'listVms', { failureDomain }, ASK_TIMEOUT_MS)
+  }
+
+  manifest (vm: string): Promise<Result<RevisedManifest, CallError>> {
+    return this._options.transport.call(vm, 'fetchManifest', {}, ASK_TIMEOUT_MS)
+  }
+
+  /** What became of a keyed request, from the process that recorded the key. */
+  readonly keyedOutcome: AskRecorder = async (vm, key, requestId) => {
+    const told = await this._options.transport.call(vm, 'keyedOutcome', { key, requestId }, ASK_TIMEOUT_MS)
+    return told.isOk ? told.value : undefined
+  }
+
+  /** What reachable entry daemons know of a request. */
+  async request (requestId: string): Promise<RequestRecord[]> {
+    const told = await Promise.all(this._reachable().map(peer =>
+      this._options.transport.call(peer.vm, 'explainRequest', { requestId }, ASK_TIMEOUT_MS)))
+    return told.flatMap(answer => answer.isOk && answer.value ? [answer.value] : [])
+  }
+
+  /** Figures of all other entry daemons, by VM; those that cannot be reached are named. */
+  async figures (): Promise<{ figures: Record<string, unknown>, unreachable: string[] }> {
+    const peers = this._options.peers.all()
+    const told = await Promise.all(peers.map(peer => this._options.transport.call(peer.vm, 'figures', {}, ASK_TIMEOUT_MS)))
+    return {
+      figures: Object.fromEntries(told.flatMap((answer, i) => answer.isOk ? [[peers[i].vm, answer.value]] : [])),
+      unreachable: peers.filter((_, i) => told[i].isErr).map(peer => peer.vm)
+    }
+  }
+
+  private _reachable (): PeerState[] {
+    return this._options.peers.all().filter(peer => peer.reachable)
+  }
+}
--- a/tests/requests/requestProperties.test.ts
+++ b/tests/requests/requestProperties.test.ts
@@ -4,8 +4,8 @@
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { CLAIMS } from 'pomelofold/seams/authority'
 import type { ServiceAnswer, ServiceRequest } from 'pomelofold/protocol/requests'
-import { INSTANCE_MODES, MemoryInstances, RUN_MS_HEADER, type InstanceMode } from '../../utils/benchInstances.js'
-import { instanceRecord, MemoryCell, SERVICE } from '../../utils/benchCell.js'
+import { INSTANCE_MODES, MemoryInstances, RUN_MS_HEADER, type InstanceMode } from '../../utils/bench/benchInstances.js'
+import { instanceRecord, MemoryCell, SERVICE } from '../../utils/bench/benchCell.js'
 
 const SEED = 4_711
 const RUNS = 250
--- a/tests/requests/requestRouter.test.ts
+++ b/tests/requests/requestRouter.test.ts
@@ -3,8 +3,8 @@
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { CLAIMS } from 'pomelofold/seams/authority'
 import type { ServiceAnswer, ServiceRequest } from 'pomelofold/protocol/requests'
-import { MemoryInstances, RUN_MS_HEADER } from '../../utils/benchInstances.js'
-import { instanceRecord, MemoryCell, SERVICE, type MemoryCellOptions } from '../../utils/benchCell.js'
+import { MemoryInstances, RUN_MS_HEADER } from '../../utils/bench/benchInstances.js'
+import { instanceRecord, MemoryCell, SERVICE, type MemoryCellOptions } from '../../utils/bench/benchCell.js'
 
 function request (number: number, options: Partial<ServiceRequest> = {}): ServiceRequest {
   const headers = { [RUN_MS_HEADER]: '50' }
--- a/tests/requests/requestScheduler.test.ts
+++ b/tests/requests/requestScheduler.test.ts
@@ -4,8 +4,8 @@
 import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import type { ServiceAnswer, ServiceRequest } from 'pomelofold/protocol/requests'
-import { INSTANCE_MODES, MemoryInstances, RUN_MS_HEADER } from '../../utils/benchInstances.js'
-import { instanceRecord, MemoryCell, SERVICE, type MemoryCellOptions } from '../../utils/benchCell.js'
+import { INSTANCE_MODES, MemoryInstances, RUN_MS_HEADER } from '../../utils/bench/benchInstances.js'
+import { instanceRecord, MemoryCell, SERVICE, type MemoryCellOptions } from '../../utils/bench/benchCell.js'
 
 let number = 0
 
--- a/utils/bench.ts
+++ b/utils/bench.ts
@@ -8,9 +8,9 @@
 
 /** Benchmarks by name. Each module exports `run`, which is given the arguments after the name. */
 const BENCHES: Record<string, () => Promise<{ run: (args: string[]) => Promise<void> }>> = {
-  control: () => import('./benchControl.js'),
-  placement: () => import('./benchPlacement.js'),
-  requests: () => import('./benchRequests.js')
+  control: () => import('./bench/benchControl.js'),
+  placement: () => import('./bench/benchPlacement.js'),
+  requests: () => import('./bench/benchRequests.js')
 }
 
 const [name, ...args] = process.argv.slice(2)
--- a/utils/benchControl.ts
+++ b/utils/bench/benchControl.ts
@@ -14,9 +14,9 @@
 import { jobSpecSchema } from 'pomelofold/protocol/jobs'
 import { manifestSchema } from 'pomelofold/protocol/manifest'
 import type { VmRecord } from 'pomelofold/protocol/vms'
-import { ByteRelay } from './cell/byteRelay.js'
-import { planCell, type CellPlan } from './cell/cellPlan.js'
-import { ProcessCell, waitUntil } from './cell/processCell.js'
+import { ByteRelay } from '../cell/byteRelay.js'
+import { planCell, type CellPlan } from '../cell/cellPlan.js'
+import { ProcessCell, waitUntil } from '../cell/processCell.js'
 
 /** Time until the first reading, in milliseconds. */
 const WARM_UP_MS = 12_000
