--- a/packages/cli/src/commands/report.ts
+++ b/packages/cli/src/commands/report.ts
@@ -8,6 +8,7 @@
 import { Command } from 'commander'
 import { burnReport, type BurnReport, type BurnRow } from 'pomelofold/reports/burnReport'
 import { burnPage } from 'pomelofold/reports/burnPage'
+import { controlReport, type CellControlFigures, type ControlReport } from 'pomelofold/reports/controlReport'
 import { placementReport, RESOURCES, type CellPlacementFigures, type PlacementReport } from 'pomelofold/reports/placementReport'
 import { BURN_CAUSES, BURN_WINDOWS } from 'pomelofold/reports/burnTypes'
 import { clientOf, EXIT_CODES, finish, table, withServer, type GlobalOptions } from '../context.js'
@@ -27,6 +28,7 @@
     .description('reports on a cell, from the figures of all entry daemons that can be reached')
     .addCommand(burnCommand(), { isDefault: true })
     .addCommand(placementCommand())
+    .addCommand(controlCommand())
 }
 
 /** Shows how tightly work is packed and how long requests wait. */
@@ -52,6 +54,25 @@
   ].join('\n')
 }
 
+/** Shows what control costs at each entry daemon. */
+function controlCommand (): Command {
+  return withServer(new Command('control'))
+    .description('show processor time, memory and claims of each entry daemon, since its start')
+    .action(async (options: GlobalOptions) => {
+      const report = (await clientOf(options).figures()).map(cell => controlReport(cell as CellControlFigures))
+      finish(report, options, formatControl)
+    })
+}
+
+function formatControl ({ daemons, unreachable }: ControlReport): string {
+  const rows = daemons.map(({ vm, cpuShare, residentMb, upSeconds, claims, mapWrites, takeovers }) =>
+    [vm, `${(cpuShare * 100).toFixed(1)}%`, residentMb.toFixed(0), upSeconds.toFixed(0), claims, mapWrites, takeovers])
+  return [
+    table(['ENTRY VM', 'OF A CORE', 'RESIDENT MB', 'UP S', 'CLAIMS', 'MAP WRITES', 'TAKEOVERS'], rows),
+    ...missing(unreachable)
+  ].join('\n')
+}
+
 function missing (unreachable: string[]): string[] {
   return unreachable.map(vm => `cannot be reached, not counted: ${vm}`)
 }
--- a/packages/daemon/src/pomelofoldd.ts
+++ b/packages/daemon/src/pomelofoldd.ts
@@ -13,6 +13,7 @@
 import { SystemRandom } from 'pomelofold/edge/systemRandom'
 import { SystemTimers } from 'pomelofold/edge/systemTimers'
 import { TcpPeerTransport } from 'pomelofold/edge/tcpPeerTransport'
+import type { ProcessUsage } from 'pomelofold/reports/controlReport'
 import { EntryDaemon } from 'pomelofold/server/entryDaemon'
 import { daemonSettingsSchema, type DaemonSettings } from 'pomelofold/settings/daemonSettings'
 import { errorText } from 'pomelofold/utils/errors'
@@ -21,9 +22,18 @@
 /** Exit codes of `pomelofoldd`. */
 const EXIT_CODES = { ok: 0, failed: 1, invalidSettings: 2 } as const
 
+/** Processor time is read in microseconds. */
+const MICROS_PER_MS = 1_000
+
 /** Bytes of the name of an incarnation. */
 const INCARNATION_BYTES = 8
 
+/** What this process has used so far. */
+function processUsage (): ProcessUsage {
+  const { user, system } = process.cpuUsage()
+  return { cpuMs: (user + system) / MICROS_PER_MS, residentBytes: process.memoryUsage.rss(), upMs: process.uptime() * 1_000 }
+}
+
 async function run (settings: DaemonSettings): Promise<void> {
   const { vm, failureDomain, peers } = settings
   const timers = new SystemTimers()
@@ -35,7 +45,7 @@
   const self = { vm, failureDomain, incarnation }
   const address = peers.find(peer => peer.vm === vm)!.address
   const transport = new TcpPeerTransport({ self, address, members: peers, timers, log })
-  const daemon = new EntryDaemon(settings, { timers, random, platform, upstream, transport, log, incarnation })
+  const daemon = new EntryDaemon(settings, { timers, random, platform, upstream, transport, log, incarnation, usage: processUsage })
   const http = new HttpServer(settings.http)
 
   await daemon.start()
--- a/packages/pomelofold/src/server/daemonParts.ts
+++ b/packages/pomelofold/src/server/daemonParts.ts
@@ -5,6 +5,7 @@
  */
 
 import type { EventLog } from '../utils/eventLog.js'
+import type { ProcessUsage } from '../reports/controlReport.js'
 import type { PeerTransport } from '../seams/peerTransport.js'
 import type { PlatformClient } from '../seams/platformClient.js'
 import type { RandomSource } from '../seams/randomSource.js'
@@ -19,6 +20,8 @@
   upstream: UpstreamClient
   transport: PeerTransport
   log: EventLog
+  /** Reads what the process has used. */
+  usage: () => ProcessUsage
   /** Distinguishes the processes that have run on this VM. */
   incarnation: string
 }
--- a/packages/pomelofold/src/server/entryDaemon.ts
+++ b/packages/pomelofold/src/server/entryDaemon.ts
@@ -281,6 +281,7 @@
     return {
       vm: this._settings.vm,
       failureDomain: this._settings.failureDomain,
+      usage: this._parts.usage(),
       requests: this._scheduler.figures(),
       claims: this._claims.figures(),
       jobs: this._jobManager.figures(),
--- a/tests/cli/cli.test.ts
+++ b/tests/cli/cli.test.ts
@@ -6,7 +6,7 @@
 import { runCli } from './runCli.js'
 
 const COMMANDS = [
-  'validate', 'diff', 'submit', 'status', 'drain', 'report burn', 'report placement', 'jobs list', 'jobs show', 'jobs explain', 'jobs submit', 'jobs cancel',
+  'validate', 'diff', 'submit', 'status', 'drain', 'report burn', 'report placement', 'report control', 'jobs list', 'jobs show', 'jobs explain', 'jobs submit', 'jobs cancel',
   'requests send', 'requests explain', 'settings check', 'settings schema'
 ]
 const NOWHERE = { POMELOFOLD_SERVER: 'http://127.0.0.1:9' }
@@ -119,6 +119,11 @@
   t.match(await run('report', 'burn', '--html', join(html, 'none')), { code: 2, stderr: /burn\.html/ })
 })
 
+t.test('report control shows what each entry daemon costs', async t => {
+  t.match(await run('report', 'control'), { code: 0, stdout: /ENTRY VM +OF A CORE[^]*\d+\.\d% +\d+/ })
+  t.match(await runJson('report', 'control'), { daemons: [{ vm: /^entry-/ }], unreachable: [] })
+})
+
 t.test('report placement shows workers and waiting times', async t => {
   t.match(await run('report', 'placement'), { code: 0, stdout: /FAILURE DOMAIN +WORKERS[^]*\na +2 [^]*CLASS +REQUESTS[^]*urgent +\d/ })
   t.match(await runJson('report', 'placement'), { domains: [{ failureDomain: 'a', workers: 2 }], waits: Array, unreachable: [] })
--- a/tests/scenarios/scenarioCell.ts
+++ b/tests/scenarios/scenarioCell.ts
@@ -119,6 +119,7 @@
       upstream: gatedBy(timers, new MemoryUpstreams({ timers: this.clock, models: this._models })),
       transport: this._network.transport({ vm, failureDomain, incarnation }, timers, () => process.gone),
       log: SILENT_LOG,
+      usage: () => ({ cpuMs: 0, residentBytes: 0, upMs: this.clock.now() }),
       incarnation
     })
     process.daemon.manifest.onChange(({ revision }) => process.revisions.push(revision))
