--- a/packages/pomelofold/src/reports/placementReport.ts
+++ b/packages/pomelofold/src/reports/placementReport.ts
@@ -5,11 +5,10 @@
  */
 
 import { build, decodeFromCompressedBase64, type Histogram } from 'hdr-histogram-js'
+import { waitTimesOf, type WaitTimes } from '../utils/waitTimes.js'
 import type { RequestClass } from '../protocol/requests.js'
 import type { Capacity } from '../protocol/vms.js'
 
-/** Histograms count in microseconds. */
-const MICROS_PER_MS = 1_000
 const HISTOGRAM = { numberOfSignificantValueDigits: 2, bitBucketSize: 64, autoResize: true } as const
 
 /** Resources of a worker, by their names in a capacity. */
@@ -42,13 +41,8 @@
 }
 
 /** Waiting times of one class before the first send. */
-export interface ClassWaits {
+export interface ClassWaits extends WaitTimes {
   class: RequestClass
-  count: number
-  p50Ms: number
-  p99Ms: number
-  p999Ms: number
-  maxMs: number
 }
 
 /** Placement of one failure domain. */
@@ -85,10 +79,6 @@
   }
   return [...sums].map(([cls, histogram]) => ({
     class: cls,
-    count: histogram.totalCount,
-    p50Ms: histogram.getValueAtPercentile(50) / MICROS_PER_MS,
-    p99Ms: histogram.getValueAtPercentile(99) / MICROS_PER_MS,
-    p999Ms: histogram.getValueAtPercentile(99.9) / MICROS_PER_MS,
-    maxMs: histogram.maxValue / MICROS_PER_MS
+    ...waitTimesOf(histogram)
   }))
 }
--- a/packages/pomelofold/src/requests/requestFigures.ts
+++ b/packages/pomelofold/src/requests/requestFigures.ts
@@ -5,11 +5,10 @@
  */
 
 import { build, encodeIntoCompressedBase64, type Histogram } from 'hdr-histogram-js'
+import { MICROS_PER_MS, waitTimesOf, type WaitTimes } from '../utils/waitTimes.js'
 import type { Outcome, RequestClass } from '../protocol/requests.js'
 import type { QueuedRequest, ServiceSpec } from './queuedRequest.js'
 
-/** Histograms count in microseconds. */
-const MICROS_PER_MS = 1_000
 /** Longest waiting time told apart, in milliseconds. */
 const MAX_WAIT_MS = 3_600_000
 
@@ -25,14 +24,9 @@
 }
 
 /** Waiting times before the first send, of one service and class. */
-export interface WaitFigures {
+export interface WaitFigures extends WaitTimes {
   service: string
   class: RequestClass
-  count: number
-  p50Ms: number
-  p99Ms: number
-  p999Ms: number
-  maxMs: number
   /** The waiting times in microseconds, as a compressed HDR histogram. Histograms of several processes can be added up. */
   histogram: string
 }
@@ -118,11 +112,7 @@
       waits: [...this._waits.values()].map(({ service, class: cls, histogram }) => ({
         service,
         class: cls,
-        count: histogram.totalCount,
-        p50Ms: histogram.getValueAtPercentile(50) / MICROS_PER_MS,
-        p99Ms: histogram.getValueAtPercentile(99) / MICROS_PER_MS,
-        p999Ms: histogram.getValueAtPercentile(99.9) / MICROS_PER_MS,
-        maxMs: histogram.maxValue / MICROS_PER_MS,
+        ...waitTimesOf(histogram),
         histogram: encodeIntoCompressedBase64(histogram)
       })),
       objectives: [...this._objectives.values()].map(objective => ({ ...objective })),
