--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -10,7 +10,7 @@
   protocol: ['utils'],
   seams: ['utils', 'protocol'],
   settings: ['utils', 'protocol'],
-  platform: ['utils', 'protocol', 'seams'],
+  commits: ['utils', 'protocol', 'seams'],
   edge: ['utils', 'protocol', 'seams'],
   client: ['utils', 'protocol', 'settings'],
   claims: ['utils', 'protocol', 'seams'],
@@ -18,9 +18,10 @@
   config: ['utils', 'protocol', 'seams', 'peers'],
   requests: ['utils', 'protocol', 'seams'],
   outcomes: ['utils', 'protocol', 'seams'],
-  tasks: ['utils', 'protocol', 'seams', 'platform'],
+  tasks: ['utils', 'protocol', 'seams', 'commits'],
+  workflows: ['utils', 'protocol', 'seams', 'commits'],
   reports: ['utils', 'protocol', 'seams'],
-  server: ['utils', 'protocol', 'seams', 'settings', 'platform', 'edge', 'claims', 'peers', 'config', 'requests', 'outcomes', 'tasks', 'reports']
+  server: ['utils', 'protocol', 'seams', 'settings', 'commits', 'edge', 'claims', 'peers', 'config', 'requests', 'outcomes', 'tasks', 'workflows', 'reports']
 }
 
 const folderRules = Object.entries(ALLOWED).map(([folder, allowed]) => ({
@@ -38,12 +39,12 @@
       name: 'library-stands-alone',
       severity: 'error',
       from: { path: '^packages/pomelofold/' },
-      to: { path: '^(packages/(daemon|cli|standins)|tests|utils)/' }
+      to: { path: '^(packages/(daemon|cli|standins)|platform|tests|utils)/' }
     },
     {
       name: 'shipped-without-stand-ins',
       severity: 'error',
-      from: { path: '^packages/(daemon|cli)/' },
+      from: { path: '^(packages/(daemon|cli)|platform)/' },
       to: { path: '^(packages/standins|tests|utils)/' }
     }
   ],
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,7 @@
 }
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] }),
   {
     rules: {
       '@stylistic/max-len': ['error', { code: 140, ignoreStrings: true, ignoreTemplateLiterals: true, ignoreRegExpLiterals: true }],
--- a/packages/daemon/src/pomelofoldd.ts
+++ b/packages/daemon/src/pomelofoldd.ts
@@ -44,7 +44,7 @@
   const upstream = new HttpUpstreamClient({ timers })
   const self = { vm, failureDomain, incarnation }
   const address = peers.find(peer => peer.vm === vm)!.address
-  const transport = new TcpPeerTransport({ self, address, members: peers, timers, log })
+  const transport = new TcpPeerTransport({ self, address, members: new Map(peers.map(peer => [peer.vm, peer])), timers, log })
   const daemon = new EntryDaemon(settings, { timers, random, platform, upstream, transport, log, incarnation, usage: processUsage })
   const http = new HttpServer(settings.http)
 
--- a/packages/pomelofold/src/platform/groupCommit.ts
+++ b/packages/pomelofold/src/commits/groupCommit.ts
@@ -8,12 +8,14 @@
 import { CallError, CallTimeoutError, EFFECTS, type Effect } from '../utils/errors.js'
 import { ManualPromise } from '../utils/manualPromise.js'
 
-/** Most changes in one transaction, the writer's own key included. */
+/** Most changes and guards in one transaction, the writer's own key included. */
 export const MAX_CHANGES_PER_WRITE = 100
 /** Most bytes of keys and values in one transaction. */
 export const MAX_BYTES_PER_WRITE = 900_000
 const RETRY_MIN_MS = 100
 const RETRY_MAX_MS = 2_000
+/** The writer's key, its guard and the fence. */
+const OWN_ENTRIES = 3
 const STEP = 'groupCommit.write'
 const PEER = 'platform'
 
@@ -82,6 +84,10 @@
   writer: string
   /** Least time between the starts of two writes, in milliseconds. */
   minIntervalMs?: number
+  /** Most changes and guards of one transaction, the committer's own included. */
+  maxEntries?: number
+  /** Longest pause between tries of a write whose outcome is not known, in milliseconds. */
+  retryMaxMs?: number
   /** Guard that every write carries. */
   fence?: () => Guard | undefined
 }
@@ -99,6 +105,8 @@
   private readonly _timers: CommitTimers
   private readonly _platform: CommitPlatform
   private readonly _minIntervalMs: number
+  private readonly _maxEntries: number
+  private readonly _retryMaxMs: number
   private readonly _fence: () => Guard | undefined
   private readonly _writerKey: string
   private readonly _incarnation: string
@@ -109,10 +117,12 @@
   private _chainRevision: number | undefined
   private _lastWriteMs = Number.NEGATIVE_INFINITY
 
-  constructor ({ timers, platform, random, writer, minIntervalMs = 250, fence = () => undefined }: GroupCommitterOptions) {
+  constructor ({ timers, platform, random, writer, minIntervalMs = 250, maxEntries = MAX_CHANGES_PER_WRITE, retryMaxMs = RETRY_MAX_MS, fence = () => undefined }: GroupCommitterOptions) {
     this._timers = timers
     this._platform = platform
     this._minIntervalMs = minIntervalMs
+    this._maxEntries = maxEntries
+    this._retryMaxMs = retryMaxMs
     this._fence = fence
     this._writerKey = `pomelofold/writers/${writer}`
     this._incarnation = random.hex(8)
@@ -121,7 +131,7 @@
   /** Applies `changes` if all guards hold. Callers do not affect each other. Never rejects. */
   commit (changes: Change[], { guards = [], timeoutMs }: CommitOptions = {}): Promise<CommitResult> {
     const bytes = changes.reduce((sum, change) => sum + changeBytes(change), 0)
-    const fits = changes.length < MAX_CHANGES_PER_WRITE && bytes <= MAX_BYTES_PER_WRITE
+    const fits = changes.length + guards.length + OWN_ENTRIES <= this._maxEntries && bytes <= MAX_BYTES_PER_WRITE
     if (!fits) return Promise.resolve(failure('the changes are too large for one write', EFFECTS.none))
     if (this._closed) return Promise.resolve(failure('the committer is closed', EFFECTS.none))
     const entry: Entry = { changes, guards, bytes, settled: new ManualPromise() }
@@ -154,15 +164,15 @@
   /** Takes callers in order, up to the limits of one write or to a key that the batch already touches. */
   private _takeBatch (): Entry[] {
     const keys = new Set<string>()
-    let changes = 1
+    let entries = OWN_ENTRIES
     let bytes = 0
     let taken = 0
     for (const entry of this._queue) {
       const entryKeys = [...entry.changes, ...entry.guards].map(item => item.key)
-      if (changes + entry.changes.length > MAX_CHANGES_PER_WRITE || bytes + entry.bytes > MAX_BYTES_PER_WRITE) break
+      if (entries + entry.changes.length + entry.guards.length > this._maxEntries || bytes + entry.bytes > MAX_BYTES_PER_WRITE) break
       if (entryKeys.some(key => keys.has(key))) break
       for (const key of entryKeys) keys.add(key)
-      changes += entry.changes.length
+      entries += entry.changes.length + entry.guards.length
       bytes += entry.bytes
       taken++
     }
@@ -205,7 +215,7 @@
       if (position === 'unchanged' && answer?.isOk) return this._refuse(attempt, fence)
       if (position === 'overtaken') continue
       await this._delay(retryMs)
-      retryMs = Math.min(2 * retryMs, RETRY_MAX_MS)
+      retryMs = Math.min(2 * retryMs, this._retryMaxMs)
     }
     return failure('the committer is closed', EFFECTS.unknown)
   }
--- a/packages/pomelofold/src/edge/peerConnection.ts
+++ b/packages/pomelofold/src/edge/peerConnection.ts
@@ -38,6 +38,7 @@
   private readonly _opened = new ManualPromise<boolean>()
   private _nextId = 1
   private _endReason: string | undefined
+  private _lastFrameMs = 0
 
   constructor ({ peer, self, timers, connect }: PeerConnectionOptions) {
     this._peer = peer
@@ -62,7 +63,10 @@
   Promise<Result<PeerMethods[M]['result'], CallError>> {
     const startedMs = this._timers.now()
     const opened = await this._withDeadline(this._opened.promise, timeoutMs)
-    if (!opened && !this.ended) return Result.err(this._timeout(method, timeoutMs, EFFECTS.none))
+    if (!opened && !this.ended) {
+      this._end('no welcome in time')
+      return Result.err(this._timeout(method, timeoutMs, EFFECTS.none))
+    }
     if (this._endReason !== undefined) return Result.err(this._error(method, this._endReason, EFFECTS.none))
 
     const id = this._nextId++
@@ -77,6 +81,8 @@
     const remainingMs = timeoutMs - (this._timers.now() - startedMs)
     const result = await this._withDeadline(answer.promise, remainingMs)
     this._pending.delete(id)
+    // A connection can go silent without a reset. One that has brought nothing since the call is replaced.
+    if (!result && this._lastFrameMs < startedMs) this._end('no frame during a call that timed out')
     return (result ?? Result.err(this._timeout(method, timeoutMs, EFFECTS.unknown))) as Result<PeerMethods[M]['result'], CallError>
   }
 
@@ -88,6 +94,7 @@
   private _readFrames (): void {
     const decoder = new FrameDecoder()
     this._socket.on('data', chunk => {
+      this._lastFrameMs = this._timers.now()
       try {
         for (const frame of decoder.push(chunk as Buffer)) this._handle(frameSchema.parse(frame))
       } catch (err) {
--- a/packages/pomelofold/src/edge/peerListener.ts
+++ b/packages/pomelofold/src/edge/peerListener.ts
@@ -105,7 +105,7 @@
     if (!hello.success) return refuse('the first frame must be a hello')
     const { protocol, vm, failureDomain, incarnation } = hello.data
     if (protocol !== PEER_PROTOCOL_VERSION) return refuse(`protocol version ${protocol}; this daemon speaks ${PEER_PROTOCOL_VERSION}`)
-    if (members.get(vm)?.failureDomain !== failureDomain) return refuse(`${vm} in ${failureDomain} is not in the settings of ${self.vm}`)
+    if (members.get(vm)?.failureDomain !== failureDomain) return refuse(`${vm} in ${failureDomain} is not a member known to ${self.vm}`)
     socket.write(encodeFrame({ type: 'welcome', vm: self.vm, incarnation: self.incarnation }))
     return { vm, failureDomain, incarnation }
   }
--- a/packages/pomelofold/src/edge/tcpPeerTransport.ts
+++ b/packages/pomelofold/src/edge/tcpPeerTransport.ts
@@ -23,28 +23,27 @@
   self: PeerIdentity
   /** Address where this daemon listens, `host:port`. */
   address: string
-  /** All entry VMs of the cell. */
-  members: Array<{ vm: string, failureDomain: string, address: string }>
+  /** All entry VMs of the cell by name. Looked up at each call, so that it may change. */
+  members: ReadonlyMap<string, { failureDomain: string, address: string }>
   timers: Timers
   log: EventLog
 }
 
 interface Link {
   connection: PeerConnection
+  address: string
   openedMs: number
 }
 
 /** {@link PeerTransport} over TCP with CBOR frames. */
 export class TcpPeerTransport implements PeerTransport {
   private readonly _options: TcpPeerTransportOptions
-  private readonly _members: Map<string, { failureDomain: string, address: string }>
   private readonly _links = new Map<string, Link>()
   private _listener: PeerListener | undefined
   private _closed = false
 
   constructor (options: TcpPeerTransportOptions) {
     this._options = options
-    this._members = new Map(options.members.map(member => [member.vm, member]))
   }
 
   async call<M extends PeerMethod> (vm: string, method: M, params: PeerMethods[M]['params'], timeoutMs: number):
@@ -57,9 +56,9 @@
   }
 
   async listen (handlers: PeerHandlers): Promise<void> {
-    const { self, address, timers, log } = this._options
+    const { self, address, members, timers, log } = this._options
     const { host, port } = splitAddress(address)
-    this._listener = new PeerListener({ self, handlers, members: this._members, timers, log, createServer })
+    this._listener = new PeerListener({ self, handlers, members, timers, log, createServer })
     await this._listener.listen(host, port)
   }
 
@@ -71,16 +70,18 @@
 
   /** The open connection, a new one, or why there is none. */
   private _connectionTo (vm: string): PeerConnection | string {
-    const { self, timers } = this._options
+    const { self, members, timers } = this._options
     if (this._closed) return 'this daemon is shutting down'
+    const member = members.get(vm)
+    if (!member) return 'the VM is not a member of the cell'
     const link = this._links.get(vm)
-    if (link && !link.connection.ended) return link.connection
-    if (link && timers.now() - link.openedMs < RECONNECT_INTERVAL_MS) return 'the connection has just failed'
-    const member = this._members.get(vm)
-    if (!member) return 'the VM is not in the settings'
+    const moved = link && link.address !== member.address
+    if (link && !moved && !link.connection.ended) return link.connection
+    if (link && !moved && timers.now() - link.openedMs < RECONNECT_INTERVAL_MS) return 'the connection has just failed'
+    link?.connection.close()
     const { host, port } = splitAddress(member.address)
     const connection = new PeerConnection({ peer: vm, self, timers, connect: () => connect({ host, port }) })
-    this._links.set(vm, { connection, openedMs: timers.now() })
+    this._links.set(vm, { connection, address: member.address, openedMs: timers.now() })
     return connection
   }
 }
--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -6,9 +6,10 @@
  */
 
 import { z } from 'zod'
-import { jobSpecSchema, jobViewSchema } from './jobs.js'
+import { JOB_STATES, jobSpecSchema, jobViewSchema } from './jobs.js'
 import { manifestSchema } from './manifest.js'
 import { vmRecordSchema } from './vms.js'
+import { workflowSchema } from './workflows.js'
 import { outcomeSchema, requestRecordSchema, serviceAnswerSchema, serviceLoadSchema, serviceRequestSchema } from './requests.js'
 
 /** Version of the protocol between entry daemons. Peers of another version are refused. */
@@ -88,6 +89,29 @@
   },
   /** History of a job; null at an entry VM that does not keep it. */
   explainJob: { params: z.object({ jobId: z.string() }), result: z.record(z.string(), z.unknown()).nullable() },
+  /** Tells the scheduler of workflows of one that has been stored. */
+  workflowStored: { params: z.object({ workflow: workflowSchema, revision: z.number().int() }), result: z.object({}) },
+  /** Tells the scheduler of workflows of a stored cancellation. */
+  workflowCancelled: { params: z.object({ id: z.string() }), result: z.object({}) },
+  /** Asks the scheduler for a workflow's state. Null when it does not know the workflow, or does not schedule. */
+  workflowState: {
+    params: z.object({ id: z.string() }),
+    result: z.object({ state: z.enum(JOB_STATES).nullable(), queue: z.string().optional() })
+  },
+  /** Asks the scheduler how many workflows of each queue have not started. Null at other daemons. */
+  queueDepths: { params: z.object({}), result: z.object({ waiting: z.record(z.string(), z.number().int()).nullable() }) },
+  /** Stores a workflow for a daemon that has no path to the platform. */
+  storeWorkflow: {
+    params: z.object({ workflow: workflowSchema }),
+    result: z.object({ outcome: z.enum(['stored', 'notStored', 'unknown']) })
+  },
+  /** Stores a cancellation for a daemon that has no path to the platform. */
+  storeCancellation: { params: z.object({ id: z.string() }), result: z.object({ outcome: z.enum(['stored', 'unknownWorkflow', 'failed']) }) },
+  /** Asks the eligibility service in this daemon's place in its line. Null when the call failed. */
+  askEligibility: {
+    params: z.object({ step: z.string(), workers: z.array(z.string()), timeoutMs: z.number() }),
+    result: z.object({ answer: z.object({ tickets: z.record(z.string(), z.string()), validMs: z.number() }).nullable() })
+  },
   explainRequest: { params: z.object({ requestId: z.string() }), result: requestRecordSchema.nullable() },
   /** Figures for reports; see `reports/`. */
   figures: { params: z.object({}), result: z.record(z.string(), z.unknown()) }
--- a/packages/pomelofold/src/seams/platformClient.ts
+++ b/packages/pomelofold/src/seams/platformClient.ts
@@ -61,6 +61,8 @@
 export interface WatchHandlers {
   onEvents: (events: WatchEvent[]) => void
   onEnd: (reason: string) => void
+  /** Called when the service has confirmed that nothing else has changed. Not every client calls it. */
+  onProgress?: () => void
 }
 
 /** Every call takes a deadline in milliseconds from now. */
--- /dev/null
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -0,0 +1,201 @@
+/**
+ * A daemon that takes in workflows and, when elected, schedules them for the whole cell.
+ *
+ * @module
+ */
+
+import { CellSession, type Leader } from '../workflows/cellSession.js'
+import { SchedulerTerm, type SchedulingBounds, type TermFigures } from '../workflows/schedulerTerm.js'
+import { EXTENSION_AFTER_LOSS_MS } from '../workflows/workerFleet.js'
+import { WorkflowService } from '../workflows/workflowService.js'
+import { WorkflowStore } from '../workflows/workflowStore.js'
+import type { PeerHandlers, PeerTransport } from '../seams/peerTransport.js'
+import type { PlatformClient } from '../seams/platformClient.js'
+import type { RandomSource } from '../seams/randomSource.js'
+import type { Timers } from '../seams/timers.js'
+import type { CellConfig, EligibilityAnswer, EligibilityClient, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
+import type { EventLog } from '../utils/eventLog.js'
+
+/** Time of a call to the eligibility service that is spent on the way between daemons, in milliseconds. */
+const PEER_MARGIN_MS = 100
+/** Longest wait for records when handing over, in milliseconds: a third of the shortest time in which a daemon must stop. */
+const HAND_OVER_MS = 1_500
+
+/** Options of a {@link WorkflowDaemon}. */
+export interface WorkflowDaemonOptions {
+  vm: string
+  failureDomain: string
+  incarnation: string
+  /** Address at which peers reach this daemon. */
+  peerAddress: string
+  /** Processor share of the VM; larger VMs schedule first. */
+  size: number
+  platform: PlatformClient
+  directory: WorkerDirectory
+  workers: WorkerClient
+  eligibility: EligibilityClient
+  /** Makes the transport, which looks peers up among `members`. */
+  transport: (members: ReadonlyMap<string, { failureDomain: string, address: string }>) => PeerTransport
+  timers: Timers
+  random: RandomSource
+  log: EventLog
+  bounds: SchedulingBounds
+  config: () => CellConfig | undefined
+}
+
+/** Figures of a daemon for its metrics. */
+export interface WorkflowDaemonFigures {
+  leading: boolean
+  epoch: number
+  connected: boolean
+  viewAgeMs: number
+  members: number
+  term?: TermFigures
+}
+
+/** Wires the parts into a daemon. */
+export class WorkflowDaemon {
+  readonly service: WorkflowService
+  private readonly _options: WorkflowDaemonOptions
+  private readonly _session: CellSession
+  private readonly _transport: PeerTransport
+  private _term: SchedulerTerm | undefined
+  private _termEpoch = 0
+  private _authorityLostMs: number | undefined
+
+  constructor (options: WorkflowDaemonOptions) {
+    this._options = options
+    const { vm, failureDomain, incarnation, peerAddress, size, platform, timers, log } = options
+    this._session = new CellSession({
+      vm,
+      self: { incarnation, failureDomain, address: peerAddress, size },
+      platform,
+      timers,
+      log,
+      onElected: leader => this._begin(leader),
+      onLeaderChange: leader => this._leaderChanged(leader)
+    })
+    this._transport = options.transport(this._session.members)
+    const store = new WorkflowStore({ platform, timers, log })
+    this.service = new WorkflowService({ vm, store, session: this._session, transport: this._transport, timers, log, ownTerm: () => this._term })
+  }
+
+  async start (): Promise<void> {
+    await this._transport.listen(this._handlers())
+    this._session.start()
+  }
+
+  /** True while callers are served well: the configuration is known, and the store or a scheduler can be reached. */
+  get ready (): boolean {
+    return this._options.config() !== undefined && (this._session.connected || this._session.leader !== undefined)
+  }
+
+  figures (): WorkflowDaemonFigures {
+    return {
+      leading: this._term !== undefined,
+      epoch: this._session.leader?.epoch ?? 0,
+      connected: this._session.connected,
+      viewAgeMs: this._session.viewAgeMs,
+      members: this._session.presentMembers.length,
+      term: this._term?.figures()
+    }
+  }
+
+  /** Hands the scheduling over. Callers are still served. */
+  async handOver (): Promise<void> {
+    const { timers } = this._options
+    const term = this._term
+    if (term) {
+      term.quiesce()
+      await new Promise<void>(resolve => {
+        const timer = timers.after(HAND_OVER_MS, resolve)
+        term.flush().then(() => { timer.cancel(); resolve() })
+      })
+    }
+    await this._session.leave()
+    this._endTerm('handed over')
+  }
+
+  async close (): Promise<void> {
+    this._endTerm('the daemon ends')
+    await this._session.close()
+    await this._transport.close()
+  }
+
+  private _begin (leader: Leader): void {
+    this._endTerm('a new term begins')
+    const { platform, directory, workers, timers, random, log, bounds, config, vm } = this._options
+    this._authorityLostMs = undefined
+    this._termEpoch = leader.epoch
+    this._term = new SchedulerTerm({
+      epoch: leader.epoch,
+      term: leader.term,
+      platform,
+      directory,
+      client: workers,
+      timers,
+      random,
+      log,
+      bounds,
+      config,
+      authorityMs: () => this._session.leadsForMs(leader.epoch),
+      mayExtend: () => this._mayExtend(leader.epoch),
+      askEligibility: (lane, step, names, timeoutMs) => this._ask(lane, step, names, timeoutMs),
+      eligibilityLanes: () => [vm, ...this._session.presentMembers.filter(member => member !== vm)],
+      onDeposed: reason => { if (this._termEpoch === leader.epoch) this._endTerm(reason) }
+    })
+    this._term.start()
+  }
+
+  /** A scheduler that has lost its authority goes on extending leases for a bounded time, so that a short outage of the store ends no task. */
+  private _mayExtend (epoch: number): boolean {
+    const nowMs = this._options.timers.now()
+    if (this._session.leadsForMs(epoch) > 0) {
+      this._authorityLostMs = undefined
+      return true
+    }
+    this._authorityLostMs ??= nowMs
+    return nowMs - this._authorityLostMs < EXTENSION_AFTER_LOSS_MS
+  }
+
+  private _leaderChanged (leader: Leader | undefined): void {
+    if (leader && this._term && leader.epoch > this._termEpoch) this._endTerm(`${leader.vm} leads with epoch ${leader.epoch}`)
+  }
+
+  private _endTerm (reason: string): void {
+    if (!this._term) return
+    this._options.log.event('info', 'term.ended', { epoch: this._termEpoch, reason })
+    this._term.close()
+    this._term = undefined
+  }
+
+  private async _ask (lane: string, step: string, workers: string[], timeoutMs: number): Promise<EligibilityAnswer | undefined> {
+    const { vm, eligibility } = this._options
+    if (lane === vm) return (await eligibility.ask(step, workers, timeoutMs)).unwrapOr(undefined)
+    const answer = await this._transport.call(lane, 'askEligibility', { step, workers, timeoutMs }, timeoutMs + PEER_MARGIN_MS)
+    return answer.isOk ? answer.value.answer ?? undefined : undefined
+  }
+
+  private _handlers (): PeerHandlers {
+    const { eligibility, log } = this._options
+    return {
+      workflowStored: async ({ workflow, revision }) => {
+        this._term?.addWorkflow(workflow, revision)
+        return {}
+      },
+      workflowCancelled: async ({ id }) => {
+        this._term?.cancel(id)
+        return {}
+      },
+      workflowState: async ({ id }) => this._term?.stateOf(id) ?? { state: null },
+      queueDepths: async () => ({ waiting: this._term?.queueDepths() ?? null }),
+      storeWorkflow: async ({ workflow }) => ({ outcome: await this.service.storeHere(workflow) }),
+      storeCancellation: async ({ id }) => ({ outcome: await this.service.cancelForPeer(id) }),
+      askEligibility: async ({ step, workers, timeoutMs }) => {
+        const answer = await eligibility.ask(step, workers, timeoutMs)
+        if (answer.isErr) log.event('warn', 'eligibility.call.failed', { task: step, detail: answer.error.message })
+        return { answer: answer.isOk ? answer.value : null }
+      }
+    }
+  }
+}
--- a/packages/pomelofold/src/tasks/jobs/job.ts
+++ b/packages/pomelofold/src/tasks/jobs/job.ts
@@ -7,7 +7,7 @@
 import { JOB_KINDS, JOB_STATES, type JobSpec, type JobView } from '../../protocol/jobs.js'
 import type { Capacity } from '../../protocol/vms.js'
 import type { TaskRequest } from '../placementTypes.js'
-import { formatRanges, parseRanges } from './indexRanges.js'
+import { formatRanges, parseRanges } from '../../utils/indexRanges.js'
 import { JobHistory } from './jobHistory.js'
 import { jobProgressSchema, type JobProgress, type JobRecord } from './jobRecord.js'
 
--- /dev/null
+++ b/packages/pomelofold/src/workflows/cellSession.ts
@@ -0,0 +1,325 @@
+/**
+ * This daemon's lease at the platform, its entry among the members of the cell, and the election of the
+ * daemon that schedules.
+ *
+ * @module
+ */
+
+import { z } from 'zod'
+import { LEADER_KEY, CELL_PREFIX, memberKey, memberOf } from './keys.js'
+import { LeaseClock } from './leaseClock.js'
+import { PrefixView } from './prefixView.js'
+import type { PlatformClient, StoredValue } from '../seams/platformClient.js'
+import { delay, type Timers, type TimerSubscription } from '../seams/timers.js'
+import type { EventLog } from '../utils/eventLog.js'
+import { EFFECTS } from '../utils/errors.js'
+
+/** Length of the lease, in milliseconds. A dead leader is replaced this long after its last renewal. */
+export const SESSION_TTL_MS = 2_500
+/** Time between two renewals, in milliseconds: three may fail within a lease. */
+const RENEWAL_PERIOD_MS = 600
+/** Longest wait for an answer of the store, in milliseconds: shorter than the time left after two failed renewals. */
+const CALL_TIMEOUT_MS = 700
+/** Pause after a failed call that is not a renewal, in milliseconds. */
+const RETRY_MS = 150
+/** Candidates run one after the other, this many milliseconds apart, in the order of their rank. */
+const RANK_STEP_MS = 25
+/** A member whose entry has lapsed stays known for this long, in milliseconds, since it may only be cut off from the store. */
+const MEMBER_RETENTION_MS = 60_000
+
+const memberSchema = z.object({
+  incarnation: z.string(),
+  failureDomain: z.string(),
+  address: z.string(),
+  /** Processor share of the VM; larger VMs lead first. */
+  size: z.number()
+})
+
+const leaderSchema = z.object({ vm: z.string(), incarnation: z.string(), term: z.number().int() })
+
+/** A member of the cell. */
+export type Member = z.infer<typeof memberSchema>
+
+/** The daemon that schedules. `epoch` grows with each leader and is its fencing token. */
+export interface Leader extends z.infer<typeof leaderSchema> {
+  epoch: number
+}
+
+/** Options of a {@link CellSession}. */
+export interface CellSessionOptions {
+  vm: string
+  self: Member
+  platform: PlatformClient
+  timers: Timers
+  log: EventLog
+  /** Called when this daemon has become the leader. */
+  onElected: (leader: Leader) => void
+  /** Called when the known leader has changed. */
+  onLeaderChange: (leader: Leader | undefined) => void
+}
+
+/** Member of the cell, and its leader when elected. */
+export class CellSession {
+  /** Addresses of all members by name, those included whose entry has just lapsed. */
+  readonly members = new Map<string, Member>()
+  private readonly _options: CellSessionOptions
+  private readonly _lease: LeaseClock
+  private readonly _view: PrefixView
+  private readonly _lapsed = new Map<string, TimerSubscription>()
+  private _leaseId: string | undefined
+  private _leader: Leader | undefined
+  private _campaign: TimerSubscription | undefined
+  private _campaigning = false
+  private _leaving = false
+  private _closed = false
+  private _connected = true
+
+  constructor (options: CellSessionOptions) {
+    this._options = options
+    const { platform, timers, log } = options
+    this._lease = new LeaseClock(timers)
+    this._view = new PrefixView({ prefix: CELL_PREFIX, platform, timers, log, onChange: keys => this._learn(keys) })
+  }
+
+  start (): void {
+    this._view.start()
+    this._keepLease()
+  }
+
+  /** The leader by the last known view. */
+  get leader (): Leader | undefined {
+    return this._leader
+  }
+
+  /** Names of members whose entries are present. */
+  get presentMembers (): string[] {
+    return [...this.members.keys()].filter(vm => !this._lapsed.has(vm))
+  }
+
+  /** Age of the view of members and leader, in milliseconds. */
+  get viewAgeMs (): number {
+    return this._view.ageMs
+  }
+
+  /** True while the store has answered the last renewal. */
+  get connected (): boolean {
+    return this._connected && this._leaseId !== undefined
+  }
+
+  /** Time for which this daemon surely leads under `epoch`, in milliseconds; zero or less when it may not. */
+  leadsForMs (epoch: number): number {
+    const own = this._leader?.epoch === epoch && this._leader.incarnation === this._options.self.incarnation
+    return own ? this._lease.remainingMs : 0
+  }
+
+  /** Gives up leadership and takes no more part in elections. */
+  async leave (): Promise<void> {
+    this._leaving = true
+    this._campaign?.cancel()
+    const { platform, log, self } = this._options
+    const leader = this._leader
+    if (leader?.incarnation !== self.incarnation) return
+    this._leader = undefined
+    const result = await platform.txn([{ key: LEADER_KEY, modRevision: leader.epoch }], [{ op: 'delete', key: LEADER_KEY }], { timeoutMs: CALL_TIMEOUT_MS })
+    log.event('info', 'leader.resigned', { epoch: leader.epoch, outcome: result.isOk ? 'deleted' : result.error.message })
+  }
+
+  /** Ends the lease, and with it the entry among the members. */
+  async close (): Promise<void> {
+    this._closed = true
+    this._campaign?.cancel()
+    for (const timer of this._lapsed.values()) timer.cancel()
+    this._view.close()
+    if (this._leaseId === undefined) return
+    const ended = await this._options.platform.revokeLease(this._leaseId, { timeoutMs: CALL_TIMEOUT_MS })
+    if (ended.isErr) this._options.log.event('warn', 'session.end.failed', { detail: ended.error.message })
+  }
+
+  /** Opens the lease and renews it until closed. */
+  private async _keepLease (): Promise<void> {
+    const { timers } = this._options
+    while (!this._closed) {
+      if (this._leaseId === undefined) {
+        if (!await this._open()) await delay(timers, RETRY_MS)
+        continue
+      }
+      await delay(timers, RENEWAL_PERIOD_MS)
+      if (!this._closed) await this._renew()
+    }
+  }
+
+  private async _open (): Promise<boolean> {
+    const { platform, timers, log, vm, self } = this._options
+    const sentMs = timers.now()
+    const sentWallMs = timers.wallClock()
+    const granted = await platform.grantLease(SESSION_TTL_MS, { timeoutMs: CALL_TIMEOUT_MS })
+    if (granted.isErr) return this._noteConnection(granted.error.message)
+    const { leaseId, ttlMs } = granted.value
+    const entry = { op: 'put' as const, key: memberKey(vm), value: JSON.stringify(self), leaseId }
+    const entered = await platform.txn([], [entry], { timeoutMs: CALL_TIMEOUT_MS })
+    if (entered.isErr) return this._noteConnection(entered.error.message)
+    if (this._closed) return false
+    this._leaseId = leaseId
+    this._lease.renewed(sentMs, sentWallMs, ttlMs)
+    this._noteConnection()
+    log.event('info', 'session.opened', { leaseId, ttlMs, revision: entered.value.revision })
+    this._considerElection()
+    return true
+  }
+
+  private async _renew (): Promise<void> {
+    const { platform, timers, log } = this._options
+    const sentMs = timers.now()
+    const sentWallMs = timers.wallClock()
+    const renewed = await platform.keepAlive(this._leaseId!, { timeoutMs: CALL_TIMEOUT_MS })
+    if (renewed.isErr) {
+      this._noteConnection(renewed.error.message)
+      return
+    }
+    this._noteConnection()
+    if (renewed.value.ttlMs > 0) {
+      this._lease.renewed(sentMs, sentWallMs, renewed.value.ttlMs)
+      return
+    }
+    log.event('warn', 'session.lapsed', { leaseId: this._leaseId })
+    this._leaseId = undefined
+    this._lease.end()
+  }
+
+  /** Logs when the store is lost and when it is back. Always false, for use in a return. */
+  private _noteConnection (fault?: string): false {
+    const connected = fault === undefined
+    if (connected !== this._connected) {
+      const fields = { dependency: 'store', detail: fault, leaseRemainingMs: Math.round(this._lease.remainingMs) }
+      this._options.log.event(connected ? 'info' : 'warn', connected ? 'dependency.regained' : 'dependency.lost', fields)
+    }
+    this._connected = connected
+    return false
+  }
+
+  private _learn (keys: string[]): void {
+    for (const key of keys) {
+      const vm = memberOf(key)
+      if (vm !== undefined) this._learnMember(vm, this._view.get(key))
+    }
+    if (keys.includes(LEADER_KEY) || !this._leader) this._learnLeader(this._view.get(LEADER_KEY))
+    this._considerElection()
+  }
+
+  private _learnMember (vm: string, stored: StoredValue | undefined): void {
+    const { timers, log } = this._options
+    this._lapsed.get(vm)?.cancel()
+    this._lapsed.delete(vm)
+    if (!stored) {
+      if (this.members.has(vm)) this._lapsed.set(vm, timers.after(MEMBER_RETENTION_MS, () => { this._lapsed.delete(vm); this.members.delete(vm) }))
+      log.event('info', 'member.lapsed', { peer: vm })
+      return
+    }
+    const member = parsed(memberSchema, stored.value)
+    if (!member) return log.event('warn', 'member.unreadable', { peer: vm, revision: stored.modRevision })
+    log.event('info', 'member.seen', { peer: vm, incarnation: member.incarnation, revision: stored.modRevision })
+    this.members.set(vm, member)
+  }
+
+  private _learnLeader (stored: StoredValue | undefined): void {
+    const value = stored && parsed(leaderSchema, stored.value)
+    const leader = value && { ...value, epoch: stored.modRevision }
+    if (leader?.epoch === this._leader?.epoch) return
+    // A view may lag behind an own election.
+    if (leader && this._leader && leader.epoch < this._leader.epoch) return
+    this._leader = leader
+    this._options.log.event('info', 'leader.changed', { peer: leader?.vm, epoch: leader?.epoch, term: leader?.term })
+    this._options.onLeaderChange(leader)
+  }
+
+  /** Stands for election when there is no leader, or when the leader was an earlier process of this VM. */
+  private _considerElection (): void {
+    const { vm, self, timers } = this._options
+    if (this._leaving || this._closed || this._leaseId === undefined || !this._view.loaded) return
+    const predecessor = this._leader?.vm === vm && this._leader.incarnation !== self.incarnation
+    if ((this._leader && !predecessor) || this._campaigning || this._campaign) return
+    const waitMs = predecessor ? 0 : this._rank() * RANK_STEP_MS
+    this._campaign = timers.after(waitMs, () => { this._campaign = undefined; this._stand() })
+  }
+
+  /** Number of present members that stand before this one: larger VMs first, then by name. */
+  private _rank (): number {
+    const { vm, self } = this._options
+    return this.presentMembers.filter(other => {
+      const size = this.members.get(other)!.size
+      return size > self.size || (size === self.size && other < vm)
+    }).length
+  }
+
+  private async _stand (): Promise<void> {
+    const { platform, log, vm, self, timers } = this._options
+    const current = this._view.get(LEADER_KEY)
+    const predecessor = current && parsed(leaderSchema, current.value)
+    const replaceable = !predecessor || (predecessor.vm === vm && predecessor.incarnation !== self.incarnation)
+    if (!replaceable || this._leaving || this._leaseId === undefined) return
+    this._campaigning = true
+    const term = Math.max(predecessor?.term ?? 0, this._lastTerm) + 1
+    const value = JSON.stringify({ vm, incarnation: self.incarnation, term })
+    const changes = [
+      { op: 'put' as const, key: LEADER_KEY, value, leaseId: this._leaseId },
+      { op: 'put' as const, key: `${CELL_PREFIX}term`, value: String(term) }
+    ]
+    const guards = [
+      { key: LEADER_KEY, modRevision: current?.modRevision ?? 0 },
+      { key: `${CELL_PREFIX}term`, modRevision: this._view.get(`${CELL_PREFIX}term`)?.modRevision ?? 0 }
+    ]
+    const result = await platform.txn(guards, changes, { timeoutMs: CALL_TIMEOUT_MS })
+    this._campaigning = false
+    if (this._closed) return
+    if (result.isErr) {
+      log.event('warn', 'election.failed', { detail: result.error.message, term })
+      // The write may have taken effect: the view shows it, and an own entry is taken on.
+      this._campaign = timers.after(RETRY_MS, () => { this._campaign = undefined; this._adoptOrStand(result.error.effect === EFFECTS.none) })
+      return
+    }
+    if (!result.value.applied) {
+      log.event('info', 'election.lost', { term, revision: result.value.revision })
+      this._campaign = timers.after(RETRY_MS, () => { this._campaign = undefined; this._considerElection() })
+      return
+    }
+    this._elected({ vm, incarnation: self.incarnation, term, epoch: result.value.revision })
+  }
+
+  /** After an election whose outcome is not known: takes on an own entry that the store holds, or stands again. */
+  private async _adoptOrStand (certain: boolean): Promise<void> {
+    const { platform, self, timers } = this._options
+    if (certain) return this._considerElection()
+    const read = await platform.get(LEADER_KEY, { timeoutMs: CALL_TIMEOUT_MS })
+    if (read.isErr) {
+      this._campaign = timers.after(RETRY_MS, () => { this._campaign = undefined; this._adoptOrStand(false) })
+      return
+    }
+    const value = read.value && parsed(leaderSchema, read.value.value)
+    if (value && value.incarnation === self.incarnation && this._leaseId !== undefined) this._elected({ ...value, epoch: read.value!.modRevision })
+    else this._considerElection()
+  }
+
+  private _elected (leader: Leader): void {
+    if (this._leader?.epoch === leader.epoch && this._leader.incarnation === leader.incarnation) return
+    this._leader = leader
+    this._options.log.event('info', 'leader.elected', { epoch: leader.epoch, term: leader.term, leaseRemainingMs: Math.round(this._lease.remainingMs) })
+    this._options.onLeaderChange(leader)
+    this._options.onElected(leader)
+  }
+
+  /** Number of the last term that the store knows. */
+  private get _lastTerm (): number {
+    const stored = this._view.get(`${CELL_PREFIX}term`)
+    const term = stored ? Number(stored.value) : 0
+    return Number.isInteger(term) ? term : 0
+  }
+}
+
+function parsed<T> (schema: z.ZodType<T>, text: string): T | undefined {
+  try {
+    return schema.safeParse(JSON.parse(text)).data
+  } catch {
+    // Not JSON: an entry of another writer, reported by the caller.
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/workflows/leaseClock.ts
@@ -0,0 +1,46 @@
+/**
+ * Remaining time of a lease by the holder's own clocks.
+ *
+ * @module
+ */
+
+import type { Timers } from '../seams/timers.js'
+
+/** Share of a lease that is counted on; the rest covers drift between the clocks of holder and store. */
+const USABLE_SHARE = 0.98
+
+/**
+ * Least disagreement of the clocks that counts as a suspension of the VM, in milliseconds. The monotonic
+ * clock stands still while a VM is suspended and the wall clock does not; clock adjustments stay below this.
+ */
+const SUSPENSION_MIN_MS = 250
+
+/** Counts a lease from before its last renewal was sent. */
+export class LeaseClock {
+  private readonly _timers: Timers
+  private _untilMs = Number.NEGATIVE_INFINITY
+  private _offsetMs = 0
+
+  constructor (timers: Timers) {
+    this._timers = timers
+  }
+
+  /** Notes a renewal that was confirmed: sent at `sentMs` of the monotonic clock and `sentWallMs` of the wall clock. */
+  renewed (sentMs: number, sentWallMs: number, ttlMs: number): void {
+    this._offsetMs = sentWallMs - sentMs
+    this._untilMs = sentMs + ttlMs * USABLE_SHARE
+  }
+
+  /** Notes the end of the lease. */
+  end (): void {
+    this._untilMs = Number.NEGATIVE_INFINITY
+  }
+
+  /** Time for which the lease surely lasts, in milliseconds; negative once it may have ended. */
+  get remainingMs (): number {
+    const nowMs = this._timers.now()
+    const suspendedMs = this._timers.wallClock() - nowMs - this._offsetMs
+    if (Math.abs(suspendedMs) > SUSPENSION_MIN_MS) return Math.min(0, this._untilMs - nowMs - suspendedMs)
+    return this._untilMs - nowMs
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/workflows/prefixView.ts
@@ -0,0 +1,126 @@
+/**
+ * A view of all keys under a prefix, kept by a watch.
+ *
+ * @module
+ */
+
+import type { PlatformClient, StoredValue, Watch } from '../seams/platformClient.js'
+import type { Timers, TimerSubscription } from '../seams/timers.js'
+import type { EventLog } from '../utils/eventLog.js'
+
+/** Pause before a list that failed is read again, in milliseconds; doubled up to the maximum. */
+const RETRY_MIN_MS = 50
+const RETRY_MAX_MS = 400
+
+/** Longest wait for a list, in milliseconds. */
+const LIST_TIMEOUT_MS = 1_000
+
+/** Options of a {@link PrefixView}. */
+export interface PrefixViewOptions {
+  prefix: string
+  platform: PlatformClient
+  timers: Timers
+  log: EventLog
+  /** Called with the keys that have changed, after each change. */
+  onChange: (keys: string[]) => void
+}
+
+/** Keeps the keys under a prefix. The values may be old; `ageMs` tells how old. */
+export class PrefixView {
+  private readonly _options: PrefixViewOptions
+  private readonly _values = new Map<string, StoredValue>()
+  private _watch: Watch | undefined
+  private _retry: TimerSubscription | undefined
+  private _retryMs = RETRY_MIN_MS
+  private _confirmedMs: number | undefined
+  private _failing = false
+  private _closed = false
+
+  constructor (options: PrefixViewOptions) {
+    this._options = options
+  }
+
+  /** Begins to read. The first call of `onChange` follows the first list, also when it is empty. */
+  start (): void {
+    this._list()
+  }
+
+  close (): void {
+    this._closed = true
+    this._retry?.cancel()
+    this._watch?.close()
+  }
+
+  /** True once a list has been read. */
+  get loaded (): boolean {
+    return this._confirmedMs !== undefined
+  }
+
+  /** Time since the store last confirmed the view, in milliseconds. Infinite before the first list. */
+  get ageMs (): number {
+    return this._confirmedMs === undefined ? Number.POSITIVE_INFINITY : this._options.timers.now() - this._confirmedMs
+  }
+
+  get (key: string): StoredValue | undefined {
+    return this._values.get(key)
+  }
+
+  values (): IterableIterator<StoredValue> {
+    return this._values.values()
+  }
+
+  private async _list (): Promise<void> {
+    const { prefix, platform, timers, log } = this._options
+    const askedMs = timers.now()
+    const list = await platform.range(prefix, { timeoutMs: LIST_TIMEOUT_MS })
+    if (this._closed) return
+    if (list.isErr) {
+      if (!this._failing) log.event('warn', 'view.list.failed', { prefix, detail: list.error.message, ageMs: Math.round(this.ageMs) })
+      this._failing = true
+      this._retry = timers.after(this._retryMs, () => { this._list() })
+      this._retryMs = Math.min(2 * this._retryMs, RETRY_MAX_MS)
+      return
+    }
+    if (this._failing) log.event('info', 'view.list.regained', { prefix, revision: list.value.revision })
+    this._failing = false
+    this._retryMs = RETRY_MIN_MS
+    this._replace(list.value.values, askedMs)
+    this._openWatch(list.value.revision + 1)
+  }
+
+  private _replace (values: StoredValue[], askedMs: number): void {
+    const first = !this.loaded
+    const gone = new Set(this._values.keys())
+    const changed: string[] = []
+    for (const value of values) {
+      gone.delete(value.key)
+      if (this._values.get(value.key)?.modRevision === value.modRevision) continue
+      this._values.set(value.key, value)
+      changed.push(value.key)
+    }
+    for (const key of gone) this._values.delete(key)
+    this._confirmedMs = askedMs
+    if (first || changed.length || gone.size) this._options.onChange([...changed, ...gone])
+  }
+
+  private _openWatch (fromRevision: number): void {
+    const { prefix, platform, timers, log } = this._options
+    this._watch = platform.watch(prefix, fromRevision, {
+      onEvents: events => {
+        if (this._closed) return
+        this._confirmedMs = timers.now()
+        for (const { key, value } of events) {
+          if (value) this._values.set(key, value)
+          else this._values.delete(key)
+        }
+        this._options.onChange([...new Set(events.map(event => event.key))])
+      },
+      onProgress: () => { this._confirmedMs = timers.now() },
+      onEnd: reason => {
+        if (this._closed) return
+        log.event('debug', 'view.watch.ended', { prefix, reason })
+        this._list()
+      }
+    })
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/workflows/progressRecorder.ts
@@ -0,0 +1,121 @@
+/**
+ * Records what has become of workflows in the platform's store, many in one transaction.
+ *
+ * @module
+ */
+
+import { progressKey } from './keys.js'
+import { isFinal, type WorkflowRuntime } from './workflowRuntime.js'
+import { COMMIT_REFUSALS, CommitRefusedError, type GroupCommitter } from '../commits/groupCommit.js'
+import { delay, type Timers } from '../seams/timers.js'
+import type { EventLog } from '../utils/eventLog.js'
+
+/** Most workflows of one transaction: the store takes 32 entries, of which the committer uses three. */
+const MAX_WORKFLOWS_PER_WRITE = 29
+/** Pause after a write that the store has refused for now, in milliseconds. */
+const RETRY_MS = 80
+
+interface Waiter {
+  /** Versions that must be recorded. */
+  versions: Map<WorkflowRuntime, number>
+  resolve: () => void
+}
+
+/** Options of a {@link ProgressRecorder}. */
+export interface ProgressRecorderOptions {
+  committer: GroupCommitter
+  timers: Timers
+  log: EventLog
+  /** Called when a workflow's final state has been recorded. */
+  onFinal: (workflow: WorkflowRuntime) => void
+  /** Called when another scheduler has taken over. */
+  onFenced: () => void
+}
+
+/** Writes the progress of changed workflows. */
+export class ProgressRecorder {
+  private readonly _options: ProgressRecorderOptions
+  /** Changed workflows with the number of their last change. */
+  private readonly _dirty = new Map<WorkflowRuntime, number>()
+  private _waiters: Waiter[] = []
+  private _version = 0
+  private _running = false
+  private _closed = false
+
+  constructor (options: ProgressRecorderOptions) {
+    this._options = options
+  }
+
+  /** Notes that a workflow has changed. */
+  changed (workflow: WorkflowRuntime): void {
+    this._dirty.delete(workflow)
+    this._dirty.set(workflow, ++this._version)
+    if (!this._running) this._run()
+  }
+
+  /** Resolves when the changes of these workflows so far are recorded. Never, when another scheduler takes over before. */
+  recorded (workflows: Iterable<WorkflowRuntime>): Promise<void> {
+    const versions = new Map<WorkflowRuntime, number>()
+    for (const workflow of workflows) {
+      const version = this._dirty.get(workflow)
+      if (version !== undefined) versions.set(workflow, version)
+    }
+    if (versions.size === 0) return Promise.resolve()
+    return new Promise(resolve => this._waiters.push({ versions, resolve }))
+  }
+
+  /** Number of workflows whose last change is not recorded. */
+  get pending (): number {
+    return this._dirty.size
+  }
+
+  close (): void {
+    this._closed = true
+    this._options.committer.close()
+  }
+
+  private async _run (): Promise<void> {
+    this._running = true
+    // The changes of one turn of the event loop go together.
+    await Promise.resolve()
+    while (this._dirty.size > 0 && !this._closed) await this._write([...this._dirty].slice(0, MAX_WORKFLOWS_PER_WRITE))
+    this._running = false
+  }
+
+  private async _write (batch: Array<[WorkflowRuntime, number]>): Promise<void> {
+    const { committer, timers, log, onFenced } = this._options
+    const endings = new Map(batch.map(([workflow]) => [workflow, workflow.ending]))
+    const changes = batch.map(([workflow]) => ({
+      op: 'put' as const, key: progressKey(workflow.record.id), value: JSON.stringify(workflow.progress())
+    }))
+    const startedMs = timers.now()
+    const result = await committer.commit(changes)
+    if (this._closed) return
+    if (result.isErr) {
+      const fenced = result.error instanceof CommitRefusedError && result.error.reason === COMMIT_REFUSALS.fence
+      log.event('warn', 'progress.write.failed', { workflows: batch.length, detail: result.error.message, fenced })
+      if (fenced) onFenced()
+      else await delay(timers, RETRY_MS)
+      return
+    }
+    for (const [workflow, version] of batch) {
+      if (this._dirty.get(workflow) === version) this._dirty.delete(workflow)
+      this._settle(workflow, version, endings.get(workflow), { revision: result.value, tookMs: timers.now() - startedMs })
+    }
+    this._waiters = this._waiters.filter(waiter => {
+      for (const [workflow, version] of batch) {
+        if ((waiter.versions.get(workflow) ?? Number.POSITIVE_INFINITY) <= version) waiter.versions.delete(workflow)
+      }
+      if (waiter.versions.size === 0) waiter.resolve()
+      return waiter.versions.size > 0
+    })
+  }
+
+  /** Tells the final state that has just been recorded. */
+  private _settle (workflow: WorkflowRuntime, version: number, ending: WorkflowRuntime['ending'], { revision, tookMs }: { revision: number, tookMs: number }): void {
+    if (ending === undefined || isFinal(workflow.state)) return
+    workflow.state = ending
+    this._options.log.event('info', 'workflow.ended', { jobId: workflow.record.id, state: ending, revision, version, recordMs: Math.round(tookMs) })
+    this._options.onFinal(workflow)
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/workflows/runHost.ts
@@ -0,0 +1,26 @@
+/**
+ * What a run needs to know of the worker where it runs.
+ *
+ * @module
+ */
+
+import type { WorkerEntry } from '../seams/workflowUpstreams.js'
+
+/** The scheduler's link to one life of a worker, as seen by its runs. */
+export interface RunHost {
+  /** Name of this life. */
+  readonly life: string
+  readonly entry: WorkerEntry
+  readonly closed: boolean
+  /** No starts before then, in milliseconds of the monotonic clock. */
+  suspendedUntilMs: number
+  /** True while a run counts there. */
+  hasRun (name: string, attempt: number): boolean
+  removeRun (name: string, attempt: number): void
+  /** End of the lease to ask for now, on the worker's clock. Undefined before the worker's clock is known. */
+  nextLeaseEnd (): number | undefined
+  /** Notes a lease end that is about to be sent. */
+  noteLeaseSent (untilMs: number): void
+  /** Notes the worker's clock from an answer that has just come. */
+  noteClock (clockMs: number | undefined): void
+}
--- /dev/null
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -0,0 +1,219 @@
+/**
+ * The workers that a scheduler uses: found in the directory, noted in the store before their first order,
+ * and given up when nothing can run there any more.
+ *
+ * @module
+ */
+
+import { z } from 'zod'
+import { LEADER_KEY, ROSTER_KEY } from './keys.js'
+import { lifeOf, WorkerSession, type WorkerSessionListener } from './workerSession.js'
+import { roomSchema } from '../protocol/workflows.js'
+import type { PlatformClient } from '../seams/platformClient.js'
+import { delay, type Timers } from '../seams/timers.js'
+import type { WorkerClient, WorkerDirectory, WorkerEntry } from '../seams/workflowUpstreams.js'
+import type { EventLog } from '../utils/eventLog.js'
+
+/** Time between two readings of the directory, in milliseconds: a quarter of the time in which leaving workers must get no new task. */
+const LIST_PERIOD_MS = 450
+/** Longest wait for the directory, in milliseconds. */
+const LIST_TIMEOUT_MS = 900
+/** Readings of the directory that lack a worker before it counts as gone. */
+const MISSING_READINGS = 2
+/** Time for which an earlier scheduler may go on extending leases after it has lost its own, in milliseconds. */
+export const EXTENSION_AFTER_LOSS_MS = 9_000
+
+const rosterSchema = z.array(z.object({
+  id: z.string(),
+  bornMs: z.number(),
+  service: z.string(),
+  address: z.string(),
+  failureDomain: z.string(),
+  draining: z.boolean(),
+  capacity: roomSchema,
+  labels: z.array(z.string())
+}))
+
+/** Options of a {@link WorkerFleet}. */
+export interface WorkerFleetOptions {
+  epoch: number
+  platform: PlatformClient
+  directory: WorkerDirectory
+  client: WorkerClient
+  timers: Timers
+  log: EventLog
+  listener: WorkerSessionListener
+  /** Length of the workers' leases, in milliseconds. */
+  leaseMs: number
+  /** Longest lease of a worker, in milliseconds. */
+  maxLeaseMs: number
+  waitMs: number
+  /** Called when workers were found, are leaving or are gone. */
+  onChange: () => void
+  onFenced: () => void
+}
+
+/** The workers of the cell. */
+export class WorkerFleet {
+  readonly sessions = new Map<string, WorkerSession>()
+  private readonly _options: WorkerFleetOptions
+  private readonly _inheritedUntilMs: number
+  private readonly _missing = new Map<string, number>()
+  private _rosterRevision: number | undefined
+  private _roster = new Set<string>()
+  /** Lives that an earlier scheduler may have used; undefined until the roster and the directory have been read. */
+  private _inherited: Set<string> | undefined
+  private _closed = false
+  private _listFailing = false
+
+  constructor (options: WorkerFleetOptions) {
+    this._options = options
+    this._inheritedUntilMs = options.timers.now() + (EXTENSION_AFTER_LOSS_MS + options.maxLeaseMs) / 0.98
+  }
+
+  start (): void {
+    this._listForever()
+  }
+
+  close (): void {
+    this._closed = true
+    for (const session of this.sessions.values()) session.close()
+  }
+
+  /** True when every worker that an earlier scheduler may have used has answered, or its runs have ended. */
+  get inheritanceSettled (): boolean {
+    if (!this._inherited) return false
+    for (const life of this._inherited) {
+      const session = this.sessions.get(life)
+      if (session && !session.synced && !session.lapsed) return false
+    }
+    return true
+  }
+
+  /** Removes a session whose worker is gone for good. */
+  drop (session: WorkerSession): void {
+    session.close()
+    this.sessions.delete(session.life)
+  }
+
+  private async _listForever (): Promise<void> {
+    const { timers } = this._options
+    while (!this._closed && !await this._readRoster()) await delay(timers, LIST_PERIOD_MS / 3)
+    while (!this._closed) {
+      const done = await this._list()
+      await delay(timers, done ? LIST_PERIOD_MS : LIST_PERIOD_MS / 3)
+    }
+  }
+
+  private async _readRoster (): Promise<boolean> {
+    const { platform, log } = this._options
+    const read = await platform.get(ROSTER_KEY, { timeoutMs: LIST_TIMEOUT_MS })
+    if (this._closed) return false
+    if (read.isErr) {
+      log.event('warn', 'roster.read.failed', { detail: read.error.message })
+      return false
+    }
+    this._rosterRevision = read.value?.modRevision ?? 0
+    const roster = rosterSchema.parse(read.value ? JSON.parse(read.value.value) : [])
+    for (const entry of roster) {
+      this._roster.add(lifeOf(entry))
+      this._open(entry, { listed: false })
+    }
+    return true
+  }
+
+  private async _list (): Promise<boolean> {
+    const { directory, log } = this._options
+    const list = await directory.list(LIST_TIMEOUT_MS)
+    if (this._closed) return false
+    if (list.isErr) {
+      if (!this._listFailing) log.event('warn', 'dependency.lost', { dependency: 'directory', detail: list.error.message })
+      this._listFailing = true
+      return false
+    }
+    if (this._listFailing) log.event('info', 'dependency.regained', { dependency: 'directory', workers: list.value.length })
+    this._listFailing = false
+    const fresh = list.value.filter(entry => !this._roster.has(lifeOf(entry)))
+    if (fresh.length && !await this._note(fresh)) return false
+    if (this._closed) return false
+    this._refresh(list.value)
+    this._inherited ??= new Set(this.sessions.keys())
+    this._options.onChange()
+    return true
+  }
+
+  /** Writes new workers to the roster before they get any order. */
+  private async _note (fresh: WorkerEntry[]): Promise<boolean> {
+    const { platform, epoch, log, onFenced } = this._options
+    const kept = [...this.sessions.values()].map(session => session.entry)
+    const known = new Set(kept.map(lifeOf))
+    const entries = [...kept, ...fresh.filter(entry => !known.has(lifeOf(entry)))]
+    const value = JSON.stringify(entries.map(({ leavesInMs, ...entry }) => entry))
+    const guards = [{ key: LEADER_KEY, modRevision: epoch }, { key: ROSTER_KEY, modRevision: this._rosterRevision! }]
+    const result = await platform.txn(guards, [{ op: 'put', key: ROSTER_KEY, value }], { timeoutMs: LIST_TIMEOUT_MS })
+    if (this._closed) return false
+    if (result.isOk && result.value.applied) {
+      this._rosterRevision = result.value.revision
+      this._roster = new Set(entries.map(lifeOf))
+      return true
+    }
+    log.event('warn', 'roster.write.failed', { detail: result.isErr ? result.error.message : 'a guard does not hold', epoch })
+    const read = await platform.get(ROSTER_KEY, { timeoutMs: LIST_TIMEOUT_MS })
+    if (read.isOk) {
+      // Either the write took effect although its answer was lost, or another scheduler has written.
+      if (result.isOk && (read.value?.modRevision ?? 0) === this._rosterRevision) onFenced()
+      this._rosterRevision = read.value?.modRevision ?? 0
+    }
+    return false
+  }
+
+  private _refresh (entries: WorkerEntry[]): void {
+    const { log } = this._options
+    const present = new Map(entries.map(entry => [lifeOf(entry), entry]))
+    for (const [life, entry] of present) {
+      this._missing.delete(life)
+      const session = this.sessions.get(life)
+      if (!session) {
+        this._open(entry, { listed: true })
+        continue
+      }
+      if (entry.draining && !session.entry.draining) log.event('info', 'worker.draining', { worker: life, leavesInMs: entry.leavesInMs, runs: session.runs.size })
+      session.entry = entry
+      session.listed = true
+    }
+    const newestAt = new Map(entries.map(entry => [entry.address, entry]))
+    for (const [life, session] of this.sessions) {
+      if (present.has(life)) continue
+      const successor = newestAt.get(session.entry.address)
+      if (successor && successor.bornMs > session.entry.bornMs) this._end(session, 'another life is at its address')
+      else this._noteMissing(session)
+    }
+  }
+
+  private _noteMissing (session: WorkerSession): void {
+    const readings = (this._missing.get(session.life) ?? 0) + 1
+    this._missing.set(session.life, readings)
+    if (readings >= MISSING_READINGS && session.listed) {
+      session.listed = false
+      this._options.log.event('info', 'worker.unlisted', { worker: session.life, reachable: session.reachable, runs: session.runs.size })
+    }
+    if (!session.listed && session.lapsed && session.runs.size === 0) this._end(session, 'unlisted and lapsed')
+  }
+
+  private _end (session: WorkerSession, reason: string): void {
+    this._options.listener.onLapse(session, reason)
+    session.lapsed = true
+    this.drop(session)
+    this._missing.delete(session.life)
+  }
+
+  private _open (entry: WorkerEntry, { listed }: { listed: boolean }): void {
+    const { epoch, client, timers, log, listener, leaseMs, waitMs } = this._options
+    const session = new WorkerSession({
+      entry, epoch, client, timers, log, listener, leaseMs, waitMs, inheritedUntilMs: this._inheritedUntilMs
+    })
+    session.listed = listed
+    this.sessions.set(session.life, session)
+    session.start()
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -0,0 +1,280 @@
+/**
+ * The scheduler's link to one life of a worker: its lease, its room, and what runs there.
+ *
+ * @module
+ */
+
+import { match, P } from 'ts-pattern'
+import type { RunHost } from './runHost.js'
+import { RUN_STATES, type Run } from './workflowRuntime.js'
+import type { Room } from '../protocol/workflows.js'
+import { START_REFUSALS, type LeaseReport, type WorkerClient, type WorkerEntry } from '../seams/workflowUpstreams.js'
+import { delay, type Timers } from '../seams/timers.js'
+import type { EventLog } from '../utils/eventLog.js'
+
+/** Least rate of a worker's clock: it may be 2% slow. */
+const WORKER_CLOCK_RATE = 0.98
+/** Allowance for whole milliseconds and late timers when a lease is taken to have ended, in milliseconds. */
+const LAPSE_SLACK_MS = 100
+/** Longest time for an answer beyond the wait that was asked for, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 700
+/** Pause between tries at a worker that does not answer, in milliseconds. */
+const PROBE_PERIOD_MS = 250
+/** Longest time without an extension while ends wait for their record, in milliseconds. */
+const RECORD_WAIT_MS = 800
+
+/** What a session tells the scheduler. */
+export interface WorkerSessionListener {
+  /** The worker has answered. Resolves when the ends in the report are recorded. */
+  onReport (session: WorkerSession, report: LeaseReport, askedMs: number): Promise<void>
+  /** Whatever ran at the worker has ended for certain. */
+  onLapse (session: WorkerSession, reason: string): void
+  /** The worker has seen a newer epoch. */
+  onStaleEpoch (session: WorkerSession): void
+  /** True while leases may be extended under this epoch. */
+  mayExtend (): boolean
+}
+
+/** Options of a {@link WorkerSession}. */
+export interface WorkerSessionOptions {
+  entry: WorkerEntry
+  epoch: number
+  client: WorkerClient
+  timers: Timers
+  log: EventLog
+  listener: WorkerSessionListener
+  /** Length of the worker's lease, in milliseconds. */
+  leaseMs: number
+  /** Longest wait for an end in one call, in milliseconds. */
+  waitMs: number
+  /** Time by which whatever an earlier scheduler started has ended, in milliseconds of the monotonic clock. */
+  inheritedUntilMs: number
+}
+
+/** A report whose ends are being recorded. */
+interface HandledReport {
+  recorded: Promise<void>
+  highestEnd: number
+}
+
+/** One life of a worker. */
+export class WorkerSession implements RunHost {
+  entry: WorkerEntry
+  /** Runs by `task#attempt`. */
+  readonly runs = new Map<string, Run>()
+  readonly used: Room = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+  /** True once the worker has answered under this epoch: nothing of an earlier one can start there any more. */
+  synced = false
+  /** False while calls fail. */
+  reachable = false
+  /** False once the directory no longer lists it. */
+  listed = true
+  /** True when whatever ran there before has ended without an answer. */
+  lapsed = false
+  /** No starts before then, in milliseconds of the monotonic clock. */
+  suspendedUntilMs = 0
+  private readonly _options: WorkerSessionOptions
+  private _acknowledged = 0
+  private _highestEnd = 0
+  private _clock: { atMs: number, receivedMs: number } | undefined
+  /** End of the lease on the worker's clock, the largest that may have arrived. */
+  private _leaseUntil = 0
+  private _closed = false
+
+  constructor (options: WorkerSessionOptions) {
+    this._options = options
+    this.entry = options.entry
+  }
+
+  /** Name of this life. */
+  get life (): string {
+    return lifeOf(this.entry)
+  }
+
+  get closed (): boolean {
+    return this._closed
+  }
+
+  /** Begins to extend the lease, until closed. */
+  start (): void {
+    this._extendForever()
+  }
+
+  close (): void {
+    this._closed = true
+  }
+
+  /** Number of the highest end whose report has been handled. */
+  get highestEnd (): number {
+    return this._highestEnd
+  }
+
+  /** Notes that ends up to `sequence` have been handled. */
+  noteEnds (sequence: number): void {
+    this._highestEnd = Math.max(this._highestEnd, sequence)
+  }
+
+  /** Room for one more task of `size`. */
+  fits (size: Room): boolean {
+    const { capacity } = this.entry
+    return this.used.cpuMillis + size.cpuMillis <= capacity.cpuMillis &&
+      this.used.memoryMb + size.memoryMb <= capacity.memoryMb &&
+      this.used.accelerators + size.accelerators <= capacity.accelerators
+  }
+
+  addRun (run: Run): void {
+    this.runs.set(runKey(run.name, run.attempt), run)
+    this._count(run.size, 1)
+  }
+
+  hasRun (name: string, attempt: number): boolean {
+    return this.runs.has(runKey(name, attempt))
+  }
+
+  removeRun (name: string, attempt: number): void {
+    const run = this.runs.get(runKey(name, attempt))
+    if (!run) return
+    this.runs.delete(runKey(name, attempt))
+    this._count(run.size, -1)
+  }
+
+  /** End of the lease to ask for now, on the worker's clock. Undefined before the worker's clock is known. */
+  nextLeaseEnd (): number | undefined {
+    if (!this._clock) return
+    const clockMs = this._clock.atMs + (this._options.timers.now() - this._clock.receivedMs)
+    return Math.floor(clockMs + this._options.leaseMs)
+  }
+
+  /** Notes a lease end that is about to be sent. */
+  noteLeaseSent (untilMs: number): void {
+    this._leaseUntil = Math.max(this._leaseUntil, untilMs)
+  }
+
+  /** Notes the worker's clock from an answer that has just come. */
+  noteClock (clockMs: number | undefined): void {
+    if (clockMs !== undefined) this._clock = { atMs: clockMs, receivedMs: this._options.timers.now() }
+  }
+
+  /** Time by which everything there has ended unless the lease is extended, in milliseconds of the monotonic clock. */
+  get lapsesAtMs (): number {
+    if (!this._clock) return this._options.inheritedUntilMs
+    const ownMs = this._clock.receivedMs + (this._leaseUntil - this._clock.atMs) / WORKER_CLOCK_RATE + LAPSE_SLACK_MS
+    return this.synced ? ownMs : Math.max(ownMs, this._options.inheritedUntilMs)
+  }
+
+  private async _extendForever (): Promise<void> {
+    const { timers, listener } = this._options
+    let report: HandledReport | undefined
+    while (!this._closed) {
+      if (!listener.mayExtend()) {
+        this._checkLapse('the lease may no longer be extended')
+        await delay(timers, PROBE_PERIOD_MS)
+        continue
+      }
+      if (report && await this._settledWithin(report.recorded, RECORD_WAIT_MS)) {
+        this._acknowledged = Math.max(this._acknowledged, report.highestEnd)
+        report = undefined
+      }
+      if (this._closed) return
+      const next = await this._extend({ mayWait: report === undefined })
+      if (next) {
+        report = next
+        continue
+      }
+      if (this._closed) return
+      this._checkLapse('the worker does not answer')
+      await delay(timers, PROBE_PERIOD_MS)
+    }
+  }
+
+  /** One call. Undefined when it failed. A worker whose last call failed is only asked, since each extension that may arrive moves its lapse. */
+  private async _extend ({ mayWait }: { mayWait: boolean }): Promise<HandledReport | undefined> {
+    const { client, epoch, timers, listener, waitMs, log } = this._options
+    const untilMs = this.reachable ? this.nextLeaseEnd() : undefined
+    if (untilMs !== undefined) this.noteLeaseSent(untilMs)
+    const wait = mayWait && this.reachable ? waitMs : 0
+    const askedMs = timers.now()
+    const answer = await client.extendLease(this.entry, { epoch, acknowledged: this._acknowledged, untilMs, waitMs: wait }, wait + ANSWER_TIMEOUT_MS)
+    if (this._closed) return
+    return match(answer)
+      .with({ isErr: true }, ({ error }) => {
+        if (this.reachable) log.event('warn', 'worker.lost', { worker: this.life, step: error.step, peer: error.peer, detail: error.message, runs: this.runs.size, lapsesInMs: Math.round(this.lapsesAtMs - timers.now()) })
+        this.reachable = false
+        return undefined
+      })
+      .with({ isErr: false, value: { refusal: P.string } }, ({ value }) => {
+        this._refused(value.refusal)
+        return undefined
+      })
+      .otherwise(({ value }) => {
+        const report = value as LeaseReport
+        this.noteClock(report.clockMs)
+        if (!this.reachable) log.event('info', 'worker.reached', { worker: this.life, epoch, running: report.running.length, ended: report.ended.length, first: !this.synced })
+        this.reachable = true
+        if (report.bornMs !== undefined && report.bornMs !== this.entry.bornMs) {
+          this._end('another life of the worker answered')
+          return undefined
+        }
+        this.synced = true
+        this.lapsed = false
+        const recorded = listener.onReport(this, report, askedMs)
+        return { recorded, highestEnd: this._highestEnd }
+      })
+  }
+
+  private _refused (refusal: string): void {
+    const { listener, log } = this._options
+    if (refusal === START_REFUSALS.staleEpoch) {
+      listener.onStaleEpoch(this)
+      return
+    }
+    if (refusal === START_REFUSALS.otherLife) {
+      this._end('another life of the worker answered')
+      return
+    }
+    if (this.reachable) log.event('warn', 'worker.refused', { worker: this.life, reason: refusal })
+    this.reachable = false
+  }
+
+  /** This life is over. */
+  private _end (reason: string): void {
+    this._closed = true
+    this.lapsed = true
+    this._options.listener.onLapse(this, reason)
+  }
+
+  private _checkLapse (reason: string): void {
+    if (this.lapsed || this._options.timers.now() < this.lapsesAtMs) return
+    this.lapsed = true
+    this._options.listener.onLapse(this, reason)
+  }
+
+  private _count (size: Room, sign: 1 | -1): void {
+    this.used.cpuMillis += sign * size.cpuMillis
+    this.used.memoryMb += sign * size.memoryMb
+    this.used.accelerators += sign * size.accelerators
+  }
+
+  private _settledWithin (promise: Promise<void>, ms: number): Promise<boolean> {
+    return new Promise(resolve => {
+      const timer = this._options.timers.after(ms, () => resolve(false))
+      promise.then(() => { timer.cancel(); resolve(true) })
+    })
+  }
+}
+
+/** Name of a life of a worker. */
+export function lifeOf (entry: WorkerEntry): string {
+  return `${entry.id}@${entry.bornMs}`
+}
+
+/** Name of a run at its worker. */
+export function runKey (task: string, attempt: number): string {
+  return `${task}#${attempt}`
+}
+
+/** True for runs that a report must show. */
+export function mustBeListed (run: Run, askedMs: number): boolean {
+  if (run.state === RUN_STATES.stopping && run.stopConfirmedMs !== undefined) return run.stopConfirmedMs < askedMs
+  return run.confirmedMs !== undefined && run.confirmedMs < askedMs
+}
--- /dev/null
+++ b/packages/pomelofold/src/workflows/workflowService.ts
@@ -0,0 +1,186 @@
+/**
+ * What a daemon does for callers: takes workflows in, tells their states, cancels them.
+ *
+ * @module
+ */
+
+import type { CellSession } from './cellSession.js'
+import type { SchedulerTerm } from './schedulerTerm.js'
+import { isFinal } from './workflowRuntime.js'
+import { STORE_OUTCOMES, type StoreOutcome, type WorkflowStore } from './workflowStore.js'
+import { JOB_STATES } from '../protocol/jobs.js'
+import type { Workflow, WorkflowState } from '../protocol/workflows.js'
+import type { PeerTransport } from '../seams/peerTransport.js'
+import type { Timers } from '../seams/timers.js'
+import type { EventLog } from '../utils/eventLog.js'
+
+/** Longest wait for the scheduler's answer, in milliseconds. */
+const SCHEDULER_TIMEOUT_MS = 400
+/** Longest wait for a peer that writes for this daemon, in milliseconds: its own tries and the way. */
+const PROXY_TIMEOUT_MS = 1_700
+/** Peers that are asked to write for this daemon, one after the other. */
+const MAX_PROXIES = 2
+/** Final states that are remembered. */
+const MAX_FINAL_STATES = 20_000
+/** Age of the last known queue depths up to which they are told, in milliseconds. */
+const MAX_DEPTH_AGE_MS = 1_500
+
+/** Options of a {@link WorkflowService}. */
+export interface WorkflowServiceOptions {
+  vm: string
+  store: WorkflowStore
+  session: CellSession
+  transport: PeerTransport
+  timers: Timers
+  log: EventLog
+  /** The scheduler's term, while this daemon schedules. */
+  ownTerm: () => SchedulerTerm | undefined
+}
+
+/** Answer to a question about a workflow. */
+export type StateAnswer = { state: WorkflowState } | 'unknownWorkflow' | 'unavailable'
+
+/** Serves callers of workflows. */
+export class WorkflowService {
+  private readonly _options: WorkflowServiceOptions
+  private readonly _finalStates = new Map<string, { state: WorkflowState, queue: string }>()
+  private _depths: { waiting: Record<string, number>, readMs: number } | undefined
+
+  constructor (options: WorkflowServiceOptions) {
+    this._options = options
+  }
+
+  /** Stores a workflow, through a peer when this daemon has no path to the store. */
+  async submit (workflow: Workflow): Promise<StoreOutcome> {
+    const { log, timers } = this._options
+    const startedMs = timers.now()
+    const own = await this.storeHere(workflow)
+    const outcome = own === STORE_OUTCOMES.notStored ? await this._storeThroughPeer(workflow) : own
+    log.event(outcome === STORE_OUTCOMES.stored ? 'info' : 'warn', 'workflow.submitted', {
+      requestId: workflow.id, jobId: workflow.id, queue: workflow.queue, outcome, throughPeer: own === STORE_OUTCOMES.notStored, tookMs: Math.round(timers.now() - startedMs)
+    })
+    return outcome
+  }
+
+  /** Stores a workflow by this daemon's own path, and tells the scheduler. */
+  async storeHere (workflow: Workflow): Promise<StoreOutcome> {
+    const { outcome, revision } = await this._options.store.submit(workflow)
+    if (outcome === STORE_OUTCOMES.stored && revision !== undefined) this._tellScheduler('workflowStored', { workflow, revision })
+    return outcome
+  }
+
+  /** State of a workflow: by the scheduler, else by the store. Only the store can say that there is none. */
+  async state (id: string): Promise<StateAnswer> {
+    const remembered = this._finalStates.get(id)
+    if (remembered) return { state: remembered.state }
+    const answer = await this._stateByScheduler(id) ?? await this._options.store.read(id)
+    if (answer === undefined) return 'unavailable'
+    if (answer === null) return 'unknownWorkflow'
+    this._remember(id, answer)
+    return { state: answer.state }
+  }
+
+  /** Cancels a workflow. */
+  async cancel (id: string): Promise<'cancelled' | 'unknownWorkflow' | 'unavailable'> {
+    const { log } = this._options
+    const outcome = await this._cancelHere(id)
+    log.event('info', 'workflow.cancel', { requestId: id, jobId: id, outcome })
+    return outcome
+  }
+
+  /** Number of the queue's workflows that have not started; undefined when it is not known well enough. */
+  async waiting (queue: string): Promise<number | undefined> {
+    const { timers, session, transport, ownTerm } = this._options
+    const own = ownTerm()?.queueDepths()
+    if (own) return own[queue] ?? 0
+    const { leader } = session
+    const askedMs = timers.now()
+    const answer = leader && await transport.call(leader.vm, 'queueDepths', {}, SCHEDULER_TIMEOUT_MS)
+    if (answer?.isOk && answer.value.waiting) this._depths = { waiting: answer.value.waiting, readMs: askedMs }
+    if (!this._depths || timers.now() - this._depths.readMs > MAX_DEPTH_AGE_MS) return
+    return this._depths.waiting[queue] ?? 0
+  }
+
+  /** Stores a cancellation by this daemon's own path, else through a peer. */
+  private async _cancelHere (id: string): Promise<'cancelled' | 'unknownWorkflow' | 'unavailable'> {
+    const state = await this.state(id)
+    if (state === 'unknownWorkflow') return 'unknownWorkflow'
+    if (state !== 'unavailable' && isFinal(state.state)) return state.state === JOB_STATES.cancelled ? 'cancelled' : 'unknownWorkflow'
+    if (state !== 'unavailable') {
+      const { outcome } = await this._options.store.cancel(id)
+      if (outcome === STORE_OUTCOMES.stored) {
+        await this._tellScheduler('workflowCancelled', { id })
+        return 'cancelled'
+      }
+    }
+    for (const vm of this._proxies()) {
+      const answer = await this._options.transport.call(vm, 'storeCancellation', { id }, PROXY_TIMEOUT_MS)
+      if (answer.isOk && answer.value.outcome === 'stored') return 'cancelled'
+      if (answer.isOk && answer.value.outcome === 'unknownWorkflow') return 'unknownWorkflow'
+    }
+    return 'unavailable'
+  }
+
+  /** Serves a peer without a path to the store. */
+  async cancelForPeer (id: string): Promise<'stored' | 'unknownWorkflow' | 'failed'> {
+    const read = await this._options.store.read(id)
+    if (read === undefined) return 'failed'
+    if (read === null) return 'unknownWorkflow'
+    const { outcome } = await this._options.store.cancel(id)
+    if (outcome !== STORE_OUTCOMES.stored) return 'failed'
+    await this._tellScheduler('workflowCancelled', { id })
+    return 'stored'
+  }
+
+  private async _storeThroughPeer (workflow: Workflow): Promise<StoreOutcome> {
+    const { transport, log } = this._options
+    let maybeStored = false
+    for (const vm of this._proxies()) {
+      const answer = await transport.call(vm, 'storeWorkflow', { workflow }, PROXY_TIMEOUT_MS)
+      log.event('info', 'workflow.proxied', { jobId: workflow.id, peer: vm, outcome: answer.isOk ? answer.value.outcome : answer.error.message })
+      if (answer.isOk && answer.value.outcome === STORE_OUTCOMES.stored) return STORE_OUTCOMES.stored
+      maybeStored ||= answer.isOk ? answer.value.outcome === STORE_OUTCOMES.unknown : answer.error.effect !== 'none'
+      if (maybeStored) return STORE_OUTCOMES.unknown
+    }
+    return STORE_OUTCOMES.notStored
+  }
+
+  /** Peers to ask for help: the leader, which surely had a path to the store lately, then others. */
+  private _proxies (): string[] {
+    const { session, vm } = this._options
+    const names = [session.leader?.vm, ...session.presentMembers].filter((name): name is string => name !== undefined && name !== vm)
+    return [...new Set(names)].slice(0, MAX_PROXIES)
+  }
+
+  private async _stateByScheduler (id: string): Promise<{ state: WorkflowState, queue: string } | undefined> {
+    const { session, transport, ownTerm } = this._options
+    const own = ownTerm()?.stateOf(id)
+    if (own) return own
+    const { leader } = session
+    if (!leader || leader.vm === this._options.vm) return
+    const answer = await transport.call(leader.vm, 'workflowState', { id }, SCHEDULER_TIMEOUT_MS)
+    if (answer.isErr || answer.value.state === null || answer.value.queue === undefined) return
+    return { state: answer.value.state, queue: answer.value.queue }
+  }
+
+  private async _tellScheduler (...[method, params]: ['workflowStored', { workflow: Workflow, revision: number }] | ['workflowCancelled', { id: string }]): Promise<void> {
+    const { session, transport, ownTerm, log } = this._options
+    const own = ownTerm()
+    if (own) {
+      if (method === 'workflowStored') own.addWorkflow(params.workflow, params.revision)
+      else own.cancel(params.id)
+      return
+    }
+    const { leader } = session
+    // Without a word, the scheduler learns of it by its watch.
+    if (!leader || leader.vm === this._options.vm) return
+    const told = await transport.call(leader.vm, method, params, SCHEDULER_TIMEOUT_MS)
+    if (told.isErr) log.event('warn', 'scheduler.not.told', { step: method, peer: leader.vm, detail: told.error.message })
+  }
+
+  private _remember (id: string, answer: { state: WorkflowState, queue: string }): void {
+    if (!isFinal(answer.state)) return
+    this._finalStates.set(id, answer)
+    if (this._finalStates.size > MAX_FINAL_STATES) this._finalStates.delete(this._finalStates.keys().next().value!)
+  }
+}
--- a/tests/peers/tcpPeerTransport.test.ts
+++ b/tests/peers/tcpPeerTransport.test.ts
@@ -21,7 +21,7 @@
   const transport = new TcpPeerTransport({
     self: { vm: 'entry-b', failureDomain: 'b', incarnation: '2' },
     address: '127.0.0.1:0',
-    members: [{ vm: 'entry-a', failureDomain: 'a', address: `127.0.0.1:${listener.port}` }],
+    members: new Map([['entry-a', { failureDomain: 'a', address: `127.0.0.1:${listener.port}` }]]),
     timers,
     log: SILENT_LOG
   })
