--- a/packages/pomelofold/src/commits/groupCommit.ts
+++ b/packages/pomelofold/src/commits/groupCommit.ts
@@ -117,7 +117,10 @@
   private _chainRevision: number | undefined
   private _lastWriteMs = Number.NEGATIVE_INFINITY
 
-  constructor ({ timers, platform, random, writer, minIntervalMs = 250, maxEntries = MAX_CHANGES_PER_WRITE, retryMaxMs = RETRY_MAX_MS, fence = () => undefined }: GroupCommitterOptions) {
+  constructor ({
+    timers, platform, random, writer, minIntervalMs = 250, maxEntries = MAX_CHANGES_PER_WRITE, retryMaxMs = RETRY_MAX_MS,
+    fence = () => undefined
+  }: GroupCommitterOptions) {
     this._timers = timers
     this._platform = platform
     this._minIntervalMs = minIntervalMs
--- a/packages/pomelofold/src/edge/logWriter.ts
+++ b/packages/pomelofold/src/edge/logWriter.ts
@@ -75,7 +75,8 @@
     this._dropped = 0
     let chars = 0
     let count = 0
-    while (count < this._lines.length && (count === 0 || chars + this._lines[count].length < MAX_WRITE_CHARS)) chars += this._lines[count++].length + 1
+    do chars += this._lines[count++].length + 1
+    while (count < this._lines.length && chars + this._lines[count].length < MAX_WRITE_CHARS)
     const bytes = Buffer.from(`${this._lines.splice(0, count).join('\n')}\n`)
     this._chars -= chars
     this._writing = true
--- a/packages/pomelofold/src/seams/workflowUpstreams.ts
+++ b/packages/pomelofold/src/seams/workflowUpstreams.ts
@@ -127,11 +127,17 @@
 
 /** Client of workers. Every call names the life of the worker that it is meant for. Never rejects. */
 export interface WorkerClient {
-  extendLease (worker: WorkerEntry, extension: LeaseExtension, timeoutMs: number): Promise<Result<LeaseReport | { refusal: StartRefusal }, CallError>>
+  extendLease (
+    worker: WorkerEntry, extension: LeaseExtension, timeoutMs: number
+  ): Promise<Result<LeaseReport | { refusal: StartRefusal }, CallError>>
   start (worker: WorkerEntry, start: RunStart, timeoutMs: number): Promise<Result<OrderAnswer, CallError>>
-  stop (worker: WorkerEntry, order: { epoch: number, task: string, attempt: number }, timeoutMs: number): Promise<Result<OrderAnswer, CallError>>
+  stop (
+    worker: WorkerEntry, order: { epoch: number, task: string, attempt: number }, timeoutMs: number
+  ): Promise<Result<OrderAnswer, CallError>>
   /** Lets the run work at this share of its speed. */
-  pace (worker: WorkerEntry, order: { epoch: number, task: string, attempt: number, percent: number }, timeoutMs: number): Promise<Result<OrderAnswer, CallError>>
+  pace (
+    worker: WorkerEntry, order: { epoch: number, task: string, attempt: number, percent: number }, timeoutMs: number
+  ): Promise<Result<OrderAnswer, CallError>>
 }
 
 /** List of workers that are present. */
--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -77,7 +77,9 @@
     })
     this._transport = options.transport(this._session.members)
     const store = new WorkflowStore({ platform, timers, log })
-    this.service = new WorkflowService({ vm, store, session: this._session, transport: this._transport, timers, log, ownTerm: () => this._term })
+    this.service = new WorkflowService({
+      vm, store, session: this._session, transport: this._transport, timers, log, ownTerm: () => this._term
+    })
   }
 
   async start (): Promise<void> {
@@ -147,7 +149,7 @@
     this._term.start()
   }
 
-  /** A scheduler that has lost its authority goes on extending leases for a bounded time, so that a short outage of the store ends no task. */
+  /** A scheduler that has lost its authority extends leases for a bounded time more, so that a short outage of the store ends no task. */
   private _mayExtend (epoch: number): boolean {
     const nowMs = this._options.timers.now()
     if (this._session.leadsForMs(epoch) > 0) {
--- a/packages/pomelofold/src/workflows/cellSession.ts
+++ b/packages/pomelofold/src/workflows/cellSession.ts
@@ -70,6 +70,8 @@
   private _leader: Leader | undefined
   private _campaign: TimerSubscription | undefined
   private _campaigning = false
+  /** Epoch of this daemon's newest election that has been told. */
+  private _electedEpoch = 0
   private _leaving = false
   private _closed = false
   private _connected = true
@@ -120,7 +122,9 @@
     const leader = this._leader
     if (leader?.incarnation !== self.incarnation) return
     this._leader = undefined
-    const result = await platform.txn([{ key: LEADER_KEY, modRevision: leader.epoch }], [{ op: 'delete', key: LEADER_KEY }], { timeoutMs: CALL_TIMEOUT_MS })
+    const result = await platform.txn(
+      [{ key: LEADER_KEY, modRevision: leader.epoch }], [{ op: 'delete', key: LEADER_KEY }], { timeoutMs: CALL_TIMEOUT_MS }
+    )
     log.event('info', 'leader.resigned', { epoch: leader.epoch, outcome: result.isOk ? 'deleted' : result.error.message })
   }
 
@@ -211,7 +215,11 @@
     this._lapsed.get(vm)?.cancel()
     this._lapsed.delete(vm)
     if (!stored) {
-      if (this.members.has(vm)) this._lapsed.set(vm, timers.after(MEMBER_RETENTION_MS, () => { this._lapsed.delete(vm); this.members.delete(vm) }))
+      if (this.members.has(vm)) {
+        this._lapsed.set(
+          vm, timers.after(MEMBER_RETENTION_MS, () => { this._lapsed.delete(vm); this.members.delete(vm) })
+        )
+      }
       log.event('info', 'member.lapsed', { peer: vm })
       return
     }
@@ -230,6 +238,8 @@
     this._leader = leader
     this._options.log.event('info', 'leader.changed', { peer: leader?.vm, epoch: leader?.epoch, term: leader?.term })
     this._options.onLeaderChange(leader)
+    // The view can show an own election before, or instead of, the answer to its write.
+    if (leader && leader.incarnation === this._options.self.incarnation) this._elected(leader)
   }
 
   /** Stands for election when there is no leader, or when the leader was an earlier process of this VM. */
@@ -274,7 +284,9 @@
     if (result.isErr) {
       log.event('warn', 'election.failed', { detail: result.error.message, term })
       // The write may have taken effect: the view shows it, and an own entry is taken on.
-      this._campaign = timers.after(RETRY_MS, () => { this._campaign = undefined; this._adoptOrStand(result.error.effect === EFFECTS.none) })
+      this._campaign = timers.after(
+        RETRY_MS, () => { this._campaign = undefined; this._adoptOrStand(result.error.effect === EFFECTS.none) }
+      )
       return
     }
     if (!result.value.applied) {
@@ -295,14 +307,20 @@
       return
     }
     const value = read.value && parsed(leaderSchema, read.value.value)
-    if (value && value.incarnation === self.incarnation && this._leaseId !== undefined) this._elected({ ...value, epoch: read.value!.modRevision })
-    else this._considerElection()
+    if (value && value.incarnation === self.incarnation && this._leaseId !== undefined) {
+      this._elected({
+        ...value, epoch: read.value!.modRevision
+      })
+    } else this._considerElection()
   }
 
   private _elected (leader: Leader): void {
-    if (this._leader?.epoch === leader.epoch && this._leader.incarnation === leader.incarnation) return
+    if (leader.epoch <= this._electedEpoch || this._leaving || this._closed) return
+    this._electedEpoch = leader.epoch
     this._leader = leader
-    this._options.log.event('info', 'leader.elected', { epoch: leader.epoch, term: leader.term, leaseRemainingMs: Math.round(this._lease.remainingMs) })
+    this._options.log.event(
+      'info', 'leader.elected', { epoch: leader.epoch, term: leader.term, leaseRemainingMs: Math.round(this._lease.remainingMs) }
+    )
     this._options.onLeaderChange(leader)
     this._options.onElected(leader)
   }
--- /dev/null
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -0,0 +1,136 @@
+/**
+ * Decides which task starts where.
+ *
+ * Load pattern: more work waits than there is room for, urgent and overnight mixed. Steps are tried in the
+ * order of their queue's priority, then of their submission; the eligibility service is asked ahead of the start.
+ *
+ * @module
+ */
+
+import { MAX_WORKERS_PER_CALL, type EligibilityBook } from './eligibilityBook.js'
+import type { SpeedLearner } from './speedLearner.js'
+import { countedRoom, placeStep } from './stepPlacer.js'
+import type { WorkerFleet } from './workerFleet.js'
+import type { WorkerSession } from './workerSession.js'
+import type { WorkerTrust } from './workerTrust.js'
+import type { WorkflowBook } from './workflowBook.js'
+import type { StepRuntime, Task, WorkflowRuntime } from './workflowRuntime.js'
+import { formatStepName } from '../protocol/workflows.js'
+import type { Timers } from '../seams/timers.js'
+import type { CellConfig, QueueConfig } from '../seams/workflowUpstreams.js'
+
+/** Attempts of a task are numbered from the term's own range, so that no two schedulers use the same number. */
+const ATTEMPTS_PER_TERM = 1_000
+/** Processor share of each worker kept for work of priority 0. */
+const URGENT_SHARE = 0
+/** Priority of urgent queues. */
+const URGENT_PRIORITY = 0
+
+/** Options of a {@link Dispatcher}. */
+export interface DispatcherOptions {
+  epoch: number
+  /** Number of the term. */
+  term: number
+  timers: Timers
+  config: () => CellConfig | undefined
+  book: WorkflowBook
+  fleet: WorkerFleet
+  eligibility: EligibilityBook
+  speeds: SpeedLearner
+  trust: WorkerTrust
+  /** Starts a task. */
+  start: (task: Task, worker: WorkerSession, attempt: number, ticket: string | undefined) => void
+}
+
+/** Chooses tasks and workers. */
+export class Dispatcher {
+  private readonly _options: DispatcherOptions
+  private readonly _queues = new Map<string, QueueConfig>()
+
+  constructor (options: DispatcherOptions) {
+    this._options = options
+  }
+
+  /** The queue's configuration; the last known one while a new configuration lacks it. */
+  queueOf ({ record }: WorkflowRuntime): QueueConfig | undefined {
+    const queue = this._options.config()?.queues.get(record.queue)
+    if (queue) this._queues.set(queue.name, queue)
+    return queue ?? this._queues.get(record.queue)
+  }
+
+  /** Starts whatever may start now. */
+  dispatch (): void {
+    const { timers, fleet, book, epoch } = this._options
+    const wallClockMs = timers.wallClock()
+    const nowMs = timers.now()
+    const settled = fleet.inheritanceSettled
+    const steps: Array<{ step: StepRuntime, queue: QueueConfig }> = []
+    for (const workflow of book.open) {
+      if (workflow.over || (!settled && workflow.revision < epoch)) continue
+      const queue = this.queueOf(workflow)
+      if (!queue) continue
+      for (const step of workflow.openSteps(wallClockMs)) {
+        step.readyMs ??= nowMs
+        steps.push({ step, queue })
+      }
+    }
+    steps.sort((a, b) => a.queue.priority - b.queue.priority || a.step.workflow.record.submittedAtMs - b.step.workflow.record.submittedAtMs)
+    for (const { step, queue } of steps) this._dispatchStep(step, queue, nowMs)
+  }
+
+  private _dispatchStep (step: StepRuntime, queue: QueueConfig, nowMs: number): void {
+    const tasks = step.waitingTasks(nowMs)
+    const { spec } = step
+    if (tasks.length === 0 || (spec.gang && tasks.length < step.tasks.length)) return
+    const { fleet, eligibility, speeds, start } = this._options
+    const stepName = stepNameOf(step)
+    const usable = [...fleet.sessions.values()].filter(worker => this._usable(worker, step, queue, nowMs))
+    const workers = queue.eligibility ? usable.filter(worker => eligibility.ticket(stepName, worker.life) !== undefined) : usable
+    const urgent = queue.priority === URGENT_PRIORITY
+    const assignments = workers.length === 0
+      ? []
+      : placeStep({
+        step, tasks, workers, urgent, slowness: worker => speeds.slowness(worker.entry.labels), urgentShare: URGENT_SHARE
+      })
+    const attempt = spec.gang ? this._nextAttempt(Math.max(...step.tasks.map(task => task.attempt))) : undefined
+    for (const { task, worker } of assignments) {
+      start(task, worker, attempt ?? this._nextAttempt(task.attempt), eligibility.ticket(stepName, worker.life))
+    }
+    if (queue.eligibility && assignments.length < tasks.length) this._askFor(stepName, step, queue, usable)
+  }
+
+  private _usable (worker: WorkerSession, step: StepRuntime, queue: QueueConfig, nowMs: number): boolean {
+    const { entry } = worker
+    if (entry.service !== queue.service || entry.draining || !worker.listed || !worker.reachable || !worker.synced) return false
+    if (worker.closed || worker.suspendedUntilMs > nowMs || this._options.trust.suspended(worker.life)) return false
+    const { requiredLabel } = step.spec
+    return requiredLabel === '' || entry.labels.includes(requiredLabel)
+  }
+
+  /** Asks which workers may run a step: first about all, later about known good ones with room and about new ones. */
+  private _askFor (stepName: string, step: StepRuntime, queue: QueueConfig, usable: WorkerSession[]): void {
+    const { eligibility } = this._options
+    if (eligibility.asking(stepName)) return
+    const room = countedRoom(step)
+    const asked = usable.filter(worker => {
+      const verdict = eligibility.verdict(stepName, worker.life)
+      if (verdict === undefined) return step.spec.size.memoryMb <= worker.entry.capacity.memoryMb
+      return verdict && worker.fits(room) && eligibility.ticket(stepName, worker.life) === undefined
+    })
+    const fitting = asked.filter(worker => worker.fits(room))
+    if (fitting.length === 0) return
+    const { decideMs, eachMs } = queue.eligibility!
+    const workers = fitting.slice(0, MAX_WORKERS_PER_CALL).map(worker => ({ id: worker.entry.id, life: worker.life }))
+    eligibility.wish({ step: stepName, workers, priority: queue.priority, expectedMs: decideMs + eachMs * workers.length })
+  }
+
+  /** The next number of an attempt after `attempt`, in this term's own range. */
+  private _nextAttempt (attempt: number): number {
+    return Math.max(attempt, (this._options.term - 1) * ATTEMPTS_PER_TERM) + 1
+  }
+}
+
+/** Name of a step at the eligibility service. */
+export function stepNameOf ({ workflow, occurrence, index }: StepRuntime): string {
+  return formatStepName(workflow.record.id, occurrence, index)
+}
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -5,29 +5,30 @@
  * @module
  */
 
-import { EligibilityBook, MAX_WORKERS_PER_CALL, type AskThrough } from './eligibilityBook.js'
-import { cancelledIdOf, INTAKE_PREFIX, LEADER_KEY, PROGRESS_PREFIX, workflowIdOf, workflowKey } from './keys.js'
-import { PrefixView } from './prefixView.js'
+import { Dispatcher, stepNameOf } from './dispatcher.js'
+import { EligibilityBook, type AskThrough } from './eligibilityBook.js'
+import { LEADER_KEY } from './keys.js'
 import { ProgressRecorder } from './progressRecorder.js'
 import { RunOrders } from './runOrders.js'
 import { SpeedLearner } from './speedLearner.js'
-import { countedRoom, placeStep } from './stepPlacer.js'
+import { countedRoom } from './stepPlacer.js'
 import { WorkerFleet } from './workerFleet.js'
+import { WorkflowBook } from './workflowBook.js'
 import { WorkerTrust } from './workerTrust.js'
 import { mustBeListed, runKey, type WorkerSession, type WorkerSessionListener } from './workerSession.js'
-import { isFinal, RUN_STATES, TASK_STATES, WorkflowRuntime, type Run, type StepRuntime, type Task } from './workflowRuntime.js'
+import { RUN_STATES, TASK_STATES, type WorkflowRuntime, type Run, type StepRuntime, type Task } from './workflowRuntime.js'
 import { GroupCommitter } from '../commits/groupCommit.js'
 import { JOB_STATES } from '../protocol/jobs.js'
-import { formatStepName, parseTaskName, progressSchema, workflowSchema, type Workflow, type WorkflowState } from '../protocol/workflows.js'
-import type { PlatformClient, StoredValue } from '../seams/platformClient.js'
+import type { Workflow, WorkflowState } from '../protocol/workflows.js'
+import type { PlatformClient } from '../seams/platformClient.js'
 import type { RandomSource } from '../seams/randomSource.js'
 import { delay, type Timers, type TimerSubscription } from '../seams/timers.js'
-import { RUN_ENDS, START_REFUSALS, type CellConfig, type LeaseReport, type ListedEnd, type ListedRun, type QueueConfig, type RunEnd, type StartRefusal, type WorkerClient, type WorkerDirectory } from '../seams/workflowUpstreams.js'
+import {
+  RUN_ENDS, START_REFUSALS, type CellConfig, type LeaseReport, type ListedEnd, type ListedRun, type RunEnd,
+  type StartRefusal, type WorkerClient, type WorkerDirectory
+} from '../seams/workflowUpstreams.js'
 import type { EventLog } from '../utils/eventLog.js'
-import { errorText } from '../utils/errors.js'
 
-/** Attempts of a task are numbered from the term's own range, so that no two schedulers use the same number. */
-const ATTEMPTS_PER_TERM = 1_000
 /** Least time between the starts of two writes of progress, in milliseconds: bounds the writes at 40 a second. */
 const WRITE_INTERVAL_MS = 25
 /** Longest pause between tries of a write whose outcome is not known, in milliseconds. */
@@ -44,17 +45,14 @@
 const WORKER_PAUSE_MS = 400
 /** Period at which ended workflows are looked for that need not be kept, in milliseconds. */
 const RETENTION_PERIOD_MS = 5_000
-/** Longest wait for the recorded progress of all workflows, in milliseconds. */
-const LOAD_TIMEOUT_MS = 2_000
-const LOAD_RETRY_MS = 100
-/** Processor share of each worker kept for work of priority 0. */
-const URGENT_SHARE = 0
+/** Pause between looks whether the store has been read, in milliseconds. */
+const LOAD_PAUSE_MS = 25
+/** Refusals after which the worker gets a pause. */
+const PAUSING_REFUSALS: ReadonlySet<StartRefusal | 'notSent'> = new Set([START_REFUSALS.noRoom, START_REFUSALS.unhealthy, 'notSent'])
 /** Length of workers' leases, in milliseconds: two waits for ends, a takeover and two lost calls. */
 const LEASE_MS = 6_000
 /** Longest wait for ends in one call to a worker, in milliseconds. */
 const LEASE_WAIT_MS = 1_500
-/** Priority of urgent queues. */
-const URGENT_PRIORITY = 0
 
 /** Times that the cell's platform sets, in milliseconds. */
 export interface SchedulingBounds {
@@ -104,10 +102,7 @@
 /** Schedules workflows. */
 export class SchedulerTerm implements WorkerSessionListener {
   private readonly _options: SchedulerTermOptions
-  private readonly _workflows = new Map<string, WorkflowRuntime>()
-  /** Workflows that are not over, in the order of their submission. */
-  private readonly _open = new Set<WorkflowRuntime>()
-  private readonly _intake: PrefixView
+  private readonly _book: WorkflowBook
   private readonly _fleet: WorkerFleet
   private readonly _recorder: ProgressRecorder
   private readonly _committer: GroupCommitter
@@ -115,12 +110,13 @@
   private readonly _eligibility: EligibilityBook
   private readonly _speeds = new SpeedLearner()
   private readonly _trust: WorkerTrust
-  private readonly _queues = new Map<string, QueueConfig>()
+  private readonly _dispatcher: Dispatcher
   private readonly _timers: TimerSubscription[] = []
   private readonly _starts = { count: 0 }
   private readonly _ends: TermFigures['ends'] = { done: 0, failed: 0, stopped: 0, lapsed: 0, broken: 0, alone: 0, lost: 0 }
   private readonly _refusals: Record<string, number> = {}
-  private _loaded = false
+  /** True while the daemon is about to hand over: nothing is started. */
+  private _quiet = false
   private _dispatchTimer: TimerSubscription | undefined
   private _closed = false
 
@@ -128,7 +124,6 @@
     this._options = options
     const { epoch, platform, directory, client, timers, random, log, bounds, authorityMs, askEligibility, eligibilityLanes } = options
     const onFenced = (): void => this._depose('the store holds a newer epoch')
-    this._intake = new PrefixView({ prefix: INTAKE_PREFIX, platform, timers, log, onChange: keys => { if (this._loaded) this._learn(keys) } })
     this._fleet = new WorkerFleet({
       epoch,
       platform,
@@ -153,7 +148,21 @@
       retryMaxMs: WRITE_RETRY_MAX_MS,
       fence: () => ({ key: LEADER_KEY, modRevision: epoch })
     })
-    this._recorder = new ProgressRecorder({ committer: this._committer, timers, log, onFinal: workflow => this._forgetSteps(workflow), onFenced })
+    this._book = new WorkflowBook({
+      epoch,
+      platform,
+      committer: this._committer,
+      timers,
+      log,
+      retentionMs: bounds.retentionMs,
+      onLearned: () => this._soon(),
+      onLoaded: () => this._soon(),
+      onCancelled: workflow => this._finish(workflow, JOB_STATES.cancelled, 'cancelled'),
+      onComplete: workflow => this._finish(workflow, JOB_STATES.done, 'all tasks are done')
+    })
+    this._recorder = new ProgressRecorder({
+      committer: this._committer, timers, log, onFinal: workflow => this._forgetSteps(workflow), onFenced
+    })
     this._orders = new RunOrders({
       epoch,
       client,
@@ -166,15 +175,27 @@
     })
     this._eligibility = new EligibilityBook({ timers, log, ask: askEligibility, lanes: eligibilityLanes, onAnswer: () => this._soon() })
     this._trust = new WorkerTrust({ timers, log })
+    this._dispatcher = new Dispatcher({
+      epoch,
+      term: options.term,
+      timers,
+      config: options.config,
+      book: this._book,
+      fleet: this._fleet,
+      eligibility: this._eligibility,
+      speeds: this._speeds,
+      trust: this._trust,
+      start: (task, worker, attempt, ticket) => this._start(task, worker, attempt, ticket)
+    })
   }
 
   /** Begins the term. */
   start (): void {
     const { timers } = this._options
-    this._intake.start()
+    this._book.start()
     this._fleet.start()
-    this._load()
-    this._timers.push(timers.every(DISPATCH_PERIOD_MS, () => this._dispatch()), timers.every(RETENTION_PERIOD_MS, () => this._expire()))
+    this._timers.push(timers.every(DISPATCH_PERIOD_MS, () => this._dispatch()))
+    this._timers.push(timers.every(RETENTION_PERIOD_MS, () => this._book.expire()))
   }
 
   /** Ends the term. Nothing is sent any more. */
@@ -183,7 +204,7 @@
     this._closed = true
     for (const timer of this._timers) timer.cancel()
     this._dispatchTimer?.cancel()
-    this._intake.close()
+    this._book.close()
     this._fleet.close()
     this._recorder.close()
     this._orders.close()
@@ -195,58 +216,46 @@
 
   /** Resolves when all changes so far are recorded. */
   async flush (): Promise<void> {
-    await this._recorder.recorded(this._workflows.values())
+    await this._recorder.recorded(this._book.all())
   }
 
   /** Stops placing tasks, as a daemon does that is about to hand over. */
   quiesce (): void {
-    this._loaded = false
+    this._quiet = true
   }
 
   /** State of a workflow as recorded; undefined when it is not known here. */
   stateOf (id: string): { state: WorkflowState, queue: string } | undefined {
-    const workflow = this._loaded ? this._workflows.get(id) : undefined
-    return workflow && { state: this._shownState(workflow), queue: workflow.record.queue }
+    const workflow = this._book.loaded ? this._book.get(id) : undefined
+    return workflow && { state: workflow.state, queue: workflow.record.queue }
   }
 
   /** Number of workflows without repetition of each queue that have not started; undefined before the store has been read. */
   queueDepths (): Record<string, number> | undefined {
-    if (!this._loaded) return
+    if (!this._book.loaded) return
     const depths: Record<string, number> = {}
-    for (const { record, state } of this._open) {
+    for (const { record, state } of this._book.open) {
       if (state === JOB_STATES.accepted && !record.repeat) depths[record.queue] = (depths[record.queue] ?? 0) + 1
     }
     return depths
   }
 
   /** Takes in a workflow that has been stored at `revision`. */
-  addWorkflow (record: Workflow, revision: number): WorkflowRuntime {
-    const known = this._workflows.get(record.id)
-    if (known) return known
-    const { timers, log } = this._options
-    const workflow = new WorkflowRuntime({ record, revision, learnedMs: timers.now() })
-    this._workflows.set(record.id, workflow)
-    this._open.add(workflow)
-    log.event('info', 'workflow.learned', { jobId: record.id, queue: record.queue, revision, steps: record.steps.length, tasks: record.steps.reduce((sum, step) => sum + step.tasks, 0), ageMs: Math.round(timers.wallClock() - record.submittedAtMs) })
-    this._soon()
-    return workflow
+  addWorkflow (record: Workflow, revision: number): void {
+    this._book.add(record, revision)
   }
 
   /** Cancels a workflow whose cancellation has been stored. */
   cancel (id: string): void {
-    const workflow = this._workflows.get(id)
-    if (!workflow || workflow.cancelled) return
-    workflow.cancelled = true
-    workflow.cancelledMs = this._options.timers.now()
-    if (!isFinal(workflow.state)) this._finish(workflow, JOB_STATES.cancelled, 'cancelled')
+    this._book.cancel(id)
   }
 
   /** Placement figures for metrics. */
   figures (): TermFigures {
     const sessions = [...this._fleet.sessions.values()]
     return {
-      workflows: this._workflows.size,
-      openWorkflows: this._open.size,
+      workflows: this._book.size,
+      openWorkflows: this._book.open.size,
       workers: sessions.length,
       reachableWorkers: sessions.filter(session => session.reachable).length,
       runs: sessions.reduce((sum, session) => sum + session.runs.size, 0),
@@ -274,15 +283,15 @@
 
   async onReport (session: WorkerSession, report: LeaseReport, askedMs: number): Promise<void> {
     if (this._closed) return
-    while (!this._loaded) {
+    while (!this._book.loaded) {
       // What runs is known only by the workflows in the store.
-      await delay(this._options.timers, LOAD_RETRY_MS / 4)
+      await delay(this._options.timers, LOAD_PAUSE_MS)
       if (this._closed || session.closed) return
     }
     const touched = new Set<WorkflowRuntime>()
     for (const end of report.ended) {
       if (end.sequence <= session.highestEnd) {
-        const workflow = this._workflowOf(end.task)
+        const workflow = this._book.task(end.task)?.step.workflow
         if (workflow) touched.add(workflow)
         continue
       }
@@ -302,100 +311,6 @@
     await this._recorder.recorded(touched)
   }
 
-  /** Reads intake and progress, which were complete when this term's epoch was written. */
-  private async _load (): Promise<void> {
-    const { platform, timers, log, epoch } = this._options
-    const startedMs = timers.now()
-    const progress = new Map<string, StoredValue>()
-    for (;;) {
-      const read = await platform.range(PROGRESS_PREFIX, { timeoutMs: LOAD_TIMEOUT_MS })
-      if (this._closed) return
-      if (read.isOk) {
-        for (const value of read.value.values) progress.set(value.key.slice(PROGRESS_PREFIX.length), value)
-        break
-      }
-      log.event('warn', 'term.load.failed', { epoch, detail: read.error.message })
-      await delay(timers, LOAD_RETRY_MS)
-    }
-    while (!this._intake.loaded) {
-      await delay(timers, LOAD_RETRY_MS / 10)
-      if (this._closed) return
-    }
-    this._learn([...this._intake.values()].map(value => value.key), progress)
-    this._loaded = true
-    log.event('info', 'term.loaded', { epoch, records: progress.size, workflows: this._workflows.size, open: this._open.size, tookMs: Math.round(timers.now() - startedMs) })
-    this._soon()
-  }
-
-  /** Takes in changed keys of the intake, workflows before cancellations. */
-  private _learn (keys: string[], progress?: Map<string, StoredValue>): void {
-    const { log } = this._options
-    for (const key of keys) {
-      const id = workflowIdOf(key)
-      const stored = this._intake.get(key)
-      if (id === undefined) continue
-      if (!stored) {
-        this._forget(id)
-        continue
-      }
-      if (this._workflows.has(id)) continue
-      try {
-        const workflow = this.addWorkflow(workflowSchema.parse(JSON.parse(stored.value)), stored.modRevision)
-        const recorded = progress?.get(id)
-        if (recorded) this._restore(workflow, recorded)
-      } catch (err) {
-        log.event('error', 'workflow.unreadable', { jobId: id, revision: stored.modRevision, detail: errorText(err) })
-      }
-    }
-    for (const key of keys) {
-      const id = cancelledIdOf(key)
-      if (id !== undefined && this._intake.get(key)) this.cancel(id)
-    }
-  }
-
-  private _restore (workflow: WorkflowRuntime, recorded: StoredValue): void {
-    workflow.restore(progressSchema.parse(JSON.parse(recorded.value)))
-    if (isFinal(workflow.state)) this._open.delete(workflow)
-    else if (workflow.complete) this._finish(workflow, JOB_STATES.done, 'all tasks are done')
-  }
-
-  private _forget (id: string): void {
-    const workflow = this._workflows.get(id)
-    if (!workflow) return
-    this._workflows.delete(id)
-    this._open.delete(workflow)
-  }
-
-  /** Deletes workflows that ended longer ago than their state has to be told. */
-  private _expire (): void {
-    const { timers, bounds } = this._options
-    const beforeMs = timers.wallClock() - bounds.retentionMs
-    let left = 4
-    for (const [id, workflow] of this._workflows) {
-      if (!isFinal(workflow.state) || workflow.endedAtMs === undefined || workflow.endedAtMs > beforeMs) continue
-      if (left-- === 0) return
-      const keys = [workflowKey(id), `${INTAKE_PREFIX}cancelled/${id}`, `${PROGRESS_PREFIX}${id}`]
-      this._committer.commit(keys.map(key => ({ op: 'delete' as const, key })), { timeoutMs: LOAD_TIMEOUT_MS }).then(result => {
-        if (result.isOk) this._forget(id)
-        else this._options.log.event('warn', 'workflow.expire.failed', { jobId: id, detail: result.error.message })
-      })
-    }
-  }
-
-  private _shownState (workflow: WorkflowRuntime): WorkflowState {
-    return workflow.state
-  }
-
-  private _workflowOf (taskName: string): WorkflowRuntime | undefined {
-    const name = parseTaskName(taskName)
-    return name && this._workflows.get(name.workflowId)
-  }
-
-  private _taskOf (taskName: string): Task | undefined {
-    const name = parseTaskName(taskName)
-    return name && this._workflows.get(name.workflowId)?.task(name.occurrence, name.step, name.index)
-  }
-
   /** Asks for placement soon; events that come together are handled together. */
   private _soon (): void {
     if (this._closed) return
@@ -406,86 +321,18 @@
   }
 
   private _dispatch (): void {
-    const { timers, authorityMs } = this._options
-    if (this._closed || !this._loaded || authorityMs() <= 0) return
-    this._watchProgress()
-    const wallClockMs = timers.wallClock()
-    const nowMs = timers.now()
-    const settled = this._fleet.inheritanceSettled
-    const steps: Array<{ step: StepRuntime, queue: QueueConfig }> = []
-    for (const workflow of this._open) {
-      if (workflow.over || (!settled && workflow.revision < this._options.epoch)) continue
-      const queue = this._queueOf(workflow)
-      if (!queue) continue
-      for (const step of workflow.openSteps(wallClockMs)) {
-        step.readyMs ??= nowMs
-        steps.push({ step, queue })
-      }
-    }
-    steps.sort((a, b) => a.queue.priority - b.queue.priority || a.step.workflow.record.submittedAtMs - b.step.workflow.record.submittedAtMs)
-    for (const { step, queue } of steps) this._dispatchStep(step, queue, nowMs)
-  }
-
-  /** The queue's configuration; the last known one while a new configuration lacks it. */
-  private _queueOf ({ record }: WorkflowRuntime): QueueConfig | undefined {
-    const queue = this._options.config()?.queues.get(record.queue)
-    if (queue) this._queues.set(queue.name, queue)
-    return queue ?? this._queues.get(record.queue)
-  }
-
-  private _dispatchStep (step: StepRuntime, queue: QueueConfig, nowMs: number): void {
-    const tasks = step.waitingTasks(nowMs)
-    const { spec } = step
-    if (tasks.length === 0 || (spec.gang && tasks.length < step.tasks.length)) return
-    const stepName = formatStepName(step.workflow.record.id, step.occurrence, step.index)
-    const usable = [...this._fleet.sessions.values()].filter(worker => this._usable(worker, step, queue, nowMs))
-    const workers = queue.eligibility ? usable.filter(worker => this._eligibility.ticket(stepName, worker.life) !== undefined) : usable
-    const urgent = queue.priority === URGENT_PRIORITY
-    const assignments = workers.length === 0
-      ? []
-      : placeStep({ step, tasks, workers, urgent, slowness: worker => this._speeds.slowness(worker.entry.labels), urgentShare: URGENT_SHARE })
-    const attempt = spec.gang ? this._nextAttempt(Math.max(...step.tasks.map(task => task.attempt))) : undefined
-    for (const { task, worker } of assignments) this._start(task, worker, attempt ?? this._nextAttempt(task.attempt), stepName)
-    if (queue.eligibility && assignments.length < tasks.length) this._askFor(stepName, step, queue, usable)
-  }
-
-  private _usable (worker: WorkerSession, step: StepRuntime, queue: QueueConfig, nowMs: number): boolean {
-    const { entry } = worker
-    if (entry.service !== queue.service || entry.draining || !worker.listed || !worker.reachable || !worker.synced) return false
-    if (worker.closed || worker.suspendedUntilMs > nowMs || this._trust.suspended(worker.life)) return false
-    const { requiredLabel } = step.spec
-    return requiredLabel === '' || entry.labels.includes(requiredLabel)
-  }
-
-  /** Asks which workers may run a step: first about all, later about known good ones with room and about new ones. */
-  private _askFor (stepName: string, step: StepRuntime, queue: QueueConfig, usable: WorkerSession[]): void {
-    if (this._eligibility.asking(stepName)) return
-    const room = countedRoom(step)
-    const asked = usable.filter(worker => {
-      const verdict = this._eligibility.verdict(stepName, worker.life)
-      if (verdict === undefined) return step.spec.size.memoryMb <= worker.entry.capacity.memoryMb
-      return verdict && worker.fits(room) && this._eligibility.ticket(stepName, worker.life) === undefined
-    })
-    const fitting = asked.filter(worker => worker.fits(room))
-    const first = fitting.length > 0 ? fitting : []
-    if (first.length === 0) return
-    const { decideMs, eachMs } = queue.eligibility!
-    const workers = first.slice(0, MAX_WORKERS_PER_CALL).map(worker => ({ id: worker.entry.id, life: worker.life }))
-    this._eligibility.wish({ step: stepName, workers, priority: queue.priority, expectedMs: decideMs + eachMs * workers.length })
-  }
-
-  /** The next number of an attempt after `attempt`, in this term's own range. */
-  private _nextAttempt (attempt: number): number {
-    return Math.max(attempt, (this._options.term - 1) * ATTEMPTS_PER_TERM) + 1
+    const { authorityMs } = this._options
+    if (this._closed || this._quiet || !this._book.loaded || authorityMs() <= 0) return
+    this._leaveDrainingWorkers()
+    this._dispatcher.dispatch()
   }
 
-  private _start (task: Task, worker: WorkerSession, attempt: number, stepName: string): void {
+  private _start (task: Task, worker: WorkerSession, attempt: number, ticket: string | undefined): void {
     const { timers, log } = this._options
     const { workflow } = task.step
     const run = this._addRun({ task, name: task.name, attempt, session: worker, state: RUN_STATES.starting })
     task.attempt = attempt
     this._starts.count++
-    const ticket = this._eligibility.ticket(stepName, worker.life)
     log.event('info', 'run.start', {
       task: task.name,
       attempt,
@@ -535,8 +382,8 @@
     this._refusals[reason] = (this._refusals[reason] ?? 0) + 1
     log.event('info', 'run.refused', { task: run.name, attempt: run.attempt, worker: session.life, reason })
     this._release(run)
-    if (reason === START_REFUSALS.noRoom || reason === START_REFUSALS.unhealthy || reason === 'notSent') session.suspendedUntilMs = nowMs + WORKER_PAUSE_MS
-    if (reason === START_REFUSALS.ticket && task) this._eligibility.refuse(formatStepName(task.step.workflow.record.id, task.step.occurrence, task.step.index), session.life)
+    if (PAUSING_REFUSALS.has(reason)) session.suspendedUntilMs = nowMs + WORKER_PAUSE_MS
+    if (reason === START_REFUSALS.ticket && task) this._eligibility.refuse(stepNameOf(task.step), session.life)
     if (task) {
       task.notBeforeMs = nowMs + REFUSED_PAUSE_MS
       if (task.step.spec.gang) this._stopStep(task.step, 'a member of the gang was refused')
@@ -556,7 +403,9 @@
   /** A run that has ended without a listed end. */
   private _lost (run: Run, reason: string): void {
     this._ends.lost++
-    this._options.log.event('warn', 'run.lost', { task: run.name, attempt: run.attempt, worker: run.session.life, reason, state: run.state })
+    this._options.log.event(
+      'warn', 'run.lost', { task: run.name, attempt: run.attempt, worker: run.session.life, reason, state: run.state }
+    )
     this._release(run)
     if (run.task?.step.spec.gang) this._stopStep(run.task.step, 'a member of the gang was lost')
   }
@@ -575,12 +424,15 @@
       this._noteProgress(known, row, nowMs)
       return
     }
-    const task = this._taskOf(row.task)
+    const task = this._book.task(row.task)
     const wanted = task && !task.step.workflow.over && task.state === TASK_STATES.waiting && !task.run
     if (task) task.attempt = Math.max(task.attempt, row.attempt)
     const run = this._addRun({ task: wanted ? task : undefined, name: row.task, attempt: row.attempt, session, state: RUN_STATES.running })
     run.confirmedMs = nowMs
-    log.event('info', wanted ? 'run.adopted' : 'run.unwanted', { task: row.task, attempt: row.attempt, worker: session.life, percent: row.percent, epoch: this._options.epoch })
+    log.event(
+      'info', wanted ? 'run.adopted' : 'run.unwanted',
+      { task: row.task, attempt: row.attempt, worker: session.life, percent: row.percent, epoch: this._options.epoch }
+    )
     if (wanted) {
       if (task.step.workflow.state === JOB_STATES.accepted) task.step.workflow.state = JOB_STATES.running
       this._noteProgress(run, row, nowMs)
@@ -600,7 +452,7 @@
   private _ended (session: WorkerSession, end: ListedEnd): WorkflowRuntime | undefined {
     const { timers, log } = this._options
     const run = session.runs.get(runKey(end.task, end.attempt))
-    const task = this._taskOf(end.task)
+    const task = this._book.task(end.task)
     this._ends[end.how]++
     log.event('info', 'run.ended', {
       task: end.task,
@@ -632,10 +484,10 @@
   private _done (task: Task): void {
     const { step } = task
     const { workflow } = step
-    if (!step.workflow.occurrences.has(step.occurrence) || !workflow.markDone(task)) return
+    if (workflow.over || !workflow.markDone(task)) return
     for (const member of step.spec.gang ? step.tasks : [task]) if (member.run) this._orders.stop(member.run, 'its task is done')
-    if (step.done) this._eligibility.forget(formatStepName(workflow.record.id, step.occurrence, step.index))
-    if (workflow.complete && !workflow.over) this._finish(workflow, JOB_STATES.done, 'all tasks are done')
+    if (step.done) this._eligibility.forget(stepNameOf(step))
+    if (workflow.complete) this._finish(workflow, JOB_STATES.done, 'all tasks are done')
     else this._recorder.changed(workflow)
   }
 
@@ -645,13 +497,15 @@
     // The runs of a gang fail together: its failures are counted at its first task.
     const counted = step.spec.gang ? step.tasks[0] : task
     if (step.spec.gang) this._stopStep(step, 'a member of the gang failed')
-    if (task.state === TASK_STATES.done || counted.failures.includes(end.attempt)) return
-    if (step.spec.longRunning) return
+    if (workflow.over || step.spec.longRunning || task.state === TASK_STATES.done || counted.failures.includes(end.attempt)) return
     counted.failures.push(end.attempt)
     task.avoid = new Set([...(task.avoid ?? []), session.life])
-    const maxAttempts = this._queueOf(workflow)?.maxAttempts ?? Number.POSITIVE_INFINITY
-    if (counted.failures.length >= maxAttempts && !workflow.over) this._finish(workflow, JOB_STATES.failed, `${end.task} failed ${counted.failures.length} times`)
-    else this._recorder.changed(workflow)
+    const maxAttempts = this._dispatcher.queueOf(workflow)?.maxAttempts ?? Number.POSITIVE_INFINITY
+    if (counted.failures.length >= maxAttempts) {
+      this._finish(
+        workflow, JOB_STATES.failed, `${end.task} failed ${counted.failures.length} times`
+      )
+    } else this._recorder.changed(workflow)
   }
 
   /** Decides a workflow's final state, stops what runs of it, and records the state. */
@@ -659,8 +513,11 @@
     const { timers, log } = this._options
     workflow.ending = state
     workflow.endedAtMs = timers.wallClock()
-    this._open.delete(workflow)
-    log.event('info', 'workflow.finish', { jobId: workflow.record.id, state, reason, sinceLearnedMs: Math.round(timers.now() - workflow.learnedMs) })
+    this._book.open.delete(workflow)
+    log.event(
+      'info', 'workflow.finish',
+      { jobId: workflow.record.id, state, reason, sinceLearnedMs: Math.round(timers.now() - workflow.learnedMs) }
+    )
     for (const steps of workflow.occurrences.values()) {
       for (const step of steps) this._stopStep(step, `its workflow is ${state}`)
     }
@@ -668,13 +525,13 @@
   }
 
   private _forgetSteps (workflow: WorkflowRuntime): void {
-    for (const [occurrence, steps] of workflow.occurrences) {
-      for (const step of steps) this._eligibility.forget(formatStepName(workflow.record.id, occurrence, step.index))
+    for (const steps of workflow.occurrences.values()) {
+      for (const step of steps) this._eligibility.forget(stepNameOf(step))
     }
   }
 
   /** Moves tasks off workers that are leaving. */
-  private _watchProgress (): void {
+  private _leaveDrainingWorkers (): void {
     for (const session of this._fleet.sessions.values()) {
       if (!session.entry.draining) continue
       for (const run of session.runs.values()) {
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -10,6 +10,7 @@
 import type { Room } from '../protocol/workflows.js'
 import { START_REFUSALS, type LeaseReport, type WorkerClient, type WorkerEntry } from '../seams/workflowUpstreams.js'
 import { delay, type Timers } from '../seams/timers.js'
+import type { CallError } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Least rate of a worker's clock: it may be 2% slow. */
@@ -187,18 +188,23 @@
     }
   }
 
-  /** One call. Undefined when it failed. A worker whose last call failed is only asked, since each extension that may arrive moves its lapse. */
+  /**
+   * One call. Undefined when it failed. A worker whose last call failed is only asked, since each extension
+   * that may arrive moves its lapse.
+   */
   private async _extend ({ mayWait }: { mayWait: boolean }): Promise<HandledReport | undefined> {
     const { client, epoch, timers, listener, waitMs, log } = this._options
     const untilMs = this.reachable ? this.nextLeaseEnd() : undefined
     if (untilMs !== undefined) this.noteLeaseSent(untilMs)
     const wait = mayWait && this.reachable ? waitMs : 0
     const askedMs = timers.now()
-    const answer = await client.extendLease(this.entry, { epoch, acknowledged: this._acknowledged, untilMs, waitMs: wait }, wait + ANSWER_TIMEOUT_MS)
+    const answer = await client.extendLease(
+      this.entry, { epoch, acknowledged: this._acknowledged, untilMs, waitMs: wait }, wait + ANSWER_TIMEOUT_MS
+    )
     if (this._closed) return
     return match(answer)
       .with({ isErr: true }, ({ error }) => {
-        if (this.reachable) log.event('warn', 'worker.lost', { worker: this.life, step: error.step, peer: error.peer, detail: error.message, runs: this.runs.size, lapsesInMs: Math.round(this.lapsesAtMs - timers.now()) })
+        if (this.reachable) this._noteLoss(error)
         this.reachable = false
         return undefined
       })
@@ -209,7 +215,12 @@
       .otherwise(({ value }) => {
         const report = value as LeaseReport
         this.noteClock(report.clockMs)
-        if (!this.reachable) log.event('info', 'worker.reached', { worker: this.life, epoch, running: report.running.length, ended: report.ended.length, first: !this.synced })
+        if (!this.reachable) {
+          log.event(
+            'info', 'worker.reached',
+            { worker: this.life, epoch, running: report.running.length, ended: report.ended.length, first: !this.synced }
+          )
+        }
         this.reachable = true
         if (report.bornMs !== undefined && report.bornMs !== this.entry.bornMs) {
           this._end('another life of the worker answered')
@@ -222,6 +233,11 @@
       })
   }
 
+  private _noteLoss ({ step, peer, message }: CallError): void {
+    const lapsesInMs = Math.round(this.lapsesAtMs - this._options.timers.now())
+    this._options.log.event('warn', 'worker.lost', { worker: this.life, step, peer, detail: message, runs: this.runs.size, lapsesInMs })
+  }
+
   private _refused (refusal: string): void {
     const { listener, log } = this._options
     if (refusal === START_REFUSALS.staleEpoch) {
--- /dev/null
+++ b/packages/pomelofold/src/workflows/workflowBook.ts
@@ -0,0 +1,197 @@
+/**
+ * The workflows that a scheduler knows: read from the store at the beginning of its term, then kept by a
+ * watch and by word of other daemons.
+ *
+ * @module
+ */
+
+import { cancellationKey, cancelledIdOf, INTAKE_PREFIX, PROGRESS_PREFIX, progressKey, workflowIdOf, workflowKey } from './keys.js'
+import { PrefixView } from './prefixView.js'
+import { isFinal, WorkflowRuntime, type Task } from './workflowRuntime.js'
+import type { GroupCommitter } from '../commits/groupCommit.js'
+import { parseTaskName, progressSchema, workflowSchema, type Workflow } from '../protocol/workflows.js'
+import type { PlatformClient, StoredValue } from '../seams/platformClient.js'
+import { delay, type Timers } from '../seams/timers.js'
+import type { EventLog } from '../utils/eventLog.js'
+import { errorText } from '../utils/errors.js'
+
+/** Longest wait for the recorded progress of all workflows, in milliseconds. */
+const LOAD_TIMEOUT_MS = 2_000
+const LOAD_RETRY_MS = 100
+/** Most ended workflows deleted at once. */
+const MAX_EXPIRED_AT_ONCE = 4
+
+/** Options of a {@link WorkflowBook}. */
+export interface WorkflowBookOptions {
+  epoch: number
+  platform: PlatformClient
+  committer: GroupCommitter
+  timers: Timers
+  log: EventLog
+  /** Time for which the state of an ended workflow is told, in milliseconds. */
+  retentionMs: number
+  /** A workflow was learned. */
+  onLearned: (workflow: WorkflowRuntime) => void
+  /** A cancellation of a workflow was learned for the first time. */
+  onCancelled: (workflow: WorkflowRuntime) => void
+  /** All tasks of a workflow are done, and its record does not say so. */
+  onComplete: (workflow: WorkflowRuntime) => void
+  onLoaded: () => void
+}
+
+/** Knows the workflows of the cell. */
+export class WorkflowBook {
+  /** Workflows that are not over, in the order in which they were learned. */
+  readonly open = new Set<WorkflowRuntime>()
+  private readonly _options: WorkflowBookOptions
+  private readonly _workflows = new Map<string, WorkflowRuntime>()
+  private readonly _intake: PrefixView
+  private _loaded = false
+  private _closed = false
+
+  constructor (options: WorkflowBookOptions) {
+    this._options = options
+    const { platform, timers, log } = options
+    const onChange = (keys: string[]): void => { if (this._loaded) this._learn(keys) }
+    this._intake = new PrefixView({ prefix: INTAKE_PREFIX, platform, timers, log, onChange })
+  }
+
+  start (): void {
+    this._intake.start()
+    this._load()
+  }
+
+  close (): void {
+    this._closed = true
+    this._intake.close()
+  }
+
+  /** True once everything that was stored before this term is known. */
+  get loaded (): boolean {
+    return this._loaded
+  }
+
+  get size (): number {
+    return this._workflows.size
+  }
+
+  all (): IterableIterator<WorkflowRuntime> {
+    return this._workflows.values()
+  }
+
+  get (id: string): WorkflowRuntime | undefined {
+    return this._workflows.get(id)
+  }
+
+  /** The task of that name; undefined when no workflow here has it. */
+  task (taskName: string): Task | undefined {
+    const name = parseTaskName(taskName)
+    return name && this._workflows.get(name.workflowId)?.task(name.occurrence, name.step, name.index)
+  }
+
+  /** Takes in a workflow that has been stored at `revision`. */
+  add (record: Workflow, revision: number): WorkflowRuntime {
+    const known = this._workflows.get(record.id)
+    if (known) return known
+    const { timers, log, onLearned } = this._options
+    const workflow = new WorkflowRuntime({ record, revision, learnedMs: timers.now() })
+    this._workflows.set(record.id, workflow)
+    this.open.add(workflow)
+    const tasks = record.steps.reduce((sum, step) => sum + step.tasks, 0)
+    const ageMs = Math.round(timers.wallClock() - record.submittedAtMs)
+    log.event('info', 'workflow.learned', { jobId: record.id, queue: record.queue, revision, steps: record.steps.length, tasks, ageMs })
+    onLearned(workflow)
+    return workflow
+  }
+
+  /** Notes a cancellation that has been stored. */
+  cancel (id: string): void {
+    const workflow = this._workflows.get(id)
+    if (!workflow || workflow.cancelled) return
+    workflow.cancelled = true
+    if (!isFinal(workflow.state)) this._options.onCancelled(workflow)
+  }
+
+  /** Reads intake and progress, which were complete when this term's epoch was written. */
+  private async _load (): Promise<void> {
+    const { platform, timers, log, epoch, onLoaded } = this._options
+    const startedMs = timers.now()
+    const progress = new Map<string, StoredValue>()
+    for (;;) {
+      const read = await platform.range(PROGRESS_PREFIX, { timeoutMs: LOAD_TIMEOUT_MS })
+      if (this._closed) return
+      if (read.isOk) {
+        for (const value of read.value.values) progress.set(value.key.slice(PROGRESS_PREFIX.length), value)
+        break
+      }
+      log.event('warn', 'term.load.failed', { epoch, detail: read.error.message })
+      await delay(timers, LOAD_RETRY_MS)
+    }
+    while (!this._intake.loaded) {
+      await delay(timers, LOAD_RETRY_MS / 10)
+      if (this._closed) return
+    }
+    this._learn([...this._intake.values()].map(value => value.key), progress)
+    this._loaded = true
+    log.event(
+      'info', 'term.loaded',
+      { epoch, records: progress.size, workflows: this._workflows.size, open: this.open.size, tookMs: Math.round(timers.now() - startedMs) }
+    )
+    onLoaded()
+  }
+
+  /** Takes in changed keys of the intake, workflows before cancellations. */
+  private _learn (keys: string[], progress?: Map<string, StoredValue>): void {
+    const { log } = this._options
+    for (const key of keys) {
+      const id = workflowIdOf(key)
+      const stored = this._intake.get(key)
+      if (id === undefined) continue
+      if (!stored) {
+        this._forget(id)
+        continue
+      }
+      if (this._workflows.has(id)) continue
+      try {
+        const workflow = this.add(workflowSchema.parse(JSON.parse(stored.value)), stored.modRevision)
+        const recorded = progress?.get(id)
+        if (recorded) this._restore(workflow, recorded)
+      } catch (err) {
+        log.event('error', 'workflow.unreadable', { jobId: id, revision: stored.modRevision, detail: errorText(err) })
+      }
+    }
+    for (const key of keys) {
+      const id = cancelledIdOf(key)
+      if (id !== undefined && this._intake.get(key)) this.cancel(id)
+    }
+  }
+
+  private _restore (workflow: WorkflowRuntime, recorded: StoredValue): void {
+    workflow.restore(progressSchema.parse(JSON.parse(recorded.value)))
+    if (isFinal(workflow.state)) this.open.delete(workflow)
+    else if (workflow.complete) this._options.onComplete(workflow)
+  }
+
+  private _forget (id: string): void {
+    const workflow = this._workflows.get(id)
+    if (!workflow) return
+    this._workflows.delete(id)
+    this.open.delete(workflow)
+  }
+
+  /** Deletes workflows that ended longer ago than their state has to be told. */
+  expire (): void {
+    const { timers, committer, retentionMs, log } = this._options
+    const beforeMs = timers.wallClock() - retentionMs
+    let left = MAX_EXPIRED_AT_ONCE
+    for (const [id, workflow] of this._workflows) {
+      if (!isFinal(workflow.state) || workflow.endedAtMs === undefined || workflow.endedAtMs > beforeMs) continue
+      if (left-- === 0) return
+      const keys = [workflowKey(id), cancellationKey(id), progressKey(id)]
+      committer.commit(keys.map(key => ({ op: 'delete' as const, key })), { timeoutMs: LOAD_TIMEOUT_MS }).then(result => {
+        if (result.isOk) this._forget(id)
+        else log.event('warn', 'workflow.expire.failed', { jobId: id, detail: result.error.message })
+      })
+    }
+  }
+}
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -227,7 +227,8 @@
     const final = this.ending !== undefined || isFinal(this.state)
     for (const [occurrence, steps] of final ? [] : this.occurrences) {
       for (const step of steps) {
-        if (step.doneCount > 0) done[step.key] = formatRanges(step.tasks.filter(task => task.state === TASK_STATES.done).map(task => task.index))
+        const doneTasks = step.tasks.filter(task => task.state === TASK_STATES.done)
+        if (doneTasks.length) done[step.key] = formatRanges(doneTasks.map(task => task.index))
         for (const task of step.done ? [] : step.tasks) {
           const key = `${occurrence}.${step.index}.${task.index}`
           if (task.failures.length) failures[key] = task.failures
@@ -235,7 +236,8 @@
         }
       }
     }
-    return { state: this.ending, endedAtMs: this.endedAtMs, done, failures, checkpoints }
+    // A final state that has been recorded stays in every later record.
+    return { state: this.ending ?? (isFinal(this.state) ? this.state : undefined), endedAtMs: this.endedAtMs, done, failures, checkpoints }
   }
 
   private _restoreByTask<T> (values: Record<string, T>, restore: (task: Task, value: T) => void): void {
--- a/packages/pomelofold/src/workflows/workflowService.ts
+++ b/packages/pomelofold/src/workflows/workflowService.ts
@@ -57,7 +57,12 @@
     const own = await this.storeHere(workflow)
     const outcome = own === STORE_OUTCOMES.notStored ? await this._storeThroughPeer(workflow) : own
     log.event(outcome === STORE_OUTCOMES.stored ? 'info' : 'warn', 'workflow.submitted', {
-      requestId: workflow.id, jobId: workflow.id, queue: workflow.queue, outcome, throughPeer: own === STORE_OUTCOMES.notStored, tookMs: Math.round(timers.now() - startedMs)
+      requestId: workflow.id,
+      jobId: workflow.id,
+      queue: workflow.queue,
+      outcome,
+      throughPeer: own === STORE_OUTCOMES.notStored,
+      tookMs: Math.round(timers.now() - startedMs)
     })
     return outcome
   }
@@ -137,7 +142,10 @@
     let maybeStored = false
     for (const vm of this._proxies()) {
       const answer = await transport.call(vm, 'storeWorkflow', { workflow }, PROXY_TIMEOUT_MS)
-      log.event('info', 'workflow.proxied', { jobId: workflow.id, peer: vm, outcome: answer.isOk ? answer.value.outcome : answer.error.message })
+      log.event(
+        'info', 'workflow.proxied',
+        { jobId: workflow.id, peer: vm, outcome: answer.isOk ? answer.value.outcome : answer.error.message }
+      )
       if (answer.isOk && answer.value.outcome === STORE_OUTCOMES.stored) return STORE_OUTCOMES.stored
       maybeStored ||= answer.isOk ? answer.value.outcome === STORE_OUTCOMES.unknown : answer.error.effect !== 'none'
       if (maybeStored) return STORE_OUTCOMES.unknown
@@ -163,7 +171,9 @@
     return { state: answer.value.state, queue: answer.value.queue }
   }
 
-  private async _tellScheduler (...[method, params]: ['workflowStored', { workflow: Workflow, revision: number }] | ['workflowCancelled', { id: string }]): Promise<void> {
+  private async _tellScheduler (...[method, params]: [
+    'workflowStored', { workflow: Workflow, revision: number }
+  ] | ['workflowCancelled', { id: string }]): Promise<void> {
     const { session, transport, ownTerm, log } = this._options
     const own = ownTerm()
     if (own) {
--- a/packages/pomelofold/src/workflows/workflowStore.ts
+++ b/packages/pomelofold/src/workflows/workflowStore.ts
@@ -66,8 +66,9 @@
     try {
       const { queue } = workflowSchema.parse(JSON.parse(stored.value.value))
       const { state, done } = progressSchema.parse(progress.value ? JSON.parse(progress.value.value) : {})
-      const current = state ?? (cancelled.value ? JOB_STATES.cancelled : Object.keys(done).length ? JOB_STATES.running : JOB_STATES.accepted)
-      return { state: current, queue }
+      if (state) return { state, queue }
+      if (cancelled.value) return { state: JOB_STATES.cancelled, queue }
+      return { state: Object.keys(done).length ? JOB_STATES.running : JOB_STATES.accepted, queue }
     } catch (err) {
       this._log.event('error', 'workflow.unreadable', { jobId: id, revision: stored.value.modRevision, detail: errorText(err) })
       return undefined
--- /dev/null
+++ b/packages/standins/src/leasedWorkers.ts
@@ -0,0 +1,221 @@
+/**
+ * Workers in memory that run tasks under leases and obey the newest epoch only, with their own record of
+ * what ran. For tests of the scheduling of workflows.
+ *
+ * @module
+ */
+
+import Result from 'true-myth/result'
+import { CallError, CallTimeoutError, EFFECTS } from 'pomelofold/utils/errors'
+import { delay, type Timers } from 'pomelofold/seams/timers'
+import {
+  RUN_ENDS, START_REFUSALS,
+  type LeaseExtension, type LeaseReport, type ListedEnd, type OrderAnswer, type RunEnd, type RunStart, type StartRefusal,
+  type WorkerClient, type WorkerDirectory, type WorkerEntry
+} from 'pomelofold/seams/workflowUpstreams'
+import type { Room } from 'pomelofold/protocol/workflows'
+
+/** One run, as the worker knows it. */
+export interface RunRecord {
+  task: string
+  attempt: number
+  worker: string
+  fromMs: number
+  toMs: number
+  how?: RunEnd
+  acknowledgedMs?: number
+}
+
+interface Held {
+  record: RunRecord
+  cancel: () => void
+}
+
+/** Faults of a worker, which may be changed at any moment. */
+export interface LeasedWorkerFaults {
+  /** Nothing reaches it, and calls end by their deadline. */
+  cut: boolean
+  /** Orders are carried out, but not answered. */
+  loseAnswers: boolean
+  /** Orders are not answered and carried out this much later, in milliseconds. */
+  lateMs: number
+  failTasks: boolean
+  draining: boolean
+  /** It is not listed. */
+  unlisted: boolean
+}
+
+/** One life of a worker. */
+export class LeasedWorker {
+  readonly entry: WorkerEntry
+  readonly faults: LeasedWorkerFaults = { cut: false, loseAnswers: false, lateMs: 0, failTasks: false, draining: false, unlisted: false }
+  readonly runs = new Map<string, Held>()
+  epoch = 0
+  private readonly _timers: Timers
+  private readonly _records: RunRecord[]
+  private readonly _runMs: (task: string) => number
+  private readonly _highest = new Map<string, number>()
+  private _ends: Array<ListedEnd & { record: RunRecord }> = []
+  private _sequence = 0
+  private _leaseUntilMs = 0
+  private _waiters: Array<() => void> = []
+
+  constructor ({ id, timers, records, runMs, capacity, labels = ['a', 'r1'] }: {
+    id: string, timers: Timers, records: RunRecord[], runMs: (task: string) => number, capacity: Room, labels?: string[]
+  }) {
+    this.entry = { id, bornMs: 1, service: 'leafline', address: id, failureDomain: 'a', draining: false, capacity, labels }
+    this._timers = timers
+    this._records = records
+    this._runMs = runMs
+    timers.every(50, () => this._expire())
+  }
+
+  /** The process dies: nothing runs and nothing is remembered. */
+  crash (): void {
+    for (const held of this.runs.values()) {
+      held.cancel()
+      held.record.toMs = this._timers.now()
+    }
+    this.runs.clear()
+    this._ends = []
+    this.faults.cut = true
+    this.faults.unlisted = true
+  }
+
+  start ({ epoch, task, attempt, untilMs }: RunStart): StartRefusal | undefined {
+    if (epoch < this.epoch) return START_REFUSALS.staleEpoch
+    this.epoch = epoch
+    const now = this._timers.now()
+    if (untilMs <= now) return START_REFUSALS.late
+    this._leaseUntilMs = Math.max(this._leaseUntilMs, untilMs)
+    if (this.runs.get(task)?.record.attempt === attempt) return
+    if (attempt <= (this._highest.get(task) ?? 0)) return START_REFUSALS.oldAttempt
+    const record: RunRecord = { task, attempt, worker: this.entry.id, fromMs: now, toMs: Number.POSITIVE_INFINITY }
+    this._records.push(record)
+    const timer = this._timers.after(
+      this.faults.failTasks ? 10 : this._runMs(task),
+      () => this._end(task, this.faults.failTasks ? RUN_ENDS.failed : RUN_ENDS.done)
+    )
+    this.runs.set(task, { record, cancel: () => timer.cancel() })
+  }
+
+  stop ({ epoch, task, attempt }: { epoch: number, task: string, attempt: number }): StartRefusal | undefined {
+    if (epoch < this.epoch) return START_REFUSALS.staleEpoch
+    this.epoch = epoch
+    this._highest.set(task, Math.max(attempt, this._highest.get(task) ?? 0))
+    const held = this.runs.get(task)
+    if (held && held.record.attempt <= attempt) this._end(task, RUN_ENDS.stopped)
+  }
+
+  async extend ({ epoch, acknowledged, untilMs, waitMs = 0 }: LeaseExtension): Promise<LeaseReport | { refusal: StartRefusal }> {
+    if (epoch < this.epoch) return { refusal: START_REFUSALS.staleEpoch }
+    this.epoch = epoch
+    const now = this._timers.now()
+    for (const end of this._ends) if (end.sequence <= acknowledged) end.record.acknowledgedMs ??= now
+    this._ends = this._ends.filter(end => end.sequence > acknowledged)
+    if (untilMs !== undefined) this._leaseUntilMs = Math.max(this._leaseUntilMs, untilMs)
+    if (this._ends.length === 0 && waitMs > 0) {
+      await Promise.race([
+        delay(this._timers, waitMs), new Promise<void>(resolve => this._waiters.push(resolve))
+      ])
+    }
+    return this._report()
+  }
+
+  private _report (): LeaseReport {
+    return {
+      clockMs: this._timers.now(),
+      bornMs: this.entry.bornMs,
+      running: [...this.runs.values()].map(({ record }) => ({ task: record.task, attempt: record.attempt, checkpoint: '', percent: 1 })),
+      ended: this._ends.map(({ record, ...end }) => end)
+    }
+  }
+
+  private _end (task: string, how: RunEnd): void {
+    const held = this.runs.get(task)
+    if (!held) return
+    held.cancel()
+    held.record.toMs = this._timers.now()
+    held.record.how = how
+    this.runs.delete(task)
+    this._highest.set(task, Math.max(held.record.attempt, this._highest.get(task) ?? 0))
+    this._ends.push({ sequence: ++this._sequence, task, attempt: held.record.attempt, how, checkpoint: '', record: held.record })
+    for (const wake of this._waiters.splice(0)) wake()
+  }
+
+  private _expire (): void {
+    if (this._timers.now() < this._leaseUntilMs) return
+    for (const task of [...this.runs.keys()]) this._end(task, RUN_ENDS.lapsed)
+  }
+}
+
+/** Reaches {@link LeasedWorker}s, as one scheduler sees them. */
+export class LeasedWorkerClient implements WorkerClient, WorkerDirectory {
+  /** Calls of this client reach nobody. */
+  cut = false
+  private readonly _timers: Timers
+  private readonly _workers: () => LeasedWorker[]
+
+  constructor ({ timers, workers }: { timers: Timers, workers: () => LeasedWorker[] }) {
+    this._timers = timers
+    this._workers = workers
+  }
+
+  async list (): Promise<Result<WorkerEntry[], CallError>> {
+    await delay(this._timers, 2)
+    return Result.ok(this._workers().filter(worker => !worker.faults.unlisted).map(worker => ({
+      ...worker.entry, draining: worker.faults.draining
+    })))
+  }
+
+  extendLease (
+    entry: WorkerEntry, extension: LeaseExtension, timeoutMs: number
+  ): Promise<Result<LeaseReport | { refusal: StartRefusal }, CallError>> {
+    return this._call(entry, 'extendLease', timeoutMs, worker => worker.extend(extension))
+  }
+
+  start (entry: WorkerEntry, start: RunStart, timeoutMs: number): Promise<Result<OrderAnswer, CallError>> {
+    return this._order(entry, 'start', timeoutMs, worker => worker.start(start))
+  }
+
+  stop (
+    entry: WorkerEntry, order: { epoch: number, task: string, attempt: number }, timeoutMs: number
+  ): Promise<Result<OrderAnswer, CallError>> {
+    return this._order(entry, 'stop', timeoutMs, worker => worker.stop(order))
+  }
+
+  pace (entry: WorkerEntry, _order: object, timeoutMs: number): Promise<Result<OrderAnswer, CallError>> {
+    return this._order(entry, 'pace', timeoutMs, () => undefined)
+  }
+
+  private _order (
+    entry: WorkerEntry, step: string, timeoutMs: number, carryOut: (worker: LeasedWorker) => StartRefusal | undefined
+  ): Promise<Result<OrderAnswer, CallError>> {
+    return this._call(entry, step, timeoutMs, async worker => {
+      const refusal = carryOut(worker)
+      return { clockMs: this._timers.now(), refusal }
+    }, { order: true })
+  }
+
+  private async _call<T> (
+    entry: WorkerEntry, step: string, timeoutMs: number, fn: (worker: LeasedWorker) => Promise<T>, { order = false } = {}
+  ): Promise<Result<T, CallError>> {
+    const worker = this._workers().find(({ entry: { id } }) => id === entry.id)
+    const details = { step, peer: entry.address, effect: EFFECTS.unknown }
+    const timedOut = async (): Promise<Result<T, CallError>> => {
+      await delay(this._timers, timeoutMs)
+      return Result.err(new CallTimeoutError(timeoutMs, details))
+    }
+    if (!worker || worker.faults.cut || this.cut) return timedOut()
+    if (order && worker.faults.lateMs > 0) {
+      this._timers.after(worker.faults.lateMs, () => { fn(worker) })
+      return timedOut()
+    }
+    await delay(this._timers, 1)
+    const lost = order && worker.faults.loseAnswers
+    const value = await fn(worker)
+    if (lost || worker.faults.cut || this.cut) return timedOut()
+    await delay(this._timers, 1)
+    return Result.ok(value)
+  }
+}
--- /dev/null
+++ b/tests/workflows/life.test.ts
@@ -0,0 +1,109 @@
+import t from 'tap'
+import { progressKey } from 'pomelofold/workflows/keys'
+import { WorkflowCell } from './workflowCell.js'
+
+t.test('a workflow of two steps runs them in order and is done', async t => {
+  const cell = new WorkflowCell()
+  await cell.settle()
+  const workflow = cell.workflow([{ tasks: 3 }, { tasks: 2, after: [0] }])
+  t.equal(await cell.submit(workflow), 'stored')
+  await cell.reaches(workflow.id, 'done')
+  t.equal(cell.records.length, 5)
+  const firstEnds = Math.max(...cell.records.filter(run => run.task.includes('.0.0.')).map(run => run.toMs))
+  t.ok(cell.records.filter(run => run.task.includes('.0.1.')).every(run => run.fromMs >= firstEnds))
+  t.same(cell.violations(), [])
+})
+
+t.test('the same workflow submitted at two daemons runs once', async t => {
+  const cell = new WorkflowCell()
+  await cell.settle()
+  const workflow = cell.workflow()
+  const outcomes = await cell.after(Promise.all([0, 1].map(index => cell.daemons[index].daemon.service.submit(workflow))))
+  t.same(outcomes, ['stored', 'stored'])
+  await cell.reaches(workflow.id, 'done')
+  t.equal(await cell.submit(workflow, cell.daemons[2]), 'stored')
+  await cell.timers.advance(3_000)
+  t.equal(cell.records.length, 2)
+})
+
+t.test('a cancelled workflow is stopped and starts nothing more', async t => {
+  const cell = new WorkflowCell({ runMs: () => 60_000 })
+  await cell.settle()
+  const workflow = cell.workflow([{ longRunning: true }])
+  await cell.submit(workflow)
+  await cell.reaches(workflow.id, 'running')
+  t.equal(await cell.after(cell.daemons[1].daemon.service.cancel(workflow.id)), 'cancelled')
+  await cell.reaches(workflow.id, 'cancelled')
+  await cell.timers.advance(1_000)
+  t.ok(cell.records.every(run => run.how === 'stopped'))
+  t.equal(cell.records.length, 2)
+})
+
+t.test('a task that fails as often as its queue allows fails the workflow, and no oftener', async t => {
+  const cell = new WorkflowCell({ workers: 4 })
+  await cell.settle()
+  for (const worker of cell.workers) worker.faults.failTasks = true
+  const workflow = cell.workflow([{ tasks: 1 }])
+  await cell.submit(workflow)
+  await cell.reaches(workflow.id, 'failed')
+  await cell.timers.advance(3_000)
+  t.equal(cell.records.length, 3)
+})
+
+t.test('a long-running task is replaced however it ends', async t => {
+  const cell = new WorkflowCell({ runMs: () => 700 })
+  await cell.settle()
+  const workflow = cell.workflow([{ tasks: 1, longRunning: true }])
+  await cell.submit(workflow)
+  await cell.timers.advance(5_000)
+  t.ok(cell.records.length >= 5)
+  t.same(cell.violations().filter(text => text.includes('twice')), [])
+})
+
+t.test('no worker is filled beyond its room', async t => {
+  const cell = new WorkflowCell({ workers: 2, cpuMillis: 4_000 })
+  await cell.settle()
+  const workflows = Array.from({ length: 6 }, () => cell.workflow([{ tasks: 5 }]))
+  await cell.after(Promise.all(workflows.map(workflow => cell.daemons[0].daemon.service.submit(workflow))))
+  for (const workflow of workflows) await cell.reaches(workflow.id, 'done')
+  const times = cell.records.map(run => run.fromMs)
+  for (const worker of cell.workers) {
+    const own = cell.records.filter(run => run.worker === worker.entry.id)
+    const most = Math.max(...times.map(at => own.filter(run => run.fromMs <= at && run.toMs > at).length))
+    t.ok(most <= 4, `${worker.entry.id} ran ${most}`)
+  }
+  t.same(cell.violations(), [])
+})
+
+t.test('the watch shows an own election before its answer: the term begins all the same', async t => {
+  const cell = new WorkflowCell({ daemons: 1 })
+  const [{ daemon, platform }] = cell.daemons
+  // Answers to writes come after the events that they cause.
+  const txn = platform.txn.bind(platform)
+  platform.txn = async (guards, changes, options) => {
+    const result = await txn(guards, changes, options)
+    await new Promise<void>(resolve => { cell.timers.after(50, resolve) })
+    return result
+  }
+  await cell.timers.until(() => daemon.figures().epoch > 0)
+  await cell.timers.advance(200)
+  t.ok(daemon.figures().leading)
+})
+
+t.test('a final state is never overwritten by an end that is listed again to the next scheduler', async t => {
+  const cell = new WorkflowCell()
+  const first = await cell.settle()
+  const workflow = cell.workflow([{ tasks: 4 }])
+  await cell.submit(workflow)
+  // The ends are recorded, and the scheduler dies before it can acknowledge them.
+  await cell.timers.until(() => cell.events.filter(event => event.name === 'run.ended').length === 4, { stepMs: 1 })
+  first.client.cut = true
+  await cell.timers.until(() => cell.events.some(event => event.name === 'workflow.ended'))
+  first.process.kill()
+  await cell.timers.until(() => cell.leader !== undefined && cell.leader !== first)
+  await cell.settle()
+  await cell.timers.advance(5_000)
+  t.equal(JSON.parse(cell.store.get(progressKey(workflow.id))!.value).state, 'done')
+  t.equal(cell.records.length, 4)
+  t.same(cell.violations(), [])
+})
