Keep scheduling through an outage of the store; replace a dead leader at once; report readiness by reach

Cause: in an outage of the store the leader stopped starting tasks when its lease ended although nobody else could be elected; a killed leader was replaced only after its lease; daemons of a zone that was cut off stayed in rotation and let callers wait for time-outs; workers whose tasks stand still kept them.

--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -12,12 +12,16 @@
 import type { PeerHandlers, PeerTransport } from '../seams/peerTransport.js'
 import type { PlatformClient } from '../seams/platformClient.js'
 import type { RandomSource } from '../seams/randomSource.js'
-import type { Timers } from '../seams/timers.js'
+import { delay, type Timers } from '../seams/timers.js'
 import type { CellConfig, EligibilityAnswer, EligibilityClient, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Time of a call to the eligibility service that is spent on the way between daemons, in milliseconds. */
 const PEER_MARGIN_MS = 100
+/** Period at which a daemon without the store asks for the scheduler, in milliseconds: several within the time of two readiness checks. */
+const PROBE_PERIOD_MS = 300
+/** Longest wait for an earlier scheduler's answer, in milliseconds. */
+const RETIRE_TIMEOUT_MS = 250
 /** Longest wait for records when handing over, in milliseconds: a third of the shortest time in which a daemon must stop. */
 const HAND_OVER_MS = 1_500
 
@@ -62,6 +66,9 @@
   private _term: SchedulerTerm | undefined
   private _termEpoch = 0
   private _authorityLostMs: number | undefined
+  /** The newest leader that was known, and the one before it. */
+  private _known: Leader | undefined
+  private _previous: Leader | undefined
 
   constructor (options: WorkflowDaemonOptions) {
     this._options = options
@@ -85,11 +92,12 @@
   async start (): Promise<void> {
     await this._transport.listen(this._handlers())
     this._session.start()
+    this._options.timers.every(PROBE_PERIOD_MS, () => { if (!this._session.connected) this.service.probeScheduler() })
   }
 
-  /** True while callers are served well: the configuration is known, and the store or a scheduler can be reached. */
+  /** True while callers are served well: the configuration is known, and the store or the scheduler can be reached. */
   get ready (): boolean {
-    return this._options.config() !== undefined && (this._session.connected || this._session.leader !== undefined)
+    return this._options.config() !== undefined && (this._session.connected || this.service.schedulerReached)
   }
 
   figures (): WorkflowDaemonFigures {
@@ -147,6 +155,22 @@
       onDeposed: reason => { if (this._termEpoch === leader.epoch) this._endTerm(reason) }
     })
     this._term.start()
+    this._retirePredecessor(leader, this._term)
+  }
+
+  /** Asks the earlier scheduler to stop, until it has or its process is known to have ended. */
+  private async _retirePredecessor ({ epoch }: Leader, term: SchedulerTerm): Promise<void> {
+    const { timers, vm } = this._options
+    const predecessor = this._previous
+    this._previous = undefined
+    if (!predecessor) return
+    const ended = (): boolean => predecessor.vm === vm || this._session.members.get(predecessor.vm)?.incarnation !== predecessor.incarnation
+    while (!term.closed) {
+      if (ended()) return term.predecessorEnded()
+      const answer = await this._transport.call(predecessor.vm, 'retireScheduler', { epoch }, RETIRE_TIMEOUT_MS)
+      if (answer.isOk && answer.value.retired) return term.predecessorEnded()
+      await delay(timers, RETIRE_TIMEOUT_MS)
+    }
   }
 
   /** A scheduler that has lost its authority extends leases for a bounded time more, so that a short outage of the store ends no task. */
@@ -161,6 +185,8 @@
   }
 
   private _leaderChanged (leader: Leader | undefined): void {
+    if (this._known && this._known.epoch !== leader?.epoch) this._previous = this._known
+    if (leader) this._known = leader
     if (leader && this._term && leader.epoch > this._termEpoch) this._endTerm(`${leader.vm} leads with epoch ${leader.epoch}`)
   }
 
@@ -190,6 +216,11 @@
         return {}
       },
       workflowState: async ({ id }) => this._term?.stateOf(id) ?? { state: null },
+      retireScheduler: async ({ epoch }) => {
+        if (this._term && this._termEpoch < epoch) this._endTerm(`told of epoch ${epoch}`)
+        this._session.retire(epoch)
+        return { retired: this._term === undefined }
+      },
       queueDepths: async () => ({ waiting: this._term?.queueDepths() ?? null }),
       storeWorkflow: async ({ workflow }) => ({ outcome: await this.service.storeHere(workflow) }),
       storeCancellation: async ({ id }) => ({ outcome: await this.service.cancelForPeer(id) }),
--- a/packages/pomelofold/src/utils/errors.ts
+++ b/packages/pomelofold/src/utils/errors.ts
@@ -52,6 +52,11 @@
   }
 }
 
+/** True when nothing listens at the peer's address: the call was not sent, and the process that listened there has ended. */
+export function isRefused (err: CallError): boolean {
+  return err.effect === EFFECTS.none && err.message.includes('ECONNREFUSED')
+}
+
 /** The text of anything thrown. */
 export function errorText (err: unknown): string {
   return err instanceof Error ? err.message : String(err)
--- a/packages/pomelofold/src/workflows/cellSession.ts
+++ b/packages/pomelofold/src/workflows/cellSession.ts
@@ -17,9 +17,11 @@
 /** Length of the lease, in milliseconds. A dead leader is replaced this long after its last renewal. */
 export const SESSION_TTL_MS = 2_500
 /** Time between two renewals, in milliseconds: three may fail within a lease. */
-const RENEWAL_PERIOD_MS = 600
+const RENEWAL_PERIOD_MS = 500
 /** Longest wait for an answer of the store, in milliseconds: shorter than the time left after two failed renewals. */
-const CALL_TIMEOUT_MS = 700
+const CALL_TIMEOUT_MS = 600
+/** Time since its last renewal for which a leader without the store may start work, in milliseconds: most outages of the store are shorter. */
+export const OUTAGE_AUTHORITY_MS = 8_000
 /** Pause after a failed call that is not a renewal, in milliseconds. */
 const RETRY_MS = 150
 /** Candidates run one after the other, this many milliseconds apart, in the order of their rank. */
@@ -72,6 +74,8 @@
   private _campaigning = false
   /** Epoch of this daemon's newest election that has been told. */
   private _electedEpoch = 0
+  /** Epoch of the leader whose address refuses connections. */
+  private _refusedEpoch = 0
   private _leaving = false
   private _closed = false
   private _connected = true
@@ -108,10 +112,29 @@
     return this._connected && this._leaseId !== undefined
   }
 
-  /** Time for which this daemon surely leads under `epoch`, in milliseconds; zero or less when it may not. */
+  /**
+   * Time for which this daemon may start work under `epoch`, in milliseconds; zero or less when it may not.
+   * While the store does not answer, nobody else can be elected there, so the time outlasts the lease; the
+   * next leader allows for that (see `SchedulerTerm`).
+   */
   leadsForMs (epoch: number): number {
     const own = this._leader?.epoch === epoch && this._leader.incarnation === this._options.self.incarnation
-    return own ? this._lease.remainingMs : 0
+    if (!own || this._leaving) return 0
+    const leaseMs = this._lease.remainingMs
+    return this._connected ? leaseMs : Math.max(leaseMs, OUTAGE_AUTHORITY_MS - this._lease.sinceRenewalMs)
+  }
+
+  /** Notes that nothing listens at the leader's address: its process has ended, and this daemon stands for election. */
+  leaderRefuses (epoch: number): void {
+    if (this._leader?.epoch !== epoch || this._leader.vm === this._options.vm || this._refusedEpoch === epoch) return
+    this._refusedEpoch = epoch
+    this._options.log.event('warn', 'leader.refuses', { peer: this._leader.vm, epoch })
+    this._considerElection()
+  }
+
+  /** Gives up leadership of `epoch` because another daemon has been elected. */
+  retire (epoch: number): void {
+    if (this._leader && this._leader.epoch < epoch && this._leader.incarnation === this._options.self.incarnation) this._leader = undefined
   }
 
   /** Gives up leadership and takes no more part in elections. */
@@ -147,7 +170,7 @@
         if (!await this._open()) await delay(timers, RETRY_MS)
         continue
       }
-      await delay(timers, RENEWAL_PERIOD_MS)
+      await delay(timers, this._connected ? RENEWAL_PERIOD_MS : RETRY_MS)
       if (!this._closed) await this._renew()
     }
   }
@@ -246,12 +269,19 @@
   private _considerElection (): void {
     const { vm, self, timers } = this._options
     if (this._leaving || this._closed || this._leaseId === undefined || !this._view.loaded) return
-    const predecessor = this._leader?.vm === vm && this._leader.incarnation !== self.incarnation
+    const predecessor = this._mayReplace(this._leader)
     if ((this._leader && !predecessor) || this._campaigning || this._campaign) return
-    const waitMs = predecessor ? 0 : this._rank() * RANK_STEP_MS
+    const waitMs = this._leader?.vm === vm ? 0 : this._rank() * RANK_STEP_MS
     this._campaign = timers.after(waitMs, () => { this._campaign = undefined; this._stand() })
   }
 
+  /** True for an earlier process of this VM, and for a process that has ended. */
+  private _mayReplace (leader: Leader | undefined): boolean {
+    if (!leader) return false
+    const { vm, self } = this._options
+    return (leader.vm === vm && leader.incarnation !== self.incarnation) || leader.epoch === this._refusedEpoch
+  }
+
   /** Number of present members that stand before this one: larger VMs first, then by name. */
   private _rank (): number {
     const { vm, self } = this._options
@@ -265,8 +295,7 @@
     const { platform, log, vm, self, timers } = this._options
     const current = this._view.get(LEADER_KEY)
     const predecessor = current && parsed(leaderSchema, current.value)
-    const replaceable = !predecessor || (predecessor.vm === vm && predecessor.incarnation !== self.incarnation)
-    if (!replaceable || this._leaving || this._leaseId === undefined) return
+    if ((predecessor && !this._mayReplace({ ...predecessor, epoch: current!.modRevision })) || this._leaving || this._leaseId === undefined) return
     this._campaigning = true
     const term = Math.max(predecessor?.term ?? 0, this._lastTerm) + 1
     const value = JSON.stringify({ vm, incarnation: self.incarnation, term })
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -7,6 +7,7 @@
  * @module
  */
 
+import { OUTAGE_AUTHORITY_MS } from './cellSession.js'
 import { MAX_WORKERS_PER_CALL, type EligibilityBook } from './eligibilityBook.js'
 import type { SpeedLearner } from './speedLearner.js'
 import { countedRoom, placeStep } from './stepPlacer.js'
@@ -46,9 +47,17 @@
 export class Dispatcher {
   private readonly _options: DispatcherOptions
   private readonly _queues = new Map<string, QueueConfig>()
+  /** Time until which an earlier scheduler may start work at workers that this one has not reached. */
+  private _predecessorUntilMs: number
 
   constructor (options: DispatcherOptions) {
     this._options = options
+    this._predecessorUntilMs = options.timers.now() + OUTAGE_AUTHORITY_MS
+  }
+
+  /** Notes that the earlier scheduler sends nothing any more. */
+  predecessorEnded (): void {
+    this._predecessorUntilMs = this._options.timers.now()
   }
 
   /** The queue's configuration; the last known one while a new configuration lacks it. */
@@ -64,6 +73,8 @@
     const wallClockMs = timers.wallClock()
     const nowMs = timers.now()
     const settled = fleet.inheritanceSettled
+    // Until all workers know this epoch, an earlier scheduler may start at the others whatever it hears of.
+    if (!settled && nowMs < this._predecessorUntilMs) return
     const steps: Array<{ step: StepRuntime, queue: QueueConfig }> = []
     for (const workflow of book.open) {
       if (workflow.over || (!settled && workflow.revision < epoch)) continue
--- a/packages/pomelofold/src/workflows/leaseClock.ts
+++ b/packages/pomelofold/src/workflows/leaseClock.ts
@@ -20,6 +20,7 @@
   private readonly _timers: Timers
   private _untilMs = Number.NEGATIVE_INFINITY
   private _offsetMs = 0
+  private _renewedMs = Number.NEGATIVE_INFINITY
 
   constructor (timers: Timers) {
     this._timers = timers
@@ -28,12 +29,21 @@
   /** Notes a renewal that was confirmed: sent at `sentMs` of the monotonic clock and `sentWallMs` of the wall clock. */
   renewed (sentMs: number, sentWallMs: number, ttlMs: number): void {
     this._offsetMs = sentWallMs - sentMs
+    this._renewedMs = sentMs
     this._untilMs = sentMs + ttlMs * USABLE_SHARE
   }
 
   /** Notes the end of the lease. */
   end (): void {
     this._untilMs = Number.NEGATIVE_INFINITY
+    this._renewedMs = Number.NEGATIVE_INFINITY
+  }
+
+  /** Time since the last confirmed renewal was sent, in milliseconds; infinite when the clocks disagree or there was none. */
+  get sinceRenewalMs (): number {
+    const nowMs = this._timers.now()
+    if (Math.abs(this._timers.wallClock() - nowMs - this._offsetMs) > SUSPENSION_MIN_MS) return Number.POSITIVE_INFINITY
+    return nowMs - this._renewedMs
   }
 
   /** Time for which the lease surely lasts, in milliseconds; negative once it may have ended. */
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -12,6 +12,7 @@
 import { RunOrders } from './runOrders.js'
 import { SpeedLearner } from './speedLearner.js'
 import { countedRoom } from './stepPlacer.js'
+import { stalledRuns } from './stalls.js'
 import { WorkerFleet } from './workerFleet.js'
 import { WorkflowBook } from './workflowBook.js'
 import { WorkerTrust } from './workerTrust.js'
@@ -250,6 +251,13 @@
     this._book.cancel(id)
   }
 
+  /** Notes that the earlier scheduler sends nothing any more. */
+  predecessorEnded (): void {
+    this._options.log.event('info', 'term.predecessor.ended', { epoch: this._options.epoch })
+    this._dispatcher.predecessorEnded()
+    this._fleet.predecessorEnded()
+  }
+
   /** Placement figures for metrics. */
   figures (): TermFigures {
     const sessions = [...this._fleet.sessions.values()]
@@ -304,6 +312,7 @@
       listed.add(runKey(row.task, row.attempt))
       this._seen(session, row)
     }
+    this._watchForStall(session)
     for (const [key, run] of session.runs) {
       if (!listed.has(key) && mustBeListed(run, askedMs)) this._lost(run, 'not listed by its worker')
     }
@@ -441,6 +450,18 @@
     }
   }
 
+  /** Moves the runs of a worker at which all stand still. */
+  private _watchForStall (session: WorkerSession): void {
+    const stalled = stalledRuns(session.runs.values(), this._options.timers.now())
+    if (stalled.length === 0) return
+    this._trust.stalled(session.life, stalled.length)
+    for (const run of stalled) {
+      const { task } = run
+      if (task) task.avoid = new Set([...(task.avoid ?? []), session.life])
+      this._orders.stop(run, 'its worker stands still')
+    }
+  }
+
   private _noteProgress (run: Run, row: ListedRun, nowMs: number): void {
     if (row.percent !== run.percent) run.progressedMs = nowMs
     run.percent = row.percent
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -7,7 +7,7 @@
 
 import { z } from 'zod'
 import { LEADER_KEY, ROSTER_KEY } from './keys.js'
-import { lifeOf, WorkerSession, type WorkerSessionListener } from './workerSession.js'
+import { lifeOf, WORKER_CLOCK_RATE, WorkerSession, type WorkerSessionListener } from './workerSession.js'
 import { roomSchema } from '../protocol/workflows.js'
 import type { PlatformClient } from '../seams/platformClient.js'
 import { delay, type Timers } from '../seams/timers.js'
@@ -57,7 +57,7 @@
 export class WorkerFleet {
   readonly sessions = new Map<string, WorkerSession>()
   private readonly _options: WorkerFleetOptions
-  private readonly _inheritedUntilMs: number
+  private _inheritedUntilMs: number
   private readonly _missing = new Map<string, number>()
   private _rosterRevision: number | undefined
   private _roster = new Set<string>()
@@ -68,7 +68,7 @@
 
   constructor (options: WorkerFleetOptions) {
     this._options = options
-    this._inheritedUntilMs = options.timers.now() + (EXTENSION_AFTER_LOSS_MS + options.maxLeaseMs) / 0.98
+    this._inheritedUntilMs = options.timers.now() + (EXTENSION_AFTER_LOSS_MS + options.maxLeaseMs) / WORKER_CLOCK_RATE
   }
 
   start (): void {
@@ -80,6 +80,13 @@
     for (const session of this.sessions.values()) session.close()
   }
 
+  /** Notes that the earlier scheduler sends nothing any more: what it started ends with the leases that it has given. */
+  predecessorEnded (): void {
+    const endMs = this._options.timers.now() + this._options.maxLeaseMs / WORKER_CLOCK_RATE
+    this._inheritedUntilMs = Math.min(this._inheritedUntilMs, endMs)
+    for (const session of this.sessions.values()) session.inheritedUntilMs = this._inheritedUntilMs
+  }
+
   /** True when every worker that an earlier scheduler may have used has answered, or its runs have ended. */
   get inheritanceSettled (): boolean {
     if (!this._inherited) return false
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -14,7 +14,7 @@
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Least rate of a worker's clock: it may be 2% slow. */
-const WORKER_CLOCK_RATE = 0.98
+export const WORKER_CLOCK_RATE = 0.98
 /** Allowance for whole milliseconds and late timers when a lease is taken to have ended, in milliseconds. */
 const LAPSE_SLACK_MS = 100
 /** Longest time for an answer beyond the wait that was asked for, in milliseconds. */
@@ -74,6 +74,8 @@
   lapsed = false
   /** No starts before then, in milliseconds of the monotonic clock. */
   suspendedUntilMs = 0
+  /** Time by which whatever an earlier scheduler started has ended, in milliseconds of the monotonic clock. */
+  inheritedUntilMs: number
   private readonly _options: WorkerSessionOptions
   private _acknowledged = 0
   private _highestEnd = 0
@@ -85,6 +87,7 @@
   constructor (options: WorkerSessionOptions) {
     this._options = options
     this.entry = options.entry
+    this.inheritedUntilMs = options.inheritedUntilMs
   }
 
   /** Name of this life. */
@@ -158,9 +161,9 @@
 
   /** Time by which everything there has ended unless the lease is extended, in milliseconds of the monotonic clock. */
   get lapsesAtMs (): number {
-    if (!this._clock) return this._options.inheritedUntilMs
+    if (!this._clock) return this.inheritedUntilMs
     const ownMs = this._clock.receivedMs + (this._leaseUntil - this._clock.atMs) / WORKER_CLOCK_RATE + LAPSE_SLACK_MS
-    return this.synced ? ownMs : Math.max(ownMs, this._options.inheritedUntilMs)
+    return this.synced ? ownMs : Math.max(ownMs, this.inheritedUntilMs)
   }
 
   private async _extendForever (): Promise<void> {
--- a/packages/pomelofold/src/workflows/workerTrust.ts
+++ b/packages/pomelofold/src/workflows/workerTrust.ts
@@ -9,7 +9,7 @@
 
 import type { Timers } from '../seams/timers.js'
 import { RUN_ENDS, type RunEnd } from '../seams/workflowUpstreams.js'
-import type { EventLog } from '../utils/eventLog.js'
+import type { EventFields, EventLog } from '../utils/eventLog.js'
 
 /** Ends that are looked at. */
 const WINDOW_ENDS = 8
@@ -44,17 +44,33 @@
     return (this._records.get(life)?.suspendedUntilMs ?? 0) > this._timers.now()
   }
 
+  /** Suspends a worker at which runs stand still. */
+  stalled (life: string, runs: number): void {
+    const record = this._recordOf(life)
+    if (record.suspendedUntilMs > this._timers.now()) return
+    this._suspend(life, record, { stalled: runs })
+  }
+
   /** Notes the end of a run. */
   noteEnd (life: string, workflow: string, how: RunEnd): void {
     if (how !== RUN_ENDS.done && how !== RUN_ENDS.failed) return
-    const record = this._records.get(life) ?? { ends: [], suspendedUntilMs: 0, nextMs: SUSPENSION_MIN_MS }
-    this._records.set(life, record)
+    const record = this._recordOf(life)
     record.ends.push({ failed: how === RUN_ENDS.failed, workflow })
     if (record.ends.length > WINDOW_ENDS) record.ends.shift()
     const failures = record.ends.filter(end => end.failed)
     const workflows = new Set(failures.map(end => end.workflow)).size
     if (failures.length < MIN_FAILURES || workflows < MIN_WORKFLOWS || failures.length < record.ends.length * FAILED_SHARE) return
-    this._log.event('warn', 'worker.suspended', { worker: life, failures: failures.length, workflows, ends: record.ends.length, forMs: record.nextMs })
+    this._suspend(life, record, { failures: failures.length, workflows, ends: record.ends.length })
+  }
+
+  private _recordOf (life: string): Record {
+    const record = this._records.get(life) ?? { ends: [], suspendedUntilMs: 0, nextMs: SUSPENSION_MIN_MS }
+    this._records.set(life, record)
+    return record
+  }
+
+  private _suspend (life: string, record: Record, why: EventFields): void {
+    this._log.event('warn', 'worker.suspended', { worker: life, ...why, forMs: record.nextMs })
     record.suspendedUntilMs = this._timers.now() + record.nextMs
     record.nextMs = Math.min(2 * record.nextMs, SUSPENSION_MAX_MS)
     record.ends = []
--- a/packages/pomelofold/src/workflows/workflowService.ts
+++ b/packages/pomelofold/src/workflows/workflowService.ts
@@ -12,16 +12,19 @@
 import type { Workflow, WorkflowState } from '../protocol/workflows.js'
 import type { PeerTransport } from '../seams/peerTransport.js'
 import type { Timers } from '../seams/timers.js'
+import { EFFECTS, isRefused, type CallError } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Longest wait for the scheduler's answer, in milliseconds. */
 const SCHEDULER_TIMEOUT_MS = 400
 /** Longest wait for a peer that writes for this daemon, in milliseconds: its own tries and the way. */
-const PROXY_TIMEOUT_MS = 1_700
+const PROXY_TIMEOUT_MS = 700
 /** Peers that are asked to write for this daemon, one after the other. */
 const MAX_PROXIES = 2
 /** Final states that are remembered. */
 const MAX_FINAL_STATES = 20_000
+/** Age of the scheduler's last answer up to which it counts as reached, in milliseconds: three probes. */
+const SCHEDULER_ANSWER_AGE_MS = 1_000
 /** Age of the last known queue depths up to which they are told, in milliseconds. */
 const MAX_DEPTH_AGE_MS = 1_500
 
@@ -44,6 +47,7 @@
 export class WorkflowService {
   private readonly _options: WorkflowServiceOptions
   private readonly _finalStates = new Map<string, { state: WorkflowState, queue: string }>()
+  private _schedulerAnsweredMs = Number.NEGATIVE_INFINITY
   private _depths: { waiting: Record<string, number>, readMs: number } | undefined
 
   constructor (options: WorkflowServiceOptions) {
@@ -55,20 +59,37 @@
     const { log, timers } = this._options
     const startedMs = timers.now()
     const own = await this.storeHere(workflow)
-    const outcome = own === STORE_OUTCOMES.notStored ? await this._storeThroughPeer(workflow) : own
+    const outcome = own === STORE_OUTCOMES.stored ? own : await this._storeThroughPeer(workflow, own)
     log.event(outcome === STORE_OUTCOMES.stored ? 'info' : 'warn', 'workflow.submitted', {
       requestId: workflow.id,
       jobId: workflow.id,
       queue: workflow.queue,
       outcome,
-      throughPeer: own === STORE_OUTCOMES.notStored,
+      throughPeer: own !== STORE_OUTCOMES.stored,
       tookMs: Math.round(timers.now() - startedMs)
     })
     return outcome
   }
 
-  /** Stores a workflow by this daemon's own path, and tells the scheduler. */
+  /** True when the scheduler is here, or has answered lately. */
+  get schedulerReached (): boolean {
+    const { ownTerm, timers } = this._options
+    return ownTerm() !== undefined || timers.now() - this._schedulerAnsweredMs < SCHEDULER_ANSWER_AGE_MS
+  }
+
+  /** Asks the scheduler for a sign of life. */
+  async probeScheduler (): Promise<void> {
+    const { session, transport, vm, timers } = this._options
+    const { leader } = session
+    if (!leader || leader.vm === vm) return
+    const answer = await transport.call(leader.vm, 'queueDepths', {}, SCHEDULER_TIMEOUT_MS)
+    if (answer.isOk) this._schedulerAnsweredMs = timers.now()
+    else this._noteFailure(leader.epoch, answer.error)
+  }
+
+  /** Stores a workflow by this daemon's own path, and tells the scheduler. Does not try while the store is known to be out of reach. */
   async storeHere (workflow: Workflow): Promise<StoreOutcome> {
+    if (!this._options.session.connected) return STORE_OUTCOMES.notStored
     const { outcome, revision } = await this._options.store.submit(workflow)
     if (outcome === STORE_OUTCOMES.stored && revision !== undefined) this._tellScheduler('workflowStored', { workflow, revision })
     return outcome
@@ -111,7 +132,7 @@
     const state = await this.state(id)
     if (state === 'unknownWorkflow') return 'unknownWorkflow'
     if (state !== 'unavailable' && isFinal(state.state)) return state.state === JOB_STATES.cancelled ? 'cancelled' : 'unknownWorkflow'
-    if (state !== 'unavailable') {
+    if (state !== 'unavailable' && this._options.session.connected) {
       const { outcome } = await this._options.store.cancel(id)
       if (outcome === STORE_OUTCOMES.stored) {
         await this._tellScheduler('workflowCancelled', { id })
@@ -137,20 +158,18 @@
     return 'stored'
   }
 
-  private async _storeThroughPeer (workflow: Workflow): Promise<StoreOutcome> {
+  /** Peers may store what this daemon has tried to store: a workflow is stored once. */
+  private async _storeThroughPeer (workflow: Workflow, own: StoreOutcome): Promise<StoreOutcome> {
     const { transport, log } = this._options
-    let maybeStored = false
+    let outcome = own
     for (const vm of this._proxies()) {
       const answer = await transport.call(vm, 'storeWorkflow', { workflow }, PROXY_TIMEOUT_MS)
-      log.event(
-        'info', 'workflow.proxied',
-        { jobId: workflow.id, peer: vm, outcome: answer.isOk ? answer.value.outcome : answer.error.message }
-      )
+      log.event('info', 'workflow.proxied', { jobId: workflow.id, peer: vm, outcome: answer.isOk ? answer.value.outcome : answer.error.message })
       if (answer.isOk && answer.value.outcome === STORE_OUTCOMES.stored) return STORE_OUTCOMES.stored
-      maybeStored ||= answer.isOk ? answer.value.outcome === STORE_OUTCOMES.unknown : answer.error.effect !== 'none'
-      if (maybeStored) return STORE_OUTCOMES.unknown
+      const maybeStored = answer.isOk ? answer.value.outcome === STORE_OUTCOMES.unknown : answer.error.effect !== EFFECTS.none
+      if (maybeStored) outcome = STORE_OUTCOMES.unknown
     }
-    return STORE_OUTCOMES.notStored
+    return outcome
   }
 
   /** Peers to ask for help: the leader, which surely had a path to the store lately, then others. */
@@ -167,6 +186,7 @@
     const { leader } = session
     if (!leader || leader.vm === this._options.vm) return
     const answer = await transport.call(leader.vm, 'workflowState', { id }, SCHEDULER_TIMEOUT_MS)
+    if (answer.isErr) this._noteFailure(leader.epoch, answer.error)
     if (answer.isErr || answer.value.state === null || answer.value.queue === undefined) return
     return { state: answer.value.state, queue: answer.value.queue }
   }
@@ -185,9 +205,15 @@
     // Without a word, the scheduler learns of it by its watch.
     if (!leader || leader.vm === this._options.vm) return
     const told = await transport.call(leader.vm, method, params, SCHEDULER_TIMEOUT_MS)
+    if (told.isErr) this._noteFailure(leader.epoch, told.error)
     if (told.isErr) log.event('warn', 'scheduler.not.told', { step: method, peer: leader.vm, detail: told.error.message })
   }
 
+  /** A scheduler whose process has ended is replaced without waiting for its lease. */
+  private _noteFailure (epoch: number, err: CallError): void {
+    if (isRefused(err)) this._options.session.leaderRefuses(epoch)
+  }
+
   private _remember (id: string, answer: { state: WorkflowState, queue: string }): void {
     if (!isFinal(answer.state)) return
     this._finalStates.set(id, answer)
--- a/packages/pomelofold/src/workflows/workflowStore.ts
+++ b/packages/pomelofold/src/workflows/workflowStore.ts
@@ -13,9 +13,9 @@
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Longest wait for one call, in milliseconds. */
-const CALL_TIMEOUT_MS = 500
-/** Time in which a write whose outcome is not known is tried again, in milliseconds: half of the shortest time a caller waits. */
-const SETTLE_MS = 1_500
+const CALL_TIMEOUT_MS = 450
+/** Time in which a write whose outcome is not known is tried again, in milliseconds: a peer is asked after that. */
+const SETTLE_MS = 500
 const RETRY_MS = 60
 
 /** What became of a write. */
