--- /dev/null
+++ b/tests/platform/adapter.test.ts
@@ -0,0 +1,166 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { join } from 'node:path'
+import fc from 'fast-check'
+import t from 'tap'
+import { SILENT_LOG } from 'pomelofold/utils/eventLog'
+import { SystemTimers } from 'pomelofold/edge/systemTimers'
+import type { CellConfig } from 'pomelofold/seams/workflowUpstreams'
+import type { WorkflowService } from 'pomelofold/workflows/workflowService'
+import { frontApp, type FrontOptions } from 'pomelofold-on-platform/front'
+import { parseJob } from 'pomelofold-on-platform/jobBody'
+import { parseSettings } from 'pomelofold-on-platform/settings'
+import { REPO } from '../cli/runCli.js'
+import { nearlyValid } from '../http/mutations.js'
+
+/** Names on the wire that no other term of the project resembles. */
+const WIRE_NAMES = [
+  'acked_through', 'ended_runs', 'fence_token', 'est_runtime_ms', 'may_miss', 'max_per_server', 'wait_ms', 'clock_ms',
+  'task_count', 'op/config', 'servers/'
+]
+
+const SETTINGS = `node_name=front-a-1
+ip=10.1.0.13
+zone=a
+listen_addrs.front=10.1.0.13:8161
+listen_addrs.ready=10.1.0.13:8167
+port_range=7720,7735
+limits.cpu_share=0.675
+advice=10.200.1.9:8169
+bounds.hold_max_ms=6000
+bounds.stop_ms=900
+bounds.status_s=120
+bounds.grace_s=6
+platform.address=10.200.1.7:8169
+something.new=1
+`
+
+const CONFIG: CellConfig = {
+  version: 1,
+  queues: new Map(),
+  routes: [{ queue: 'short', host: 'h', prefix: '/q/' }, { queue: 'long', host: 'h', prefix: '/q/deep/' }],
+  guarded: new Set(),
+  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+}
+
+const ID = '5c0e7a21d94b36f8'
+const BODY = JSON.stringify({ spec: 'text', steps: [{ task_count: 2, cpu: 500 }] })
+
+/** An app whose service answers as told. */
+function app (service: Partial<WorkflowService>, options: Partial<FrontOptions> = {}): ReturnType<typeof frontApp> {
+  return frontApp({
+    service: service as WorkflowService,
+    config: () => CONFIG,
+    timers: new SystemTimers(),
+    log: SILENT_LOG,
+    closing: () => false,
+    onAnswer: () => {},
+    ...options
+  })
+}
+
+async function send (target: ReturnType<typeof frontApp>, method: string, path: string, body?: string): Promise<Response> {
+  return target.request(`http://h${path}`, { method, body, headers: { host: 'h' } })
+}
+
+t.test('no name of the platform is used outside its folder', async t => {
+  const files = readdirSync(join(REPO, 'packages'), { recursive: true, encoding: 'utf8' }).filter(file => /^[^/]+\/src\/.*\.ts$/.test(file))
+  t.ok(files.length > 100)
+  for (const file of files) {
+    const text = readFileSync(join(REPO, 'packages', file), 'utf8')
+    for (const name of WIRE_NAMES) if (new RegExp(`(?<![a-z_])${name}`).test(text)) t.fail(`${file} has ${name}`)
+  }
+})
+
+t.test('settings are read, and unknown fields are ignored', async t => {
+  const settings = parseSettings(SETTINGS)
+  t.ok(settings.isOk)
+  if (settings.isOk) {
+    t.match(
+      settings.value,
+      { vm: 'front-a-1', peerAddress: '10.1.0.13:7720', metricsAddress: '10.1.0.13:7735', retentionMs: 120_000, size: 0.675 }
+    )
+  }
+})
+
+t.test('the error about settings names the field', async t => {
+  const settings = parseSettings(SETTINGS.replace('port_range=7720,7735', 'port_range=7720'))
+  t.ok(settings.isErr)
+  if (settings.isErr) t.match(settings.error, /port_range/)
+})
+
+t.test('fields that a job leaves out are empty', async t => {
+  const job = parseJob(BODY, { id: ID, queue: 'short', submittedAtMs: 1 })
+  t.ok(job.isOk)
+  if (job.isOk) {
+    t.match(
+      job.value.steps[0],
+      { tasks: 2, size: { cpuMillis: 500, memoryMb: 0, accelerators: 0 }, after: [], gang: false, dataRack: '' }
+    )
+  }
+})
+
+t.test('a job that names a later step, or none, is refused with a reason', async t => {
+  for (const steps of [[{ task_count: 1, after: [0] }], [], [{ task_count: 0 }], [{ task_count: 1.5 }], 'steps']) {
+    t.ok(parseJob(JSON.stringify({ steps }), { id: ID, queue: 'short', submittedAtMs: 1 }).isErr, JSON.stringify(steps))
+  }
+  t.ok(parseJob(
+    JSON.stringify({ spec: 'ü'.repeat(2_001), steps: [{ task_count: 1 }] }), { id: ID, queue: 'short', submittedAtMs: 1 }
+  ).isErr)
+})
+
+t.test('the longest prefix of the host decides the queue', async t => {
+  const queues: string[] = []
+  const target = app({ submit: async workflow => { queues.push(workflow.queue); return 'stored' } })
+  t.equal((await send(target, 'POST', `/q/${ID}`, BODY)).status, 200)
+  t.equal((await send(target, 'POST', `/q/deep/${ID}`, BODY)).status, 200)
+  t.equal((await send(target, 'POST', `/other/${ID}`, BODY)).status, 404)
+  t.equal((await target.request(`http://x/q/${ID}`, { method: 'POST', body: BODY, headers: { host: 'x' } })).status, 404)
+  t.same(queues, ['short', 'long'])
+})
+
+t.test('a job that was not stored is refused with the time to come back; an unknown outcome is told as such', async t => {
+  const refused = await send(app({ submit: async () => 'notStored' }), 'POST', `/q/${ID}`, BODY)
+  t.equal(refused.status, 503)
+  t.ok(Number(refused.headers.get('retry-after')) >= 1)
+  t.equal((await send(app({ submit: async () => 'unknown' }), 'POST', `/q/${ID}`, BODY)).status, 504)
+  t.equal((await send(app({}, { config: () => undefined }), 'POST', `/q/${ID}`, BODY)).status, 503)
+})
+
+t.test('states, cancellations and depths are told in the words of the platform', async t => {
+  const target = app({
+    state: async id => id === ID ? { state: 'accepted' } : 'unknownWorkflow',
+    cancel: async id => id === ID ? 'cancelled' : 'unknownWorkflow',
+    waiting: async () => 12
+  })
+  t.same(await (await send(target, 'GET', `/q/${ID}`)).json(), { state: 'queued' })
+  t.equal((await send(target, 'GET', '/q/0000000000000000')).status, 410)
+  t.equal((await send(target, 'DELETE', `/q/${ID}`)).status, 200)
+  t.equal((await send(target, 'DELETE', '/q/0000000000000000')).status, 410)
+  t.same(await (await send(target, 'GET', '/q/')).json(), { waiting: 12 })
+})
+
+t.test('bodies that are too large or damaged are refused, and nothing is stored', async t => {
+  let stored = 0
+  const target = app({ submit: async () => { stored++; return 'stored' } })
+  t.equal((await send(target, 'POST', `/q/${ID}`, `{"spec":"${'x'.repeat(1_000)}"}`)).status, 413)
+  t.equal((await send(target, 'POST', `/q/${ID}`, '{')).status, 400)
+  t.equal((await send(target, 'POST', '/q/short-id', BODY)).status, 400)
+  t.equal(stored, 0)
+})
+
+t.test('10,000 damaged jobs are read or refused, and never thrown', async t => {
+  const counts = { read: 0, refused: 0 }
+  fc.assert(fc.property(nearlyValid(JSON.parse(BODY)), body => {
+    const job = parseJob(JSON.stringify(body), { id: ID, queue: 'short', submittedAtMs: 1 })
+    counts[job.isOk ? 'read' : 'refused']++
+  }), { seed: 7, numRuns: 10_000 })
+  t.ok(counts.read > 0 && counts.refused > 0)
+})
+
+t.test('10,000 damaged settings files are read or refused, and never thrown', async t => {
+  const damage = fc.tuple(fc.nat(SETTINGS.length), fc.nat(20), fc.string({ maxLength: 10 }))
+  fc.assert(fc.property(damage, ([at, length, text]) => {
+    parseSettings(SETTINGS.slice(0, at) + text + SETTINGS.slice(at + length))
+  }), { seed: 8, numRuns: 10_000 })
+  t.pass()
+})
