--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -11,6 +11,7 @@
 import { MAX_WORKERS_PER_CALL, type EligibilityBook } from './eligibilityBook.js'
 import type { SpeedLearner } from './speedLearner.js'
 import { countedRoom, placeStep } from './stepPlacer.js'
+import { stragglers } from './stragglers.js'
 import type { WorkerFleet } from './workerFleet.js'
 import type { WorkerSession } from './workerSession.js'
 import type { WorkerTrust } from './workerTrust.js'
@@ -74,13 +75,16 @@
     const nowMs = timers.now()
     const settled = fleet.inheritanceSettled
     // Until all workers know this epoch, an earlier scheduler may start at the others whatever it hears of.
-    if (!settled && nowMs < this._predecessorUntilMs) return
+    const exclusive = settled || nowMs >= this._predecessorUntilMs
     const steps: Array<{ step: StepRuntime, queue: QueueConfig }> = []
     for (const workflow of book.open) {
-      if (workflow.over || (!settled && workflow.revision < epoch)) continue
+      if (workflow.over) continue
+      // What an earlier scheduler may have started at a worker that does not answer waits, unless copies are allowed.
+      const free = exclusive && (settled || workflow.revision >= epoch)
       const queue = this.queueOf(workflow)
       if (!queue) continue
       for (const step of workflow.openSteps(wallClockMs)) {
+        if (!free && !step.spec.speculative) continue
         step.readyMs ??= nowMs
         steps.push({ step, queue })
       }
@@ -90,7 +94,7 @@
   }
 
   private _dispatchStep (step: StepRuntime, queue: QueueConfig, nowMs: number): void {
-    const tasks = step.waitingTasks(nowMs)
+    const tasks = [...step.waitingTasks(nowMs), ...stragglers(step, nowMs)]
     const { spec } = step
     if (tasks.length === 0 || (spec.gang && tasks.length < step.tasks.length)) return
     const { fleet, eligibility, speeds, start } = this._options
--- a/packages/pomelofold/src/workflows/runHost.ts
+++ b/packages/pomelofold/src/workflows/runHost.ts
@@ -12,6 +12,8 @@
   readonly life: string
   readonly entry: WorkerEntry
   readonly closed: boolean
+  /** False while calls fail. */
+  readonly reachable: boolean
   /** No starts before then, in milliseconds of the monotonic clock. */
   suspendedUntilMs: number
   /** True while a run counts there. */
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -339,6 +339,13 @@
   private _start (task: Task, worker: WorkerSession, attempt: number, ticket: string | undefined): void {
     const { timers, log } = this._options
     const { workflow } = task.step
+    if (task.run) {
+      const { attempt: earlier, session, startedMs } = task.run
+      const ranMs = Math.round(timers.now() - startedMs)
+      log.event('info', 'run.copied', { task: task.name, attempt: earlier, worker: session.life, reachable: session.reachable, ranMs })
+      task.superseded.push(task.run)
+      task.run = undefined
+    }
     const run = this._addRun({ task, name: task.name, attempt, session: worker, state: RUN_STATES.starting })
     task.attempt = attempt
     this._starts.count++
@@ -404,6 +411,7 @@
   private _release (run: Run): void {
     run.session.removeRun(run.name, run.attempt)
     const { task } = run
+    if (task) task.superseded = task.superseded.filter(other => other !== run)
     if (!task || task.run !== run) return
     task.run = undefined
     if (task.state === TASK_STATES.running) task.state = TASK_STATES.waiting
@@ -419,8 +427,13 @@
     if (run.task?.step.spec.gang) this._stopStep(run.task.step, 'a member of the gang was lost')
   }
 
+  /** Stops all runs of a task. */
+  private _stopTask ({ run, superseded }: Task, reason: string): void {
+    for (const each of run ? [run, ...superseded] : superseded) this._orders.stop(each, reason)
+  }
+
   private _stopStep (step: StepRuntime, reason: string): void {
-    for (const { run } of step.tasks) if (run) this._orders.stop(run, reason)
+    for (const task of step.tasks) this._stopTask(task, reason)
   }
 
   /** A run that its worker lists as running. */
@@ -492,7 +505,7 @@
     if (end.checkpoint) task.checkpoint = end.checkpoint
     this._trust.noteEnd(session.life, workflow.record.id, end.how)
     if (end.how === RUN_ENDS.done) {
-      if (run) this._speeds.note({ labels: session.entry.labels, estimateMs: step.spec.estimateMs, ranMs: timers.now() - run.startedMs })
+      if (run) this._noteDuration(step, session, timers.now() - run.startedMs)
       if (!step.spec.longRunning) this._done(task)
     } else if (end.how === RUN_ENDS.failed) {
       this._failed(task, end, session)
@@ -502,11 +515,16 @@
     return workflow
   }
 
+  private _noteDuration (step: StepRuntime, session: WorkerSession, ranMs: number): void {
+    step.longestRunMs = Math.max(step.longestRunMs, ranMs)
+    this._speeds.note({ labels: session.entry.labels, estimateMs: step.spec.estimateMs, ranMs })
+  }
+
   private _done (task: Task): void {
     const { step } = task
     const { workflow } = step
     if (workflow.over || !workflow.markDone(task)) return
-    for (const member of step.spec.gang ? step.tasks : [task]) if (member.run) this._orders.stop(member.run, 'its task is done')
+    for (const member of step.spec.gang ? step.tasks : [task]) this._stopTask(member, 'its task is done')
     if (step.done) this._eligibility.forget(stepNameOf(step))
     if (workflow.complete) this._finish(workflow, JOB_STATES.done, 'all tasks are done')
     else this._recorder.changed(workflow)
--- a/packages/pomelofold/src/workflows/stepPlacer.ts
+++ b/packages/pomelofold/src/workflows/stepPlacer.ts
@@ -96,7 +96,7 @@
     let best: WorkerSession | undefined
     let bestCost = Number.POSITIVE_INFINITY
     for (const worker of workers) {
-      if (task.avoid?.has(worker.life) || !plan.fits(worker)) continue
+      if (task.avoid?.has(worker.life) || task.run?.session === worker || !plan.fits(worker)) continue
       const cost = costOf({ plan, step, worker, urgent, slowness })
       if (cost >= bestCost) continue
       best = worker
--- a/packages/pomelofold/src/workflows/workflowBook.ts
+++ b/packages/pomelofold/src/workflows/workflowBook.ts
@@ -101,7 +101,9 @@
     this.open.add(workflow)
     const tasks = record.steps.reduce((sum, step) => sum + step.tasks, 0)
     const ageMs = Math.round(timers.wallClock() - record.submittedAtMs)
-    log.event('info', 'workflow.learned', { jobId: record.id, queue: record.queue, revision, steps: record.steps.length, tasks, ageMs })
+    log.event('info', 'workflow.learned', {
+      jobId: record.id, queue: record.queue, revision, steps: record.steps.length, tasks, traits: traitsOf(record), ageMs
+    })
     onLearned(workflow)
     return workflow
   }
@@ -197,3 +199,17 @@
     }
   }
 }
+
+/** What sets a workflow's steps apart from plain batch work, for the log. */
+function traitsOf ({ steps, repeat }: Workflow): string {
+  const traits = new Set<string>(repeat ? ['repeat'] : [])
+  for (const step of steps) {
+    for (const [name, value] of Object.entries(step)) {
+      if (!PLAIN_FIELDS.has(name) && value) traits.add(name)
+    }
+  }
+  return [...traits].join(',')
+}
+
+/** Fields that every step has. */
+const PLAIN_FIELDS = new Set(['tasks', 'size', 'estimateMs', 'after', 'image'])
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -27,6 +27,8 @@
   checkpoint: string
   /** Not started before then, in milliseconds of the monotonic clock. */
   notBeforeMs: number
+  /** Earlier runs that go on beside the current one. */
+  superseded: Run[]
   /** Workers at which a run of the task has failed or hung. */
   avoid: Set<string> | undefined
 }
@@ -71,6 +73,8 @@
   readonly spec: WorkflowStep
   readonly tasks: Task[]
   doneCount = 0
+  /** Longest run of a task that is done, in milliseconds. */
+  longestRunMs = 0
   /** Time at which the step became ready, in milliseconds of the monotonic clock. */
   readyMs: number | undefined
 
@@ -89,6 +93,7 @@
       failures: [],
       checkpoint: '',
       notBeforeMs: 0,
+      superseded: [],
       avoid: undefined
     }))
   }
