--- a/packages/cli/src/pomelofold.ts
+++ b/packages/cli/src/pomelofold.ts
@@ -7,6 +7,7 @@
 
 import { Command } from 'commander'
 import { jobsCommand } from './commands/jobs.js'
+import { logsCommand } from './commands/logs.js'
 import { diffCommand, submitCommand, validateCommand } from './commands/manifest.js'
 import { reportCommand } from './commands/report.js'
 import { requestsCommand } from './commands/requests.js'
@@ -23,7 +24,7 @@
 const commands = [
   validateCommand(), diffCommand(), submitCommand(),
   statusCommand(), drainCommand(),
-  jobsCommand(), requestsCommand(), reportCommand(),
+  jobsCommand(), requestsCommand(), reportCommand(), logsCommand(),
   settingsCommand()
 ]
 for (const command of commands) program.addCommand(command)
--- a/packages/pomelofold/src/workflows/workflowService.ts
+++ b/packages/pomelofold/src/workflows/workflowService.ts
@@ -19,8 +19,8 @@
 const SCHEDULER_TIMEOUT_MS = 400
 /** Longest wait for a peer that writes for this daemon, in milliseconds: its own tries and the way. */
 const PROXY_TIMEOUT_MS = 700
-/** Peers that are asked to write for this daemon, one after the other. */
-const MAX_PROXIES = 2
+/** Peers that are asked to write for this daemon, one after the other. Those without the store answer at once. */
+const MAX_PROXIES = 4
 /** Final states that are remembered. */
 const MAX_FINAL_STATES = 20_000
 /** Age of the scheduler's last answer up to which it counts as reached, in milliseconds: three probes. */
@@ -47,6 +47,8 @@
 export class WorkflowService {
   private readonly _options: WorkflowServiceOptions
   private readonly _finalStates = new Map<string, { state: WorkflowState, queue: string }>()
+  /** Peer that has stored something for this daemon last. */
+  private _lastProxy: string | undefined
   private _schedulerAnsweredMs = Number.NEGATIVE_INFINITY
   private _depths: { waiting: Record<string, number>, readMs: number } | undefined
 
@@ -165,17 +167,20 @@
     for (const vm of this._proxies()) {
       const answer = await transport.call(vm, 'storeWorkflow', { workflow }, PROXY_TIMEOUT_MS)
       log.event('info', 'workflow.proxied', { jobId: workflow.id, peer: vm, outcome: answer.isOk ? answer.value.outcome : answer.error.message })
-      if (answer.isOk && answer.value.outcome === STORE_OUTCOMES.stored) return STORE_OUTCOMES.stored
+      if (answer.isOk && answer.value.outcome === STORE_OUTCOMES.stored) {
+        this._lastProxy = vm
+        return STORE_OUTCOMES.stored
+      }
       const maybeStored = answer.isOk ? answer.value.outcome === STORE_OUTCOMES.unknown : answer.error.effect !== EFFECTS.none
       if (maybeStored) outcome = STORE_OUTCOMES.unknown
     }
     return outcome
   }
 
-  /** Peers to ask for help: the leader, which surely had a path to the store lately, then others. */
+  /** Peers to ask for help: the one that helped last, the leader, then others. */
   private _proxies (): string[] {
     const { session, vm } = this._options
-    const names = [session.leader?.vm, ...session.presentMembers].filter((name): name is string => name !== undefined && name !== vm)
+    const names = [this._lastProxy, session.leader?.vm, ...session.presentMembers].filter((name): name is string => name !== undefined && name !== vm)
     return [...new Set(names)].slice(0, MAX_PROXIES)
   }
 
