--- a/packages/pomelofold/src/seams/workflowUpstreams.ts
+++ b/packages/pomelofold/src/seams/workflowUpstreams.ts
@@ -185,7 +185,6 @@
   version: number
   queues: Map<string, QueueConfig>
   routes: QueueRoute[]
-  /** Services whose workers refuse what does not fit. */
-  guarded: Set<string>
-  limits: { maxHeaderBytes: number, maxBodyBytes: number, headerTimeoutMs: number, idleTimeoutMs: number }
+  /** Largest body of a submission, in bytes. */
+  maxBodyBytes: number
 }
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -59,8 +59,6 @@
 export interface SchedulingBounds {
   /** Longest lease of a worker. */
   maxLeaseMs: number
-  /** Time that a stop takes at most. */
-  stopMs: number
   /** Time for which the state of an ended workflow is told. */
   retentionMs: number
 }
@@ -113,7 +111,7 @@
   private readonly _trust: WorkerTrust
   private readonly _dispatcher: Dispatcher
   private readonly _timers: TimerSubscription[] = []
-  private readonly _starts = { count: 0 }
+  private _starts = 0
   private readonly _ends: TermFigures['ends'] = { done: 0, failed: 0, stopped: 0, lapsed: 0, broken: 0, alone: 0, lost: 0 }
   private readonly _refusals: Record<string, number> = {}
   /** True while the daemon is about to hand over: nothing is started. */
@@ -266,7 +264,7 @@
       workers: sessions.length,
       reachableWorkers: sessions.filter(session => session.reachable).length,
       runs: sessions.reduce((sum, session) => sum + session.runs.size, 0),
-      starts: this._starts.count,
+      starts: this._starts,
       ends: { ...this._ends },
       refusals: { ...this._refusals }
     }
@@ -348,7 +346,7 @@
     }
     const run = this._addRun({ task, name: task.name, attempt, session: worker, state: RUN_STATES.starting })
     task.attempt = attempt
-    this._starts.count++
+    this._starts++
     log.event('info', 'run.start', {
       task: task.name,
       attempt,
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -124,8 +124,6 @@
   /** Final state that is decided and not recorded yet. */
   ending: WorkflowState | undefined
   cancelled = false
-  /** Time of the cancellation's arrival here, in milliseconds of the monotonic clock. */
-  cancelledMs: number | undefined
   /** True when the stored progress is older than the state here. */
   dirty = false
   endedAtMs: number | undefined
--- a/packages/pomelofold/src/workflows/workflowService.ts
+++ b/packages/pomelofold/src/workflows/workflowService.ts
@@ -166,7 +166,8 @@
     let outcome = own
     for (const vm of this._proxies()) {
       const answer = await transport.call(vm, 'storeWorkflow', { workflow }, PROXY_TIMEOUT_MS)
-      log.event('info', 'workflow.proxied', { jobId: workflow.id, peer: vm, outcome: answer.isOk ? answer.value.outcome : answer.error.message })
+      const told = answer.isOk ? answer.value.outcome : answer.error.message
+      log.event('info', 'workflow.proxied', { jobId: workflow.id, peer: vm, outcome: told })
       if (answer.isOk && answer.value.outcome === STORE_OUTCOMES.stored) {
         this._lastProxy = vm
         return STORE_OUTCOMES.stored
--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -27,7 +27,6 @@
 limits.cpu_share=0.675
 advice=10.200.1.9:8169
 bounds.hold_max_ms=6000
-bounds.stop_ms=900
 bounds.status_s=120
 bounds.grace_s=6
 platform.address=10.200.1.7:8169
@@ -38,8 +37,7 @@
   version: 1,
   queues: new Map(),
   routes: [{ queue: 'short', host: 'h', prefix: '/q/' }, { queue: 'long', host: 'h', prefix: '/q/deep/' }],
-  guarded: new Set(),
-  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+  maxBodyBytes: 1_000
 }
 
 const ID = '5c0e7a21d94b36f8'
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -58,8 +58,7 @@
       version: 1,
       queues: new Map([['checks', { ...QUEUE, ...queue }]]),
       routes: [{ queue: 'checks', host: 'h', prefix: '/checks/' }],
-      guarded: new Set(),
-      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+      maxBodyBytes: 262_144
     }
     this.workers = Array.from({ length: workers }, (_, index) => new LeasedWorker({
       id: `w${index}`,
@@ -99,7 +98,7 @@
       timers: process,
       random: this._random,
       log,
-      bounds: { maxLeaseMs: 6_000, stopMs: 500, retentionMs: 120_000 },
+      bounds: { maxLeaseMs: 6_000, retentionMs: 120_000 },
       config: () => this.config
     })
     const entry = { vm, daemon, platform, client, process }
