--- a/packages/pomelofold/src/workflows/workflowService.ts
+++ b/packages/pomelofold/src/workflows/workflowService.ts
@@ -181,8 +181,8 @@
   /** Peers to ask for help: the one that helped last, the leader, then others. */
   private _proxies (): string[] {
     const { session, vm } = this._options
-    const names = [this._lastProxy, session.leader?.vm, ...session.presentMembers].filter((name): name is string => name !== undefined && name !== vm)
-    return [...new Set(names)].slice(0, MAX_PROXIES)
+    const names = new Set([this._lastProxy, session.leader?.vm, ...session.presentMembers])
+    return [...names].filter((name): name is string => name !== undefined && name !== vm).slice(0, MAX_PROXIES)
   }
 
   private async _stateByScheduler (id: string): Promise<{ state: WorkflowState, queue: string } | undefined> {
