Give all members of a gang one checkpoint; try a task again that every worker has failed; part following runs from the term

Cause 1: members of a gang that broke started again each from its own checkpoint, while the platform wants one for all. Cause 2: a task avoided each worker at which it had failed, also when no other was left: it never started again. Both have a test in tests/workflows/life.test.ts that fails without the fix. A run that no task needs counts with its task's size where that is known.

--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -101,6 +101,7 @@
     const stepName = stepNameOf(step)
     const usable = [...fleet.sessions.values()].filter(worker => this._usable(worker, step, queue, nowMs))
     const workers = queue.eligibility ? usable.filter(worker => eligibility.ticket(stepName, worker.life) !== undefined) : usable
+    for (const task of tasks) if (workers.length > 0 && workers.every(worker => task.avoid?.has(worker.life))) task.avoid = undefined
     const urgent = queue.priority === URGENT_PRIORITY
     const assignments = workers.length === 0
       ? []
--- /dev/null
+++ b/packages/pomelofold/src/workflows/runFollower.ts
@@ -0,0 +1,376 @@
+/**
+ * Follows the runs of a term: starts them, takes in what workers list, and decides what an end means for the
+ * task and its workflow.
+ *
+ * @module
+ */
+
+import { stepNameOf } from './dispatcher.js'
+import type { EligibilityBook } from './eligibilityBook.js'
+import { RunOrders } from './runOrders.js'
+import type { SpeedLearner } from './speedLearner.js'
+import { stalledRuns } from './stalls.js'
+import { countedRoom } from './stepPlacer.js'
+import { mustBeListed, runKey, type WorkerSession } from './workerSession.js'
+import type { WorkerTrust } from './workerTrust.js'
+import type { WorkflowBook } from './workflowBook.js'
+import { RUN_STATES, TASK_STATES, type Run, type StepRuntime, type Task, type WorkflowRuntime } from './workflowRuntime.js'
+import { JOB_STATES } from '../protocol/jobs.js'
+import type { Room, WorkflowState } from '../protocol/workflows.js'
+import type { Timers } from '../seams/timers.js'
+import {
+  RUN_ENDS, START_REFUSALS,
+  type LeaseReport, type ListedEnd, type ListedRun, type RunEnd, type StartRefusal, type WorkerClient
+} from '../seams/workflowUpstreams.js'
+import type { EventLog } from '../utils/eventLog.js'
+
+/** Pause of a task whose start a worker refused, in milliseconds. */
+const REFUSED_PAUSE_MS = 30
+/** Pause of a worker that refused a start for want of room or health, in milliseconds. */
+const WORKER_PAUSE_MS = 400
+/** Refusals after which the worker gets a pause. */
+const PAUSING_REFUSALS: ReadonlySet<StartRefusal | 'notSent'> = new Set([START_REFUSALS.noRoom, START_REFUSALS.unhealthy, 'notSent'])
+
+/** Counts since the beginning of the term. */
+export interface RunCounts {
+  starts: number
+  ends: Record<RunEnd | 'lost', number>
+  refusals: Record<string, number>
+}
+
+/** Options of a {@link RunFollower}. */
+export interface RunFollowerOptions {
+  epoch: number
+  client: WorkerClient
+  timers: Timers
+  log: EventLog
+  book: WorkflowBook
+  eligibility: EligibilityBook
+  speeds: SpeedLearner
+  trust: WorkerTrust
+  /** Time for which starts may still be sent, in milliseconds. */
+  authorityMs: () => number
+  /** Failed runs of a task after which its workflow has failed; undefined when the queue is not known. */
+  maxAttempts: (workflow: WorkflowRuntime) => number | undefined
+  /** The record of a workflow has to be written again. */
+  onChanged: (workflow: WorkflowRuntime) => void
+  /** Room has become free, or a task waits again. */
+  onRoom: () => void
+  onStaleEpoch: () => void
+}
+
+/** Keeps runs, tasks and workflows in step with the workers. */
+export class RunFollower {
+  private readonly _options: RunFollowerOptions
+  private readonly _orders: RunOrders
+  private readonly _ends: RunCounts['ends'] = { done: 0, failed: 0, stopped: 0, lapsed: 0, broken: 0, alone: 0, lost: 0 }
+  private readonly _refusals: Record<string, number> = {}
+  private _starts = 0
+
+  constructor (options: RunFollowerOptions) {
+    this._options = options
+    const { epoch, client, timers, log, authorityMs, onStaleEpoch } = options
+    this._orders = new RunOrders({
+      epoch,
+      client,
+      timers,
+      log,
+      authorityMs,
+      onStarted: run => this._started(run),
+      onRefused: (run, reason) => this._refused(run, reason),
+      onStaleEpoch
+    })
+  }
+
+  /** Sends no further orders. */
+  close (): void {
+    this._orders.close()
+  }
+
+  counts (): RunCounts {
+    return { starts: this._starts, ends: { ...this._ends }, refusals: { ...this._refusals } }
+  }
+
+  /** Starts a task at a worker. A run that the task has goes on beside it. */
+  start (task: Task, worker: WorkerSession, { attempt, ticket }: { attempt: number, ticket: string | undefined }): void {
+    const { timers, log } = this._options
+    const { workflow } = task.step
+    if (task.run) {
+      const { attempt: earlier, session, startedMs } = task.run
+      const ranMs = Math.round(timers.now() - startedMs)
+      log.event('info', 'run.copied', { task: task.name, attempt: earlier, worker: session.life, reachable: session.reachable, ranMs })
+      task.superseded.push(task.run)
+      task.run = undefined
+    }
+    const run = this._addRun({
+      task, name: task.name, attempt, session: worker, size: countedRoom(task.step), state: RUN_STATES.starting
+    })
+    task.attempt = attempt
+    this._starts++
+    log.event('info', 'run.start', {
+      task: task.name,
+      attempt,
+      worker: worker.life,
+      epoch: this._options.epoch,
+      freeCpuMillis: worker.entry.capacity.cpuMillis - worker.used.cpuMillis,
+      waitedMs: Math.round(timers.now() - (task.step.readyMs ?? timers.now()))
+    })
+    this._orders.start(run, { payload: workflow.record.payload, checkpoint: task.step.checkpointOf(task), ticket })
+  }
+
+  /** Takes in what a worker lists. Returns the workflows whose records have to hold its ends. */
+  takeIn (session: WorkerSession, report: LeaseReport, askedMs: number): Set<WorkflowRuntime> {
+    const touched = new Set<WorkflowRuntime>()
+    for (const end of report.ended) {
+      const workflow = end.sequence <= session.highestEnd
+        ? this._options.book.task(end.task)?.step.workflow
+        : this._ended(session, end)
+      session.noteEnds(end.sequence)
+      if (workflow) touched.add(workflow)
+    }
+    const listed = new Set<string>()
+    for (const row of report.running) {
+      listed.add(runKey(row.task, row.attempt))
+      this._seen(session, row)
+    }
+    session.noteReport()
+    this._watchForStall(session)
+    for (const [key, run] of session.runs) {
+      if (!listed.has(key) && mustBeListed(run, askedMs)) this._lost(run, 'not listed by its worker')
+    }
+    return touched
+  }
+
+  /** Whatever ran at the worker has ended. */
+  lapse (session: WorkerSession, reason: string): void {
+    if (session.runs.size) this._options.log.event('warn', 'worker.lapsed', { worker: session.life, reason, runs: session.runs.size })
+    for (const run of [...session.runs.values()]) this._lost(run, reason)
+  }
+
+  /** Moves tasks off workers that are leaving. */
+  leaveDrainingWorkers (sessions: Iterable<WorkerSession>): void {
+    for (const session of sessions) {
+      if (!session.entry.draining) continue
+      for (const run of session.runs.values()) {
+        if (run.state === RUN_STATES.running && run.task?.step.spec.longRunning) this._orders.stop(run, 'its worker is leaving')
+      }
+    }
+  }
+
+  private _addRun (options: Pick<Run, 'task' | 'name' | 'attempt' | 'state'> & { session: WorkerSession, size: Room | undefined }): Run {
+    const nowMs = this._options.timers.now()
+    const { task, session, size } = options
+    const run: Run = {
+      ...options,
+      size: size ?? session.entry.capacity,
+      startedMs: nowMs,
+      confirmedMs: undefined,
+      stopConfirmedMs: undefined,
+      percent: 0,
+      progressedMs: nowMs,
+      reading: undefined,
+      pacePercent: 100
+    }
+    session.addRun(run)
+    if (task && !task.run) {
+      task.run = run
+      task.state = TASK_STATES.running
+    }
+    return run
+  }
+
+  private _started (run: Run): void {
+    run.state = RUN_STATES.running
+    run.confirmedMs = this._options.timers.now()
+    const workflow = run.task?.step.workflow
+    if (!workflow) return
+    if (workflow.state === JOB_STATES.accepted) workflow.state = JOB_STATES.running
+    if (workflow.over) this._orders.stop(run, 'its workflow is over')
+  }
+
+  private _refused (run: Run, reason: StartRefusal | 'notSent'): void {
+    const { timers, log } = this._options
+    const nowMs = timers.now()
+    const { task, session } = run
+    this._refusals[reason] = (this._refusals[reason] ?? 0) + 1
+    log.event('info', 'run.refused', { task: run.name, attempt: run.attempt, worker: session.life, reason })
+    this._release(run)
+    if (PAUSING_REFUSALS.has(reason)) session.suspendedUntilMs = nowMs + WORKER_PAUSE_MS
+    if (reason === START_REFUSALS.ticket && task) this._options.eligibility.refuse(stepNameOf(task.step), session.life)
+    if (task) {
+      task.notBeforeMs = nowMs + REFUSED_PAUSE_MS
+      if (task.step.spec.gang) this._stopStep(task.step, 'a member of the gang was refused')
+    }
+    this._options.onRoom()
+  }
+
+  /** Takes a run off its worker; its task waits again. */
+  private _release (run: Run): void {
+    run.session.removeRun(run.name, run.attempt)
+    const { task } = run
+    if (task) task.superseded = task.superseded.filter(other => other !== run)
+    if (!task || task.run !== run) return
+    task.run = undefined
+    if (task.state === TASK_STATES.running) task.state = TASK_STATES.waiting
+  }
+
+  /** A run that has ended without a listed end. */
+  private _lost (run: Run, reason: string): void {
+    this._ends.lost++
+    this._options.log.event(
+      'warn', 'run.lost', { task: run.name, attempt: run.attempt, worker: run.session.life, reason, state: run.state }
+    )
+    this._release(run)
+    if (run.task?.step.spec.gang) this._stopStep(run.task.step, 'a member of the gang was lost')
+  }
+
+  /** Stops all runs of a task. */
+  private _stopTask ({ run, superseded }: Task, reason: string): void {
+    for (const each of run ? [run, ...superseded] : superseded) this._orders.stop(each, reason)
+  }
+
+  private _stopStep (step: StepRuntime, reason: string): void {
+    for (const task of step.tasks) this._stopTask(task, reason)
+  }
+
+  /** A run that its worker lists as running. */
+  private _seen (session: WorkerSession, row: ListedRun): void {
+    const { timers, log } = this._options
+    const nowMs = timers.now()
+    const known = session.runs.get(runKey(row.task, row.attempt))
+    if (known) {
+      if (known.state === RUN_STATES.starting) this._started(known)
+      this._noteProgress(known, row, nowMs)
+      return
+    }
+    const task = this._options.book.task(row.task)
+    const wanted = task && !task.step.workflow.over && task.state === TASK_STATES.waiting && !task.run
+    if (task) task.attempt = Math.max(task.attempt, row.attempt)
+    const run = this._addRun({
+      task: wanted ? task : undefined,
+      name: row.task,
+      attempt: row.attempt,
+      session,
+      size: task && countedRoom(task.step),
+      state: RUN_STATES.running
+    })
+    run.confirmedMs = nowMs
+    log.event(
+      'info', wanted ? 'run.adopted' : 'run.unwanted',
+      { task: row.task, attempt: row.attempt, worker: session.life, percent: row.percent, epoch: this._options.epoch }
+    )
+    if (wanted) {
+      if (task.step.workflow.state === JOB_STATES.accepted) task.step.workflow.state = JOB_STATES.running
+      this._noteProgress(run, row, nowMs)
+    } else {
+      this._orders.stop(run, 'no task here needs it')
+    }
+  }
+
+  /** Moves the runs of a worker at which all stand still. */
+  private _watchForStall (session: WorkerSession): void {
+    const stalled = stalledRuns(session.runs.values(), this._options.timers.now())
+    if (stalled.length === 0) return
+    this._options.trust.stalled(session.life, stalled.length)
+    for (const run of stalled) {
+      const { task } = run
+      if (task) task.avoid = new Set([...(task.avoid ?? []), session.life])
+      this._orders.stop(run, 'its worker stands still')
+    }
+  }
+
+  private _noteProgress (run: Run, row: ListedRun, nowMs: number): void {
+    if (row.percent !== run.percent) run.progressedMs = nowMs
+    run.percent = row.percent
+    run.reading = row.reading
+    if (run.task && row.checkpoint) run.task.step.noteCheckpoint(run.task, row.checkpoint)
+  }
+
+  /** An end that is listed for the first time in this term. Returns the workflow whose record has to hold it. */
+  private _ended (session: WorkerSession, end: ListedEnd): WorkflowRuntime | undefined {
+    const { timers, log } = this._options
+    const run = session.runs.get(runKey(end.task, end.attempt))
+    const task = this._options.book.task(end.task)
+    this._ends[end.how]++
+    log.event('info', 'run.ended', {
+      task: end.task,
+      attempt: end.attempt,
+      worker: session.life,
+      how: end.how,
+      sequence: end.sequence,
+      ranMs: run && Math.round(timers.now() - run.startedMs),
+      known: run !== undefined
+    })
+    if (run) this._release(run)
+    if (!task) return
+    const { step } = task
+    const { workflow } = step
+    task.attempt = Math.max(task.attempt, end.attempt)
+    if (end.checkpoint) step.noteCheckpoint(task, end.checkpoint)
+    this._options.trust.noteEnd(session.life, workflow.record.id, end.how)
+    if (end.how === RUN_ENDS.done) {
+      if (run) this._noteDuration(step, session, timers.now() - run.startedMs)
+      if (!step.spec.longRunning) this._done(task)
+    } else if (end.how === RUN_ENDS.failed) {
+      this._failed(task, end, session)
+    } else if (step.spec.gang && end.how !== RUN_ENDS.broken) {
+      this._stopStep(step, `a member of the gang ended as ${end.how}`)
+    }
+    return workflow
+  }
+
+  private _noteDuration (step: StepRuntime, session: WorkerSession, ranMs: number): void {
+    step.longestRunMs = Math.max(step.longestRunMs, ranMs)
+    this._options.speeds.note({ labels: session.entry.labels, estimateMs: step.spec.estimateMs, ranMs })
+  }
+
+  private _done (task: Task): void {
+    const { step } = task
+    const { workflow } = step
+    if (workflow.over || !workflow.markDone(task)) return
+    for (const member of step.spec.gang ? step.tasks : [task]) this._stopTask(member, 'its task is done')
+    if (step.done) this._options.eligibility.forget(stepNameOf(step))
+    if (workflow.complete) this.finish(workflow, JOB_STATES.done, 'all tasks are done')
+    else this._options.onChanged(workflow)
+  }
+
+  private _failed (task: Task, end: ListedEnd, session: WorkerSession): void {
+    const { step } = task
+    const { workflow } = step
+    // The runs of a gang fail together: its failures are counted at its first task.
+    const counted = step.spec.gang ? step.tasks[0] : task
+    if (step.spec.gang) this._stopStep(step, 'a member of the gang failed')
+    if (workflow.over || step.spec.longRunning || task.state === TASK_STATES.done || counted.failures.includes(end.attempt)) return
+    counted.failures.push(end.attempt)
+    task.avoid = new Set([...(task.avoid ?? []), session.life])
+    const maxAttempts = this._options.maxAttempts(workflow) ?? Number.POSITIVE_INFINITY
+    if (counted.failures.length >= maxAttempts) {
+      this.finish(
+        workflow, JOB_STATES.failed, `${end.task} failed ${counted.failures.length} times`
+      )
+    } else this._options.onChanged(workflow)
+  }
+
+  /** Decides a workflow's final state, stops what runs of it, and records the state. */
+  finish (workflow: WorkflowRuntime, state: WorkflowState, reason: string): void {
+    const { timers, log } = this._options
+    workflow.ending = state
+    workflow.endedAtMs = timers.wallClock()
+    this._options.book.open.delete(workflow)
+    log.event(
+      'info', 'workflow.finish',
+      { jobId: workflow.record.id, state, reason, sinceLearnedMs: Math.round(timers.now() - workflow.learnedMs) }
+    )
+    for (const steps of workflow.occurrences.values()) {
+      for (const step of steps) this._stopStep(step, `its workflow is ${state}`)
+    }
+    this._options.onChanged(workflow)
+  }
+
+  /** Forgets what is known for the steps of a workflow that has ended. */
+  forget (workflow: WorkflowRuntime): void {
+    for (const steps of workflow.occurrences.values()) {
+      for (const step of steps) this._options.eligibility.forget(stepNameOf(step))
+    }
+  }
+}
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -77,6 +77,7 @@
   longestRunMs = 0
   /** Time at which the step became ready, in milliseconds of the monotonic clock. */
   readyMs: number | undefined
+  private _gangCheckpoint = ''
 
   constructor (workflow: WorkflowRuntime, occurrence: number, index: number) {
     this.workflow = workflow
@@ -107,6 +108,17 @@
     return this.doneCount === this.tasks.length
   }
 
+  /** Notes a checkpoint of a task. One of any member of a gang is valid for all of them. */
+  noteCheckpoint (task: Task, checkpoint: string): void {
+    task.checkpoint = checkpoint
+    if (this.spec.gang) this._gangCheckpoint = checkpoint
+  }
+
+  /** Checkpoint that a start of the task carries: the same for all members of a gang. */
+  checkpointOf (task: Task): string {
+    return this.spec.gang ? this._gangCheckpoint : task.checkpoint
+  }
+
   /** Tasks that wait and have no run left. */
   waitingTasks (nowMs: number): Task[] {
     return this.tasks.filter(task => task.state === TASK_STATES.waiting && !task.run && task.notBeforeMs <= nowMs)
@@ -218,7 +230,7 @@
       task.failures = [...attempts]
       task.attempt = Math.max(task.attempt, ...attempts)
     })
-    this._restoreByTask(progress.checkpoints, (task, checkpoint) => { task.checkpoint = checkpoint })
+    this._restoreByTask(progress.checkpoints, (task, checkpoint) => task.step.noteCheckpoint(task, checkpoint))
     this.dirty = false
   }
 
--- a/packages/standins/src/leasedWorkers.ts
+++ b/packages/standins/src/leasedWorkers.ts
@@ -23,6 +23,8 @@
   fromMs: number
   toMs: number
   how?: RunEnd
+  /** Checkpoint that it started from. */
+  checkpoint?: string
   acknowledgedMs?: number
 }
 
@@ -51,6 +53,8 @@
   readonly entry: WorkerEntry
   readonly faults: LeasedWorkerFaults = { cut: false, loseAnswers: false, lateMs: 0, failTasks: false, draining: false, unlisted: false }
   readonly runs = new Map<string, Held>()
+  /** Checkpoint that its runs report. */
+  checkpoint = ''
   /** Times at which its lease ended. */
   readonly lapses: number[] = []
   epoch = 0
@@ -85,7 +89,7 @@
     this.faults.unlisted = true
   }
 
-  start ({ epoch, task, attempt, untilMs }: RunStart): StartRefusal | undefined {
+  start ({ epoch, task, attempt, untilMs, checkpoint }: RunStart): StartRefusal | undefined {
     if (epoch < this.epoch) return START_REFUSALS.staleEpoch
     this.epoch = epoch
     const now = this._timers.now()
@@ -93,7 +97,7 @@
     this._leaseUntilMs = Math.max(this._leaseUntilMs, untilMs)
     if (this.runs.get(task)?.record.attempt === attempt) return
     if (attempt <= (this._highest.get(task) ?? 0)) return START_REFUSALS.oldAttempt
-    const record: RunRecord = { task, attempt, worker: this.entry.id, fromMs: now, toMs: Number.POSITIVE_INFINITY }
+    const record: RunRecord = { task, attempt, worker: this.entry.id, fromMs: now, toMs: Number.POSITIVE_INFINITY, checkpoint }
     this._records.push(record)
     const runMs = this.faults.failTasks ? 10 : this._runMs(task)
     const how = this.faults.failTasks ? RUN_ENDS.failed : RUN_ENDS.done
@@ -101,6 +105,11 @@
     this.runs.set(task, { record, runMs, cancel: () => timer.cancel() })
   }
 
+  /** Ends all runs as if another member of their gang had ended. */
+  breakRuns (): void {
+    for (const task of [...this.runs.keys()]) this._end(task, RUN_ENDS.broken)
+  }
+
   stop ({ epoch, task, attempt }: { epoch: number, task: string, attempt: number }): StartRefusal | undefined {
     if (epoch < this.epoch) return START_REFUSALS.staleEpoch
     this.epoch = epoch
@@ -129,7 +138,7 @@
       clockMs: this._timers.now(),
       bornMs: this.entry.bornMs,
       running: [...this.runs.values()].map(({ record: { task, attempt, fromMs }, runMs }) => ({
-        task, attempt, checkpoint: '', percent: Math.floor(100 * (this._timers.now() - fromMs) / runMs)
+        task, attempt, checkpoint: this.checkpoint, percent: Math.floor(100 * (this._timers.now() - fromMs) / runMs)
       })),
       ended: this._ends.map(({ record, ...end }) => end)
     }
@@ -143,7 +152,9 @@
     held.record.how = how
     this.runs.delete(task)
     this._highest.set(task, Math.max(held.record.attempt, this._highest.get(task) ?? 0))
-    this._ends.push({ sequence: ++this._sequence, task, attempt: held.record.attempt, how, checkpoint: '', record: held.record })
+    this._ends.push({
+      sequence: ++this._sequence, task, attempt: held.record.attempt, how, checkpoint: this.checkpoint, record: held.record
+    })
     for (const wake of this._waiters.splice(0)) wake()
   }
 
--- a/tests/workflows/life.test.ts
+++ b/tests/workflows/life.test.ts
@@ -107,3 +107,32 @@
   t.equal(cell.records.length, 4)
   t.same(cell.violations(), [])
 })
+
+t.test('all members of a gang start again from the same checkpoint', async t => {
+  const cell = new WorkflowCell({ runMs: () => 2_000 })
+  await cell.settle()
+  const workflow = cell.workflow([{ tasks: 3, gang: true, checkpointing: true }])
+  await cell.submit(workflow)
+  await cell.timers.advance(1_000)
+  // The members report different checkpoints, and the gang breaks.
+  cell.workers.forEach((worker, index) => {
+    worker.checkpoint = `checkpoint-${index}`
+    worker.breakRuns()
+  })
+  await cell.reaches(workflow.id, 'done')
+  const again = cell.records.filter(run => run.checkpoint !== undefined)
+  t.equal(again.length, 3)
+  t.equal(new Set(again.map(run => run.checkpoint)).size, 1)
+  t.equal(new Set(again.map(run => run.attempt)).size, 1)
+})
+
+t.test('a task that every worker has failed once is still tried again', async t => {
+  const cell = new WorkflowCell({ workers: 2, queue: { maxAttempts: 5 } })
+  await cell.settle()
+  for (const worker of cell.workers) worker.faults.failTasks = true
+  const workflow = cell.workflow([{ tasks: 1 }])
+  await cell.submit(workflow)
+  await cell.timers.until(() => cell.records.length === 2)
+  for (const worker of cell.workers) worker.faults.failTasks = false
+  await cell.reaches(workflow.id, 'done')
+})
