Stop an HTTP server although its callers keep their connections busy

Change: from the start of the stop on, each answer says 'connection: close'; close() has a time limit. pomelofoldd stops within shutdownMs and 2 s.

--- a/packages/daemon/src/pomelofoldd.ts
+++ b/packages/daemon/src/pomelofoldd.ts
@@ -25,6 +25,9 @@
 /** `process.cpuUsage()` reports microseconds. */
 const MICROS_PER_MS = 1_000
 
+/** Time beyond `shutdownMs` in which answers are sent before open connections are closed, in milliseconds. */
+const HTTP_CLOSE_MARGIN_MS = 2_000
+
 /** Random bytes in the id of an incarnation. */
 const INCARNATION_BYTES = 8
 
@@ -54,7 +57,7 @@
 
   const stop = async (signal: string): Promise<void> => {
     log.event('info', 'daemon.signal', { signal })
-    const closed = http.close()
+    const closed = http.close({ timeoutMs: settings.shutdownMs + HTTP_CLOSE_MARGIN_MS })
     await daemon.shutdown()
     await closed
     process.exit(EXIT_CODES.ok)
--- a/packages/pomelofold/src/edge/httpServer.ts
+++ b/packages/pomelofold/src/edge/httpServer.ts
@@ -5,7 +5,7 @@
  */
 
 import { serve, type ServerType } from '@hono/node-server'
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Server as NetServer, type Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Hono } from 'hono'
@@ -36,6 +36,9 @@
 export class HttpServer {
   private readonly _options: Required<HttpServerOptions>
   private _server: ServerType | undefined
+  private _closing = false
+  /** Responses that have not ended. */
+  private readonly _openResponses = new Set<ServerResponse>()
 
   constructor ({ maxHeaderBytes = 16_384, maxConnections = 10_000, ...options }: HttpServerOptions) {
     this._options = { maxHeaderBytes, maxConnections, ...options }
@@ -50,6 +53,7 @@
       server.once('error', reject)
       ;(server as Server).on('clientError', answerUnparsable)
       ;(server as Server).on('connection', discardInputBeforeClose)
+      ;(server as Server).prependListener('request', (_req: IncomingMessage, res: ServerResponse) => this._trackResponse(res))
       ;(server as Server).maxConnections = maxConnections
       this._server = server
     })
@@ -61,16 +65,29 @@
     return typeof address === 'object' && address ? address.port : 0
   }
 
-  /** Stops listening. Resolves when all requests have been answered, including those that were in transit at the call. */
-  close (): Promise<void> {
+  /**
+   * Stops listening. The next answer on each open connection is its last one and says `connection: close`. Resolves
+   * when all requests have been answered, including those that were in transit at the call, or after `timeoutMs`,
+   * when the connections that are still open are closed without an answer.
+   */
+  close ({ timeoutMs }: { timeoutMs: number }): Promise<void> {
     const server = this._server as Server | undefined
     if (!server) return Promise.resolve()
+    this._closing = true
+    for (const res of this._openResponses) res.shouldKeepAlive = false
     return new Promise(resolve => {
+      const timeout = setTimeout(() => server.closeAllConnections(), timeoutMs)
       // The HTTP server's own close() would also end connections whose next request has arrived but has not been read.
-      NetServer.prototype.close.call(server, () => resolve())
+      NetServer.prototype.close.call(server, () => { clearTimeout(timeout); resolve() })
       setTimeout(() => server.close(), IDLE_CLOSE_DELAY_MS)
     })
   }
+
+  private _trackResponse (res: ServerResponse): void {
+    if (this._closing) res.shouldKeepAlive = false
+    this._openResponses.add(res)
+    res.once('close', () => this._openResponses.delete(res))
+  }
 }
 
 /**
