Query the eligibility service only for what a start can use, and share daemons fairly

The log did not say why. Change: a placement pass in which steps claim the room that they wait for; a query names eligible workers that have room or soon will, others only while those are too few, and some in advance; queries are sent in the order of waits with 2 s for each step of priority; long queries are split over daemons where these are plenty; daemons that fail are used less often; gangs and tasks of more than half a worker reserve room after 1 s. step.waiting says at info why a step waits, at most 20 lines a second.

--- a/packages/pomelofold/src/protocol/workflows.ts
+++ b/packages/pomelofold/src/protocol/workflows.ts
@@ -26,6 +26,15 @@
 /** Resources that a task needs, or that a worker has. */
 export type Resources = z.infer<typeof resourcesSchema>
 
+/** `a` plus `count` times `b`; a negative count subtracts. */
+export function addResources (a: Resources, b: Resources, count = 1): Resources {
+  return {
+    cpuMillis: a.cpuMillis + count * b.cpuMillis,
+    memoryMb: a.memoryMb + count * b.memoryMb,
+    accelerators: a.accelerators + count * b.accelerators
+  }
+}
+
 /** A step: identical tasks, which start when the steps listed in `after` are done. */
 export const workflowStepSchema = z.object({
   tasks: z.number().int().min(1).max(MAX_TASKS_PER_STEP),
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -1,34 +1,49 @@
 /**
  * Selects the tasks to start and their workers.
  *
- * Load pattern: more tasks are waiting than the workers have room for, from urgent and overnight queues. Steps
- * are placed in the order of their queue's priority, then of their submission. The eligibility service is queried
- * before a start, so that the start does not wait for its answer.
+ * Load pattern: more tasks are waiting than the workers have room for, from urgent and overnight queues, and the
+ * eligibility service must be queried before a start. Steps are placed in the order of their queue's priority, then
+ * of their submission. Queries are made in the order of the steps' waits, with a handicap for less urgent queues, so
+ * that a few daemons that can call the service are not used by urgent steps alone.
  *
  * @module
  */
 
 import { CONFIRMED_OUTAGE_MS } from './cellSession.js'
-import { workersToQuery } from './workersToQuery.js'
 import { MAX_WORKERS_PER_CALL, type EligibilityCache } from './eligibilityCache.js'
-import type { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
-import { reservedRoom, placeStep } from './stepPlacer.js'
+import type { EligibilityLanes } from './eligibilityLanes.js'
+import { PlacementPass, type OrderedStep } from './placementPass.js'
+import { planQuery, splitQuery, type PlannedQuery } from './queryPlanner.js'
+import { needsReservation, planReservations } from './roomReservation.js'
+import { placeStep, StepRoom } from './stepPlacer.js'
 import { findStragglers } from './stragglers.js'
+import { WAIT_CAUSES, type WaitCause, type WaitReporter } from './waitReporter.js'
 import type { WorkerFleet } from './workerFleet.js'
 import type { WorkerSession } from './workerSession.js'
+import type { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
 import type { WorkerSuspensions } from './workerSuspensions.js'
 import type { WorkflowRegistry } from './workflowRegistry.js'
 import type { StepRuntime, Task, WorkflowRuntime } from './workflowRuntime.js'
-import { formatStepName } from '../protocol/workflows.js'
 import type { Timers } from '../seams/timers.js'
 import type { CellConfig, QueueConfig } from '../seams/workflowUpstreams.js'
 
 /** Size of the range of attempt numbers of a term. Each term has its own range, so that no two schedulers use the same number. */
 const ATTEMPTS_PER_TERM = 1_000
-/** Share of each worker's CPU that is reserved for urgent tasks, 0 to 1. */
-const URGENT_CPU_SHARE = 0
 /** Priority of urgent queues; larger numbers are less urgent. */
 const URGENT_PRIORITY = 0
+/**
+ * Handicap of a queue for each step of its priority when queries compete for daemons, in milliseconds: a step that has
+ * waited this much longer comes before one of the next more urgent queue.
+ */
+const PRIORITY_HANDICAP_MS = 2_000
+/** Wait after which a gang or a large task reserves room, in milliseconds. */
+const RESERVE_AFTER_MS = 1_000
+/** Maximum number of steps that reserve room in one pass: limits the room that stands idle and the time of a pass. */
+const MAX_RESERVING_STEPS = 8
+/** Time after the answer to a query within which room must be expected to become free, in milliseconds: a third of a ticket's validity. */
+const EXPECTED_ROOM_MS = 700
+/** Share of the free daemons that one query uses for simultaneous calls. */
+const LANE_SHARE_PER_QUERY = 0.25
 
 /** Options of a {@link Dispatcher}. */
 export interface DispatcherOptions {
@@ -40,6 +55,9 @@
   registry: WorkflowRegistry
   fleet: WorkerFleet
   eligibility: EligibilityCache
+  /** The daemons that can call the eligibility service. */
+  lanes: EligibilityLanes
+  waits: WaitReporter
   speedEstimator: WorkerSpeedEstimator
   suspensions: WorkerSuspensions
   /** Starts a task at a worker. */
@@ -75,13 +93,36 @@
 
   /** Starts all tasks that can start now. */
   dispatch (): void {
+    const { timers, fleet, speedEstimator } = this._options
+    const nowMs = timers.now()
+    const pass = new PlacementPass({
+      workers: fleet.sessions.values(),
+      isUsable: worker => this._isUsable(worker, nowMs),
+      nowMs,
+      estimateMs: (step, worker) => step.spec.estimateMs * speedEstimator.slowness(worker.entry.labels)
+    })
+    const blocked: BlockedStep[] = []
+    let reserving = 0
+    for (const { step, queue } of this._readySteps(nowMs)) {
+      const waiting = this._placeStep({ step, order: blocked.length }, queue, pass)
+      if (waiting === 0) continue
+      const blockedStep = { step, order: blocked.length, queue, waiting }
+      blocked.push(blockedStep)
+      if (reserving < MAX_RESERVING_STEPS && this._reserve(blockedStep, pass)) reserving++
+      else if (queue.eligibility) this._claimQueried(blockedStep, pass)
+    }
+    this._queryEligibility(blocked, pass)
+    for (const step of blocked) this._reportWait(step, pass)
+  }
+
+  /** Open steps whose tasks may start, the most urgent ones first, then those submitted first. */
+  private _readySteps (nowMs: number): ReadyStep[] {
     const { timers, fleet, registry, epoch } = this._options
     const wallClockMs = timers.wallClock()
-    const nowMs = timers.now()
     const inheritanceSettled = fleet.inheritedWorkersSettled
     // The earlier scheduler may still start tasks of any workflow, new ones included, at workers that have not received this epoch.
     const predecessorStopped = inheritanceSettled || nowMs >= this._predecessorActiveUntilMs
-    const steps: Array<{ step: StepRuntime, queue: QueueConfig }> = []
+    const steps: ReadyStep[] = []
     for (const workflow of registry.open) {
       if (workflow.isOver) continue
       // Tasks that the earlier scheduler may have started at an unreachable worker wait, unless the step allows copies.
@@ -89,69 +130,187 @@
       const queue = this.queueOf(workflow)
       if (!queue) continue
       for (const step of workflow.openSteps(wallClockMs)) {
-        if (!mayStartTasks && !step.spec.speculative) continue
         step.readyMs ??= nowMs
-        steps.push({ step, queue })
+        if (mayStartTasks || step.spec.speculative) steps.push({ step, queue })
+        else this._noteWait(step, queue, step.waitingTasks(nowMs).length, () => ({ cause: WAIT_CAUSES.predecessor }))
       }
     }
-    steps.sort((a, b) => a.queue.priority - b.queue.priority || a.step.workflow.record.submittedAtMs - b.step.workflow.record.submittedAtMs)
-    for (const { step, queue } of steps) this._dispatchStep(step, queue, nowMs)
+    const submittedAtMs = ({ step }: ReadyStep): number => step.workflow.record.submittedAtMs
+    return steps.sort((a, b) => a.queue.priority - b.queue.priority || submittedAtMs(a) - submittedAtMs(b))
   }
 
-  private _dispatchStep (step: StepRuntime, queue: QueueConfig, nowMs: number): void {
-    const tasks = [...step.waitingTasks(nowMs), ...findStragglers(step, nowMs)]
+  /** Starts the tasks of a step for which there is room. Returns the number of tasks that go on waiting for workers. */
+  private _placeStep (ordered: OrderedStep, queue: QueueConfig, pass: PlacementPass): number {
+    const { step } = ordered
+    const tasks = [...step.waitingTasks(pass.nowMs), ...findStragglers(step, pass.nowMs)]
     const { spec } = step
-    if (tasks.length === 0 || (spec.gang && tasks.length < step.tasks.length)) return
-    const { fleet, eligibility, speedEstimator, start } = this._options
-    const stepName = stepNameOf(step)
-    const usable = [...fleet.sessions.values()].filter(worker => this._isUsable(worker, step, queue, nowMs))
-    const workers = queue.eligibility ? usable.filter(worker => eligibility.ticket(stepName, worker.incarnation) !== undefined) : usable
+    if (tasks.length === 0) return 0
+    if (spec.gang && tasks.length < step.tasks.length) {
+      this._noteWait(step, queue, tasks.length, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
+      return 0
+    }
+    const { eligibility, start } = this._options
+    const workers = queue.eligibility ? this._ticketHolders(step, queue, pass) : pass.workersFor(step, queue.service)
     for (const task of tasks) if (workers.length > 0 && workers.every(worker => task.avoid?.has(worker.incarnation))) task.avoid = undefined
-    const urgent = queue.priority === URGENT_PRIORITY
     const assignments = workers.length === 0
       ? []
       : placeStep({
-        step, tasks, workers, urgent, slowness: worker => speedEstimator.slowness(worker.entry.labels), urgentCpuShare: URGENT_CPU_SHARE
+        step,
+        tasks,
+        workers,
+        urgent: queue.priority === URGENT_PRIORITY,
+        slowness: this._slowness,
+        freeRoom: worker => pass.freeRoom(ordered, worker)
       })
     const attempt = spec.gang ? this._nextAttempt(Math.max(...step.tasks.map(task => task.attempt))) : undefined
     for (const { task, worker } of assignments) {
-      start(task, worker, attempt ?? this._nextAttempt(task.attempt), eligibility.ticket(stepName, worker.incarnation))
+      start(task, worker, attempt ?? this._nextAttempt(task.attempt), eligibility.ticket(step.name, worker.incarnation))
+    }
+    return tasks.length - assignments.length
+  }
+
+  private readonly _slowness = (worker: WorkerSession): number => this._options.speedEstimator.slowness(worker.entry.labels)
+
+  private _ticketHolders (step: StepRuntime, queue: QueueConfig, pass: PlacementPass): WorkerSession[] {
+    const { eligibility, fleet } = this._options
+    const workers: WorkerSession[] = []
+    for (const incarnation of eligibility.ticketHolders(step.name)) {
+      const worker = fleet.sessions.get(incarnation)
+      if (worker && pass.isUsable(worker, step, queue.service)) workers.push(worker)
     }
-    const unplacedCount = tasks.length - assignments.length
-    if (queue.eligibility && unplacedCount > 0) this._queryEligibility(stepName, step, queue, { usable, tasks: unplacedCount })
+    return workers
   }
 
-  private _isUsable (worker: WorkerSession, step: StepRuntime, queue: QueueConfig, nowMs: number): boolean {
-    const { entry } = worker
-    if (entry.service !== queue.service || entry.draining || !worker.listed || !worker.reachable || !worker.synced) return false
-    if (worker.closed || worker.suspendedUntilMs > nowMs || this._options.suspensions.isSuspended(worker.incarnation)) return false
-    const { requiredLabel } = step.spec
-    return requiredLabel === '' || entry.labels.includes(requiredLabel)
+  private _isUsable (worker: WorkerSession, nowMs: number): boolean {
+    if (worker.entry.draining || !worker.listed || !worker.reachable || !worker.synced || worker.closed) return false
+    return worker.suspendedUntilMs <= nowMs && !this._options.suspensions.isSuspended(worker.incarnation)
   }
 
   /**
-   * Queries the eligibility of workers with room for a step. Candidates are workers without an answer so far,
-   * and eligible workers whose ticket has expired.
+   * Claims room for the waiting tasks of a step on workers with a valid ticket, and on those in its queries in progress.
+   * A gang that does not fit claims none.
    */
-  private _queryEligibility (
-    stepName: string, step: StepRuntime, queue: QueueConfig, { usable, tasks }: { usable: WorkerSession[], tasks: number }
-  ): void {
-    const { eligibility, speedEstimator } = this._options
-    if (eligibility.isQueryPending(stepName)) return
-    const room = reservedRoom(step)
-    const candidates = usable.filter(worker => {
-      const isEligible = eligibility.isEligible(stepName, worker.incarnation)
-      if (isEligible === undefined) return step.spec.size.memoryMb <= worker.entry.capacity.memoryMb
-      return isEligible && worker.fits(room) && eligibility.ticket(stepName, worker.incarnation) === undefined
-    })
-    const candidatesWithRoom = candidates.filter(worker => worker.fits(room))
-    if (candidatesWithRoom.length === 0) return
+  private _claimQueried (blocked: BlockedStep, pass: PlacementPass): void {
+    const { eligibility, fleet } = this._options
+    const { step, waiting, queue } = blocked
+    const { workers, endsMs } = eligibility.pendingQuery(step.name)
+    const idleUntilMs = workers.length ? endsMs : pass.nowMs
+    const atMs = Math.max(idleUntilMs, pass.nowMs) + EXPECTED_ROOM_MS
+    const room = new StepRoom(step, worker => pass.expectedRoom(blocked, worker, atMs))
+    const claims: Array<{ worker: WorkerSession, tasks: number }> = []
+    let missing = waiting
+    for (const incarnation of [...eligibility.ticketHolders(step.name), ...workers]) {
+      if (missing === 0) break
+      const worker = fleet.sessions.get(incarnation)
+      const tasks = worker && pass.isUsable(worker, step, queue.service) ? room.slots(worker, missing) : 0
+      if (tasks === 0) continue
+      claims.push({ worker: worker!, tasks })
+      missing -= tasks
+    }
+    if (missing > 0 && step.spec.gang) return
+    for (const { worker, tasks } of claims) pass.claim(blocked, worker, { tasks, idleUntilMs })
+  }
+
+  /** Reserves room for a gang or a large task that has waited for some time. Returns whether it did. */
+  private _reserve (blocked: BlockedStep, pass: PlacementPass): boolean {
+    const { step, queue, waiting } = blocked
+    if (pass.nowMs - (step.readyMs ?? pass.nowMs) < RESERVE_AFTER_MS) return false
+    const { eligibility } = this._options
+    const usable = pass.workersFor(step, queue.service)
+    if (!needsReservation(step, usable)) return false
+    const workers = queue.eligibility ? usable.filter(worker => eligibility.isEligible(step.name, worker.incarnation)) : usable
+    const reservations = planReservations({ ordered: blocked, tasks: waiting, workers, pass })
+    const idleUntilMs = Math.max(...reservations.map(({ freeAtMs }) => freeAtMs))
+    for (const { worker, tasks } of reservations) pass.claim(blocked, worker, { tasks, idleUntilMs })
+    return reservations.length > 0
+  }
+
+  /** Queries the eligibility service: first for steps that could start tasks after the answer, then in advance for others. */
+  private _queryEligibility (blocked: BlockedStep[], pass: PlacementPass): void {
+    const { eligibility } = this._options
+    const turn = ({ step, queue }: BlockedStep): number => (step.readyMs ?? pass.nowMs) + queue.priority * PRIORITY_HANDICAP_MS
+    const asking = blocked.filter(({ step, queue }) => queue.eligibility && !eligibility.isQueryPending(step.name))
+    const inAdvance: Array<{ blocked: BlockedStep, workers: WorkerSession[] }> = []
+    for (const blockedStep of asking.sort((a, b) => turn(a) - turn(b))) {
+      if (this._freeLanes(blockedStep.queue, 1) === 0) continue
+      const { workers, startsTasks } = this._planQuery(blockedStep, pass)
+      if (workers.length === 0) continue
+      if (!startsTasks) inAdvance.push({ blocked: blockedStep, workers })
+      else if (this._query(blockedStep, workers)) this._claimQueried(blockedStep, pass)
+    }
+    for (const { blocked: blockedStep, workers } of inAdvance) this._query(blockedStep, workers)
+  }
+
+  /** Number of calls about that many workers that could start now. */
+  private _freeLanes ({ eligibility }: QueueConfig, workers: number): number {
+    return this._options.lanes.freeCount(eligibility!.baseMs + eligibility!.perWorkerMs * workers)
+  }
+
+  /** Calls the service for a step, in several simultaneous calls where daemons are plenty. Returns whether a call was made. */
+  private _query ({ step, queue }: BlockedStep, workers: WorkerSession[]): boolean {
     const { baseMs, perWorkerMs } = queue.eligibility!
-    const selected = workersToQuery({
-      workers: candidatesWithRoom, tasks, slowness: worker => speedEstimator.slowness(worker.entry.labels), maxWorkers: MAX_WORKERS_PER_CALL
+    const maxCalls = Math.floor(this._freeLanes(queue, workers.length) * LANE_SHARE_PER_QUERY)
+    const calls = splitQuery(workers, maxCalls).map(part => this._options.eligibility.queryWorkers({
+      step: step.name,
+      workers: part.map(worker => ({ id: worker.entry.id, incarnation: worker.incarnation })),
+      priority: queue.priority,
+      expectedMs: baseMs + perWorkerMs * part.length
+    }))
+    return calls.includes(true)
+  }
+
+  private _planQuery (blocked: BlockedStep, pass: PlacementPass): PlannedQuery {
+    const { eligibility } = this._options
+    const { step, queue, waiting } = blocked
+    const atMs = pass.nowMs + queue.eligibility!.baseMs + EXPECTED_ROOM_MS
+    return planQuery({
+      step,
+      tasks: waiting,
+      workers: pass.workersFor(step, queue.service),
+      isEligible: worker => eligibility.isEligible(step.name, worker.incarnation),
+      hasTicket: worker => eligibility.ticket(step.name, worker.incarnation) !== undefined,
+      freeRoom: worker => pass.freeRoom(blocked, worker),
+      expectedRoom: worker => pass.expectedRoom(blocked, worker, atMs),
+      slowness: this._slowness,
+      maxWorkers: MAX_WORKERS_PER_CALL
     })
-    const workers = selected.map(worker => ({ id: worker.entry.id, incarnation: worker.incarnation }))
-    eligibility.queryWorkers({ step: stepName, workers, priority: queue.priority, expectedMs: baseMs + perWorkerMs * workers.length })
+  }
+
+  private _reportWait (blocked: BlockedStep, pass: PlacementPass): void {
+    this._noteWait(blocked.step, blocked.queue, blocked.waiting, () => this._explainWait(blocked, pass))
+  }
+
+  private _noteWait (step: StepRuntime, queue: QueueConfig, tasks: number, explain: () => WaitExplanation): void {
+    if (tasks > 0) this._options.waits.note({ step, queue: queue.name, objectiveMs: queue.targetMs, tasks, explain })
+  }
+
+  private _explainWait (blocked: BlockedStep, pass: PlacementPass): WaitExplanation {
+    const { eligibility } = this._options
+    const { step, queue, waiting } = blocked
+    const usable = pass.workersFor(step, queue.service)
+    const slotsOf = (room: StepRoom, workers: WorkerSession[]): number =>
+      workers.reduce((sum, worker) => sum + room.slots(worker, waiting), 0)
+    const unclaimed = new StepRoom(step, worker => pass.freeRoom(blocked, worker))
+    const answers = usable.map(worker => eligibility.isEligible(step.name, worker.incarnation))
+    const allowed = queue.eligibility ? usable.filter((_worker, index) => answers[index] !== false) : usable
+    const counts = {
+      workers: usable.length,
+      eligible: queue.eligibility ? answers.filter(answer => answer === true).length : usable.length,
+      unknown: queue.eligibility ? answers.filter(answer => answer === undefined).length : 0,
+      slots: slotsOf(new StepRoom(step), usable),
+      allowedSlots: slotsOf(new StepRoom(step), allowed),
+      unclaimedSlots: slotsOf(unclaimed, allowed)
+    }
+    const cause = ((): WaitCause => {
+      if (usable.length === 0) return WAIT_CAUSES.noWorker
+      if (eligibility.isQueryPending(step.name)) return WAIT_CAUSES.eligibilityPending
+      if (counts.slots === 0) return WAIT_CAUSES.noRoom
+      if (counts.allowedSlots === 0) return WAIT_CAUSES.notEligible
+      if (counts.unclaimedSlots === 0) return WAIT_CAUSES.roomClaimed
+      if (step.spec.gang && counts.unclaimedSlots < waiting) return WAIT_CAUSES.tooLittleRoom
+      return queue.eligibility ? WAIT_CAUSES.eligibilityBusy : WAIT_CAUSES.tooLittleRoom
+    })()
+    return { cause, ...counts }
   }
 
   /** Next attempt number after `attempt` that lies in this term's range or above. */
@@ -160,7 +319,18 @@
   }
 }
 
-/** Name of a step in calls to the eligibility service. */
-export function stepNameOf ({ workflow, occurrence, index }: StepRuntime): string {
-  return formatStepName(workflow.record.id, occurrence, index)
+interface ReadyStep {
+  step: StepRuntime
+  queue: QueueConfig
+}
+
+/** A step with tasks that could not be placed. */
+interface BlockedStep extends ReadyStep, OrderedStep {
+  /** Number of tasks that wait. */
+  waiting: number
+}
+
+interface WaitExplanation {
+  cause: WaitCause
+  [count: string]: string | number
 }
--- a/packages/pomelofold/src/workflows/eligibilityCache.ts
+++ b/packages/pomelofold/src/workflows/eligibilityCache.ts
@@ -1,29 +1,20 @@
 /**
  * Caches which workers may run each step, and queries the eligibility service for missing answers.
  *
- * Load pattern: a slow eligibility service that serves one call of each daemon at a time, while the steps of
- * urgent and overnight queues need more calls than one daemon can make. Calls are distributed over all daemons,
- * urgent steps first, and some daemons are reserved for short calls.
- *
  * @module
  */
 
+import type { EligibilityLanes } from './eligibilityLanes.js'
 import type { EligibilityAnswer } from '../seams/workflowUpstreams.js'
 import type { Timers } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Maximum number of workers in one call. */
 export const MAX_WORKERS_PER_CALL = 100
-/** Calls with a longer expected time count as long, in milliseconds: a fifth of the shortest objective of urgent work. */
-const LONG_CALL_MS = 200
-/** Number of daemons that make no long calls. */
-const DAEMONS_FOR_SHORT_CALLS = 2
 /** Time by which a ticket expires here before the end of its validity, in milliseconds: the transit times of the answer and the start. */
 const TICKET_VALIDITY_MARGIN_MS = 120
-/** Time without calls through a daemon after a failed call, in milliseconds. */
-const FAILED_DAEMON_PAUSE_MS = 300
-/** Time beyond the expected time after which a call times out, in milliseconds. */
-const CALL_SLACK_MS = 1_500
+/** Time beyond the expected time after which a call times out, in milliseconds: transit through a daemon under load. */
+const CALL_SLACK_MS = 600
 
 /** Calls the eligibility service through the daemon on `vm`. Resolves to undefined when the call failed. */
 export type EligibilityCall = (vm: string, step: string, workers: string[], timeoutMs: number) => Promise<EligibilityAnswer | undefined>
@@ -33,7 +24,7 @@
   step: string
   /** Ids of the workers, which are sent to the service, with their incarnations, under which the answers are cached. */
   workers: Array<{ id: string, incarnation: string }>
-  /** Priority of the step's queue; queries with the lowest number are sent first. */
+  /** Priority of the step's queue, for the log. */
   priority: number
   /** Expected duration of the call, in milliseconds. */
   expectedMs: number
@@ -49,7 +40,14 @@
   eligible: Map<string, boolean>
   /** Latest tickets by worker incarnation. */
   tickets: Map<string, Ticket>
-  queryPending: boolean
+  /** Calls in progress. */
+  pendingCalls: Set<PendingCall>
+}
+
+interface PendingCall {
+  workers: string[]
+  /** Expected time of the answer, in milliseconds of the monotonic clock. */
+  endsMs: number
 }
 
 /** Options of an {@link EligibilityCache}. */
@@ -57,8 +55,7 @@
   timers: Timers
   log: EventLog
   queryThroughDaemon: EligibilityCall
-  /** VMs of the daemons that can call the service, this one included. */
-  daemons: () => string[]
+  lanes: EligibilityLanes
   /** Called after each call, also a failed one. */
   onAnswer: () => void
 }
@@ -67,9 +64,6 @@
 export class EligibilityCache {
   private readonly _options: EligibilityCacheOptions
   private readonly _steps = new Map<string, StepEligibility>()
-  private readonly _callsByDaemon = new Map<string, { long: boolean }>()
-  private readonly _pausedUntilMs = new Map<string, number>()
-  private _pendingQueries: EligibilityQuery[] = []
 
   constructor (options: EligibilityCacheOptions) {
     this._options = options
@@ -86,9 +80,23 @@
     return this._steps.get(step)?.eligible.get(incarnation)
   }
 
-  /** True while a query for the step waits or is in progress. */
+  /** Incarnations of the workers that hold a valid ticket for the step. */
+  ticketHolders (step: string): string[] {
+    const nowMs = this._options.timers.now()
+    const holders: string[] = []
+    for (const [incarnation, ticket] of this._steps.get(step)?.tickets ?? []) if (ticket.validUntilMs > nowMs) holders.push(incarnation)
+    return holders
+  }
+
+  /** True while a call for the step is in progress. */
   isQueryPending (step: string): boolean {
-    return this._steps.get(step)?.queryPending ?? false
+    return (this._steps.get(step)?.pendingCalls.size ?? 0) > 0
+  }
+
+  /** Worker incarnations in the calls in progress for the step, and the time by which the answers are expected. */
+  pendingQuery (step: string): { workers: string[], endsMs: number } {
+    const calls = [...this._steps.get(step)?.pendingCalls ?? []]
+    return { workers: calls.flatMap(call => call.workers), endsMs: Math.max(...calls.map(call => call.endsMs)) }
   }
 
   /** Drops a ticket that a worker has refused. */
@@ -101,56 +109,34 @@
     this._steps.delete(step)
   }
 
-  /** Queues a query, unless one for the same step is pending. */
-  queryWorkers (query: EligibilityQuery): void {
-    const stepEligibility = this._steps.get(query.step) ?? { eligible: new Map(), tickets: new Map(), queryPending: false }
+  /** Calls the service, unless no daemon is free for the call. Returns whether the call was made. */
+  queryWorkers (query: EligibilityQuery): boolean {
+    const daemon = this._options.lanes.take(query.expectedMs)
+    if (daemon === undefined) return false
+    const stepEligibility = this._steps.get(query.step) ?? { eligible: new Map(), tickets: new Map(), pendingCalls: new Set() }
     this._steps.set(query.step, stepEligibility)
-    if (stepEligibility.queryPending || query.workers.length === 0) return
-    stepEligibility.queryPending = true
-    this._pendingQueries.push({ ...query, workers: query.workers.slice(0, MAX_WORKERS_PER_CALL) })
-    this._pendingQueries.sort((a, b) => a.priority - b.priority)
-    this._startCalls()
-  }
-
-  /** Starts queued queries at daemons without a call. */
-  private _startCalls (): void {
-    for (const query of [...this._pendingQueries]) {
-      const daemon = this._freeDaemon(query.expectedMs > LONG_CALL_MS)
-      if (daemon === undefined) continue
-      this._pendingQueries.splice(this._pendingQueries.indexOf(query), 1)
-      this._call(daemon, query)
-    }
-  }
-
-  private _freeDaemon (long: boolean): string | undefined {
-    const nowMs = this._options.timers.now()
-    const daemons = this._options.daemons()
-    const freeDaemons = daemons.filter(vm => !this._callsByDaemon.has(vm) && (this._pausedUntilMs.get(vm) ?? 0) <= nowMs)
-    if (!long) return freeDaemons[0]
-    const longCalls = [...this._callsByDaemon.values()].filter(call => call.long).length
-    const maxLongCalls = Math.max(1, daemons.length - DAEMONS_FOR_SHORT_CALLS)
-    return longCalls < maxLongCalls ? freeDaemons.at(-1) : undefined
+    this._call(daemon, query, stepEligibility)
+    return true
   }
 
-  private async _call (daemon: string, { step, workers, expectedMs, priority }: EligibilityQuery): Promise<void> {
-    const { timers, log, queryThroughDaemon } = this._options
-    this._callsByDaemon.set(daemon, { long: expectedMs > LONG_CALL_MS })
+  private async _call (
+    daemon: string, { step, workers, expectedMs, priority }: EligibilityQuery, stepEligibility: StepEligibility
+  ): Promise<void> {
+    const { timers, log, queryThroughDaemon, lanes, onAnswer } = this._options
     const requestSentMs = timers.now()
+    const pendingCall = { workers: workers.map(worker => worker.incarnation), endsMs: requestSentMs + expectedMs }
+    stepEligibility.pendingCalls.add(pendingCall)
     const answer = await queryThroughDaemon(daemon, step, workers.map(worker => worker.id), expectedMs + CALL_SLACK_MS)
-    this._callsByDaemon.delete(daemon)
+    lanes.release(daemon, { failed: answer === undefined })
+    stepEligibility.pendingCalls.delete(pendingCall)
     const tookMs = Math.round(timers.now() - requestSentMs)
-    const stepEligibility = this._steps.get(step)
-    if (stepEligibility) stepEligibility.queryPending = false
     if (!answer) {
-      this._pausedUntilMs.set(daemon, timers.now() + FAILED_DAEMON_PAUSE_MS)
-      timers.after(FAILED_DAEMON_PAUSE_MS, () => this._startCalls())
       log.event('warn', 'eligibility.failed', { task: step, peer: daemon, workers: workers.length, tookMs })
-    } else if (stepEligibility) {
+    } else {
       this._storeAnswer(stepEligibility, workers, answer)
       log.event('debug', 'eligibility.learned', { task: step, peer: daemon, workers: workers.length, good: Object.keys(answer.tickets).length, validMs: answer.validMs, priority, tookMs })
     }
-    this._options.onAnswer()
-    this._startCalls()
+    onAnswer()
   }
 
   private _storeAnswer (stepEligibility: StepEligibility, workers: EligibilityQuery['workers'], { tickets, validMs }: EligibilityAnswer): void {
--- /dev/null
+++ b/packages/pomelofold/src/workflows/roomReservation.ts
@@ -0,0 +1,79 @@
+/**
+ * Selects the workers on which a blocked step waits for room.
+ *
+ * Load pattern: a gang, or a task that needs most of a worker, while small tasks take each piece of room as soon as it
+ * becomes free. The step waits for the workers that are expected to have room for it first.
+ *
+ * @module
+ */
+
+import type { OrderedStep, PlacementPass } from './placementPass.js'
+import { groupByRack, StepRoom } from './stepPlacer.js'
+import type { StepRuntime } from './workflowRuntime.js'
+import type { WorkerSession } from './workerSession.js'
+import { addResources, type Resources } from '../protocol/workflows.js'
+
+/** Share of a worker's capacity from which a task counts as large. */
+const LARGE_TASK_SHARE = 0.5
+
+/** Room that a step waits for on a worker. */
+export interface Reservation {
+  worker: WorkerSession
+  tasks: number
+  /** Time at which the room is expected to be free, in milliseconds of the monotonic clock. */
+  freeAtMs: number
+}
+
+/** Options of {@link planReservations}. */
+export interface PlanReservationsOptions {
+  ordered: OrderedStep
+  /** Number of tasks that wait. */
+  tasks: number
+  /** Workers on which the tasks may run. */
+  workers: WorkerSession[]
+  pass: PlacementPass
+}
+
+/** True for steps that small tasks can keep from starting for ever. */
+export function needsReservation ({ spec }: StepRuntime, workers: WorkerSession[]): boolean {
+  if (spec.gang) return true
+  const { size } = spec
+  return workers.some(({ entry: { capacity } }) =>
+    size.cpuMillis > LARGE_TASK_SHARE * capacity.cpuMillis || size.memoryMb > LARGE_TASK_SHARE * capacity.memoryMb ||
+    (size.accelerators > 0 && size.accelerators > LARGE_TASK_SHARE * capacity.accelerators))
+}
+
+/** Workers to wait for, those expected to have room first. None for a gang that does not fit even when all runs have ended. */
+export function planReservations (options: PlanReservationsOptions): Reservation[] {
+  const { workers, ordered: { step } } = options
+  if (!step.spec.gang || !step.spec.sameRack) return reserveAmong(workers, options)
+  const plans = groupByRack(workers).map(rack => reserveAmong(rack, options)).filter(plan => plan.length > 0)
+  const lastFreeMs = (plan: Reservation[]): number => Math.max(...plan.map(({ freeAtMs }) => freeAtMs))
+  return plans.sort((a, b) => lastFreeMs(a) - lastFreeMs(b))[0] ?? reserveAmong(workers, options)
+}
+
+function reserveAmong (workers: WorkerSession[], options: PlanReservationsOptions): Reservation[] {
+  const found = workers.map(worker => firstRoom(worker, options)).filter(reservation => reservation !== undefined)
+  const plan: Reservation[] = []
+  let missing = options.tasks
+  for (const reservation of found.sort((a, b) => a.freeAtMs - b.freeAtMs)) {
+    if (missing === 0) break
+    const tasks = Math.min(missing, reservation.tasks)
+    plan.push({ ...reservation, tasks })
+    missing -= tasks
+  }
+  return missing > 0 && options.ordered.step.spec.gang ? [] : plan
+}
+
+/** The time at which the worker is expected to have room for a task of the step, and the number of tasks that fit then. */
+function firstRoom (worker: WorkerSession, { ordered, tasks, pass }: PlanReservationsOptions): Reservation | undefined {
+  const slotsIn = (room: Resources): number => new StepRoom(ordered.step, () => room).slots(worker, tasks)
+  let room = pass.expectedRoom(ordered, worker, Number.NEGATIVE_INFINITY)
+  let slots = slotsIn(room)
+  if (slots > 0) return { worker, tasks: slots, freeAtMs: pass.nowMs }
+  for (const { size, endsMs } of pass.expectedEnds(worker)) {
+    room = addResources(room, size)
+    slots = slotsIn(room)
+    if (slots > 0) return { worker, tasks: slots, freeAtMs: endsMs }
+  }
+}
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import { stepNameOf } from './dispatcher.js'
 import type { EligibilityCache } from './eligibilityCache.js'
 import { shouldMoveRun } from './drainMoves.js'
 import { SpareCpuPacer, isSpareCpuRun } from './spareCpuPacer.js'
@@ -226,7 +225,7 @@
     log.event('info', 'run.refused', { task: run.name, attempt: run.attempt, worker: session.incarnation, reason })
     this._release(run)
     if (WORKER_PAUSING_REFUSALS.has(reason)) session.suspendedUntilMs = nowMs + REFUSING_WORKER_PAUSE_MS
-    if (reason === START_REFUSALS.invalidTicket && task) this._options.eligibility.dropTicket(stepNameOf(task.step), session.incarnation)
+    if (reason === START_REFUSALS.invalidTicket && task) this._options.eligibility.dropTicket(task.step.name, session.incarnation)
     if (task) {
       task.notBeforeMs = nowMs + REFUSED_TASK_PAUSE_MS
       if (task.step.spec.gang) this._stopStep(task.step, 'a member of the gang was refused')
@@ -361,7 +360,7 @@
     const { workflow } = step
     if (workflow.isOver || !workflow.markDone(task)) return
     for (const member of step.spec.gang ? step.tasks : [task]) this._stopTask(member, 'its task is done')
-    if (step.done) this._options.eligibility.dropStep(stepNameOf(step))
+    if (step.done) this._options.eligibility.dropStep(step.name)
     if (workflow.complete) this.finishWorkflow(workflow, JOB_STATES.done, 'all tasks are done')
     else this._options.onProgressChanged(workflow)
   }
@@ -403,7 +402,7 @@
   /** Drops the cached eligibility of the steps of a workflow that has ended. */
   dropEligibility (workflow: WorkflowRuntime): void {
     for (const steps of workflow.occurrences.values()) {
-      for (const step of steps) this._options.eligibility.dropStep(stepNameOf(step))
+      for (const step of steps) this._options.eligibility.dropStep(step.name)
     }
   }
 }
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -8,9 +8,11 @@
 
 import { Dispatcher } from './dispatcher.js'
 import { EligibilityCache, type EligibilityCall } from './eligibilityCache.js'
+import { EligibilityLanes } from './eligibilityLanes.js'
 import { LEADER_KEY } from './keys.js'
 import { ProgressRecorder } from './progressRecorder.js'
 import { RunTracker, type RunCounts } from './runTracker.js'
+import { WaitReporter, type WaitCause } from './waitReporter.js'
 import { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
 import { WorkerFleet } from './workerFleet.js'
 import { WorkflowRegistry } from './workflowRegistry.js'
@@ -84,6 +86,8 @@
   workers: number
   reachableWorkers: number
   runs: number
+  /** Number of steps that have waited longer than their queue's objective, by cause, in the last second. */
+  waitingSteps: Partial<Record<WaitCause, number>>
 }
 
 /** Connects the parts of the scheduler: the workflow registry, the workers, placement, runs and the recording of progress. */
@@ -95,6 +99,7 @@
   private readonly _runTracker: RunTracker
   private readonly _eligibility: EligibilityCache
   private readonly _dispatcher: Dispatcher
+  private readonly _waits: WaitReporter
   private readonly _timers: TimerSubscription[] = []
   /** True while the daemon prepares to hand over leadership: no task is started. */
   private _quiesced = false
@@ -144,9 +149,11 @@
     this._recorder = new ProgressRecorder({
       committers, timers, log, onFinal: workflow => this._archiveWorkflow(workflow), onFenced
     })
+    const lanes = new EligibilityLanes({ timers, daemons: eligibilityDaemons })
     this._eligibility = new EligibilityCache({
-      timers, log, queryThroughDaemon: queryEligibility, daemons: eligibilityDaemons, onAnswer: () => this._scheduleDispatch()
+      timers, log, queryThroughDaemon: queryEligibility, lanes, onAnswer: () => this._scheduleDispatch()
     })
+    this._waits = new WaitReporter({ timers, log })
     const suspensions = new WorkerSuspensions({ timers, log })
     const speedEstimator = new WorkerSpeedEstimator()
     this._dispatcher = new Dispatcher({
@@ -157,6 +164,8 @@
       registry: this._registry,
       fleet: this._fleet,
       eligibility: this._eligibility,
+      lanes,
+      waits: this._waits,
       speedEstimator,
       suspensions,
       start: (task, worker, attempt, ticket) => this._runTracker.start(task, worker, { attempt, ticket })
@@ -254,6 +263,7 @@
       workers: sessions.length,
       reachableWorkers: sessions.filter(session => session.reachable).length,
       runs: sessions.reduce((sum, session) => sum + session.runs.size, 0),
+      waitingSteps: this._waits.counts,
       ...this._runTracker.counts()
     }
   }
--- a/packages/pomelofold/src/workflows/stepPlacer.ts
+++ b/packages/pomelofold/src/workflows/stepPlacer.ts
@@ -10,7 +10,7 @@
 
 import type { StepRuntime, Task } from './workflowRuntime.js'
 import type { WorkerSession } from './workerSession.js'
-import type { Resources } from '../protocol/workflows.js'
+import { addResources, type Resources } from '../protocol/workflows.js'
 
 /** Options of {@link placeStep}. */
 export interface PlaceStepOptions {
@@ -21,8 +21,8 @@
   urgent: boolean
   /** Run time on a worker relative to the fastest kind of worker; 1 for the fastest. */
   slowness: (worker: WorkerSession) => number
-  /** Share of each worker's CPU that is reserved for urgent tasks, 0 to 1. */
-  urgentCpuShare: number
+  /** Room on a worker that tasks of the step may use. */
+  freeRoom?: (worker: WorkerSession) => Resources
 }
 
 /** A task and the worker selected for it. */
@@ -31,50 +31,66 @@
   worker: WorkerSession
 }
 
-/** Tracks the room and the number of tasks that earlier assignments of the same call use at each worker. */
-class PlacementPlan {
-  private readonly _reservations = new Map<WorkerSession, { room: Resources, tasks: number }>()
+/** Room on the workers for tasks of one step, and the assignments planned so far. */
+export class StepRoom {
   private readonly _step: StepRuntime
-  private readonly _reservedCpuShare: number
+  private readonly _size: Resources
+  private readonly _freeRoom: (worker: WorkerSession) => Resources
+  private readonly _free = new Map<WorkerSession, Resources>()
+  /** Number of runs of the step and planned tasks, by worker. Kept only for steps with a limit for one worker. */
+  private readonly _taskCounts = new Map<WorkerSession, number>()
 
-  constructor (step: StepRuntime, reservedCpuShare: number) {
+  constructor (step: StepRuntime, freeRoom = unusedRoom) {
     this._step = step
-    this._reservedCpuShare = reservedCpuShare
+    this._size = reservedRoom(step)
+    this._freeRoom = freeRoom
   }
 
-  /** True when the worker has room for one more task of the step, in addition to the assignments so far. */
-  fits (worker: WorkerSession): boolean {
-    const { size, maxPerWorker } = this._step.spec
-    const reserved = this._reservations.get(worker)
-    const room = reserved ? addRoom(reserved.room, reservedRoom(this._step)) : reservedRoom(this._step)
-    if (!worker.fits(room)) return false
-    const reservedCpuMillis = worker.entry.capacity.cpuMillis * this._reservedCpuShare
-    if (size.cpuMillis > 0 && worker.used.cpuMillis + room.cpuMillis > worker.entry.capacity.cpuMillis - reservedCpuMillis) return false
-    if (maxPerWorker === 0) return true
-    return this._taskCountAt(worker) + (reserved?.tasks ?? 0) < maxPerWorker
+  /** Number of further tasks of the step for which the worker has room, up to `limit`. */
+  slots (worker: WorkerSession, limit: number): number {
+    const { cpuMillis, memoryMb, accelerators } = this._size
+    const { maxPerWorker } = this._step.spec
+    const free = this.free(worker)
+    let slots = maxPerWorker > 0 ? Math.min(limit, maxPerWorker - this._taskCountAt(worker)) : limit
+    if (cpuMillis > 0) slots = Math.min(slots, Math.floor(free.cpuMillis / cpuMillis))
+    if (memoryMb > 0) slots = Math.min(slots, Math.floor(free.memoryMb / memoryMb))
+    if (accelerators > 0) slots = Math.min(slots, Math.floor(free.accelerators / accelerators))
+    return Math.max(0, slots)
   }
 
-  /** Reserves room for one more task. */
+  /** Plans one more task for the worker. */
   addTask (worker: WorkerSession): void {
-    const reserved = this._reservations.get(worker)
-    const size = reservedRoom(this._step)
-    this._reservations.set(worker, { room: reserved ? addRoom(reserved.room, size) : size, tasks: (reserved?.tasks ?? 0) + 1 })
+    this._free.set(worker, addResources(this.free(worker), this._size, -1))
+    if (this._step.spec.maxPerWorker > 0) this._taskCounts.set(worker, this._taskCountAt(worker) + 1)
   }
 
-  /** Free CPU of a worker after the assignments so far, in thousandths of a core. */
-  freeCpuMillis (worker: WorkerSession): number {
-    return worker.entry.capacity.cpuMillis - worker.used.cpuMillis - (this._reservations.get(worker)?.room.cpuMillis ?? 0)
+  /** Room on a worker after the tasks planned so far. */
+  free (worker: WorkerSession): Resources {
+    let free = this._free.get(worker)
+    if (!free) {
+      free = this._freeRoom(worker)
+      this._free.set(worker, free)
+    }
+    return free
   }
 
-  /** Number of runs of the step at a worker. */
   private _taskCountAt (worker: WorkerSession): number {
-    const prefix = `${this._step.workflow.record.id}.${this._step.key}.`
-    let count = 0
-    for (const run of worker.runs.values()) if (run.name.startsWith(prefix)) count++
+    let count = this._taskCounts.get(worker)
+    if (count === undefined) {
+      const prefix = `${this._step.workflow.record.id}.${this._step.key}.`
+      count = 0
+      for (const run of worker.runs.values()) if (run.name.startsWith(prefix)) count++
+      this._taskCounts.set(worker, count)
+    }
     return count
   }
 }
 
+/** Room on a worker that no run uses. */
+export function unusedRoom (worker: WorkerSession): Resources {
+  return addResources(worker.entry.capacity, worker.used, -1)
+}
+
 /** Room that one task of the step reserves at its worker. Tasks that use only spare CPU reserve no CPU. */
 export function reservedRoom (step: StepRuntime): Resources {
   const { size, usesSpareCpu } = step.spec
@@ -82,53 +98,58 @@
 }
 
 /** Assigns workers to as many tasks as there is room for. A gang is assigned completely or not at all. */
-export function placeStep ({ step, tasks, workers, urgent, slowness, urgentCpuShare }: PlaceStepOptions): Assignment[] {
-  const groups = step.spec.gang && step.spec.sameRack ? groupByRack(workers) : [workers]
+export function placeStep ({ step, tasks, workers, urgent, slowness, freeRoom }: PlaceStepOptions): Assignment[] {
+  const groups = step.spec.gang && step.spec.sameRack ? [...groupByRack(workers), workers] : [workers]
   for (const group of groups) {
-    const plan = new PlacementPlan(step, urgent ? 0 : urgentCpuShare)
-    const assignments = assign({ plan, step, tasks, workers: group, urgent, slowness })
+    const room = new StepRoom(step, freeRoom)
+    const assignments = assign({ room, step, tasks, workers: group, urgent, slowness })
     if (!step.spec.gang || assignments.length === tasks.length) return assignments
   }
   return []
 }
 
-function assign ({ plan, step, tasks, workers, urgent, slowness }: Omit<PlaceStepOptions, 'urgentCpuShare'> & { plan: PlacementPlan }): Assignment[] {
+type AssignOptions = Omit<PlaceStepOptions, 'freeRoom'> & { room: StepRoom }
+
+function assign ({ tasks, workers, ...options }: AssignOptions): Assignment[] {
+  const { room } = options
+  const candidates: Array<{ worker: WorkerSession, cost: number }> = []
+  for (const worker of workers) if (room.slots(worker, 1) > 0) candidates.push({ worker, cost: costOf(options, worker) })
   const assignments: Assignment[] = []
   for (const task of tasks) {
-    let best: WorkerSession | undefined
-    let bestCost = Number.POSITIVE_INFINITY
-    for (const worker of workers) {
-      if (task.avoid?.has(worker.incarnation) || task.run?.session === worker || !plan.fits(worker)) continue
-      const cost = costOf({ plan, step, worker, urgent, slowness })
-      if (cost >= bestCost) continue
-      best = worker
-      bestCost = cost
+    let best = -1
+    for (let index = 0; index < candidates.length; index++) {
+      const { worker, cost } = candidates[index]
+      if (best >= 0 && cost >= candidates[best].cost) continue
+      if (task.avoid?.has(worker.incarnation) || task.run?.session === worker) continue
+      best = index
     }
-    if (!best) continue
-    plan.addTask(best)
-    assignments.push({ task, worker: best })
+    if (best < 0) continue
+    const { worker } = candidates[best]
+    room.addTask(worker)
+    assignments.push({ task, worker })
+    if (room.slots(worker, 1) > 0) candidates[best].cost = costOf(options, worker)
+    else candidates.splice(best, 1)
   }
   return assignments
 }
 
 /** Cost of placing a task at a worker; lower is better. Run time and distance to the data dominate; free CPU breaks near ties. */
-function costOf ({ plan, step, worker, urgent, slowness }: { plan: PlacementPlan, step: StepRuntime, worker: WorkerSession, urgent: boolean, slowness: PlaceStepOptions['slowness'] }): number {
+function costOf ({ room, step, urgent, slowness }: Omit<AssignOptions, 'tasks' | 'workers'>, worker: WorkerSession): number {
   const { spec } = step
   const remoteDataCost = spec.dataRack !== '' && !worker.entry.labels.includes(spec.dataRack) ? 1 : 0
-  const freeCpuShare = plan.freeCpuMillis(worker) / Math.max(1, worker.entry.capacity.cpuMillis)
+  const freeCpuShare = room.free(worker).cpuMillis / Math.max(1, worker.entry.capacity.cpuMillis)
   const cpuCost = spec.usesSpareCpu || urgent ? 1 - freeCpuShare : freeCpuShare
   return slowness(worker) + remoteDataCost + cpuCost / 10
 }
 
-function groupByRack (workers: WorkerSession[]): WorkerSession[][] {
+/** The workers of each rack. */
+export function groupByRack (workers: WorkerSession[]): WorkerSession[][] {
   const racks = new Map<string, WorkerSession[]>()
   for (const worker of workers) {
     const rack = worker.entry.labels.at(-1) ?? ''
-    racks.set(rack, [...(racks.get(rack) ?? []), worker])
+    const others = racks.get(rack)
+    if (others) others.push(worker)
+    else racks.set(rack, [worker])
   }
-  return [...racks.values(), workers]
-}
-
-function addRoom (a: Resources, b: Resources): Resources {
-  return { cpuMillis: a.cpuMillis + b.cpuMillis, memoryMb: a.memoryMb + b.memoryMb, accelerators: a.accelerators + b.accelerators }
+  return [...racks.values()]
 }
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -5,7 +5,7 @@
  */
 
 import { JOB_STATES } from '../protocol/jobs.js'
-import { formatTaskName, type WorkflowProgress, type Resources, type Workflow, type WorkflowState, type WorkflowStep } from '../protocol/workflows.js'
+import { formatStepName, formatTaskName, type WorkflowProgress, type Resources, type Workflow, type WorkflowState, type WorkflowStep } from '../protocol/workflows.js'
 import { formatRanges, parseRanges } from '../utils/indexRanges.js'
 import type { RunHost } from './runHost.js'
 
@@ -78,6 +78,8 @@
   readonly workflow: WorkflowRuntime
   readonly occurrence: number
   readonly index: number
+  /** `workflowId.occurrence.step`. */
+  readonly name: string
   readonly spec: WorkflowStep
   readonly tasks: Task[]
   doneCount = 0
@@ -91,6 +93,7 @@
     this.workflow = workflow
     this.occurrence = occurrence
     this.index = index
+    this.name = formatStepName(workflow.record.id, occurrence, index)
     this.spec = workflow.record.steps[index]
     this.tasks = Array.from({ length: this.spec.tasks }, (_, taskIndex) => ({
       name: formatTaskName({ workflowId: workflow.record.id, occurrence, step: index, index: taskIndex }),
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -13,7 +13,8 @@
 import { ProcessTimers } from '@pomelofold/standins/processTimers'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { workflowSchema, type Workflow, type WorkflowStep } from 'pomelofold/protocol/workflows'
-import type { CellConfig, QueueConfig } from 'pomelofold/seams/workflowUpstreams'
+import type { CellConfig, EligibilityClient, QueueConfig } from 'pomelofold/seams/workflowUpstreams'
+import type { Timers } from 'pomelofold/seams/timers'
 import { WorkflowDaemon } from 'pomelofold/server/workflowDaemon'
 import type { EventFields, EventLog } from 'pomelofold/utils/eventLog'
 import { runViolations } from './runViolations.js'
@@ -35,6 +36,12 @@
   seed?: number
   runMs?: (task: string) => number
   queue?: Partial<QueueConfig>
+  /** Creates the eligibility client of a daemon. By default every worker may run every step, and answers come at once. */
+  eligibility?: (timers: Timers) => EligibilityClient
+}
+
+const EVERY_WORKER_ELIGIBLE: EligibilityClient = {
+  query: async (_step, names) => Result.ok({ tickets: Object.fromEntries(names.map(name => [name, 'ticket'])), validMs: 2_000 })
 }
 
 const QUEUE: QueueConfig = { name: 'checks', service: 'leafline', priority: 0, maxAttempts: 3, stretch: 2, targetMs: 250 }
@@ -52,6 +59,7 @@
   /** Failure domains whose daemons cannot reach peers in other domains. */
   readonly cutDomains = new Set<string>()
   private readonly _newWorker: (index: number) => LeasedWorker
+  private readonly _newEligibilityClient: (timers: Timers) => EligibilityClient
   private readonly _random: SeededRandom
   private readonly _network = new PeerNetwork({
     timers: this.timers,
@@ -61,7 +69,10 @@
 
   private _submitted = 0
 
-  constructor ({ daemons = 3, workers = 3, cpuMillis = 8_000, seed = 1, runMs = () => 300, queue = {} }: WorkflowCellOptions = {}) {
+  constructor ({
+    daemons = 3, workers = 3, cpuMillis = 8_000, seed = 1, runMs = () => 300, queue = {}, eligibility = () => EVERY_WORKER_ELIGIBLE
+  }: WorkflowCellOptions = {}) {
+    this._newEligibilityClient = eligibility
     this._random = new SeededRandom(seed)
     this.config = {
       version: 1,
@@ -99,11 +110,7 @@
       platform,
       directory: client,
       workers: client,
-      eligibility: {
-        query: async (_step, names) => Result.ok({
-          tickets: Object.fromEntries(names.map(name => [name, 'ticket'])), validMs: 2_000
-        })
-      },
+      eligibility: this._newEligibilityClient(process),
       transport: () => this._network.transport(self, process, () => gone),
       timers: process,
       random: this._random,
