Begin the faults of a soak in a cell that serves, and check that it serves after them

Change: faults begin once a job was accepted, and a job submitted after the last fault must be accepted within 40 s. The check accepted > 0 && runs > 0 stays; the new ones are stricter. The test's time limit covers the three waits (120 -> 150 s).

--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -9,8 +9,8 @@
 const SEEDS = [1, 4, 7, 8, 32, 55]
 /** Time during which faults start, in milliseconds. */
 const FAULTS_MS = 8_000
-/** Longest time of the test, in milliseconds: the faults, the longest recovery, and the starts of processes. */
-const TIMEOUT_MS = 120_000
+/** Longest time of the test, in milliseconds: the faults, the three waits of a soak of 40 s each, and the starts of processes. */
+const TIMEOUT_MS = 150_000
 
 t.setTimeout(TIMEOUT_MS)
 buildProgram()
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -11,7 +11,10 @@
 import { SoakCell, type SoakDaemon, type SoakWorker } from './soakCell.js'
 import { runViolations } from '../workflows/runViolations.js'
 
-/** Longest time until every accepted job has ended after the last fault, in milliseconds. */
+/**
+ * Longest time until a job is accepted before the first fault, until a new job is accepted after the last one, and until every
+ * accepted job has ended after that, in milliseconds.
+ */
 const RECOVERY_MS = 40_000
 /** Longest random pause between the starts of two faults, in milliseconds; at least 100 ms are added. */
 const MAX_GAP_MS = 1_500
@@ -132,11 +135,16 @@
   try {
     await cell.start({ daemons, workers })
     for (let caller = 0; caller < CALLER_COUNT; caller++) callers.run()
+    // Faults begin in a cell that serves, however long its processes take to start.
+    const notServed = await waitForAcceptance(callers, { what: 'before the first fault' })
     await injectFaults({ cell, random: new SeededRandom(seed + 1_000_000) }, planned)
+    notServed.push(...await waitForAcceptance(callers, { what: 'after the last fault', after: callers.jobs.length }))
     callers.stop()
     const unfinished = await waitForRecovery(cell, callers)
     const taskViolations = runViolations(cell.records, cell.incarnations)
-    const violations = [...taskViolations, ...callers.violations, ...cell.violations, ...unfinished, ...falseStates(cell, callers)]
+    const violations = [
+      ...taskViolations, ...callers.violations, ...cell.violations, ...notServed, ...unfinished, ...falseStates(cell, callers)
+    ]
     const accepted = callers.jobs.filter(job => job.accepted).length
     return {
       seed,
@@ -180,6 +188,18 @@
   for (const daemon of context.cell.daemons) if (!daemon.process) context.cell.startDaemon(daemon)
 }
 
+/** Waits until one of the jobs after the first `after` ones is accepted. Returns a description if none is in time. */
+async function waitForAcceptance (
+  callers: Callers, { what, after = 0 }: { what: string, after?: number }
+): Promise<string[]> {
+  const endMs = performance.now() + RECOVERY_MS
+  while (!callers.jobs.slice(after).some(job => job.accepted)) {
+    if (performance.now() > endMs) return [`no job was accepted within ${RECOVERY_MS / 1_000} s ${what}`]
+    await pause(50)
+  }
+  return []
+}
+
 /** Waits until every accepted job has ended. Returns descriptions of those that have not ended in time. */
 async function waitForRecovery (cell: SoakCell, callers: Callers): Promise<string[]> {
   const endMs = performance.now() + RECOVERY_MS
--- a/tests/soak/soakCell.ts
+++ b/tests/soak/soakCell.ts
@@ -14,8 +14,9 @@
 import { JsonServer, StoreServer, workerServer } from './standins.js'
 
 const ROOT = new URL('../../../', import.meta.url).pathname
-/** Copy of the bundled program, so that later builds do not change the program of a running soak. */
-const PROGRAM = join(ROOT, 'target', `soak-${process.pid}.cjs`)
+/** Copy of the deployed program, so that later builds do not change the program of a running soak. */
+const PROGRAM_DIR = join(ROOT, 'target', `soak-${process.pid}`)
+const PROGRAM_FILES = ['pomelofold.cjs', 'daemon.cjs', 'daemon.cache']
 /** Ports of each daemon on its own loopback address, and of the stand-ins and proxies on a common one. */
 const PORTS = {
   front: 8161, ready: 8167, peers: 7720, metrics: 7735, store: 9001, advice: 9002, storeProxy: 9100, worker: 9200, workerProxy: 9300
@@ -43,13 +44,14 @@
   }
 ]
 
-/** Bundles the program with the command of `deploy/system.toml`. */
+/** Builds the program with the command of `deploy/system.toml`. */
 export function buildProgram (): void {
-  const command = /node_modules\/\.bin\/esbuild[^"]*/.exec(readFileSync(join(ROOT, 'deploy', 'system.toml'), 'utf8'))
-  if (!command) throw new Error('deploy/system.toml has no esbuild command that bundles the program')
+  const command = /node deploy\/[^"]*/.exec(readFileSync(join(ROOT, 'deploy', 'system.toml'), 'utf8'))
+  if (!command) throw new Error('deploy/system.toml has no command that builds the program')
   execSync(command[0], { cwd: ROOT, stdio: 'pipe' })
-  copyFileSync(join(ROOT, 'target', 'pomelofold.cjs'), PROGRAM)
-  process.once('exit', () => rmSync(PROGRAM))
+  mkdirSync(PROGRAM_DIR, { recursive: true })
+  for (const file of PROGRAM_FILES) copyFileSync(join(ROOT, 'target', file), join(PROGRAM_DIR, file))
+  process.once('exit', () => rmSync(PROGRAM_DIR, { recursive: true }))
 }
 
 /** A daemon and the state of its process. */
@@ -151,7 +153,7 @@
       `platform.address=${this._networkPrefix}.250:${PORTS.storeProxy + this.daemons.indexOf(daemon)}`,
       `advice=${this._networkPrefix}.250:${PORTS.advice}`, `bounds.hold_max_ms=${MAX_LEASE_MS}`, 'bounds.status_s=120', `bounds.grace_s=${SHUTDOWN_GRACE_MS / 1_000}`
     ].join('\n'))
-    const child = spawn(process.execPath, [PROGRAM], { env: { PATH: process.env.PATH, POMELOFOLD_CONFIG: path }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, [join(PROGRAM_DIR, PROGRAM_FILES[0])], { env: { PATH: process.env.PATH, POMELOFOLD_CONFIG: path }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(this._dir, `${name}.log`), { flags: 'a' })
     child.stdout.pipe(log, { end: false })
     child.stderr.pipe(log, { end: false })
