--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -42,6 +42,8 @@
 const MAX_RESERVING_STEPS = 8
 /** Time after the answer to a query within which room must be expected to become free, in milliseconds: a third of a ticket's validity. */
 const EXPECTED_ROOM_MS = 700
+/** Duration of a query from which its step claims room, in milliseconds: other steps seldom take the room within a shorter one. */
+const CLAIM_MIN_MS = 100
 /** Share of the free daemons that one query uses for simultaneous calls. */
 const LANE_SHARE_PER_QUERY = 0.25
 
@@ -193,13 +195,14 @@
   private _claimQueried (blocked: BlockedStep, pass: PlacementPass): void {
     const { eligibility, fleet } = this._options
     const { step, waiting, queue } = blocked
-    const { workers, endsMs } = eligibility.pendingQuery(step.name)
-    const idleUntilMs = workers.length ? endsMs : pass.nowMs
-    const atMs = Math.max(idleUntilMs, pass.nowMs) + EXPECTED_ROOM_MS
+    if (queue.eligibility!.baseMs < CLAIM_MIN_MS) return
+    const calls = [...eligibility.pendingCalls(step.name)]
+    const idleUntilMs = Math.max(pass.nowMs, ...calls.map(call => call.endsMs))
+    const atMs = idleUntilMs + EXPECTED_ROOM_MS
     const room = new StepRoom(step, worker => pass.expectedRoom(blocked, worker, atMs))
     const claims: Array<{ worker: WorkerSession, tasks: number }> = []
     let missing = waiting
-    for (const incarnation of [...eligibility.ticketHolders(step.name), ...workers]) {
+    for (const incarnation of [...eligibility.ticketHolders(step.name), ...calls.flatMap(call => call.workers)]) {
       if (missing === 0) break
       const worker = fleet.sessions.get(incarnation)
       const tasks = worker && pass.isUsable(worker, step, queue.service) ? room.slots(worker, missing) : 0
--- a/packages/pomelofold/src/workflows/eligibilityCache.ts
+++ b/packages/pomelofold/src/workflows/eligibilityCache.ts
@@ -44,7 +44,9 @@
   pendingCalls: Set<PendingCall>
 }
 
-interface PendingCall {
+/** A call in progress. */
+export interface PendingCall {
+  /** Incarnations of the workers that it names. */
   workers: string[]
   /** Expected time of the answer, in milliseconds of the monotonic clock. */
   endsMs: number
@@ -93,10 +95,9 @@
     return (this._steps.get(step)?.pendingCalls.size ?? 0) > 0
   }
 
-  /** Worker incarnations in the calls in progress for the step, and the time by which the answers are expected. */
-  pendingQuery (step: string): { workers: string[], endsMs: number } {
-    const calls = [...this._steps.get(step)?.pendingCalls ?? []]
-    return { workers: calls.flatMap(call => call.workers), endsMs: Math.max(...calls.map(call => call.endsMs)) }
+  /** Calls in progress for the step. */
+  pendingCalls (step: string): Iterable<PendingCall> {
+    return this._steps.get(step)?.pendingCalls ?? []
   }
 
   /** Drops a ticket that a worker has refused. */
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -40,6 +40,8 @@
 const DISPATCH_PERIOD_MS = 100
 /** Delay between an event and the placement attempt, in milliseconds: events that arrive meanwhile share one attempt. */
 const DISPATCH_DELAY_MS = 1
+/** Minimum time from the end of a placement attempt to the next one, in milliseconds: bounds their share of the processor time. */
+const DISPATCH_PAUSE_MS = 8
 /** Period at which ended workflows past their retention time are deleted, in milliseconds. */
 const EXPIRY_PERIOD_MS = 5_000
 /** Period at which a report checks whether the workflows have been loaded, in milliseconds. */
@@ -104,6 +106,8 @@
   /** True while the daemon prepares to hand over leadership: no task is started. */
   private _quiesced = false
   private _dispatchTimer: TimerSubscription | undefined
+  /** Time of the end of the last placement attempt, in milliseconds of the monotonic clock. */
+  private _lastDispatchMs = Number.NEGATIVE_INFINITY
   private _closed = false
 
   constructor (options: SchedulerTermOptions) {
@@ -297,7 +301,9 @@
   /** Schedules one placement attempt for all events within the dispatch delay. */
   private _scheduleDispatch (): void {
     if (this._closed) return
-    this._dispatchTimer ??= this._options.timers.after(DISPATCH_DELAY_MS, () => {
+    const { timers } = this._options
+    const delayMs = Math.max(DISPATCH_DELAY_MS, this._lastDispatchMs + DISPATCH_PAUSE_MS - timers.now())
+    this._dispatchTimer ??= timers.after(delayMs, () => {
       this._dispatchTimer = undefined
       this._dispatch()
     })
@@ -308,6 +314,7 @@
     if (this._closed || this._quiesced || !this._registry.loaded || leadershipRemainingMs() <= 0) return
     this._runTracker.moveRunsOffDrainingWorkers(this._fleet.sessions.values())
     this._dispatcher.dispatch()
+    this._lastDispatchMs = this._options.timers.now()
   }
 
   /** Called when the final state of a workflow has been recorded. */
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -73,6 +73,8 @@
 /** Extends the lease of one incarnation of a worker and keeps account of its runs. */
 export class WorkerSession implements RunHost {
   entry: WorkerEntry
+  /** Name of this incarnation. */
+  readonly incarnation: string
   /** Runs by the id that `runIdOf` gives them. */
   readonly runs = new Map<string, Run>()
   /** Sum of the sizes of all runs. */
@@ -110,14 +112,10 @@
   constructor (options: WorkerSessionOptions) {
     this._options = options
     this.entry = options.entry
+    this.incarnation = incarnationOf(options.entry)
     this.inheritedRunsEndMs = options.inheritedRunsEndMs
   }
 
-  /** Name of this incarnation. */
-  get incarnation (): string {
-    return incarnationOf(this.entry)
-  }
-
   get closed (): boolean {
     return this._closed
   }
--- a/packages/pomelofold/src/workflows/workerSpeedEstimator.ts
+++ b/packages/pomelofold/src/workflows/workerSpeedEstimator.ts
@@ -24,10 +24,13 @@
 /** Averages the ratio of run time to estimated run time for each kind of worker. */
 export class WorkerSpeedEstimator {
   private readonly _kinds = new Map<string, WorkerKindSpeed>()
+  /** Results of `slowness` by kind, valid until the next observation. */
+  private readonly _slowness = new Map<string, number>()
 
   /** Adds the run time of a successful run. The worker's kind is its first label. */
   noteRunTime ({ labels, estimateMs, ranMs }: { labels: string[], estimateMs: number, ranMs: number }): void {
     if (estimateMs <= 0 || labels.length === 0) return
+    this._slowness.clear()
     const ratio = Math.min(MAX_RATIO, Math.max(MIN_RATIO, ranMs / estimateMs))
     const kind = this._kinds.get(labels[0])
     if (!kind) {
@@ -40,7 +43,15 @@
 
   /** Run time relative to the fastest kind of worker; 1 until MIN_RUNS runs of the worker's kind have been observed. */
   slowness (labels: string[]): number {
-    const kind = this._kinds.get(labels[0])
+    let slowness = this._slowness.get(labels[0])
+    if (slowness === undefined) {
+      slowness = this._slownessOf(this._kinds.get(labels[0]))
+      this._slowness.set(labels[0], slowness)
+    }
+    return slowness
+  }
+
+  private _slownessOf (kind: WorkerKindSpeed | undefined): number {
     if (!kind || kind.runs < MIN_RUNS) return 1
     let fastestRatio = Number.POSITIVE_INFINITY
     for (const { ratio, runs } of this._kinds.values()) if (runs >= MIN_RUNS) fastestRatio = Math.min(fastestRatio, ratio)
--- a/packages/pomelofold/src/workflows/workersToQuery.ts
+++ b/packages/pomelofold/src/workflows/workersToQuery.ts
@@ -29,7 +29,9 @@
 
 /** Workers for the next call, fastest first, then those with the most free CPU. */
 export function workersToQuery ({ workers, tasks, slowness, maxWorkers }: WorkersToQueryOptions): WorkerSession[] {
-  const freeCpuMillis = (worker: WorkerSession): number => worker.entry.capacity.cpuMillis - worker.used.cpuMillis
-  const ranked = [...workers].sort((a, b) => slowness(a) - slowness(b) || freeCpuMillis(b) - freeCpuMillis(a))
-  return ranked.slice(0, Math.min(maxWorkers, Math.max(MIN_WORKERS, tasks * WORKERS_PER_TASK)))
+  const ranked = workers.map(worker => ({
+    worker, slowness: slowness(worker), freeCpuMillis: worker.entry.capacity.cpuMillis - worker.used.cpuMillis
+  }))
+  ranked.sort((a, b) => a.slowness - b.slowness || b.freeCpuMillis - a.freeCpuMillis)
+  return ranked.slice(0, Math.min(maxWorkers, Math.max(MIN_WORKERS, tasks * WORKERS_PER_TASK))).map(({ worker }) => worker)
 }
