Give up leadership through a peer when the leader alone has lost the store

Change: when most other members reach the store, the leader stops starting tasks and a peer deletes its entry, after a read that shows that the peer reaches the store. An unknown outcome ends the term as well; the entry is then deleted when the store answers again. In an outage for all, the leader goes on as before.

--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -9,7 +9,7 @@
 import { JOB_STATES, jobSpecSchema, jobViewSchema } from './jobs.js'
 import { manifestSchema } from './manifest.js'
 import { vmRecordSchema } from './vms.js'
-import { workflowSchema } from './workflows.js'
+import { RELEASE_OUTCOMES, workflowSchema } from './workflows.js'
 import { outcomeSchema, requestRecordSchema, serviceAnswerSchema, serviceLoadSchema, serviceRequestSchema } from './requests.js'
 
 /** Version of the protocol between entry daemons. Connections from peers with another version are refused. */
@@ -100,6 +100,8 @@
   },
   /** Notifies the previous scheduler that another one was elected with a newer epoch. `retired` is true once it does not schedule. */
   retireScheduler: { params: z.object({ epoch: z.number().int() }), result: z.object({ retired: z.boolean() }) },
+  /** Deletes the leader's entry for a scheduler that cannot reach the store, if it is still the one of that epoch. */
+  releaseLeadership: { params: z.object({ epoch: z.number().int() }), result: z.object({ outcome: z.enum(RELEASE_OUTCOMES) }) },
   /** Reads whether the peer can reach the platform's store. */
   reachesStore: { params: z.object({}), result: z.object({ reaches: z.boolean() }) },
   /** Reads from the scheduler how many workflows of each queue have not started. Null when the peer is not the scheduler. */
--- a/packages/pomelofold/src/protocol/workflows.ts
+++ b/packages/pomelofold/src/protocol/workflows.ts
@@ -145,3 +145,15 @@
 export function formatStepName (workflowId: string, occurrence: number, step: number): string {
   return `${workflowId}.${occurrence}.${step}`
 }
+
+/** What became of a leader's entry that a peer was asked to delete. */
+export const RELEASE_OUTCOMES = {
+  released: 'released',
+  /** The entry was not deleted, and will not be. */
+  kept: 'kept',
+  /** The answer of the store was lost. */
+  unknown: 'unknown'
+} as const
+
+/** One of {@link RELEASE_OUTCOMES}. */
+export type ReleaseOutcome = typeof RELEASE_OUTCOMES[keyof typeof RELEASE_OUTCOMES]
--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -10,11 +10,13 @@
 import { EXTENSION_AFTER_LOSS_MS } from '../workflows/workerFleet.js'
 import { WorkflowService } from '../workflows/workflowService.js'
 import { WorkflowStore } from '../workflows/workflowStore.js'
+import { RELEASE_OUTCOMES, type ReleaseOutcome } from '../protocol/workflows.js'
 import type { PeerHandlers, PeerTransport } from '../seams/peerTransport.js'
 import type { PlatformClient } from '../seams/platformClient.js'
 import type { RandomSource } from '../seams/randomSource.js'
 import { delay, type Timers } from '../seams/timers.js'
 import type { CellConfig, EligibilityAnswer, EligibilityClient, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
+import { EFFECTS } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Time added to the timeout of an eligibility call that goes through a peer, in milliseconds: the network time between daemons. */
@@ -25,6 +27,12 @@
 const PEER_ANSWER_GRACE_MS = 500
 /** Timeout of a call to the earlier scheduler, and pause between two of them, in milliseconds. */
 const RETIRE_TIMEOUT_MS = 250
+/** Time without the store after which a leader gives up leadership if most others reach it, in milliseconds. */
+const RELEASE_AFTER_MS = 250
+/** Timeout of a call to the peer that deletes the leader's entry, in milliseconds: two calls to the store and the network. */
+const RELEASE_TIMEOUT_MS = 500
+/** Maximum number of peers that are asked to delete the leader's entry in one probe period. */
+const RELEASE_PEERS = 2
 /** Longest wait for unrecorded changes while handing over, in milliseconds: a third of the shortest time in which a daemon must stop. */
 const HAND_OVER_TIMEOUT_MS = 1_500
 
@@ -70,6 +78,8 @@
   private readonly _reachability: PeerReachability
   private _term: SchedulerTerm | undefined
   private _termEpoch = 0
+  /** True while a peer is asked to delete the leader's entry. */
+  private _releasing = false
   /** Time at which the authority to start work ended; undefined while it lasts. */
   private _authorityLostMs: number | undefined
   /** The newest known leader, and the leader before it. */
@@ -206,10 +216,39 @@
     const { timers, vm } = this._options
     const requestSentMs = timers.now()
     const others = this._session.presentMembers.filter(member => member !== vm)
-    const answers = await Promise.all(others.map(member => this._transport.call(member, 'reachesStore', {}, PROBE_PERIOD_MS)))
-    const reaching = answers.filter(answer => answer.isOk && answer.value.reaches).length
-    const notReaching = answers.filter(answer => answer.isOk && !answer.value.reaches).length
-    if (reaching === 0 && 2 * (notReaching + 1) > others.length + 1) this._session.noteConfirmedOutage(requestSentMs)
+    const answers = await Promise.all(others.map(async member => {
+      const answer = await this._transport.call(member, 'reachesStore', {}, PROBE_PERIOD_MS)
+      return { member, reaches: answer.isOk ? answer.value.reaches : undefined }
+    }))
+    const reaching = answers.filter(({ reaches }) => reaches === true).map(({ member }) => member)
+    const notReaching = answers.filter(({ reaches }) => reaches === false).length
+    if (reaching.length === 0 && 2 * (notReaching + 1) > others.length + 1) this._session.noteConfirmedOutage(requestSentMs)
+    if (reaching.length > notReaching + 1) await this._releaseThroughPeer(reaching)
+  }
+
+  /**
+   * Gives up leadership through a peer while this daemon cannot reach the store and most others can: it can record nothing,
+   * and without this, work would wait for the end of its lease. No task is started from before the request on.
+   */
+  private async _releaseThroughPeer (reaching: string[]): Promise<void> {
+    const term = this._term
+    const epoch = this._termEpoch
+    if (!term || this._releasing || this._session.disconnectedForMs < RELEASE_AFTER_MS) return
+    this._releasing = true
+    term.quiesce()
+    let outcome: ReleaseOutcome = RELEASE_OUTCOMES.kept
+    for (const peer of reaching.slice(0, RELEASE_PEERS)) {
+      const answer = await this._transport.call(peer, 'releaseLeadership', { epoch }, RELEASE_TIMEOUT_MS)
+      if (answer.isOk) outcome = answer.value.outcome
+      else outcome = answer.error.effect === EFFECTS.none ? RELEASE_OUTCOMES.kept : RELEASE_OUTCOMES.unknown
+      this._options.log.event('warn', 'leader.released', { epoch, peer, outcome, disconnectedMs: Math.round(this._session.disconnectedForMs) })
+      if (outcome !== RELEASE_OUTCOMES.kept) break
+    }
+    this._releasing = false
+    if (this._term !== term) return
+    if (outcome === RELEASE_OUTCOMES.kept) return term.resume()
+    this._session.noteReleased(epoch)
+    this._endTerm('leadership was given up through a peer')
   }
 
   /**
@@ -266,6 +305,7 @@
         this._session.stepDown(epoch)
         return { retired: this._term === undefined }
       },
+      releaseLeadership: async ({ epoch }) => ({ outcome: await this._session.releaseForPeer(epoch) }),
       reachesStore: async () => ({ reaches: this._session.connected }),
       queueDepths: async () => ({ waiting: this._term?.queueDepths() ?? null }),
       storeWorkflow: async ({ workflow }) => ({ outcome: await this.service.storeDirectly(workflow) }),
--- a/packages/pomelofold/src/workflows/cellSession.ts
+++ b/packages/pomelofold/src/workflows/cellSession.ts
@@ -9,6 +9,7 @@
 import { LEADER_KEY, CELL_PREFIX, memberKey, memberNameOf, TERM_KEY } from './keys.js'
 import { LeaseClock } from './leaseClock.js'
 import { PrefixView } from './prefixView.js'
+import { RELEASE_OUTCOMES, type ReleaseOutcome } from '../protocol/workflows.js'
 import type { PlatformClient, StoredValue } from '../seams/platformClient.js'
 import { delay, type Timers, type TimerSubscription } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
@@ -26,6 +27,8 @@
  * reach the store either, in milliseconds: three periods of asking them. No leader can be elected without the store.
  */
 export const CONFIRMED_OUTAGE_MS = 1_000
+/** Timeout of each of the two calls to the store for a peer that gives up leadership, in milliseconds. */
+const RELEASE_CALL_TIMEOUT_MS = 200
 /** A silent connection may stay unnoticed this long, since daemons with a working connection also notice the end of a leader. */
 const CELL_WATCH_OPTIONS = { lossDetectionMs: 1_500 }
 /** Pause after a failed call, in milliseconds, also between renewals while the store cannot be reached. */
@@ -94,6 +97,8 @@
   /** Epoch of the leader whose address last refused a connection, and the time of the refusal. */
   private _lastRefusal = { epoch: 0, atMs: Number.NEGATIVE_INFINITY }
   private _resigning = false
+  /** Epoch of this daemon's term that ended through a peer. The entry is deleted, or will be once the store can be reached. */
+  private _releasedEpoch: number | undefined
   private _closed = false
   private _connected = true
   private _disconnectedAtMs: number | undefined
@@ -178,18 +183,41 @@
     if (this._leader && this._leader.epoch < epoch && this._leader.incarnation === this._options.self.incarnation) this._leader = undefined
   }
 
+  /**
+   * Deletes the leader's entry for a leader that cannot reach the store. The entry is read first, so that nothing is written,
+   * with an unknown outcome, while this daemon cannot reach the store either.
+   */
+  async releaseForPeer (epoch: number): Promise<ReleaseOutcome> {
+    const { platform } = this._options
+    const read = await platform.get(LEADER_KEY, { timeoutMs: RELEASE_CALL_TIMEOUT_MS })
+    if (read.isErr) return RELEASE_OUTCOMES.kept
+    if (read.value?.modRevision !== epoch) return RELEASE_OUTCOMES.released
+    return this._deleteLeader(epoch, RELEASE_CALL_TIMEOUT_MS)
+  }
+
+  /** Notes that this daemon's term has ended and that a peer has deleted the leader's entry, or may have. */
+  noteReleased (epoch: number): void {
+    this._releasedEpoch = epoch
+    if (this._leader?.epoch === epoch) this._leader = undefined
+  }
+
+  private async _deleteLeader (epoch: number, timeoutMs: number): Promise<ReleaseOutcome> {
+    const deletion = { op: 'delete' as const, key: LEADER_KEY }
+    const result = await this._options.platform.txn([{ key: LEADER_KEY, modRevision: epoch }], [deletion], { timeoutMs })
+    if (result.isOk) return RELEASE_OUTCOMES.released
+    return result.error.effect === EFFECTS.none ? RELEASE_OUTCOMES.kept : RELEASE_OUTCOMES.unknown
+  }
+
   /** Deletes this daemon's leader entry, if it leads, and stops taking part in elections. */
   async resign (): Promise<void> {
     this._resigning = true
     this._campaignTimer?.cancel()
-    const { platform, log, self } = this._options
+    const { log, self } = this._options
     const leader = this._leader
     if (leader?.incarnation !== self.incarnation) return
     this._leader = undefined
-    const result = await platform.txn(
-      [{ key: LEADER_KEY, modRevision: leader.epoch }], [{ op: 'delete', key: LEADER_KEY }], { timeoutMs: CALL_TIMEOUT_MS }
-    )
-    log.event('info', 'leader.resigned', { epoch: leader.epoch, outcome: result.isOk ? 'deleted' : result.error.message })
+    const outcome = await this._deleteLeader(leader.epoch, CALL_TIMEOUT_MS)
+    log.event('info', 'leader.resigned', { epoch: leader.epoch, outcome })
   }
 
   /** Revokes the lease, which deletes the member entry. */
@@ -247,6 +275,10 @@
     this._noteConnection()
     if (renewed.value.ttlMs > 0) {
       this._lease.noteRenewal(sentMs, sentWallMs, renewed.value.ttlMs)
+      // The peer's write may have been lost, and the entry stays while this daemon's lease is renewed.
+      if (this._releasedEpoch !== undefined && this._view.get(LEADER_KEY)?.modRevision === this._releasedEpoch) {
+        await this._deleteLeader(this._releasedEpoch, CALL_TIMEOUT_MS)
+      }
       return
     }
     log.event('warn', 'session.lapsed', { leaseId: this._leaseId })
@@ -297,7 +329,8 @@
 
   private _applyLeader (stored: StoredValue | undefined): void {
     const value = stored && this._decodeLeader(stored)
-    const leader = value && { ...value, epoch: stored.modRevision }
+    const released = stored?.modRevision === this._releasedEpoch
+    const leader = value && !released ? { ...value, epoch: stored.modRevision } : undefined
     if (leader?.epoch === this._leader?.epoch) return
     // The view may lag behind this daemon's own election.
     if (leader && this._leader && leader.epoch < this._leader.epoch) return
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -226,6 +226,12 @@
     this._quiesced = true
   }
 
+  /** Starts tasks again after `quiesce`. */
+  resume (): void {
+    this._quiesced = false
+    this._scheduleDispatch()
+  }
+
   /** Recorded state of a workflow; undefined when the workflow is unknown or the workflows have not been loaded. */
   stateOf (id: string): { state: WorkflowState, queue: string } | undefined {
     return this._registry.loaded ? this._registry.stateOf(id) : undefined
--- a/tests/workflows/takeover.test.ts
+++ b/tests/workflows/takeover.test.ts
@@ -229,3 +229,37 @@
     view.close()
   }
 })
+
+t.test('a scheduler that alone loses the store is replaced in two thirds of the time of its lease, and no task runs twice', async t => {
+  for (const others of [0, 1]) {
+    const cell = new WorkflowCell({ daemons: 5, runMs: () => 1_200 })
+    const leader = await cell.waitUntilReady()
+    const followers = cell.daemons.filter(daemon => daemon !== leader)
+    const workflow = cell.workflow([{ tasks: 6 }, { tasks: 4, after: [0] }])
+    await cell.submit(workflow, followers[2])
+    await cell.timers.advance(700)
+    const lostMs = cell.timers.now()
+    for (const { platform } of [leader, ...followers.slice(0, others)]) platform.faults.unreachable = true
+    await cell.timers.advanceUntil(() => followers.some(({ daemon }) => daemon.figures().leading))
+    const tookMs = cell.timers.now() - lostMs
+    t.ok(tookMs < 1_700, `${others} others without the store: replaced after ${tookMs} ms`)
+    await cell.waitForState(workflow.id, 'done', { at: followers[2], limitMs: 6_000 })
+    t.equal(cell.records.length, 10, 'the new scheduler adopts the running tasks')
+    t.same(cell.violations(), [])
+  }
+})
+
+t.test('a scheduler whose release of leadership got no answer is replaced, and the entry does not stay', async t => {
+  const cell = new WorkflowCell({ daemons: 5, runMs: () => 1_200 })
+  const leader = await cell.waitUntilReady()
+  const followers = cell.daemons.filter(daemon => daemon !== leader)
+  leader.platform.faults.unreachable = true
+  for (const { platform } of followers) platform.faults.loseAnswers = true
+  await cell.timers.advance(1_300)
+  for (const { platform } of cell.daemons) Object.assign(platform.faults, { unreachable: false, loseAnswers: false })
+  const workflow = cell.workflow()
+  await cell.timers.advance(3_000)
+  await cell.submit(workflow, followers[2])
+  await cell.waitForState(workflow.id, 'done', { at: followers[2], limitMs: 6_000 })
+  t.same(cell.violations(), [])
+})
