--- a/packages/pomelofold/src/workflows/cellSession.ts
+++ b/packages/pomelofold/src/workflows/cellSession.ts
@@ -45,6 +45,9 @@
 /** Time for which the address of a lapsed member is kept, in milliseconds, since the member may only be cut off from the store. */
 const MEMBER_RETENTION_MS = 60_000
 
+/** Maximum number of names in one line of the log. */
+const MAX_NAMES_IN_LINE = 10
+
 const memberSchema = z.object({
   incarnation: z.string(),
   failureDomain: z.string(),
@@ -299,15 +302,22 @@
   }
 
   private _applyChanges (keys: string[]): void {
+    const seen: string[] = []
     for (const key of keys) {
       const vm = memberNameOf(key)
-      if (vm !== undefined) this._applyMember(vm, this._view.get(key))
+      if (vm !== undefined && this._applyMember(vm, this._view.get(key))) seen.push(vm)
+    }
+    // After a restart of all daemons, one change of the view contains most of them.
+    if (seen.length) {
+      const peers = seen.length > MAX_NAMES_IN_LINE ? `${seen.slice(0, MAX_NAMES_IN_LINE).join(',')},…` : seen.join(',')
+      this._options.log.event('info', 'member.seen', { peers, count: seen.length, revision: this._view.get(memberKey(seen[0]))?.modRevision })
     }
     if (keys.includes(LEADER_KEY) || !this._leader) this._applyLeader(this._view.get(LEADER_KEY))
     this._considerElection()
   }
 
-  private _applyMember (vm: string, stored: StoredValue | undefined): void {
+  /** Applies a change of a member's entry. Returns true for an entry that can be read. */
+  private _applyMember (vm: string, stored: StoredValue | undefined): boolean {
     const { timers, log } = this._options
     this._lapsedMembers.get(vm)?.cancel()
     this._lapsedMembers.delete(vm)
@@ -318,13 +328,15 @@
         )
       }
       log.event('info', 'member.lapsed', { peer: vm })
-      return
+      return false
     }
     const decoded = decodeJson(memberSchema, stored.value)
-    if (decoded.isErr) return log.event('warn', 'member.unreadable', { peer: vm, revision: stored.modRevision, detail: decoded.error })
-    const member = decoded.value
-    log.event('info', 'member.seen', { peer: vm, incarnation: member.incarnation, revision: stored.modRevision })
-    this.members.set(vm, member)
+    if (decoded.isErr) {
+      log.event('warn', 'member.unreadable', { peer: vm, revision: stored.modRevision, detail: decoded.error })
+      return false
+    }
+    this.members.set(vm, decoded.value)
+    return true
   }
 
   private _applyLeader (stored: StoredValue | undefined): void {
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -134,7 +134,7 @@
       for (const step of workflow.openSteps(wallClockMs)) {
         step.readyMs ??= nowMs
         if (mayStartTasks || step.spec.speculative) steps.push({ step, queue })
-        else this._noteWait(step, queue, step.waitingTasks(nowMs).length, () => ({ cause: WAIT_CAUSES.predecessor }))
+        else this._noteWait(step, queue, step.waitingTasks(nowMs), () => ({ cause: WAIT_CAUSES.predecessor }))
       }
     }
     const submittedAtMs = ({ step }: ReadyStep): number => step.workflow.record.submittedAtMs
@@ -148,7 +148,7 @@
     const { spec } = step
     if (tasks.length === 0) return 0
     if (spec.gang && tasks.length < step.tasks.length) {
-      this._noteWait(step, queue, tasks.length, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
+      this._noteWait(step, queue, tasks, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
       return 0
     }
     const { eligibility, start } = this._options
@@ -280,11 +280,15 @@
   }
 
   private _reportWait (blocked: BlockedStep, pass: PlacementPass): void {
-    this._noteWait(blocked.step, blocked.queue, blocked.waiting, () => this._explainWait(blocked, pass))
+    const { step, queue } = blocked
+    this._noteWait(step, queue, step.waitingTasks(pass.nowMs), () => this._explainWait(blocked, pass))
   }
 
-  private _noteWait (step: StepRuntime, queue: QueueConfig, tasks: number, explain: () => WaitExplanation): void {
-    if (tasks > 0) this._options.waits.note({ step, queue: queue.name, objectiveMs: queue.targetMs, tasks, explain })
+  private _noteWait (step: StepRuntime, queue: QueueConfig, tasks: Task[], explain: () => WaitExplanation): void {
+    if (tasks.length === 0) return
+    const { timers, waits } = this._options
+    const waitedMs = Math.max(...tasks.map(task => step.waitOf(task, timers.now())))
+    waits.note({ step, queue: queue.name, objectiveMs: queue.targetMs, tasks: tasks.length, waitedMs, explain })
   }
 
   private _explainWait (blocked: BlockedStep, pass: PlacementPass): WaitExplanation {
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -122,7 +122,7 @@
       worker: worker.incarnation,
       epoch: this._options.epoch,
       freeCpuMillis: worker.entry.capacity.cpuMillis - worker.used.cpuMillis,
-      waitedMs: Math.round(timers.now() - (task.step.readyMs ?? timers.now()))
+      waitedMs: Math.round(task.step.waitOf(task, timers.now()))
     })
     this._orderSender.start(run, { payload: workflow.record.payload, checkpoint: task.step.checkpointOf(task), ticket })
   }
@@ -240,6 +240,7 @@
     if (task) task.supersededRuns = task.supersededRuns.filter(other => other !== run)
     if (!task || task.run !== run) return
     task.run = undefined
+    task.waitingSinceMs = this._options.timers.now()
     if (task.state === TASK_STATES.running) task.state = TASK_STATES.waiting
   }
 
--- a/packages/pomelofold/src/workflows/waitReporter.ts
+++ b/packages/pomelofold/src/workflows/waitReporter.ts
@@ -46,7 +46,10 @@
   queue: string
   /** Wait from which a line is written, in milliseconds. */
   objectiveMs: number
+  /** Number of tasks that wait. */
   tasks: number
+  /** Longest wait of one of them, in milliseconds. */
+  waitedMs: number
   /** Cause and counts of workers; called only for steps that are reported. */
   explain: () => { cause: WaitCause, [count: string]: string | number }
 }
@@ -71,10 +74,9 @@
   }
 
   /** Reports the step if it has waited for longer than its objective and was not reported lately. */
-  note ({ step, queue, objectiveMs, tasks, explain }: WaitingStep): void {
+  note ({ step, queue, objectiveMs, tasks, waitedMs, explain }: WaitingStep): void {
     const { timers, log } = this._options
     const nowMs = timers.now()
-    const waitedMs = nowMs - (step.readyMs ?? nowMs)
     if (waitedMs <= objectiveMs || nowMs - (this._reportedMs.get(step) ?? Number.NEGATIVE_INFINITY) < REPEAT_MS) return
     this._startPeriod(nowMs)
     this._reportedMs.set(step, nowMs)
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -30,6 +30,8 @@
   checkpoint: string
   /** The task is not started before this time, in milliseconds of the monotonic clock. */
   notBeforeMs: number
+  /** Time at which the last run of the task ended, in milliseconds of the monotonic clock; undefined before the first run. */
+  waitingSinceMs: number | undefined
   /** Earlier runs that continue in parallel with the current one. */
   supersededRuns: Run[]
   /** Incarnations of workers on which a run of the task has failed or stalled, and which are avoided while there are others. */
@@ -105,6 +107,7 @@
       failures: [],
       checkpoint: '',
       notBeforeMs: 0,
+      waitingSinceMs: undefined,
       supersededRuns: [],
       avoid: undefined
     }))
@@ -130,6 +133,11 @@
     return this.spec.gang ? this._gangCheckpoint : task.checkpoint
   }
 
+  /** Time for which the task has waited since the step was ready and its last run ended, in milliseconds. */
+  waitOf (task: Task, nowMs: number): number {
+    return nowMs - Math.max(this.readyMs ?? nowMs, task.waitingSinceMs ?? 0)
+  }
+
   /** Tasks that can be started now: waiting, without a run, and past their delay. */
   waitingTasks (nowMs: number): Task[] {
     return this.tasks.filter(task => task.state === TASK_STATES.waiting && !task.run && task.notBeforeMs <= nowMs)
--- a/tests/workflows/eligibility.test.ts
+++ b/tests/workflows/eligibility.test.ts
@@ -165,10 +165,10 @@
   const reporter = new WaitReporter({ timers, log: { event: (_level, name, fields = {}) => { lines.push({ name, fields }) } } })
   const record = new WorkflowCell({ daemons: 0 }).workflow([{}])
   const steps = Array.from({ length: 30 }, () => new WorkflowRuntime({ record, revision: 1, addedMs: 0 }).steps(0)![0])
-  for (const step of steps) step.readyMs = timers.now()
   const note = (): void => {
     for (const step of steps) {
-      reporter.note({ step, queue: 'checks', objectiveMs: 250, tasks: 2, explain: () => ({ cause: WAIT_CAUSES.noRoom, slots: 0 }) })
+      const waitedMs = timers.now()
+      reporter.note({ step, queue: 'checks', objectiveMs: 250, tasks: 2, waitedMs, explain: () => ({ cause: WAIT_CAUSES.noRoom, slots: 0 }) })
     }
   }
   note()
