--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -11,7 +11,7 @@
 
 import { CONFIRMED_OUTAGE_MS } from './cellSession.js'
 import { MAX_WORKERS_PER_CALL, type EligibilityCache } from './eligibilityCache.js'
-import type { EligibilityLanes } from './eligibilityLanes.js'
+import type { EligibilityDaemons } from './eligibilityDaemons.js'
 import { PlacementPass, type OrderedStep } from './placementPass.js'
 import { planQuery, splitQuery, type PlannedQuery } from './queryPlanner.js'
 import { needsReservation, planReservations } from './roomReservation.js'
@@ -45,7 +45,7 @@
 /** Duration of a query from which its step claims room, in milliseconds: other steps seldom take the room within a shorter one. */
 const CLAIM_MIN_MS = 100
 /** Share of the free daemons that one query uses for simultaneous calls. */
-const LANE_SHARE_PER_QUERY = 0.25
+const DAEMON_SHARE_PER_QUERY = 0.25
 
 /** Options of a {@link Dispatcher}. */
 export interface DispatcherOptions {
@@ -58,7 +58,7 @@
   fleet: WorkerFleet
   eligibility: EligibilityCache
   /** The daemons that can call the eligibility service. */
-  lanes: EligibilityLanes
+  daemons: EligibilityDaemons
   waits: WaitReporter
   speedEstimator: WorkerSpeedEstimator
   suspensions: WorkerSuspensions
@@ -235,7 +235,7 @@
     const asking = blocked.filter(({ step, queue }) => queue.eligibility && !eligibility.isQueryPending(step.name))
     const inAdvance: Array<{ blocked: BlockedStep, workers: WorkerSession[] }> = []
     for (const blockedStep of asking.sort((a, b) => turn(a) - turn(b))) {
-      if (this._freeLanes(blockedStep.queue, 1) === 0) continue
+      if (this._freeDaemons(blockedStep.queue, 1) === 0) continue
       const { workers, startsTasks } = this._planQuery(blockedStep, pass)
       if (workers.length === 0) continue
       if (!startsTasks) inAdvance.push({ blocked: blockedStep, workers })
@@ -245,14 +245,14 @@
   }
 
   /** Number of calls about that many workers that could start now. */
-  private _freeLanes ({ eligibility }: QueueConfig, workers: number): number {
-    return this._options.lanes.freeCount(eligibility!.baseMs + eligibility!.perWorkerMs * workers)
+  private _freeDaemons ({ eligibility }: QueueConfig, workers: number): number {
+    return this._options.daemons.freeCount(eligibility!.baseMs + eligibility!.perWorkerMs * workers)
   }
 
   /** Calls the service for a step, in several simultaneous calls where daemons are plenty. Returns whether a call was made. */
   private _query ({ step, queue }: BlockedStep, workers: WorkerSession[]): boolean {
     const { baseMs, perWorkerMs } = queue.eligibility!
-    const maxCalls = Math.floor(this._freeLanes(queue, workers.length) * LANE_SHARE_PER_QUERY)
+    const maxCalls = Math.floor(this._freeDaemons(queue, workers.length) * DAEMON_SHARE_PER_QUERY)
     const calls = splitQuery(workers, maxCalls).map(part => this._options.eligibility.queryWorkers({
       step: step.name,
       workers: part.map(worker => ({ id: worker.entry.id, incarnation: worker.incarnation })),
--- a/packages/pomelofold/src/workflows/eligibilityCache.ts
+++ b/packages/pomelofold/src/workflows/eligibilityCache.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { EligibilityLanes } from './eligibilityLanes.js'
+import type { EligibilityDaemons } from './eligibilityDaemons.js'
 import type { EligibilityAnswer } from '../seams/workflowUpstreams.js'
 import type { Timers } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
@@ -57,7 +57,7 @@
   timers: Timers
   log: EventLog
   queryThroughDaemon: EligibilityCall
-  lanes: EligibilityLanes
+  daemons: EligibilityDaemons
   /** Called after each call, also a failed one. */
   onAnswer: () => void
 }
@@ -112,7 +112,7 @@
 
   /** Calls the service, unless no daemon is free for the call. Returns whether the call was made. */
   queryWorkers (query: EligibilityQuery): boolean {
-    const daemon = this._options.lanes.take(query.expectedMs)
+    const daemon = this._options.daemons.take(query.expectedMs)
     if (daemon === undefined) return false
     const stepEligibility = this._steps.get(query.step) ?? { eligible: new Map(), tickets: new Map(), pendingCalls: new Set() }
     this._steps.set(query.step, stepEligibility)
@@ -123,12 +123,12 @@
   private async _call (
     daemon: string, { step, workers, expectedMs, priority }: EligibilityQuery, stepEligibility: StepEligibility
   ): Promise<void> {
-    const { timers, log, queryThroughDaemon, lanes, onAnswer } = this._options
+    const { timers, log, queryThroughDaemon, daemons, onAnswer } = this._options
     const requestSentMs = timers.now()
     const pendingCall = { workers: workers.map(worker => worker.incarnation), endsMs: requestSentMs + expectedMs }
     stepEligibility.pendingCalls.add(pendingCall)
     const answer = await queryThroughDaemon(daemon, step, workers.map(worker => worker.id), expectedMs + CALL_SLACK_MS)
-    lanes.release(daemon, { failed: answer === undefined })
+    daemons.release(daemon, { failed: answer === undefined })
     stepEligibility.pendingCalls.delete(pendingCall)
     const tookMs = Math.round(timers.now() - requestSentMs)
     if (!answer) {
--- a/packages/pomelofold/src/workflows/eligibilityLanes.ts
+++ b/packages/pomelofold/src/workflows/eligibilityDaemons.ts
@@ -19,20 +19,20 @@
 /** Longest time without calls through a daemon, in milliseconds: a daemon that is cut off is found again soon after the cut. */
 const FAILED_DAEMON_PAUSE_MAX_MS = 2_400
 
-/** Options of an {@link EligibilityLanes}. */
-export interface EligibilityLanesOptions {
+/** Options of an {@link EligibilityDaemons}. */
+export interface EligibilityDaemonsOptions {
   timers: Timers
   /** VMs of the daemons that can call the service, this one included. */
   daemons: () => string[]
 }
 
 /** Keeps account of the daemons that have a call in progress, and of those whose last calls failed. */
-export class EligibilityLanes {
-  private readonly _options: EligibilityLanesOptions
+export class EligibilityDaemons {
+  private readonly _options: EligibilityDaemonsOptions
   private readonly _callsByDaemon = new Map<string, { long: boolean }>()
   private readonly _failures = new Map<string, { count: number, pausedUntilMs: number }>()
 
-  constructor (options: EligibilityLanesOptions) {
+  constructor (options: EligibilityDaemonsOptions) {
     this._options = options
   }
 
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -8,7 +8,7 @@
 
 import { Dispatcher } from './dispatcher.js'
 import { EligibilityCache, type EligibilityCall } from './eligibilityCache.js'
-import { EligibilityLanes } from './eligibilityLanes.js'
+import { EligibilityDaemons } from './eligibilityDaemons.js'
 import { LEADER_KEY } from './keys.js'
 import { ProgressRecorder } from './progressRecorder.js'
 import { RunTracker, type RunCounts } from './runTracker.js'
@@ -153,9 +153,9 @@
     this._recorder = new ProgressRecorder({
       committers, timers, log, onFinal: workflow => this._archiveWorkflow(workflow), onFenced
     })
-    const lanes = new EligibilityLanes({ timers, daemons: eligibilityDaemons })
+    const daemons = new EligibilityDaemons({ timers, daemons: eligibilityDaemons })
     this._eligibility = new EligibilityCache({
-      timers, log, queryThroughDaemon: queryEligibility, lanes, onAnswer: () => this._scheduleDispatch()
+      timers, log, queryThroughDaemon: queryEligibility, daemons, onAnswer: () => this._scheduleDispatch()
     })
     this._waits = new WaitReporter({ timers, log })
     const suspensions = new WorkerSuspensions({ timers, log })
@@ -168,7 +168,7 @@
       registry: this._registry,
       fleet: this._fleet,
       eligibility: this._eligibility,
-      lanes,
+      daemons,
       waits: this._waits,
       speedEstimator,
       suspensions,
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -12,7 +12,7 @@
 import { workersToQuery } from 'pomelofold/workflows/workersToQuery'
 import { remainingRunMs, shouldMoveRun } from 'pomelofold/workflows/drainMoves'
 import { EligibilityCache } from 'pomelofold/workflows/eligibilityCache'
-import { EligibilityLanes } from 'pomelofold/workflows/eligibilityLanes'
+import { EligibilityDaemons } from 'pomelofold/workflows/eligibilityDaemons'
 import { LeaseClock } from 'pomelofold/workflows/leaseClock'
 import { WorkerSpeedEstimator } from 'pomelofold/workflows/workerSpeedEstimator'
 import { findStalledRuns } from 'pomelofold/workflows/stalledRuns'
@@ -184,7 +184,7 @@
   const cache = new EligibilityCache({
     timers,
     log: SILENT_LOG,
-    lanes: new EligibilityLanes({ timers, daemons: () => ['d1', 'd2', 'd3', 'd4'] }),
+    daemons: new EligibilityDaemons({ timers, daemons: () => ['d1', 'd2', 'd3', 'd4'] }),
     queryThroughDaemon: (vm, name) => new Promise(resolve => calls.push({ vm, step: name, answer: resolve })),
     onAnswer: () => {}
   })
--- a/tests/workflows/eligibility.test.ts
+++ b/tests/workflows/eligibility.test.ts
@@ -5,7 +5,7 @@
 
 import t from 'tap'
 import { ManualTimers } from '@pomelofold/standins/manualTimers'
-import { EligibilityLanes } from 'pomelofold/workflows/eligibilityLanes'
+import { EligibilityDaemons } from 'pomelofold/workflows/eligibilityDaemons'
 import { WAIT_CAUSES, WaitReporter } from 'pomelofold/workflows/waitReporter'
 import { WorkflowRuntime } from 'pomelofold/workflows/workflowRuntime'
 import type { EventFields } from 'pomelofold/utils/eventLog'
@@ -143,20 +143,20 @@
 
 t.test('daemons that do not answer are used for calls less and less often', async t => {
   const timers = new ManualTimers()
-  const lanes = new EligibilityLanes({ timers, daemons: () => ['cut-off', 'd1', 'd2'] })
-  t.equal(lanes.take(50), 'cut-off')
-  lanes.release('cut-off', { failed: true })
+  const daemons = new EligibilityDaemons({ timers, daemons: () => ['cut-off', 'd1', 'd2'] })
+  t.equal(daemons.take(50), 'cut-off')
+  daemons.release('cut-off', { failed: true })
   await timers.advance(1_000)
-  t.equal(lanes.take(50), 'd1', 'a daemon without failures comes first')
-  t.equal(lanes.take(50), 'd2')
-  t.equal(lanes.take(50), 'cut-off', 'the pause is over')
-  lanes.release('cut-off', { failed: true })
+  t.equal(daemons.take(50), 'd1', 'a daemon without failures comes first')
+  t.equal(daemons.take(50), 'd2')
+  t.equal(daemons.take(50), 'cut-off', 'the pause is over')
+  daemons.release('cut-off', { failed: true })
   await timers.advance(400)
-  t.equal(lanes.take(50), undefined, 'the pause is longer after the second failure')
+  t.equal(daemons.take(50), undefined, 'the pause is longer after the second failure')
   await timers.advance(300)
-  t.equal(lanes.take(50), 'cut-off')
-  lanes.release('cut-off', { failed: false })
-  t.equal(lanes.take(50), 'cut-off', 'an answer ends the pauses')
+  t.equal(daemons.take(50), 'cut-off')
+  daemons.release('cut-off', { failed: false })
+  t.equal(daemons.take(50), 'cut-off', 'an answer ends the pauses')
 })
 
 t.test('the log says why a step waits, at most twenty lines a second, and counts the others', async t => {
