Bound the time of a placement pass while many steps wait

Cause (npm run bench -- dispatch, new): with 378 workers and 200 waiting steps a pass took 56 ms, with 1,000 steps 294 ms; 79% of it planned queries for steps that had nothing to ask. Change: a step that had nothing to ask is considered again after a quarter of a call, 0.1 s at most; a pass plans at most 16 queries; room is computed without a map for each step.

--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -40,6 +40,10 @@
 const RESERVE_AFTER_MS = 1_000
 /** Maximum number of steps that reserve room in one pass: limits the room that stands idle and the time of a pass. */
 const MAX_RESERVING_STEPS = 8
+/** Longest time after a step had nothing to ask until it is considered again, in milliseconds; a quarter of a call if that is less. */
+const QUERY_PAUSE_MAX_MS = 100
+/** Maximum number of queries that are planned in one pass: bounds its time while many steps wait. */
+const MAX_PLANS = 16
 /** Time after the answer to a query within which room must be expected to become free, in milliseconds: a third of a ticket's validity. */
 const EXPECTED_ROOM_MS = 700
 /** Duration of a query from which its step claims room, in milliseconds: other steps seldom take the room within a shorter one. */
@@ -70,6 +74,8 @@
 export class Dispatcher {
   private readonly _options: DispatcherOptions
   private readonly _lastKnownQueues = new Map<string, QueueConfig>()
+  /** Times before which steps that had nothing to ask are not considered again, in milliseconds of the monotonic clock. */
+  private readonly _asksAgainMs = new WeakMap<StepRuntime, number>()
   /**
    * Time until which the earlier scheduler may start tasks at workers that have not received this epoch, in
    * milliseconds of the monotonic clock.
@@ -234,10 +240,17 @@
     const turn = ({ step, queue }: BlockedStep): number => (step.readyMs ?? pass.nowMs) + queue.priority * PRIORITY_HANDICAP_MS
     const asking = blocked.filter(({ step, queue }) => queue.eligibility && !eligibility.isQueryPending(step.name))
     const inAdvance: Array<{ blocked: BlockedStep, workers: WorkerSession[] }> = []
+    let plans = 0
     for (const blockedStep of asking.sort((a, b) => turn(a) - turn(b))) {
-      if (this._freeDaemons(blockedStep.queue, 1) === 0) continue
+      if (plans === MAX_PLANS) break
+      const { step, queue } = blockedStep
+      if ((this._asksAgainMs.get(step) ?? 0) > pass.nowMs || this._freeDaemons(queue, 1) === 0) continue
+      plans++
       const { workers, startsTasks } = this._planQuery(blockedStep, pass)
-      if (workers.length === 0) continue
+      if (workers.length === 0) {
+        this._asksAgainMs.set(step, pass.nowMs + Math.min(QUERY_PAUSE_MAX_MS, queue.eligibility!.baseMs / 4))
+        continue
+      }
       if (!startsTasks) inAdvance.push({ blocked: blockedStep, workers })
       else if (this._query(blockedStep, workers)) this._claimQueried(blockedStep, pass)
     }
--- a/packages/pomelofold/src/workflows/queryPlanner.ts
+++ b/packages/pomelofold/src/workflows/queryPlanner.ts
@@ -85,12 +85,18 @@
 /** Eligible workers with room whose tickets have expired, and others with room while those are too few. */
 function planTaskQuery (options: PlanQueryOptions, { room, eligible, unknown }: Candidates): WorkerSession[] {
   const { tasks, hasTicket, slowness, maxWorkers } = options
-  const renewed: WorkerSession[] = []
+  const expired: Array<{ worker: WorkerSession, slots: number, slowness: number, freeCpuMillis: number }> = []
   let missing = tasks
-  for (const worker of [...eligible].sort((a, b) => slowness(a) - slowness(b) || room.free(b).cpuMillis - room.free(a).cpuMillis)) {
+  for (const worker of eligible) {
+    const slots = room.slots(worker, tasks)
+    if (slots === 0) continue
+    if (hasTicket(worker)) missing -= slots
+    else expired.push({ worker, slots, slowness: slowness(worker), freeCpuMillis: room.free(worker).cpuMillis })
+  }
+  const renewed: WorkerSession[] = []
+  for (const { worker, slots } of expired.sort((x, y) => x.slowness - y.slowness || y.freeCpuMillis - x.freeCpuMillis)) {
     if (missing <= 0 || renewed.length === maxWorkers) break
-    const slots = room.slots(worker, missing)
-    if (slots > 0 && !hasTicket(worker)) renewed.push(worker)
+    renewed.push(worker)
     missing -= slots
   }
   if (missing <= 0) return renewed
--- a/packages/pomelofold/src/workflows/stepPlacer.ts
+++ b/packages/pomelofold/src/workflows/stepPlacer.ts
@@ -36,7 +36,8 @@
   private readonly _step: StepRuntime
   private readonly _size: Resources
   private readonly _freeRoom: (worker: WorkerSession) => Resources
-  private readonly _free = new Map<WorkerSession, Resources>()
+  /** Room after the planned tasks, for the workers that have some. */
+  private readonly _planned = new Map<WorkerSession, Resources>()
   /** Number of runs of the step and planned tasks, by worker. Kept only for steps with a limit for one worker. */
   private readonly _taskCounts = new Map<WorkerSession, number>()
 
@@ -60,18 +61,13 @@
 
   /** Plans one more task for the worker. */
   addTask (worker: WorkerSession): void {
-    this._free.set(worker, addResources(this.free(worker), this._size, -1))
+    this._planned.set(worker, addResources(this.free(worker), this._size, -1))
     if (this._step.spec.maxPerWorker > 0) this._taskCounts.set(worker, this._taskCountAt(worker) + 1)
   }
 
   /** Room on a worker after the tasks planned so far. */
   free (worker: WorkerSession): Resources {
-    let free = this._free.get(worker)
-    if (!free) {
-      free = this._freeRoom(worker)
-      this._free.set(worker, free)
-    }
-    return free
+    return this._planned.get(worker) ?? this._freeRoom(worker)
   }
 
   private _taskCountAt (worker: WorkerSession): number {
--- a/utils/bench.ts
+++ b/utils/bench.ts
@@ -9,6 +9,7 @@
 /** Benchmarks by name. Each module exports `run`, which receives the arguments after the name. */
 const BENCHES: Record<string, () => Promise<{ run: (args: string[]) => Promise<void> }>> = {
   control: () => import('./bench/benchControl.js'),
+  dispatch: () => import('./bench/benchDispatch.js'),
   placement: () => import('./bench/benchPlacement.js'),
   requests: () => import('./bench/benchRequests.js')
 }
