Plan queries for short and long calls apart, and continue where the last pass ended

Change: short and long calls have a limit each; a pass continues where the last one ended; the last free daemon is kept for a step that could start tasks.

--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -42,12 +42,12 @@
 const MAX_RESERVING_STEPS = 8
 /** Longest time after a step had nothing to ask until it is considered again, in milliseconds; a quarter of a call if that is less. */
 const QUERY_PAUSE_MAX_MS = 100
-/** Maximum number of queries that are planned in one pass: bounds its time while many steps wait. */
+/** Maximum number of long queries, and of short ones, that are planned in one pass: bounds its time while many steps wait. */
 const MAX_PLANS = 16
 /** Time after the answer to a query within which room must be expected to become free, in milliseconds: a third of a ticket's validity. */
 const EXPECTED_ROOM_MS = 700
-/** Duration of a query from which its step claims room, in milliseconds: other steps seldom take the room within a shorter one. */
-const CLAIM_MIN_MS = 100
+/** Duration from which a query is long, in milliseconds. Its step claims room; within a short one, other steps seldom take the room. */
+const LONG_QUERY_MS = 100
 /** Share of the free daemons that one query uses for simultaneous calls. */
 const DAEMON_SHARE_PER_QUERY = 0.25
 
@@ -76,6 +76,8 @@
   private readonly _lastKnownQueues = new Map<string, QueueConfig>()
   /** Times before which steps that had nothing to ask are not considered again, in milliseconds of the monotonic clock. */
   private readonly _asksAgainMs = new WeakMap<StepRuntime, number>()
+  /** Position at which the planning of queries continues in the next pass. */
+  private _nextPlan = 0
   /**
    * Time until which the earlier scheduler may start tasks at workers that have not received this epoch, in
    * milliseconds of the monotonic clock.
@@ -201,7 +203,7 @@
   private _claimQueried (blocked: BlockedStep, pass: PlacementPass): void {
     const { eligibility, fleet } = this._options
     const { step, waiting, queue } = blocked
-    if (queue.eligibility!.baseMs < CLAIM_MIN_MS) return
+    if (!isLongQuery(queue)) return
     const calls = [...eligibility.pendingCalls(step.name)]
     const idleUntilMs = Math.max(pass.nowMs, ...calls.map(call => call.endsMs))
     const atMs = idleUntilMs + EXPECTED_ROOM_MS
@@ -239,22 +241,31 @@
     const { eligibility } = this._options
     const turn = ({ step, queue }: BlockedStep): number => (step.readyMs ?? pass.nowMs) + queue.priority * PRIORITY_HANDICAP_MS
     const asking = blocked.filter(({ step, queue }) => queue.eligibility && !eligibility.isQueryPending(step.name))
+    asking.sort((a, b) => turn(a) - turn(b))
+    // Steps with short queries are not kept waiting by any number of others, and the other way round.
+    for (const long of [false, true]) this._queryInTurn(asking.filter(({ queue }) => isLongQuery(queue) === long), pass)
+  }
+
+  /** Plans at most `MAX_PLANS` queries. While more steps are due, each pass continues where the last one ended. */
+  private _queryInTurn (asking: BlockedStep[], pass: PlacementPass): void {
+    const due = asking.filter(({ step, queue }) => (this._asksAgainMs.get(step) ?? 0) <= pass.nowMs && this._freeDaemons(queue, 1) > 0)
+    const first = due.length > MAX_PLANS ? this._nextPlan % due.length : 0
+    this._nextPlan = first + MAX_PLANS
     const inAdvance: Array<{ blocked: BlockedStep, workers: WorkerSession[] }> = []
-    let plans = 0
-    for (const blockedStep of asking.sort((a, b) => turn(a) - turn(b))) {
-      if (plans === MAX_PLANS) break
-      const { step, queue } = blockedStep
-      if ((this._asksAgainMs.get(step) ?? 0) > pass.nowMs || this._freeDaemons(queue, 1) === 0) continue
-      plans++
-      const { workers, startsTasks } = this._planQuery(blockedStep, pass)
+    for (const blocked of [...due.slice(first), ...due.slice(0, first)].slice(0, MAX_PLANS)) {
+      const { step, queue } = blocked
+      if (this._freeDaemons(queue, 1) === 0) continue
+      const { workers, startsTasks } = this._planQuery(blocked, pass)
       if (workers.length === 0) {
         this._asksAgainMs.set(step, pass.nowMs + Math.min(QUERY_PAUSE_MAX_MS, queue.eligibility!.baseMs / 4))
-        continue
+      } else if (!startsTasks) {
+        inAdvance.push({ blocked, workers })
+      } else if (this._query(blocked, workers)) {
+        this._claimQueried(blocked, pass)
       }
-      if (!startsTasks) inAdvance.push({ blocked: blockedStep, workers })
-      else if (this._query(blockedStep, workers)) this._claimQueried(blockedStep, pass)
     }
-    for (const { blocked: blockedStep, workers } of inAdvance) this._query(blockedStep, workers)
+    // The last free daemon is kept for a step that could start tasks.
+    for (const { blocked, workers } of inAdvance) if (this._freeDaemons(blocked.queue, 1) > 1) this._query(blocked, workers)
   }
 
   /** Number of calls about that many workers that could start now. */
@@ -339,6 +350,10 @@
   }
 }
 
+function isLongQuery ({ eligibility }: QueueConfig): boolean {
+  return eligibility !== undefined && eligibility.baseMs >= LONG_QUERY_MS
+}
+
 interface ReadyStep {
   step: StepRuntime
   queue: QueueConfig
--- a/tests/workflows/eligibility.test.ts
+++ b/tests/workflows/eligibility.test.ts
@@ -123,6 +123,31 @@
   t.ok(waitedMs < 4_500, `the gang started after ${waitedMs} ms: its wait before it reserves room, and two runs of small tasks`)
 })
 
+t.test('an urgent step with room starts within 300 ms while 400 overnight steps wait for room', async t => {
+  const quick: EligibilityTimes = { baseMs: 30, perWorkerMs: 0.4, validMs: 2_500 }
+  const cell = new WorkflowCell({
+    daemons: 8,
+    workers: 30,
+    runMs: task => urgent.has(task.slice(0, 16)) ? 400 : 60_000,
+    eligibility: slowEligibility({ times: step => urgent.has(step.slice(0, 16)) ? quick : SLOW, mayRun: () => true })
+  })
+  const urgent = new Set<string>()
+  const everyWorker = cell.workers.map((_worker, index) => index)
+  addQueue(cell, 'urgent', { priority: 0, eligibility: quick, workers: everyWorker })
+  addQueue(cell, 'overnight', { priority: 2, eligibility: SLOW, workers: everyWorker })
+  for (const worker of cell.workers) worker.entry.service = 'overnight'
+  cell.config.queues.get('urgent')!.service = 'overnight'
+  await cell.waitUntilReady()
+  const large = { tasks: 1, size: { cpuMillis: 7_000, memoryMb: 100, accelerators: 0 } }
+  for (let index = 0; index < 430; index++) submitNow(cell, [large], { queue: 'overnight' })
+  await cell.timers.advance(12_000)
+  const fromMs = cell.timers.now()
+  const id = submitNow(cell, [{ tasks: 2, size: { cpuMillis: 500, memoryMb: 100, accelerators: 0 } }], { queue: 'urgent' })
+  urgent.add(id)
+  await cell.timers.advance(2_000)
+  t.ok(firstStartAfter(cell, id, fromMs) < 300, `first start after ${firstStartAfter(cell, id, fromMs)} ms`)
+})
+
 t.test('a step that is queried in several calls starts on the first answer', async t => {
   const calls: string[][] = []
   const cell = new WorkflowCell({
