Estimate the speed of each worker, not only of its kind

The speeds were averaged by kind, so urgent work ran as often on the slow ones. Change: run time over estimate is fitted as an effect of the queue and an effect of the worker; a new worker starts with its kind's.

--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -109,7 +109,7 @@
       workers: fleet.sessions.values(),
       isUsable: worker => this._isUsable(worker, nowMs),
       nowMs,
-      estimateMs: (step, worker) => step.spec.estimateMs * speedEstimator.slowness(worker.entry.labels)
+      estimateMs: (step, worker) => step.spec.estimateMs * speedEstimator.slowness(worker)
     })
     const blocked: BlockedStep[] = []
     let reserving = 0
@@ -179,7 +179,7 @@
     return tasks.length - assignments.length
   }
 
-  private readonly _slowness = (worker: WorkerSession): number => this._options.speedEstimator.slowness(worker.entry.labels)
+  private readonly _slowness = (worker: WorkerSession): number => this._options.speedEstimator.slowness(worker)
 
   private _ticketHolders (step: StepRuntime, queue: QueueConfig, pass: PlacementPass): WorkerSession[] {
     const { eligibility, fleet } = this._options
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -353,7 +353,8 @@
 
   private _noteDuration (step: StepRuntime, session: WorkerSession, ranMs: number): void {
     step.longestRunMs = Math.max(step.longestRunMs, ranMs)
-    this._options.speedEstimator.noteRunTime({ labels: session.entry.labels, estimateMs: step.spec.estimateMs, ranMs })
+    const { estimateMs } = step.spec
+    this._options.speedEstimator.noteRunTime({ worker: session, workload: step.workflow.record.queue, estimateMs, ranMs })
   }
 
   private _handleDone (task: Task): void {
