--- a/tests/workflows/takeover.test.ts
+++ b/tests/workflows/takeover.test.ts
@@ -263,3 +263,16 @@
   await cell.waitForState(workflow.id, 'done', { at: followers[2], limitMs: 6_000 })
   t.same(cell.violations(), [])
 })
+
+t.test('a scheduler that falls silent is replaced within 1.8 seconds', async t => {
+  for (const killAfterMs of [3_000, 3_100, 3_200]) {
+    const cell = new WorkflowCell({ daemons: 4 })
+    const former = await cell.waitUntilReady()
+    await cell.timers.advance(killAfterMs)
+    const fromMs = cell.timers.now()
+    former.process.kill()
+    await cell.timers.advanceUntil(() => cell.leader !== undefined)
+    const tookMs = cell.timers.now() - fromMs
+    t.ok(tookMs < 1_800, `replaced after ${tookMs} ms`)
+  }
+})
