Keep the learned speeds of workers in the store

A new worker starts with the average of its kind's workers, not of their runs: most runs are on fast workers. Test: workerSpeeds.test.ts, a new scheduler starts with the speeds that the earlier one has learned.

--- a/packages/pomelofold/src/workflows/keys.ts
+++ b/packages/pomelofold/src/workflows/keys.ts
@@ -20,6 +20,9 @@
 /** Worker incarnations that may hold a lease from a scheduler. */
 export const ROSTER_KEY = 'pomelofold/roster'
 
+/** Learned speeds of the workers, which a new scheduler starts with. */
+export const SPEEDS_KEY = 'pomelofold/speeds'
+
 /** Key of a workflow. */
 export function workflowKey (id: string): string {
   return `${WORKFLOWS_PREFIX}${id}`
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -14,6 +14,7 @@
 import { RunTracker, type RunCounts } from './runTracker.js'
 import { WaitReporter, type WaitCause } from './waitReporter.js'
 import { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
+import { WorkerSpeedStore } from './workerSpeedStore.js'
 import { WorkerFleet } from './workerFleet.js'
 import { WorkflowRegistry } from './workflowRegistry.js'
 import { WorkerSuspensions } from './workerSuspensions.js'
@@ -102,6 +103,7 @@
   private readonly _eligibility: EligibilityCache
   private readonly _dispatcher: Dispatcher
   private readonly _waits: WaitReporter
+  private readonly _speedStore: WorkerSpeedStore
   private readonly _timers: TimerSubscription[] = []
   /** True while the daemon prepares to hand over leadership: no task is started. */
   private _quiesced = false
@@ -160,6 +162,9 @@
     this._waits = new WaitReporter({ timers, log })
     const suspensions = new WorkerSuspensions({ timers, log })
     const speedEstimator = new WorkerSpeedEstimator()
+    this._speedStore = new WorkerSpeedStore({
+      platform, timers, log, estimator: speedEstimator, incarnations: () => new Set(this._fleet.sessions.keys())
+    })
     this._dispatcher = new Dispatcher({
       epoch,
       term: options.term,
@@ -196,6 +201,7 @@
     const { timers } = this._options
     this._registry.start()
     this._fleet.start()
+    this._speedStore.start()
     this._timers.push(timers.every(DISPATCH_PERIOD_MS, () => this._dispatch()))
     this._timers.push(timers.every(EXPIRY_PERIOD_MS, () => this._registry.deleteExpired()))
   }
@@ -208,6 +214,7 @@
     this._dispatchTimer?.cancel()
     this._registry.close()
     this._fleet.close()
+    this._speedStore.close()
     this._recorder.close()
     this._runTracker.close()
   }
--- a/packages/pomelofold/src/workflows/workerSpeedEstimator.ts
+++ b/packages/pomelofold/src/workflows/workerSpeedEstimator.ts
@@ -4,20 +4,33 @@
  * Load pattern: workers bought over many years, some of which take twice as long as others of the same kind for the
  * same work. The estimates of run times are inaccurate, by a factor that depends on the workload, and a workload may run
  * mostly on a few workers. So the logarithm of run time over estimate is fitted as the sum of an effect of the workload
- * and an effect of the worker. A worker starts with the effect of its kind.
+ * and an effect of the worker. A worker starts with the average effect of the others of its kind.
  *
  * @module
  */
 
+import { z } from 'zod'
+
 /** Weight of a new observation in the effect of a worker: several runs show that it has turned slow. */
 const WORKER_WEIGHT = 0.1
-/** Weight of a new observation in the effect of a workload or a kind, which do not change. */
-const GROUP_WEIGHT = 0.02
-/** Number of observed runs before the effect of a worker or a kind is used. */
+/** Weight of a new observation in the effect of a workload, which does not change. */
+const WORKLOAD_WEIGHT = 0.02
+/** Number of observed runs before the effect of a worker is used. */
 const MIN_RUNS = 5
 /** Limit of a single observation relative to its estimate, so that one wrong estimate does not dominate the average. */
 const MAX_RATIO = 5
 
+const effectSchema = z.object({ value: z.number(), runs: z.number() })
+
+/** Stored effects, by name of the workload and by incarnation of the worker. */
+export const workerSpeedsSchema = z.object({
+  workloads: z.record(z.string(), effectSchema),
+  workers: z.record(z.string(), effectSchema.extend({ service: z.string(), kind: z.string() }))
+})
+
+/** One of {@link workerSpeedsSchema}. */
+export type WorkerSpeeds = z.infer<typeof workerSpeedsSchema>
+
 /** The part of a worker that the estimator reads. */
 export interface MeasuredWorker {
   incarnation: string
@@ -33,17 +46,18 @@
   ranMs: number
 }
 
-/** Moving average of the logarithm of run time over estimate, without the other effects. */
-interface Effect {
-  value: number
-  runs: number
+/** Moving average of the logarithm of run time over estimate, without the other effect, and the number of observed runs. */
+type Effect = z.infer<typeof effectSchema>
+
+interface WorkerEffect extends Effect {
+  service: string
+  kind: string
 }
 
 /** Fits the run times of all workers. */
 export class WorkerSpeedEstimator {
   private readonly _workloads = new Map<string, Effect>()
-  private readonly _kinds = new Map<string, Effect>()
-  private readonly _workers = new Map<string, Effect & { service: string }>()
+  private readonly _workers = new Map<string, WorkerEffect>()
   /** Results of `slowness` by incarnation, and of `_fastest` by service, valid until the next observation. */
   private readonly _slowness = new Map<string, number>()
   private readonly _fastestOf = new Map<string, number>()
@@ -54,16 +68,15 @@
     this._slowness.clear()
     this._fastestOf.clear()
     const observed = Math.log(Math.min(MAX_RATIO, Math.max(1 / MAX_RATIO, ranMs / estimateMs)))
-    const workloadEffect = effectIn(this._workloads, workload)
-    const kindEffect = effectIn(this._kinds, kindOf(worker))
-    const workerEffect = this._workers.get(worker.incarnation) ?? { value: kindEffect.value, runs: 0, service: worker.entry.service }
+    const workloadEffect = this._workloads.get(workload) ?? { value: 0, runs: 0 }
+    this._workloads.set(workload, workloadEffect)
+    const workerEffect = this._workers.get(worker.incarnation) ?? this._newEffect(worker)
     this._workers.set(worker.incarnation, workerEffect)
     const residual = observed - workloadEffect.value - workerEffect.value
-    const workloadWeight = weightOf(workloadEffect, GROUP_WEIGHT)
+    const workloadWeight = weightOf(workloadEffect, WORKLOAD_WEIGHT)
     const workerWeight = weightOf(workerEffect, WORKER_WEIGHT) * (1 - workloadWeight)
     add(workloadEffect, workloadWeight * residual)
     add(workerEffect, workerWeight * residual)
-    add(kindEffect, weightOf(kindEffect, GROUP_WEIGHT) * (workerEffect.value - kindEffect.value))
   }
 
   /** Run time relative to the fastest worker of the service; 1 until `MIN_RUNS` runs of the worker or of its kind have been observed. */
@@ -77,11 +90,44 @@
     return slowness
   }
 
+  /** Effects to store, of all workloads and of the workers in `incarnations`. */
+  snapshot (incarnations: ReadonlySet<string>): WorkerSpeeds {
+    const rounded = <T extends Effect>(effects: Iterable<[string, T]>): Record<string, T> => Object.fromEntries(
+      [...effects].map(([name, effect]) => [name, { ...effect, value: Math.round(effect.value * 100) / 100 }])
+    )
+    return {
+      workloads: rounded(this._workloads),
+      workers: rounded([...this._workers].filter(([incarnation]) => incarnations.has(incarnation)))
+    }
+  }
+
+  /** Starts with effects that an earlier scheduler has stored. They count as little as `MIN_RUNS` runs. */
+  restore ({ workloads, workers }: WorkerSpeeds): void {
+    const addMissing = <T extends Effect>(effects: Map<string, T>, stored: Record<string, T>): void => {
+      for (const [name, effect] of Object.entries(stored)) {
+        if (!effects.has(name)) effects.set(name, { ...effect, runs: Math.min(effect.runs, MIN_RUNS) })
+      }
+    }
+    addMissing(this._workloads, workloads)
+    addMissing(this._workers, workers)
+    this._slowness.clear()
+    this._fastestOf.clear()
+  }
+
+  private _newEffect (worker: MeasuredWorker): WorkerEffect {
+    return { value: this._averageOfKind(worker) ?? 0, runs: 0, service: worker.entry.service, kind: kindOf(worker) }
+  }
+
   private _knownEffect (worker: MeasuredWorker): number | undefined {
     const own = this._workers.get(worker.incarnation)
-    if (own && own.runs >= MIN_RUNS) return own.value
-    const kind = this._kinds.get(kindOf(worker))
-    return kind && kind.runs >= MIN_RUNS ? kind.value : undefined
+    return own && own.runs >= MIN_RUNS ? own.value : this._averageOfKind(worker)
+  }
+
+  /** Average effect of the known workers of that service and kind; undefined when there is none. */
+  private _averageOfKind (worker: MeasuredWorker): number | undefined {
+    const known = [...this._workers.values()].filter(effect =>
+      effect.runs >= MIN_RUNS && effect.service === worker.entry.service && effect.kind === kindOf(worker))
+    return known.length ? known.reduce((sum, { value }) => sum + value, 0) / known.length : undefined
   }
 
   /** Lowest effect of the service's workers; 0 when there is none. */
@@ -96,15 +142,9 @@
   }
 }
 
-/** Service and kind of a worker. The kind is its first label. */
+/** Kind of a worker: its first label. */
 function kindOf ({ entry }: MeasuredWorker): string {
-  return `${entry.service}/${entry.labels[0] ?? ''}`
-}
-
-function effectIn (effects: Map<string, Effect>, key: string): Effect {
-  const effect = effects.get(key) ?? { value: 0, runs: 0 }
-  effects.set(key, effect)
-  return effect
+  return entry.labels[0] ?? ''
 }
 
 /** Weight of the next observation: all observations count alike until there are many. */
--- a/tests/workflows/workerSpeeds.test.ts
+++ b/tests/workflows/workerSpeeds.test.ts
@@ -4,6 +4,7 @@
  */
 
 import t from 'tap'
+import { SPEEDS_KEY } from 'pomelofold/workflows/keys'
 import { WorkflowCell } from './workflowCell.js'
 
 const FAST_WORKERS = new Set(['w2', 'w5'])
@@ -28,3 +29,29 @@
   const fast = runs.filter(({ worker }) => FAST_WORKERS.has(worker.split('@')[0]))
   t.ok(fast.length >= 0.95 * runs.length, `${fast.length} of ${runs.length} runs on the fast workers`)
 })
+
+t.test('a new scheduler starts with the speeds that the earlier one has learned', async t => {
+  const cell = new WorkflowCell({ workers: 8, runMs })
+  await cell.waitUntilReady()
+  await submitSeries(cell, 120)
+  await cell.timers.advance(2_000)
+  cell.leader!.process.kill()
+  cell.daemons.shift()
+  await cell.timers.advanceUntil(() => cell.leader !== undefined)
+  await cell.waitUntilReady()
+  const electedMs = cell.timers.now()
+  await submitSeries(cell, 10)
+  const runs = cell.records.filter(({ startMs }) => startMs > electedMs)
+  const fast = runs.filter(({ worker }) => FAST_WORKERS.has(worker.split('@')[0]))
+  t.ok(fast.length >= 0.95 * runs.length, `${fast.length} of ${runs.length} runs on the fast workers`)
+})
+
+t.test('speeds that cannot be read or written do not stop placement', async t => {
+  const cell = new WorkflowCell({ workers: 4, runMs })
+  cell.store.txn([], [{ op: 'put', key: SPEEDS_KEY, value: '{"workers":3}' }])
+  await cell.waitUntilReady()
+  const workflow = cell.workflow()
+  await cell.submit(workflow)
+  await cell.waitForState(workflow.id, 'done')
+  t.ok(cell.events.some(({ name }) => name === 'speeds.unreadable'))
+})
