Remove workers that have ended from the stored roster

Cause: the roster was written only when a worker came. Change: the leader also writes the roster when workers without a session are in it, at most once a second. Test: takeover.test.ts, work goes on at once under a new scheduler after a worker has left for good.

--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -26,6 +26,8 @@
  * seconds, and time for a reading.
  */
 const DIRECTORY_RECOVERY_MS = 3_000
+/** Minimum time between two writes of the roster that only remove workers, in milliseconds. */
+const ROSTER_CLEANUP_PERIOD_MS = 1_000
 /** Consecutive readings of the directory without a worker after which it counts as unlisted. */
 const MISSING_READINGS = 2
 /**
@@ -75,6 +77,7 @@
   private _rosterRevision: number | undefined
   /** Worker incarnations in the stored roster. */
   private _roster = new Set<string>()
+  private _rosterCleanedMs = Number.NEGATIVE_INFINITY
   /** Worker incarnations that an earlier scheduler may have used; undefined until the roster and the directory have been read. */
   private _inheritedWorkers: Set<string> | undefined
   private _closed = false
@@ -167,9 +170,19 @@
     this._applyDirectory(list.value)
     this._inheritedWorkers ??= new Set(this.sessions.keys())
     this._options.onChange()
+    await this._cleanRoster()
     return true
   }
 
+  /** Removes workers that have ended from the roster: a new scheduler would wait until their leases have surely ended. */
+  private async _cleanRoster (): Promise<void> {
+    const { timers } = this._options
+    const outdated = [...this._roster].some(incarnation => !this.sessions.has(incarnation))
+    if (!outdated || timers.now() - this._rosterCleanedMs < ROSTER_CLEANUP_PERIOD_MS) return
+    this._rosterCleanedMs = timers.now()
+    await this._writeRoster([])
+  }
+
   /** Adds workers to the stored roster, so that the next scheduler finds them. False when they are not stored for certain. */
   private async _writeRoster (newEntries: WorkerEntry[]): Promise<boolean> {
     const { platform, epoch, log, onFenced } = this._options
--- a/tests/workflows/takeover.test.ts
+++ b/tests/workflows/takeover.test.ts
@@ -276,3 +276,25 @@
     t.ok(tookMs < 1_800, `replaced after ${tookMs} ms`)
   }
 })
+
+t.test('work goes on at once under a new scheduler after a worker has left for good', async t => {
+  const cell = new WorkflowCell({ daemons: 4, workers: 4, runMs: task => task.includes('.0.0.') ? 2_000 : 300 })
+  await cell.waitUntilReady()
+  const leaving = cell.workers[3]
+  Object.assign(leaving.faults, { draining: true, leavesInMs: 1_000 })
+  await cell.timers.advance(2_000)
+  leaving.crash()
+  await cell.timers.advance(5_000)
+  const workflow = cell.workflow([{ tasks: 2 }, { tasks: 2, after: [0] }])
+  await cell.submit(workflow, cell.leader!)
+  await cell.timers.advance(500)
+  const former = cell.leader!
+  const followers = cell.daemons.filter(daemon => daemon !== former)
+  former.process.kill()
+  await cell.waitForState(workflow.id, 'done', { at: followers[0], limitMs: 20_000 })
+  const firstStart = (step: number): number =>
+    Math.min(...cell.records.filter(({ task }) => task.startsWith(`${workflow.id}.0.${step}.`)).map(({ startMs }) => startMs))
+  const waitedMs = firstStart(1) - firstStart(0) - 2_000
+  t.ok(waitedMs < 1_500, `the second step started ${waitedMs} ms after the end of the first`)
+  t.same(cell.violations(), [])
+})
