Measure stalls by the worker's clock, and start nothing during a hand-over

Change: time without progress is taken from report to report by the worker's clock; a hand-over is not taken back. Result: tests in faults.test.ts, both fail without the change.

--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -80,6 +80,8 @@
   private _termEpoch = 0
   /** True while a peer is asked to delete the leader's entry. */
   private _releasing = false
+  /** True from the beginning of a hand-over on: the daemon starts no more tasks. */
+  private _handingOver = false
   /** Time at which the authority to start work ended; undefined while it lasts. */
   private _authorityLostMs: number | undefined
   /** The newest known leader, and the leader before it. */
@@ -148,6 +150,7 @@
   async handOver (): Promise<void> {
     const { timers } = this._options
     const term = this._term
+    this._handingOver = true
     if (term) {
       term.quiesce()
       await new Promise<void>(resolve => {
@@ -246,7 +249,10 @@
     }
     this._releasing = false
     if (this._term !== term) return
-    if (outcome === RELEASE_OUTCOMES.kept) return term.resume()
+    if (outcome === RELEASE_OUTCOMES.kept) {
+      if (!this._handingOver) term.resume()
+      return
+    }
     this._session.noteReleased(epoch)
     this._endTerm('leadership was given up through a peer')
   }
--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -69,6 +69,7 @@
       if (this._closed) return
       if (answer.isOk) {
         session.noteClock(answer.value.clockMs)
+        run.progressedClockMs ??= answer.value.clockMs
         if (run.state !== RUN_STATES.starting) return
         if (answer.value.refusal === undefined) return onStarted(run)
         if (answer.value.refusal === START_REFUSALS.staleEpoch) return onStaleEpoch()
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -141,10 +141,10 @@
     const listed = new Set<string>()
     for (const row of report.running) {
       listed.add(runIdOf(row.task, row.attempt))
-      this._handleListedRun(session, row)
+      this._handleListedRun(session, row, report.clockMs)
     }
     session.noteReport()
-    this._stopStalledRuns(session)
+    this._stopStalledRuns(session, report.clockMs)
     this._pacer.observe(session, [...session.runs.values()])
     for (const [key, run] of session.runs) {
       if (!listed.has(key) && mustBeListed(run, requestSentMs)) this._handleLost(run, 'its worker does not list it')
@@ -197,6 +197,7 @@
       stopConfirmedMs: undefined,
       percent: 0,
       progressedMs: nowMs,
+      progressedClockMs: undefined,
       reading: undefined,
       pacePercent: 100
     }
@@ -265,13 +266,13 @@
   }
 
   /** Handles a run that its worker lists as running. */
-  private _handleListedRun (session: WorkerSession, row: ListedRun): void {
+  private _handleListedRun (session: WorkerSession, row: ListedRun, clockMs: number): void {
     const { timers, log } = this._options
     const nowMs = timers.now()
     const knownRun = session.runs.get(runIdOf(row.task, row.attempt))
     if (knownRun) {
       if (knownRun.state === RUN_STATES.starting) this._handleStarted(knownRun)
-      this._noteProgress(knownRun, row, nowMs)
+      this._noteProgress(knownRun, row, { nowMs, clockMs })
       return
     }
     const task = this._options.registry.findTask(row.task)
@@ -293,15 +294,15 @@
     )
     if (wanted) {
       if (task.step.workflow.state === JOB_STATES.accepted) task.step.workflow.state = JOB_STATES.running
-      this._noteProgress(run, row, nowMs)
+      this._noteProgress(run, row, { nowMs, clockMs })
     } else {
       this._orderSender.stop(run, 'no task is waiting for it')
     }
   }
 
   /** Stops the runs of a worker when none of them makes progress, and suspends the worker. */
-  private _stopStalledRuns (session: WorkerSession): void {
-    const stalled = findStalledRuns(session.runs.values(), this._options.timers.now())
+  private _stopStalledRuns (session: WorkerSession, clockMs: number): void {
+    const stalled = findStalledRuns(session.runs.values(), clockMs)
     if (stalled.length === 0) return
     this._options.suspensions.noteStall(session.incarnation, stalled.length)
     for (const run of stalled) {
@@ -311,8 +312,9 @@
     }
   }
 
-  private _noteProgress (run: Run, row: ListedRun, nowMs: number): void {
+  private _noteProgress (run: Run, row: ListedRun, { nowMs, clockMs }: { nowMs: number, clockMs: number }): void {
     if (row.percent !== run.percent) run.progressedMs = nowMs
+    if (row.percent !== run.percent || run.progressedClockMs === undefined) run.progressedClockMs = clockMs
     run.percent = row.percent
     run.reading = row.reading
     if (run.task && row.checkpoint) run.task.step.noteCheckpoint(run.task, row.checkpoint)
--- a/packages/pomelofold/src/workflows/stalledRuns.ts
+++ b/packages/pomelofold/src/workflows/stalledRuns.ts
@@ -2,7 +2,8 @@
  * Finds runs that make no progress.
  *
  * Load pattern: a worker that answers and renews its lease while its tasks make no progress. Its runs never end
- * by themselves, and the worker appears busy.
+ * by themselves, and the worker appears busy. Time is measured by the worker's clock from report to report, so that reports
+ * which are handled late do not make a healthy worker appear stalled.
  *
  * @module
  */
@@ -16,14 +17,17 @@
 /** Progress of a finished run, and pace of a run that is not slowed down. */
 const FULL_PERCENT = 100
 
-/** Stalled runs among the runs of one worker. Empty while any run of the worker makes progress, since the worker then works. */
-export function findStalledRuns (runs: Iterable<Run>, nowMs: number): Run[] {
+/**
+ * Stalled runs among the runs of one worker, which reported them at `clockMs` of its clock. Empty while any run of the worker makes
+ * progress, since the worker then works.
+ */
+export function findStalledRuns (runs: Iterable<Run>, clockMs: number): Run[] {
   const stalled: Run[] = []
   for (const run of runs) {
     if (!mustProgress(run)) continue
     const { estimateMs } = run.task!.step.spec
     const limitMs = Math.max(STALL_MIN_MS, STALL_ESTIMATE_PERCENT * estimateMs / FULL_PERCENT)
-    if (nowMs - run.progressedMs < limitMs) return []
+    if (run.progressedClockMs === undefined || clockMs - run.progressedClockMs < limitMs) return []
     stalled.push(run)
   }
   return stalled
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -69,6 +69,8 @@
   /** Progress in percent, and the time at which it last changed. */
   percent: number
   progressedMs: number
+  /** The worker's clock in the report that first showed this progress, in milliseconds; undefined before the first report. */
+  progressedClockMs: number | undefined
   /** Last reported reading: tail latency in milliseconds of a serving task, CPU use in thousandths of a core of others. */
   reading: number | undefined
   /** Allowed speed in percent of full speed; undefined for a run whose pace an earlier scheduler may have changed. */
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -64,6 +64,7 @@
     stopConfirmedMs: undefined,
     percent: 10,
     progressedMs: 0,
+    progressedClockMs: 0,
     reading: undefined,
     pacePercent: 100,
     ...extra
@@ -121,7 +122,7 @@
 t.test('runs count as stalled only when no run of their worker makes progress', async t => {
   const placedStep = step({ tasks: 2, estimateMs: 800 })
   const worker = session('a')
-  const runs = [run(placedStep, 0, worker), run(placedStep, 1, worker, { progressedMs: 2_900 })]
+  const runs = [run(placedStep, 0, worker), run(placedStep, 1, worker, { progressedClockMs: 2_900 })]
   t.same(findStalledRuns(runs, 3_000), [])
   t.equal(findStalledRuns([runs[0]], 3_000).length, 1)
   t.same(findStalledRuns([runs[0]], 900), [])
--- a/tests/workflows/faults.test.ts
+++ b/tests/workflows/faults.test.ts
@@ -6,8 +6,10 @@
  */
 
 import t from 'tap'
+import Result from 'true-myth/result'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { delay } from 'pomelofold/seams/timers'
+import { CallError, EFFECTS } from 'pomelofold/utils/errors'
 import { PROGRESS_PREFIX } from 'pomelofold/workflows/keys'
 import { WorkflowCell, type TestDaemon } from './workflowCell.js'
 
@@ -302,3 +304,39 @@
   t.ok(Math.max(...again.map(run => run.startMs)) - leftMs <= 3_500, 'before the lease of 6 s ends')
   t.same(cell.violations(), [])
 })
+
+t.test('a scheduler that was paused does not take the runs of a worker for stalled', async t => {
+  // The answer to a long poll, requested before the start of a run, arrives just after the start and is handled late.
+  for (let submittedAfterMs = 0; submittedAfterMs < 1_600; submittedAfterMs += 100) {
+    const cell = new WorkflowCell({ workers: 1, runMs: () => 20_000 })
+    const leader = await cell.waitUntilReady()
+    await cell.timers.advance(submittedAfterMs)
+    await cell.submit(cell.workflow([{ tasks: 1, estimateMs: 4_000 }]), leader)
+    await cell.timers.advance(20)
+    leader.process.freeze()
+    await cell.timers.advance(1_300)
+    leader.process.thaw()
+    await cell.timers.advance(1_000)
+    const stalls = cell.events.filter(({ name, fields }) => name === 'worker.suspended' && fields.stalled !== undefined)
+    t.same(stalls, [], `submitted after ${submittedAfterMs} ms`)
+  }
+})
+
+t.test('a scheduler that hands over while it has lost the store alone starts no more tasks when a peer keeps its entry', async t => {
+  const cell = new WorkflowCell({ daemons: 5, workers: 1, cpuMillis: 1_000, runMs: () => 100 })
+  const leader = await cell.waitUntilReady()
+  await cell.submit(cell.workflow([{ tasks: 60, estimateMs: 100 }]), leader)
+  await cell.timers.advance(300)
+  leader.platform.faults.unreachable = true
+  await cell.timers.advanceUntil(() => !leader.daemon.figures().connected)
+  const handedOver = leader.daemon.handOver()
+  await cell.timers.advance(100)
+  const fromMs = cell.timers.now()
+  // The peers report that they reach the store, and cannot read the entry.
+  for (const { platform } of followers(cell)) platform.get = async () => Result.err(new CallError('unanswered', { step: 'store.get', peer: 'store', effect: EFFECTS.none }))
+  await cell.timers.advance(1_400)
+  const starts = cell.events.filter(({ vm, name, atMs }) => vm === leader.vm && name === 'run.start' && atMs > fromMs)
+  t.same(starts, [])
+  t.ok(cell.events.some(({ name, fields }) => name === 'leader.released' && fields.outcome === 'kept'), 'a peer kept the entry')
+  await cell.advanceUntilSettled(handedOver)
+})
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -153,6 +153,7 @@
       startUnanswered: false,
       stopConfirmedMs: undefined,
       percent: 0,
+      progressedClockMs: undefined,
       progressedMs: nowMs,
       reading: undefined,
       pacePercent: 100
