Start work that an earlier leader cannot have started, before its workers have answered

Cause: after a leader was lost with its failure domain, no work started for 1 s, and work accepted before the election waited until every worker of the earlier leader had answered or lapsed: 6 to 10 s (step.waiting cause=predecessor), also steps that became ready only under the new leader. Change: (1) members tell how long they have reached the store; once two thirds of them have for a second, the earlier leader's authority in an outage has ended, and new work starts at once. (2) A step starts when a run of the step before it was in progress under the new epoch, as the earlier leader cannot have seen its end; not after speculative steps, which may end beside a running copy.

--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -103,7 +103,7 @@
   /** Deletes the leader's entry for a scheduler that cannot reach the store, if it is still the one of that epoch. */
   releaseLeadership: { params: z.object({ epoch: z.number().int() }), result: z.object({ outcome: z.enum(RELEASE_OUTCOMES) }) },
   /** Reads whether the peer can reach the platform's store. */
-  reachesStore: { params: z.object({}), result: z.object({ reaches: z.boolean() }) },
+  reachesStore: { params: z.object({}), result: z.object({ reaches: z.boolean(), forMs: z.number().default(0) }) },
   /** Reads from the scheduler how many workflows of each queue have not started. Null when the peer is not the scheduler. */
   queueDepths: { params: z.object({}), result: z.object({ waiting: z.record(z.string(), z.number().int()).nullable() }) },
   /** Stores a workflow for a daemon that cannot reach the platform. */
--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { CellSession, type Leader } from '../workflows/cellSession.js'
+import { CellSession, CONFIRMED_OUTAGE_MS, type Leader } from '../workflows/cellSession.js'
 import { PeerReachability } from '../workflows/peerReachability.js'
 import { SchedulerTerm, type SchedulerTimeLimits, type TermFigures } from '../workflows/schedulerTerm.js'
 import { EXTENSION_AFTER_LOSS_MS } from '../workflows/workerFleet.js'
@@ -27,6 +27,11 @@
 const PEER_ANSWER_GRACE_MS = 500
 /** Timeout of a call to the earlier scheduler, and pause between two of them, in milliseconds. */
 const RETIRE_TIMEOUT_MS = 250
+/**
+ * Share of all known members that must have reached the store. Members that the earlier scheduler did not know do not prevent it
+ * from counting a majority without the store, so this is more than half.
+ */
+const STORE_QUORUM_SHARE = 2 / 3
 /** Time without the store after which a leader gives up leadership if most others reach it, in milliseconds. */
 const RELEASE_AFTER_MS = 250
 /** Timeout of a call to the peer that deletes the leader's entry, in milliseconds: two calls to the store and the network. */
@@ -193,6 +198,7 @@
     })
     this._term.start()
     this._retirePredecessor(leader, this._term)
+    this._checkOutageAuthority(this._term)
   }
 
   /** Asks the earlier scheduler to stop, until it has stopped or its process is known to have ended. */
@@ -211,6 +217,18 @@
     }
   }
 
+  /**
+   * Checks whether the earlier scheduler may still start work because most members confirmed an outage of the store. Once most
+   * members have reached the store for `CONFIRMED_OUTAGE_MS` without a break, every such confirmation has expired.
+   */
+  private async _checkOutageAuthority (term: SchedulerTerm): Promise<void> {
+    const others = [...this._session.members.keys()].filter(member => member !== this._options.vm)
+    const answers = await Promise.all(others.map(member => this._transport.call(member, 'reachesStore', {}, RETIRE_TIMEOUT_MS)))
+    const connectedForMs = [this._session.connectedForMs, ...answers.map(answer => answer.isOk ? answer.value.forMs : 0)]
+    const connected = connectedForMs.filter(ms => ms >= CONFIRMED_OUTAGE_MS).length
+    if (!term.closed && connected >= STORE_QUORUM_SHARE * connectedForMs.length) term.notePredecessorStopped()
+  }
+
   /**
    * Asks the other members whether they can reach the store. While most members answer that they cannot, and none
    * answers that it can, no other scheduler can be elected.
@@ -312,7 +330,7 @@
         return { retired: this._term === undefined }
       },
       releaseLeadership: async ({ epoch }) => ({ outcome: await this._session.releaseForPeer(epoch) }),
-      reachesStore: async () => ({ reaches: this._session.connected }),
+      reachesStore: async () => ({ reaches: this._session.connected, forMs: this._session.connectedForMs }),
       queueDepths: async () => ({ waiting: this._term?.queueDepths() ?? null }),
       storeWorkflow: async ({ workflow }) => ({ outcome: await this.service.storeDirectly(workflow) }),
       storeCancellation: async ({ id }) => ({ outcome: await this.service.cancelForPeer(id) }),
--- a/packages/pomelofold/src/workflows/cellSession.ts
+++ b/packages/pomelofold/src/workflows/cellSession.ts
@@ -105,6 +105,8 @@
   private _closed = false
   private _connected = true
   private _disconnectedAtMs: number | undefined
+  /** Time from which the daemon has been connected without a break; meaningless while it is not. */
+  private _connectedAtMs = 0
 
   constructor (options: CellSessionOptions) {
     this._options = options
@@ -145,6 +147,11 @@
     return this._disconnectedAtMs === undefined ? 0 : this._options.timers.now() - this._disconnectedAtMs
   }
 
+  /** Time for which this daemon has been connected to the store without a break, in milliseconds; 0 while it is not. */
+  get connectedForMs (): number {
+    return this.connected ? this._options.timers.now() - this._connectedAtMs : 0
+  }
+
   /**
    * Time for which this daemon may still start work under `epoch`, in milliseconds; zero or less when it may not.
    * It is the rest of its lease, or the rest of `CONFIRMED_OUTAGE_MS` when that is longer. The next leader waits
@@ -259,6 +266,7 @@
     if (entered.isErr) return this._noteConnection(entered.error.message)
     if (this._closed) return false
     this._leaseId = leaseId
+    this._connectedAtMs = timers.now()
     this._lease.noteRenewal(sentMs, sentWallMs, ttlMs)
     this._noteConnection()
     log.event('info', 'session.opened', { leaseId, ttlMs, revision: entered.value.revision })
@@ -296,6 +304,7 @@
       const fields = { dependency: 'store', detail: fault, leaseRemainingMs: Math.round(this._lease.remainingMs) }
       this._options.log.event(connected ? 'info' : 'warn', connected ? 'dependency.regained' : 'dependency.lost', fields)
     }
+    if (connected && !this._connected) this._connectedAtMs = this._options.timers.now()
     this._connected = connected
     this._disconnectedAtMs = connected ? undefined : this._disconnectedAtMs ?? this._options.timers.now()
     return false
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -136,12 +136,13 @@
     for (const workflow of registry.open) {
       if (workflow.isOver) continue
       // Tasks that the earlier scheduler may have started at an unreachable worker wait, unless the step allows copies.
-      const mayStartTasks = predecessorStopped && (inheritanceSettled || workflow.revision >= epoch)
+      const mayStartWorkflow = predecessorStopped && (inheritanceSettled || workflow.revision >= epoch)
       const queue = this.queueOf(workflow)
       if (!queue) continue
       for (const step of workflow.openSteps(wallClockMs)) {
         step.readyMs ??= nowMs
-        if (mayStartTasks || step.spec.speculative) steps.push({ step, queue })
+        const mayStart = mayStartWorkflow || step.spec.speculative || (predecessorStopped && step.becameReadyInTerm)
+        if (mayStart) steps.push({ step, queue })
         else this._noteWait(step, queue, step.waitingTasks(nowMs), () => ({ cause: WAIT_CAUSES.predecessor }))
       }
     }
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -205,6 +205,7 @@
     if (task && !task.run) {
       task.run = run
       task.state = TASK_STATES.running
+      task.step.ranInTerm = true
     }
     return run
   }
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -264,6 +264,13 @@
     this._registry.noteCancellation(id)
   }
 
+  /** Called when the earlier scheduler can start no more work. It may still extend leases. */
+  notePredecessorStopped (): void {
+    this._options.log.event('info', 'term.predecessor.stopped', { epoch: this._options.epoch })
+    this._dispatcher.notePredecessorEnded()
+    this._scheduleDispatch()
+  }
+
   /** Called when the earlier scheduler has stopped sending orders to workers. */
   notePredecessorEnded (): void {
     this._options.log.event('info', 'term.predecessor.ended', { epoch: this._options.epoch })
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -91,6 +91,8 @@
   longestRunMs = 0
   /** Time at which the step was first considered for placement, in milliseconds of the monotonic clock. */
   readyMs: number | undefined
+  /** True when a run of the step was in progress under the epoch of this scheduler: an earlier one cannot have seen the step end. */
+  ranInTerm = false
   private _gangCheckpoint = ''
 
   constructor (workflow: WorkflowRuntime, occurrence: number, index: number) {
@@ -115,6 +117,16 @@
     }))
   }
 
+  /**
+   * True when the step became ready under this scheduler's epoch: a step before it was still running then. An earlier scheduler
+   * whose authority had ended before cannot have started its tasks.
+   */
+  get becameReadyInTerm (): boolean {
+    const steps = this.workflow.steps(this.occurrence)!
+    // A speculative step may have ended for the earlier scheduler while a copy of a task was still running.
+    return this.spec.after.some(before => steps[before].ranInTerm && !steps[before].spec.speculative)
+  }
+
   /** Key of the step within the workflow: `occurrence.step`. */
   get key (): string {
     return `${this.occurrence}.${this.index}`
