--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -9,6 +9,12 @@
 import { formatRanges, parseRanges } from '../utils/indexRanges.js'
 import type { RunHost } from './runHost.js'
 
+/**
+ * Maximum number of unfinished occurrences of a workflow that are considered at once: a caller may ask for any number of them, all
+ * due at the same time.
+ */
+const MAX_OPEN_OCCURRENCES = 256
+
 /** States of a task. */
 export const TASK_STATES = { waiting: 'waiting', running: 'running', done: 'done' } as const
 
@@ -214,13 +220,15 @@
     return this.steps(occurrence)?.[step]?.tasks[index]
   }
 
-  /** Unfinished steps of due occurrences whose predecessors are done. */
+  /** Unfinished steps of due occurrences whose predecessors are done. Later occurrences follow when earlier ones have ended. */
   openSteps (wallClockMs: number): StepRuntime[] {
     const open: StepRuntime[] = []
+    let occurrences = 0
     for (let occurrence = 0; occurrence < this.times; occurrence++) {
       const dueAtMs = this.dueAtMs(occurrence)
       if (dueAtMs !== undefined && dueAtMs > wallClockMs) break
       if (this._doneOccurrences.has(occurrence)) continue
+      if (occurrences++ === MAX_OPEN_OCCURRENCES) break
       const steps = this.steps(occurrence)!
       for (const step of steps) {
         if (!step.done && step.spec.after.every(before => steps[before].done)) open.push(step)
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -181,6 +181,16 @@
   t.end()
 })
 
+t.test('a workflow that asks for a million occurrences at once does not fill the memory of the scheduler', t => {
+  const record = cell.workflow([{ tasks: 1 }], { repeat: { times: 1_000_000, startAtMs: 0, intervalMs: 0 } })
+  const workflow = new WorkflowRuntime({ record, revision: 1, addedMs: 0 })
+  t.equal(workflow.openSteps(1).length, 256)
+  t.equal(workflow.occurrences.size, 256)
+  workflow.markDone(workflow.task(0, 0, 0)!)
+  t.equal(workflow.openSteps(1).at(-1)!.occurrence, 256, 'the next one follows')
+  t.end()
+})
+
 t.test('a lease does not count as held when the VM may have been suspended beyond its end', async t => {
   let [monotonic, wall] = [1_000, 5_000_000]
   const clock = new LeaseClock({ now: () => monotonic, wallClock: () => wall } as unknown as ManualTimers)
