--- a/tests/workflows/predecessor.test.ts
+++ b/tests/workflows/predecessor.test.ts
@@ -6,7 +6,7 @@
 import t from 'tap'
 import { WorkflowCell, type TestDaemon } from './workflowCell.js'
 
-/** Runs of one workflow in order of their starts. */
+/** Times of the starts of tasks whose names begin with `prefix`, in order. */
 function startsOf (cell: WorkflowCell, prefix: string): number[] {
   return cell.records.filter(({ task }) => task.startsWith(prefix)).map(({ startMs }) => startMs).sort((a, b) => a - b)
 }
@@ -24,16 +24,21 @@
   return followers.find(({ daemon }) => daemon.figures().leading)!
 }
 
+/** Submits a workflow and returns the time until its first start, in milliseconds. */
+async function waitOfNewWork (cell: WorkflowCell, at: TestDaemon): Promise<number> {
+  const fromMs = cell.timers.now()
+  const workflow = cell.workflow()
+  await cell.submit(workflow, at)
+  await cell.waitForState(workflow.id, 'done', { at })
+  return startsOf(cell, workflow.id)[0] - fromMs
+}
+
 t.test('new work starts at once under a new scheduler although a worker does not answer', async t => {
   const cell = new WorkflowCell({ daemons: 4 })
   await cell.waitUntilReady()
   await cell.timers.advance(2_000)
   const leader = await replaceScheduler(cell)
-  const fromMs = cell.timers.now()
-  const workflow = cell.workflow()
-  await cell.submit(workflow, leader)
-  await cell.waitForState(workflow.id, 'done', { at: leader })
-  const waitedMs = startsOf(cell, workflow.id)[0] - fromMs
+  const waitedMs = await waitOfNewWork(cell, leader)
   t.ok(waitedMs < 300, `first start after ${waitedMs} ms`)
 })
 
@@ -46,11 +51,7 @@
   for (const { platform } of cell.daemons) platform.faults.unreachable = false
   await cell.timers.advance(500)
   const leader = await replaceScheduler(cell)
-  const fromMs = cell.timers.now()
-  const workflow = cell.workflow()
-  await cell.submit(workflow, leader)
-  await cell.waitForState(workflow.id, 'done', { at: leader })
-  const waitedMs = startsOf(cell, workflow.id)[0] - fromMs
+  const waitedMs = await waitOfNewWork(cell, leader)
   t.ok(waitedMs >= 900, `first start after ${waitedMs} ms`)
 })
 
--- a/tests/workflows/workerSpeeds.test.ts
+++ b/tests/workflows/workerSpeeds.test.ts
@@ -19,15 +19,20 @@
   }
 }
 
+/** Share of the runs since `fromMs` that were started on the fast workers. */
+function shareOnFastWorkers ({ records }: WorkflowCell, fromMs: number): number {
+  const runs = records.filter(({ startMs }) => startMs > fromMs)
+  return runs.filter(({ worker }) => FAST_WORKERS.has(worker.split('@')[0])).length / runs.length
+}
+
 t.test('urgent tasks run on the workers that have proved fast although all workers are of one kind', async t => {
   const cell = new WorkflowCell({ workers: 8, runMs })
   await cell.waitUntilReady()
   await submitSeries(cell, 60)
   const learnedMs = cell.timers.now()
   await submitSeries(cell, 60)
-  const runs = cell.records.filter(({ startMs }) => startMs > learnedMs)
-  const fast = runs.filter(({ worker }) => FAST_WORKERS.has(worker.split('@')[0]))
-  t.ok(fast.length >= 0.95 * runs.length, `${fast.length} of ${runs.length} runs on the fast workers`)
+  const share = shareOnFastWorkers(cell, learnedMs)
+  t.ok(share >= 0.95, `${share} of the runs on the fast workers`)
 })
 
 t.test('a new scheduler starts with the speeds that the earlier one has learned', async t => {
@@ -41,9 +46,8 @@
   await cell.waitUntilReady()
   const electedMs = cell.timers.now()
   await submitSeries(cell, 10)
-  const runs = cell.records.filter(({ startMs }) => startMs > electedMs)
-  const fast = runs.filter(({ worker }) => FAST_WORKERS.has(worker.split('@')[0]))
-  t.ok(fast.length >= 0.95 * runs.length, `${fast.length} of ${runs.length} runs on the fast workers`)
+  const share = shareOnFastWorkers(cell, electedMs)
+  t.ok(share >= 0.95, `${share} of the runs on the fast workers`)
 })
 
 t.test('speeds that cannot be read or written do not stop placement', async t => {
