--- a/packages/pomelofold/src/workflows/cellSession.ts
+++ b/packages/pomelofold/src/workflows/cellSession.ts
@@ -17,11 +17,11 @@
 import { EFFECTS } from '../utils/errors.js'
 
 /** Length of the lease, in milliseconds. A leader that has crashed is replaced this long after its last renewal. */
-export const SESSION_TTL_MS = 1_600
+export const SESSION_TTL_MS = 2_500
 /** Time between two renewals, in milliseconds. Three renewals may fail before the lease ends. */
-const RENEWAL_PERIOD_MS = 300
+const RENEWAL_PERIOD_MS = 500
 /** Timeout of a call to the store, in milliseconds: shorter than the rest of the lease after two failed renewals. */
-const CALL_TIMEOUT_MS = 450
+const CALL_TIMEOUT_MS = 600
 /**
  * Time for which a leader without the store may start work after most members have confirmed that they cannot
  * reach the store either, in milliseconds: three periods of asking them. No leader can be elected without the store.
