Log and count how a run that turns up unexpectedly had been released

The lines of one run did not tell the hypotheses of the incident apart: run.unwanted and run.ended known=false did not say whether this leader had released the run, why and when, and run.refused, run.lost and worker.lapsed not whether a start without an answer was on its way. They do now, and unexpected_* in the metrics counts such runs by the way of their release. No decision is changed.

--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -42,9 +42,9 @@
 
   /** Holds a run if its start may still be carried out. Returns true if the run is held. */
   hold (run: Run): boolean {
-    const { state, startUnanswered, startConfirmedMs, session } = run
+    const { state, unansweredMs, startConfirmedMs, session } = run
     // The run's own incarnation has carried out the start if the start was confirmed before its last report was requested.
-    const startConfirmed = state !== RUN_STATES.starting && !startUnanswered &&
+    const startConfirmed = state !== RUN_STATES.starting && unansweredMs === undefined &&
       startConfirmedMs !== undefined && startConfirmedMs < session.lastReportRequestSentMs
     if (startConfirmed) return false
     const { timers, log, onLost } = this._options
--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -65,6 +65,7 @@
       }
       session.noteLeaseSent(untilMs)
       const start = { epoch, task: run.name, attempt: run.attempt, payload, untilMs, checkpoint: checkpoint || undefined, ticket }
+      const sentMs = timers.now()
       const answer = await client.start(session.entry, start, ORDER_TIMEOUT_MS)
       if (this._closed) return
       if (answer.isOk) {
@@ -81,7 +82,7 @@
       session.noteUnanswered()
       if (answer.error.effect === EFFECTS.none && !mayBeSent) return onRefused(run, 'notSent')
       mayBeSent ||= answer.error.effect !== EFFECTS.none
-      run.startUnanswered ||= mayBeSent
+      if (answer.error.effect !== EFFECTS.none) run.unansweredMs = sentMs
       await delay(timers, START_RETRY_MS)
     }
     if (run.state === RUN_STATES.starting) this.stop(run, 'its start received no answer')
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -9,6 +9,7 @@
 import { shouldMoveRun } from './drainMoves.js'
 import { SpareCpuPacer, isSpareCpuRun } from './spareCpuPacer.js'
 import { LateStartTracker } from './lateStartTracker.js'
+import { ReleasedRuns, RELEASES, type Release } from './releasedRuns.js'
 import { RunOrderSender } from './runOrderSender.js'
 import type { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
 import { findStalledRuns } from './stalledRuns.js'
@@ -38,6 +39,8 @@
   starts: number
   ends: Record<RunEnd | 'lost', number>
   refusals: Record<string, number>
+  /** Runs that a worker listed although none was expected there, by how they had been released. */
+  unexpected: Partial<Record<Release, number>>
 }
 
 /** Options of a {@link RunTracker}. */
@@ -68,6 +71,8 @@
   private readonly _orderSender: RunOrderSender
   private readonly _endCounts: RunCounts['ends'] = { done: 0, failed: 0, stopped: 0, lapsed: 0, broken: 0, alone: 0, lost: 0 }
   private readonly _refusalCounts: Record<string, number> = {}
+  private readonly _unexpectedCounts: RunCounts['unexpected'] = {}
+  private readonly _releasedRuns: ReleasedRuns
   private readonly _lateStarts: LateStartTracker
   private readonly _pacer: SpareCpuPacer
   private _startCount = 0
@@ -85,6 +90,7 @@
       onRefused: (run, reason) => this._handleRefusal(run, reason),
       onStaleEpoch
     })
+    this._releasedRuns = new ReleasedRuns({ timers })
     this._pacer = new SpareCpuPacer({ timers, log, pace: (run, percent) => { this._orderSender.pace(run, percent) } })
     this._lateStarts = new LateStartTracker({ timers, log, onLost: (run, reason) => this._handleLost(run, reason) })
   }
@@ -97,7 +103,12 @@
 
   /** Copy of the current counts. */
   counts (): RunCounts {
-    return { starts: this._startCount, ends: { ...this._endCounts }, refusals: { ...this._refusalCounts } }
+    return {
+      starts: this._startCount,
+      ends: { ...this._endCounts },
+      refusals: { ...this._refusalCounts },
+      unexpected: { ...this._unexpectedCounts }
+    }
   }
 
   /** Starts a task at a worker. If the task already has a run, that run continues in parallel. */
@@ -154,7 +165,17 @@
 
   /** All runs of the worker have ended. Starts that its next incarnation may carry out are held until that incarnation reports. */
   handleLapse (session: WorkerSession, reason: string): void {
-    if (session.runs.size) this._options.log.event('warn', 'worker.lapsed', { worker: session.incarnation, reason, runs: session.runs.size })
+    if (session.runs.size) {
+      this._options.log.event('warn', 'worker.lapsed', {
+        worker: session.incarnation,
+        reason,
+        runs: session.runs.size,
+        unansweredStarts: [...session.runs.values()].filter(run => run.unansweredMs !== undefined).length,
+        leaseEndedAgoMs: Math.round(this._options.timers.now() - session.lapsesAtMs),
+        draining: session.entry.draining,
+        listed: session.listed
+      })
+    }
     for (const run of [...session.runs.values()]) {
       if (!session.restarted || !this._lateStarts.hold(run)) this._handleLost(run, reason)
     }
@@ -166,7 +187,7 @@
    */
   private _resolveLateStart (session: WorkerSession, run: Run, { running }: LeaseReport): void {
     const { task, name, attempt, size } = run
-    this._release(run)
+    this._release(run, RELEASES.lost, 'its start may be carried out by the next incarnation')
     if (running.some(row => row.task === name && row.attempt === attempt)) return
     const successor = this._addRun({ task: task?.run ? undefined : task, name, attempt, session, size, state: RUN_STATES.starting })
     this._orderSender.stop(successor, 'its start may still be carried out late')
@@ -193,7 +214,7 @@
       size: size ?? session.entry.capacity,
       startedMs: nowMs,
       startConfirmedMs: undefined,
-      startUnanswered: false,
+      unansweredMs: undefined,
       stopConfirmedMs: undefined,
       percent: 0,
       progressedMs: nowMs,
@@ -224,8 +245,11 @@
     const nowMs = timers.now()
     const { task, session } = run
     this._refusalCounts[reason] = (this._refusalCounts[reason] ?? 0) + 1
-    log.event('info', 'run.refused', { task: run.name, attempt: run.attempt, worker: session.incarnation, reason })
-    this._release(run)
+    log.event(
+      'info', 'run.refused',
+      { task: run.name, attempt: run.attempt, worker: session.incarnation, reason, unansweredAgoMs: this._unansweredAgoMs(run) }
+    )
+    this._release(run, RELEASES.refused, reason)
     if (WORKER_PAUSING_REFUSALS.has(reason)) session.suspendedUntilMs = nowMs + REFUSING_WORKER_PAUSE_MS
     if (reason === START_REFUSALS.invalidTicket && task) this._options.eligibility.dropTicket(task.step.name, session.incarnation)
     if (task) {
@@ -236,7 +260,8 @@
   }
 
   /** Removes a run from its worker; its task waits again if this was its current run. */
-  private _release (run: Run): void {
+  private _release (run: Run, release: Release, reason: string): void {
+    this._releasedRuns.note(run, release, reason)
     run.session.removeRun(run.name, run.attempt)
     const { task } = run
     if (task) task.supersededRuns = task.supersededRuns.filter(other => other !== run)
@@ -249,13 +274,19 @@
   /** Handles a run that has ended without being listed as ended. */
   private _handleLost (run: Run, reason: string): void {
     this._endCounts.lost++
+    const { name: task, attempt, session, state } = run
     this._options.log.event(
-      'warn', 'run.lost', { task: run.name, attempt: run.attempt, worker: run.session.incarnation, reason, state: run.state }
+      'warn', 'run.lost', { task, attempt, worker: session.incarnation, reason, state, unansweredAgoMs: this._unansweredAgoMs(run) }
     )
-    this._release(run)
+    this._release(run, RELEASES.lost, reason)
     if (run.task?.step.spec.gang) this._stopStep(run.task.step, 'a member of the gang was lost')
   }
 
+  /** Time since a start of the run received no answer, in milliseconds; for the log. */
+  private _unansweredAgoMs ({ unansweredMs }: Run): number | undefined {
+    return unansweredMs === undefined ? undefined : Math.round(this._options.timers.now() - unansweredMs)
+  }
+
   /** Stops all runs of a task, parallel runs included. */
   private _stopTask ({ run, supersededRuns }: Task, reason: string): void {
     for (const each of run ? [run, ...supersededRuns] : supersededRuns) this._orderSender.stop(each, reason)
@@ -289,9 +320,10 @@
     })
     run.startConfirmedMs = nowMs
     if (isSpareCpuRun(run)) run.pacePercent = undefined
+    const released = this._noteUnexpected(row)
     log.event(
       'info', wanted ? 'run.adopted' : 'run.unwanted',
-      { task: row.task, attempt: row.attempt, worker: session.incarnation, percent: row.percent, epoch: this._options.epoch }
+      { task: row.task, attempt: row.attempt, worker: session.incarnation, percent: row.percent, epoch: this._options.epoch, ...released }
     )
     if (wanted) {
       if (task.step.workflow.state === JOB_STATES.accepted) task.step.workflow.state = JOB_STATES.running
@@ -301,6 +333,13 @@
     }
   }
 
+  /** Counts a run that a worker lists although none was expected there. Returns how it had been released. */
+  private _noteUnexpected ({ task, attempt }: { task: string, attempt: number }): ReturnType<ReleasedRuns['find']> {
+    const found = this._releasedRuns.find(task, attempt)
+    this._unexpectedCounts[found.release] = (this._unexpectedCounts[found.release] ?? 0) + 1
+    return found
+  }
+
   /** Stops the runs of a worker when none of them makes progress, and suspends the worker. */
   private _stopStalledRuns (session: WorkerSession, clockMs: number): void {
     const stalled = findStalledRuns(session.runs.values(), clockMs)
@@ -334,9 +373,10 @@
       how: end.how,
       sequence: end.sequence,
       ranMs: run && Math.round(timers.now() - run.startedMs),
-      known: run !== undefined
+      known: run !== undefined,
+      ...(run ? {} : this._noteUnexpected(end))
     })
-    if (run) this._release(run)
+    if (run) this._release(run, RELEASES.ended, end.how)
     if (!task) return
     const { step } = task
     const { workflow } = step
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -68,8 +68,11 @@
   readonly startedMs: number
   /** Time at which the worker confirmed the start: reports requested later list the run or its end. */
   startConfirmedMs: number | undefined
-  /** True when a start received no answer and may still be carried out. */
-  startUnanswered: boolean
+  /**
+   * Time at which the last start without an answer was sent, in milliseconds of the monotonic clock: it may have been carried
+   * out, or may be carried out later. Undefined when every start was answered or cannot have reached the worker.
+   */
+  unansweredMs: number | undefined
   /** Time at which the worker confirmed the stop: when a report requested later does not list the run, the run has ended. */
   stopConfirmedMs: number | undefined
   /** Progress in percent, and the time at which it last changed. */
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -60,7 +60,7 @@
     state: RUN_STATES.running,
     startedMs: 0,
     startConfirmedMs: 0,
-    startUnanswered: false,
+    unansweredMs: undefined,
     stopConfirmedMs: undefined,
     percent: 10,
     progressedMs: 0,
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -150,7 +150,7 @@
       state: RUN_STATES.running,
       startedMs: nowMs,
       startConfirmedMs: nowMs,
-      startUnanswered: false,
+      unansweredMs: undefined,
       stopConfirmedMs: undefined,
       percent: 0,
       progressedClockMs: undefined,
