Settle a start whose next try is refused before its task starts again

Callers saw tasks run twice at a time, and workers with more work than they have room for. Cause: a start without an answer is tried again. When the worker refused the next try (503, an expired ticket, no room), the run was released as if nothing had been carried out, although the first try may have been, or may be seconds later. Its task started elsewhere, and its room was given away. Change: a refusal releases a run only when every try was answered. Otherwise a refusal for bad health is followed by the next try, and any other by a stop; the run keeps its room until a report requested after the stop settles it. Evidence: the new test fails before for all five refusals, with lost answers and with late orders: two runs of one task, and three runs on a worker with room for two.

--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -19,6 +19,12 @@
 /** Delay between two tries of a stop, in milliseconds. */
 const STOP_RETRY_MS = 200
 
+/** What the refusal of one try of a start says about the run. */
+export interface StartTryRefusal {
+  /** True when no try was or can be carried out. False when an earlier try received no answer: the run may be in progress. */
+  settled: boolean
+}
+
 /** Options of {@link RunOrderSender}. */
 export interface RunOrderSenderOptions {
   epoch: number
@@ -27,8 +33,8 @@
   log: EventLog
   /** Time for which this daemon is guaranteed to remain the leader and may send starts, in milliseconds. */
   leadershipRemainingMs: () => number
-  /** Called when the start was not carried out and cannot be carried out later. */
-  onRefused: (run: Run, reason: StartRefusal | 'notSent') => void
+  /** Called when the start, or one try of it, was refused. */
+  onRefused: (run: Run, reason: StartRefusal | 'notSent', refusal: StartTryRefusal) => void
   /** Called when the worker has confirmed the start. */
   onStarted: (run: Run) => void
   /** Called when a worker refused an order because it has received a newer epoch. */
@@ -49,8 +55,8 @@
   }
 
   /**
-   * Starts `run`. A start without an answer is retried, since a worker carries out the same attempt only once. After
-   * the last try the run is stopped, because it may have started.
+   * Starts `run`. A start without an answer is retried, since a worker carries out the same attempt only once. When no
+   * try was accepted and one of them received no answer, the run is stopped, because it may have started.
    */
   async start (run: Run, { payload, checkpoint, ticket }: { payload: string, checkpoint: string, ticket?: string }): Promise<void> {
     const { client, epoch, timers, log, leadershipRemainingMs, onRefused, onStarted, onStaleEpoch } = this._options
@@ -60,7 +66,7 @@
       if (this._closed || run.state !== RUN_STATES.starting || session.closed) return
       const untilMs = session.leaseEndForStart()
       if (leadershipRemainingMs() <= 0 || untilMs === undefined) {
-        if (!mayBeSent) return onRefused(run, 'notSent')
+        if (!mayBeSent) return onRefused(run, 'notSent', { settled: true })
         break
       }
       session.noteLeaseSent(untilMs)
@@ -74,18 +80,21 @@
         if (run.state !== RUN_STATES.starting) return
         if (answer.value.refusal === undefined) return onStarted(run)
         if (answer.value.refusal === START_REFUSALS.staleEpoch) return onStaleEpoch()
-        // When an earlier try may have arrived, `oldAttempt` can mean that this attempt has run and already ended.
-        if (!mayBeSent || answer.value.refusal !== START_REFUSALS.oldAttempt) return onRefused(run, answer.value.refusal)
-        break
+        onRefused(run, answer.value.refusal, { settled: !mayBeSent })
+        if (!mayBeSent) return
+        // Another refusal is not expected to change: only a stop settles what became of the earlier tries.
+        if (answer.value.refusal !== START_REFUSALS.unhealthy) break
+        await delay(timers, START_RETRY_MS)
+        continue
       }
       log.event('warn', 'start.unanswered', { task: run.name, attempt: run.attempt, worker: session.incarnation, try: attempt, effect: answer.error.effect, detail: answer.error.message })
       session.noteUnanswered()
-      if (answer.error.effect === EFFECTS.none && !mayBeSent) return onRefused(run, 'notSent')
+      if (answer.error.effect === EFFECTS.none && !mayBeSent) return onRefused(run, 'notSent', { settled: true })
       mayBeSent ||= answer.error.effect !== EFFECTS.none
       if (answer.error.effect !== EFFECTS.none) run.unansweredMs = sentMs
       await delay(timers, START_RETRY_MS)
     }
-    if (run.state === RUN_STATES.starting) this.stop(run, 'its start received no answer')
+    if (run.state === RUN_STATES.starting) this.stop(run, 'a try of its start received no answer')
   }
 
   /** Limits the speed of `run` to a percentage of full speed. It is not retried here: the next report triggers another try. */
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -10,7 +10,7 @@
 import { SpareCpuPacer, isSpareCpuRun } from './spareCpuPacer.js'
 import { LateStartTracker } from './lateStartTracker.js'
 import { ReleasedRuns, RELEASES, type Release } from './releasedRuns.js'
-import { RunOrderSender } from './runOrderSender.js'
+import { RunOrderSender, type StartTryRefusal } from './runOrderSender.js'
 import type { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
 import { findStalledRuns } from './stalledRuns.js'
 import { reservedRoom } from './stepPlacer.js'
@@ -87,7 +87,7 @@
       log,
       leadershipRemainingMs,
       onStarted: run => this._handleStarted(run),
-      onRefused: (run, reason) => this._handleRefusal(run, reason),
+      onRefused: (run, reason, refusal) => this._handleRefusal(run, reason, refusal),
       onStaleEpoch
     })
     this._releasedRuns = new ReleasedRuns({ timers })
@@ -240,7 +240,7 @@
     if (workflow.isOver) this._orderSender.stop(run, 'its workflow has ended')
   }
 
-  private _handleRefusal (run: Run, reason: StartRefusal | 'notSent'): void {
+  private _handleRefusal (run: Run, reason: StartRefusal | 'notSent', { settled }: StartTryRefusal): void {
     const { timers, log } = this._options
     const nowMs = timers.now()
     const { task, session } = run
@@ -249,9 +249,10 @@
       'info', 'run.refused',
       { task: run.name, attempt: run.attempt, worker: session.incarnation, reason, unansweredAgoMs: this._unansweredAgoMs(run) }
     )
-    this._release(run, RELEASES.refused, reason)
-    if (WORKER_PAUSING_REFUSALS.has(reason)) session.suspendedUntilMs = nowMs + REFUSING_WORKER_PAUSE_MS
+    if (WORKER_PAUSING_REFUSALS.has(reason)) session.suspendedUntilMs = Math.max(session.suspendedUntilMs, nowMs + REFUSING_WORKER_PAUSE_MS)
     if (reason === START_REFUSALS.invalidTicket && task) this._options.eligibility.dropTicket(task.step.name, session.incarnation)
+    if (!settled) return
+    this._release(run, RELEASES.refused, reason)
     if (task) {
       task.notBeforeMs = nowMs + REFUSED_TASK_PAUSE_MS
       if (task.step.spec.gang) this._stopStep(task.step, 'a member of the gang was refused')
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -48,6 +48,8 @@
   loseEveryNthAnswer: number
   /** Orders time out and are carried out after this delay, in milliseconds. */
   orderDelayMs: number
+  /** Refusal of each start that arrives, also of a start whose run is in progress. */
+  refuseStarts: StartRefusal | undefined
   /** Runs that start now fail after 10 ms. */
   failTasks: boolean
   draining: boolean
@@ -65,6 +67,7 @@
     loseAnswers: false,
     loseEveryNthAnswer: 0,
     orderDelayMs: 0,
+    refuseStarts: undefined,
     failTasks: false,
     draining: false,
     leavesInMs: undefined,
@@ -117,6 +120,7 @@
   start ({ epoch, task, attempt, untilMs, checkpoint }: RunStart): StartRefusal | undefined {
     if (epoch < this.epoch) return START_REFUSALS.staleEpoch
     this.epoch = epoch
+    if (this.faults.refuseStarts) return this.faults.refuseStarts
     const now = this._timers.now()
     if (untilMs <= now) return START_REFUSALS.leaseLapsed
     this._leaseUntilMs = Math.max(this._leaseUntilMs, untilMs)
--- a/tests/workflows/faults.test.ts
+++ b/tests/workflows/faults.test.ts
@@ -9,6 +9,7 @@
 import Result from 'true-myth/result'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { delay } from 'pomelofold/seams/timers'
+import { START_REFUSALS } from 'pomelofold/seams/workflowUpstreams'
 import { CallError, EFFECTS } from 'pomelofold/utils/errors'
 import { PROGRESS_PREFIX } from 'pomelofold/workflows/keys'
 import { WorkflowCell, type TestDaemon } from './workflowCell.js'
@@ -340,3 +341,29 @@
   t.ok(cell.events.some(({ name, fields }) => name === 'leader.released' && fields.outcome === 'kept'), 'a peer kept the entry')
   await cell.advanceUntilSettled(handedOver)
 })
+
+/** Refusals with which a worker that is in use can answer a start. */
+const REPEATABLE_REFUSALS = [
+  START_REFUSALS.unhealthy, START_REFUSALS.invalidTicket, START_REFUSALS.noRoom, START_REFUSALS.leaseLapsed, START_REFUSALS.invalid
+]
+
+// Guards against two runs of one task after the answer to its start was lost and a further try of the start was refused.
+t.test('a start whose answer was lost and whose next try is refused runs no task twice', async t => {
+  for (const refusal of REPEATABLE_REFUSALS) {
+    for (const orderDelayMs of [0, 2_500]) {
+      const cell = new WorkflowCell({ daemons: 1, workers: 2, cpuMillis: 2_000, runMs: () => 2_000 })
+      await cell.waitUntilReady()
+      const [worker] = cell.workers
+      Object.assign(worker.faults, orderDelayMs > 0 ? { orderDelayMs } : { loseEveryNthAnswer: 1 })
+      const workflows = [cell.workflow([{ tasks: 4 }]), cell.workflow([{ tasks: 4 }])]
+      for (const workflow of workflows) await cell.submit(workflow)
+      await cell.timers.advance(300)
+      Object.assign(worker.faults, { orderDelayMs: 0, loseEveryNthAnswer: 0, refuseStarts: refusal })
+      await cell.timers.advance(1_500)
+      worker.faults.refuseStarts = undefined
+      for (const { id } of workflows) await cell.waitForState(id, 'done')
+      t.same(cell.violations(), [], `refused with ${refusal}, orders delayed by ${orderDelayMs} ms`)
+      t.ok(cell.peakRuns() <= 2, 'no worker runs more tasks than it has room for')
+    }
+  }
+})
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -195,6 +195,12 @@
     return this.records.filter(record => record.task === task)
   }
 
+  /** Maximum number of runs that one worker had at the same time. */
+  peakRuns (): number {
+    return Math.max(...this.records.map(({ worker, startMs }) =>
+      this.records.filter(other => other.worker === worker && other.startMs <= startMs && other.endMs > startMs).length))
+  }
+
   /** Violations of the rules for runs that the workers' records show. */
   violations (): string[] {
     return runViolations(this.records, this.workers)
