Do not take a run for lost whose end may not be listed yet

A worker lists at most 500 ends at a time. Callers would see done tasks run again after an outage of the store on workers with many short tasks. Cause: while ends cannot be recorded they are not acknowledged, and a run whose end lies beyond the listed ones was in neither list, so that it counted as lost, as stalled, or, to a new scheduler, as never started. Change: a full list of ends is marked as such; until a report without further ends, no run counts as lost or stalled, and a new scheduler does not count the worker as settled.

--- a/packages/pomelofold/src/seams/workflowUpstreams.ts
+++ b/packages/pomelofold/src/seams/workflowUpstreams.ts
@@ -75,6 +75,8 @@
   bornMs?: number
   running: ListedRun[]
   ended: ListedEnd[]
+  /** True when there may be further ends, which are listed once these are acknowledged. */
+  hasMoreEnds?: boolean
 }
 
 /** Parameters of a lease extension. */
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -154,9 +154,11 @@
       listed.add(runIdOf(row.task, row.attempt))
       this._handleListedRun(session, row, report.clockMs)
     }
+    this._pacer.observe(session, [...session.runs.values()])
+    // A run that is not listed may be among the further ends.
+    if (report.hasMoreEnds) return changedWorkflows
     session.noteReport()
     this._stopStalledRuns(session, report.clockMs)
-    this._pacer.observe(session, [...session.runs.values()])
     for (const [key, run] of session.runs) {
       if (!listed.has(key) && mustBeListed(run, requestSentMs)) this._handleLost(run, 'its worker does not list it')
     }
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -79,7 +79,7 @@
   readonly runs = new Map<string, Run>()
   /** Sum of the sizes of all runs. */
   readonly used: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
-  /** True once a report under this epoch was handled: all its runs are listed, and an earlier scheduler can start no more. */
+  /** True once a report under this epoch was handled that lists all runs and ends: an earlier scheduler can start no more. */
   synced = false
   /** True when the worker has answered the last extension. */
   reachable = false
@@ -134,7 +134,7 @@
     return this._highestEndSequence
   }
 
-  /** Notes that a report has been handled. */
+  /** Notes that a report without further ends has been handled. */
   noteReport (): void {
     this.synced = true
     this.lapsed = false
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -15,6 +15,9 @@
 } from 'pomelofold/seams/workflowUpstreams'
 import type { Resources } from 'pomelofold/protocol/workflows'
 
+/** Maximum number of ends in one report. */
+const MAX_LISTED_ENDS = 500
+
 /** Record of one run, written by the worker. Times are those of the worker's clock; `endMs` is infinite while it runs. */
 export interface RunRecord {
   task: string
@@ -171,7 +174,8 @@
       running: [...this.runs.values()].map(({ record: { task, attempt, startMs }, runMs }) => ({
         task, attempt, checkpoint: this.checkpoint, percent: Math.floor(100 * (this._timers.now() - startMs) / runMs)
       })),
-      ended: this._unacknowledgedEnds.map(({ record, ...end }) => end)
+      ended: this._unacknowledgedEnds.slice(0, MAX_LISTED_ENDS).map(({ record, ...end }) => end),
+      hasMoreEnds: this._unacknowledgedEnds.length >= MAX_LISTED_ENDS
     }
   }
 
--- a/tests/workflows/faults.test.ts
+++ b/tests/workflows/faults.test.ts
@@ -367,3 +367,17 @@
     }
   }
 })
+
+// Guards against done tasks that run again because their ends are beyond the first 500 that a worker lists.
+t.test('tasks whose ends do not fit in one report run once', async t => {
+  const cell = new WorkflowCell({ workers: 1, cpuMillis: 120_000, runMs: () => 300 })
+  await cell.waitUntilReady()
+  const workflows = Array.from({ length: 10 }, () => cell.workflow([{ tasks: 100 }]))
+  for (const workflow of workflows) await cell.submit(workflow)
+  for (const { platform } of cell.daemons) platform.faults.unreachable = true
+  await cell.timers.advance(6_000)
+  for (const { platform } of cell.daemons) platform.faults.unreachable = false
+  for (const { id } of workflows) await cell.waitForState(id, 'done')
+  t.equal(cell.records.length, 1_000)
+  t.same(cell.violations(), [])
+})
