Wait for the lease of a draining worker whose entry may have expired

Callers saw two runs of one task at a time. Cause: a draining worker that was unlisted, did not answer and was past its announced time counted as gone, and its tasks started elsewhere before its lease had ended. Its entry also goes when it is silent for three heartbeats, or in an outage, or when another writer overwrites it; the worker may be cut off and work on. Change: readings of the directory carry the heartbeats of the entries, and the directory states after which silence an entry expires. Only an entry that goes in less than 0.8 of that time after the earliest possible time of its last heartbeat, while the directory is reliable, shows that its worker has left. Without `heartbeat_ms` in the settings nothing does. In all other cases the runs count until the lease has ended. The stand-in's entries now have heartbeats and expire.

--- a/packages/pomelofold/src/seams/workflowUpstreams.ts
+++ b/packages/pomelofold/src/seams/workflowUpstreams.ts
@@ -153,10 +153,23 @@
   ): Promise<Result<OrderAnswer, CallError>>
 }
 
+/** One reading of the worker directory. */
+export interface DirectoryReading {
+  /** All workers that are registered. */
+  workers: WorkerEntry[]
+  /** Sequence number of the last heartbeat in each entry, by worker id; undefined for an entry that names no usable worker. */
+  heartbeats: Map<string, number | undefined>
+}
+
 /** Directory of the workers in the cell. */
 export interface WorkerDirectory {
-  /** Lists all workers that are registered. */
-  list (timeoutMs: number): Promise<Result<WorkerEntry[], CallError>>
+  /**
+   * Time without a heartbeat after which the entry of a worker is removed, in milliseconds; 0 when it is not known. The entry
+   * of a worker that has left is removed at once.
+   */
+  readonly entryExpiryMs: number
+  /** Reads the directory. */
+  list (timeoutMs: number): Promise<Result<DirectoryReading, CallError>>
 }
 
 /** Answer of the eligibility service. */
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -6,6 +6,7 @@
  */
 
 import { z } from 'zod'
+import { DepartureDetector } from './departureDetector.js'
 import { LongPollPolicy } from './longPollPolicy.js'
 import { CONFIRMED_OUTAGE_MS } from './cellSession.js'
 import { LEADER_KEY, ROSTER_KEY } from './keys.js'
@@ -73,6 +74,7 @@
   private _inheritedRunsEndMs: number
   /** Consecutive readings of the directory without the worker, by incarnation. */
   private readonly _missingReadings = new Map<string, number>()
+  private readonly _departures: DepartureDetector
   private readonly _longPollPolicy: LongPollPolicy
   private _rosterRevision: number | undefined
   /** Worker incarnations in the stored roster. */
@@ -82,10 +84,17 @@
   private _inheritedWorkers: Set<string> | undefined
   private _closed = false
   private _directoryFailing = false
-  private _directoryFailedMs = Number.NEGATIVE_INFINITY
 
   constructor (options: WorkerFleetOptions) {
     this._options = options
+    this._departures = new DepartureDetector({
+      entryExpiryMs: options.directory.entryExpiryMs,
+      recoveryMs: DIRECTORY_RECOVERY_MS,
+      isStaying: incarnation => {
+        const session = this.sessions.get(incarnation)
+        return session !== undefined && session.reachable && !session.entry.draining
+      }
+    })
     this._longPollPolicy = new LongPollPolicy({ timers: options.timers })
     this._inheritedRunsEndMs = options.timers.now() + (CONFIRMED_OUTAGE_MS + EXTENSION_AFTER_LOSS_MS + options.leaseMs) / WORKER_CLOCK_RATE
   }
@@ -153,21 +162,23 @@
   }
 
   private async _readDirectory (): Promise<boolean> {
-    const { directory, log } = this._options
+    const { directory, log, timers } = this._options
+    const requestedMs = timers.now()
     const list = await directory.list(CALL_TIMEOUT_MS)
     if (this._closed) return false
     if (list.isErr) {
-      this._directoryFailedMs = this._options.timers.now()
+      this._departures.noteFailure(timers.now())
       if (!this._directoryFailing) log.event('warn', 'dependency.lost', { dependency: 'directory', detail: list.error.message })
       this._directoryFailing = true
       return false
     }
-    if (this._directoryFailing) log.event('info', 'dependency.regained', { dependency: 'directory', workers: list.value.length })
+    if (this._directoryFailing) log.event('info', 'dependency.regained', { dependency: 'directory', workers: list.value.workers.length })
     this._directoryFailing = false
-    const newEntries = list.value.filter(entry => !this._roster.has(incarnationOf(entry)))
+    this._departures.noteReading({ reading: list.value, requestedMs, answeredMs: timers.now() })
+    const newEntries = list.value.workers.filter(entry => !this._roster.has(incarnationOf(entry)))
     if (newEntries.length && !await this._writeRoster(newEntries)) return false
     if (this._closed) return false
-    this._applyDirectory(list.value)
+    this._applyDirectory(list.value.workers)
     this._inheritedWorkers ??= new Set(this.sessions.keys())
     this._options.onChange()
     await this._cleanRoster()
@@ -243,10 +254,9 @@
       session.listed = false
       this._options.log.event('info', 'worker.unlisted', { worker: session.incarnation, reachable: session.reachable, runs: session.runs.size })
     }
-    // The runs on a worker end when it leaves. It is listed until then, except during outages of the directory.
-    const nowMs = this._options.timers.now()
-    const directoryReliable = nowMs - this._directoryFailedMs > DIRECTORY_RECOVERY_MS
-    const hasLeft = session.entry.draining && !session.reachable && session.leavesAtMs <= nowMs && directoryReliable
+    // The runs on a worker end when it leaves. Those of one that is only cut off go on until its lease ends.
+    const mayHaveLeft = session.entry.draining && !session.reachable && session.leavesAtMs <= this._options.timers.now()
+    const hasLeft = mayHaveLeft && this._departures.hasLeft(session.incarnation)
     if (!session.listed && hasLeft) this._endSession(session, 'the worker has left')
     else if (!session.listed && session.lapsed && session.runs.size === 0) this._endSession(session, 'not listed, and its lease has lapsed')
   }
@@ -256,6 +266,7 @@
     session.lapsed = true
     this.remove(session)
     this._missingReadings.delete(session.incarnation)
+    this._departures.forget(session.incarnation)
   }
 
   private _openSession (entry: WorkerEntry, { listed }: { listed: boolean }): void {
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -10,7 +10,8 @@
 import { delay, type Timers } from 'pomelofold/seams/timers'
 import {
   RUN_ENDS, START_REFUSALS,
-  type LeaseExtension, type LeaseReport, type ListedEnd, type OrderAnswer, type RunEnd, type RunStart, type StartRefusal,
+  type DirectoryReading, type LeaseExtension, type LeaseReport, type ListedEnd,
+  type OrderAnswer, type RunEnd, type RunStart, type StartRefusal,
   type WorkerClient, type WorkerDirectory, type WorkerEntry
 } from 'pomelofold/seams/workflowUpstreams'
 import type { Resources } from 'pomelofold/protocol/workflows'
@@ -18,6 +19,12 @@
 /** Maximum number of ends in one report. */
 const MAX_LISTED_ENDS = 500
 
+/** Interval of a worker's heartbeats, in milliseconds. */
+const HEARTBEAT_MS = 1_500
+
+/** Time without a heartbeat after which an entry of the directory is removed, in milliseconds. */
+const ENTRY_EXPIRY_MS = 3 * HEARTBEAT_MS
+
 /** Record of one run, written by the worker. Times are those of the worker's clock; `endMs` is infinite while it runs. */
 export interface RunRecord {
   task: string
@@ -60,6 +67,10 @@
   leavesInMs: number | undefined
   /** The directory does not list the worker. */
   unlisted: boolean
+  /** Heartbeats do not reach the directory: the entry stays as it is until it expires. */
+  silent: boolean
+  /** Another writer has overwritten the entry with one that names no usable worker. */
+  entryOverwritten: boolean
 }
 
 /** One incarnation of a worker. A restart is a new object with the same id and another `entry.bornMs`. */
@@ -74,7 +85,9 @@
     failTasks: false,
     draining: false,
     leavesInMs: undefined,
-    unlisted: false
+    unlisted: false,
+    silent: false,
+    entryOverwritten: false
   }
 
   /** Runs in progress, by task. */
@@ -92,6 +105,10 @@
   private readonly _highestAttempts = new Map<string, number>()
   private _unacknowledgedEnds: Array<ListedEnd & { record: RunRecord }> = []
   private _lastEndSequence = 0
+  private _heartbeatSequence = 1
+  private _lastHeartbeatMs: number
+  /** The worker's entry as it was written last. */
+  private _writtenEntry: WorkerEntry
   /** End of the lease; 0 before the first one. */
   private _leaseUntilMs = 0
   /** Callbacks of lease extensions that wait for the end of a run. */
@@ -104,7 +121,10 @@
     this._timers = timers
     this._records = records
     this._runMs = runMs
+    this._writtenEntry = this.entry
+    this._lastHeartbeatMs = timers.now()
     timers.every(50, () => this._endRunsAfterLease())
+    timers.every(HEARTBEAT_MS, () => this._sendHeartbeat())
   }
 
   /** Simulates a crash: all runs end, and unacknowledged ends are lost. The worker is unreachable and unlisted from now on. */
@@ -193,6 +213,20 @@
     for (const wake of this._reportWaiters.splice(0)) wake()
   }
 
+  /** The worker's entry with its last heartbeat; undefined once it was removed. Changes of the worker's state are written at once. */
+  get listing (): { entry: WorkerEntry, heartbeat: number } | undefined {
+    const { draining, leavesInMs, silent, unlisted } = this.faults
+    if (!silent) this._writtenEntry = { ...this.entry, draining, leavesInMs }
+    if (unlisted || this._timers.now() - this._lastHeartbeatMs >= ENTRY_EXPIRY_MS) return
+    return { entry: this._writtenEntry, heartbeat: this._heartbeatSequence }
+  }
+
+  private _sendHeartbeat (): void {
+    if (this.faults.silent) return
+    this._heartbeatSequence++
+    this._lastHeartbeatMs = this._timers.now()
+  }
+
   /** Called every 50 ms. Ends all runs once the lease has lapsed, and records the time of the lapse. */
   private _endRunsAfterLease (): void {
     if (this._leaseUntilMs === 0 || this._timers.now() < this._leaseUntilMs) return
@@ -205,6 +239,9 @@
 export class LeasedWorkerClient implements WorkerClient, WorkerDirectory {
   /** Calls of this client to workers time out; the directory still answers. */
   disconnected = false
+  /** Readings of the directory time out. */
+  directoryDown = false
+  readonly entryExpiryMs = ENTRY_EXPIRY_MS
   private _callCount = 0
   private readonly _timers: Timers
   private readonly _workers: () => LeasedWorker[]
@@ -214,11 +251,19 @@
     this._workers = workers
   }
 
-  async list (): Promise<Result<WorkerEntry[], CallError>> {
+  async list (timeoutMs: number): Promise<Result<DirectoryReading, CallError>> {
+    if (this.directoryDown) {
+      await delay(this._timers, timeoutMs)
+      return Result.err(new CallTimeoutError(timeoutMs, { step: 'list', peer: 'directory', effect: EFFECTS.none }))
+    }
     await delay(this._timers, 2)
-    return Result.ok(this._workers().filter(worker => !worker.faults.unlisted).map(worker => ({
-      ...worker.entry, draining: worker.faults.draining, leavesInMs: worker.faults.leavesInMs
-    })))
+    const reading: DirectoryReading = { workers: [], heartbeats: new Map() }
+    for (const { listing, faults } of this._workers()) {
+      if (!listing) continue
+      reading.heartbeats.set(listing.entry.id, faults.entryOverwritten ? undefined : listing.heartbeat)
+      if (!faults.entryOverwritten) reading.workers.push(listing.entry)
+    }
+    return Result.ok(reading)
   }
 
   extendLease (
--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -20,7 +20,7 @@
 /** The platform's wire names that differ from all names of this project. */
 const WIRE_NAMES = [
   'acked_through', 'ended_runs', 'fence_token', 'est_runtime_ms', 'may_miss', 'max_per_server', 'wait_ms', 'clock_ms',
-  'task_count', 'op/config', 'servers/'
+  'task_count', 'heartbeat_ms', 'op/config', 'servers/'
 ]
 
 const SETTINGS = `node_name=front-a-1
@@ -31,6 +31,7 @@
 port_range=7720,7735
 limits.cpu_share=0.675
 advice=10.200.1.9:8169
+heartbeat_ms=1500
 bounds.hold_max_ms=6000
 bounds.status_s=120
 bounds.grace_s=6
@@ -80,7 +81,7 @@
   if (settings.isOk) {
     t.match(
       settings.value,
-      { vm: 'front-a-1', peerAddress: '10.1.0.13:7720', metricsAddress: '10.1.0.13:7735', retentionMs: 120_000, capacityCores: 0.675 }
+      { vm: 'front-a-1', peerAddress: '10.1.0.13:7720', metricsAddress: '10.1.0.13:7735', retentionMs: 120_000, capacityCores: 0.675, heartbeatMs: 1_500 }
     )
   }
 })
--- a/tests/platform/answers.test.ts
+++ b/tests/platform/answers.test.ts
@@ -118,12 +118,25 @@
   await fc.assert(fc.asyncProperty(entries, async value => {
     const values = [{ key: 'servers/w', value, createRevision: 1, modRevision: 1 }]
     const platform = { range: async () => Result.ok({ values, revision: 1 }) } as unknown as PlatformClient
-    const list = await new StoreWorkerDirectory({ platform, log: SILENT_LOG }).list(1)
-    counts[list.unwrapOr([]).length ? 'listed' : 'omitted']++
+    const reading = (await new StoreWorkerDirectory({ platform, log: SILENT_LOG, heartbeatMs: 1_500 }).list(1)).unwrapOr(undefined)
+    counts[reading?.workers.length ? 'listed' : 'omitted']++
+    if (!reading?.heartbeats.has('w')) t.fail(`${value} does not count as an entry`)
   }), { seed: 15, numRuns: RUNS_PER_TEST })
   t.ok(counts.listed > 0 && counts.omitted > 0)
 })
 
+// Guards against taking an entry for removed that another writer has overwritten, and against a wrong expiry time of entries.
+t.test('an entry is read with its heartbeat, and one that cannot be used counts as present', async t => {
+  const values = [['w1', JSON.stringify(ENTRY)], ['w2', JSON.stringify({ ...ENTRY, state: 'other' })], ['w3', 'no JSON']]
+    .map(([id, value]) => ({ key: `servers/${id}`, value, createRevision: 1, modRevision: 1 }))
+  const platform = { range: async () => Result.ok({ values, revision: 1 }) } as unknown as PlatformClient
+  const directory = new StoreWorkerDirectory({ platform, log: SILENT_LOG, heartbeatMs: 1_500 })
+  const reading = (await directory.list(1)).unwrapOr(undefined)
+  t.same(reading?.workers.map(({ id }) => id), ['w1'])
+  t.same([...reading!.heartbeats], [['w1', ENTRY.sequence], ['w2', undefined], ['w3', undefined]])
+  t.equal(directory.entryExpiryMs, 4_500)
+})
+
 t.test('10,000 damaged configurations are applied or ignored, and never replace a newer version with an older one', async t => {
   const counts = { applied: 0, ignored: 0 }
   const configs = fc.oneof(nearlyValid(CONFIG).map(value => JSON.stringify(value) ?? ''), fc.string(), fc.constant(JSON.stringify(CONFIG)))
