Let only a proven successor at an address end the session of a worker

Callers would see two runs of one task: an entry of another writer, of an unknown service and with the address of a worker that is cut off, ended that worker's runs as soon as its own entry had expired, before its lease had. Cause: any listed entry with a later start at the address counted as the next incarnation. Change: a successor with another id must have answered at the address under this epoch; one with the same id must belong to the same service. All entries at an address are looked at, not only the one that is listed last, which could hide the real successor.

--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -236,17 +236,28 @@
       session.listed = true
       if (entry.leavesInMs !== undefined) session.leavesAtMs = Math.min(session.leavesAtMs, this._options.timers.now() + entry.leavesInMs)
     }
-    const newestAt = new Map(entries.map(entry => [entry.address, entry]))
+    const listedAt = new Map<string, WorkerEntry[]>()
+    for (const entry of entries) listedAt.set(entry.address, [...(listedAt.get(entry.address) ?? []), entry])
     for (const [incarnation, session] of this.sessions) {
       if (present.has(incarnation)) continue
-      const successor = newestAt.get(session.entry.address)
-      if (successor && successor.bornMs > session.entry.bornMs) {
-        session.restarted = successor.id === session.entry.id
+      const successors = (listedAt.get(session.entry.address) ?? []).filter(entry => this._hasReplaced(entry, session.entry))
+      if (successors.length) {
+        session.restarted = successors.some(({ id }) => id === session.entry.id)
         this._endSession(session, 'another incarnation is listed at its address')
       } else this._noteMissing(session)
     }
   }
 
+  /**
+   * True when a listed entry shows that the earlier incarnation at its address has ended. Other writers may list the address, so
+   * a worker with another id must have answered there, and one with the same id must belong to the same service.
+   */
+  private _hasReplaced (entry: WorkerEntry, earlier: WorkerEntry): boolean {
+    if (entry.bornMs <= earlier.bornMs) return false
+    if (entry.id === earlier.id) return entry.service === earlier.service
+    return this.sessions.get(incarnationOf(entry))?.synced === true
+  }
+
   private _noteMissing (session: WorkerSession): void {
     const readings = (this._missingReadings.get(session.incarnation) ?? 0) + 1
     this._missingReadings.set(session.incarnation, readings)
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -245,10 +245,15 @@
   private _callCount = 0
   private readonly _timers: Timers
   private readonly _workers: () => LeasedWorker[]
+  /** Entries that another writer has added to the directory. */
+  private readonly _otherEntries: () => WorkerEntry[]
 
-  constructor ({ timers, workers }: { timers: Timers, workers: () => LeasedWorker[] }) {
+  constructor ({ timers, workers, otherEntries = () => [] }: {
+    timers: Timers, workers: () => LeasedWorker[], otherEntries?: () => WorkerEntry[]
+  }) {
     this._timers = timers
     this._workers = workers
+    this._otherEntries = otherEntries
   }
 
   async list (timeoutMs: number): Promise<Result<DirectoryReading, CallError>> {
@@ -263,6 +268,10 @@
       reading.heartbeats.set(listing.entry.id, faults.entryOverwritten ? undefined : listing.heartbeat)
       if (!faults.entryOverwritten) reading.workers.push(listing.entry)
     }
+    for (const entry of this._otherEntries()) {
+      reading.heartbeats.set(entry.id, 1)
+      reading.workers = [...reading.workers.filter(({ id }) => id !== entry.id), entry]
+    }
     return Result.ok(reading)
   }
 
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -13,7 +13,7 @@
 import { ProcessTimers } from '@pomelofold/standins/processTimers'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { workflowSchema, type Workflow, type WorkflowStep } from 'pomelofold/protocol/workflows'
-import type { CellConfig, EligibilityClient, QueueConfig } from 'pomelofold/seams/workflowUpstreams'
+import type { CellConfig, EligibilityClient, QueueConfig, WorkerEntry } from 'pomelofold/seams/workflowUpstreams'
 import type { Timers } from 'pomelofold/seams/timers'
 import { WorkflowDaemon } from 'pomelofold/server/workflowDaemon'
 import type { EventFields, EventLog } from 'pomelofold/utils/eventLog'
@@ -56,6 +56,8 @@
   /** Events of all daemons. */
   readonly events: Array<{ vm: string, atMs: number, name: string, fields: EventFields }> = []
   readonly config: CellConfig
+  /** Entries that another writer has added to the directory. */
+  readonly otherEntries: WorkerEntry[] = []
   /** Failure domains whose daemons cannot reach peers in other domains. */
   readonly cutDomains = new Set<string>()
   private readonly _newWorker: (index: number) => LeasedWorker
@@ -98,7 +100,9 @@
   startDaemon (vm: string, { size = 1, failureDomain = 'a' }: { size?: number, failureDomain?: string } = {}): TestDaemon {
     const process = new ProcessTimers({ timers: this.timers })
     const platform = new MemoryPlatformClient({ store: this.store, timers: process })
-    const client = new LeasedWorkerClient({ timers: process, workers: () => this.workers })
+    const client = new LeasedWorkerClient({
+      timers: process, workers: () => this.workers, otherEntries: () => this.otherEntries
+    })
     const incarnation = this._random.hex(4)
     const self = { vm, failureDomain, incarnation }
     const log: EventLog = { event: (_level, name, fields = {}) => { this.events.push({ vm, atMs: this.timers.now(), name, fields }) } }
