Keep a task waiting whose start may be carried out after its worker lapsed and restarted

Callers saw two runs of one task at a time. Cause: a worker that crashes behind a cut and starts again there under its id stays unknown until the cut ends. Its lease lapses first; the task was freed, since only a restart that was known held it, and the next incarnation carried the late copy of the start out beside the new run. Change: LateStartTracker keeps a record of each start without an answer when its worker lapses or restarts, by worker id. The task waits until a later incarnation lists the run or its end, or has confirmed a stop; the same incarnation answers again; another id is listed or answers at the address; a report requested 12 s after the send does not list the run; or, without any report, the longest lease after those 12 s is over. Held tasks have no run, so that a gang waits as a whole, and a member that turns up alone is stopped. Speculative steps do not wait. run.hold.ended tells the outcome and the time. The stand-in's clock starts anew with an incarnation and leases are limited. Cost: only tasks of unanswered (or in that second unconfirmed) starts at a worker that lapsed wait. By the constants, at most 18.2 s after the last unanswered send in place of about 6.2 s, when the worker never comes back and no other id takes its address. Left: a later incarnation may restart once more; records end with the run; a new leader has none.

--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -1,71 +1,204 @@
 /**
- * Holds runs whose start may be carried out by the next incarnation of their worker.
+ * Remembers starts that may still be carried out late, and keeps their tasks waiting while it is unknown by which
+ * incarnation of the worker.
  *
- * Load pattern: workers that crash and restart under the same id while starts are in transit. The next incarnation
- * has received no order yet, so it carries out and may even answer a start that was sent to the previous one. The
- * task is not started elsewhere until the next incarnation has listed the run or has received a stop for it, after
- * which it refuses the start.
+ * Load pattern: workers that crash, are cut off or restart under the same id while starts are in transit. The incarnation
+ * to which a start was sent refuses it once the run was stopped or has ended there. A later incarnation knows of neither,
+ * and its clock starts anew: it carries out a start that was sent to an earlier one.
  *
  * @module
  */
 
-import type { RunHost } from './runHost.js'
-import { RUN_STATES, type Run } from './workflowRuntime.js'
+import { runIdOf, LAPSE_SLACK_MS, WORKER_CLOCK_RATE, type WorkerSession } from './workerSession.js'
+import type { Run, Task } from './workflowRuntime.js'
+import type { Resources } from '../protocol/workflows.js'
 import type { Timers, TimerSubscription } from '../seams/timers.js'
+import type { LeaseReport, ListedEnd, ListedRun } from '../seams/workflowUpstreams.js'
 import type { EventLog } from '../utils/eventLog.js'
 
-/** Maximum time to wait for the next incarnation, in milliseconds: the longest delay with which a worker carries out an order. */
+/** Longest delay with which a worker carries out an order, in milliseconds. */
 const MAX_ORDER_DELAY_MS = 12_000
 
+/** A start that may be carried out by an incarnation of its worker that does not know its outcome. */
+export interface LateStart {
+  readonly name: string
+  readonly attempt: number
+  readonly task: Task | undefined
+  readonly size: Resources
+  readonly address: string
+  readonly bornMs: number
+  /** Incarnation to which it was sent, or which has carried it out. */
+  incarnation: string
+  sentMs: number
+  /** Time from which it is not carried out any more, in milliseconds of the monotonic clock. */
+  untilMs: number
+  /** Incarnation that was told to refuse it. */
+  refusedBy: string | undefined
+  /** Time since which its task waits for it, in milliseconds of the monotonic clock; undefined while it does not. */
+  heldSinceMs: number | undefined
+  timer: TimerSubscription | undefined
+}
+
 /** Options of {@link LateStartTracker}. */
 export interface LateStartTrackerOptions {
   timers: Timers
   log: EventLog
-  /** Called when the next incarnation has not reported within MAX_ORDER_DELAY_MS. */
-  onLost: (run: Run, reason: string) => void
+  /** Maximum length of a worker's lease, in milliseconds. */
+  maxLeaseMs: number
+  /** Called when the worker is to refuse the start. */
+  onRefusalNeeded: (session: WorkerSession, start: LateStart) => void
+  /** Called when a start that was held turns out to have been carried out. */
+  onCarriedOut: (run: Run) => void
 }
 
-/** Holds such runs until the next incarnation of their worker reports, for at most MAX_ORDER_DELAY_MS. */
+/** Keeps such starts until the time in which they may be carried out is over. */
 export class LateStartTracker {
   private readonly _options: LateStartTrackerOptions
-  /** Held runs with their timeouts, by worker id. */
-  private readonly _heldRuns = new Map<string, Map<Run, TimerSubscription>>()
+  /** Starts by worker id and by the id of their run. */
+  private readonly _starts = new Map<string, Map<string, LateStart>>()
+  /** Longest time for which a run goes on without a later extension of its lease, in milliseconds. */
+  private readonly _longestLeaseMs: number
 
   constructor (options: LateStartTrackerOptions) {
     this._options = options
+    this._longestLeaseMs = options.maxLeaseMs / WORKER_CLOCK_RATE + LAPSE_SLACK_MS
   }
 
   close (): void {
-    for (const runs of this._heldRuns.values()) for (const timer of runs.values()) timer.cancel()
-    this._heldRuns.clear()
+    for (const starts of this._starts.values()) for (const { timer } of starts.values()) timer?.cancel()
+    this._starts.clear()
+  }
+
+  /** Notes the start of a run whose worker's incarnation may have ended, unless that incarnation is known to have carried it out. */
+  noteUnconfirmed (run: Run): void {
+    const { unansweredMs, pendingStartMs, startConfirmedMs, session } = run
+    const sentMs = pendingStartMs ?? unansweredMs
+    if (sentMs !== undefined) this._note(run, sentMs, sentMs + MAX_ORDER_DELAY_MS)
+    if (startConfirmedMs === undefined || startConfirmedMs < session.lastReportRequestSentMs) return
+    // No report of this incarnation was requested since, so that the next one may have confirmed the start.
+    this._note(run, startConfirmedMs, startConfirmedMs)
+  }
+
+  /** Keeps the tasks of all such starts at a worker waiting, since another incarnation may carry them out. */
+  hold ({ entry: { id } }: WorkerSession): void {
+    const { timers, log } = this._options
+    const nowMs = timers.now()
+    for (const start of this._startsAt(id)) {
+      start.refusedBy = undefined
+      if (start.heldSinceMs !== undefined) continue
+      start.heldSinceMs = nowMs
+      if (start.task) start.task.heldStarts++
+      log.event('warn', 'run.held', {
+        task: start.name,
+        attempt: start.attempt,
+        worker: start.incarnation,
+        sentAgoMs: Math.round(nowMs - start.sentMs),
+        taskState: start.task?.state,
+        reason: 'its start may be carried out by another incarnation of its worker'
+      })
+    }
+  }
+
+  /** Forgets the starts at the address of a worker: another id is there, which refuses them. */
+  forget ({ entry: { id } }: WorkerSession): void {
+    for (const start of this._startsAt(id)) this._remove(id, start, 'another id is at its address')
   }
 
-  /** Holds a run if its start may still be carried out. Returns true if the run is held. */
-  hold (run: Run): boolean {
-    const { state, unansweredMs, startConfirmedMs, session } = run
-    // The run's own incarnation has carried out the start if the start was confirmed before its last report was requested.
-    const startConfirmed = state !== RUN_STATES.starting && unansweredMs === undefined &&
-      startConfirmedMs !== undefined && startConfirmedMs < session.lastReportRequestSentMs
-    if (startConfirmed) return false
-    const { timers, log, onLost } = this._options
+  /** Applies a report that was handled, with the runs that it lists, to the starts that are held for its worker. */
+  applyReport (session: WorkerSession, { running, ended }: LeaseReport, requestSentMs: number): void {
+    if (!session.synced) this._forgetReplaced(session)
     const { id } = session.entry
-    const runs = this._heldRuns.get(id) ?? new Map<Run, TimerSubscription>()
-    this._heldRuns.set(id, runs)
-    run.state = RUN_STATES.stopping
-    runs.set(run, timers.after(MAX_ORDER_DELAY_MS, () => {
-      runs.delete(run)
-      onLost(run, 'no next incarnation of its worker reported')
-    }))
-    log.event('warn', 'run.held', { task: run.name, attempt: run.attempt, worker: id, reason: 'its start may have reached the next incarnation of its worker' })
-    return true
+    for (const start of this._startsAt(id)) {
+      if (start.heldSinceMs === undefined) continue
+      const runId = runIdOf(start.name, start.attempt)
+      const isListed = (rows: Array<ListedRun | ListedEnd>): boolean => rows.some(({ task, attempt }) => runIdOf(task, attempt) === runId)
+      const run = session.runs.get(runId)
+      if (isListed(ended)) this._endHold(start, 'ended', session)
+      else if (run && isListed(running)) this._handleCarriedOut(start, run, session)
+      else if (requestSentMs >= start.untilMs) this._remove(id, start, 'not carried out')
+      else if (!run && start.refusedBy !== session.incarnation) this._refuse(start, session)
+    }
+  }
+
+  private _note ({ name, attempt, task, size, session: { entry, incarnation } }: Run, sentMs: number, untilMs: number): void {
+    const { timers } = this._options
+    const starts = this._starts.get(entry.id) ?? new Map<string, LateStart>()
+    this._starts.set(entry.id, starts)
+    const start: LateStart = starts.get(runIdOf(name, attempt)) ?? {
+      name,
+      attempt,
+      task,
+      size,
+      address: entry.address,
+      bornMs: entry.bornMs,
+      incarnation,
+      sentMs,
+      untilMs,
+      refusedBy: undefined,
+      heldSinceMs: undefined,
+      timer: undefined
+    }
+    starts.set(runIdOf(name, attempt), start)
+    start.sentMs = Math.max(start.sentMs, sentMs)
+    start.untilMs = Math.max(start.untilMs, untilMs)
+    start.timer?.cancel()
+    // A run of an incarnation that does not report goes on until its lease ends.
+    start.timer = timers.after(Math.max(0, start.untilMs + this._longestLeaseMs - timers.now()), () => {
+      this._remove(entry.id, start, 'no incarnation of its worker has reported')
+    })
+  }
+
+  private _startsAt (id: string): LateStart[] {
+    return [...this._starts.get(id)?.values() ?? []]
+  }
+
+  /** Forgets the starts that were sent to the address of the worker when another id had it. */
+  private _forgetReplaced ({ entry: { id, address, bornMs } }: WorkerSession): void {
+    for (const [otherId, starts] of this._starts) {
+      if (otherId === id) continue
+      for (const start of starts.values()) {
+        if (start.address === address && start.bornMs < bornMs) this._remove(otherId, start, 'another id is at its address')
+      }
+    }
+  }
+
+  private _handleCarriedOut (start: LateStart, run: Run, session: WorkerSession): void {
+    // A run that is being stopped goes on until its end is listed.
+    if (!run.task) return
+    this._endHold(start, 'listed', session)
+    this._options.onCarriedOut(run)
+  }
+
+  /** Has a later incarnation refuse a start that it has not carried out. The one to which it was sent refuses it as too late. */
+  private _refuse (start: LateStart, session: WorkerSession): void {
+    const isLater = start.incarnation !== session.incarnation
+    start.refusedBy = session.incarnation
+    this._endHold(start, isLater ? 'refused' : 'answered again', session)
+    if (isLater) this._options.onRefusalNeeded(session, start)
+  }
+
+  private _remove (id: string, start: LateStart, outcome: string): void {
+    start.timer?.cancel()
+    this._endHold(start, outcome)
+    const starts = this._starts.get(id)
+    starts?.delete(runIdOf(start.name, start.attempt))
+    if (starts?.size === 0) this._starts.delete(id)
   }
 
-  /** Removes and returns the runs that are held for the worker. Returns none to the incarnation that they were started on. */
-  takeHeldRuns (session: RunHost): Run[] {
-    const runs = this._heldRuns.get(session.entry.id)
-    if (!runs || [...runs.keys()].some(run => run.session === session)) return []
-    this._heldRuns.delete(session.entry.id)
-    for (const timer of runs.values()) timer.cancel()
-    return [...runs.keys()]
+  private _endHold (start: LateStart, outcome: string, session?: WorkerSession): void {
+    if (start.heldSinceMs === undefined) return
+    const { timers, log } = this._options
+    const nowMs = timers.now()
+    log.event('info', 'run.hold.ended', {
+      task: start.name,
+      attempt: start.attempt,
+      worker: session?.incarnation ?? start.incarnation,
+      outcome,
+      heldMs: Math.round(nowMs - start.heldSinceMs),
+      sentAgoMs: Math.round(nowMs - start.sentMs)
+    })
+    if (session) start.incarnation = session.incarnation
+    start.heldSinceMs = undefined
+    if (start.task) start.task.heldStarts--
   }
 }
--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -72,7 +72,9 @@
       session.noteLeaseSent(untilMs)
       const start = { epoch, task: run.name, attempt: run.attempt, payload, untilMs, checkpoint: checkpoint || undefined, ticket }
       const sentMs = timers.now()
+      run.pendingStartMs = sentMs
       const answer = await client.start(session.entry, start, ORDER_TIMEOUT_MS)
+      run.pendingStartMs = undefined
       if (this._closed) return
       if (answer.isOk) {
         session.noteClock(answer.value.clockMs)
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -8,7 +8,7 @@
 import type { EligibilityCache } from './eligibilityCache.js'
 import { shouldMoveRun } from './drainMoves.js'
 import { SpareCpuPacer, isSpareCpuRun } from './spareCpuPacer.js'
-import { LateStartTracker } from './lateStartTracker.js'
+import { LateStartTracker, type LateStart } from './lateStartTracker.js'
 import { ReleasedRuns, RELEASES, type Release } from './releasedRuns.js'
 import { RunOrderSender, type StartTryRefusal } from './runOrderSender.js'
 import type { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
@@ -53,6 +53,8 @@
   eligibility: EligibilityCache
   speedEstimator: WorkerSpeedEstimator
   suspensions: WorkerSuspensions
+  /** Maximum length of a worker's lease, in milliseconds. */
+  maxLeaseMs: number
   /** Time for which this daemon is guaranteed to remain the leader and may send starts, in milliseconds. */
   leadershipRemainingMs: () => number
   /** Number of failed runs of a task after which its workflow fails; undefined when the queue is unknown. */
@@ -79,7 +81,7 @@
 
   constructor (options: RunTrackerOptions) {
     this._options = options
-    const { epoch, client, timers, log, leadershipRemainingMs, onStaleEpoch } = options
+    const { epoch, client, timers, log, maxLeaseMs, leadershipRemainingMs, onStaleEpoch } = options
     this._orderSender = new RunOrderSender({
       epoch,
       client,
@@ -92,7 +94,13 @@
     })
     this._releasedRuns = new ReleasedRuns({ timers })
     this._pacer = new SpareCpuPacer({ timers, log, pace: (run, percent) => { this._orderSender.pace(run, percent) } })
-    this._lateStarts = new LateStartTracker({ timers, log, onLost: (run, reason) => this._handleLost(run, reason) })
+    this._lateStarts = new LateStartTracker({
+      timers,
+      log,
+      maxLeaseMs,
+      onRefusalNeeded: (session, start) => this._refuseLateStart(session, start),
+      onCarriedOut: run => { if (run.task?.step.spec.gang) this._orderSender.stop(run, 'its gang was stopped') }
+    })
   }
 
   /** Stops sending orders to workers. */
@@ -141,7 +149,6 @@
   /** Applies the report of a worker. Returns the workflows that must be recorded before the reported ends are acknowledged. */
   applyReport (session: WorkerSession, report: LeaseReport, requestSentMs: number): Set<WorkflowRuntime> {
     const changedWorkflows = new Set<WorkflowRuntime>()
-    for (const run of this._lateStarts.takeHeldRuns(session)) this._resolveLateStart(session, run, report)
     for (const end of report.ended) {
       const workflow = end.sequence <= session.highestEnd
         ? this._options.registry.findTask(end.task)?.step.workflow
@@ -157,6 +164,7 @@
     this._pacer.observe(session, [...session.runs.values()])
     // A run that is not listed may be among the further ends.
     if (report.hasMoreEnds) return changedWorkflows
+    this._lateStarts.applyReport(session, report, requestSentMs)
     session.noteReport()
     this._stopStalledRuns(session, report.clockMs)
     for (const [key, run] of session.runs) {
@@ -165,7 +173,7 @@
     return changedWorkflows
   }
 
-  /** All runs of the worker have ended. Starts that its next incarnation may carry out are held until that incarnation reports. */
+  /** All runs of the worker have ended. Tasks whose start another incarnation of it may carry out wait. */
   handleLapse (session: WorkerSession, reason: string): void {
     if (session.runs.size) {
       this._options.log.event('warn', 'worker.lapsed', {
@@ -179,20 +187,21 @@
       })
     }
     for (const run of [...session.runs.values()]) {
-      if (!session.restarted || !this._lateStarts.hold(run)) this._handleLost(run, reason)
+      this._lateStarts.noteUnconfirmed(run)
+      this._handleLost(run, reason)
     }
+    if (session.replaced) this._lateStarts.forget(session)
+    else this._lateStarts.hold(session)
   }
 
   /**
-   * Resolves a held start with the first report of the worker's next incarnation. A listed run is adopted like any
-   * other. Otherwise a stop is sent, after which the worker refuses the start; until then the task is not started.
+   * Has a worker refuse a start that it may carry out late. Its task waits, and room is kept for the run, until a report
+   * requested after the stop does not list it.
    */
-  private _resolveLateStart (session: WorkerSession, run: Run, { running }: LeaseReport): void {
-    const { task, name, attempt, size } = run
-    this._release(run, RELEASES.lost, 'its start may be carried out by the next incarnation')
-    if (running.some(row => row.task === name && row.attempt === attempt)) return
-    const successor = this._addRun({ task: task?.run ? undefined : task, name, attempt, session, size, state: RUN_STATES.starting })
-    this._orderSender.stop(successor, 'its start may still be carried out late')
+  private _refuseLateStart (session: WorkerSession, { name, attempt, size, task }: LateStart): void {
+    const waiting = task && task.state === TASK_STATES.waiting && !task.run
+    const run = this._addRun({ task: waiting ? task : undefined, name, attempt, session, size, state: RUN_STATES.starting })
+    this._orderSender.stop(run, 'its start may still be carried out late')
     session.skipNextWait = true
   }
 
@@ -215,6 +224,7 @@
       ...options,
       size: size ?? session.entry.capacity,
       startedMs: nowMs,
+      pendingStartMs: undefined,
       startConfirmedMs: undefined,
       unansweredMs: undefined,
       stopConfirmedMs: undefined,
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -188,6 +188,7 @@
       eligibility: this._eligibility,
       speedEstimator,
       suspensions,
+      maxLeaseMs: timeLimits.maxLeaseMs,
       leadershipRemainingMs,
       maxAttempts: workflow => this._dispatcher.queueOf(workflow)?.maxAttempts,
       onProgressChanged: workflow => this._recorder.noteChanged(workflow),
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -19,7 +19,7 @@
 /** Lowest rate of a worker's clock relative to the scheduler's: it may be 2% slow. */
 export const WORKER_CLOCK_RATE = 0.98
 /** Time added to the end of a lease before it counts as lapsed, in milliseconds: covers rounding and late timers of the worker. */
-const LAPSE_SLACK_MS = 100
+export const LAPSE_SLACK_MS = 100
 /** Timeout of a call to a worker beyond the requested wait, in milliseconds. */
 const ANSWER_MARGIN_MS = 500
 /** Longest requested wait while runs on the worker are paced, in milliseconds: its readings cover the last half second. */
@@ -93,8 +93,8 @@
   skipNextWait = false
   /** Time at which the last report was requested, in milliseconds of the monotonic clock. */
   lastReportRequestSentMs = Number.NEGATIVE_INFINITY
-  /** True when a newer incarnation has the same id: orders to this incarnation may reach the newer one. */
-  restarted = false
+  /** True when another id is known to be at the worker's address: no later incarnation receives orders to this one. */
+  replaced = false
   /** Time before which nothing is started on the worker, in milliseconds of the monotonic clock. */
   suspendedUntilMs = 0
   /** Time by which runs that an earlier scheduler started have ended, in milliseconds of the monotonic clock. */
@@ -277,7 +277,6 @@
         }
         this.reachable = true
         if (report.bornMs !== undefined && report.bornMs !== this.entry.bornMs) {
-          this.restarted = true
           this._endIncarnation('another incarnation of the worker answered')
           return undefined
         }
@@ -305,6 +304,7 @@
       return
     }
     if (refusal === START_REFUSALS.otherIncarnation) {
+      this.replaced = true
       this._endIncarnation('another incarnation of the worker answered')
       return
     }
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -38,6 +38,8 @@
   notBeforeMs: number
   /** Time at which the last run of the task ended, in milliseconds of the monotonic clock; undefined before the first run. */
   waitingSinceMs: number | undefined
+  /** Number of its earlier starts that another incarnation of their worker may still carry out. The task waits for them. */
+  heldStarts: number
   /** Earlier runs that continue in parallel with the current one. */
   supersededRuns: Run[]
   /** Incarnations of workers on which a run of the task has failed or stalled, and which are avoided while there are others. */
@@ -66,6 +68,8 @@
   state: typeof RUN_STATES[keyof typeof RUN_STATES]
   /** Time at which the run was started or first reported, in milliseconds of the monotonic clock. */
   readonly startedMs: number
+  /** Time at which the try of the start in progress was sent, in milliseconds of the monotonic clock; undefined for none. */
+  pendingStartMs: number | undefined
   /** Time at which the worker confirmed the start: reports requested later list the run or its end. */
   startConfirmedMs: number | undefined
   /**
@@ -121,6 +125,7 @@
       checkpoint: '',
       notBeforeMs: 0,
       waitingSinceMs: undefined,
+      heldStarts: 0,
       supersededRuns: [],
       avoid: undefined
     }))
@@ -161,9 +166,11 @@
     return nowMs - Math.max(this.readyMs ?? nowMs, task.waitingSinceMs ?? 0)
   }
 
-  /** Tasks that can be started now: waiting, without a run, and past their delay. */
+  /** Tasks that can be started now: waiting, without a run or a held start, and past their delay. */
   waitingTasks (nowMs: number): Task[] {
-    return this.tasks.filter(task => task.state === TASK_STATES.waiting && !task.run && task.notBeforeMs <= nowMs)
+    // Steps that allow copies wait for no earlier start.
+    const isFree = ({ heldStarts }: Task): boolean => heldStarts === 0 || this.spec.speculative
+    return this.tasks.filter(task => task.state === TASK_STATES.waiting && !task.run && task.notBeforeMs <= nowMs && isFree(task))
   }
 }
 
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -25,7 +25,7 @@
 /** Time without a heartbeat after which an entry of the directory is removed, in milliseconds. */
 const ENTRY_EXPIRY_MS = 3 * HEARTBEAT_MS
 
-/** Record of one run, written by the worker. Times are those of the worker's clock; `endMs` is infinite while it runs. */
+/** Record of one run, written by the worker. Times are those of the timers; `endMs` is infinite while it runs. */
 export interface RunRecord {
   task: string
   attempt: number
@@ -109,13 +109,23 @@
   private _lastHeartbeatMs: number
   /** The worker's entry as it was written last. */
   private _writtenEntry: WorkerEntry
-  /** End of the lease; 0 before the first one. */
+  /** Start of the worker's clock, and the maximum length of a lease, in milliseconds. */
+  private readonly _clockStartMs: number
+  private readonly _maxLeaseMs: number
+  /** End of the lease on the worker's clock; 0 before the first one. */
   private _leaseUntilMs = 0
   /** Callbacks of lease extensions that wait for the end of a run. */
   private _reportWaiters: Array<() => void> = []
 
-  constructor ({ id, timers, records, runMs, capacity, labels = ['a', 'r1'] }: {
-    id: string, timers: Timers, records: RunRecord[], runMs: (task: string) => number, capacity: Resources, labels?: string[]
+  constructor ({ id, timers, records, runMs, capacity, labels = ['a', 'r1'], clockStartMs = 0, maxLeaseMs = Number.POSITIVE_INFINITY }: {
+    id: string,
+    timers: Timers,
+    records: RunRecord[],
+    runMs: (task: string) => number,
+    capacity: Resources,
+    labels?: string[],
+    clockStartMs?: number,
+    maxLeaseMs?: number
   }) {
     this.entry = { id, bornMs: 1, service: 'leafline', address: id, failureDomain: 'a', draining: false, capacity, labels }
     this._timers = timers
@@ -123,10 +133,17 @@
     this._runMs = runMs
     this._writtenEntry = this.entry
     this._lastHeartbeatMs = timers.now()
+    this._clockStartMs = clockStartMs
+    this._maxLeaseMs = maxLeaseMs
     timers.every(50, () => this._endRunsAfterLease())
     timers.every(HEARTBEAT_MS, () => this._sendHeartbeat())
   }
 
+  /** Time on the worker's clock. */
+  get clockMs (): number {
+    return this._timers.now() - this._clockStartMs
+  }
+
   /** Simulates a crash: all runs end, and unacknowledged ends are lost. The worker is unreachable and unlisted from now on. */
   crash (): void {
     for (const active of this.runs.values()) {
@@ -145,8 +162,8 @@
     this.epoch = epoch
     if (this.faults.refuseStarts) return this.faults.refuseStarts
     const now = this._timers.now()
-    if (untilMs <= now) return START_REFUSALS.leaseLapsed
-    this._leaseUntilMs = Math.max(this._leaseUntilMs, untilMs)
+    if (untilMs <= this.clockMs) return START_REFUSALS.leaseLapsed
+    this._extendLeaseTo(untilMs)
     if (this.runs.get(task)?.record.attempt === attempt) return
     if (attempt <= (this._highestAttempts.get(task) ?? 0)) return START_REFUSALS.oldAttempt
     const record: RunRecord = { task, attempt, worker: this.entry.id, startMs: now, endMs: Number.POSITIVE_INFINITY, checkpoint }
@@ -178,7 +195,7 @@
     const now = this._timers.now()
     for (const end of this._unacknowledgedEnds) if (end.sequence <= acknowledged) end.record.acknowledgedMs ??= now
     this._unacknowledgedEnds = this._unacknowledgedEnds.filter(end => end.sequence > acknowledged)
-    if (untilMs !== undefined) this._leaseUntilMs = Math.max(this._leaseUntilMs, untilMs)
+    if (untilMs !== undefined) this._extendLeaseTo(untilMs)
     if (this._unacknowledgedEnds.length === 0 && waitMs > 0) {
       await Promise.race([
         delay(this._timers, waitMs), new Promise<void>(resolve => this._reportWaiters.push(resolve))
@@ -187,9 +204,13 @@
     return this._report()
   }
 
+  private _extendLeaseTo (untilMs: number): void {
+    this._leaseUntilMs = Math.max(this._leaseUntilMs, Math.min(untilMs, this.clockMs + this._maxLeaseMs))
+  }
+
   private _report (): LeaseReport {
     return {
-      clockMs: this._timers.now(),
+      clockMs: this.clockMs,
       bornMs: this.entry.bornMs,
       running: [...this.runs.values()].map(({ record: { task, attempt, startMs }, runMs }) => ({
         task, attempt, checkpoint: this.checkpoint, percent: Math.floor(100 * (this._timers.now() - startMs) / runMs)
@@ -229,8 +250,9 @@
 
   /** Called every 50 ms. Ends all runs once the lease has lapsed, and records the time of the lapse. */
   private _endRunsAfterLease (): void {
-    if (this._leaseUntilMs === 0 || this._timers.now() < this._leaseUntilMs) return
-    if (this.leaseLapsesMs.at(-1) !== this._leaseUntilMs) this.leaseLapsesMs.push(this._leaseUntilMs)
+    if (this._leaseUntilMs === 0 || this.clockMs < this._leaseUntilMs) return
+    const lapsedMs = this._clockStartMs + this._leaseUntilMs
+    if (this.leaseLapsesMs.at(-1) !== lapsedMs) this.leaseLapsesMs.push(lapsedMs)
     for (const task of [...this.runs.keys()]) this._endRun(task, RUN_ENDS.lapsed)
   }
 }
@@ -300,7 +322,7 @@
   ): Promise<Result<OrderAnswer, CallError>> {
     return this._call(entry, step, timeoutMs, async worker => {
       const refusal = carryOut(worker)
-      return { clockMs: this._timers.now(), refusal }
+      return { clockMs: worker.clockMs, refusal }
     }, { order: true })
   }
 
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -59,6 +59,7 @@
     size: placedStep.spec.size,
     state: RUN_STATES.running,
     startedMs: 0,
+    pendingStartMs: undefined,
     startConfirmedMs: 0,
     unansweredMs: undefined,
     stopConfirmedMs: undefined,
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -46,6 +46,9 @@
 
 const QUEUE: QueueConfig = { name: 'checks', service: 'leafline', priority: 0, maxAttempts: 3, stretch: 2, targetMs: 250 }
 
+/** Maximum length of a worker's lease, in milliseconds. */
+const MAX_LEASE_MS = 6_000
+
 /** Runs daemons and workers against one in-memory store, and records all events and runs. */
 export class WorkflowCell {
   readonly timers = new ManualTimers()
@@ -60,7 +63,7 @@
   readonly otherEntries: WorkerEntry[] = []
   /** Failure domains whose daemons cannot reach peers in other domains. */
   readonly cutDomains = new Set<string>()
-  private readonly _newWorker: (index: number) => LeasedWorker
+  private readonly _newWorker: (index: number, clockStartMs?: number) => LeasedWorker
   private readonly _newEligibilityClient: (timers: Timers) => EligibilityClient
   private readonly _random: SeededRandom
   private readonly _network = new PeerNetwork({
@@ -82,7 +85,7 @@
       routes: [{ queue: 'checks', host: 'h', prefix: '/checks/' }],
       maxBodyBytes: 262_144
     }
-    this._newWorker = index => new LeasedWorker({
+    this._newWorker = (index, clockStartMs) => new LeasedWorker({
       id: `w${index}`,
       timers: this.timers,
       records: this.records,
@@ -90,7 +93,9 @@
       capacity: {
         cpuMillis, memoryMb: 64_000, accelerators: 0
       },
-      labels: ['a', `r${index % 2}`]
+      labels: ['a', `r${index % 2}`],
+      clockStartMs,
+      maxLeaseMs: MAX_LEASE_MS
     })
     this.workers = Array.from({ length: workers }, (_, index) => this._newWorker(index))
     for (let index = 0; index < daemons; index++) this.startDaemon(`entry-${index}`)
@@ -119,7 +124,7 @@
       timers: process,
       random: this._random,
       log,
-      timeLimits: { maxLeaseMs: 6_000, retentionMs: 120_000 },
+      timeLimits: { maxLeaseMs: MAX_LEASE_MS, retentionMs: 120_000 },
       config: () => this.config
     })
     const entry = { vm, daemon, platform, client, process }
@@ -132,16 +137,21 @@
     return entry
   }
 
-  /** Crashes a worker. Its next incarnation starts at once with the same id, and is listed after `listedAfterMs`. */
-  restartWorker (id: string, { listedAfterMs = 0 }: { listedAfterMs?: number } = {}): void {
+  /**
+   * Crashes a worker. Its next incarnation starts at once with the same id and a new clock, is listed after
+   * `listedAfterMs`, and can be reached after `reachableAfterMs`; orders that are on their way arrive nevertheless.
+   */
+  restartWorker (id: string, { listedAfterMs = 0, reachableAfterMs = 0 } = {}): void {
     const index = this.workers.findIndex(worker => worker.entry.id === id)
     const bornMs = this.workers[index].entry.bornMs + 1
     this.workers[index].crash()
-    this.workers[index] = this._newWorker(index)
+    this.workers[index] = this._newWorker(index, this.timers.now())
     Object.assign(this.workers[index].entry, { bornMs })
     const { faults } = this.workers[index]
     faults.unlisted = listedAfterMs > 0
+    faults.unreachable = reachableAfterMs > 0
     this.timers.after(listedAfterMs, () => { faults.unlisted = false })
+    this.timers.after(reachableAfterMs, () => { faults.unreachable = false })
   }
 
   /** The running daemon that schedules. */
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -150,6 +150,7 @@
       state: RUN_STATES.running,
       startedMs: nowMs,
       startConfirmedMs: nowMs,
+      pendingStartMs: undefined,
       unansweredMs: undefined,
       stopConfirmedMs: undefined,
       percent: 0,
