Keep a task waiting for a late start through a second restart of its worker

Callers saw two runs of one task at a time. Cause: the next incarnation of a worker was told to refuse a start without an answer, and the task was freed. That incarnation restarted, and the one after it carried the start out. Each later incarnation is still told to refuse the start.

--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -169,12 +169,14 @@
     this._options.onCarriedOut(run)
   }
 
-  /** Has a later incarnation refuse a start that it has not carried out. The one to which it was sent refuses it as too late. */
+  /**
+   * Has a later incarnation refuse a start that it has not carried out. It may be followed by another one, so that the task
+   * waits until the start is not late any more. The incarnation to which the start was sent refuses it as too late.
+   */
   private _refuse (start: LateStart, session: WorkerSession): void {
-    const isLater = start.incarnation !== session.incarnation
+    if (start.incarnation === session.incarnation) return this._endHold(start, 'answered again', session)
     start.refusedBy = session.incarnation
-    this._endHold(start, isLater ? 'refused' : 'answered again', session)
-    if (isLater) this._options.onRefusalNeeded(session, start)
+    this._options.onRefusalNeeded(session, start)
   }
 
   private _remove (id: string, start: LateStart, outcome: string): void {
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -194,13 +194,9 @@
     else this._lateStarts.hold(session)
   }
 
-  /**
-   * Has a worker refuse a start that it may carry out late. Its task waits, and room is kept for the run, until a report
-   * requested after the stop does not list it.
-   */
-  private _refuseLateStart (session: WorkerSession, { name, attempt, size, task }: LateStart): void {
-    const waiting = task && task.state === TASK_STATES.waiting && !task.run
-    const run = this._addRun({ task: waiting ? task : undefined, name, attempt, session, size, state: RUN_STATES.starting })
+  /** Has a worker refuse a start that it may carry out late. Room is kept until a report requested after the stop does not list the run. */
+  private _refuseLateStart (session: WorkerSession, { name, attempt, size }: LateStart): void {
+    const run = this._addRun({ task: undefined, name, attempt, session, size, state: RUN_STATES.starting })
     this._orderSender.stop(run, 'its start may still be carried out late')
     session.skipNextWait = true
   }
--- a/tests/workflows/lateStarts.test.ts
+++ b/tests/workflows/lateStarts.test.ts
@@ -110,3 +110,17 @@
     t.equal(new Set(attempts).size, 1, 'they share the attempt')
   }
 })
+
+// Guards against two runs of one task when a worker that was told to refuse a late start restarts once more.
+t.test('a start that is carried out after two restarts of its worker runs no task twice', async t => {
+  for (const secondMs of [600, 2_000, 6_000]) {
+    const cell = await cellWithLateStart()
+    await cell.timers.advanceUntil(() => cell.events.some(({ name }) => name === 'run.stop'))
+    cell.restartWorker('w0')
+    await cell.timers.advance(secondMs)
+    cell.restartWorker('w0', { listedAfterMs: LATE_MS, reachableAfterMs: LATE_MS })
+    await cell.timers.advance(SETTLED_MS)
+    t.same(cell.violations(), [], `restarted again after ${secondMs} ms`)
+    t.equal(runningTasks(cell).length, 1, `restarted again after ${secondMs} ms: the task runs`)
+  }
+})
