Remember a start without an answer beyond the end of its run

Callers saw two runs of one task at a time. Cause: one try of a start had no answer, the next was carried out, and the run ended. Nothing remembered the first try any more: after a restart of the worker its next incarnation carried it out while the task ran elsewhere. Change: a start without an answer is noted when its time limit has passed, and kept for 12 s and the longest lease, whatever becomes of the run. When the incarnation ends, its task waits if it is not running, and each later incarnation is told at its first report to refuse the start, with room kept for the run until that is confirmed. Cost: a stop at the first report of a restarted worker for each such start; tasks that have failed or were stopped there and wait at the time of the restart wait until 12 s after the send. Left: a task that runs elsewhere already is not protected from the restart until the stop arrives.

--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -69,11 +69,15 @@
     this._starts.clear()
   }
 
+  /** Notes a start that was sent at `sentMs` and received no answer. It is remembered beyond the end of its run. */
+  noteUnanswered (run: Run, sentMs: number): void {
+    this._note(run, sentMs, sentMs + MAX_ORDER_DELAY_MS)
+  }
+
   /** Notes the start of a run whose worker's incarnation may have ended, unless that incarnation is known to have carried it out. */
   noteUnconfirmed (run: Run): void {
-    const { unansweredMs, pendingStartMs, startConfirmedMs, session } = run
-    const sentMs = pendingStartMs ?? unansweredMs
-    if (sentMs !== undefined) this._note(run, sentMs, sentMs + MAX_ORDER_DELAY_MS)
+    const { pendingStartMs, startConfirmedMs, session } = run
+    if (pendingStartMs !== undefined) this.noteUnanswered(run, pendingStartMs)
     if (startConfirmedMs === undefined || startConfirmedMs < session.lastReportRequestSentMs) return
     // No report of this incarnation was requested since, so that the next one may have confirmed the start.
     this._note(run, startConfirmedMs, startConfirmedMs)
--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -35,6 +35,8 @@
   leadershipRemainingMs: () => number
   /** Called when the start, or one try of it, was refused. */
   onRefused: (run: Run, reason: StartRefusal | 'notSent', refusal: StartTryRefusal) => void
+  /** Called when a try of the start, sent at `sentMs`, received no answer and may be carried out late. */
+  onUnanswered: (run: Run, sentMs: number) => void
   /** Called when the worker has confirmed the start. */
   onStarted: (run: Run) => void
   /** Called when a worker refused an order because it has received a newer epoch. */
@@ -59,7 +61,7 @@
    * try was accepted and one of them received no answer, the run is stopped, because it may have started.
    */
   async start (run: Run, { payload, checkpoint, ticket }: { payload: string, checkpoint: string, ticket?: string }): Promise<void> {
-    const { client, epoch, timers, log, leadershipRemainingMs, onRefused, onStarted, onStaleEpoch } = this._options
+    const { client, epoch, timers, log, leadershipRemainingMs, onRefused, onStarted, onUnanswered, onStaleEpoch } = this._options
     const { session } = run
     let mayBeSent = false
     for (let attempt = 1; attempt <= START_TRIES; attempt++) {
@@ -93,7 +95,10 @@
       session.noteUnanswered()
       if (answer.error.effect === EFFECTS.none && !mayBeSent) return onRefused(run, 'notSent', { settled: true })
       mayBeSent ||= answer.error.effect !== EFFECTS.none
-      if (answer.error.effect !== EFFECTS.none) run.unansweredMs = sentMs
+      if (answer.error.effect !== EFFECTS.none) {
+        run.unansweredMs = sentMs
+        onUnanswered(run, sentMs)
+      }
       await delay(timers, START_RETRY_MS)
     }
     if (run.state === RUN_STATES.starting) this.stop(run, 'a try of its start received no answer')
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -89,6 +89,7 @@
       log,
       leadershipRemainingMs,
       onStarted: run => this._handleStarted(run),
+      onUnanswered: (run, sentMs) => this._lateStarts.noteUnanswered(run, sentMs),
       onRefused: (run, reason, refusal) => this._handleRefusal(run, reason, refusal),
       onStaleEpoch
     })
--- a/tests/workflows/lateStarts.test.ts
+++ b/tests/workflows/lateStarts.test.ts
@@ -124,3 +124,15 @@
     t.equal(runningTasks(cell).length, 1, `restarted again after ${secondMs} ms: the task runs`)
   }
 })
+
+// Guards against two runs of one task when one copy of its start has run and ended before the worker restarts.
+t.test('a copy of a start that is carried out after the run has ended and the worker has restarted runs no task twice', async t => {
+  const cell = await cellWithLateStart()
+  Object.assign(cell.workers[0].faults, { orderDelayMs: 0, failTasks: true })
+  await cell.timers.advanceUntil(() => cell.records.some(run => run.how === 'failed'))
+  await cell.timers.advanceUntil(() => cell.records.length === 2)
+  cell.restartWorker('w0')
+  await cell.timers.advance(SETTLED_MS)
+  t.same(cell.violations(), [])
+  t.equal(cell.records.length, 2, 'the next incarnation refuses the copy')
+})
