Wait for late starts of a lapsed worker only where ids are seen to come back

Change: after a lapse without a known restart, tasks wait for such starts only once a worker has come back under its id in this term. A worker that answers with another incarnation than the remembered starts were sent to is such a sign, and has them refused. Evidence: lateStarts.test.ts, the case in which no id comes back fails before; the others have a worker that has come back.

--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -58,6 +58,8 @@
   private readonly _starts = new Map<string, Map<string, LateStart>>()
   /** Longest time for which a run goes on without a later extension of its lease, in milliseconds. */
   private readonly _longestLeaseMs: number
+  /** True once a worker has come back under its id. */
+  private _idsReturn = false
 
   constructor (options: LateStartTrackerOptions) {
     this._options = options
@@ -83,8 +85,22 @@
     this._note(run, startConfirmedMs, startConfirmedMs)
   }
 
+  /**
+   * Notes that an incarnation of a worker has ended. Its tasks wait for such starts when a later incarnation with its id is
+   * known, or when others have come back under their ids. Elsewhere a worker that does not answer counts as gone.
+   */
+  noteEnd (session: WorkerSession): void {
+    const { id } = session.entry
+    if (session.replaced) {
+      for (const start of this._startsAt(id)) this._remove(id, start, 'another id is at its address')
+      return
+    }
+    this._idsReturn ||= session.restarted
+    if (this._idsReturn) this._hold(id)
+  }
+
   /** Keeps the tasks of all such starts at a worker waiting, since another incarnation may carry them out. */
-  hold ({ entry: { id } }: WorkerSession): void {
+  private _hold (id: string): void {
     const { timers, log } = this._options
     const nowMs = timers.now()
     for (const start of this._startsAt(id)) {
@@ -103,15 +119,16 @@
     }
   }
 
-  /** Forgets the starts at the address of a worker: another id is there, which refuses them. */
-  forget ({ entry: { id } }: WorkerSession): void {
-    for (const start of this._startsAt(id)) this._remove(id, start, 'another id is at its address')
-  }
-
   /** Applies a report that was handled, with the runs that it lists, to the starts that are held for its worker. */
   applyReport (session: WorkerSession, { running, ended }: LeaseReport, requestSentMs: number): void {
-    if (!session.synced) this._forgetReplaced(session)
     const { id } = session.entry
+    if (!session.synced) {
+      this._forgetReplaced(session)
+      if (this._startsAt(id).some(({ incarnation }) => incarnation !== session.incarnation)) {
+        this._idsReturn = true
+        this._hold(id)
+      }
+    }
     for (const start of this._startsAt(id)) {
       if (start.heldSinceMs === undefined) continue
       const runId = runIdOf(start.name, start.attempt)
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -191,8 +191,7 @@
       this._lateStarts.noteUnconfirmed(run)
       this._handleLost(run, reason)
     }
-    if (session.replaced) this._lateStarts.forget(session)
-    else this._lateStarts.hold(session)
+    this._lateStarts.noteEnd(session)
   }
 
   /** Has a worker refuse a start that it may carry out late. Room is kept until a report requested after the stop does not list the run. */
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -242,7 +242,8 @@
       if (present.has(incarnation)) continue
       const successors = (listedAt.get(session.entry.address) ?? []).filter(entry => this._hasReplaced(entry, session.entry))
       if (successors.length) {
-        session.replaced = successors.every(({ id }) => id !== session.entry.id)
+        session.restarted = successors.some(({ id }) => id === session.entry.id)
+        session.replaced = !session.restarted
         this._endSession(session, 'another incarnation is listed at its address')
       } else this._noteMissing(session)
     }
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -95,6 +95,8 @@
   lastReportRequestSentMs = Number.NEGATIVE_INFINITY
   /** True when another id is known to be at the worker's address: no later incarnation receives orders to this one. */
   replaced = false
+  /** True when a later incarnation with the same id is known: orders to this incarnation may reach it. */
+  restarted = false
   /** Time before which nothing is started on the worker, in milliseconds of the monotonic clock. */
   suspendedUntilMs = 0
   /** Time by which runs that an earlier scheduler started have ended, in milliseconds of the monotonic clock. */
@@ -277,6 +279,7 @@
         }
         this.reachable = true
         if (report.bornMs !== undefined && report.bornMs !== this.entry.bornMs) {
+          this.restarted = true
           this._endIncarnation('another incarnation of the worker answered')
           return undefined
         }
--- a/tests/workflows/lateStarts.test.ts
+++ b/tests/workflows/lateStarts.test.ts
@@ -15,14 +15,18 @@
 /** Longest delay of an order and longest lease on a slow clock, with some slack, in milliseconds. */
 const MAX_WAIT_MS = 12_000 + 6_000 / 0.98 + 500
 
-/** A cell with a step whose first start, at `w0`, is carried out after `LATE_MS`. Its first answer is overdue. */
+/**
+ * A cell with a step whose first start, at `w0`, is carried out after `LATE_MS`. Its first answer is overdue. With
+ * `idsReturn`, another worker has come back under its id before.
+ */
 async function cellWithLateStart (
-  { step = {}, workers = 2 }: { step?: Partial<WorkflowStep>, workers?: number } = {}
+  { step = {}, workers = 2, idsReturn = true }: { step?: Partial<WorkflowStep>, workers?: number, idsReturn?: boolean } = {}
 ): Promise<WorkflowCell> {
   const cell = new WorkflowCell({ daemons: 1, workers, cpuMillis: 1_000, runMs: () => 30_000 })
   await cell.waitUntilReady()
   // The clock of the next incarnation has to be behind.
   await cell.timers.advance(10_000)
+  if (idsReturn) cell.restartWorker('w1')
   const others = cell.workers.slice(1)
   cell.workers[0].faults.orderDelayMs = LATE_MS
   if (!step.gang) for (const { faults } of others) faults.unlisted = true
@@ -75,6 +79,12 @@
   t.ok(restartDelayMs(gone) <= MAX_WAIT_MS + 1_500, `its worker never comes back: ${restartDelayMs(gone)} ms after the first try`)
   t.same(gone.violations(), [])
 
+  const elsewhere = await cellWithLateStart({ idsReturn: false })
+  elsewhere.workers[0].crash()
+  await elsewhere.timers.advance(SETTLED_MS)
+  const lapseMs = 6_000 / 0.98 + 2_000
+  t.ok(restartDelayMs(elsewhere) <= lapseMs, `no worker comes back under its id: ${restartDelayMs(elsewhere)} ms after the first try`)
+
   const replaced = await cellWithLateStart()
   replaced.workers[0].crash()
   Object.assign(replaced.workers[1].entry, { address: 'w0', bornMs: 2 })
