Log how the entry of an unlisted worker was removed

Cause: `worker.unlisted` did not tell whether the worker counts as gone or may be cut off and work on. Change: the event has `draining`, `left` and `silentMs`, the longest possible time since the last heartbeat when the entry went. Evidence: drainingWorkers.test.ts checks `left` for workers that left and for workers that are cut off.

--- a/packages/pomelofold/src/workflows/departureDetector.ts
+++ b/packages/pomelofold/src/workflows/departureDetector.ts
@@ -39,13 +39,21 @@
   earliestMs: number
 }
 
+/** The removal of an entry, as the first reading without it shows it. */
+export interface Removal {
+  /** True when the worker has certainly left. */
+  left: boolean
+  /** Longest possible time since the worker's last heartbeat, in milliseconds; infinite when it is not known. */
+  silentMs: number
+}
+
 /** Follows the entries of all workers from reading to reading. */
 export class DepartureDetector {
   private readonly _options: DepartureDetectorOptions
   /** Entries by the incarnation of their worker. */
   private readonly _entries = new Map<string, SeenEntry>()
-  /** Incarnations whose entries disappeared too early to have expired. */
-  private readonly _departed = new Set<string>()
+  /** Removed entries by the incarnation of their worker. */
+  private readonly _removals = new Map<string, Removal>()
   /** Time at which the last successful reading was requested. */
   private _lastRequestedMs = Number.NEGATIVE_INFINITY
   private _unreliableUntilMs = Number.NEGATIVE_INFINITY
@@ -54,14 +62,14 @@
     this._options = options
   }
 
-  /** True when the worker has certainly left. */
-  hasLeft (incarnation: string): boolean {
-    return this._departed.has(incarnation)
+  /** How the worker's entry was removed; undefined while it is listed, overwritten by another writer, or was never read. */
+  removalOf (incarnation: string): Removal | undefined {
+    return this._removals.get(incarnation)
   }
 
   /** Drops what is known of a worker whose session has ended. */
   forget (incarnation: string): void {
-    this._departed.delete(incarnation)
+    this._removals.delete(incarnation)
   }
 
   /** Notes a failed reading. */
@@ -76,7 +84,7 @@
       const incarnation = incarnationOf(worker)
       const heartbeat = reading.heartbeats.get(worker.id)
       present.add(incarnation)
-      this._departed.delete(incarnation)
+      this._removals.delete(incarnation)
       // The last reading did not show this heartbeat, so it was sent after that reading was requested.
       if (this._entries.get(incarnation)?.heartbeat !== heartbeat) {
         this._entries.set(incarnation, { workerId: worker.id, heartbeat, earliestMs: this._lastRequestedMs })
@@ -86,8 +94,9 @@
     // Entries of workers that are present were dropped in an outage that no reading met.
     if (removed.some(([incarnation]) => this._options.isStaying(incarnation))) this.noteFailure(answeredMs)
     for (const [incarnation, { earliestMs }] of removed) {
-      const mayHaveExpired = answeredMs - earliestMs >= this._options.entryExpiryMs * CERTAIN_SHARE
-      if (!mayHaveExpired && answeredMs >= this._unreliableUntilMs) this._departed.add(incarnation)
+      const silentMs = answeredMs - earliestMs
+      const left = silentMs < this._options.entryExpiryMs * CERTAIN_SHARE && answeredMs >= this._unreliableUntilMs
+      this._removals.set(incarnation, { left, silentMs: Math.round(silentMs) })
     }
     this._lastRequestedMs = requestedMs
   }
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -264,11 +264,17 @@
     this._missingReadings.set(session.incarnation, readings)
     if (readings >= MISSING_READINGS && session.listed) {
       session.listed = false
-      this._options.log.event('info', 'worker.unlisted', { worker: session.incarnation, reachable: session.reachable, runs: session.runs.size })
+      this._options.log.event('info', 'worker.unlisted', {
+        worker: session.incarnation,
+        reachable: session.reachable,
+        runs: session.runs.size,
+        draining: session.entry.draining,
+        ...this._departures.removalOf(session.incarnation)
+      })
     }
     // The runs on a worker end when it leaves. Those of one that is only cut off go on until its lease ends.
     const mayHaveLeft = session.entry.draining && !session.reachable && session.leavesAtMs <= this._options.timers.now()
-    const hasLeft = mayHaveLeft && this._departures.hasLeft(session.incarnation)
+    const hasLeft = mayHaveLeft && this._departures.removalOf(session.incarnation)?.left
     if (!session.listed && hasLeft) this._endSession(session, 'the worker has left')
     else if (!session.listed && session.lapsed && session.runs.size === 0) this._endSession(session, 'not listed, and its lease has lapsed')
   }
--- a/tests/workflows/drainingWorkers.test.ts
+++ b/tests/workflows/drainingWorkers.test.ts
@@ -43,6 +43,8 @@
     await cell.timers.advance(SETTLED_MS)
     t.same(cell.violations(), [], `cut off after ${cutAfterMs} ms`)
     t.equal(activeRuns(cell), 6, 'all tasks run again')
+    const unlisted = cell.events.filter(({ name, fields }) => name === 'worker.unlisted' && fields.worker === 'w0@1')
+    t.match(unlisted, [{ fields: { left: false } }])
   }
 })
 
@@ -104,6 +106,8 @@
     t.equal(activeRuns(cell), 6, `left ${leftAfterMs} ms after it began to drain`)
     const again = cell.records.filter(run => run.startMs >= leftMs)
     t.ok(again.length > 0)
+    const unlisted = cell.events.filter(({ name, fields }) => name === 'worker.unlisted' && fields.worker === 'w0@1')
+    t.match(unlisted, [{ fields: { draining: true, left: true } }])
     t.same(cell.violations(), [])
   }
 })
