Specify that a refused try of a start settles only answered tries

The specification of terms had neither answers nor refusals of starts, so it could not show the fault that mends: a run released by the refusal of its second try while the first was carried out. Change: rule refusalsSettled. Worker 1 may refuse the first try (the run is settled) or a second one sent after the first had no answer (the run is stopped first). Not specified: a try that is carried out after its run was settled, at the next incarnation of its worker.

--- a/tests/spec/terms.test.ts
+++ b/tests/spec/terms.test.ts
@@ -12,7 +12,8 @@
   recordsFenced: 'noStartAfterEnd',
   loadBeforeStarting: 'noStartAfterEnd',
   lateStartsSettled: 'oneRun',
-  acknowledgeOnlyAfterAnswer: 'noStartAfterEnd'
+  acknowledgeOnlyAfterAnswer: 'noStartAfterEnd',
+  refusalsSettled: 'oneRun'
 }
 
 /** Number of starts of the first and of the second leader. */
--- a/tests/spec/termsSpec.ts
+++ b/tests/spec/termsSpec.ts
@@ -3,7 +3,8 @@
  * It assumes what `authoritySpec.ts` shows: a leader sends nothing new once another leader is elected. Messages that it
  * has sent may arrive at any later time. Worker 0 may crash and restart under the same id, and then accepts every order
  * that reaches it, except orders of a leader that was replaced before the restart: how a worker can refuse those is an
- * open question (docs/HUNTS.md).
+ * open question (docs/HUNTS.md). Tries of a start are refused only at worker 1, which does not restart: a try that comes after its run
+ * was settled, at the next incarnation of its worker, is not in this specification.
  *
  * @module
  */
@@ -29,7 +30,9 @@
   /** A task whose start may have reached the next incarnation of its worker waits until that incarnation has reported. */
   lateStartsSettled: true,
   /** A call to a worker that has not answered the previous call acknowledges no ends. */
-  acknowledgeOnlyAfterAnswer: true
+  acknowledgeOnlyAfterAnswer: true,
+  /** A refusal of a later try of a start settles the run only if every earlier try was answered; otherwise the run is stopped first. */
+  refusalsSettled: true
 }
 
 /** Rules that are in force. */
@@ -94,6 +97,8 @@
 const WORKERS = [0, 1]
 const EPOCHS = [1, 2]
 const MAX_INCARNATIONS = 2
+/** The worker that refuses tries of a start. */
+const REFUSING_WORKER = 1
 /** Attempts of a term are numbered below this multiple of its epoch. */
 const ATTEMPTS_PER_TERM = 10
 
@@ -159,7 +164,9 @@
   if (!leader.loaded) next.push(step('load', [epoch], withLeader(state, epoch, { loaded: true, done: leader.done || state.recorded })))
   for (const w of WORKERS) {
     // A replaced leader sends nothing new, but an acknowledgement may still follow a record.
-    if (epoch === state.epoch) next.push(...reportSteps(state, epoch, w, rules), ...startSteps(state, epoch, w, rules))
+    if (epoch === state.epoch) {
+      next.push(...reportSteps(state, epoch, w, rules), ...startSteps(state, epoch, w, rules), ...refusalSteps(state, epoch, w, rules))
+    }
     next.push(...acknowledgeSteps(state, epoch, w, rules))
   }
   return next
@@ -229,6 +236,27 @@
   return next
 }
 
+/** Steps in which the worker refuses a try of the leader's start, for example because it is unhealthy. */
+function refusalSteps (state: TermsState, epoch: number, w: number, rules: TermRules): Next {
+  const leader = state.leaders[epoch - 1]
+  const worker = state.workers[w]
+  if (w !== REFUSING_WORKER || leader.runWorker !== w || leader.listed || leader.held || epoch < worker.newestEpoch) return []
+  const contacted = withWorker(state, w, { newestEpoch: epoch })
+  const released: Partial<Leader> = { runWorker: -1 }
+  const next: Next = []
+  const firstTry = state.inFlight.findIndex(start => start.worker === w && start.attempt === leader.attempt)
+  if (firstTry >= 0) {
+    const answered = { ...contacted, inFlight: state.inFlight.filter((_, i) => i !== firstTry) }
+    next.push(step('refuseFirstTry', [epoch, w], withLeader(answered, epoch, released)))
+  }
+  // The first try received no answer: it was carried out, is still in flight, or came after the lease. The second is refused.
+  if (!rules.refusalsSettled) return [...next, step('refuseSecondTry', [epoch, w], withLeader(contacted, epoch, released))]
+  const stopped = withWorker(contacted, w, {
+    highestAttempt: Math.max(worker.highestAttempt, leader.attempt), running: worker.running.filter(run => run !== leader.attempt)
+  })
+  return [...next, step('refuseSecondTry', [epoch, w], withLeader(stopped, epoch, worker.ended ? {} : released))]
+}
+
 function acknowledgeSteps (state: TermsState, epoch: number, w: number, rules: TermRules): Next {
   const { endIncarnations } = state.leaders[epoch - 1]
   const { incarnation, ended, restartAllowed, newestEpoch } = state.workers[w]
