Await the next incarnation of a worker before tasks of an earlier scheduler start again

Cause: an inherited worker counted as settled when its session was removed or its lease had lapsed. When the worker restarted under its id, the former session ended, although the next incarnation had not answered under the new epoch and could still carry out a late start of the earlier leader; its clock starts anew, so the lease of that start is no bound either. Change: InheritedWorkers awaits each incarnation that is listed under an inherited id, or answers in place of a former one, until it has answered this epoch or a late start can no longer run there (12 s and a lease after the earlier leader has stopped). Workers that do not restart under their id are awaited as before. Waiting 12 s at each silent worker is not done: the tasks of a crashed worker would wait 18 s in place of 6 s.

--- /dev/null
+++ b/packages/pomelofold/src/workflows/inheritedWorkers.ts
@@ -0,0 +1,100 @@
+/**
+ * The workers that an earlier scheduler may have used. A task that it may have started waits until none of them can run it unnoticed.
+ *
+ * Load pattern: a scheduler is replaced while its starts are in transit and workers crash and restart under the same id. The next
+ * incarnation has received no epoch yet and carries out such a start, so it must answer the new scheduler, too.
+ *
+ * @module
+ */
+
+import { MAX_ORDER_DELAY_MS } from './runOrderSender.js'
+import { incarnationOf, WORKER_CLOCK_RATE, type WorkerSession } from './workerSession.js'
+import type { Timers } from '../seams/timers.js'
+import type { WorkerEntry } from '../seams/workflowUpstreams.js'
+
+/** Options of {@link InheritedWorkers}. */
+export interface InheritedWorkersOptions {
+  timers: Timers
+  /** Sessions by the incarnation of their worker. */
+  sessions: ReadonlyMap<string, WorkerSession>
+  /** Time for which the earlier scheduler may still send orders, in milliseconds. */
+  predecessorActiveMs: number
+  /** Maximum length of a worker's lease, in milliseconds: a start that the next incarnation of its worker carries out may get it. */
+  maxLeaseMs: number
+}
+
+/** Tells when every worker that an earlier scheduler may have used has answered this one or can run nothing any more. */
+export class InheritedWorkers {
+  private readonly _options: InheritedWorkersOptions
+  private readonly _ids = new Set<string>()
+  private readonly _incarnations = new Set<string>()
+  /** Incarnations that started under the id of an inherited worker. */
+  private readonly _successors = new Set<string>()
+  /** Ids whose next incarnation has answered and is not listed yet. */
+  private readonly _unlistedIds = new Set<string>()
+  private _complete = false
+  /** Time by which each run has ended that a late order of the earlier scheduler has started at a successor. */
+  private _lateRunsEndMs: number
+
+  constructor (options: InheritedWorkersOptions) {
+    this._options = options
+    this._lateRunsEndMs = this._lateRunsEnd(options.predecessorActiveMs)
+  }
+
+  /** Adds a worker of the stored roster. */
+  addStored (entry: WorkerEntry): void {
+    this._addSession(entry)
+    this._incarnations.add(incarnationOf(entry))
+  }
+
+  /** Adds a worker that the directory lists. The earlier scheduler may have used those of the first reading. */
+  addListed (entry: WorkerEntry): void {
+    this._addSession(entry)
+    if (!this._complete) this._incarnations.add(incarnationOf(entry))
+  }
+
+  /** Called when the session of a worker has ended. */
+  noteEnded ({ restarted, entry: { id, bornMs } }: WorkerSession): void {
+    if (!restarted || !this._ids.has(id)) return
+    const successorListed = [...this._options.sessions.values()].some(({ entry }) => entry.id === id && entry.bornMs > bornMs)
+    if (!successorListed) this._unlistedIds.add(id)
+  }
+
+  /** Called when the roster and the directory have been read. */
+  noteComplete (): void {
+    this._complete = true
+  }
+
+  /** Called when the earlier scheduler has stopped sending orders. */
+  notePredecessorEnded (): void {
+    this._lateRunsEndMs = Math.min(this._lateRunsEndMs, this._lateRunsEnd(0))
+  }
+
+  /** True when each of these workers has answered, or nothing that an earlier scheduler has started can run there any more. */
+  get settled (): boolean {
+    if (!this._complete) return false
+    const lateRunsEnded = this._options.timers.now() >= this._lateRunsEndMs
+    if (this._unlistedIds.size > 0 && !lateRunsEnded) return false
+    for (const incarnation of this._incarnations) {
+      const session = this._options.sessions.get(incarnation)
+      if (session && !session.synced && !session.lapsed) return false
+      if (session?.restarted && !lateRunsEnded) return false
+    }
+    for (const incarnation of lateRunsEnded ? [] : this._successors) {
+      const session = this._options.sessions.get(incarnation)
+      if (session && (!session.synced || session.restarted)) return false
+    }
+    return true
+  }
+
+  private _addSession (entry: WorkerEntry): void {
+    this._unlistedIds.delete(entry.id)
+    if (this._ids.has(entry.id)) this._successors.add(incarnationOf(entry))
+    else if (!this._complete) this._ids.add(entry.id)
+  }
+
+  private _lateRunsEnd (activeMs: number): number {
+    const { timers, maxLeaseMs } = this._options
+    return timers.now() + activeMs + MAX_ORDER_DELAY_MS + maxLeaseMs / WORKER_CLOCK_RATE
+  }
+}
--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -9,6 +9,7 @@
  * @module
  */
 
+import { MAX_ORDER_DELAY_MS } from './runOrderSender.js'
 import { runIdOf, LAPSE_SLACK_MS, WORKER_CLOCK_RATE, type WorkerSession } from './workerSession.js'
 import type { Run, Task } from './workflowRuntime.js'
 import type { Resources } from '../protocol/workflows.js'
@@ -16,9 +17,6 @@
 import type { LeaseReport, ListedEnd, ListedRun } from '../seams/workflowUpstreams.js'
 import type { EventLog } from '../utils/eventLog.js'
 
-/** Longest delay with which a worker carries out an order, in milliseconds. */
-const MAX_ORDER_DELAY_MS = 12_000
-
 /** A start that may be carried out by an incarnation of its worker that does not know its outcome. */
 export interface LateStart {
   readonly name: string
--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -10,6 +10,8 @@
 import { EFFECTS } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
 
+/** Longest delay with which a worker carries out an order, in milliseconds. */
+export const MAX_ORDER_DELAY_MS = 12_000
 /** Timeout of an order, in milliseconds: many times the usual round trip. */
 const ORDER_TIMEOUT_MS = 400
 /** Delay between two tries of a start, in milliseconds. */
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -127,6 +127,7 @@
       log,
       listener: this,
       leaseMs: Math.min(LEASE_MS, timeLimits.maxLeaseMs),
+      maxLeaseMs: timeLimits.maxLeaseMs,
       onChange: () => this._scheduleDispatch(),
       onFenced
     })
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -9,6 +9,7 @@
 import { DepartureDetector } from './departureDetector.js'
 import { LongPollPolicy } from './longPollPolicy.js'
 import { CONFIRMED_OUTAGE_MS } from './cellSession.js'
+import { InheritedWorkers } from './inheritedWorkers.js'
 import { LEADER_KEY, ROSTER_KEY } from './keys.js'
 import { incarnationOf, WORKER_CLOCK_RATE, WorkerSession, type WorkerSessionListener } from './workerSession.js'
 import { resourcesSchema } from '../protocol/workflows.js'
@@ -59,6 +60,8 @@
   listener: WorkerSessionListener
   /** Length of the workers' leases, in milliseconds. Must be the same in all schedulers. */
   leaseMs: number
+  /** Maximum length of the workers' leases, in milliseconds. */
+  maxLeaseMs: number
   /** Called after each reading of the directory. */
   onChange: () => void
   /** Called when the store shows that another scheduler has taken over. */
@@ -80,8 +83,7 @@
   /** Worker incarnations in the stored roster. */
   private _roster = new Set<string>()
   private _rosterCleanedMs = Number.NEGATIVE_INFINITY
-  /** Worker incarnations that an earlier scheduler may have used; undefined until the roster and the directory have been read. */
-  private _inheritedWorkers: Set<string> | undefined
+  private readonly _inheritedWorkers: InheritedWorkers
   private _closed = false
   private _directoryFailing = false
 
@@ -96,7 +98,9 @@
       }
     })
     this._longPollPolicy = new LongPollPolicy({ timers: options.timers })
-    this._inheritedRunsEndMs = options.timers.now() + (CONFIRMED_OUTAGE_MS + EXTENSION_AFTER_LOSS_MS + options.leaseMs) / WORKER_CLOCK_RATE
+    const { timers, maxLeaseMs } = options
+    this._inheritedWorkers = new InheritedWorkers({ timers, sessions: this.sessions, predecessorActiveMs: CONFIRMED_OUTAGE_MS, maxLeaseMs })
+    this._inheritedRunsEndMs = timers.now() + (CONFIRMED_OUTAGE_MS + EXTENSION_AFTER_LOSS_MS + options.leaseMs) / WORKER_CLOCK_RATE
   }
 
   start (): void {
@@ -113,16 +117,12 @@
     const endMs = this._options.timers.now() + this._options.leaseMs / WORKER_CLOCK_RATE
     this._inheritedRunsEndMs = Math.min(this._inheritedRunsEndMs, endMs)
     for (const session of this.sessions.values()) session.inheritedRunsEndMs = this._inheritedRunsEndMs
+    this._inheritedWorkers.notePredecessorEnded()
   }
 
-  /** True when every worker that an earlier scheduler may have used has answered or lapsed. */
+  /** True when every worker that an earlier scheduler may have used has answered, or can run nothing that it has started. */
   get inheritedWorkersSettled (): boolean {
-    if (!this._inheritedWorkers) return false
-    for (const incarnation of this._inheritedWorkers) {
-      const session = this.sessions.get(incarnation)
-      if (session && !session.synced && !session.lapsed) return false
-    }
-    return true
+    return this._inheritedWorkers.settled
   }
 
   /** Closes and removes the session of a worker incarnation that has ended. */
@@ -156,6 +156,7 @@
     }
     for (const entry of roster.value) {
       this._roster.add(incarnationOf(entry))
+      this._inheritedWorkers.addStored(entry)
       this._openSession(entry, { listed: false })
     }
     return true
@@ -179,7 +180,7 @@
     if (newEntries.length && !await this._writeRoster(newEntries)) return false
     if (this._closed) return false
     this._applyDirectory(list.value.workers)
-    this._inheritedWorkers ??= new Set(this.sessions.keys())
+    this._inheritedWorkers.noteComplete()
     this._options.onChange()
     await this._cleanRoster()
     return true
@@ -228,6 +229,7 @@
       this._missingReadings.delete(incarnation)
       const session = this.sessions.get(incarnation)
       if (!session) {
+        this._inheritedWorkers.addListed(entry)
         this._openSession(entry, { listed: true })
         continue
       }
@@ -282,6 +284,7 @@
   private _endSession (session: WorkerSession, reason: string): void {
     this._options.listener.onLapse(session, reason)
     session.lapsed = true
+    this._inheritedWorkers.noteEnded(session)
     this.remove(session)
     this._missingReadings.delete(session.incarnation)
     this._departures.forget(session.incarnation)
--- a/tests/spec/terms.test.ts
+++ b/tests/spec/terms.test.ts
@@ -13,7 +13,8 @@
   loadBeforeStarting: 'noStartAfterEnd',
   lateStartsSettled: 'oneRun',
   acknowledgeOnlyAfterAnswer: 'noStartAfterEnd',
-  refusalsSettled: 'oneRun'
+  refusalsSettled: 'oneRun',
+  successorsAnswered: 'oneRun'
 }
 
 /** Number of starts of the first and of the second leader. */
--- a/tests/spec/termsSpec.ts
+++ b/tests/spec/termsSpec.ts
@@ -2,9 +2,10 @@
  * Specification of scheduler terms on the users' platform: one task, two workers, and two leaders one after the other.
  * It assumes what `authoritySpec.ts` shows: a leader sends nothing new once another leader is elected. Messages that it
  * has sent may arrive at any later time. Worker 0 may crash and restart under the same id, and then accepts every order
- * that reaches it, except orders of a leader that was replaced before the restart: how a worker can refuse those is an
- * open question (docs/HUNTS.md). Tries of a start are refused only at worker 1, which does not restart: a try that comes after its run
- * was settled, at the next incarnation of its worker, is not in this specification.
+ * that reaches it, except orders of a replaced leader that its successor cannot await: those that arrive before the restart
+ * is listed to the successor, or of a restart that is listed after the successor has started the task. How a worker can
+ * refuse those is an open question (docs/HUNTS.md). Tries of a start are refused only at worker 1, which does not restart:
+ * a try that the next incarnation of a worker carries out after its run was settled is not in this specification.
  *
  * @module
  */
@@ -32,7 +33,9 @@
   /** A call to a worker that has not answered the previous call acknowledges no ends. */
   acknowledgeOnlyAfterAnswer: true,
   /** A refusal of a later try of a start settles the run only if every earlier try was answered; otherwise the run is stopped first. */
-  refusalsSettled: true
+  refusalsSettled: true,
+  /** A new leader starts the task only when an incarnation that is listed after its election has answered it, too. */
+  successorsAnswered: true
 }
 
 /** Rules that are in force. */
@@ -56,6 +59,10 @@
   incarnations: number[]
   /** Workers that have answered under this epoch or whose lease has ended. */
   settled: boolean[]
+  /** Worker 0 has restarted since the election, is listed, and has not answered. */
+  awaitsSuccessor: boolean
+  /** Starts of the replaced leader may arrive at that incarnation: it was listed before this leader started the task. */
+  expectsLateStarts: boolean
   /** Incarnation of each worker that listed the end to this leader; 0 for none. */
   endIncarnations: number[]
 }
@@ -115,6 +122,8 @@
     startsLeft: 0,
     incarnations: [1, 1],
     settled: [false, false],
+    awaitsSuccessor: false,
+    expectsLateStarts: false,
     endIncarnations: [0, 0]
   }
   return {
@@ -161,6 +170,11 @@
   const leader = state.leaders[epoch - 1]
   if (!leader.elected) return []
   const next: Next = []
+  if (epoch === 2 && !leader.expectsLateStarts && state.workers[0].incarnation !== leader.incarnations[0] && leader.attempt === 0) {
+    const awaits = rules.successorsAnswered
+    const listed = { awaitsSuccessor: awaits, expectsLateStarts: true, settled: replaceAt(leader.settled, 0, !awaits) }
+    next.push(step('listSuccessor', [epoch], withLeader(state, epoch, listed)))
+  }
   if (!leader.loaded) next.push(step('load', [epoch], withLeader(state, epoch, { loaded: true, done: leader.done || state.recorded })))
   for (const w of WORKERS) {
     // A replaced leader sends nothing new, but an acknowledgement may still follow a record.
@@ -186,6 +200,7 @@
   }
   const change: Partial<Leader> = {
     settled: replaceAt(leader.settled, w, true),
+    ...(w === 0 && { awaitsSuccessor: false }),
     incarnations: replaceAt(leader.incarnations, w, worker.incarnation)
   }
   const listed = worker.running.includes(leader.attempt)
@@ -229,7 +244,8 @@
   }
   if (state.workers[w].lapsed || !rules.leaseLapseAwaited) {
     const leaseEnded = {
-      settled: replaceAt(leader.settled, w, true), ...(leader.runWorker === w && { runWorker: -1, listed: false, held: false })
+      settled: replaceAt(leader.settled, w, w !== 0 || !leader.awaitsSuccessor),
+      ...(leader.runWorker === w && { runWorker: -1, listed: false, held: false })
     }
     next.push(step('leaseEnded', [epoch, w], withLeader(state, epoch, leaseEnded)))
   }
@@ -269,7 +285,7 @@
   return state.inFlight.map(({ epoch, worker, attempt }, index) => {
     const rest = { ...state, inFlight: state.inFlight.filter((_, i) => i !== index) }
     const { newestEpoch, running, highestAttempt, incarnation } = state.workers[worker]
-    const replaced = epoch < state.epoch && incarnation > 1
+    const replaced = epoch < state.epoch && incarnation > 1 && !state.leaders[state.epoch - 1].expectsLateStarts
     if (replaced || (epoch < newestEpoch && rules.epochFencing) || attempt <= highestAttempt) return step('refuse', [worker, attempt], rest)
     const started = withWorker(rest, worker, {
       newestEpoch: Math.max(newestEpoch, epoch), highestAttempt: attempt, running: [...running, attempt], lapsed: false
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -150,8 +150,8 @@
     const { faults } = this.workers[index]
     faults.unlisted = listedAfterMs > 0
     faults.unreachable = reachableAfterMs > 0
-    this.timers.after(listedAfterMs, () => { faults.unlisted = false })
-    this.timers.after(reachableAfterMs, () => { faults.unreachable = false })
+    if (listedAfterMs > 0) this.timers.after(listedAfterMs, () => { faults.unlisted = false })
+    if (reachableAfterMs > 0) this.timers.after(reachableAfterMs, () => { faults.unreachable = false })
   }
 
   /** The running daemon that schedules. */
