Have a worker that answers again after its lapse refuse starts that had no answer

Cause: a start without an answer was taken to be refused as too late once the lease had lapsed. The worker answered again, its lease was extended, and the copy came within it. Change: when the same incarnation answers again, a stop is sent, and the task waits until a report requested after it does not list the run. Cost: such tasks wait for one stop and one report more. Evidence: the new test on the commit before, with a stand-in that refuses by the lease in force: two runs of one task. It passes now.

--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -43,8 +43,8 @@
   log: EventLog
   /** Maximum length of a worker's lease, in milliseconds. */
   maxLeaseMs: number
-  /** Called when the worker is to refuse the start. */
-  onRefusalNeeded: (session: WorkerSession, start: LateStart) => void
+  /** Called when the worker is to refuse the start. Its incarnation is the one to which the start was sent if `settles` is true. */
+  onRefusalNeeded: (session: WorkerSession, start: LateStart, options: { settles: boolean }) => void
   /** Called when a start that was held turns out to have been carried out. */
   onCarriedOut: (run: Run) => void
 }
@@ -117,7 +117,10 @@
     }
   }
 
-  /** Applies a report that was handled, with the runs that it lists, to the starts that are held for its worker. */
+  /**
+   * Applies a report that was handled, with the runs that it lists, to the starts that are held for its worker. An
+   * incarnation that answers again after its lease has lapsed has to refuse those that are not held, too.
+   */
   applyReport (session: WorkerSession, { running, ended }: LeaseReport, requestSentMs: number): void {
     const { id } = session.entry
     if (!session.synced) {
@@ -128,7 +131,8 @@
       }
     }
     for (const start of this._startsAt(id)) {
-      if (start.heldSinceMs === undefined) continue
+      const isLapsed = session.lapsed && start.incarnation === session.incarnation
+      if (start.heldSinceMs === undefined && !isLapsed) continue
       const runId = runIdOf(start.name, start.attempt)
       const isListed = (rows: Array<ListedRun | ListedEnd>): boolean => rows.some(({ task, attempt }) => runIdOf(task, attempt) === runId)
       const run = session.runs.get(runId)
@@ -189,13 +193,14 @@
   }
 
   /**
-   * Has a later incarnation refuse a start that it has not carried out. It may be followed by another one, so that the task
-   * waits until the start is not late any more. The incarnation to which the start was sent refuses it as too late.
+   * Has the worker refuse a start that it has not carried out. That settles the start at the incarnation to which it was
+   * sent. A later incarnation may be followed by another one, so that the task waits until the start is not late any more.
    */
   private _refuse (start: LateStart, session: WorkerSession): void {
-    if (start.incarnation === session.incarnation) return this._endHold(start, 'answered again', session)
+    const settles = start.incarnation === session.incarnation
     start.refusedBy = session.incarnation
-    this._options.onRefusalNeeded(session, start)
+    if (settles) this._endHold(start, 'answered again', session)
+    this._options.onRefusalNeeded(session, start, { settles })
   }
 
   private _remove (id: string, start: LateStart, outcome: string): void {
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -99,7 +99,7 @@
       timers,
       log,
       maxLeaseMs,
-      onRefusalNeeded: (session, start) => this._refuseLateStart(session, start),
+      onRefusalNeeded: (session, start, settling) => this._refuseLateStart(session, start, settling),
       onCarriedOut: run => { if (run.task?.step.spec.gang) this._orderSender.stop(run, 'its gang was stopped') }
     })
   }
@@ -194,9 +194,13 @@
     this._lateStarts.noteEnd(session)
   }
 
-  /** Has a worker refuse a start that it may carry out late. Room is kept until a report requested after the stop does not list the run. */
-  private _refuseLateStart (session: WorkerSession, { name, attempt, size }: LateStart): void {
-    const run = this._addRun({ task: undefined, name, attempt, session, size, state: RUN_STATES.starting })
+  /**
+   * Has a worker refuse a start that it may carry out late. Room is kept for the run until a report requested after the stop
+   * does not list it. When this settles the start, its task waits for that.
+   */
+  private _refuseLateStart (session: WorkerSession, { name, attempt, size, task }: LateStart, { settles }: { settles: boolean }): void {
+    const waiting = settles && task && task.state === TASK_STATES.waiting && !task.run
+    const run = this._addRun({ task: waiting ? task : undefined, name, attempt, session, size, state: RUN_STATES.starting })
     this._orderSender.stop(run, 'its start may still be carried out late')
     session.skipNextWait = true
   }
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -60,6 +60,8 @@
   orderDelayMs: number
   /** Refusal of each start that arrives, also of a start whose run is in progress. */
   refuseStarts: StartRefusal | undefined
+  /** Starts are refused as too late by the end of the lease in force, not by the one that they carry. */
+  refuseStartsByLeaseInForce: boolean
   /** Runs that start now fail after 10 ms. */
   failTasks: boolean
   draining: boolean
@@ -82,6 +84,7 @@
     loseEveryNthAnswer: 0,
     orderDelayMs: 0,
     refuseStarts: undefined,
+    refuseStartsByLeaseInForce: false,
     failTasks: false,
     draining: false,
     leavesInMs: undefined,
@@ -162,7 +165,8 @@
     this.epoch = epoch
     if (this.faults.refuseStarts) return this.faults.refuseStarts
     const now = this._timers.now()
-    if (untilMs <= this.clockMs) return START_REFUSALS.leaseLapsed
+    const leaseEndMs = this.faults.refuseStartsByLeaseInForce ? Math.max(untilMs, this._leaseUntilMs) : untilMs
+    if (leaseEndMs <= this.clockMs) return START_REFUSALS.leaseLapsed
     this._extendLeaseTo(untilMs)
     if (this.runs.get(task)?.record.attempt === attempt) return
     if (attempt <= (this._highestAttempts.get(task) ?? 0)) return START_REFUSALS.oldAttempt
--- a/tests/workflows/lateStarts.test.ts
+++ b/tests/workflows/lateStarts.test.ts
@@ -146,3 +146,17 @@
   t.same(cell.violations(), [])
   t.equal(cell.records.length, 2, 'the next incarnation refuses the copy')
 })
+
+// Guards against two runs of one task when a worker whose lease has lapsed carries out a start that it should refuse as too late.
+t.test('a start that is carried out after its worker lapsed and answers again runs no task twice', async t => {
+  for (const idsReturn of [true, false]) {
+    const cell = await cellWithLateStart({ idsReturn })
+    const [worker] = cell.workers
+    Object.assign(worker.faults, { unreachable: true, refuseStartsByLeaseInForce: true, orderDelayMs: 0 })
+    await cell.timers.advance(7_000)
+    worker.faults.unreachable = false
+    await cell.timers.advance(SETTLED_MS)
+    t.same(cell.violations(), [], `ids come back: ${idsReturn}`)
+    t.equal(runningTasks(cell).length, 1, 'the task runs')
+  }
+})
