Hold a stopped run until its unanswered start can no longer arrive

Callers saw two runs of one task at once, and workers given more than they have room for, when a start had no answer and its run was then stopped: a gang that restarts, a run preempted for urgent work, a cancelled job, a service that is withdrawn and declared again.

Cause: `stop` put the state `stopping` over `sent` or `unsure`, and only `unsure` kept a run from being given up when its worker did not list it. A worker does not remember the stop of a task that it does not know, so the late start began after the room was given away and the task had started again.

Change: `mayArriveUntilMs` of a run, apart from its state, is set when the start is sent and removed when the worker answers it or lists the task. A list requested before that time does not show that the run is lost. A mismatched answer no longer overwrites `stopping` either.

Ruled out: refusals and starts that were not sent (each start is sent once, without retries); loss of a worker (its leases are counted from the latest arrival); a new placer (a worker that has answered under the new epoch refuses the start).

Cost: a gang restart, or urgent work that takes such a run's room, waits up to `maxDeliveryMs` for a start that never arrives.

--- a/packages/pomelofold/src/tasks/jobs/job.ts
+++ b/packages/pomelofold/src/tasks/jobs/job.ts
@@ -22,7 +22,7 @@
   /** Sent, but the answer was lost: the task may or may not run. */
   unsure: 'unsure',
   running: 'running',
-  /** A stop was requested; the worker has not listed the end yet. */
+  /** A stop was requested; the worker has not listed the end yet. The start may be unanswered. */
   stopping: 'stopping'
 } as const
 
@@ -38,6 +38,11 @@
   state: typeof RUN_STATES[keyof typeof RUN_STATES]
   /** Monotonic time at which the start was sent. */
   sentAtMs: number
+  /**
+   * Monotonic time until which the start may still arrive at the worker, whatever the state. Absent while the start has not been
+   * sent, and once the worker has answered it or has listed the task.
+   */
+  mayArriveUntilMs?: number
   /** Monotonic time of the expected end. */
   expectedEndMs: number
   /** Monotonic time at which a checkpoint was requested, after which the run is stopped. */
--- a/packages/pomelofold/src/tasks/jobs/workerEventHandler.ts
+++ b/packages/pomelofold/src/tasks/jobs/workerEventHandler.ts
@@ -73,6 +73,7 @@
     }
     run.state = RUN_STATES.sent
     run.sentAtMs = this._timers.now()
+    run.mayArriveUntilMs = run.sentAtMs + this._cfg.maxDeliveryMs
     const { expectedMs, payload } = job.groupOf(index)
     return { taskId, size, leaseMs: this._cfg.leaseMs, runMs: expectedMs, payload, checkpoint: job.checkpoints.get(index) }
   }
@@ -81,8 +82,9 @@
     runs.forEach((run, at) => {
       const answer = answers[at]
       if (!this._ledger.runs.has(run.taskId)) return
-      if (answer?.taskId !== run.taskId) run.state = RUN_STATES.unsure
-      else if (answer.started) this._lifecycle.onStarted(run, this._expectedMs(run), 0)
+      if (answer?.taskId !== run.taskId) return this._onUnanswered(run)
+      run.mayArriveUntilMs = undefined
+      if (answer.started) this._lifecycle.onStarted(run, this._expectedMs(run), 0)
       else this._lifecycle.onRefused(run, answer.reason ?? 'no reason given')
     })
   }
@@ -90,7 +92,7 @@
   onStartsFailed (runs: TaskRun[], mayRun: boolean): void {
     for (const run of runs.filter(run => this._ledger.runs.has(run.taskId))) {
       if (!mayRun) this._lifecycle.onRefused(run, 'the worker could not be reached')
-      else if (run.state !== RUN_STATES.stopping) run.state = RUN_STATES.unsure
+      else this._onUnanswered(run)
     }
   }
 
@@ -132,13 +134,18 @@
 
   private _pollTimeOf (run: TaskRun, now: number): number {
     if (run.state === RUN_STATES.stopping) return now + this._cfg.minPollMs
-    if (run.state === RUN_STATES.unsure) return run.sentAtMs + this._cfg.maxDeliveryMs
+    if (run.mayArriveUntilMs !== undefined) return run.mayArriveUntilMs
     if (run.expectedEndMs + END_POLL_DELAY_MS > now) return run.expectedEndMs + END_POLL_DELAY_MS
     return now + Math.min(this._cfg.maxPollMs, Math.max(this._cfg.minPollMs, OVERDUE_POLL_FACTOR * (now - run.expectedEndMs)))
   }
 
+  private _onUnanswered (run: TaskRun): void {
+    if (run.state !== RUN_STATES.stopping) run.state = RUN_STATES.unsure
+  }
+
   private _onRunning (link: WorkerLink, task: WorkerTask): void {
     const run = this._ledger.runs.get(task.taskId) ?? this._adopt(link, task)
+    run.mayArriveUntilMs = undefined
     if (run.state === RUN_STATES.stopping || !run.job || run.job.ended || run.job.restartingGang) return this._lifecycle.stop(run)
     this._lifecycle.onStarted(run, this._expectedMs(run), task.ranMs)
   }
@@ -180,11 +187,14 @@
     }
   }
 
-  /** Handles a run that its worker does not list. The run is lost, unless its start was not sent or may still arrive. */
+  /**
+   * Handles a run that its worker does not list. The run is lost, unless its start was not sent or may still arrive. A stop does
+   * not change that: a worker does not remember stops of tasks that it does not know, and starts such a task later.
+   */
   private _onMissing (run: TaskRun, sentAtMs: number): void {
     const unsent = run.state === RUN_STATES.intending || run.state === RUN_STATES.queued
     if (unsent) return
-    const mayArrive = run.state === RUN_STATES.unsure && sentAtMs < run.sentAtMs + this._cfg.maxDeliveryMs
+    const mayArrive = run.mayArriveUntilMs !== undefined && sentAtMs < run.mayArriveUntilMs
     if (!mayArrive) this._lifecycle.onLost(run)
   }
 
