Withdraw a queued start when its task turns out to have finished

Callers saw a finished task run a second time: a worker whose leases had expired came back and listed the task as finished while its second run waited to be sent to another worker.

Cause: that run was stopped although it had not been sent. The stop went to a worker that did not know the task; then the start was sent.

Change: such a run is withdrawn, like those of ended jobs. The withdrawal of a settled member does not restart its gang.

--- a/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
@@ -110,7 +110,8 @@
     this._ledger.remove(run)
     if (!job) return
     this._deleteIntent(job, index)
-    if (job.isGang && !job.ended && !job.restartingGang) return this._onGangIncomplete(job, `a start could not be sent to ${run.worker}`)
+    const isNeeded = !job.ended && !job.restartingGang && !job.isSettled(index)
+    if (job.isGang && isNeeded) return this._onGangIncomplete(job, `a start could not be sent to ${run.worker}`)
     this._requeue(job, index)
   }
 
@@ -189,7 +190,7 @@
     for (const index of job.finished) job.waiting.add(index)
     job.finished.clear()
     for (const { worker, taskId } of job.pendingAcks.splice(0)) this._acknowledge(worker, taskId)
-    for (const run of [...job.runs.values()]) this._withdrawOrStop(run)
+    for (const run of [...job.runs.values()]) this.withdrawOrStop(run)
     this.requeueStoppedGang(job)
   }
 
@@ -226,14 +227,21 @@
     for (const job of this._endedJobsWithRuns) {
       for (const run of [...job.runs.values()]) {
         if (stopsLeft-- <= 0) return true
-        this._withdrawOrStop(run)
+        this.withdrawOrStop(run)
       }
       this._endedJobsWithRuns.delete(job)
     }
     return false
   }
 
-  /** Sends the worker a stop command. The run counts as running until the worker lists it as ended. */
+  /** Withdraws a run that has not been sent, and stops any other. */
+  withdrawOrStop (run: TaskRun): void {
+    const unsent = run.state === RUN_STATES.intending || this._links.get(run.worker)?.withdraw(run)
+    if (unsent) this.onWithdrawn(run)
+    else if (run.state !== RUN_STATES.stopping) this.stop(run)
+  }
+
+  /** Sends the worker a stop command. The run must have been sent; it counts as running until the worker lists it as ended. */
   stop (run: TaskRun): void {
     run.state = RUN_STATES.stopping
     const link = this._links.get(run.worker)
@@ -241,12 +249,6 @@
     link?.pollAt(this._timers.now() + this._cfg.minPollMs)
   }
 
-  private _withdrawOrStop (run: TaskRun): void {
-    const unsent = run.state === RUN_STATES.intending || this._links.get(run.worker)?.withdraw(run)
-    if (unsent) this.onWithdrawn(run)
-    else if (run.state !== RUN_STATES.stopping) this.stop(run)
-  }
-
   private _retryAfterFailure (job: Job, index: number, worker: string, reason: string): void {
     const countedFailures = [...this._failureCountsOf(job).failuresByWorker].filter(([name]) => !this._failures.isSuspect(name))
     const total = countedFailures.reduce((sum, [, count]) => sum + count, 0)
--- a/packages/pomelofold/src/tasks/jobs/workerEventHandler.ts
+++ b/packages/pomelofold/src/tasks/jobs/workerEventHandler.ts
@@ -177,7 +177,7 @@
     if (!otherRun) return handle(job, id.index)
     if (task.state !== WORKER_TASK_STATES.finished) return link.acknowledge(task.taskId)
     handle(job, id.index)
-    this._lifecycle.stop(otherRun)
+    this._lifecycle.withdrawOrStop(otherRun)
   }
 
   private _handleMissingRuns (link: WorkerLink, report: WorkerReport, sentAtMs: number): void {
--- a/tests/jobs/unansweredStart.test.ts
+++ b/tests/jobs/unansweredStart.test.ts
@@ -5,11 +5,12 @@
 
 import t from 'tap'
 import { manifestSchema } from 'pomelofold/protocol/manifest'
-import { JobCell, MANIFEST } from './jobCell.js'
+import { JobCell, MANIFEST, specOf } from './jobCell.js'
 
 const MAX_DELIVERY_MS = 15_000
 const START_DELAYS_MS = [2_500, 5_000, 8_000, 14_000]
 const RUN_MS = 20_000
+const SHORT_LEASES = { leaseMs: 12_000, renewEveryMs: 4_000, maxDeliveryMs: 3_000, probeEveryMs: 1_000 }
 /** Time in which a start is sent and has not been answered yet. */
 const SENT_MS = 500
 const GANGS = { gangs: new Set(['gang']) }
@@ -159,3 +160,29 @@
   t.ok(cell.timers.now() - lostMs < 5_000, `the urgent job was done after ${cell.timers.now() - lostMs} ms`)
   t.same(cell.violations(), [])
 })
+
+// Guards against two runs of a task: a stop did not keep a queued start from being sent.
+t.test('a task that turns out to have finished at a worker given up as lost is not sent to another worker', async t => {
+  const cell = new JobCell({ workers: 2, cpus: 100, cfg: { ...SHORT_LEASES, probeEveryMs: 100 } })
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'nightly', { count: 2, runMs: 5_000 })
+  await cell.timers.advance(1_000)
+  const cut = cell.fullestWorker()
+  const other = cell.workers.find(worker => worker !== cut)!
+  const tasksAtCut = cell.runs.filter(run => run.worker === cut.vm.name).map(run => run.task)
+  cut.faults.cut = true
+  other.faults.startDelayMs = 1_000
+  let isQueued = false
+  for (let step = 0; !isQueued && step < 3_000; step++) {
+    // Keeps a start under way to the other worker.
+    if (step % 10 === 0) placer.manager.submitJob({ jobId: `filler-${step}`, digest: 'd', spec: specOf('filler', { runMs: 1_000 }) })
+    await cell.timers.advance(10)
+    isQueued = placer.manager.explain('nightly')!.runs.some(run => run.worker === other.vm.name && run.state === 'queued')
+  }
+  t.ok(isQueued, 'a task waits to be sent to the other worker')
+  cut.faults.cut = false
+  await cell.untilState(placer, 'nightly', 'done')
+  await cell.timers.advance(20_000)
+  t.same(cell.runs.filter(run => tasksAtCut.includes(run.task)).map(run => run.worker), tasksAtCut.map(() => cut.vm.name))
+  t.same(cell.violations(), [])
+})
