Wait for an earlier scheduler that was replaced while its process was running

Cause: a leader whose address refuses a connection is replaced at once, and 1 s after the election, or some ms after it when two thirds of the members reach the store, workflows stored since were started although a worker had not answered. The earlier leader went on in its cut-off domain: renewals of its lease do not show that it was replaced, only its watch does, which may lag, and it learns of such workflows from its watch and from peers of its domain. Change: with each renewal a leader asks the store whether it leads (two reads a second of one daemon); it starts nothing 2.5 s after the last such answer. The new leader waits these 2.5 s, and treats workflows stored until then like earlier ones: they wait for silent workers. It waits as before (1 s at most) when the address still refuses connections while a daemon or a worker of its failure domain answers, so that no device between the domains refuses in place of the process, or when the earlier leader has retired or its next process is a member. A device that refuses for one VM alone is not told apart. After an ordinary end of the process, beside a silent worker, new work starts within 0.3 s when a neighbour answers, and within 0.6 s when only a worker of the domain does (predecessor.test.ts).

--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -4,7 +4,9 @@
  * @module
  */
 
-import { CellSession, CONFIRMED_OUTAGE_MS, type Leader } from '../workflows/cellSession.js'
+import type Result from 'true-myth/result'
+import { CellSession, CONFIRMED_OUTAGE_MS, SESSION_TTL_MS, type Leader } from '../workflows/cellSession.js'
+import { LEADER_KEY } from '../workflows/keys.js'
 import { PeerReachability } from '../workflows/peerReachability.js'
 import { SchedulerTerm, type SchedulerTimeLimits, type TermFigures } from '../workflows/schedulerTerm.js'
 import { EXTENSION_AFTER_LOSS_MS } from '../workflows/workerFleet.js'
@@ -16,7 +18,7 @@
 import type { RandomSource } from '../seams/randomSource.js'
 import { delay, type Timers } from '../seams/timers.js'
 import type { CellConfig, EligibilityAnswer, EligibilityClient, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
-import { EFFECTS } from '../utils/errors.js'
+import { EFFECTS, isConnectionRefused, type CallError } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Time added to the timeout of an eligibility call that goes through a peer, in milliseconds: the network time between daemons. */
@@ -177,6 +179,10 @@
   private _startTerm (leader: Leader): void {
     this._endTerm('this daemon was elected again')
     const { platform, directory, workers, timers, random, log, timeLimits, config, vm } = this._options
+    const nowMs = timers.now()
+    const predecessor = this._previousLeader
+    this._previousLeader = undefined
+    const replacedRunning = predecessor !== undefined && this._session.replacedRunningLeader
     this._authorityLostMs = undefined
     this._termEpoch = leader.epoch
     this._term = new SchedulerTerm({
@@ -190,6 +196,9 @@
       log,
       timeLimits,
       config,
+      // The earlier scheduler stops when its lease ends, or when nobody confirms an outage of the store to it any more.
+      predecessorActiveUntilMs: nowMs + (replacedRunning ? SESSION_TTL_MS : CONFIRMED_OUTAGE_MS),
+      newFromRevision: replacedRunning ? Number.POSITIVE_INFINITY : leader.epoch,
       leadershipRemainingMs: () => this._session.leadershipRemainingMs(leader.epoch),
       mayExtend: () => this._mayExtend(leader.epoch),
       queryEligibility: (daemon, step, names, timeoutMs) => this._queryEligibility(daemon, step, names, timeoutMs),
@@ -197,36 +206,78 @@
       onTakeover: reason => { if (this._termEpoch === leader.epoch) this._endTerm(reason) }
     })
     this._term.start()
-    this._retirePredecessor(leader, this._term)
-    this._checkOutageAuthority(this._term)
+    if (predecessor) this._retirePredecessor(leader, this._term, predecessor)
+    if (replacedRunning) this._awaitPredecessorStop(this._term)
+    this._checkPredecessor(this._term, { replacedRunning: replacedRunning ? predecessor : undefined, electedMs: nowMs })
   }
 
   /** Asks the earlier scheduler to stop, until it has stopped or its process is known to have ended. */
-  private async _retirePredecessor ({ epoch }: Leader, term: SchedulerTerm): Promise<void> {
+  private async _retirePredecessor ({ epoch }: Leader, term: SchedulerTerm, predecessor: Leader): Promise<void> {
     const { timers, vm } = this._options
-    const predecessor = this._previousLeader
-    this._previousLeader = undefined
-    if (!predecessor) return
     const hasEnded = (): boolean => predecessor.vm === vm ||
       this._session.members.get(predecessor.vm)?.incarnation !== predecessor.incarnation
     while (!term.closed) {
-      if (hasEnded()) return term.notePredecessorEnded()
+      if (hasEnded()) break
       const answer = await this._transport.call(predecessor.vm, 'retireScheduler', { epoch }, RETIRE_TIMEOUT_MS)
-      if (answer.isOk && answer.value.retired) return term.notePredecessorEnded()
+      if (answer.isOk && answer.value.retired) break
+      await delay(timers, RETIRE_TIMEOUT_MS)
+    }
+    if (term.closed) return
+    term.notePredecessorEnded()
+    await this._noteStoreRevision(term)
+  }
+
+  /** Waits until an earlier scheduler that may still be running has stopped: it may have started workflows stored until then. */
+  private async _awaitPredecessorStop (term: SchedulerTerm): Promise<void> {
+    await delay(this._options.timers, SESSION_TTL_MS)
+    await this._noteStoreRevision(term)
+  }
+
+  /** Reads the revision of the store: workflows stored after it are new to the earlier scheduler, which has stopped. */
+  private async _noteStoreRevision (term: SchedulerTerm): Promise<void> {
+    const { platform, timers } = this._options
+    while (!term.closed) {
+      const read = await platform.range(LEADER_KEY, { timeoutMs: RETIRE_TIMEOUT_MS })
+      if (read.isOk && !term.closed) return term.noteNewFromRevision(read.value.revision + 1)
       await delay(timers, RETIRE_TIMEOUT_MS)
     }
   }
 
   /**
-   * Checks whether the earlier scheduler may still start work because most members confirmed an outage of the store. Once most
-   * members have reached the store for `CONFIRMED_OUTAGE_MS` without a break, every such confirmation has expired.
+   * Checks whether the earlier scheduler may still start work: while its process runs, for the rest of its lease; and because most
+   * members confirmed an outage of the store. Once most members have reached the store for `CONFIRMED_OUTAGE_MS` without a break,
+   * every such confirmation has expired. `replacedRunning` is an earlier scheduler that was replaced because its address refused
+   * a connection. A member or a worker of its failure domain that answers shows that no device between the domains refused it.
    */
-  private async _checkOutageAuthority (term: SchedulerTerm): Promise<void> {
-    const others = [...this._session.members.keys()].filter(member => member !== this._options.vm)
-    const answers = await Promise.all(others.map(member => this._transport.call(member, 'reachesStore', {}, RETIRE_TIMEOUT_MS)))
+  private async _checkPredecessor (
+    term: SchedulerTerm, { replacedRunning, electedMs }: { replacedRunning: Leader | undefined, electedMs: number }
+  ): Promise<void> {
+    const { vm, timers } = this._options
+    const others = [...this._session.members].filter(([member]) => member !== vm)
+    const ask = (): Promise<Array<Result<{ reaches: boolean, forMs: number }, CallError>>> =>
+      Promise.all(others.map(([member]) => this._transport.call(member, 'reachesStore', {}, RETIRE_TIMEOUT_MS)))
+    let answers = await ask()
+    while (!term.closed) {
+      if (!replacedRunning) break
+      const own = answers[others.findIndex(([member]) => member === replacedRunning.vm)]
+      const reached = others.filter((_, index) => answers[index].isOk).map(([, other]) => other.failureDomain)
+      if (own?.isErr && isConnectionRefused(own.error) && this._reachesDomainOf(replacedRunning, { reached, term })) break
+      if (timers.now() - electedMs > SESSION_TTL_MS) return
+      await delay(timers, RETIRE_TIMEOUT_MS)
+      answers = await ask()
+    }
+    if (term.closed) return
+    if (replacedRunning) term.noteNewFromRevision(this._termEpoch)
+    term.notePredecessorActiveUntil(electedMs + CONFIRMED_OUTAGE_MS)
     const connectedForMs = [this._session.connectedForMs, ...answers.map(answer => answer.isOk ? answer.value.forMs : 0)]
     const connected = connectedForMs.filter(ms => ms >= CONFIRMED_OUTAGE_MS).length
-    if (!term.closed && connected >= STORE_QUORUM_SHARE * connectedForMs.length) term.notePredecessorStopped()
+    if (connected >= STORE_QUORUM_SHARE * connectedForMs.length) term.notePredecessorStopped()
+  }
+
+  /** True when no device cuts off the failure domain of `leader`: it is the own one, or a member or a worker in it answers. */
+  private _reachesDomainOf ({ vm }: Leader, { reached, term }: { reached: string[], term: SchedulerTerm }): boolean {
+    const domain = this._session.members.get(vm)?.failureDomain
+    return domain !== undefined && (domain === this._options.failureDomain || reached.includes(domain) || term.reachesWorkerIn(domain))
   }
 
   /**
--- a/packages/pomelofold/src/workflows/cellSession.ts
+++ b/packages/pomelofold/src/workflows/cellSession.ts
@@ -97,6 +97,10 @@
   /** Epoch of this daemon's newest election for which `onElected` was called. */
   private _announcedEpoch = 0
   private _outageConfirmedAtMs = Number.NEGATIVE_INFINITY
+  /** Time at which this daemon last asked the store and learned that it leads, in milliseconds of the monotonic clock. */
+  private _leaderConfirmedMs = Number.NEGATIVE_INFINITY
+  /** True when this daemon's last campaign replaced the entry of a leader on another VM, whose lease may last. */
+  private _replacedRunningLeader = false
   /** Epoch of the leader whose address last refused a connection, and the time of the refusal. */
   private _lastRefusal = { epoch: 0, atMs: Number.NEGATIVE_INFINITY }
   private _resigning = false
@@ -152,16 +156,21 @@
     return this.connected ? this._options.timers.now() - this._connectedAtMs : 0
   }
 
+  /** True when this daemon's last campaign replaced the entry of a leader on another VM, which may still be running. */
+  get replacedRunningLeader (): boolean {
+    return this._replacedRunningLeader
+  }
+
   /**
    * Time for which this daemon may still start work under `epoch`, in milliseconds; zero or less when it may not.
-   * It is the rest of its lease, or the rest of `CONFIRMED_OUTAGE_MS` when that is longer. The next leader waits
-   * for the end of the latter (see `Dispatcher`).
+   * It is the rest of its lease, and at most `SESSION_TTL_MS` from the last confirmation that it leads; or the rest of
+   * `CONFIRMED_OUTAGE_MS` when that is longer. The next leader waits for the end of the latter two (see `Dispatcher`).
    */
   leadershipRemainingMs (epoch: number): number {
     const { self, timers } = this._options
     const isOwnTerm = this._leader?.epoch === epoch && this._leader.incarnation === self.incarnation
     if (!isOwnTerm || this._resigning) return 0
-    const leaseMs = this._lease.remainingMs
+    const leaseMs = Math.min(this._lease.remainingMs, this._leaderConfirmedMs + SESSION_TTL_MS - timers.now())
     if (this._connected || this._lease.sinceRenewalMs === Number.POSITIVE_INFINITY) return leaseMs
     return Math.max(leaseMs, this._outageConfirmedAtMs + CONFIRMED_OUTAGE_MS - timers.now())
   }
@@ -278,6 +287,7 @@
     const { platform, timers, log } = this._options
     const sentMs = timers.now()
     const sentWallMs = timers.wallClock()
+    this._confirmLeadership()
     const renewed = await platform.keepAlive(this._leaseId!, { timeoutMs: CALL_TIMEOUT_MS })
     if (renewed.isErr) {
       this._noteConnection(renewed.error.message)
@@ -297,6 +307,18 @@
     this._lease.noteEnd()
   }
 
+  /** Asks the store whether this daemon still leads. The lease does not show it, and the watch may lag. */
+  private async _confirmLeadership (): Promise<void> {
+    const { platform, timers, self } = this._options
+    const leader = this._leader
+    if (leader?.incarnation !== self.incarnation) return
+    const sentMs = timers.now()
+    const read = await platform.get(LEADER_KEY, { timeoutMs: CALL_TIMEOUT_MS })
+    if (this._closed || read.isErr || this._leader?.epoch !== leader.epoch) return
+    if (read.value?.modRevision === leader.epoch) this._leaderConfirmedMs = sentMs
+    else if (read.value) this._applyLeader(read.value)
+  }
+
   /** Notes whether the store answered the last call and logs a change. Always returns false, for use in a return statement. */
   private _noteConnection (fault?: string): false {
     const connected = fault === undefined
@@ -410,6 +432,8 @@
     const replaceable = !predecessor || this._isReplaceable({ ...predecessor, epoch: current!.modRevision })
     if (!replaceable || this._resigning || this._leaseId === undefined) return
     this._campaigning = true
+    this._replacedRunningLeader = predecessor !== undefined && predecessor.vm !== vm
+    this._leaderConfirmedMs = timers.now()
     const term = Math.max(predecessor?.term ?? 0, this._lastElection.term) + 1
     const value = JSON.stringify({ vm, incarnation: self.incarnation, term })
     const changes = [
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -9,7 +9,6 @@
  * @module
  */
 
-import { CONFIRMED_OUTAGE_MS } from './cellSession.js'
 import { MAX_WORKERS_PER_CALL, type EligibilityCache } from './eligibilityCache.js'
 import type { EligibilityDaemons } from './eligibilityDaemons.js'
 import { PlacementPass, type OrderedStep } from './placementPass.js'
@@ -66,6 +65,10 @@
   waits: WaitReporter
   speedEstimator: WorkerSpeedEstimator
   suspensions: WorkerSuspensions
+  /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
+  predecessorActiveUntilMs: number
+  /** Store revision from which on workflows cannot have been started by the earlier scheduler; infinite while it is not known. */
+  newFromRevision: number
   /** Starts a task at a worker. */
   start: (task: Task, worker: WorkerSession, attempt: number, ticket: string | undefined) => void
 }
@@ -83,10 +86,23 @@
    * milliseconds of the monotonic clock.
    */
   private _predecessorActiveUntilMs: number
+  /** Store revision from which on workflows cannot have been started by the earlier scheduler. */
+  private _newFromRevision: number
 
   constructor (options: DispatcherOptions) {
     this._options = options
-    this._predecessorActiveUntilMs = options.timers.now() + CONFIRMED_OUTAGE_MS
+    this._predecessorActiveUntilMs = options.predecessorActiveUntilMs
+    this._newFromRevision = options.newFromRevision
+  }
+
+  /** Called when workflows stored at `revision` or later are known to be new to the earlier scheduler. */
+  noteNewFromRevision (revision: number): void {
+    this._newFromRevision = Math.min(this._newFromRevision, revision)
+  }
+
+  /** Called when the earlier scheduler is known to start no tasks after a time, in milliseconds of the monotonic clock. */
+  notePredecessorActiveUntil (untilMs: number): void {
+    this._predecessorActiveUntilMs = Math.min(this._predecessorActiveUntilMs, untilMs)
   }
 
   /** Called when the earlier scheduler has stopped sending orders to workers. */
@@ -127,7 +143,7 @@
 
   /** Open steps whose tasks may start, the most urgent ones first, then those submitted first. */
   private _readySteps (nowMs: number): ReadyStep[] {
-    const { timers, fleet, registry, epoch } = this._options
+    const { timers, fleet, registry } = this._options
     const wallClockMs = timers.wallClock()
     const inheritanceSettled = fleet.inheritedWorkersSettled
     // The earlier scheduler may still start tasks of any workflow, new ones included, at workers that have not received this epoch.
@@ -136,7 +152,7 @@
     for (const workflow of registry.open) {
       if (workflow.isOver) continue
       // Tasks that the earlier scheduler may have started at an unreachable worker wait, unless the step allows copies.
-      const mayStartWorkflow = predecessorStopped && (inheritanceSettled || workflow.revision >= epoch)
+      const mayStartWorkflow = predecessorStopped && (inheritanceSettled || workflow.revision >= this._newFromRevision)
       const queue = this.queueOf(workflow)
       if (!queue) continue
       for (const step of workflow.openSteps(wallClockMs)) {
--- a/packages/pomelofold/src/workflows/inheritedWorkers.ts
+++ b/packages/pomelofold/src/workflows/inheritedWorkers.ts
@@ -17,8 +17,8 @@
   timers: Timers
   /** Sessions by the incarnation of their worker. */
   sessions: ReadonlyMap<string, WorkerSession>
-  /** Time for which the earlier scheduler may still send orders, in milliseconds. */
-  predecessorActiveMs: number
+  /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
+  predecessorActiveUntilMs: number
   /** Maximum length of a worker's lease, in milliseconds: a start that the next incarnation of its worker carries out may get it. */
   maxLeaseMs: number
 }
@@ -38,7 +38,7 @@
 
   constructor (options: InheritedWorkersOptions) {
     this._options = options
-    this._lateRunsEndMs = this._lateRunsEnd(options.predecessorActiveMs)
+    this._lateRunsEndMs = this._lateRunsEnd(options.predecessorActiveUntilMs)
   }
 
   /** Adds a worker of the stored roster. */
@@ -65,9 +65,9 @@
     this._complete = true
   }
 
-  /** Called when the earlier scheduler has stopped sending orders. */
-  notePredecessorEnded (): void {
-    this._lateRunsEndMs = Math.min(this._lateRunsEndMs, this._lateRunsEnd(0))
+  /** Called when the earlier scheduler is known to start no tasks after `untilMs`. */
+  notePredecessorActiveUntil (untilMs: number): void {
+    this._lateRunsEndMs = Math.min(this._lateRunsEndMs, this._lateRunsEnd(untilMs))
   }
 
   /** True when each of these workers has answered, or nothing that an earlier scheduler has started can run there any more. */
@@ -93,8 +93,7 @@
     else if (!this._complete) this._ids.add(entry.id)
   }
 
-  private _lateRunsEnd (activeMs: number): number {
-    const { timers, maxLeaseMs } = this._options
-    return timers.now() + activeMs + MAX_ORDER_DELAY_MS + maxLeaseMs / WORKER_CLOCK_RATE
+  private _lateRunsEnd (activeUntilMs: number): number {
+    return activeUntilMs + MAX_ORDER_DELAY_MS + this._options.maxLeaseMs / WORKER_CLOCK_RATE
   }
 }
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -71,6 +71,10 @@
   log: EventLog
   timeLimits: SchedulerTimeLimits
   config: () => CellConfig | undefined
+  /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
+  predecessorActiveUntilMs: number
+  /** Store revision from which on workflows cannot have been started by the earlier scheduler; infinite while it is not known. */
+  newFromRevision: number
   /** Time for which this daemon is guaranteed to remain the leader, in milliseconds; 0 or less when it may have lost leadership. */
   leadershipRemainingMs: () => number
   /** True while worker leases may be extended, which continues for a short time after leadership is lost. */
@@ -115,7 +119,8 @@
   constructor (options: SchedulerTermOptions) {
     this._options = options
     const {
-      epoch, platform, directory, client, timers, random, log, timeLimits, leadershipRemainingMs, queryEligibility, eligibilityDaemons
+      epoch, platform, directory, client, timers, random, log, timeLimits, leadershipRemainingMs, queryEligibility, eligibilityDaemons,
+      predecessorActiveUntilMs
     } = options
     const onFenced = (): void => this._endByTakeover('the store contains a newer epoch')
     this._fleet = new WorkerFleet({
@@ -128,6 +133,7 @@
       listener: this,
       leaseMs: Math.min(LEASE_MS, timeLimits.maxLeaseMs),
       maxLeaseMs: timeLimits.maxLeaseMs,
+      predecessorActiveUntilMs,
       onChange: () => this._scheduleDispatch(),
       onFenced
     })
@@ -178,6 +184,8 @@
       waits: this._waits,
       speedEstimator,
       suspensions,
+      predecessorActiveUntilMs,
+      newFromRevision: options.newFromRevision,
       start: (task, worker, attempt, ticket) => this._runTracker.start(task, worker, { attempt, ticket })
     })
     this._runTracker = new RunTracker({
@@ -266,6 +274,18 @@
     this._registry.noteCancellation(id)
   }
 
+  /** Called when the earlier scheduler is known to start no tasks after `untilMs`. It may still extend leases. */
+  notePredecessorActiveUntil (untilMs: number): void {
+    this._dispatcher.notePredecessorActiveUntil(untilMs)
+    this._fleet.notePredecessorActiveUntil(untilMs)
+  }
+
+  /** Called when workflows stored at `revision` or later are known to be new to the earlier scheduler. */
+  noteNewFromRevision (revision: number): void {
+    this._dispatcher.noteNewFromRevision(revision)
+    this._scheduleDispatch()
+  }
+
   /** Called when the earlier scheduler can start no more work. It may still extend leases. */
   notePredecessorStopped (): void {
     this._options.log.event('info', 'term.predecessor.stopped', { epoch: this._options.epoch })
@@ -294,6 +314,11 @@
     }
   }
 
+  /** True when a worker of the failure domain has answered its last call. */
+  reachesWorkerIn (failureDomain: string): boolean {
+    return [...this._fleet.sessions.values()].some(({ entry, reachable }) => reachable && entry.failureDomain === failureDomain)
+  }
+
   mayExtend (): boolean {
     return !this._closed && this._options.mayExtend()
   }
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -8,7 +8,6 @@
 import { z } from 'zod'
 import { DepartureDetector } from './departureDetector.js'
 import { LongPollPolicy } from './longPollPolicy.js'
-import { CONFIRMED_OUTAGE_MS } from './cellSession.js'
 import { InheritedWorkers } from './inheritedWorkers.js'
 import { LEADER_KEY, ROSTER_KEY } from './keys.js'
 import { incarnationOf, WORKER_CLOCK_RATE, WorkerSession, type WorkerSessionListener } from './workerSession.js'
@@ -62,6 +61,8 @@
   leaseMs: number
   /** Maximum length of the workers' leases, in milliseconds. */
   maxLeaseMs: number
+  /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
+  predecessorActiveUntilMs: number
   /** Called after each reading of the directory. */
   onChange: () => void
   /** Called when the store shows that another scheduler has taken over. */
@@ -98,9 +99,9 @@
       }
     })
     this._longPollPolicy = new LongPollPolicy({ timers: options.timers })
-    const { timers, maxLeaseMs } = options
-    this._inheritedWorkers = new InheritedWorkers({ timers, sessions: this.sessions, predecessorActiveMs: CONFIRMED_OUTAGE_MS, maxLeaseMs })
-    this._inheritedRunsEndMs = timers.now() + (CONFIRMED_OUTAGE_MS + EXTENSION_AFTER_LOSS_MS + options.leaseMs) / WORKER_CLOCK_RATE
+    const { timers, maxLeaseMs, predecessorActiveUntilMs } = options
+    this._inheritedWorkers = new InheritedWorkers({ timers, sessions: this.sessions, predecessorActiveUntilMs, maxLeaseMs })
+    this._inheritedRunsEndMs = this._extendedRunsEnd(predecessorActiveUntilMs)
   }
 
   start (): void {
@@ -114,10 +115,24 @@
 
   /** Notes that the earlier scheduler has stopped sending: the runs that it started end with the leases that it has given. */
   notePredecessorEnded (): void {
-    const endMs = this._options.timers.now() + this._options.leaseMs / WORKER_CLOCK_RATE
+    const nowMs = this._options.timers.now()
+    this._noteInheritedRunsEnd(nowMs + this._options.leaseMs / WORKER_CLOCK_RATE)
+    this._inheritedWorkers.notePredecessorActiveUntil(nowMs)
+  }
+
+  /** Notes that the earlier scheduler starts no tasks after `untilMs`. It may extend leases for `EXTENSION_AFTER_LOSS_MS` more. */
+  notePredecessorActiveUntil (untilMs: number): void {
+    this._noteInheritedRunsEnd(this._extendedRunsEnd(untilMs))
+    this._inheritedWorkers.notePredecessorActiveUntil(untilMs)
+  }
+
+  private _extendedRunsEnd (activeUntilMs: number): number {
+    return activeUntilMs + (EXTENSION_AFTER_LOSS_MS + this._options.leaseMs) / WORKER_CLOCK_RATE
+  }
+
+  private _noteInheritedRunsEnd (endMs: number): void {
     this._inheritedRunsEndMs = Math.min(this._inheritedRunsEndMs, endMs)
     for (const session of this.sessions.values()) session.inheritedRunsEndMs = this._inheritedRunsEndMs
-    this._inheritedWorkers.notePredecessorEnded()
   }
 
   /** True when every worker that an earlier scheduler may have used has answered, or can run nothing that it has started. */
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -268,6 +268,8 @@
   /** Readings of the directory time out. */
   directoryDown = false
   readonly entryExpiryMs = ENTRY_EXPIRY_MS
+  /** Ids of workers to which calls of this client time out. */
+  readonly unreachableWorkers = new Set<string>()
   private _callCount = 0
   private readonly _timers: Timers
   private readonly _workers: () => LeasedWorker[]
@@ -339,7 +341,7 @@
       await delay(this._timers, timeoutMs)
       return Result.err(new CallTimeoutError(timeoutMs, details))
     }
-    if (!worker || worker.faults.unreachable || this.disconnected) return timedOut()
+    if (!worker || worker.faults.unreachable || this.disconnected || this.unreachableWorkers.has(entry.id)) return timedOut()
     if (order && worker.faults.orderDelayMs > 0) {
       // The order reaches the incarnation that has the id when the delay is over, which may be a later one.
       this._timers.after(worker.faults.orderDelayMs, () => { fn(this._workers().find(({ entry: { id } }) => id === entry.id) ?? worker) })
--- a/packages/standins/src/peerNetwork.ts
+++ b/packages/standins/src/peerNetwork.ts
@@ -28,6 +28,8 @@
   delayMs: (from: string, to: string) => number
   /** True while messages from one failure domain to the other are lost. */
   isPartitioned: (from: string, to: string) => boolean
+  /** True while a device between two failure domains refuses connections. */
+  isRefused?: (from: string, to: string) => boolean
 }
 
 /** Delivers calls between processes. Parameters and results are copied and validated, as on a real connection. */
@@ -53,7 +55,8 @@
   ): Promise<Result<PeerMethods[M]['result'], CallError>> {
     const target = this._endpoints.get(vm)
     const details = { step: `peer.${method}`, peer: vm, effect: EFFECTS.unknown }
-    if (!target || target.isDown()) return Promise.resolve(Result.err(new CallError('connect ECONNREFUSED', { ...details, effect: EFFECTS.none })))
+    const refused = target && this._options.isRefused?.(from.failureDomain, target.identity.failureDomain)
+    if (!target || target.isDown() || refused) return Promise.resolve(Result.err(new CallError('connect ECONNREFUSED', { ...details, effect: EFFECTS.none })))
     return new Promise(resolve => {
       timers.after(timeoutMs, () => resolve(Result.err(new CallTimeoutError(timeoutMs, details))))
       const message = structuredClone(params)
--- a/tests/workflows/inheritance.test.ts
+++ b/tests/workflows/inheritance.test.ts
@@ -6,6 +6,8 @@
  */
 
 import t from 'tap'
+import Result from 'true-myth/result'
+import { CallError, EFFECTS } from 'pomelofold/utils/errors'
 import { WorkflowCell, type TestDaemon } from './workflowCell.js'
 
 /** Hands leadership over and waits for the next scheduler. */
@@ -56,3 +58,46 @@
     t.equal(cell.runsOf(`${workflow.id}.0.0.0`)[0].worker, 'w0', 'the late start was carried out')
   }
 })
+
+/** Delays the events of all watches of a daemon. */
+function delayWatches ({ platform, process }: TestDaemon, delayMs: number): void {
+  const watch = platform.watch.bind(platform)
+  platform.watch = (prefix, fromRevision, handlers) => watch(prefix, fromRevision, {
+    ...handlers, onEvents: events => { process.after(delayMs, () => handlers.onEvents(events)) }
+  })
+}
+
+// Guards against two runs of a task when a scheduler that is still running is taken for ended and learns late that it was replaced.
+t.test('a scheduler that is replaced while it is running and cut off from its peers starts no task that its successor starts', async t => {
+  const cases = [500, 1_000, 2_000, 4_000].flatMap(lagMs => [false, true].map(readsFail => ({ lagMs, readsFail })))
+  for (const { lagMs, readsFail } of cases) {
+    const cell = new WorkflowCell({ daemons: 0, runMs: () => 4_000 })
+    for (const vm of ['a1', 'a2', 'b1', 'b2', 'c1', 'c2', 'd1']) {
+      const daemon = cell.startDaemon(vm, { failureDomain: vm[0] })
+      if (vm[0] === 'a') delayWatches(daemon, lagMs)
+    }
+    for (const { entry } of cell.workers.slice(1)) entry.failureDomain = 'b'
+    const former = await cell.waitUntilReady()
+    await cell.timers.advance(5_000)
+    const peer = cell.daemons.find(({ vm }) => vm === 'a2')!
+    const others = cell.daemons.filter(({ vm }) => vm[0] !== 'a')
+    // Domain a is cut off by a device that refuses connections; its worker is reached only from there, the others only from outside.
+    cell.refusingDomains.add('a')
+    const failed = new CallError('refused', { step: 'store.get', peer: 'store', effect: EFFECTS.none })
+    if (readsFail) former.platform.get = async () => Result.err(failed)
+    for (const { client } of others) client.unreachableWorkers.add('w0')
+    for (const { client } of [former, peer]) for (const id of ['w1', 'w2']) client.unreachableWorkers.add(id)
+    others[0].daemon.service.state('0'.repeat(16))
+    await cell.timers.advanceUntil(() => others.some(({ daemon }) => daemon.figures().leading))
+    const successor = others.find(({ daemon }) => daemon.figures().leading)!
+    const ids: string[] = []
+    for (let index = 0; index < 16; index++) {
+      const workflow = cell.workflow([{ tasks: 1 }])
+      ids.push(workflow.id)
+      peer.daemon.service.submit(workflow)
+      await cell.timers.advance(200)
+    }
+    for (const id of ids) await cell.waitForState(id, 'done', { at: successor, limitMs: 20_000 })
+    t.same(cell.violations(), [], `events of watches come ${lagMs} ms late, reads ${readsFail ? 'fail' : 'are answered'}`)
+  }
+})
--- a/tests/workflows/predecessor.test.ts
+++ b/tests/workflows/predecessor.test.ts
@@ -83,3 +83,18 @@
   t.equal(startsOf(cell, `${workflow.id}.0.1.`).length, 2, 'no second start')
   t.same(cell.violations(), [])
 })
+
+// Guards against a slow change of scheduler: an answer from its failure domain shows that no device refuses connections in its place.
+t.test('new work starts soon after the end of a scheduler in another failure domain of which a daemon or a worker answers', async t => {
+  for (const { neighbour, limitMs } of [{ neighbour: 'a2', limitMs: 300 }, { neighbour: 'c1', limitMs: 600 }]) {
+    const cell = new WorkflowCell({ daemons: 0 })
+    for (const vm of ['a1', 'b1', 'b2']) cell.startDaemon(vm, { failureDomain: vm[0] })
+    cell.startDaemon(neighbour, { failureDomain: neighbour[0], size: 0.5 })
+    await cell.waitUntilReady()
+    await cell.timers.advance(2_000)
+    const leader = await replaceScheduler(cell)
+    t.equal(leader.vm, 'b1')
+    const waitedMs = await waitOfNewWork(cell, leader)
+    t.ok(waitedMs < limitMs, `neighbour ${neighbour}: first start after ${waitedMs} ms`)
+  }
+})
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -63,13 +63,16 @@
   readonly otherEntries: WorkerEntry[] = []
   /** Failure domains whose daemons cannot reach peers in other domains. */
   readonly cutDomains = new Set<string>()
+  /** Failure domains of which a device refuses connections from and to others. */
+  readonly refusingDomains = new Set<string>()
   private readonly _newWorker: (index: number, clockStartMs?: number) => LeasedWorker
   private readonly _newEligibilityClient: (timers: Timers) => EligibilityClient
   private readonly _random: SeededRandom
   private readonly _network = new PeerNetwork({
     timers: this.timers,
     delayMs: () => 1,
-    isPartitioned: (from, to) => from !== to && (this.cutDomains.has(from) || this.cutDomains.has(to))
+    isPartitioned: (from, to) => from !== to && (this.cutDomains.has(from) || this.cutDomains.has(to)),
+    isRefused: (from, to) => from !== to && (this.refusingDomains.has(from) || this.refusingDomains.has(to))
   })
 
   private _submitted = 0
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -106,6 +106,8 @@
       waits: new WaitReporter({ timers, log: SILENT_LOG }),
       speedEstimator: new WorkerSpeedEstimator(),
       suspensions: new WorkerSuspensions({ timers, log: SILENT_LOG }),
+      predecessorActiveUntilMs: 0,
+      newFromRevision: 0,
       start: (task, worker, attempt) => this._start(task, worker, attempt)
     })
   }
