Start no step early because of a run that may be a late copy

Cause: any adopted run counted as proof that the earlier leader had not seen its step end. A copy of a start that a restarted worker carries out late is listed as running, too; when the earlier leader had seen the first copy end, could not record it, and had started the next step at a worker that does not answer, the new leader started that step again. Change: an adopted run at an incarnation that started under the id of an inherited worker is no such proof. Evidence: the new test fails before (ran twice) and passes now.

--- a/packages/pomelofold/src/workflows/inheritedWorkers.ts
+++ b/packages/pomelofold/src/workflows/inheritedWorkers.ts
@@ -60,6 +60,11 @@
     if (!successorListed) this._unlistedIds.add(id)
   }
 
+  /** True for an incarnation that started under the id of an inherited worker: late starts of an earlier scheduler may run there. */
+  isSuccessor (incarnation: string): boolean {
+    return this._successors.has(incarnation)
+  }
+
   /** Called when the roster and the directory have been read. */
   noteComplete (): void {
     this._complete = true
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -238,7 +238,7 @@
     if (task && !task.run) {
       task.run = run
       task.state = TASK_STATES.running
-      task.step.ranInTerm = true
+      if (run.state === RUN_STATES.starting || !session.mayRunLateStarts) task.step.ranInTerm = true
     }
     return run
   }
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -319,6 +319,7 @@
       inheritedRunsEndMs: this._inheritedRunsEndMs
     })
     session.listed = listed
+    session.mayRunLateStarts = this._inheritedWorkers.isSuccessor(session.incarnation)
     this.sessions.set(session.incarnation, session)
     session.start()
   }
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -97,6 +97,8 @@
   replaced = false
   /** True when a later incarnation with the same id is known: orders to this incarnation may reach it. */
   restarted = false
+  /** True when a run that an earlier scheduler started may be a late copy of one that it has seen end. */
+  mayRunLateStarts = false
   /** Time before which nothing is started on the worker, in milliseconds of the monotonic clock. */
   suspendedUntilMs = 0
   /** Time by which runs that an earlier scheduler started have ended, in milliseconds of the monotonic clock. */
--- a/tests/workflows/inheritance.test.ts
+++ b/tests/workflows/inheritance.test.ts
@@ -8,6 +8,8 @@
 import t from 'tap'
 import Result from 'true-myth/result'
 import { CallError, EFFECTS } from 'pomelofold/utils/errors'
+import { delay } from 'pomelofold/seams/timers'
+import { PROGRESS_PREFIX } from 'pomelofold/workflows/keys'
 import { WorkflowCell, type TestDaemon } from './workflowCell.js'
 
 /** Hands leadership over and waits for the next scheduler. */
@@ -101,3 +103,38 @@
     t.same(cell.violations(), [], `events of watches come ${lagMs} ms late, reads ${readsFail ? 'fail' : 'are answered'}`)
   }
 })
+
+// Guards against two runs of a step when a late copy of an earlier attempt makes the step before it look unfinished.
+t.test('a late copy of an attempt that an earlier scheduler has seen end starts no step that this scheduler has started', async t => {
+  let firstStepMs = 300
+  const cell = new WorkflowCell({ runMs: task => task.includes('.0.0.') ? firstStepMs : 9_000 })
+  const former = await cell.waitUntilReady()
+  const [worker, silent, other] = cell.workers
+  Object.assign(silent.entry, { labels: ['second'] })
+  Object.assign(other.entry, { labels: ['second'] })
+  other.faults.draining = true
+  await cell.timers.advance(10_000)
+  // The first try of the start is carried out late, the second at once.
+  worker.faults.orderDelayMs = 1_600
+  const workflow = cell.workflow([{ tasks: 1, requiredLabel: 'r0' }, { tasks: 1, after: [0], requiredLabel: 'second' }])
+  await cell.submit(workflow, former)
+  await cell.timers.advance(200)
+  worker.faults.orderDelayMs = 0
+  // The earlier scheduler cannot record the end of the first step, and starts the second.
+  const txn = former.platform.txn.bind(former.platform)
+  former.platform.txn = async (guards, changes, options) => {
+    if (changes.some(({ key }) => key.startsWith(PROGRESS_PREFIX))) await delay(cell.timers, 30_000)
+    return txn(guards, changes, options)
+  }
+  await cell.timers.advanceUntil(() => cell.runsOf(`${workflow.id}.0.1.0`).length > 0)
+  silent.faults.unreachable = true
+  other.faults.draining = false
+  firstStepMs = 2_500
+  cell.restartWorker('w0', { listedAfterMs: 2_000 })
+  cell.workers[0].faults.unreachable = true
+  await handOver(cell)
+  cell.workers[0].faults.unreachable = false
+  await cell.timers.advance(6_000)
+  t.equal(cell.runsOf(`${workflow.id}.0.0.0`).length, 2, 'the late copy was carried out')
+  t.same(cell.violations(), [])
+})
