Excuse a start after a done run only when the lease lapsed before the acknowledgement

The excuse is now that the lease lapsed between the end and its acknowledgement. The check also returns the two runs, for the soak's report.

--- a/tests/workflows/runViolations.ts
+++ b/tests/workflows/runViolations.ts
@@ -6,22 +6,33 @@
 
 import type { LeasedWorker, RunRecord } from '@pomelofold/standins/leasedWorker'
 
+/** Two runs of one task that may not both be. */
+export interface RunViolation {
+  text: string
+  runs: [earlier: RunRecord, later: RunRecord]
+}
+
+/** Returns descriptions of the violations that {@link findRunViolations} finds. */
+export function runViolations (records: RunRecord[], workers: LeasedWorker[]): string[] {
+  return findRunViolations(records, workers).map(({ text }) => text)
+}
+
 /**
- * Returns descriptions of overlapping runs of one task, and of starts after a successful run whose end was
- * acknowledged, before or after that start. A start is allowed if the lease of the earlier run's worker ended between
- * the two runs, since the scheduler could not know of the success.
+ * Finds overlapping runs of one task, and starts after a successful run whose end was acknowledged, before or after
+ * that start. A start is allowed if the lease of the earlier run's worker ended between the end and its
+ * acknowledgement, since the end does not count as recorded then.
  */
-export function runViolations (records: RunRecord[], workers: LeasedWorker[]): string[] {
+export function findRunViolations (records: RunRecord[], workers: LeasedWorker[]): RunViolation[] {
   const byTask = new Map<string, RunRecord[]>()
   for (const record of records) byTask.set(record.task, [...(byTask.get(record.task) ?? []), record])
-  const found: string[] = []
+  const found: RunViolation[] = []
   for (const [task, runs] of byTask) {
     for (const [index, run] of runs.entries()) {
       for (const later of runs.slice(index + 1)) {
         const names = `${run.worker}#${run.attempt} and ${later.worker}#${later.attempt}`
-        if (later.startMs < run.endMs) found.push(`${task} ran twice: ${names}`)
-        else if (run.how === 'done' && run.acknowledgedMs !== undefined && !lapsedBetween(run, later, workers)) {
-          found.push(`${task} started again after it was done: ${names}`)
+        if (later.startMs < run.endMs) found.push({ text: `${task} ran twice: ${names}`, runs: [run, later] })
+        else if (run.how === 'done' && run.acknowledgedMs !== undefined && !lapsedBefore(run.acknowledgedMs, run, workers)) {
+          found.push({ text: `${task} started again after it was done: ${names}`, runs: [run, later] })
         }
       }
     }
@@ -29,7 +40,7 @@
   return found
 }
 
-function lapsedBetween (run: RunRecord, later: RunRecord, workers: LeasedWorker[]): boolean {
+function lapsedBefore (acknowledgedMs: number, run: RunRecord, workers: LeasedWorker[]): boolean {
   const incarnations = workers.filter(({ entry }) => entry.id === run.worker)
-  return incarnations.some(incarnation => incarnation.leaseLapsesMs.some(lapsedMs => lapsedMs >= run.endMs && lapsedMs <= later.startMs))
+  return incarnations.some(incarnation => incarnation.leaseLapsesMs.some(lapsedMs => lapsedMs >= run.endMs && lapsedMs <= acknowledgedMs))
 }
