Soak: workers that refuse, lose and delay calls, leave late and restart, and a check of their room

Its workers never refused a start, tickets never expired, no order was carried out late, all tasks took under half a second, and nothing compared what runs on a worker with its capacity. Change: a second seeded series of faults overlaps the first one, whose series stay as they were: calls to workers that are refused with 503 or 429, lost, unanswered or carried out 2 to 12 s late, also mixed; workers that drain, stay beyond the announced time and are cut off meanwhile; workers that restart twice under their id, also behind a cut. Tickets are valid for a second, for one step and one incarnation; a worker's clock begins at 0 in each life, and it shortens leases. A quarter of the jobs have tasks of 1 to 4 s; callers keep ten jobs open at most, so that the cell stays full. Checks: no start brings a worker over its cpu or memory by its own records. Late starts of replaced leaders at a later incarnation are counted apart; all others are violations.

--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -6,6 +6,7 @@
 
 import { Agent, request } from 'node:http'
 import type { SoakCell, SoakDaemon } from './soakCell.js'
+import { runTimeMs } from './soakWorkers.js'
 import type { SeededRandom } from '@pomelofold/standins/seededRandom'
 
 const CALL_TIMEOUT_MS = 3_000
@@ -15,6 +16,8 @@
 /** Longest pause between two jobs, and pause after the first refused submission, in milliseconds. */
 const SUBMIT_PAUSE_MS = 120
 const MAX_SUBMIT_ATTEMPTS = 6
+/** Number of jobs that a caller has open at most. */
+const MAX_OPEN_JOBS = 10
 const FINAL_STATES = new Set(['completed', 'failed', 'cancelled'])
 
 /** A job with the answers that its caller has received. */
@@ -54,11 +57,19 @@
 
   /** Submits jobs one after another until stopped. */
   async run (): Promise<void> {
+    let open = 0
     while (!this._stopped) {
+      if (open >= MAX_OPEN_JOBS) {
+        await pause(POLL_PERIOD_MS)
+        continue
+      }
       const job = this._newJob()
       this.jobs.push(job)
       await this._submit(job)
-      if (job.accepted) this._followUntilFinal(job)
+      if (job.accepted) {
+        open++
+        this._followUntilFinal(job).then(() => { open-- })
+      }
       await pause(this._random.int(SUBMIT_PAUSE_MS))
     }
   }
@@ -87,17 +98,19 @@
   }
 
   private _newJob (): SoakJob {
+    const id = this._random.hex(8)
+    const queue = this._random.int(3) ? 'quick' : 'advised'
     const steps = Array.from({ length: 1 + this._random.int(3) }, (_, index) => ({
       task_count: 1 + this._random.int(4),
       cpu: 500 + 500 * this._random.int(3),
-      mem_mb: 100,
-      est_runtime_ms: 250,
+      mem_mb: 250 * (1 + this._random.int(8)),
+      est_runtime_ms: runTimeMs(id),
       after: index ? [index - 1] : []
     }))
     return {
-      id: this._random.hex(8),
-      queue: this._random.int(3) ? 'quick' : 'advised',
-      body: JSON.stringify({ spec: 'soak', steps }),
+      id,
+      queue,
+      body: JSON.stringify({ spec: queue, steps }),
       accepted: false,
       refusedOnly: true,
       cancelled: false,
--- a/tests/soak/run.ts
+++ b/tests/soak/run.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { rmSync } from 'node:fs'
 import { join } from 'node:path'
 import { Command } from 'commander'
 import { soak } from './soak.js'
@@ -29,12 +30,14 @@
 
 async function runNext (lane: number): Promise<void> {
   for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+    const dir = join('target', 'soak', String(seed))
+    rmSync(dir, { recursive: true, force: true })
     const report = await soak({
       seed,
       faultsMs: Number(options.seconds) * MS_PER_S,
       daemons: Number(options.daemons),
       workers: Number(options.workers),
-      dir: join('target', 'soak', String(seed)),
+      dir,
       networkPrefix: `127.${100 + lane}.${process.pid % 250}`
     })
     if (report.violations.length) failed++
--- a/tests/soak/soakCell.ts
+++ b/tests/soak/soakCell.ts
@@ -7,11 +7,12 @@
 import { execSync, spawn, type ChildProcess } from 'node:child_process'
 import { copyFileSync, createWriteStream, mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
-import { LeasedWorker, type RunRecord } from '@pomelofold/standins/leasedWorker'
 import { SystemTimers } from 'pomelofold/edge/systemTimers'
-import type { TimerSubscription } from 'pomelofold/seams/timers'
+import { delay, type TimerSubscription } from 'pomelofold/seams/timers'
 import { FaultProxy } from './faultProxy.js'
-import { JsonServer, StoreServer, workerServer } from './standins.js'
+import { SoakWorkers, TICKET_VALID_MS } from './soakWorkers.js'
+import { JsonServer, StoreServer } from './standins.js'
+import { MAX_LEASE_MS } from './workerServer.js'
 
 const ROOT = new URL('../../../', import.meta.url).pathname
 /** Copy of the deployed program, so that later builds do not change the program of a running soak. */
@@ -19,13 +20,10 @@
 const PROGRAM_FILES = ['pomelofold.cjs', 'daemon.cjs', 'daemon.cache']
 /** Ports of each daemon on its own loopback address, and of the stand-ins and proxies on a common one. */
 const PORTS = {
-  front: 8161, ready: 8167, peers: 7720, metrics: 7735, store: 9001, advice: 9002, storeProxy: 9100, worker: 9200, workerProxy: 9300
+  front: 8161, ready: 8167, peers: 7720, metrics: 7735, store: 9001, advice: 9002, storeProxy: 9100
 }
-/** Period at which workers write their entries to the store, in milliseconds. */
-const ENTRY_RENEWAL_PERIOD_MS = 500
-/** Lease of a worker's entry in the store, in milliseconds. */
-const ENTRY_TTL_MS = 1_500
-const MAX_LEASE_MS = 6_000
+/** First log event of the daemon. The entry of the deployed program may log before, when no signal handler is installed yet. */
+const START_EVENT = 'event=daemon.start'
 /** Longest time from SIGTERM until a daemon has exited, in milliseconds. */
 const SHUTDOWN_GRACE_MS = 6_000
 /** Routes of two queues; only the second one uses the advice service. */
@@ -40,7 +38,7 @@
     max_attempts: 4,
     stretch: 2,
     target_duration_ms: 500,
-    advice: { decide_ms: 20, each_ms: 1, valid_ms: 3_000 }
+    advice: { decide_ms: 20, each_ms: 1, valid_ms: TICKET_VALID_MS }
   }
 ]
 
@@ -61,7 +59,7 @@
   /** Link to the store. */
   link: FaultProxy
   process: ChildProcess | undefined
-  /** True once the program has written to its log. A signal before that ends the process before it can handle signals. */
+  /** True once the daemon has logged its start. A signal before that may end the process before it can handle signals. */
   hasLogged: boolean
   /** True from a SIGKILL or SIGTERM sent by this cell until the next start. */
   endRequested: boolean
@@ -74,14 +72,6 @@
   disruptionCount: number
 }
 
-/** A worker, with its current incarnation; undefined while it is down. */
-export interface SoakWorker {
-  id: string
-  link: FaultProxy
-  incarnation: LeasedWorker | undefined
-  bornMs: number
-}
-
 /** System timers whose periodic timers can be cancelled together, since stand-ins never cancel theirs. */
 class DisposableTimers extends SystemTimers {
   private readonly _periods: TimerSubscription[] = []
@@ -102,22 +92,18 @@
   readonly timers = new DisposableTimers()
   readonly store = new StoreServer({ timers: this.timers })
   readonly daemons: SoakDaemon[] = []
-  readonly workers: SoakWorker[] = []
-  readonly records: RunRecord[] = []
-  /** All incarnations of all workers, with the lapses of their leases. */
-  readonly incarnations: LeasedWorker[] = []
+  readonly workers: SoakWorkers
   /** Descriptions of process exits that must not happen. */
   readonly violations: string[] = []
   private readonly _dir: string
   private readonly _networkPrefix: string
   private readonly _servers: JsonServer[] = [this.store.server]
-  private readonly _leases = new Map<string, string>()
   private _configurationVersion = 0
-  private _closed = false
 
-  constructor ({ dir, networkPrefix }: { dir: string, networkPrefix: string }) {
+  constructor ({ dir, networkPrefix, seed }: { dir: string, networkPrefix: string, seed: number }) {
     this._dir = dir
     this._networkPrefix = networkPrefix
+    this.workers = new SoakWorkers({ timers: this.timers, store: this.store, host: `${networkPrefix}.250`, seed })
     mkdirSync(dir, { recursive: true })
     process.once('exit', this._killAll)
   }
@@ -125,17 +111,12 @@
   async start ({ daemons, workers }: { daemons: number, workers: number }): Promise<void> {
     const standinHost = `${this._networkPrefix}.250`
     await this.store.server.listen(standinHost, PORTS.store)
-    const advice = new JsonServer(async ({ body }) => ({
-      status: 200, body: { good: body.workers.map((id: string) => [id, `ticket-${id}`]), valid_ms: 3_000 }
-    }))
+    const advice = new JsonServer(async ({ body }) => ({ status: 200, body: this.workers.advise(body.step, body.workers) }))
     await advice.listen(standinHost, PORTS.advice)
     this._servers.push(advice)
     this.configure()
-    for (let index = 0; index < workers; index++) await this._addWorker(index, standinHost)
+    await this.workers.start(workers)
     for (let index = 0; index < daemons; index++) await this._addDaemon(index, standinHost)
-    this.timers.every(ENTRY_RENEWAL_PERIOD_MS, () => {
-      if (!this._closed) for (const worker of this.workers) this._writeWorkerEntry(worker)
-    })
   }
 
   /** Writes a new version of the configuration to the store. */
@@ -158,7 +139,7 @@
     child.stdout.pipe(log, { end: false })
     child.stderr.pipe(log, { end: false })
     Object.assign(daemon, { process: child, hasLogged: false, endRequested: false, killed: false, stopping: false, paused: false })
-    child.stdout.once('data', () => { daemon.hasLogged = true })
+    child.stdout.on('data', (bytes: Buffer) => { if (daemon.process === child && bytes.includes(START_EVENT)) daemon.hasLogged = true })
     child.once('exit', (code, signal) => {
       daemon.process = undefined
       if (!daemon.endRequested) this.violations.push(`${name} ended without a signal from the test: code ${code}, signal ${signal}`)
@@ -182,57 +163,23 @@
     return { host, port: PORTS.front }
   }
 
-  /** Ends the worker without notice. Its next incarnation starts without state. */
-  crashWorker (worker: SoakWorker): void {
-    worker.incarnation?.crash()
-    worker.incarnation = undefined
-  }
-
-  /** Starts a new incarnation of a worker that is down. */
-  startWorker (worker: SoakWorker): void {
-    if (worker.incarnation) return
-    worker.bornMs = Date.now()
-    worker.incarnation = new LeasedWorker({
-      id: worker.id,
-      timers: this.timers,
-      records: this.records,
-      runMs: task => 100 + 40 * (Number.parseInt(task.slice(10, 16), 16) % 8),
-      capacity: { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 0 }
-    })
-    Object.assign(worker.incarnation.entry, { bornMs: worker.bornMs })
-    this.incarnations.push(worker.incarnation)
-    this._writeWorkerEntry(worker)
-  }
-
   /** Kills the daemons, also when this process exits before the cell is closed. */
   private readonly _killAll = (): void => {
     for (const daemon of this.daemons) this.signal(daemon, 'SIGKILL')
   }
 
   async close (): Promise<void> {
-    this._closed = true
     process.off('exit', this._killAll)
     this._killAll()
-    for (const worker of this.workers) {
-      worker.incarnation?.crash()
-      worker.link.close()
-    }
+    // The next cell may use the same addresses.
+    while (this.daemons.some(daemon => daemon.process)) await delay(this.timers, 20)
+    this.workers.close()
     for (const { link } of this.daemons) link.close()
     for (const server of this._servers) server.close()
     this.store.store.close()
     this.timers.dispose()
   }
 
-  private async _addWorker (index: number, standinHost: string): Promise<void> {
-    const worker: SoakWorker = { id: `w${index}`, link: new FaultProxy(`${standinHost}:${PORTS.worker + index}`), incarnation: undefined, bornMs: 0 }
-    const server = workerServer(() => worker.incarnation, this.timers)
-    await server.listen(standinHost, PORTS.worker + index)
-    this._servers.push(server)
-    await worker.link.listen(standinHost, PORTS.workerProxy + index)
-    this.workers.push(worker)
-    this.startWorker(worker)
-  }
-
   private async _addDaemon (index: number, standinHost: string): Promise<void> {
     const link = new FaultProxy(`${standinHost}:${PORTS.store}`)
     await link.listen(standinHost, PORTS.storeProxy + index)
@@ -241,28 +188,4 @@
     this.daemons.push(daemon)
     this.startDaemon(daemon)
   }
-
-  /** Writes the worker's entry under a lease that ends when the entry is no longer written. */
-  private _writeWorkerEntry ({ id, incarnation, bornMs }: SoakWorker): void {
-    if (!incarnation || this.store.fault === 'down') return
-    const { store } = this.store
-    const leaseId = this._leases.get(id)
-    if (leaseId !== undefined && store.keepAlive(leaseId).ttlMs === 0) this._leases.delete(id)
-    const lease = this._leases.get(id) ?? store.grantLease(ENTRY_TTL_MS).leaseId
-    this._leases.set(id, lease)
-    const value = JSON.stringify({
-      service: 'hub',
-      address: `${this._networkPrefix}.250:${PORTS.workerProxy + Number(id.slice(1))}`,
-      zone: 'abc'[Number(id.slice(1)) % 3],
-      version: '1',
-      slots: 8,
-      state: incarnation.faults.draining ? 'draining' : 'ready',
-      sequence: Math.round(this.timers.now()),
-      born: bornMs,
-      capacity: { cpu: 8_000, mem_mb: 8_000 },
-      labels: ['a', 'r1'],
-      remaining_ms: incarnation.faults.draining ? 2_000 : undefined
-    })
-    store.txn([], [{ op: 'put', key: `servers/${id}`, value, leaseId: lease }])
-  }
 }
--- /dev/null
+++ b/tests/soak/soakWorkers.ts
@@ -0,0 +1,150 @@
+/**
+ * The workers of a cell, behind links with injected faults, and their entries in the store.
+ *
+ * @module
+ */
+
+import { LeasedWorker, type RunRecord } from '@pomelofold/standins/leasedWorker'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import type { Timers } from 'pomelofold/seams/timers'
+import type { Resources } from 'pomelofold/protocol/workflows'
+import { FaultProxy } from './faultProxy.js'
+import type { StoreServer } from './standins.js'
+import { tickets, WorkerOrders, WorkerServer, type Incarnation } from './workerServer.js'
+
+/** Ports of the workers and of the proxies before them. */
+const PORTS = { worker: 9200, workerProxy: 9300 }
+/** Period at which workers write their entries to the store, in milliseconds. */
+const ENTRY_RENEWAL_PERIOD_MS = 500
+/** Lease of a worker's entry in the store, in milliseconds. */
+const ENTRY_TTL_MS = 1_500
+/** Validity of a ticket, in milliseconds. */
+export const TICKET_VALID_MS = 1_000
+/** Capacity of each worker. It starts what it is told to, whether it has room or not. */
+export const WORKER_CAPACITY: Resources = { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 0 }
+
+/** A worker id, with its current incarnation; undefined while it is down. */
+export interface SoakWorker {
+  id: string
+  link: FaultProxy
+  server: WorkerServer
+  incarnation: Incarnation | undefined
+  /** Time at which it announces to leave while it drains. */
+  leavesAtMs: number
+  /** The worker writes no entry to the store. */
+  cutOffFromStore: boolean
+}
+
+/** Run time of the tasks of a job, in milliseconds: a quarter of the jobs have tasks that outlast a fault. */
+export function runTimeMs (jobId: string): number {
+  const digits = Number.parseInt(jobId.slice(10, 16), 16)
+  return digits % 4 ? 100 + 40 * (digits % 8) : 1_000 + 500 * (digits % 7)
+}
+
+/** Starts, ends and lists the workers of a cell. */
+export class SoakWorkers {
+  readonly all: SoakWorker[] = []
+  readonly records: RunRecord[] = []
+  /** All incarnations of all workers, with the lapses of their leases. */
+  readonly incarnations: LeasedWorker[] = []
+  readonly orders = new WorkerOrders()
+  private readonly _timers: Timers
+  private readonly _store: StoreServer
+  private readonly _host: string
+  private readonly _seed: number
+  private readonly _leases = new Map<string, string>()
+  private _closed = false
+
+  constructor ({ timers, store, host, seed }: { timers: Timers, store: StoreServer, host: string, seed: number }) {
+    this._timers = timers
+    this._store = store
+    this._host = host
+    this._seed = seed
+  }
+
+  async start (count: number): Promise<void> {
+    for (let index = 0; index < count; index++) await this._add(index)
+    this._timers.every(ENTRY_RENEWAL_PERIOD_MS, () => { for (const worker of this.all) this._writeEntry(worker) })
+  }
+
+  /** Ends the worker without notice. Its next incarnation starts without state. */
+  crash (worker: SoakWorker): void {
+    worker.incarnation?.worker.crash()
+    worker.incarnation = undefined
+  }
+
+  /** Starts a new incarnation of a worker that is down. */
+  restart (worker: SoakWorker): void {
+    if (worker.incarnation) return
+    const incarnation = new LeasedWorker({
+      id: worker.id,
+      timers: this._timers,
+      records: this.records,
+      runMs: runTimeMs,
+      capacity: WORKER_CAPACITY
+    })
+    Object.assign(incarnation.entry, { bornMs: Date.now() })
+    worker.incarnation = { worker: incarnation, startedMs: Math.floor(this._timers.now()) }
+    this.incarnations.push(incarnation)
+    this._writeEntry(worker)
+  }
+
+  /** Answer of the advice service: every worker that is up may run the step. */
+  advise (step: string, ids: string[]): object {
+    const untilMs = Math.round(this._timers.now()) + TICKET_VALID_MS
+    const up = this.all.filter(({ id, incarnation }) => incarnation && ids.includes(id))
+    const good = up.map(({ id, incarnation }) => [id, tickets.create(step, incarnation!.worker.entry.bornMs, untilMs)])
+    return { good, valid_ms: TICKET_VALID_MS }
+  }
+
+  close (): void {
+    this._closed = true
+    for (const worker of this.all) {
+      this.crash(worker)
+      worker.link.close()
+      worker.server.server.close()
+    }
+  }
+
+  private async _add (index: number): Promise<void> {
+    const server = new WorkerServer({
+      current: () => worker.incarnation,
+      timers: this._timers,
+      random: new SeededRandom(this._seed * 1_000 + index),
+      records: this.records,
+      orders: this.orders
+    })
+    const link = new FaultProxy(`${this._host}:${PORTS.worker + index}`)
+    const worker: SoakWorker = { id: `w${index}`, link, server, incarnation: undefined, leavesAtMs: 0, cutOffFromStore: false }
+    await server.server.listen(this._host, PORTS.worker + index)
+    await link.listen(this._host, PORTS.workerProxy + index)
+    this.all.push(worker)
+    this.restart(worker)
+  }
+
+  /** Writes the worker's entry under a lease that ends when the entry is no longer written. */
+  private _writeEntry ({ id, incarnation, cutOffFromStore, leavesAtMs }: SoakWorker): void {
+    if (this._closed || !incarnation || cutOffFromStore || this._store.fault === 'down') return
+    const { store } = this._store
+    const leaseId = this._leases.get(id)
+    if (leaseId !== undefined && store.keepAlive(leaseId).ttlMs === 0) this._leases.delete(id)
+    const lease = this._leases.get(id) ?? store.grantLease(ENTRY_TTL_MS).leaseId
+    this._leases.set(id, lease)
+    const { entry, faults } = incarnation.worker
+    const nowMs = this._timers.now()
+    const value = JSON.stringify({
+      service: 'hub',
+      address: `${this._host}:${PORTS.workerProxy + Number(id.slice(1))}`,
+      zone: 'abc'[Number(id.slice(1)) % 3],
+      version: '1',
+      slots: 8,
+      state: faults.draining ? 'draining' : 'ready',
+      sequence: Math.round(nowMs - incarnation.startedMs),
+      born: entry.bornMs,
+      capacity: { cpu: WORKER_CAPACITY.cpuMillis, mem_mb: WORKER_CAPACITY.memoryMb },
+      labels: ['a', 'r1'],
+      remaining_ms: faults.draining ? Math.max(0, Math.round(leavesAtMs - nowMs)) : undefined
+    })
+    store.txn([], [{ op: 'put', key: `servers/${id}`, value, leaseId: lease }])
+  }
+}
--- a/tests/soak/standins.ts
+++ b/tests/soak/standins.ts
@@ -1,5 +1,5 @@
 /**
- * HTTP stand-ins for the platform's store and workers, with the interfaces that the platform's pages describe.
+ * HTTP stand-in for the platform's store, with the interface that the platform's pages describe.
  *
  * @module
  */
@@ -7,13 +7,11 @@
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { KeyValueStore } from '@pomelofold/standins/keyValueStore'
-import type { LeasedWorker } from '@pomelofold/standins/leasedWorker'
 import type { StoredValue } from 'pomelofold/seams/platformClient'
 import type { Timers } from 'pomelofold/seams/timers'
-import type { StartRefusal } from 'pomelofold/seams/workflowUpstreams'
 
 /** Status and body of an answer; undefined leaves the call unanswered. */
-type Answer = { status: number, body?: object } | undefined
+export type Answer = { status: number, body?: object } | undefined
 type Call = { path: string, query: URLSearchParams, body: any }
 type Handler = (call: Call) => Promise<Answer>
 
@@ -133,32 +131,3 @@
 function encodeEntry ({ key, value, createRevision, modRevision }: StoredValue): object {
   return { key, value: Buffer.from(value).toString('base64'), revision: modRevision, created: createRevision, lease: 0 }
 }
-
-const REASONS: Partial<Record<StartRefusal, string>> = { staleEpoch: 'fence', oldAttempt: 'old', late: 'late', noRoom: 'room' }
-
-/** Creates the HTTP server of a worker. `current` returns its current incarnation, or undefined while it is down. */
-export function workerServer (current: () => LeasedWorker | undefined, timers: Timers): JsonServer {
-  return new JsonServer(async ({ path, body }) => {
-    const worker = current()
-    if (!worker || worker.faults.unreachable) return
-    const clock = { clock_ms: Math.round(timers.now()) }
-    const order = { epoch: body.fence_token, task: body.task, attempt: body.attempt }
-    const answerOrder = (refusal: StartRefusal | undefined): Answer =>
-      refusal === undefined ? { status: 200, body: clock } : { status: 409, body: { ...clock, reason: REASONS[refusal] } }
-    if (path === 'POST /api/run-start') return answerOrder(worker.start({ ...order, payload: body.spec, untilMs: body.deadline_ms }))
-    if (path === 'POST /api/run-stop') return answerOrder(worker.stop(order))
-    const report = await worker.extend({
-      epoch: body.fence_token, acknowledged: body.acked_through, untilMs: body.deadline_ms, waitMs: body.wait_ms
-    })
-    if ('refusal' in report) return answerOrder(report.refusal)
-    return {
-      status: 200,
-      body: {
-        clock_ms: Math.round(report.clockMs),
-        born: report.bornMs,
-        running: report.running.map(run => [run.task, run.attempt, run.checkpoint, run.percent]),
-        ended_runs: report.ended.map(end => [end.sequence, end.task, end.attempt, end.how, end.checkpoint])
-      }
-    }
-  })
-}
