Bound the wait for a start without an answer at a worker that refuses all orders

Callers would see a task wait for ever, and the worker would get stops without end, when a worker answers lease extensions and refuses every start and stop: since a start with an unanswered try is settled only by a stop. Change: a report requested later than the longest delay of an order (12 s) after the last such try settles it as well: a run that it does not list was not and will not be carried out. Evidence: the new test fails before (still running after 17 s).

--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -198,9 +198,11 @@
    * Has a worker refuse a start that it may carry out late. Room is kept for the run until a report requested after the stop
    * does not list it. When this settles the start, its task waits for that.
    */
-  private _refuseLateStart (session: WorkerSession, { name, attempt, size, task }: LateStart, { settles }: { settles: boolean }): void {
+  private _refuseLateStart (session: WorkerSession, start: LateStart, { settles }: { settles: boolean }): void {
+    const { name, attempt, size, task, sentMs } = start
     const waiting = settles && task && task.state === TASK_STATES.waiting && !task.run
     const run = this._addRun({ task: waiting ? task : undefined, name, attempt, session, size, state: RUN_STATES.starting })
+    run.unansweredMs = sentMs
     this._orderSender.stop(run, 'its start may still be carried out late')
     session.skipNextWait = true
   }
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -9,6 +9,7 @@
 import type { LongPollPolicy } from './longPollPolicy.js'
 import { isSpareCpuRun, isServingRun } from './spareCpuPacer.js'
 import type { RunHost } from './runHost.js'
+import { MAX_ORDER_DELAY_MS } from './runOrderSender.js'
 import { RUN_STATES, type Run } from './workflowRuntime.js'
 import type { Resources } from '../protocol/workflows.js'
 import { START_REFUSALS, type LeaseReport, type WorkerClient, type WorkerEntry } from '../seams/workflowUpstreams.js'
@@ -359,5 +360,7 @@
 /** True when a report whose request was sent at `requestSentMs` must list the run unless it has ended. */
 export function mustBeListed (run: Run, requestSentMs: number): boolean {
   if (run.state === RUN_STATES.stopping && run.stopConfirmedMs !== undefined) return run.stopConfirmedMs < requestSentMs
-  return run.startConfirmedMs !== undefined && run.startConfirmedMs < requestSentMs
+  if (run.startConfirmedMs !== undefined) return run.startConfirmedMs < requestSentMs
+  // A start without an answer is carried out within the longest delay of an order, or not at all.
+  return run.unansweredMs !== undefined && run.unansweredMs + MAX_ORDER_DELAY_MS < requestSentMs
 }
--- a/tests/workflows/faults.test.ts
+++ b/tests/workflows/faults.test.ts
@@ -381,3 +381,21 @@
   t.equal(cell.records.length, 1_000)
   t.same(cell.violations(), [])
 })
+
+// Guards against tasks that wait for ever for a start without an answer at a worker that refuses every further order.
+t.test('a task whose start had no answer at a worker that refuses all further orders starts again after the longest delay', async t => {
+  const cell = new WorkflowCell({ daemons: 1, workers: 2, cpuMillis: 2_000, runMs: () => 500 })
+  await cell.waitUntilReady()
+  const [worker] = cell.workers
+  worker.start = () => START_REFUSALS.unhealthy
+  worker.stop = () => START_REFUSALS.unhealthy
+  worker.faults.loseAnswers = true
+  const workflow = cell.workflow([{ tasks: 4 }])
+  await cell.submit(workflow)
+  await cell.timers.advance(300)
+  worker.faults.loseAnswers = false
+  await cell.timers.advance(11_000)
+  t.equal(cell.records.length, 2, 'the tasks of starts that may still be carried out wait')
+  await cell.waitForState(workflow.id, 'done', { limitMs: 6_000 })
+  t.same(cell.violations(), [])
+})
