--- a/tests/soak/soakCell.ts
+++ b/tests/soak/soakCell.ts
@@ -10,7 +10,7 @@
 import { SystemTimers } from 'pomelofold/edge/systemTimers'
 import { delay, type TimerSubscription } from 'pomelofold/seams/timers'
 import { FaultProxy } from './faultProxy.js'
-import { SoakWorkers, TICKET_VALID_MS } from './soakWorkers.js'
+import { ENTRY_RENEWAL_PERIOD_MS, SoakWorkers, TICKET_VALID_MS } from './soakWorkers.js'
 import { JsonServer, StoreServer } from './standins.js'
 import { MAX_LEASE_MS } from './workerServer.js'
 
@@ -132,7 +132,7 @@
       `node_name=${name}`, `ip=${host}`, `zone=${name.split('-')[0]}`, `listen_addrs.front=${host}:${PORTS.front}`,
       `listen_addrs.ready=${host}:${PORTS.ready}`, `port_range=${PORTS.peers},${PORTS.metrics}`,
       `platform.address=${this._networkPrefix}.250:${PORTS.storeProxy + this.daemons.indexOf(daemon)}`,
-      `advice=${this._networkPrefix}.250:${PORTS.advice}`, `bounds.hold_max_ms=${MAX_LEASE_MS}`, 'bounds.status_s=120', `bounds.grace_s=${SHUTDOWN_GRACE_MS / 1_000}`
+      `advice=${this._networkPrefix}.250:${PORTS.advice}`, `bounds.hold_max_ms=${MAX_LEASE_MS}`, 'bounds.status_s=120', `heartbeat_ms=${ENTRY_RENEWAL_PERIOD_MS}`, `bounds.grace_s=${SHUTDOWN_GRACE_MS / 1_000}`
     ].join('\n'))
     const child = spawn(process.execPath, [join(PROGRAM_DIR, PROGRAM_FILES[0])], { env: { PATH: process.env.PATH, POMELOFOLD_CONFIG: path }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(this._dir, `${name}.log`), { flags: 'a' })
--- a/tests/soak/soakWorkers.ts
+++ b/tests/soak/soakWorkers.ts
@@ -15,7 +15,7 @@
 /** Ports of the workers and of the proxies before them. */
 const PORTS = { worker: 9200, workerProxy: 9300 }
 /** Period at which workers write their entries to the store, in milliseconds. */
-const ENTRY_RENEWAL_PERIOD_MS = 500
+export const ENTRY_RENEWAL_PERIOD_MS = 500
 /** Lease of a worker's entry in the store, in milliseconds. */
 const ENTRY_TTL_MS = 1_500
 /** Validity of a ticket, in milliseconds. */
