--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -34,11 +34,16 @@
 /** Refusals after which no starts are sent to the worker for REFUSING_WORKER_PAUSE_MS. */
 const WORKER_PAUSING_REFUSALS: ReadonlySet<StartRefusal | 'notSent'> = new Set([START_REFUSALS.noRoom, START_REFUSALS.unhealthy, 'notSent'])
 
+/** Maximum number of runs that the line about a crash names, each with its age in milliseconds. */
+const MAX_NAMED_RUNS = 8
+
 /** Counts since the start of the term. */
 export interface RunCounts {
   starts: number
   ends: Record<RunEnd | 'lost', number>
   refusals: Record<string, number>
+  /** Workers that ended without notice. */
+  crashedWorkers: number
   /** Runs that a worker listed although none was expected there, by how they had been released. */
   unexpected: Partial<Record<Release, number>>
 }
@@ -78,6 +83,7 @@
   private readonly _lateStarts: LateStartTracker
   private readonly _pacer: SpareCpuPacer
   private _startCount = 0
+  private _crashCount = 0
 
   constructor (options: RunTrackerOptions) {
     this._options = options
@@ -116,6 +122,7 @@
       starts: this._startCount,
       ends: { ...this._endCounts },
       refusals: { ...this._refusalCounts },
+      crashedWorkers: this._crashCount,
       unexpected: { ...this._unexpectedCounts }
     }
   }
@@ -174,6 +181,18 @@
     return changedWorkflows
   }
 
+  /** Handles the end of a worker without notice. Its runs are released once they are certain to have ended. */
+  handleCrash (session: WorkerSession, evidence: string): void {
+    this._crashCount++
+    const youngestFirst = [...session.runs.values()].sort((a, b) => b.startedMs - a.startedMs)
+    this._options.log.event('warn', 'worker.crashed', {
+      worker: session.incarnation,
+      evidence,
+      runs: youngestFirst.length,
+      youngest: youngestFirst.slice(0, MAX_NAMED_RUNS).map(run => `${run.name}#${run.attempt}:${Math.round(session.lostMs - run.startedMs)}`).join(',')
+    })
+  }
+
   /** All runs of the worker have ended. Tasks whose start another incarnation of it may carry out wait. */
   handleLapse (session: WorkerSession, reason: string): void {
     if (session.runs.size) {
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -327,6 +327,14 @@
     this._endByTakeover(`worker ${session.incarnation} has received a newer epoch`)
   }
 
+  onLost (_session: WorkerSession): void {}
+
+  onCrash (session: WorkerSession, evidence: string): void {
+    if (!this._closed) this._runTracker.handleCrash(session, evidence)
+  }
+
+  onReached (_session: WorkerSession): void {}
+
   /** All runs of the worker have ended. Their tasks wait again, unless the worker's next incarnation may still start them. */
   onLapse (session: WorkerSession, reason: string): void {
     if (this._closed) return
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -261,6 +261,7 @@
       if (successors.length) {
         session.restarted = successors.some(({ id }) => id === session.entry.id)
         session.replaced = !session.restarted
+        session.noteCrash('another incarnation is listed at its address')
         this._endSession(session, 'another incarnation is listed at its address')
       } else this._noteMissing(session)
     }
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -14,7 +14,7 @@
 import type { Resources } from '../protocol/workflows.js'
 import { START_REFUSALS, type LeaseReport, type WorkerClient, type WorkerEntry } from '../seams/workflowUpstreams.js'
 import { delay, type Timers } from '../seams/timers.js'
-import type { CallError } from '../utils/errors.js'
+import { isConnectionRefused, type CallError } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Lowest rate of a worker's clock relative to the scheduler's: it may be 2% slow. */
@@ -40,6 +40,12 @@
 export interface WorkerSessionListener {
   /** Called when the worker has answered. Resolves when the ends in the report are recorded. */
   onReport (session: WorkerSession, report: LeaseReport, requestSentMs: number): Promise<void>
+  /** Called when the worker no longer answers. */
+  onLost (session: WorkerSession): void
+  /** Called when this incarnation of the worker is known to have ended without notice, once for each loss. */
+  onCrash (session: WorkerSession, evidence: string): void
+  /** Called when the worker answers for the first time, or again after a loss. */
+  onReached (session: WorkerSession): void
   /** Called when all runs on the worker are certain to have ended. */
   onLapse (session: WorkerSession, reason: string): void
   /** Called when the worker has refused a call because it has seen a newer epoch. */
@@ -84,6 +90,12 @@
   synced = false
   /** True when the worker has answered the last extension. */
   reachable = false
+  /** True when a call has failed and the next one is not settled: it tells a crash from a lost answer. */
+  lossUnexplained = false
+  /** Time at which the worker's last answer or start was lost, in milliseconds of the monotonic clock. */
+  lostMs = Number.NEGATIVE_INFINITY
+  /** True when this incarnation is known to have ended without notice. Withdrawn when it answers again. */
+  crashed = false
   /** False once the directory no longer lists this incarnation. */
   listed = true
   /** True when all earlier runs on the worker have ended although it did not report their ends. */
@@ -262,9 +274,8 @@
     if (this._closed) return
     return match(answer)
       .with({ isErr: true }, ({ error }) => {
-        if (this.reachable) this._noteLoss(error)
         longPollPolicy.noteUnanswered()
-        this.reachable = false
+        this._handleNoAnswer(error)
         return undefined
       })
       .with({ isErr: false, value: { refusal: P.string } }, ({ value }) => {
@@ -274,17 +285,20 @@
       .otherwise(({ value }) => {
         const report = value as LeaseReport
         this.noteClock(report.clockMs)
+        if (report.bornMs !== undefined && report.bornMs !== this.entry.bornMs) {
+          this.restarted = true
+          this._endIncarnation('another incarnation of the worker answered')
+          return undefined
+        }
         if (!this.reachable) {
           log.event(
             'info', 'worker.reached',
             { worker: this.incarnation, epoch, running: report.running.length, ended: report.ended.length, first: !this.synced }
           )
-        }
-        this.reachable = true
-        if (report.bornMs !== undefined && report.bornMs !== this.entry.bornMs) {
-          this.restarted = true
-          this._endIncarnation('another incarnation of the worker answered')
-          return undefined
+          this.reachable = true
+          this.lossUnexplained = false
+          listener.onReached(this)
+          this.crashed = false
         }
         this.lastReportRequestSentMs = requestSentMs
         const recorded = listener.onReport(this, report, requestSentMs)
@@ -298,11 +312,33 @@
     return runs.some(isSpareCpuRun) && runs.some(isServingRun)
   }
 
+  private _handleNoAnswer (err: CallError): void {
+    const { listener } = this._options
+    this.lossUnexplained = this.reachable
+    if (this.reachable) {
+      this._noteLoss(err)
+      this.reachable = false
+      listener.onLost(this)
+    }
+    // A process that is only cut off does not refuse connections.
+    if (isConnectionRefused(err)) this.noteCrash('it refuses connections')
+  }
+
   private _noteLoss ({ step, peer, message }: CallError): void {
-    const lapsesInMs = Math.round(this.lapsesAtMs - this._options.timers.now())
+    this.lostMs = this._options.timers.now()
+    const lapsesInMs = Math.round(this.lapsesAtMs - this.lostMs)
     this._options.log.event('warn', 'worker.lost', { worker: this.incarnation, step, peer, detail: message, runs: this.runs.size, lapsesInMs })
   }
 
+  /** Notes that this incarnation has ended without notice, unless that is known or it has announced to leave. */
+  noteCrash (evidence: string): void {
+    if (this.crashed || this.entry.draining || !this.synced) return
+    this.crashed = true
+    this.lossUnexplained = false
+    if (this.reachable) this.lostMs = this._options.timers.now()
+    this._options.listener.onCrash(this, evidence)
+  }
+
   private _handleRefusal (refusal: string): void {
     const { listener, log } = this._options
     if (refusal === START_REFUSALS.staleEpoch) {
@@ -320,6 +356,7 @@
 
   /** Ends the session because this incarnation of the worker has ended. */
   private _endIncarnation (reason: string): void {
+    this.noteCrash(reason)
     this._closed = true
     this.lapsed = true
     this._options.listener.onLapse(this, reason)
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -73,6 +73,8 @@
   silent: boolean
   /** Another writer has overwritten the entry with one that names no usable worker. */
   entryOverwritten: boolean
+  /** The process has ended while its VM runs: calls in progress break, and new connections are refused. */
+  refusesConnections: boolean
 }
 
 /** One incarnation of a worker. A restart is a new object with the same id and another `entry.bornMs`. */
@@ -90,7 +92,8 @@
     leavesInMs: undefined,
     unlisted: false,
     silent: false,
-    entryOverwritten: false
+    entryOverwritten: false,
+    refusesConnections: false
   }
 
   /** Runs in progress, by task. */
@@ -104,6 +107,7 @@
   private readonly _timers: Timers
   private readonly _records: RunRecord[]
   private readonly _runMs: (task: string) => number
+  private readonly _onStarted: (record: RunRecord, worker: LeasedWorker) => void
   /** Highest attempt that has ended or was stopped, by task. Starts up to it are refused. */
   private readonly _highestAttempts = new Map<string, number>()
   private _unacknowledgedEnds: Array<ListedEnd & { record: RunRecord }> = []
@@ -120,17 +124,23 @@
   /** Callbacks of lease extensions that wait for the end of a run. */
   private _reportWaiters: Array<() => void> = []
 
-  constructor ({ id, timers, records, runMs, capacity, labels = ['a', 'r1'], clockStartMs = 0, maxLeaseMs = Number.POSITIVE_INFINITY }: {
+  constructor ({
+    id, address = id, timers, records, runMs, onStarted = () => {}, capacity, labels = ['a', 'r1'], clockStartMs = 0, maxLeaseMs = Number.POSITIVE_INFINITY
+  }: {
     id: string,
+    address?: string,
     timers: Timers,
     records: RunRecord[],
     runMs: (task: string) => number,
+    /** Called when a run has started. */
+    onStarted?: (record: RunRecord, worker: LeasedWorker) => void,
     capacity: Resources,
     labels?: string[],
     clockStartMs?: number,
     maxLeaseMs?: number
   }) {
-    this.entry = { id, bornMs: 1, service: 'leafline', address: id, failureDomain: 'a', draining: false, capacity, labels }
+    this.entry = { id, bornMs: 1, service: 'leafline', address, failureDomain: 'a', draining: false, capacity, labels }
+    this._onStarted = onStarted
     this._timers = timers
     this._records = records
     this._runMs = runMs
@@ -157,6 +167,7 @@
     this._unacknowledgedEnds = []
     this.faults.unreachable = true
     this.faults.unlisted = true
+    for (const wake of this._reportWaiters.splice(0)) wake()
   }
 
   /** Starts a run. Returns the refusal, if any. A repeated start of a run in progress does not start it again. */
@@ -176,6 +187,7 @@
     const how = this.faults.failTasks ? RUN_ENDS.failed : RUN_ENDS.done
     const timer = this._timers.after(runMs, () => this._endRun(task, how))
     this.runs.set(task, { record, runMs, cancel: () => timer.cancel() })
+    this._onStarted(record, this)
   }
 
   /** Ends all runs with `broken`, as if another member of their gang had ended. */
@@ -341,6 +353,14 @@
       await delay(this._timers, timeoutMs)
       return Result.err(new CallTimeoutError(timeoutMs, details))
     }
+    if (!worker && this._workers().some(({ entry: { address }, faults }) => address === entry.address && !faults.unreachable)) {
+      await delay(this._timers, 2)
+      return Result.ok({ refusal: START_REFUSALS.otherIncarnation } as T)
+    }
+    if (worker?.faults.refusesConnections) {
+      await delay(this._timers, 1)
+      return Result.err(new CallError(`connect ECONNREFUSED ${entry.address}`, { ...details, effect: EFFECTS.none }))
+    }
     if (!worker || worker.faults.unreachable || this.disconnected || this.unreachableWorkers.has(entry.id)) return timedOut()
     if (order && worker.faults.orderDelayMs > 0) {
       // The order reaches the incarnation that has the id when the delay is over, which may be a later one.
@@ -351,6 +371,7 @@
     const { loseAnswers, loseEveryNthAnswer } = worker.faults
     const answerLost = (order && loseAnswers) || (loseEveryNthAnswer > 0 && ++this._callCount % loseEveryNthAnswer === 0)
     const value = await fn(worker)
+    if (worker.faults.refusesConnections) return Result.err(new CallError('other side closed', details))
     if (answerLost || worker.faults.unreachable || this.disconnected) return timedOut()
     await delay(this._timers, 1)
     return Result.ok(value)
