--- /dev/null
+++ b/tests/workflows/crashes.test.ts
@@ -0,0 +1,132 @@
+/**
+ * Tests with tasks that crash the worker that runs them, and with workers that crash for other reasons.
+ *
+ * @module
+ */
+
+import t from 'tap'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import type { WorkflowStep } from 'pomelofold/protocol/workflows'
+import { WorkflowCell, type WorkflowCellOptions } from './workflowCell.js'
+
+/** Highest number of workers that one task may crash: one start more than the third crash permits is still on its way. */
+const MAX_CRASHES = 4
+/** Number of starts of a task after three crashes of its workers that break the users' rule. */
+const FORBIDDEN_STARTS = 3
+
+/** Starts of the task after the third worker had crashed under it. */
+function startsAfterThirdCrash (cell: WorkflowCell, task: string): number {
+  const crashed = cell.runsOf(task).filter(({ worker, endMs }) => cell.crashes.some(crash => crash.worker === worker && crash.atMs === endMs))
+  if (crashed.length < 3) return 0
+  return cell.runsOf(task).filter(({ startMs }) => startMs > crashed[2].endMs).length
+}
+
+/** A cell whose task 0 of the first job crashes its worker, and ordinary jobs that come in beside it. */
+async function cellWithCrashingTask (
+  { step = {}, afterMs = 10, ordinaryJobs = 20, ...options }: { step?: Partial<WorkflowStep>, afterMs?: number, ordinaryJobs?: number } & Partial<WorkflowCellOptions> = {}
+): Promise<{ cell: WorkflowCell, crashing: string, ordinary: string[], speculative: Set<string> }> {
+  const task = `${'1'.padStart(16, '0')}.0.0.0`
+  const cell = new WorkflowCell({
+    workers: 12, runMs: () => 800, crashAfterMs: name => name === task ? afterMs : undefined, ...options
+  })
+  await cell.waitUntilReady()
+  const crashing = cell.workflow([{ tasks: 4, ...step }])
+  const ordinary: string[] = []
+  const speculative = new Set(step.speculative ? [crashing.id] : [])
+  await cell.submit(crashing)
+  for (let job = 0; job < ordinaryJobs; job++) {
+    const workflow = cell.workflow([{ tasks: 3, speculative: job % 2 === 0 }])
+    ordinary.push(workflow.id)
+    if (job % 2 === 0) speculative.add(workflow.id)
+    await cell.submit(workflow)
+    await cell.timers.advance(100)
+  }
+  return { cell, crashing: crashing.id, ordinary, speculative }
+}
+
+// Guards against one task that crashes worker after worker (BUDGET).
+t.test('a task that crashes each worker that starts it is given up, whatever its step', async t => {
+  const steps: Array<Partial<WorkflowStep>> = [
+    {}, { speculative: true }, { gang: true }, { checkpointing: true }, { longRunning: true }, { maxPerWorker: 1 }, { speculative: true, maxPerWorker: 2 }
+  ]
+  for (const step of steps) {
+    const { cell, crashing, ordinary, speculative } = await cellWithCrashingTask({ step })
+    const name = JSON.stringify(step)
+    await cell.timers.advance(30_000)
+    t.ok(cell.crashes.length <= MAX_CRASHES, `${name}: ${cell.crashes.length} workers crash`)
+    t.ok(startsAfterThirdCrash(cell, `${crashing}.0.0.0`) < FORBIDDEN_STARTS, `${name}: starts after the third crash`)
+    await cell.waitForState(crashing, 'failed', { limitMs: 1_000 })
+    for (const id of ordinary) await cell.waitForState(id, 'done', { limitMs: 1_000 })
+    t.same(cell.violations().filter(text => !speculative.has(text.slice(0, 16))), [], name)
+  }
+})
+
+// Guards against a task that is never suspected since younger runs are on each worker that it crashes.
+t.test('a task that crashes its workers seconds after its start is given up', async t => {
+  for (const afterMs of [700, 2_000]) {
+    for (const speculative of [false, true]) {
+      const { cell, crashing, ordinary } = await cellWithCrashingTask({ step: { speculative }, afterMs, runMs: () => 3_000, ordinaryJobs: 40 })
+      await cell.timers.advance(60_000)
+      t.ok(cell.crashes.length <= MAX_CRASHES, `after ${afterMs} ms, speculative ${speculative}: ${cell.crashes.length} workers crash`)
+      await cell.waitForState(crashing, 'failed', { limitMs: 1_000 })
+      for (const id of ordinary) await cell.waitForState(id, 'done', { limitMs: 1_000 })
+    }
+  }
+})
+
+// Guards against a count of crashes that starts from zero with each scheduler.
+t.test('the crashes of a task are known to the next scheduler', async t => {
+  for (const speculative of [false, true]) {
+    const { cell, crashing } = await cellWithCrashingTask({ step: { speculative }, ordinaryJobs: 0 })
+    for (let changes = 0; changes < 3; changes++) {
+      const { length } = cell.crashes
+      await cell.timers.advance(200)
+      cell.leader?.process.kill()
+      const { vm } = cell.daemons.find(({ process }) => !process.isRunning()) ?? cell.daemons[0]
+      await cell.timers.advanceUntil(() => cell.leader !== undefined)
+      cell.startDaemon(vm)
+      await cell.timers.advance(10_000)
+      t.ok(cell.crashes.length <= length + 2, `term ${changes}: ${cell.crashes.length - length} workers crash`)
+    }
+    t.ok(cell.crashes.length <= MAX_CRASHES, `speculative ${speculative}: ${cell.crashes.length} workers crash`)
+    await cell.waitForState(crashing, 'failed', { at: cell.leader, limitMs: 1_000 })
+  }
+})
+
+// Guards against tasks that are started one more time while the scheduler cannot record that their worker has crashed.
+t.test('a suspected task waits until its crash is recorded', async t => {
+  const { cell, crashing } = await cellWithCrashingTask({ ordinaryJobs: 0, step: { speculative: true }, afterMs: 500 })
+  for (const { platform } of cell.daemons) platform.faults.unreachable = true
+  await cell.timers.advance(5_000)
+  t.equal(cell.crashes.length, 1, 'no further worker crashes while the store is away')
+  for (const { platform } of cell.daemons) platform.faults.unreachable = false
+  await cell.waitForState(crashing, 'failed')
+  t.ok(cell.crashes.length <= MAX_CRASHES)
+})
+
+// Guards against jobs that are given up because workers crashed for other reasons.
+t.test('no job is given up because its workers crash for other reasons', async t => {
+  for (let seed = 1; seed <= 4; seed++) {
+    const random = new SeededRandom(seed)
+    const cell = new WorkflowCell({ workers: 12, runMs: () => 400 + random.int(3_000) })
+    await cell.waitUntilReady()
+    const ids: string[] = []
+    const speculative = new Set<string>()
+    const kinds: Array<Partial<WorkflowStep>> = [{}, { speculative: true }, { gang: true }, { checkpointing: true }]
+    for (let second = 0; second < 16; second++) {
+      for (const kind of kinds) {
+        const workflow = cell.workflow([{ tasks: 4, ...kind }])
+        ids.push(workflow.id)
+        if (kind.speculative) speculative.add(workflow.id)
+        await cell.submit(workflow)
+        await cell.timers.advance(230)
+      }
+      const up = cell.workers.filter(worker => !worker.faults.unreachable)
+      // Alternates between one worker and two fifths of them at the same moment.
+      const count = second % 4 === 3 ? 5 : 1
+      for (let crash = 0; crash < count && up.length > 0; crash++) cell.crashWorker(up.splice(random.int(up.length), 1)[0])
+    }
+    for (const id of ids) await cell.waitForState(id, 'done', { limitMs: 30_000 })
+    t.same(cell.violations().filter(text => !speculative.has(text.slice(0, 16))), [], `seed ${seed}`)
+  }
+})
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -36,6 +36,8 @@
   seed?: number
   runMs?: (task: string, worker: string) => number
   queue?: Partial<QueueConfig>
+  /** Time after a start at which the task crashes its worker, in milliseconds; undefined for tasks that do not. */
+  crashAfterMs?: (task: string) => number | undefined
   /** Creates the eligibility client of a daemon. By default every worker may run every step, and answers come at once. */
   eligibility?: (timers: Timers) => EligibilityClient
 }
@@ -49,11 +51,16 @@
 /** Maximum length of a worker's lease, in milliseconds. */
 const MAX_LEASE_MS = 6_000
 
+/** Time from a crash of a worker to the start of its successor, in milliseconds. */
+const CRASH_DOWNTIME_MS = 3_000
+
 /** Runs daemons and workers against one in-memory store, and records all events and runs. */
 export class WorkflowCell {
   readonly timers = new ManualTimers()
   readonly store = new KeyValueStore({ timers: this.timers })
   readonly records: RunRecord[] = []
+  /** Crashes by `crashWorker`, in order of time. */
+  readonly crashes: Array<{ worker: string, atMs: number }> = []
   readonly workers: LeasedWorker[]
   readonly daemons: TestDaemon[] = []
   /** Events of all daemons. */
@@ -65,7 +72,7 @@
   readonly cutDomains = new Set<string>()
   /** Failure domains of which a device refuses connections from and to others. */
   readonly refusingDomains = new Set<string>()
-  private readonly _newWorker: (index: number, clockStartMs?: number) => LeasedWorker
+  private readonly _newWorker: (index: number, options?: { id?: string, clockStartMs?: number }) => LeasedWorker
   private readonly _newEligibilityClient: (timers: Timers) => EligibilityClient
   private readonly _random: SeededRandom
   private readonly _network = new PeerNetwork({
@@ -78,7 +85,8 @@
   private _submitted = 0
 
   constructor ({
-    daemons = 3, workers = 3, cpuMillis = 8_000, seed = 1, runMs = () => 300, queue = {}, eligibility = () => EVERY_WORKER_ELIGIBLE
+    daemons = 3, workers = 3, cpuMillis = 8_000, seed = 1, runMs = () => 300, queue = {}, crashAfterMs = () => undefined,
+    eligibility = () => EVERY_WORKER_ELIGIBLE
   }: WorkflowCellOptions = {}) {
     this._newEligibilityClient = eligibility
     this._random = new SeededRandom(seed)
@@ -88,8 +96,13 @@
       routes: [{ queue: 'checks', host: 'h', prefix: '/checks/' }],
       maxBodyBytes: 262_144
     }
-    this._newWorker = (index, clockStartMs) => new LeasedWorker({
-      id: `w${index}`,
+    this._newWorker = (index, { id, clockStartMs } = {}) => new LeasedWorker({
+      id: id ?? `w${index}`,
+      address: `w${index}`,
+      onStarted: ({ task }, worker) => {
+        const afterMs = crashAfterMs(task)
+        if (afterMs !== undefined) this.timers.after(afterMs, () => { if (worker.runs.has(task)) this.crashWorker(worker) })
+      },
       timers: this.timers,
       records: this.records,
       runMs: task => runMs(task, `w${index}`),
@@ -148,7 +161,7 @@
     const index = this.workers.findIndex(worker => worker.entry.id === id)
     const bornMs = this.workers[index].entry.bornMs + 1
     this.workers[index].crash()
-    this.workers[index] = this._newWorker(index, this.timers.now())
+    this.workers[index] = this._newWorker(index, { clockStartMs: this.timers.now() })
     Object.assign(this.workers[index].entry, { bornMs })
     const { faults } = this.workers[index]
     faults.unlisted = listedAfterMs > 0
@@ -157,6 +170,19 @@
     if (reachableAfterMs > 0) this.timers.after(reachableAfterMs, () => { faults.unreachable = false })
   }
 
+  /** Crashes a worker: it refuses connections, and after `CRASH_DOWNTIME_MS` a worker with a new id starts at its address. */
+  crashWorker (worker: LeasedWorker): void {
+    const index = this.workers.indexOf(worker)
+    worker.faults.refusesConnections = true
+    worker.crash()
+    this.crashes.push({ worker: worker.entry.id, atMs: this.timers.now() })
+    const { bornMs } = worker.entry
+    this.timers.after(CRASH_DOWNTIME_MS, () => {
+      this.workers[index] = this._newWorker(index, { id: `w${index}-${bornMs + 1}`, clockStartMs: this.timers.now() })
+      Object.assign(this.workers[index].entry, { bornMs: bornMs + 1 })
+    })
+  }
+
   /** The running daemon that schedules. */
   get leader (): TestDaemon | undefined {
     return this.daemons.find(({ daemon, process }) => process.isRunning() && daemon.figures().leading)
