Find tasks that crash their workers by trials, and give their jobs up

Callers saw: one request crashed worker after worker (BUDGET), and each crash took all else that ran there with it.

Cause: a crash left no trace on the tasks that ran there, so that a task was placed like a new one for ever; and a step that allows copies got its copy before the next call showed that the worker had crashed. Class: the cause of a fault is moved on with the work that recovers from it.

Change: a crash (refused connections, or another incarnation; never silence, nor after a notice to leave) is evidence against the tasks that ran there, weighed by the age of the run, by how many workers were lost at once, and by former crashes at the address. A suspected task waits until the crash is recorded in the store, is not copied, and runs on trial: on a worker with few other runs, where no other job is on trial and nothing else starts. It is cleared once it has run longer than it did before, or given up after two crashes (one on trial) to four. Its job is failed, with the crashes by worker and time. Counters and log lines tell suspected, cleared, given up.

--- a/packages/pomelofold/src/protocol/workflows.ts
+++ b/packages/pomelofold/src/protocol/workflows.ts
@@ -96,6 +96,22 @@
 /** State of a workflow as callers see it. */
 export type WorkflowState = typeof JOB_STATES[keyof typeof JOB_STATES]
 
+/** Stored form of the crash of a worker on which a task ran. */
+export const crashRecordSchema = z.object({
+  /** Incarnation of the worker. */
+  worker: z.string(),
+  attempt: z.number().int(),
+  /** Date of the crash, in milliseconds since the Unix epoch. */
+  atMs: z.number(),
+  /** Time from the start of the run to the loss of its worker, in milliseconds. */
+  ageMs: z.number().nonnegative(),
+  /** Weight of the crash as evidence against the task. */
+  weight: z.number().positive()
+})
+
+/** Stored form of the crash of a worker on which a task ran. */
+export type CrashRecord = z.infer<typeof crashRecordSchema>
+
 /** Stored form of the progress of a workflow's tasks. */
 export const workflowProgressSchema = z.object({
   /** Final state; absent while the workflow runs. */
@@ -109,14 +125,20 @@
   /** Attempt numbers of the runs that failed, by `occurrence.step.index`. */
   failures: z.record(z.string(), z.array(z.number().int().positive())).default({}),
   /** Latest checkpoints of the tasks that are not running, by `occurrence.step.index`. */
-  checkpoints: z.record(z.string(), z.string()).default({})
+  checkpoints: z.record(z.string(), z.string()).default({}),
+  /** Crashes of workers that count against a task, by `occurrence.step.index`; for a gang, those of its first task. */
+  crashes: z.record(z.string(), z.array(crashRecordSchema)).default({}),
+  /** Why the workflow has failed, for callers. */
+  reason: z.string().optional()
 })
 
 /** Stored form of the progress of a workflow's tasks. */
 export type WorkflowProgress = z.infer<typeof workflowProgressSchema>
 
 /** Stored form of the progress of a workflow that has ended. */
-export const endedWorkflowSchema = z.object({ state: z.enum(JOB_STATES), endedAtMs: z.number(), queue: z.string() })
+export const endedWorkflowSchema = z.object({
+  state: z.enum(JOB_STATES), endedAtMs: z.number(), queue: z.string(), reason: z.string().optional()
+})
 
 /** Stored form of the progress of a workflow that has ended. */
 export type EndedWorkflow = z.infer<typeof endedWorkflowSchema>
--- /dev/null
+++ b/packages/pomelofold/src/workflows/crashEvidence.ts
@@ -0,0 +1,76 @@
+/**
+ * Weighs the crashes of workers as evidence against the tasks that ran on them.
+ *
+ * Load pattern: a task that crashes every worker that starts it, among ordinary crashes. A crash ends all runs of its worker, so
+ * that one crash says little about one of them. A run that had just started is suspected more than one that had run for some
+ * time. When many workers are lost at once, no task is the likely cause. The clearest evidence is a trial: a suspected task
+ * runs on a worker where no other suspect is on trial and nothing else starts.
+ *
+ * @module
+ */
+
+import type { CrashRecord } from '../protocol/workflows.js'
+
+/** Age of a run up to which a crash of its worker is blamed on its start, in milliseconds: covers the delay of the detection. */
+export const YOUNG_RUN_MS = 250
+/** Age of a run from which a crash of its worker is no evidence against its task, in milliseconds. */
+const EVIDENCE_AGE_MAX_MS = 10_000
+/** Shortest trial, in milliseconds. A longer one exceeds the ages of the former runs by this time, and by `TRIAL_AGE_FACTOR`. */
+const TRIAL_MIN_MS = 500
+const TRIAL_AGE_FACTOR = 1.25
+/** Total weight from which a task is suspected, and from which it is given up. */
+const SUSPECT_WEIGHT = 1
+const GIVE_UP_WEIGHT = 3
+
+/** Situations of a run at the crash of its worker, with the weight of the crash when nothing else explains it, and else. */
+const CRASH_WEIGHTS = {
+  /** The task was on trial, and has lost a worker soon after its start before, too. */
+  sameOnTrial: { unexplained: 2, doubtful: 1 },
+  /** The task was on trial. */
+  onTrial: { unexplained: 1, doubtful: 0.5 },
+  /** The run had just started. */
+  young: { unexplained: 1, doubtful: 0.5 },
+  /** The run had been at work for some time. */
+  settled: { unexplained: 0.5, doubtful: 0 }
+} as const
+
+/** The situation of a run when its worker crashed. */
+export interface CrashSituation {
+  /** Age of the run, in milliseconds. */
+  ageMs: number
+  onTrial: boolean
+  /** True when the crash is likely to have another cause. */
+  doubtful: boolean
+}
+
+/** What the crashes of its workers say about a task. */
+export const VERDICTS = { clear: 'clear', suspect: 'suspect', givenUp: 'givenUp' } as const
+
+/** One of {@link VERDICTS}. */
+export type Verdict = typeof VERDICTS[keyof typeof VERDICTS]
+
+/** Weight of a crash as evidence against the task of one of the worker's runs; 0 for none. */
+export function crashWeight (earlier: CrashRecord[], { ageMs, onTrial, doubtful }: CrashSituation): number {
+  if (ageMs > EVIDENCE_AGE_MAX_MS && !onTrial) return 0
+  const young = ageMs <= YOUNG_RUN_MS
+  const same = young && earlier.some(crash => crash.ageMs <= YOUNG_RUN_MS)
+  const situation = onTrial ? same ? 'sameOnTrial' : 'onTrial' : young ? 'young' : 'settled'
+  return CRASH_WEIGHTS[situation][doubtful ? 'doubtful' : 'unexplained']
+}
+
+/** Verdict on a task after these crashes. */
+export function judge (crashes: CrashRecord[]): Verdict {
+  const weight = crashes.reduce((sum, crash) => sum + crash.weight, 0)
+  if (weight >= GIVE_UP_WEIGHT) return VERDICTS.givenUp
+  return weight >= SUSPECT_WEIGHT ? VERDICTS.suspect : VERDICTS.clear
+}
+
+/** Time for which a suspected task has to run on trial until it is cleared, in milliseconds. */
+export function trialMs (crashes: CrashRecord[]): number {
+  return TRIAL_MIN_MS + TRIAL_AGE_FACTOR * Math.max(0, ...crashes.map(({ ageMs }) => ageMs))
+}
+
+/** Describes the crashes for the caller whose job is given up. */
+export function describeCrashes (crashes: CrashRecord[]): string {
+  return crashes.map(({ worker, atMs, ageMs }) => `${worker} at ${new Date(atMs).toISOString()}, ${Math.round(ageMs)} ms after the start`).join('; ')
+}
--- /dev/null
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -0,0 +1,226 @@
+/**
+ * Finds the tasks that crash their workers: records crashes with the tasks that ran there, keeps suspected tasks on trial, and
+ * clears them or gives them up.
+ *
+ * @module
+ */
+
+import { crashWeight, describeCrashes, judge, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from './crashEvidence.js'
+import type { WorkerSession } from './workerSession.js'
+import { RUN_STATES, TASK_STATES, type Run, type Task, type WorkflowRuntime } from './workflowRuntime.js'
+import type { CrashRecord } from '../protocol/workflows.js'
+import type { Timers } from '../seams/timers.js'
+import type { EventLog } from '../utils/eventLog.js'
+
+/** Time within which lost workers count as lost at once, in milliseconds. */
+const SIMULTANEOUS_MS = 250
+/** Number of workers, and share of all of them, that are many to lose at once. */
+const MANY_WORKERS_MIN = 3
+const MANY_WORKERS_SHARE = 0.05
+/** Time for which a crash at an address makes further ones there likely, in milliseconds. */
+const UNSTABLE_ADDRESS_MS = 60_000
+/** Share of the usable workers on which tasks may be on trial at once. */
+const TRIAL_SHARE_MAX = 0.125
+
+/** Counts since the start of the term. */
+export interface CrashCounts {
+  crashedWorkers: number
+  suspectedTasks: number
+  clearedTasks: number
+  givenUpTasks: number
+}
+
+/** Options of a {@link CrashTracker}. */
+export interface CrashTrackerOptions {
+  timers: Timers
+  log: EventLog
+  /** Number of workers with a session. */
+  workerCount: () => number
+  /** Called when the crashes of a task have changed and have to be recorded. */
+  onChanged: (workflow: WorkflowRuntime) => void
+  /** Resolves when the changes of the workflow so far are recorded. */
+  whenRecorded: (workflow: WorkflowRuntime) => Promise<void>
+  /** Called when a suspected task may be started on trial. */
+  onTrialAllowed: () => void
+  /** Called when a task is known to crash its workers. */
+  onGivenUp: (workflow: WorkflowRuntime, reason: string) => void
+}
+
+/** Follows the crashes of workers and the trials of tasks. */
+export class CrashTracker {
+  private readonly _options: CrashTrackerOptions
+  /** Runs on trial, by worker. */
+  private readonly _trials = new Map<WorkerSession, Set<Run>>()
+  /** Times at which workers were lost, by incarnation, in milliseconds of the monotonic clock. */
+  private readonly _losses = new Map<string, number>()
+  /** Times of the last crashes, by address, in milliseconds of the monotonic clock. */
+  private readonly _crashedAddresses = new Map<string, number>()
+  private readonly _counts: CrashCounts = { crashedWorkers: 0, suspectedTasks: 0, clearedTasks: 0, givenUpTasks: 0 }
+
+  constructor (options: CrashTrackerOptions) {
+    this._options = options
+  }
+
+  /** Copy of the current counts. */
+  get counts (): CrashCounts {
+    return { ...this._counts }
+  }
+
+  /** Notes that a worker no longer answers. */
+  noteLoss ({ incarnation, lostMs }: WorkerSession): void {
+    for (const [other, atMs] of this._losses) if (lostMs - atMs > SIMULTANEOUS_MS) this._losses.delete(other)
+    this._losses.set(incarnation, lostMs)
+  }
+
+  /** Records the crash of a worker with the tasks that ran there. */
+  noteCrash (session: WorkerSession, evidence: string): void {
+    const { log, workerCount } = this._options
+    this.noteLoss(session)
+    this._counts.crashedWorkers++
+    const amongMany = this._losses.size >= Math.max(MANY_WORKERS_MIN, MANY_WORKERS_SHARE * workerCount())
+    const repeated = this.hasCrashedLately(session)
+    this._crashedAddresses.set(session.entry.address, session.lostMs)
+    const runs = [...session.runs.values()].filter(run => this._mayBeCause(run))
+    const youngRuns = runs.filter(wasYoungAtLoss).length
+    log.event('warn', 'worker.crashed', {
+      worker: session.incarnation,
+      evidence,
+      runs: session.runs.size,
+      youngRuns,
+      onTrial: this._trials.get(session)?.size ?? 0,
+      lostAtOnce: this._losses.size,
+      repeated
+    })
+    for (const run of runs) this._addEvidence(run, session, { doubtful: amongMany || repeated })
+    this._trials.delete(session)
+  }
+
+  /** Withdraws the crash of a worker that answers again: a device between them has refused the connections. */
+  noteReached (session: WorkerSession): void {
+    if (!session.crashed) return
+    for (const { task } of session.runs.values()) {
+      if (!task || !task.crashUnit.crashes.some(({ worker }) => worker === session.incarnation)) continue
+      task.crashUnit.crashes = task.crashUnit.crashes.filter(({ worker }) => worker !== session.incarnation)
+      this._options.log.event('info', 'task.crash.withdrawn', { task: task.name, worker: session.incarnation })
+      this._options.onChanged(task.step.workflow)
+    }
+  }
+
+  /** True when a worker at the same address has crashed in the last `UNSTABLE_ADDRESS_MS`. */
+  hasCrashedLately ({ entry }: WorkerSession): boolean {
+    return this._options.timers.now() - (this._crashedAddresses.get(entry.address) ?? Number.NEGATIVE_INFINITY) < UNSTABLE_ADDRESS_MS
+  }
+
+  /** Puts a run on trial if its task is suspected. */
+  noteStart (run: Run, session: WorkerSession): void {
+    if (run.task && isSuspect(run.task)) this._trials.set(session, (this._trials.get(session) ?? new Set()).add(run))
+  }
+
+  /** Workflow whose task is on trial on the worker; undefined for none. Nothing else starts there. */
+  trialOn (session: WorkerSession): WorkflowRuntime | undefined {
+    const [run] = this._trials.get(session) ?? []
+    return run?.task!.step.workflow
+  }
+
+  /** True when one more worker may be used for a trial, of so many that the step could use. */
+  mayStartTrial (usableWorkers: number): boolean {
+    return this._trials.size < Math.max(1, TRIAL_SHARE_MAX * usableWorkers)
+  }
+
+  /** Ends the trials of runs that have ended, and clears tasks that have run for long enough. */
+  updateTrials (): void {
+    if (this._trials.size === 0) return
+    for (const [session, runs] of this._trials) {
+      for (const run of runs) {
+        if (session.closed || run.task!.step.workflow.isOver || !session.hasRun(run.name, run.attempt)) runs.delete(run)
+      }
+    }
+    const passed = [...this._trials.values()].flatMap(runs => [...runs]).filter(run => this._hasPassed(run))
+    for (const { task } of passed) this._clear(task!)
+    for (const [session, runs] of this._trials) {
+      for (const run of runs) if (!isSuspect(run.task!)) runs.delete(run)
+      if (runs.size === 0) this._trials.delete(session)
+    }
+  }
+
+  /** A gang has passed when all of its members have. */
+  private _hasPassed ({ task }: Run): boolean {
+    const nowMs = this._options.timers.now()
+    const neededMs = trialMs(task!.crashUnit.crashes)
+    const members = task!.step.spec.gang ? task!.step.tasks : [task!]
+    return members.every(({ run }) => {
+      if (run?.startConfirmedMs === undefined || !run.session.reachable || run.state !== RUN_STATES.running) return false
+      return nowMs - run.startConfirmedMs >= neededMs
+    })
+  }
+
+  private _clear (task: Task): void {
+    const { crashUnit } = task
+    if (crashUnit.crashes.length === 0) return
+    this._counts.clearedTasks++
+    this._options.log.event('info', 'task.cleared', {
+      task: task.name, crashes: crashUnit.crashes.length, trialMs: Math.round(trialMs(crashUnit.crashes))
+    })
+    crashUnit.crashes = []
+    this._options.onChanged(task.step.workflow)
+  }
+
+  /** Runs that are no longer needed may have crashed their worker, but their tasks are not started again. */
+  private _mayBeCause ({ task }: Run): boolean {
+    return task !== undefined && task.state !== TASK_STATES.done && !task.step.workflow.isOver
+  }
+
+  private _addEvidence (run: Run, session: WorkerSession, { doubtful }: { doubtful: boolean }): void {
+    const { timers, log } = this._options
+    const task = run.task!
+    const { crashUnit } = task
+    const { workflow } = task.step
+    // Members of a gang on the same worker share one record.
+    if (workflow.isOver || crashUnit.crashes.some(({ worker }) => worker === session.incarnation)) return
+    const ageMs = ageAtLoss(run)
+    const onTrial = this._trials.get(session)?.has(run) ?? false
+    const weight = crashWeight(crashUnit.crashes, { ageMs, onTrial, doubtful })
+    if (weight === 0) return
+    const before = judge(crashUnit.crashes)
+    const atMs = Math.round(timers.wallClock())
+    const record: CrashRecord = { worker: session.incarnation, attempt: run.attempt, atMs, ageMs: Math.round(ageMs), weight }
+    crashUnit.crashes = [...crashUnit.crashes, record]
+    const verdict = judge(crashUnit.crashes)
+    this._options.onChanged(workflow)
+    if (verdict === VERDICTS.clear) return
+    if (before === VERDICTS.clear) this._counts.suspectedTasks++
+    log.event('warn', VERDICT_EVENTS[verdict], {
+      task: task.name, ...record, onTrial, doubtful, crashes: crashUnit.crashes.length
+    })
+    if (verdict === VERDICTS.givenUp) {
+      this._counts.givenUpTasks++
+      this._options.onGivenUp(workflow, `${task.name} crashed its workers: ${describeCrashes(crashUnit.crashes)}`)
+    } else this._allowTrialWhenRecorded(task)
+  }
+
+  /** The next scheduler has to know of the crash before the task is started again. */
+  private async _allowTrialWhenRecorded ({ crashUnit, step: { workflow } }: Task): Promise<void> {
+    crashUnit.unrecordedCrashes++
+    await this._options.whenRecorded(workflow)
+    crashUnit.unrecordedCrashes--
+    this._options.onTrialAllowed()
+  }
+}
+
+const VERDICT_EVENTS: Record<Exclude<Verdict, 'clear'>, string> = { [VERDICTS.suspect]: 'task.suspected', [VERDICTS.givenUp]: 'task.givenUp' }
+
+/** True when the task has to be started on trial. */
+export function isSuspect ({ crashUnit }: Task): boolean {
+  return crashUnit.crashes.length > 0 && judge(crashUnit.crashes) === VERDICTS.suspect
+}
+
+/** True when the run had just started when its worker was lost. */
+export function wasYoungAtLoss (run: Run): boolean {
+  return ageAtLoss(run) <= YOUNG_RUN_MS
+}
+
+/** Age of a run when its worker was lost, in milliseconds. Runs of an earlier scheduler are at least not young. */
+function ageAtLoss ({ startedMs, adopted, session: { lostMs } }: Run): number {
+  const ageMs = Math.max(0, lostMs - startedMs)
+  return adopted ? Math.max(YOUNG_RUN_MS + 1, ageMs) : ageMs
+}
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -10,11 +10,12 @@
  */
 
 import { MAX_WORKERS_PER_CALL, type EligibilityCache } from './eligibilityCache.js'
+import { isSuspect, type CrashTracker } from './crashTracker.js'
 import type { EligibilityDaemons } from './eligibilityDaemons.js'
 import { PlacementPass, type OrderedStep } from './placementPass.js'
 import { planQuery, splitQuery, type PlannedQuery } from './queryPlanner.js'
 import { needsReservation, planReservations } from './roomReservation.js'
-import { placeStep, StepRoom } from './stepPlacer.js'
+import { placeApart, placeStep, StepRoom, type Assignment } from './stepPlacer.js'
 import { findStragglers } from './stragglers.js'
 import { WAIT_CAUSES, type WaitCause, type WaitReporter } from './waitReporter.js'
 import type { WorkerFleet } from './workerFleet.js'
@@ -65,6 +66,7 @@
   waits: WaitReporter
   speedEstimator: WorkerSpeedEstimator
   suspensions: WorkerSuspensions
+  crashes: CrashTracker
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
   predecessorActiveUntilMs: number
   /** Store revision from which on workflows cannot have been started by the earlier scheduler; infinite while it is not known. */
@@ -119,13 +121,15 @@
 
   /** Starts all tasks that can start now. */
   dispatch (): void {
-    const { timers, fleet, speedEstimator } = this._options
+    const { timers, fleet, speedEstimator, crashes } = this._options
     const nowMs = timers.now()
+    crashes.updateTrials()
     const pass = new PlacementPass({
       workers: fleet.sessions.values(),
       isUsable: worker => this._isUsable(worker, nowMs),
       nowMs,
-      estimateMs: (step, worker) => step.spec.estimateMs * speedEstimator.slowness(worker)
+      estimateMs: (step, worker) => step.spec.estimateMs * speedEstimator.slowness(worker),
+      trialOn: worker => crashes.trialOn(worker)
     })
     const blocked: BlockedStep[] = []
     let reserving = 0
@@ -179,16 +183,7 @@
     const { eligibility, start } = this._options
     const workers = queue.eligibility ? this._ticketHolders(step, queue, pass) : pass.workersFor(step, queue.service)
     for (const task of tasks) if (workers.length > 0 && workers.every(worker => task.avoid?.has(worker.incarnation))) task.avoid = undefined
-    const assignments = workers.length === 0
-      ? []
-      : placeStep({
-        step,
-        tasks,
-        workers,
-        urgent: queue.priority === URGENT_PRIORITY,
-        slowness: this._slowness,
-        freeRoom: worker => pass.freeRoom(ordered, worker)
-      })
+    const assignments = this._assign(ordered, { tasks, workers, queue, pass })
     const attempt = spec.gang ? this._nextAttempt(Math.max(...step.tasks.map(task => task.attempt))) : undefined
     for (const { task, worker } of assignments) {
       start(task, worker, attempt ?? this._nextAttempt(task.attempt), eligibility.ticket(step.name, worker.incarnation))
@@ -196,6 +191,35 @@
     return tasks.length - assignments.length
   }
 
+  /** Assigns workers to tasks: to suspected tasks, workers on which they can be tried. */
+  private _assign (ordered: OrderedStep, { tasks, workers, queue, pass }: {
+    tasks: Task[], workers: WorkerSession[], queue: QueueConfig, pass: PlacementPass
+  }): Assignment[] {
+    if (workers.length === 0) return []
+    const { step } = ordered
+    const { crashes } = this._options
+    const options = {
+      step,
+      workers,
+      urgent: queue.priority === URGENT_PRIORITY,
+      slowness: this._slowness,
+      freeRoom: (worker: WorkerSession) => pass.freeRoom(ordered, worker)
+    }
+    const suspects = tasks.filter(isSuspect)
+    if (suspects.length === 0) return placeStep({ ...options, tasks })
+    const mayTry = crashes.mayStartTrial(pass.workersFor(step, queue.service).length)
+    if (step.spec.gang) return mayTry ? placeStep({ ...options, tasks }) : []
+    const tried = placeApart({
+      ...options,
+      tasks: suspects,
+      workers: mayTry ? workers : workers.filter(worker => crashes.trialOn(worker)),
+      isUnstable: worker => crashes.hasCrashedLately(worker)
+    })
+    const others = tasks.filter(task => !suspects.includes(task))
+    const workersForOthers = workers.filter(worker => !tried.some(assignment => assignment.worker === worker))
+    return [...tried, ...placeStep({ ...options, tasks: others, workers: workersForOthers })]
+  }
+
   private readonly _slowness = (worker: WorkerSession): number => this._options.speedEstimator.slowness(worker)
 
   private _ticketHolders (step: StepRuntime, queue: QueueConfig, pass: PlacementPass): WorkerSession[] {
@@ -350,6 +374,7 @@
       unclaimedSlots: slotsOf(unclaimed, allowed)
     }
     const cause = ((): WaitCause => {
+      if (step.waitingTasks(pass.nowMs).some(isSuspect)) return WAIT_CAUSES.trial
       if (usable.length === 0) return WAIT_CAUSES.noWorker
       if (eligibility.isQueryPending(step.name)) return WAIT_CAUSES.eligibilityPending
       if (counts.slots === 0) return WAIT_CAUSES.noRoom
--- a/packages/pomelofold/src/workflows/placementPass.ts
+++ b/packages/pomelofold/src/workflows/placementPass.ts
@@ -11,7 +11,7 @@
 
 import { remainingRunMs } from './drainMoves.js'
 import { unusedRoom, reservedRoom } from './stepPlacer.js'
-import type { StepRuntime } from './workflowRuntime.js'
+import type { StepRuntime, WorkflowRuntime } from './workflowRuntime.js'
 import type { WorkerSession } from './workerSession.js'
 import { addResources, type Resources } from '../protocol/workflows.js'
 
@@ -43,20 +43,24 @@
   nowMs: number
   /** Estimated run time of a task of the step on the worker, in milliseconds. */
   estimateMs: (step: StepRuntime, worker: WorkerSession) => number
+  /** Workflow whose task is on trial on the worker: only its tasks may start there. */
+  trialOn: (worker: WorkerSession) => WorkflowRuntime | undefined
 }
 
 /** State of one placement pass. */
 export class PlacementPass {
   readonly nowMs: number
   private readonly _estimateMs: PlacementPassOptions['estimateMs']
+  private readonly _trialOn: PlacementPassOptions['trialOn']
   private readonly _usable = new Set<WorkerSession>()
   private readonly _byService = new Map<string, WorkerSession[]>()
   private readonly _claims = new Map<WorkerSession, Claim[]>()
   private readonly _expectedEnds = new Map<WorkerSession, ExpectedEnd[]>()
 
-  constructor ({ workers, isUsable, nowMs, estimateMs }: PlacementPassOptions) {
+  constructor ({ workers, isUsable, nowMs, estimateMs, trialOn }: PlacementPassOptions) {
     this.nowMs = nowMs
     this._estimateMs = estimateMs
+    this._trialOn = trialOn
     for (const worker of workers) {
       if (!isUsable(worker)) continue
       this._usable.add(worker)
@@ -68,13 +72,17 @@
 
   /** Workers of the service on which tasks of the step may start now. */
   workersFor (step: StepRuntime, service: string): WorkerSession[] {
-    const workers = this._byService.get(service) ?? []
-    return step.spec.requiredLabel === '' ? workers : workers.filter(worker => hasRequiredLabel(worker, step))
+    return (this._byService.get(service) ?? []).filter(worker => hasRequiredLabel(worker, step) && this._mayShare(worker, step))
   }
 
   /** True when the worker is one of `workersFor`. */
   isUsable (worker: WorkerSession, step: StepRuntime, service: string): boolean {
-    return this._usable.has(worker) && worker.entry.service === service && hasRequiredLabel(worker, step)
+    return this._usable.has(worker) && worker.entry.service === service && hasRequiredLabel(worker, step) && this._mayShare(worker, step)
+  }
+
+  private _mayShare (worker: WorkerSession, { workflow }: StepRuntime): boolean {
+    const onTrial = this._trialOn(worker)
+    return onTrial === undefined || onTrial === workflow
   }
 
   /** Claims room for `tasks` tasks of a step, which cannot start before `idleUntilMs`. */
--- a/packages/pomelofold/src/workflows/runHost.ts
+++ b/packages/pomelofold/src/workflows/runHost.ts
@@ -15,6 +15,12 @@
   readonly closed: boolean
   /** False while calls to the worker fail. */
   readonly reachable: boolean
+  /** True while it is unknown whether a call has failed because the worker has crashed. */
+  readonly lossUnexplained: boolean
+  /** Time at which the worker was lost, in milliseconds of the monotonic clock. */
+  readonly lostMs: number
+  /** True when this incarnation is known to have ended without notice. */
+  readonly crashed: boolean
   /** Time at which the request for the last report was sent, in milliseconds of the monotonic clock. */
   readonly lastReportRequestSentMs: number
   /** No starts are sent before this time, in milliseconds of the monotonic clock. */
--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -68,6 +68,8 @@
     let mayBeSent = false
     for (let attempt = 1; attempt <= START_TRIES; attempt++) {
       if (this._closed || run.state !== RUN_STATES.starting || session.closed) return
+      // Another try would reach the next incarnation, and could crash it, too.
+      if (session.crashed) break
       const untilMs = session.leaseEndForStart()
       if (leadershipRemainingMs() <= 0 || untilMs === undefined) {
         if (!mayBeSent) return onRefused(run, 'notSent', { settled: true })
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { CrashTracker } from './crashTracker.js'
 import type { EligibilityCache } from './eligibilityCache.js'
 import { shouldMoveRun } from './drainMoves.js'
 import { SpareCpuPacer, isSpareCpuRun } from './spareCpuPacer.js'
@@ -34,16 +35,11 @@
 /** Refusals after which no starts are sent to the worker for REFUSING_WORKER_PAUSE_MS. */
 const WORKER_PAUSING_REFUSALS: ReadonlySet<StartRefusal | 'notSent'> = new Set([START_REFUSALS.noRoom, START_REFUSALS.unhealthy, 'notSent'])
 
-/** Maximum number of runs that the line about a crash names, each with its age in milliseconds. */
-const MAX_NAMED_RUNS = 8
-
 /** Counts since the start of the term. */
 export interface RunCounts {
   starts: number
   ends: Record<RunEnd | 'lost', number>
   refusals: Record<string, number>
-  /** Workers that ended without notice. */
-  crashedWorkers: number
   /** Runs that a worker listed although none was expected there, by how they had been released. */
   unexpected: Partial<Record<Release, number>>
 }
@@ -58,6 +54,7 @@
   eligibility: EligibilityCache
   speedEstimator: WorkerSpeedEstimator
   suspensions: WorkerSuspensions
+  crashes: CrashTracker
   /** Maximum length of a worker's lease, in milliseconds. */
   maxLeaseMs: number
   /** Time for which this daemon is guaranteed to remain the leader and may send starts, in milliseconds. */
@@ -83,7 +80,6 @@
   private readonly _lateStarts: LateStartTracker
   private readonly _pacer: SpareCpuPacer
   private _startCount = 0
-  private _crashCount = 0
 
   constructor (options: RunTrackerOptions) {
     this._options = options
@@ -122,7 +118,6 @@
       starts: this._startCount,
       ends: { ...this._endCounts },
       refusals: { ...this._refusalCounts },
-      crashedWorkers: this._crashCount,
       unexpected: { ...this._unexpectedCounts }
     }
   }
@@ -139,7 +134,7 @@
       task.run = undefined
     }
     const run = this._addRun({
-      task, name: task.name, attempt, session: worker, size: reservedRoom(task.step), state: RUN_STATES.starting
+      task, name: task.name, attempt, session: worker, size: reservedRoom(task.step), state: RUN_STATES.starting, adopted: false
     })
     task.attempt = attempt
     this._startCount++
@@ -181,18 +176,6 @@
     return changedWorkflows
   }
 
-  /** Handles the end of a worker without notice. Its runs are released once they are certain to have ended. */
-  handleCrash (session: WorkerSession, evidence: string): void {
-    this._crashCount++
-    const youngestFirst = [...session.runs.values()].sort((a, b) => b.startedMs - a.startedMs)
-    this._options.log.event('warn', 'worker.crashed', {
-      worker: session.incarnation,
-      evidence,
-      runs: youngestFirst.length,
-      youngest: youngestFirst.slice(0, MAX_NAMED_RUNS).map(run => `${run.name}#${run.attempt}:${Math.round(session.lostMs - run.startedMs)}`).join(',')
-    })
-  }
-
   /** All runs of the worker have ended. Tasks whose start another incarnation of it may carry out wait. */
   handleLapse (session: WorkerSession, reason: string): void {
     if (session.runs.size) {
@@ -220,7 +203,7 @@
   private _refuseLateStart (session: WorkerSession, start: LateStart, { settles }: { settles: boolean }): void {
     const { name, attempt, size, task, sentMs } = start
     const waiting = settles && task && task.state === TASK_STATES.waiting && !task.run
-    const run = this._addRun({ task: waiting ? task : undefined, name, attempt, session, size, state: RUN_STATES.starting })
+    const run = this._addRun({ task: waiting ? task : undefined, name, attempt, session, size, state: RUN_STATES.starting, adopted: false })
     run.unansweredMs = sentMs
     this._orderSender.stop(run, 'its start may still be carried out late')
     session.skipNextWait = true
@@ -238,7 +221,7 @@
     }
   }
 
-  private _addRun (options: Pick<Run, 'task' | 'name' | 'attempt' | 'state'> & { session: WorkerSession, size: Resources | undefined }): Run {
+  private _addRun (options: Pick<Run, 'task' | 'name' | 'attempt' | 'state' | 'adopted'> & { session: WorkerSession, size: Resources | undefined }): Run {
     const nowMs = this._options.timers.now()
     const { task, session, size } = options
     const run: Run = {
@@ -256,6 +239,7 @@
       pacePercent: 100
     }
     session.addRun(run)
+    this._options.crashes.noteStart(run, session)
     if (task && !task.run) {
       task.run = run
       task.state = TASK_STATES.running
@@ -350,7 +334,8 @@
       attempt: row.attempt,
       session,
       size: task && reservedRoom(task.step),
-      state: RUN_STATES.running
+      state: RUN_STATES.running,
+      adopted: true
     })
     run.startConfirmedMs = nowMs
     if (isSpareCpuRun(run)) run.pacePercent = undefined
@@ -466,6 +451,7 @@
     const { timers, log } = this._options
     if (workflow.pendingFinalState !== undefined) return
     workflow.pendingFinalState = state
+    workflow.reason = state === JOB_STATES.failed ? reason : undefined
     workflow.endedAtMs = timers.wallClock()
     this._options.registry.open.delete(workflow)
     log.event(
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { CrashTracker, type CrashCounts } from './crashTracker.js'
 import { Dispatcher } from './dispatcher.js'
 import { EligibilityCache, type EligibilityCall } from './eligibilityCache.js'
 import { EligibilityDaemons } from './eligibilityDaemons.js'
@@ -87,7 +88,7 @@
 }
 
 /** Metrics of a term. */
-export interface TermFigures extends RunCounts {
+export interface TermFigures extends RunCounts, CrashCounts {
   workflows: number
   openWorkflows: number
   workers: number
@@ -104,6 +105,7 @@
   private readonly _fleet: WorkerFleet
   private readonly _recorder: ProgressRecorder
   private readonly _runTracker: RunTracker
+  private readonly _crashes: CrashTracker
   private readonly _eligibility: EligibilityCache
   private readonly _dispatcher: Dispatcher
   private readonly _waits: WaitReporter
@@ -172,6 +174,15 @@
     this._speedStore = new WorkerSpeedStore({
       platform, timers, log, estimator: speedEstimator, incarnations: () => new Set(this._fleet.sessions.keys())
     })
+    this._crashes = new CrashTracker({
+      timers,
+      log,
+      workerCount: () => this._fleet.sessions.size,
+      onChanged: workflow => this._recorder.noteChanged(workflow),
+      whenRecorded: workflow => this._recorder.whenRecorded([workflow]),
+      onTrialAllowed: () => this._scheduleDispatch(),
+      onGivenUp: (workflow, reason) => this._runTracker.finishWorkflow(workflow, JOB_STATES.failed, reason)
+    })
     this._dispatcher = new Dispatcher({
       epoch,
       term: options.term,
@@ -184,6 +195,7 @@
       waits: this._waits,
       speedEstimator,
       suspensions,
+      crashes: this._crashes,
       predecessorActiveUntilMs,
       newFromRevision: options.newFromRevision,
       start: (task, worker, attempt, ticket) => this._runTracker.start(task, worker, { attempt, ticket })
@@ -197,6 +209,7 @@
       eligibility: this._eligibility,
       speedEstimator,
       suspensions,
+      crashes: this._crashes,
       maxLeaseMs: timeLimits.maxLeaseMs,
       leadershipRemainingMs,
       maxAttempts: workflow => this._dispatcher.queueOf(workflow)?.maxAttempts,
@@ -310,7 +323,8 @@
       reachableWorkers: sessions.filter(session => session.reachable).length,
       runs: sessions.reduce((sum, session) => sum + session.runs.size, 0),
       waitingSteps: this._waits.counts,
-      ...this._runTracker.counts()
+      ...this._runTracker.counts(),
+      ...this._crashes.counts
     }
   }
 
@@ -327,13 +341,19 @@
     this._endByTakeover(`worker ${session.incarnation} has received a newer epoch`)
   }
 
-  onLost (_session: WorkerSession): void {}
+  onLost (session: WorkerSession): void {
+    this._crashes.noteLoss(session)
+  }
 
   onCrash (session: WorkerSession, evidence: string): void {
-    if (!this._closed) this._runTracker.handleCrash(session, evidence)
+    if (this._closed) return
+    this._crashes.noteCrash(session, evidence)
+    this._scheduleDispatch()
   }
 
-  onReached (_session: WorkerSession): void {}
+  onReached (session: WorkerSession): void {
+    if (!this._closed) this._crashes.noteReached(session)
+  }
 
   /** All runs of the worker have ended. Their tasks wait again, unless the worker's next incarnation may still start them. */
   onLapse (session: WorkerSession, reason: string): void {
--- a/packages/pomelofold/src/workflows/stepPlacer.ts
+++ b/packages/pomelofold/src/workflows/stepPlacer.ts
@@ -104,6 +104,30 @@
   return []
 }
 
+/** Options of {@link placeApart}. */
+export interface PlaceApartOptions extends Omit<PlaceStepOptions, 'urgent'> {
+  /** True for a worker that may crash by itself. */
+  isUnstable: (worker: WorkerSession) => boolean
+}
+
+/**
+ * Assigns as many tasks as possible to one worker: a stable one with few runs, so that a crash says most about the tasks
+ * and harms little else.
+ */
+export function placeApart ({ step, tasks, workers, slowness, freeRoom, isUnstable }: PlaceApartOptions): Assignment[] {
+  const room = new StepRoom(step, freeRoom)
+  const candidates = workers.filter(worker => room.slots(worker, 1) > 0 && tasks.some(task => mayPlace(task, worker)))
+  const [worker] = candidates.sort((a, b) =>
+    Number(isUnstable(a)) - Number(isUnstable(b)) || a.runs.size - b.runs.size || slowness(a) - slowness(b))
+  if (!worker) return []
+  return tasks.filter(task => mayPlace(task, worker)).slice(0, room.slots(worker, tasks.length)).map(task => ({ task, worker }))
+}
+
+/** False for a worker that the task avoids, or on which it runs. */
+function mayPlace (task: Task, worker: WorkerSession): boolean {
+  return !task.avoid?.has(worker.incarnation) && task.run?.session !== worker
+}
+
 type AssignOptions = Omit<PlaceStepOptions, 'freeRoom'> & { room: StepRoom }
 
 function assign ({ tasks, workers, ...options }: AssignOptions): Assignment[] {
@@ -116,7 +140,7 @@
     for (let index = 0; index < candidates.length; index++) {
       const { worker, cost } = candidates[index]
       if (best >= 0 && cost >= candidates[best].cost) continue
-      if (task.avoid?.has(worker.incarnation) || task.run?.session === worker) continue
+      if (!mayPlace(task, worker)) continue
       best = index
     }
     if (best < 0) continue
--- a/packages/pomelofold/src/workflows/stragglers.ts
+++ b/packages/pomelofold/src/workflows/stragglers.ts
@@ -8,6 +8,7 @@
  * @module
  */
 
+import { isSuspect, wasYoungAtLoss } from './crashTracker.js'
 import { RUN_STATES, TASK_STATES, type StepRuntime, type Task } from './workflowRuntime.js'
 
 /** Share of a step's tasks that must be done before the run times of the others are compared with theirs. */
@@ -23,8 +24,12 @@
   if (!speculative || gang || longRunning || step.done) return []
   const compared = step.doneCount >= step.tasks.length * MIN_DONE_SHARE
   const limitMs = compared ? Math.max(step.longestRunMs * LAG_FACTOR, step.longestRunMs + LAG_MIN_MS) : Number.POSITIVE_INFINITY
-  return step.tasks.filter(({ state, run, supersededRuns }) => {
-    if (state !== TASK_STATES.running || !run || supersededRuns.length > 0) return false
+  return step.tasks.filter(task => {
+    const { state, run, supersededRuns, crashUnit } = task
+    if (state !== TASK_STATES.running || !run || supersededRuns.length > 0 || crashUnit.unrecordedCrashes > 0) return false
+    // The copy of a task that has crashed its worker would crash the next one.
+    if (run.session.lossUnexplained && wasYoungAtLoss(run)) return false
+    if (isSuspect(task)) return run.session.crashed
     return run.state === RUN_STATES.stopping || !run.session.reachable || nowMs - run.startedMs > limitMs
   })
 }
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -90,9 +90,9 @@
   synced = false
   /** True when the worker has answered the last extension. */
   reachable = false
-  /** True when a call has failed and the next one is not settled: it tells a crash from a lost answer. */
+  /** True when the worker has just been lost and the next call, which shows whether it has crashed, is not answered. */
   lossUnexplained = false
-  /** Time at which the worker's last answer or start was lost, in milliseconds of the monotonic clock. */
+  /** Time at which the worker was lost, in milliseconds of the monotonic clock. */
   lostMs = Number.NEGATIVE_INFINITY
   /** True when this incarnation is known to have ended without notice. Withdrawn when it answers again. */
   crashed = false
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -5,7 +5,7 @@
  */
 
 import { JOB_STATES } from '../protocol/jobs.js'
-import { formatStepName, formatTaskName, type WorkflowProgress, type Resources, type Workflow, type WorkflowState, type WorkflowStep } from '../protocol/workflows.js'
+import { formatStepName, formatTaskName, type CrashRecord, type WorkflowProgress, type Resources, type Workflow, type WorkflowState, type WorkflowStep } from '../protocol/workflows.js'
 import { formatRanges, parseRanges } from '../utils/indexRanges.js'
 import type { RunHost } from './runHost.js'
 
@@ -44,6 +44,15 @@
   supersededRuns: Run[]
   /** Incarnations of workers on which a run of the task has failed or stalled, and which are avoided while there are others. */
   avoid: Set<string> | undefined
+  /** Crashes of its workers. The tasks of a gang run and crash together and share one. */
+  readonly crashUnit: CrashUnit
+}
+
+/** The crashes that count against a task, or against a gang as a whole. */
+export interface CrashUnit {
+  crashes: CrashRecord[]
+  /** Number of crashes that are not recorded in the store. A suspected task waits for them. */
+  unrecordedCrashes: number
 }
 
 /** States of a run. In each of them, the run reserves room at its worker. */
@@ -65,6 +74,8 @@
   readonly task: Task | undefined
   /** Room that the run reserves at its worker. */
   readonly size: Resources
+  /** True for a run that was found in a worker's report: its age is not known. */
+  readonly adopted: boolean
   state: typeof RUN_STATES[keyof typeof RUN_STATES]
   /** Time at which the run was started or first reported, in milliseconds of the monotonic clock. */
   readonly startedMs: number
@@ -114,6 +125,7 @@
     this.index = index
     this.name = formatStepName(workflow.record.id, occurrence, index)
     this.spec = workflow.record.steps[index]
+    const gangUnit = newCrashUnit()
     this.tasks = Array.from({ length: this.spec.tasks }, (_, taskIndex) => ({
       name: formatTaskName({ workflowId: workflow.record.id, occurrence, step: index, index: taskIndex }),
       index: taskIndex,
@@ -127,7 +139,8 @@
       waitingSinceMs: undefined,
       heldStarts: 0,
       supersededRuns: [],
-      avoid: undefined
+      avoid: undefined,
+      crashUnit: this.spec.gang ? gangUnit : newCrashUnit()
     }))
   }
 
@@ -166,10 +179,11 @@
     return nowMs - Math.max(this.readyMs ?? nowMs, task.waitingSinceMs ?? 0)
   }
 
-  /** Tasks that can be started now: waiting, without a run or a held start, and past their delay. */
+  /** Tasks that can be started now: waiting, without a run, a held start or an unrecorded crash, and past their delay. */
   waitingTasks (nowMs: number): Task[] {
     // Steps that allow copies wait for no earlier start.
-    const isFree = ({ heldStarts }: Task): boolean => heldStarts === 0 || this.spec.speculative
+    const isFree = ({ heldStarts, crashUnit }: Task): boolean =>
+      crashUnit.unrecordedCrashes === 0 && (heldStarts === 0 || this.spec.speculative)
     return this.tasks.filter(task => task.state === TASK_STATES.waiting && !task.run && task.notBeforeMs <= nowMs && isFree(task))
   }
 }
@@ -185,6 +199,8 @@
   state: WorkflowState = JOB_STATES.accepted
   /** Final state, from its decision on; it becomes `state` once it has been recorded. */
   pendingFinalState: WorkflowState | undefined
+  /** Why the workflow has failed. */
+  reason: string | undefined
   cancelled = false
   /** True when the stored progress is older than this state. */
   dirty = false
@@ -282,6 +298,7 @@
       task.failures = [...attempts]
       task.attempt = Math.max(task.attempt, ...attempts)
     })
+    this._restoreByTask(progress.crashes, (task, crashes) => { task.crashUnit.crashes = [...crashes] })
     this._restoreByTask(progress.checkpoints, (task, checkpoint) => task.step.noteCheckpoint(task, checkpoint))
     this.dirty = false
   }
@@ -296,6 +313,7 @@
     const done: Record<string, string> = {}
     const failures: Record<string, number[]> = {}
     const checkpoints: Record<string, string> = {}
+    const crashes: WorkflowProgress['crashes'] = {}
     const final = this.nextRecordIsFinal
     for (const [occurrence, steps] of final ? [] : this.occurrences) {
       for (const step of steps) {
@@ -304,13 +322,15 @@
         for (const task of step.done ? [] : step.tasks) {
           const key = `${occurrence}.${step.index}.${task.index}`
           if (task.failures.length) failures[key] = task.failures
+          if (task.crashUnit.crashes.length && (!step.spec.gang || task.index === 0)) crashes[key] = task.crashUnit.crashes
           if (task.checkpoint && !task.run && task.state === TASK_STATES.waiting) checkpoints[key] = task.checkpoint
         }
       }
     }
     // A recorded final state is repeated in every later record.
     const state = this.pendingFinalState ?? (final ? this.state : undefined)
-    return { state, endedAtMs: this.endedAtMs, queue: final ? this.record.queue : undefined, done, failures, checkpoints }
+    const queue = final ? this.record.queue : undefined
+    return { state, endedAtMs: this.endedAtMs, queue, done, failures, checkpoints, crashes, reason: this.reason }
   }
 
   private _restoreByTask<T> (values: Record<string, T>, restore: (task: Task, value: T) => void): void {
@@ -322,6 +342,10 @@
   }
 }
 
+function newCrashUnit (): CrashUnit {
+  return { crashes: [], unrecordedCrashes: 0 }
+}
+
 const FINAL_STATES: ReadonlySet<WorkflowState> = new Set([JOB_STATES.done, JOB_STATES.failed, JOB_STATES.cancelled])
 
 /** True for states that never change. */
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -58,6 +58,7 @@
     task,
     size: placedStep.spec.size,
     state: RUN_STATES.running,
+    adopted: false,
     startedMs: 0,
     pendingStartMs: undefined,
     startConfirmedMs: 0,
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -10,6 +10,7 @@
 import { workflowSchema, type Resources, type WorkflowStep } from 'pomelofold/protocol/workflows'
 import type { CellConfig, QueueConfig } from 'pomelofold/seams/workflowUpstreams'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
+import { CrashTracker } from 'pomelofold/workflows/crashTracker'
 import { Dispatcher } from 'pomelofold/workflows/dispatcher'
 import { EligibilityCache } from 'pomelofold/workflows/eligibilityCache'
 import { EligibilityDaemons } from 'pomelofold/workflows/eligibilityDaemons'
@@ -106,6 +107,15 @@
       waits: new WaitReporter({ timers, log: SILENT_LOG }),
       speedEstimator: new WorkerSpeedEstimator(),
       suspensions: new WorkerSuspensions({ timers, log: SILENT_LOG }),
+      crashes: new CrashTracker({
+        timers,
+        log: SILENT_LOG,
+        workerCount: () => workers.length,
+        onChanged: () => {},
+        whenRecorded: async () => {},
+        onTrialAllowed: () => {},
+        onGivenUp: () => {}
+      }),
       predecessorActiveUntilMs: 0,
       newFromRevision: 0,
       start: (task, worker, attempt) => this._start(task, worker, attempt)
@@ -150,6 +160,7 @@
       task,
       size: task.step.spec.size,
       state: RUN_STATES.running,
+      adopted: false,
       startedMs: nowMs,
       startConfirmedMs: nowMs,
       pendingStartMs: undefined,
