--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -96,7 +96,7 @@
   /** Reads the state of a workflow from the scheduler. Null when the workflow is unknown, or the peer is not the scheduler. */
   workflowState: {
     params: z.object({ id: z.string() }),
-    result: z.object({ state: z.enum(JOB_STATES).nullable(), queue: z.string().optional() })
+    result: z.object({ state: z.enum(JOB_STATES).nullable(), queue: z.string().optional(), reason: z.string().optional() })
   },
   /** Notifies the previous scheduler that another one was elected with a newer epoch. `retired` is true once it does not schedule. */
   retireScheduler: { params: z.object({ epoch: z.number().int() }), result: z.object({ retired: z.boolean() }) },
--- a/packages/pomelofold/src/protocol/workflows.ts
+++ b/packages/pomelofold/src/protocol/workflows.ts
@@ -168,6 +168,14 @@
   return `${workflowId}.${occurrence}.${step}`
 }
 
+/** State of a workflow for its caller. */
+export interface WorkflowStatus {
+  state: WorkflowState
+  queue: string
+  /** Why the workflow has failed. */
+  reason?: string
+}
+
 /** What became of a leader's entry that a peer was asked to delete. */
 export const RELEASE_OUTCOMES = {
   released: 'released',
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -23,7 +23,7 @@
 import type { WorkflowRuntime } from './workflowRuntime.js'
 import { GroupCommitter } from '../commits/groupCommitter.js'
 import { JOB_STATES } from '../protocol/jobs.js'
-import type { Workflow, WorkflowState } from '../protocol/workflows.js'
+import type { Workflow, WorkflowStatus } from '../protocol/workflows.js'
 import type { PlatformClient } from '../seams/platformClient.js'
 import type { RandomSource } from '../seams/randomSource.js'
 import { delay, type Timers, type TimerSubscription } from '../seams/timers.js'
@@ -263,7 +263,7 @@
   }
 
   /** Recorded state of a workflow; undefined when the workflow is unknown or the workflows have not been loaded. */
-  stateOf (id: string): { state: WorkflowState, queue: string } | undefined {
+  stateOf (id: string): WorkflowStatus | undefined {
     return this._registry.loaded ? this._registry.stateOf(id) : undefined
   }
 
--- a/packages/pomelofold/src/workflows/workflowRegistry.ts
+++ b/packages/pomelofold/src/workflows/workflowRegistry.ts
@@ -9,7 +9,7 @@
 import { PrefixView } from './prefixView.js'
 import { isFinal, WorkflowRuntime, type Task } from './workflowRuntime.js'
 import type { GroupCommitter } from '../commits/groupCommitter.js'
-import { endedWorkflowSchema, parseTaskName, workflowProgressSchema, workflowSchema, type EndedWorkflow, type Workflow, type WorkflowState } from '../protocol/workflows.js'
+import { endedWorkflowSchema, parseTaskName, workflowProgressSchema, workflowSchema, type EndedWorkflow, type Workflow, type WorkflowStatus } from '../protocol/workflows.js'
 import type { PlatformClient, StoredValue } from '../seams/platformClient.js'
 import { delay, type Timers } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
@@ -90,12 +90,12 @@
     return this._workflows.values()
   }
 
-  /** State and queue of a workflow; undefined when it is not in the registry. */
-  stateOf (id: string): { state: WorkflowState, queue: string } | undefined {
+  /** State of a workflow; undefined when it is not in the registry. */
+  stateOf (id: string): WorkflowStatus | undefined {
     const workflow = this._workflows.get(id)
     if (workflow) return { state: workflow.state, queue: workflow.record.queue }
     const ended = this._ended.get(id)
-    return ended && { state: ended.state, queue: ended.queue }
+    return ended && { state: ended.state, queue: ended.queue, reason: ended.reason }
   }
 
   /** The task of that name; undefined when no workflow of the registry has it. */
@@ -120,10 +120,10 @@
   }
 
   /** Replaces a workflow whose final state is recorded by its outcome. */
-  archive ({ record, state, endedAtMs }: WorkflowRuntime): void {
+  archive ({ record, state, endedAtMs, reason }: WorkflowRuntime): void {
     const { timers } = this._options
     this._remove(record.id)
-    this._ended.set(record.id, { state, endedAtMs: endedAtMs ?? timers.wallClock(), queue: record.queue })
+    this._ended.set(record.id, { state, endedAtMs: endedAtMs ?? timers.wallClock(), queue: record.queue, reason })
   }
 
   /** Marks a workflow whose cancellation has been stored. */
--- a/packages/pomelofold/src/workflows/workflowService.ts
+++ b/packages/pomelofold/src/workflows/workflowService.ts
@@ -12,7 +12,7 @@
 import { isFinal } from './workflowRuntime.js'
 import { STORE_OUTCOMES, type StoreOutcome, type WorkflowStore } from './workflowStore.js'
 import { JOB_STATES } from '../protocol/jobs.js'
-import type { Workflow, WorkflowState } from '../protocol/workflows.js'
+import type { Workflow, WorkflowState, WorkflowStatus } from '../protocol/workflows.js'
 import type { PeerTransport } from '../seams/peerTransport.js'
 import type { RandomSource } from '../seams/randomSource.js'
 import type { Timers } from '../seams/timers.js'
@@ -46,13 +46,13 @@
 }
 
 /** State of a workflow, or the reason why there is none. */
-export type StateAnswer = { state: WorkflowState } | 'unknownWorkflow' | 'unavailable'
+export type StateAnswer = { state: WorkflowState, reason?: string } | 'unknownWorkflow' | 'unavailable'
 
 /** Carries out the calls of callers, through peers when this daemon cannot reach the store. */
 export class WorkflowService {
   private readonly _options: WorkflowServiceOptions
   /** Final states by workflow id, oldest first. */
-  private readonly _finalStates = new Map<string, { state: WorkflowState, queue: string }>()
+  private readonly _finalStates = new Map<string, WorkflowStatus>()
   private readonly _proxies: StoreProxies
   private _lastQueueDepths: { waiting: Record<string, number>, readMs: number } | undefined
 
@@ -95,12 +95,12 @@
   /** State of a workflow, from the scheduler or else from the store. Only the store decides that a workflow does not exist. */
   async state (id: string): Promise<StateAnswer> {
     const cached = this._finalStates.get(id)
-    if (cached) return { state: cached.state }
+    if (cached) return { state: cached.state, reason: cached.reason }
     const answer = await this._stateFromScheduler(id) ?? await this._options.store.readState(id)
     if (answer === undefined) return 'unavailable'
     if (answer === null) return 'unknownWorkflow'
     this._cacheFinalState(id, answer)
-    return { state: answer.state }
+    return { state: answer.state, reason: answer.reason }
   }
 
   /** Cancels a workflow and logs the outcome. */
@@ -192,7 +192,7 @@
     return this._proxies.choose(candidates, session.leader?.vm)
   }
 
-  private async _stateFromScheduler (id: string): Promise<{ state: WorkflowState, queue: string } | undefined> {
+  private async _stateFromScheduler (id: string): Promise<WorkflowStatus | undefined> {
     const { session, transport, ownTerm } = this._options
     const ownState = ownTerm()?.stateOf(id)
     if (ownState) return ownState
@@ -201,7 +201,8 @@
     const answer = await transport.call(leader.vm, 'workflowState', { id }, SCHEDULER_TIMEOUT_MS)
     if (answer.isErr) this._noteSchedulerFailure(leader.epoch, answer.error)
     if (answer.isErr || answer.value.state === null || answer.value.queue === undefined) return
-    return { state: answer.value.state, queue: answer.value.queue }
+    const { state, queue, reason } = answer.value
+    return { state, queue, reason }
   }
 
   /** Passes a stored workflow or cancellation to the scheduler. */
@@ -228,7 +229,7 @@
     if (isConnectionRefused(err)) this._options.session.noteLeaderRefusedConnection(epoch)
   }
 
-  private _cacheFinalState (id: string, answer: { state: WorkflowState, queue: string }): void {
+  private _cacheFinalState (id: string, answer: WorkflowStatus): void {
     if (!isFinal(answer.state)) return
     this._finalStates.set(id, answer)
     if (this._finalStates.size > MAX_CACHED_FINAL_STATES) this._finalStates.delete(this._finalStates.keys().next().value!)
--- a/packages/pomelofold/src/workflows/workflowStore.ts
+++ b/packages/pomelofold/src/workflows/workflowStore.ts
@@ -6,7 +6,7 @@
 
 import { cancellationKey, progressKey, workflowKey } from './keys.js'
 import { JOB_STATES } from '../protocol/jobs.js'
-import { endedWorkflowSchema, workflowProgressSchema, workflowSchema, type Workflow, type WorkflowState } from '../protocol/workflows.js'
+import { endedWorkflowSchema, workflowProgressSchema, workflowSchema, type Workflow, type WorkflowStatus } from '../protocol/workflows.js'
 import type { Guard, PlatformClient } from '../seams/platformClient.js'
 import { delay, type Timers } from '../seams/timers.js'
 import { EFFECTS } from '../utils/errors.js'
@@ -58,7 +58,7 @@
   }
 
   /** State of a workflow by linearizable reads. Null when it is not stored; undefined when it could not be read. */
-  async readState (id: string): Promise<{ state: WorkflowState, queue: string } | null | undefined> {
+  async readState (id: string): Promise<WorkflowStatus | null | undefined> {
     const [stored, progress, cancelled] = await Promise.all([workflowKey(id), progressKey(id), cancellationKey(id)]
       .map(key => this._platform.get(key, { timeoutMs: CALL_TIMEOUT_MS })))
     if (stored.isErr || progress.isErr || cancelled.isErr) {
@@ -75,8 +75,8 @@
       return undefined
     }
     const { queue } = workflow.value
-    const { state, done } = recorded.value
-    if (state) return { state, queue }
+    const { state, done, reason } = recorded.value
+    if (state) return { state, queue, reason }
     if (cancelled.value) return { state: JOB_STATES.cancelled, queue }
     return { state: Object.keys(done).length ? JOB_STATES.running : JOB_STATES.accepted, queue }
   }
@@ -85,7 +85,7 @@
    * State of a workflow whose key is absent. The progress is read again, after the key: the transaction that
    * records a final state deletes the key, and an earlier read of the progress may have missed it.
    */
-  private async _readEndedState (id: string): Promise<{ state: WorkflowState, queue: string } | null | undefined> {
+  private async _readEndedState (id: string): Promise<WorkflowStatus | null | undefined> {
     const read = await this._platform.get(progressKey(id), { timeoutMs: CALL_TIMEOUT_MS })
     if (read.isErr) {
       this._log.event('warn', 'workflow.read.failed', { jobId: id, detail: read.error.message })
--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -10,7 +10,7 @@
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 import { SystemTimers } from 'pomelofold/edge/systemTimers'
 import type { CellConfig } from 'pomelofold/seams/workflowUpstreams'
-import type { WorkflowService } from 'pomelofold/workflows/workflowService'
+import type { StateAnswer, WorkflowService } from 'pomelofold/workflows/workflowService'
 import { frontApp, type FrontOptions } from 'pomelofold-on-platform/front'
 import { parseJob } from 'pomelofold-on-platform/jobBody'
 import { parseSettings } from 'pomelofold-on-platform/settings'
@@ -135,13 +135,17 @@
   t.equal((await send(app({ retryAfterS }, { config: () => undefined }), 'POST', `/q/${ID}`, BODY)).status, 503)
 })
 
+const FAILED_ID = '5c0e7a21d94b36f9'
+const STATES: Record<string, StateAnswer> = { [ID]: { state: 'accepted' }, [FAILED_ID]: { state: 'failed', reason: 'a task crashed its workers' } }
+
 t.test('states, cancellations and queue depths are reported in the form of the platform', async t => {
   const target = app({
-    state: async id => id === ID ? { state: 'accepted' } : 'unknownWorkflow',
+    state: async id => STATES[id] ?? 'unknownWorkflow',
     cancel: async id => id === ID ? 'cancelled' : 'unknownWorkflow',
     waiting: async () => 12
   })
   t.same(await (await send(target, 'GET', `/q/${ID}`)).json(), { state: 'queued' })
+  t.same(await (await send(target, 'GET', `/q/${FAILED_ID}`)).json(), { state: 'failed', reason: 'a task crashed its workers' })
   t.equal((await send(target, 'GET', '/q/0000000000000000')).status, 410)
   t.equal((await send(target, 'DELETE', `/q/${ID}`)).status, 200)
   t.equal((await send(target, 'DELETE', '/q/0000000000000000')).status, 410)
