Start nothing beside a run of unknown size, whatever its worker's capacity becomes

A run whose workflow is not known to the scheduler reserved the capacity that its worker had at that moment. When the capacity was small then and grows again, the difference seemed free although the run may use it, and a start could bring the worker over its capacity (LIMIT). Now such a run has no size, and its worker no room.

The unused fits() is gone.

--- a/packages/pomelofold/src/protocol/workflows.ts
+++ b/packages/pomelofold/src/protocol/workflows.ts
@@ -26,6 +26,9 @@
 /** Resources that a task needs, or that a worker has. */
 export type Resources = z.infer<typeof resourcesSchema>
 
+/** No resources at all. */
+export const NO_RESOURCES: Readonly<Resources> = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+
 /** `a` plus `count` times `b`; a negative count subtracts. */
 export function addResources (a: Resources, b: Resources, count = 1): Resources {
   return {
--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -22,7 +22,7 @@
   readonly name: string
   readonly attempt: number
   readonly task: Task | undefined
-  readonly size: Resources
+  readonly size: Resources | undefined
   readonly address: string
   readonly bornMs: number
   /** Incarnation to which it was sent, or which has carried it out. */
--- a/packages/pomelofold/src/workflows/placementPass.ts
+++ b/packages/pomelofold/src/workflows/placementPass.ts
@@ -13,7 +13,7 @@
 import { unusedRoom, reservedRoom } from './stepPlacer.js'
 import type { StepRuntime, WorkflowRuntime } from './workflowRuntime.js'
 import type { WorkerSession } from './workerSession.js'
-import { addResources, type Resources } from '../protocol/workflows.js'
+import { addResources, NO_RESOURCES, type Resources } from '../protocol/workflows.js'
 
 interface Claim {
   /** Position of the claimant in the pass. */
@@ -87,7 +87,7 @@
 
   /** Claims room for `tasks` tasks of a step, which cannot start before `idleUntilMs`. */
   claim ({ step, order }: OrderedStep, worker: WorkerSession, { tasks, idleUntilMs }: { tasks: number, idleUntilMs: number }): void {
-    const claim = { order, room: addResources({ cpuMillis: 0, memoryMb: 0, accelerators: 0 }, reservedRoom(step), tasks), idleUntilMs }
+    const claim = { order, room: addResources(NO_RESOURCES, reservedRoom(step), tasks), idleUntilMs }
     const others = this._claims.get(worker)
     if (others) others.push(claim)
     else this._claims.set(worker, [claim])
@@ -119,7 +119,7 @@
     let ends = this._expectedEnds.get(worker)
     if (!ends) {
       ends = [...worker.runs.values()].filter(run => !run.task?.step.spec.longRunning)
-        .map(run => ({ size: run.size, endsMs: this.nowMs + Math.max(0, remainingRunMs(run, this.nowMs)) }))
+        .map(run => ({ size: run.size ?? NO_RESOURCES, endsMs: this.nowMs + Math.max(0, remainingRunMs(run, this.nowMs)) }))
         .sort((a, b) => a.endsMs - b.endsMs)
       this._expectedEnds.set(worker, ends)
     }
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -223,10 +223,9 @@
 
   private _addRun (options: Pick<Run, 'task' | 'name' | 'attempt' | 'state' | 'adopted'> & { session: WorkerSession, size: Resources | undefined }): Run {
     const nowMs = this._options.timers.now()
-    const { task, session, size } = options
+    const { task, session } = options
     const run: Run = {
       ...options,
-      size: size ?? session.entry.capacity,
       startedMs: nowMs,
       pendingStartMs: undefined,
       startConfirmedMs: undefined,
--- a/packages/pomelofold/src/workflows/stepPlacer.ts
+++ b/packages/pomelofold/src/workflows/stepPlacer.ts
@@ -10,7 +10,7 @@
 
 import type { StepRuntime, Task } from './workflowRuntime.js'
 import type { WorkerSession } from './workerSession.js'
-import { addResources, type Resources } from '../protocol/workflows.js'
+import { addResources, NO_RESOURCES, type Resources } from '../protocol/workflows.js'
 
 /** Options of {@link placeStep}. */
 export interface PlaceStepOptions {
@@ -84,7 +84,7 @@
 
 /** Room on a worker that no run uses. */
 export function unusedRoom (worker: WorkerSession): Resources {
-  return addResources(worker.entry.capacity, worker.used, -1)
+  return worker.hasUnsizedRuns ? NO_RESOURCES : addResources(worker.entry.capacity, worker.used, -1)
 }
 
 /** Room that one task of the step reserves at its worker. Tasks that use only spare CPU reserve no CPU. */
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -37,6 +37,8 @@
  */
 export const EXTENSION_AFTER_LOSS_MS = 3_000
 
+const RESOURCE_NAMES = ['cpuMillis', 'memoryMb', 'accelerators'] as const
+
 const rosterSchema = z.array(z.object({
   id: z.string(),
   bornMs: z.number(),
@@ -249,6 +251,7 @@
         continue
       }
       if (entry.draining && !session.entry.draining) log.event('info', 'worker.draining', { worker: incarnation, leavesInMs: entry.leavesInMs, runs: session.runs.size })
+      this._logCapacityChange(session, entry)
       session.entry = entry
       session.listed = true
       if (entry.leavesInMs !== undefined) session.leavesAtMs = Math.min(session.leavesAtMs, this._options.timers.now() + entry.leavesInMs)
@@ -267,6 +270,20 @@
     }
   }
 
+  private _logCapacityChange ({ incarnation, entry: { capacity: before }, used, runs }: WorkerSession, { capacity }: WorkerEntry): void {
+    const changed = RESOURCE_NAMES.some(name => before[name] !== capacity[name])
+    if (!changed) return
+    this._options.log.event('info', 'worker.capacity', {
+      worker: incarnation,
+      cpuMillis: capacity.cpuMillis,
+      memoryMb: capacity.memoryMb,
+      accelerators: capacity.accelerators,
+      usedCpuMillis: used.cpuMillis,
+      usedMemoryMb: used.memoryMb,
+      runs: runs.size
+    })
+  }
+
   /**
    * True when a listed entry shows that the earlier incarnation at its address has ended. Other writers may list the address, so
    * a worker with another id must have answered there, and one with the same id must belong to the same service.
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -84,7 +84,7 @@
   readonly incarnation: string
   /** Runs by the id that `runIdOf` gives them. */
   readonly runs = new Map<string, Run>()
-  /** Sum of the sizes of all runs. */
+  /** Sum of the known sizes of all runs. */
   readonly used: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
   /** True once a report under this epoch was handled that lists all runs and ends: an earlier scheduler can start no more. */
   synced = false
@@ -125,6 +125,7 @@
   /** Latest lease end that was sent to the worker, on the worker's clock. */
   private _leaseEndMs = 0
   private _closed = false
+  private _unsizedRuns = 0
 
   constructor (options: WorkerSessionOptions) {
     this._options = options
@@ -162,12 +163,9 @@
     this._highestEndSequence = Math.max(this._highestEndSequence, sequence)
   }
 
-  /** True when there is capacity for one more task of `size`. */
-  fits (size: Resources): boolean {
-    const { capacity } = this.entry
-    return this.used.cpuMillis + size.cpuMillis <= capacity.cpuMillis &&
-      this.used.memoryMb + size.memoryMb <= capacity.memoryMb &&
-      this.used.accelerators + size.accelerators <= capacity.accelerators
+  /** True while a run of unknown size is on the worker: it may use any room, also some that is added later. */
+  get hasUnsizedRuns (): boolean {
+    return this._unsizedRuns > 0
   }
 
   addRun (run: Run): void {
@@ -369,7 +367,11 @@
     this._options.listener.onLapse(this, reason)
   }
 
-  private _addToUsed (size: Resources, sign: 1 | -1): void {
+  private _addToUsed (size: Resources | undefined, sign: 1 | -1): void {
+    if (!size) {
+      this._unsizedRuns += sign
+      return
+    }
     this.used.cpuMillis += sign * size.cpuMillis
     this.used.memoryMb += sign * size.memoryMb
     this.used.accelerators += sign * size.accelerators
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -72,8 +72,8 @@
   readonly session: RunHost
   /** Undefined for a run that no waiting task needs; such a run is stopped. */
   readonly task: Task | undefined
-  /** Room that the run reserves at its worker. */
-  readonly size: Resources
+  /** Room that the run reserves at its worker. Undefined when it is not known: then nothing starts beside it. */
+  readonly size: Resources | undefined
   /** True for a run that was found in a worker's report: its age is not known. */
   readonly adopted: boolean
   state: typeof RUN_STATES[keyof typeof RUN_STATES]
