--- a/tests/workflows/crashes.test.ts
+++ b/tests/workflows/crashes.test.ts
@@ -71,6 +71,49 @@
   }
 })
 
+// Guards against tries of a start that crash the next worker at the address.
+t.test('a task that crashes its worker before the start is answered is given up', async t => {
+  for (const speculative of [false, true]) {
+    const { cell, crashing } = await cellWithCrashingTask({ step: { speculative }, afterMs: 0 })
+    await cell.waitForState(crashing, 'failed', { limitMs: 30_000 })
+    t.ok(cell.crashes.length <= 2, `speculative ${speculative}: ${cell.crashes.length} workers crash`)
+  }
+})
+
+// Guards against tasks that are suspected or given up because of something else than a crash.
+t.test('refusing devices, leaving workers and many workers lost at once are no evidence against a task', async t => {
+  const suspects = (cell: WorkflowCell): number => cell.events.filter(({ name }) => name === 'task.suspected').length
+  const refused = new WorkflowCell({ workers: 2, runMs: () => 4_000 })
+  await refused.waitUntilReady()
+  const workflow = refused.workflow([{ tasks: 2 }])
+  await refused.submit(workflow)
+  await refused.timers.advance(100)
+  for (const { faults } of refused.workers) faults.refusesConnections = true
+  await refused.timers.advance(2_500)
+  for (const { faults } of refused.workers) faults.refusesConnections = false
+  await refused.waitForState(workflow.id, 'done')
+  t.equal(refused.records.length, 2, 'runs behind a device that refuses connections go on')
+  t.equal(refused.events.filter(({ name }) => name === 'task.crash.withdrawn').length, 2, 'and their evidence is withdrawn')
+
+  const leaving = new WorkflowCell({ workers: 4, runMs: () => 1_000 })
+  await leaving.waitUntilReady()
+  await leaving.submit(leaving.workflow([{ tasks: 4 }]))
+  for (const { faults } of leaving.workers.slice(0, 2)) faults.draining = true
+  await leaving.timers.advance(600)
+  for (const worker of leaving.workers.slice(0, 2)) leaving.crashWorker(worker)
+  await leaving.timers.advance(8_000)
+  t.equal(suspects(leaving), 0, 'workers that announced to leave')
+
+  const lost = new WorkflowCell({ workers: 8, runMs: () => 1_000 })
+  await lost.waitUntilReady()
+  await lost.submit(lost.workflow([{ tasks: 8 }]))
+  await lost.timers.advance(50)
+  for (const worker of [...lost.workers].slice(0, 4)) lost.crashWorker(worker)
+  await lost.timers.advance(8_000)
+  t.ok(suspects(lost) <= 2, `four workers at once: only those lost first are suspected (${suspects(lost)})`)
+  t.ok(lost.records.length >= 12 && lost.records.filter(({ how }) => how === 'done').length === 8)
+})
+
 // Guards against a task that is never suspected since younger runs are on each worker that it crashes.
 t.test('a task that crashes its workers seconds after its start is given up', async t => {
   for (const afterMs of [700, 2_000]) {
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -36,7 +36,7 @@
   seed?: number
   runMs?: (task: string, worker: string) => number
   queue?: Partial<QueueConfig>
-  /** Time after a start at which the task crashes its worker, in milliseconds; undefined for tasks that do not. */
+  /** Time after a start at which the task crashes its worker, in milliseconds; 0 for before the answer, undefined for never. */
   crashAfterMs?: (task: string) => number | undefined
   /** Creates the eligibility client of a daemon. By default every worker may run every step, and answers come at once. */
   eligibility?: (timers: Timers) => EligibilityClient
@@ -101,7 +101,8 @@
       address: `w${index}`,
       onStarted: ({ task }, worker) => {
         const afterMs = crashAfterMs(task)
-        if (afterMs !== undefined) this.timers.after(afterMs, () => { if (worker.runs.has(task)) this.crashWorker(worker) })
+        if (afterMs === 0) this.crashWorker(worker)
+        else if (afterMs !== undefined) this.timers.after(afterMs, () => { if (worker.runs.has(task)) this.crashWorker(worker) })
       },
       timers: this.timers,
       records: this.records,
