Do not send a request to a third instance after two broke it off

The same class as the task that crashes its workers: an idempotent request whose instance breaks the connection off is sent to the next instance, as long as instances, deadline and retry budget last. Callers beside it lose what ran on each of them. The new test failed before with 5 retries on six instances; now one retry, then the outcome unknown, with the reason. A time-out does not count: it says nothing of a crash.

--- a/packages/pomelofold/src/requests/queuedRequest.ts
+++ b/packages/pomelofold/src/requests/queuedRequest.ts
@@ -30,6 +30,8 @@
   mayHaveRun: boolean
   /** Names of the instances at which an attempt has failed. A retry goes to another one. */
   failedInstances: Set<string> | undefined
+  /** Number of instances that broke the connection off after the request had been sent. */
+  brokenAttempts: number
   /** Delivers the final answer. Called exactly once. */
   readonly answer: (answer: ServiceAnswer) => void
 }
--- a/packages/pomelofold/src/requests/requestScheduler.ts
+++ b/packages/pomelofold/src/requests/requestScheduler.ts
@@ -182,6 +182,7 @@
       attempts: 0,
       mayHaveRun: false,
       failedInstances: undefined,
+      brokenAttempts: 0,
       answer
     }
   }
--- a/packages/pomelofold/src/requests/serviceDispatcher.ts
+++ b/packages/pomelofold/src/requests/serviceDispatcher.ts
@@ -11,7 +11,7 @@
 import type { InstanceAnswer, InstanceRequest, UpstreamClient } from '../seams/upstreamClient.js'
 import { OUTCOMES, type RequestClass, type ServiceAnswer, type ServiceLoad } from '../protocol/requests.js'
 import type { VmRecord } from '../protocol/vms.js'
-import { CallError, EFFECTS, errorText } from '../utils/errors.js'
+import { CallError, CallTimeoutError, EFFECTS, errorText } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
 import { notRunAnswer, unknownOutcomeAnswer } from './failureAnswers.js'
 import { InstancePool } from './instancePool.js'
@@ -29,6 +29,8 @@
 /** An answer with this status or a higher one counts as a failure of its instance. */
 const SERVER_ERROR_STATUS = 500
 
+/** Number of instances that may break a request off before it is answered in place of a retry: it may have crashed them. */
+const MAX_BROKEN_ATTEMPTS = 2
 /** Largest share of the time between expected run time and deadline that is set aside for slower answers. */
 const MAX_SPREAD_SHARE = 0.5
 
@@ -215,15 +217,22 @@
     instance.endAttempt(attempt, mayStillRun)
     if (mayStillRun) {
       entry.mayHaveRun = true
+      if (!(err instanceof CallTimeoutError)) entry.brokenAttempts++
       instance.health.recordFailure(nowMs, this._pool.mayPause(nowMs))
       this._addLowerBound(instance, nowMs - attempt.sentAtMs)
     } else {
       instance.health.pause(nowMs)
     }
     const { requestId } = entry.req
-    this._options.log.event('warn', 'request.failed', { requestId, step: err.step, peer: err.peer, effect: err.effect, attempt: entry.attempts })
+    const { attempts, brokenAttempts } = entry
+    this._options.log.event(
+      'warn', 'request.failed', { requestId, step: err.step, peer: err.peer, effect: err.effect, attempt: attempts, brokenAttempts }
+    )
     if (this._retry(entry, instance, nowMs)) return
-    const details = { step: err.step, peer: err.peer, detail: err.message, requestId, waitedMs }
+    const detail = brokenAttempts < MAX_BROKEN_ATTEMPTS
+      ? err.message
+      : `${brokenAttempts} instances broke the connection off while they ran the request; last: ${err.message}`
+    const details = { step: err.step, peer: err.peer, detail, requestId, waitedMs }
     if (entry.mayHaveRun) this._finish(entry, unknownOutcomeAnswer(details))
     else this._finish(entry, notRunAnswer({ ...details, retryAfterMs: this._retryAfterMs(entry, 0) }, 'unavailable'))
   }
@@ -238,6 +247,7 @@
   /** Returns the request to the queue if it may be sent again and another instance can run it in time. Else returns false. */
   private _retry (entry: QueuedRequest, instance: ServiceInstance, nowMs: number): boolean {
     if (entry.mayHaveRun && (entry.req.atMostOnce || !this._spec.idempotent)) return false
+    if (entry.brokenAttempts >= MAX_BROKEN_ATTEMPTS) return false
     entry.failedInstances = (entry.failedInstances ?? new Set()).add(instance.name)
     entry.latestStartMs = this._latestStartMs(entry)
     if (entry.latestStartMs < nowMs || !this._pool.hasUsableInstance(entry.failedInstances)) return false
--- a/tests/requests/requestScheduler.test.ts
+++ b/tests/requests/requestScheduler.test.ts
@@ -162,6 +162,18 @@
   }
 })
 
+// Guards against one request that crashes instance after instance.
+t.test('a request under which two instances have broken off is not sent to a third', async t => {
+  const names = ['i1', 'i2', 'i3', 'i4', 'i5', 'i6']
+  const { timers, upstream, scheduler, answers, send } = setup(names, { service: { idempotent: true } })
+  await timers.advance(10)
+  for (const instance of upstream.instances.values()) instance.mode = INSTANCE_MODES.resets
+  send({ deadlineMs: 5_000 })
+  await timers.advance(6_000)
+  t.match(answers, [{ outcome: 'unknown', detail: /2 instances/ }])
+  t.equal(scheduler.figures().retries, 1)
+})
+
 t.test('retries stay within the retry budget when every instance refuses connections', async t => {
   const { timers, upstream, scheduler, answers, send } = setup(['i1', 'i2', 'i3', 'i4'])
   await timers.advance(10)
