Find tasks that crash their workers in the placer of the entry daemons, too

The same class as in the scheduler of workflows: a task whose worker came back without it was queued again as if nothing had happened, and the placer counted failures in memory only. tests/jobs/crashes.test.ts failed before: a batch job and a gang were still running after 900 s, on one worker after another; also with three placers in turn. Now a worker that lists none of the runs that it had confirmed counts as crashed, with the same evidence, recorded with the job before the task is placed again; a suspected task is placed alone where that is possible, and nothing beside it, until it has run longer than before. After 900 s at the latest the job is failed, with the workers and times; at most five crashes (the bound of the test). Four rounds of three crashes among eight workers give no job up, before and after.

The weights move to crashes/, which both schedulers import. Services are never given up: their replicas stay on trial.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -11,6 +11,7 @@
   seams: ['utils', 'protocol'],
   settings: ['utils', 'protocol'],
   commits: ['utils', 'protocol', 'seams'],
+  crashes: ['utils', 'protocol'],
   edge: ['utils', 'protocol', 'seams'],
   client: ['utils', 'protocol', 'settings'],
   claims: ['utils', 'protocol', 'seams'],
@@ -18,8 +19,8 @@
   config: ['utils', 'protocol', 'seams', 'peers'],
   requests: ['utils', 'protocol', 'seams'],
   outcomes: ['utils', 'protocol', 'seams'],
-  tasks: ['utils', 'protocol', 'seams', 'commits'],
-  workflows: ['utils', 'protocol', 'seams', 'commits'],
+  tasks: ['utils', 'protocol', 'seams', 'commits', 'crashes'],
+  workflows: ['utils', 'protocol', 'seams', 'commits', 'crashes'],
   reports: ['utils', 'protocol', 'seams'],
   server: ['utils', 'protocol', 'seams', 'settings', 'commits', 'edge', 'claims', 'peers', 'config', 'requests', 'outcomes', 'tasks', 'workflows', 'reports']
 }
--- a/packages/pomelofold/src/workflows/crashEvidence.ts
+++ b/packages/pomelofold/src/crashes/crashEvidence.ts
@@ -9,7 +9,7 @@
  * @module
  */
 
-import type { CrashRecord } from '../protocol/workflows.js'
+import type { CrashRecord } from '../protocol/crashes.js'
 
 /** Age of a run up to which a crash of its worker is blamed on its start, in milliseconds: covers the delay of the detection. */
 export const YOUNG_RUN_MS = 250
@@ -34,6 +34,9 @@
   settled: { unexplained: 0.5, doubtful: 0 }
 } as const
 
+/** One of the situations of {@link CRASH_WEIGHTS}. */
+export type CrashCircumstances = keyof typeof CRASH_WEIGHTS
+
 /** The situation of a run when its worker crashed. */
 export interface CrashSituation {
   /** Age of the run, in milliseconds. */
@@ -54,8 +57,12 @@
   if (ageMs > EVIDENCE_AGE_MAX_MS && !onTrial) return 0
   const young = ageMs <= YOUNG_RUN_MS
   const same = young && earlier.some(crash => crash.ageMs <= YOUNG_RUN_MS)
-  const situation = onTrial ? same ? 'sameOnTrial' : 'onTrial' : young ? 'young' : 'settled'
-  return CRASH_WEIGHTS[situation][doubtful ? 'doubtful' : 'unexplained']
+  return weightOf(onTrial ? same ? 'sameOnTrial' : 'onTrial' : young ? 'young' : 'settled', { doubtful })
+}
+
+/** Weight of a crash in these circumstances. */
+export function weightOf (circumstances: CrashCircumstances, { doubtful }: { doubtful: boolean }): number {
+  return CRASH_WEIGHTS[circumstances][doubtful ? 'doubtful' : 'unexplained']
 }
 
 /** Verdict on a task after these crashes. */
@@ -72,5 +79,5 @@
 
 /** Describes the crashes for the caller whose job is given up. */
 export function describeCrashes (crashes: CrashRecord[]): string {
-  return crashes.map(({ worker, atMs, ageMs }) => `${worker} at ${new Date(atMs).toISOString()}, ${Math.round(ageMs)} ms after the start`).join('; ')
+  return crashes.map(({ worker, atMs, ageMs }) => `${worker} at ${new Date(atMs).toISOString()}, noticed ${Math.round(ageMs)} ms after the start`).join('; ')
 }
--- a/packages/pomelofold/src/protocol/workflows.ts
+++ b/packages/pomelofold/src/protocol/workflows.ts
@@ -6,6 +6,7 @@
  */
 
 import { z } from 'zod'
+import { crashRecordSchema } from './crashes.js'
 import { JOB_STATES } from './jobs.js'
 
 /** Maximum number of tasks in one step. */
@@ -99,22 +100,6 @@
 /** State of a workflow as callers see it. */
 export type WorkflowState = typeof JOB_STATES[keyof typeof JOB_STATES]
 
-/** Stored form of the crash of a worker on which a task ran. */
-export const crashRecordSchema = z.object({
-  /** Incarnation of the worker. */
-  worker: z.string(),
-  attempt: z.number().int(),
-  /** Date of the crash, in milliseconds since the Unix epoch. */
-  atMs: z.number(),
-  /** Time from the start of the run to the loss of its worker, in milliseconds. */
-  ageMs: z.number().nonnegative(),
-  /** Weight of the crash as evidence against the task. */
-  weight: z.number().positive()
-})
-
-/** Stored form of the crash of a worker on which a task ran. */
-export type CrashRecord = z.infer<typeof crashRecordSchema>
-
 /** Stored form of the progress of a workflow's tasks. */
 export const workflowProgressSchema = z.object({
   /** Final state; absent while the workflow runs. */
--- a/packages/pomelofold/src/tasks/jobs/job.ts
+++ b/packages/pomelofold/src/tasks/jobs/job.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { CrashRecord } from '../../protocol/crashes.js'
 import { JOB_KINDS, JOB_STATES, type JobSpec, type JobView } from '../../protocol/jobs.js'
 import type { Capacity } from '../../protocol/vms.js'
 import type { TaskRequest } from '../placementTypes.js'
@@ -50,6 +51,8 @@
   throttled?: boolean
   /** Last reported usage. */
   usage?: Capacity
+  /** Monotonic time at which its trial ends, for a task that is suspected of crashing its workers. */
+  trialEndMs?: number
 }
 
 /** A group of equal tasks. With an `expectedMs` of 0 they run until stopped. */
@@ -99,6 +102,8 @@
   readonly intents = new Map<number, string>()
   /** Workers on which a task of the job failed; its tasks are not placed there. Emptied when it contains all workers. */
   readonly avoid = new Set<string>()
+  /** Crashes of workers that count against a task, by its index; against a gang, by index 0. */
+  readonly crashes = new Map<number, CrashRecord[]>()
   /** Ended runs to acknowledge to their workers after the next commit. */
   pendingAcks: Array<{ worker: string, taskId: string }> = []
   /** Final state. Undefined until the job has ended. */
@@ -127,6 +132,7 @@
     this.failed = parseRanges(progress.failed)
     this.unknown = parseRanges(progress.unknown)
     this.checkpoints = new Map(Object.entries(progress.checkpoints).map(([index, text]) => [Number(index), text]))
+    for (const [index, crashes] of Object.entries(progress.crashes)) this.crashes.set(Number(index), crashes)
     for (const [worker, ranges] of Object.entries(progress.intents)) {
       for (const index of parseRanges(ranges)) this.intents.set(index, worker)
     }
@@ -201,6 +207,7 @@
       unknown: formatRanges(this.unknown),
       intents: Object.fromEntries([...intents].map(([worker, indexes]) => [worker, formatRanges(indexes)])),
       checkpoints: this.ended ? {} : Object.fromEntries(this.checkpoints),
+      crashes: this.ended ? {} : Object.fromEntries(this.crashes),
       state: this.ended,
       reason: this.reason,
       firstStartAtMs: this.firstStartAtMs,
--- a/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
@@ -10,6 +10,7 @@
 import type { EventLog } from '../../utils/eventLog.js'
 import { FailureTracker } from './failureTracker.js'
 import { RUN_STATES, type Job, type TaskRun } from './job.js'
+import type { CrashTrials } from './crashTrials.js'
 import type { JobQueue } from './jobQueue.js'
 import type { JobSettings } from './jobSettings.js'
 import type { JobStore } from './jobStore.js'
@@ -34,6 +35,7 @@
   store: JobStore
   failures: FailureTracker
   links: ReadonlyMap<string, WorkerLink>
+  crashTrials: CrashTrials
   /** Schedules a pass of the scheduler at monotonic time `atMs`, or as soon as possible. */
   schedulePass: (atMs?: number) => void
   /** Called when a worker has been put on probation. */
@@ -58,13 +60,14 @@
   private readonly _store: JobStore
   private readonly _failures: FailureTracker
   private readonly _links: ReadonlyMap<string, WorkerLink>
+  private readonly _crashTrials: CrashTrials
   private readonly _schedulePass: (atMs?: number) => void
   private readonly _onProbation: (worker: string) => void
   private readonly _failureCounts = new WeakMap<Job, FailureCounts>()
   /** Ended jobs whose runs are still to be stopped. */
   private readonly _endedJobsWithRuns = new Set<Job>()
 
-  constructor ({ timers, cfg, log, ledger, queue, store, failures, links, schedulePass, onProbation }: JobLifecycleOptions) {
+  constructor ({ timers, cfg, log, ledger, queue, store, failures, links, crashTrials, schedulePass, onProbation }: JobLifecycleOptions) {
     this._timers = timers
     this._cfg = cfg
     this._log = log
@@ -73,6 +76,7 @@
     this._store = store
     this._failures = failures
     this._links = links
+    this._crashTrials = crashTrials
     this._schedulePass = schedulePass
     this._onProbation = onProbation
   }
@@ -84,6 +88,7 @@
     run.expectedEndMs = expectedMs > 0 ? now + Math.max(0, expectedMs - ranMs) : Number.POSITIVE_INFINITY
     if (run.state !== RUN_STATES.stopping) run.state = RUN_STATES.running
     if (!job || job.ended) return this.stop(run)
+    if (this._crashTrials.noteRunning(run)) this._store.save(job)
     if (job.firstStartAtMs !== undefined) return
     job.firstStartAtMs = this._timers.wallClock() - ranMs
     job.history.add(this._timers.wallClock(), `first task started at ${run.worker}`)
@@ -163,6 +168,13 @@
     this.endIfComplete(job)
   }
 
+  /** Handles the end of a worker's process: gives jobs up that have crashed it and others. Its runs are then handled as lost. */
+  onWorkerCrashed (worker: string, runs: TaskRun[]): void {
+    const givenUp = this._crashTrials.noteCrash(worker, runs)
+    for (const [job, reason] of givenUp) if (!job.ended) this.fail(job, reason)
+    for (const { job } of runs) if (job?.record && !job.ended && job.crashes.size > 0) this._store.save(job)
+  }
+
   /** Handles a run that has ended without a known outcome: its worker no longer lists it or is gone, or its lease has expired. */
   onLost (run: TaskRun): void {
     const { job, index, worker } = run
@@ -170,8 +182,13 @@
     if (!job || job.ended || job.isSettled(index)) return
     this._addEvent(job, `task ${index} was lost at ${worker}`)
     if (job.plan.atMostOnce) return this.settleAsUnknown(job, index)
-    if (job.isGang) return this._onGangIncomplete(job, `task ${index} was lost at ${worker}`)
-    this._requeue(job, index)
+    const restart = (): void => {
+      if (job.isGang) this._onGangIncomplete(job, `task ${index} was lost at ${worker}`)
+      else this._requeue(job, index)
+    }
+    if (!this._crashTrials.isSuspect(job, index) || !job.record) return restart()
+    // The next placer has to know of the crash before the task is started again.
+    this._store.save(job).then(result => { if (result.isOk) restart() })
   }
 
   /** Records the outcome of a task of an at-most-once job as unknown. It may have run and is not run again. */
--- a/packages/pomelofold/src/tasks/jobs/jobRecord.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobRecord.ts
@@ -5,6 +5,7 @@
  */
 
 import { z } from 'zod'
+import { crashRecordSchema } from '../../protocol/crashes.js'
 import { JOB_STATES, jobSpecSchema } from '../../protocol/jobs.js'
 
 /** Keys of the jobs of one failure domain. Those that end in a slash are prefixes. */
@@ -36,6 +37,8 @@
   /** At-most-once jobs only: tasks that may have been sent to a worker, by worker. */
   intents: z.record(z.string(), z.string()).default({}),
   checkpoints: z.record(z.string(), z.string()).default({}),
+  /** Crashes of workers that count against a task, by its index; against a gang, by index 0. */
+  crashes: z.record(z.string(), z.array(crashRecordSchema)).default({}),
   state: z.enum([JOB_STATES.done, JOB_STATES.failed, JOB_STATES.cancelled]).optional(),
   reason: z.string().optional(),
   firstStartAtMs: z.number().optional(),
--- a/packages/pomelofold/src/tasks/jobs/placerSession.ts
+++ b/packages/pomelofold/src/tasks/jobs/placerSession.ts
@@ -17,6 +17,7 @@
 import type { CommitResult } from '../../commits/groupCommitter.js'
 import { ManualPromise } from '../../utils/manualPromise.js'
 import type { Placement } from '../placementTypes.js'
+import { CrashTrials } from './crashTrials.js'
 import { FailureTracker } from './failureTracker.js'
 import { Job, planOf } from './job.js'
 import { JobLifecycle } from './jobLifecycle.js'
@@ -75,6 +76,7 @@
   private readonly _options: PlacerSessionOptions
   private readonly _store: JobStore
   private readonly _failures: FailureTracker
+  private readonly _crashTrials: CrashTrials
   private readonly _usageEstimator = new UsageEstimator()
   private readonly _domainQuotas: DomainQuotas
   private readonly _lifecycle: JobLifecycle
@@ -97,10 +99,11 @@
     this._store = new JobStore(options)
     this._failures = new FailureTracker({ cfg })
     this._domainQuotas = new DomainQuotas({ placement, ledger: this.ledger, domains: failureDomains.length })
-    const { ledger, queue, links, _store: store, _usageEstimator: usage, _failures: failures } = this
+    this._crashTrials = new CrashTrials({ timers, log, onTrialChange: worker => this._onTrialChange(worker) })
+    const { ledger, queue, links, _store: store, _usageEstimator: usage, _failures: failures, _crashTrials: crashTrials } = this
     const schedulePass = (atMs?: number): void => this._scheduler.schedulePass(atMs)
     const onProbation = (name: string): void => this._onProbation(name)
-    this._lifecycle = new JobLifecycle({ timers, cfg, log, ledger, queue, store, failures, links, schedulePass, onProbation })
+    this._lifecycle = new JobLifecycle({ timers, cfg, log, ledger, queue, store, failures, links, crashTrials, schedulePass, onProbation })
     const { _lifecycle: lifecycle } = this
     this._workerEventHandler = new WorkerEventHandler({
       timers,
@@ -119,6 +122,7 @@
       queue,
       lifecycle,
       store,
+      crashTrials,
       usage,
       links,
       quotaUsageOf: team => this._domainQuotas.quotaUsageOf(team),
@@ -129,6 +133,7 @@
     this._services = new LongRunningServices({ timers, ledger, lifecycle, queue, failureDomain, failureDomains })
     ledger.onRunRemoved = run => {
       this._preemption.onRunRemoved(run)
+      crashTrials.noteEnd(run)
       if (run.job) lifecycle.endIfComplete(run.job)
       schedulePass()
     }
@@ -276,12 +281,17 @@
   private _updatePlacement (link: WorkerLink): void {
     const { name, rack, failureDomain, state, capacity = NO_CAPACITY } = link.vm
     const onProbation = this._failures.isOnProbation(name, this._options.timers.now())
-    const takesWork = link.reachable && state === VM_STATES.live && !onProbation
+    const takesWork = link.reachable && state === VM_STATES.live && !onProbation && !this._crashTrials.isTrialWorker(name)
     this._options.placement.setWorker({ name, rack, failureDomain, capacity, takesWork })
     this.ledger.capacityVersion++
     this._scheduler.schedulePass()
   }
 
+  private _onTrialChange (worker: string): void {
+    const link = this.links.get(worker)
+    if (link && !this._closed) this._updatePlacement(link)
+  }
+
   private _onAvailability (link: WorkerLink): void {
     this._updatePlacement(link)
     if (!link.reachable) this._takeover.releaseIfSafe()
--- a/packages/pomelofold/src/tasks/jobs/scheduler.ts
+++ b/packages/pomelofold/src/tasks/jobs/scheduler.ts
@@ -7,6 +7,7 @@
 import type { Timers } from '../../seams/timers.js'
 import type { Capacity } from '../../protocol/vms.js'
 import { PLACEMENT_REFUSALS, type PlacementRefusal, type Placement } from '../placementTypes.js'
+import type { CrashTrials } from './crashTrials.js'
 import { RUN_STATES, type Job, type TaskRun } from './job.js'
 import type { JobLifecycle } from './jobLifecycle.js'
 import { OFFER_OUTCOMES, type OfferOutcome, type JobQueue } from './jobQueue.js'
@@ -33,6 +34,7 @@
   queue: JobQueue
   lifecycle: JobLifecycle
   store: JobStore
+  crashTrials: CrashTrials
   usage: UsageEstimator
   links: ReadonlyMap<string, WorkerLink>
   /** Share of its quota that a team uses. */
@@ -58,6 +60,7 @@
   private readonly _queue: JobQueue
   private readonly _lifecycle: JobLifecycle
   private readonly _store: JobStore
+  private readonly _crashTrials: CrashTrials
   private readonly _usage: UsageEstimator
   private readonly _links: ReadonlyMap<string, WorkerLink>
   private readonly _quotaUsageOf: (team: string) => number
@@ -69,7 +72,7 @@
   private _rememberedRefusals: RememberedRefusal[] = []
 
   constructor ({
-    timers, passDelayMs, placement, ledger, queue, lifecycle, store, usage, links, quotaUsageOf, onNoRoom
+    timers, passDelayMs, placement, ledger, queue, lifecycle, store, crashTrials, usage, links, quotaUsageOf, onNoRoom
   }: SchedulerOptions) {
     this._timers = timers
     this._passDelayMs = passDelayMs
@@ -78,6 +81,7 @@
     this._queue = queue
     this._lifecycle = lifecycle
     this._store = store
+    this._crashTrials = crashTrials
     this._usage = usage
     this._links = links
     this._quotaUsageOf = quotaUsageOf
@@ -140,6 +144,7 @@
 
   private _placeTask (job: Job, index: number): boolean {
     const size = this._plannedSizeOf(job, index)
+    if (this._crashTrials.isSuspect(job, index)) return this._placeOnTrial(job, index, size)
     const knownRefusal = this._findRefusal(job, size)
     if (knownRefusal) return this._markBlocked(job, knownRefusal)
     const request = job.taskRequest(index, this._ledger.nextTaskId(job, index), size)
@@ -154,6 +159,20 @@
     return true
   }
 
+  /** Places a suspected task, on a worker without other tasks if there is one. */
+  private _placeOnTrial (job: Job, index: number, size: Capacity): boolean {
+    if (!this._crashTrials.mayStartTrial(this._links.size)) return false
+    const request = job.taskRequest(index, this._ledger.nextTaskId(job, index), size)
+    const busy = [...this._links.keys()].filter(worker => this._ledger.runsAt(worker).size > 0)
+    const apart = this._placement.place({ ...request, avoid: new Set([...job.avoid, ...busy]) })
+    const place = apart.isOk ? apart : this._placement.place(request)
+    if (place.isErr) return this._markBlocked(job, place.error)
+    const run = this._ledger.add(job, index, request.taskId, place.value, size)
+    this._crashTrials.noteStart(run)
+    this._dispatch(job, run)
+    return true
+  }
+
   private _placeGang (job: Job): OfferOutcome {
     const requests = [...job.waiting].map(index =>
       job.taskRequest(index, this._ledger.nextTaskId(job, index), this._plannedSizeOf(job, index)))
@@ -166,7 +185,10 @@
       return OFFER_OUTCOMES.enough
     }
     const runs = requests.map(({ taskId, size }, at) => this._ledger.add(job, indexes[at], taskId, places.value.get(taskId)!, size))
-    for (const run of runs) this._dispatch(job, run)
+    for (const run of runs) {
+      this._crashTrials.noteStart(run)
+      this._dispatch(job, run)
+    }
     return OFFER_OUTCOMES.enough
   }
 
--- a/packages/pomelofold/src/tasks/jobs/workerEventHandler.ts
+++ b/packages/pomelofold/src/tasks/jobs/workerEventHandler.ts
@@ -135,7 +135,8 @@
   private _pollTimeOf (run: TaskRun, now: number): number {
     if (run.state === RUN_STATES.stopping) return now + this._cfg.minPollMs
     if (run.mayArriveUntilMs !== undefined) return run.mayArriveUntilMs
-    if (run.expectedEndMs + END_POLL_DELAY_MS > now) return run.expectedEndMs + END_POLL_DELAY_MS
+    const trialPollMs = run.trialEndMs === undefined ? Number.POSITIVE_INFINITY : Math.max(run.trialEndMs, now + this._cfg.minPollMs)
+    if (run.expectedEndMs + END_POLL_DELAY_MS > now) return Math.min(trialPollMs, run.expectedEndMs + END_POLL_DELAY_MS)
     return now + Math.min(this._cfg.maxPollMs, Math.max(this._cfg.minPollMs, OVERDUE_POLL_FACTOR * (now - run.expectedEndMs)))
   }
 
@@ -182,9 +183,13 @@
 
   private _handleMissingRuns (link: WorkerLink, report: WorkerReport, sentAtMs: number): void {
     const listed = new Set(report.tasks.map(task => task.taskId))
-    for (const run of [...this._ledger.runsAt(link.vm.name)]) {
-      if (!listed.has(run.taskId)) this._onMissing(run, sentAtMs)
-    }
+    const runs = [...this._ledger.runsAt(link.vm.name)]
+    const missing = runs.filter(run => !listed.has(run.taskId))
+    // A worker that lists none of the runs that it had confirmed has started anew.
+    const confirmed = runs.filter(run => run.state === RUN_STATES.running && run.sentAtMs < sentAtMs)
+    const lost = confirmed.filter(run => missing.includes(run))
+    if (lost.length > 0 && lost.length === confirmed.length) this._lifecycle.onWorkerCrashed(link.vm.name, lost)
+    for (const run of missing) this._onMissing(run, sentAtMs)
   }
 
   /**
--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -5,10 +5,10 @@
  * @module
  */
 
-import { crashWeight, describeCrashes, judge, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from './crashEvidence.js'
 import type { WorkerSession } from './workerSession.js'
 import { RUN_STATES, TASK_STATES, type Run, type Task, type WorkflowRuntime } from './workflowRuntime.js'
-import type { CrashRecord } from '../protocol/workflows.js'
+import { crashWeight, describeCrashes, judge, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from '../crashes/crashEvidence.js'
+import type { CrashRecord } from '../protocol/crashes.js'
 import type { Timers } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
 
@@ -183,14 +183,14 @@
     if (weight === 0) return
     const before = judge(crashUnit.crashes)
     const atMs = Math.round(timers.wallClock())
-    const record: CrashRecord = { worker: session.incarnation, attempt: run.attempt, atMs, ageMs: Math.round(ageMs), weight }
+    const record: CrashRecord = { worker: session.incarnation, atMs, ageMs: Math.round(ageMs), weight }
     crashUnit.crashes = [...crashUnit.crashes, record]
     const verdict = judge(crashUnit.crashes)
     this._options.onChanged(workflow)
     if (verdict === VERDICTS.clear) return
     if (before === VERDICTS.clear) this._counts.suspectedTasks++
     log.event('warn', VERDICT_EVENTS[verdict], {
-      task: task.name, ...record, onTrial, doubtful, crashes: crashUnit.crashes.length
+      task: task.name, attempt: run.attempt, ...record, onTrial, doubtful, crashes: crashUnit.crashes.length
     })
     if (verdict === VERDICTS.givenUp) {
       this._counts.givenUpTasks++
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -4,8 +4,9 @@
  * @module
  */
 
+import type { CrashRecord } from '../protocol/crashes.js'
 import { JOB_STATES } from '../protocol/jobs.js'
-import { formatStepName, formatTaskName, type CrashRecord, type WorkflowProgress, type Resources, type Workflow, type WorkflowState, type WorkflowStep } from '../protocol/workflows.js'
+import { formatStepName, formatTaskName, type WorkflowProgress, type Resources, type Workflow, type WorkflowState, type WorkflowStep } from '../protocol/workflows.js'
 import { formatRanges, parseRanges } from '../utils/indexRanges.js'
 import type { RunHost } from './runHost.js'
 
