Place by the capacity in the list of VMs as soon as it changes

The placer of the entry daemons took a worker's capacity from its reports only, which come every 40 s while nothing else asks for one. The new test failed before: 12 tasks on two workers of 2 cores each, in place of 4. A change in the list now counts until the next report.

--- a/packages/pomelofold/src/tasks/jobs/placerSession.ts
+++ b/packages/pomelofold/src/tasks/jobs/placerSession.ts
@@ -256,8 +256,11 @@
     const { timers, random, upstream, cfg, sendEpoch } = this._options
     const link = this.links.get(vm.name)
     if (link && link.vm.address === vm.address) {
-      const changed = link.vm.state !== vm.state || link.vm.rack !== vm.rack
-      link.vm = { ...vm, capacity: link.vm.capacity ?? vm.capacity }
+      // A report is newer than the list unless the list has changed since its last reading.
+      const resized = vm.capacity !== undefined && !isSameCapacity(link.listedCapacity, vm.capacity)
+      const changed = resized || link.vm.state !== vm.state || link.vm.rack !== vm.rack
+      link.vm = { ...vm, capacity: resized ? vm.capacity : link.vm.capacity ?? vm.capacity }
+      link.listedCapacity = vm.capacity
       if (changed) this._updatePlacement(link)
       return
     }
@@ -305,7 +308,7 @@
     this._overuseHandler.onReport(link, report, sentAtMs + OVERUSE_RECHECK_MS)
     const previous = link.vm.capacity
     const { capacity } = report
-    if (previous?.cpus !== capacity.cpus || previous.memoryMb !== capacity.memoryMb || previous.accelerators !== capacity.accelerators) {
+    if (!isSameCapacity(previous, capacity)) {
       link.vm = { ...link.vm, capacity }
       this._updatePlacement(link)
     }
@@ -346,3 +349,7 @@
     this._options.log.event('warn', 'jobs.forgetFailed', { step: err.step, peer: err.peer, error: errorText(err) })
   }
 }
+
+function isSameCapacity (a: Capacity | undefined, b: Capacity): boolean {
+  return a?.cpus === b.cpus && a.memoryMb === b.memoryMb && a.accelerators === b.accelerators
+}
--- a/packages/pomelofold/src/tasks/jobs/workerLink.ts
+++ b/packages/pomelofold/src/tasks/jobs/workerLink.ts
@@ -57,6 +57,8 @@
 /** Sends calls to one worker, renews the leases of its tasks, and tracks until when those leases may last. */
 export class WorkerLink {
   vm: VmRecord
+  /** Capacity in the last reading of the list of VMs. The worker's own reports replace that of `vm`. */
+  listedCapacity: VmRecord['capacity']
   /** True while the worker answers: after its first answered renewal under this epoch, until a start or renewal fails. */
   reachable = false
   /** True once the worker has listed its tasks, or all task leases granted to it have expired. */
@@ -86,6 +88,7 @@
 
   constructor ({ vm, timers, random, upstream, sendEpoch, cfg, events }: WorkerLinkOptions) {
     this.vm = vm
+    this.listedCapacity = vm.capacity
     this._timers = timers
     this._upstream = upstream
     this._sendEpoch = sendEpoch
--- a/tests/jobs/decisions.test.ts
+++ b/tests/jobs/decisions.test.ts
@@ -19,6 +19,22 @@
   return cell.runs.filter(run => run.task.startsWith(prefix) && run.toMs === Infinity).length
 }
 
+// Guards against starts beyond the capacity that the list of VMs shows, until the worker's next report.
+t.test('a worker whose capacity shrinks in the list of VMs gets no tasks beyond it', async t => {
+  const cell = new JobCell({ workers: 2, cpus: 8 })
+  const placer = await cell.addPlacer()
+  await cell.timers.advance(2_000)
+  const shrunk = { cpus: 2, memoryMb: 1e6, accelerators: 4 }
+  cell.vms = cell.vms.map(vm => ({ ...vm, capacity: shrunk }))
+  for (const worker of cell.workers) worker.vm.capacity = shrunk
+  await cell.timers.advance(2_000)
+  await cell.submit(placer, 'job', { count: 12, runMs: 5_000 })
+  await cell.timers.advance(3_000)
+  t.equal(countRunning(cell, 'job'), 4)
+  await cell.untilState(placer, 'job', 'done')
+  t.same(cell.violations(), [])
+})
+
 t.test('a gang with a refused start is stopped and restarted as a whole', async t => {
   const cell = new JobCell({ cfg: SHORT_LEASES })
   const placer = await cell.addPlacer()
