--- a/tests/soak/faultProxy.ts
+++ b/tests/soak/faultProxy.ts
@@ -17,7 +17,9 @@
   /** Requests arrive; answers are dropped. */
   oneWay: 'oneWay',
   /** Open connections are reset, new ones as soon as they are accepted. */
-  reset: 'reset'
+  reset: 'reset',
+  /** Open connections are reset, new ones refused. */
+  refused: 'refused'
 } as const
 
 /** One of {@link LINK_FAULTS}. */
@@ -33,6 +35,8 @@
   /** Sockets whose incoming bytes are dropped. */
   private readonly _blockedSources = new Set<Socket>()
   private _fault: LinkFault = LINK_FAULTS.none
+  private _port = 0
+  private _host = ''
 
   constructor (target: string) {
     const { hostname, port } = new URL(`http://${target}`)
@@ -41,12 +45,16 @@
   }
 
   async listen (host: string, port: number): Promise<void> {
+    this._port = port
+    this._host = host
     this._server.listen(port, host)
     await once(this._server, 'listening')
   }
 
   /** Sets the fault for open and for new connections. */
   setFault (fault: LinkFault): void {
+    if (this._fault === LINK_FAULTS.refused && fault !== LINK_FAULTS.refused) this._server.listen(this._port, this._host)
+    if (fault === LINK_FAULTS.refused && this._server.listening) this._server.close()
     this._fault = fault
     for (const [incoming, outgoing] of this._pairs) this._applyFault(incoming, outgoing)
   }
@@ -66,7 +74,7 @@
 
   /** Applies the fault to a connection. A direction that was blocked stays blocked after the fault, as its bytes are lost. */
   private _applyFault (incoming: Socket, outgoing: Socket): void {
-    if (this._fault === LINK_FAULTS.reset) incoming.resetAndDestroy()
+    if (this._fault === LINK_FAULTS.reset || this._fault === LINK_FAULTS.refused) incoming.resetAndDestroy()
     if (this._fault === LINK_FAULTS.blackholed) this._blockedSources.add(incoming)
     if (this._fault === LINK_FAULTS.blackholed || this._fault === LINK_FAULTS.oneWay) this._blockedSources.add(outgoing)
   }
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -23,6 +23,8 @@
 /** Longest time until the second of two restarts of a worker, in milliseconds. */
 const MAX_SECOND_RESTART_MS = 8_000
 const MAX_DOWNTIME_MS = 1_500
+/** Shares of its capacity that remain to a worker. */
+const SHRUNK_SHARES = [0.25, 0.5, 0.75]
 /** Distance between the seeds of two series, greater than that between any two seeds of soaks. */
 const SEED_STEP = 2_000_000
 
@@ -135,6 +137,22 @@
   configuration: async ({ cell }) => cell.configure()
 }
 
+/** Time for which a worker has only a part of its capacity, in milliseconds: longer than a scheduler needs to notice. */
+const SHRUNK_MS = 12_000
+
+/** Changes of capacity, by name. They overlap with the other faults. */
+const CAPACITY_FAULTS: Record<string, Fault> = {
+  shrinks: async context => {
+    const { cell, random } = context
+    const worker = anyWorker(context)
+    if (worker.capacityShare < 1) return
+    cell.workers.resize(worker, SHRUNK_SHARES[random.int(SHRUNK_SHARES.length)])
+    await pause(SHRUNK_MS)
+    cell.workers.resize(worker, 1)
+  },
+  keeps: async () => {}
+}
+
 /** Faults of calls to workers, and of workers that leave or restart, by name. They overlap with {@link CELL_FAULTS}. */
 const WORKER_FAULTS: Record<string, Fault> = {
   workerRefuses: context => disturbCalls(context, { refused: 0.4 }),
@@ -163,11 +181,11 @@
   }
 }
 
-const FAULTS: Record<string, Fault> = { ...CELL_FAULTS, ...WORKER_FAULTS }
+const FAULTS: Record<string, Fault> = { ...CELL_FAULTS, ...WORKER_FAULTS, ...CAPACITY_FAULTS }
 
-/** Plans a series of faults of the cell and, unless it is left out, one of its workers. */
-export function planFaults (seed: number, faultsMs: number, { workerFaults = true } = {}): PlannedFault[][] {
-  return [CELL_FAULTS, ...(workerFaults ? [WORKER_FAULTS] : [])].map((faults, index) => {
+/** Plans a series of faults of the cell and, unless they are left out, one of its workers and one of their capacities. */
+export function planFaults (seed: number, faultsMs: number, { workerFaults = true, capacityFaults = true } = {}): PlannedFault[][] {
+  return [CELL_FAULTS, ...(workerFaults ? [WORKER_FAULTS] : []), ...(capacityFaults ? [CAPACITY_FAULTS] : [])].map((faults, index) => {
     return planSeries(new SeededRandom(seed + SEED_STEP * index), Object.keys(faults), faultsMs)
   })
 }
--- a/tests/soak/runChecks.ts
+++ b/tests/soak/runChecks.ts
@@ -21,9 +21,12 @@
 interface Load { cause: RunRecord, runs: RunRecord[], cpuMillis: number, memoryMb: number }
 
 const NEARLY_FULL = 0.9
+/** Number of starts of a task by one scheduler, after three workers have crashed under it, that break the users' rule. */
+const FORBIDDEN_STARTS = 3
 
 /** Checks the records of all workers. */
-export function checkRuns ({ records, incarnations, orders }: SoakWorkers, jobs: SoakJob[]): RunFindings {
+export function checkRuns (workers: SoakWorkers, jobs: SoakJob[]): RunFindings {
+  const { records, incarnations, orders } = workers
   const origins = new Map(orders.origins.map(origin => [origin.record, origin]))
   const loads = loadsAtStarts(records, jobs)
   const fillingStarts = loads.filter(load => fillOf(load) >= NEARLY_FULL).length
@@ -33,13 +36,34 @@
     found.violations.push([text + note, ...runs.map(run => describe(run, origins.get(run)))].join('; '))
   }
   for (const { text, runs } of findRunViolations(records, incarnations)) add(text, runs, runs[1])
-  for (const load of loads.filter(each => fillOf(each) > 1)) {
+  for (const load of loads.filter(each => fillOf(each, origins.get(each.cause)?.capacityShare) > 1)) {
     const { cause, runs, cpuMillis, memoryMb } = load
     add(`${cause.worker} was overfilled by ${cause.task}#${cause.attempt}: cpu ${cpuMillis}, memory ${memoryMb}`, runs, cause)
   }
+  for (const [task, starts] of startsAfterThirdCrash(records.filter(({ task }) => workers.isDeadly(task)))) {
+    const byEpoch = new Map<number | undefined, RunRecord[]>()
+    for (const start of starts) {
+      const origin = origins.get(start)
+      if (origin?.lateMs === 0) byEpoch.set(origin.epoch, [...byEpoch.get(origin.epoch) ?? [], start])
+    }
+    for (const runs of byEpoch.values()) {
+      if (runs.length >= FORBIDDEN_STARTS) add(`${task} was started ${runs.length} times more after it had crashed three workers`, runs, runs[0])
+    }
+  }
   return found
 }
 
+/** Starts of each of these tasks after the third worker had crashed under it. */
+function startsAfterThirdCrash (records: RunRecord[]): Map<string, RunRecord[]> {
+  const starts = new Map<string, RunRecord[]>()
+  for (const record of records) starts.set(record.task, [...starts.get(record.task) ?? [], record])
+  for (const [task, runs] of starts) {
+    const third = runs.filter(({ how, endMs }) => how === undefined && endMs < Number.POSITIVE_INFINITY)[2]
+    starts.set(task, third ? runs.filter(({ startMs }) => startMs > third.endMs) : [])
+  }
+  return starts
+}
+
 function isFromReplacedLeader (origin: StartOrigin | undefined): boolean {
   return origin !== undefined && origin.replaced && origin.lateMs > 0 && origin.sentToBornMs !== origin.bornMs
 }
@@ -58,8 +82,8 @@
   })
 }
 
-function fillOf ({ cpuMillis, memoryMb }: Load): number {
-  return Math.max(cpuMillis / WORKER_CAPACITY.cpuMillis, memoryMb / WORKER_CAPACITY.memoryMb)
+function fillOf ({ cpuMillis, memoryMb }: Load, share = 1): number {
+  return Math.max(cpuMillis / WORKER_CAPACITY.cpuMillis, memoryMb / WORKER_CAPACITY.memoryMb) / share
 }
 
 function sum (values: number[]): number {
--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -10,10 +10,9 @@
  * failed; seed 1 never failed.
  */
 const CASES = [
-  ...[1, 4, 7, 8, 32, 55].map(seed => ({ seed, workerFaults: false })),
-  { seed: 37885, workerFaults: true },
-  { seed: 32, workerFaults: true },
-  { seed: 706, workerFaults: true }
+  ...[1, 4, 7, 8, 32, 55].map(seed => ({ seed, workerFaults: false, deadlyJobs: false })),
+  ...[37885, 32, 706].map(seed => ({ seed, workerFaults: true, deadlyJobs: false })),
+  { seed: 3, workerFaults: true, deadlyJobs: true }
 ]
 /** Time during which faults start, in milliseconds. */
 const FAULTS_MS = 8_000
@@ -27,10 +26,10 @@
 const dir = mkdtempSync(join(tmpdir(), 'pomelofold-soak-'))
 t.jobs = CELLS_AT_ONCE
 
-for (const [index, { seed, workerFaults }] of CASES.entries()) {
-  t.test(`soak: guarantees hold under the faults of ${workerFaults ? 'cell and workers' : 'the cell'}, seed ${seed}`, { buffered: true }, async t => {
+for (const [index, { seed, workerFaults, deadlyJobs }] of CASES.entries()) {
+  t.test(`soak: guarantees hold under the faults of ${workerFaults ? 'cell and workers' : 'the cell'}${deadlyJobs ? ', with tasks that crash workers' : ''}, seed ${seed}`, { buffered: true }, async t => {
     const { violations, accepted, runs, fillingStarts } = await soak({
-      seed, faultsMs: FAULTS_MS, workerFaults, dir: join(dir, String(index)), networkPrefix: `127.${90 + index}.${process.pid % 250}`
+      seed, faultsMs: FAULTS_MS, workerFaults, deadlyJobs, dir: join(dir, String(index)), networkPrefix: `127.${90 + index}.${process.pid % 250}`
     })
     t.same(violations, [], `seed ${seed}, logs in ${dir}/${index}`)
     t.ok(accepted > 0 && runs > 0 && fillingStarts > 0)
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -27,6 +27,8 @@
   workers?: number
   /** False to leave the series of worker faults out. */
   workerFaults?: boolean
+  /** False to leave out tasks that crash their workers and changes of capacity. */
+  deadlyJobs?: boolean
   /** Directory for the daemons' logs and settings. */
   dir: string
   /** First three bytes of the IPv4 addresses, of a loopback network that nothing else uses. */
@@ -45,6 +47,8 @@
   /** Number of starts that were carried out late, and of those at a later incarnation of their worker. */
   lateStarts: number
   lateAtNextIncarnation: number
+  /** Number of accepted jobs whose first task crashes its workers. */
+  deadlyJobs: number
   /** Number of starts that filled their worker by nine tenths or more. */
   fillingStarts: number
   /** Number of disturbed calls and refused orders at workers. */
@@ -55,10 +59,10 @@
 
 /** Runs one soak. */
 export async function soak (
-  { seed, faultsMs, daemons = 4, workers = 5, workerFaults, dir, networkPrefix }: SoakOptions
+  { seed, faultsMs, daemons = 4, workers = 5, workerFaults, deadlyJobs = true, dir, networkPrefix }: SoakOptions
 ): Promise<SoakReport> {
-  const series = planFaults(seed, faultsMs, { workerFaults })
-  const cell = new SoakCell({ dir, networkPrefix, seed })
+  const series = planFaults(seed, faultsMs, { workerFaults, capacityFaults: deadlyJobs })
+  const cell = new SoakCell({ dir, networkPrefix, seed, deadlyJobs })
   const callers = new Callers({ cell, random: new SeededRandom(seed) })
   try {
     await cell.start({ daemons, workers })
@@ -85,6 +89,7 @@
       runs: records.length,
       lateStarts: late.length,
       lateAtNextIncarnation: late.filter(({ sentToBornMs, bornMs }) => sentToBornMs !== bornMs).length,
+      deadlyJobs: callers.jobs.filter(job => job.accepted && cell.workers.isDeadly(job.id)).length,
       fillingStarts: runs.fillingStarts,
       orders: orders.counts,
       counts: callers.counts
@@ -138,7 +143,7 @@
   const found: string[] = []
   for (const job of callers.jobs) {
     if (!job.accepted && job.refusedOnly && started.has(job.id)) found.push(`${job.id} was refused but ran`)
-    if (job.state === 'failed') found.push(`${job.id} failed, although no task failed`)
+    if (job.state === 'failed' && !cell.workers.isDeadly(job.id)) found.push(`${job.id} failed, although no task failed`)
     if (job.state === 'cancelled' && !job.cancelled) found.push(`${job.id} is cancelled, but no caller cancelled it`)
     if (job.state !== 'completed') continue
     const steps: Array<{ task_count: number }> = JSON.parse(job.body).steps
--- a/tests/soak/soakCell.ts
+++ b/tests/soak/soakCell.ts
@@ -100,10 +100,10 @@
   private readonly _servers: JsonServer[] = [this.store.server]
   private _configurationVersion = 0
 
-  constructor ({ dir, networkPrefix, seed }: { dir: string, networkPrefix: string, seed: number }) {
+  constructor ({ dir, networkPrefix, seed, deadlyJobs }: { dir: string, networkPrefix: string, seed: number, deadlyJobs: boolean }) {
     this._dir = dir
     this._networkPrefix = networkPrefix
-    this.workers = new SoakWorkers({ timers: this.timers, store: this.store, host: `${networkPrefix}.250`, seed })
+    this.workers = new SoakWorkers({ timers: this.timers, store: this.store, host: `${networkPrefix}.250`, seed, deadlyJobs })
     mkdirSync(dir, { recursive: true })
     process.once('exit', this._killAll)
   }
--- a/tests/soak/soakWorkers.ts
+++ b/tests/soak/soakWorkers.ts
@@ -8,7 +8,7 @@
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import type { Timers } from 'pomelofold/seams/timers'
 import type { Resources } from 'pomelofold/protocol/workflows'
-import { FaultProxy } from './faultProxy.js'
+import { FaultProxy, LINK_FAULTS } from './faultProxy.js'
 import type { StoreServer } from './standins.js'
 import { tickets, WorkerOrders, WorkerServer, type Incarnation } from './workerServer.js'
 
@@ -23,6 +23,18 @@
 /** Capacity of each worker. It starts what it is told to, whether it has room or not. */
 export const WORKER_CAPACITY: Resources = { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 0 }
 
+/** Time from the start of a task that crashes its worker to the crash, and longest random addition to it, in milliseconds. */
+const CRASH_DELAY_MS = 10
+const CRASH_DELAY_ADDITION_MS = 40
+/** Time until a worker that a task has crashed is back, in milliseconds. */
+const CRASH_DOWNTIME_MS = 2_000
+
+/** Time after a change of capacity from which it counts for starts, in milliseconds: longer than a fault and two readings. */
+const RESIZE_NOTICE_MS = 9_000
+
+/** Ids of jobs whose first task crashes its workers, in soaks with such jobs: one of 16. */
+const DEADLY_JOBS = /^f/
+
 /** A worker id, with its current incarnation; undefined while it is down. */
 export interface SoakWorker {
   id: string
@@ -33,6 +45,9 @@
   leavesAtMs: number
   /** The worker writes no entry to the store. */
   cutOffFromStore: boolean
+  /** Share of `WORKER_CAPACITY` that it has, and since when, in milliseconds. */
+  capacityShare: number
+  shrunkMs: number
 }
 
 /** Run time of the tasks of a job, in milliseconds: half of the jobs have tasks that outlast the tries of a start. */
@@ -52,10 +67,14 @@
   private readonly _store: StoreServer
   private readonly _host: string
   private readonly _seed: number
+  private readonly _deadlyJobs: boolean
   private readonly _leases = new Map<string, string>()
   private _closed = false
 
-  constructor ({ timers, store, host, seed }: { timers: Timers, store: StoreServer, host: string, seed: number }) {
+  constructor ({ timers, store, host, seed, deadlyJobs }: {
+    timers: Timers, store: StoreServer, host: string, seed: number, deadlyJobs: boolean
+  }) {
+    this._deadlyJobs = deadlyJobs
     this._timers = timers
     this._store = store
     this._host = host
@@ -67,6 +86,18 @@
     this._timers.every(ENTRY_RENEWAL_PERIOD_MS, () => { for (const worker of this.all) this._writeEntry(worker) })
   }
 
+  /** True for a job, or the task of one, whose first task crashes each worker that starts it. */
+  isDeadly (jobId: string): boolean {
+    return this._deadlyJobs && DEADLY_JOBS.test(jobId)
+  }
+
+  /** Lists the worker with a share of its capacity. What runs there goes on. */
+  resize (worker: SoakWorker, share: number): void {
+    worker.capacityShare = share
+    worker.shrunkMs = this._timers.now()
+    this._writeEntry(worker)
+  }
+
   /** Ends the worker without notice. Its next incarnation starts without state. */
   crash (worker: SoakWorker): void {
     worker.incarnation?.worker.crash()
@@ -81,6 +112,7 @@
       timers: this._timers,
       records: this.records,
       runMs: runTimeMs,
+      onStarted: record => this._crashIfDeadly(worker, record),
       capacity: WORKER_CAPACITY
     })
     Object.assign(incarnation.entry, { bornMs: Date.now() })
@@ -89,6 +121,20 @@
     this._writeEntry(worker)
   }
 
+  private _crashIfDeadly (worker: SoakWorker, { task, attempt }: RunRecord): void {
+    if (!this.isDeadly(task) || !task.endsWith('.0.0')) return
+    const { incarnation } = worker
+    this._timers.after(CRASH_DELAY_MS + (attempt * 7) % CRASH_DELAY_ADDITION_MS, () => {
+      if (worker.incarnation !== incarnation || !incarnation?.worker.runs.has(task)) return
+      this.crash(worker)
+      worker.link.setFault(LINK_FAULTS.refused)
+      this._timers.after(CRASH_DOWNTIME_MS, () => {
+        worker.link.setFault(LINK_FAULTS.none)
+        this.restart(worker)
+      })
+    })
+  }
+
   /** Answer of the advice service: every worker that is up may run the step. */
   advise (step: string, ids: string[]): object {
     const untilMs = Math.round(this._timers.now()) + TICKET_VALID_MS
@@ -107,15 +153,19 @@
   }
 
   private async _add (index: number): Promise<void> {
+    const timers = this._timers
     const server = new WorkerServer({
       current: () => worker.incarnation,
-      timers: this._timers,
+      knownCapacityShare: () => timers.now() - worker.shrunkMs > RESIZE_NOTICE_MS ? worker.capacityShare : 1,
+      timers,
       random: new SeededRandom(this._seed * 1_000 + index),
       records: this.records,
       orders: this.orders
     })
     const link = new FaultProxy(`${this._host}:${PORTS.worker + index}`)
-    const worker: SoakWorker = { id: `w${index}`, link, server, incarnation: undefined, leavesAtMs: 0, cutOffFromStore: false }
+    const worker: SoakWorker = {
+      id: `w${index}`, link, server, incarnation: undefined, leavesAtMs: 0, cutOffFromStore: false, capacityShare: 1, shrunkMs: 0
+    }
     await server.server.listen(this._host, PORTS.worker + index)
     await link.listen(this._host, PORTS.workerProxy + index)
     this.all.push(worker)
@@ -123,7 +173,7 @@
   }
 
   /** Writes the worker's entry under a lease that ends when the entry is no longer written. */
-  private _writeEntry ({ id, incarnation, cutOffFromStore, leavesAtMs }: SoakWorker): void {
+  private _writeEntry ({ id, incarnation, cutOffFromStore, leavesAtMs, capacityShare }: SoakWorker): void {
     if (this._closed || !incarnation || cutOffFromStore || this._store.fault === 'down') return
     const { store } = this._store
     const leaseId = this._leases.get(id)
@@ -141,7 +191,7 @@
       state: faults.draining ? 'draining' : 'ready',
       sequence: Math.round(nowMs - incarnation.startedMs),
       born: entry.bornMs,
-      capacity: { cpu: WORKER_CAPACITY.cpuMillis, mem_mb: WORKER_CAPACITY.memoryMb },
+      capacity: { cpu: WORKER_CAPACITY.cpuMillis * capacityShare, mem_mb: WORKER_CAPACITY.memoryMb * capacityShare },
       labels: ['a', 'r1'],
       remaining_ms: faults.draining ? Math.max(0, Math.round(leavesAtMs - nowMs)) : undefined
     })
--- a/tests/soak/workerServer.ts
+++ b/tests/soak/workerServer.ts
@@ -51,6 +51,8 @@
   lateMs: number
   /** True if some worker had received a newer epoch before. */
   replaced: boolean
+  /** Share of its capacity that the worker had long before the start, and has. */
+  capacityShare: number
 }
 
 /** One incarnation of a worker. Its own clock begins at 0 when it starts. */
@@ -85,15 +87,22 @@
   readonly faults: CallFaults = { refused: 0, unanswered: 0, lost: 0, late: 0 }
   readonly server = new JsonServer(call => this._answer(call))
   private readonly _current: () => Incarnation | undefined
+  private readonly _knownCapacityShare: () => number
   private readonly _timers: Timers
   private readonly _random: SeededRandom
   private readonly _records: RunRecord[]
   private readonly _orders: WorkerOrders
 
-  constructor ({ current, timers, random, records, orders }: {
-    current: () => Incarnation | undefined, timers: Timers, random: SeededRandom, records: RunRecord[], orders: WorkerOrders
+  constructor ({ current, knownCapacityShare, timers, random, records, orders }: {
+    current: () => Incarnation | undefined,
+    knownCapacityShare: () => number,
+    timers: Timers,
+    random: SeededRandom,
+    records: RunRecord[],
+    orders: WorkerOrders
   }) {
     this._current = current
+    this._knownCapacityShare = knownCapacityShare
     this._timers = timers
     this._random = random
     this._records = records
@@ -151,7 +160,8 @@
           sentToBornMs: receiver.worker.entry.bornMs,
           bornMs: worker.entry.bornMs,
           lateMs: arrivedMs === undefined ? 0 : nowMs - arrivedMs,
-          replaced
+          replaced,
+          capacityShare: this._knownCapacityShare()
         })
       }
       return this._orderAnswer(executor, refusal)
