--- a/tests/soak/faultProxy.ts
+++ b/tests/soak/faultProxy.ts
@@ -37,6 +37,7 @@
   private _fault: LinkFault = LINK_FAULTS.none
   private _port = 0
   private _host = ''
+  private _closed = false
 
   constructor (target: string) {
     const { hostname, port } = new URL(`http://${target}`)
@@ -53,6 +54,7 @@
 
   /** Sets the fault for open and for new connections. */
   setFault (fault: LinkFault): void {
+    if (this._closed) return
     if (this._fault === LINK_FAULTS.refused && fault !== LINK_FAULTS.refused) this._server.listen(this._port, this._host)
     if (fault === LINK_FAULTS.refused && this._server.listening) this._server.close()
     this._fault = fault
@@ -60,6 +62,7 @@
   }
 
   close (): void {
+    this._closed = true
     this._server.close()
     for (const pair of this._pairs) for (const socket of pair) socket.destroy()
   }
