Doubt a crash that comes with another one, also in a small cell

Callers would see: jobs failed for crashes that others caused. Now two workers, and 5 % of all, within 100 ms make a crash doubtful, if they were lost after the run had started; and so does a start that timed out, which may not have been carried out.

--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -14,9 +14,9 @@
 
 /** Time within which lost workers count as lost at once, in milliseconds. */
 const SIMULTANEOUS_MS = 100
-/** Number of workers, and share of all of them, that are many to lose at once: more than a few tasks crash in that time. */
-const MANY_WORKERS_MIN = 4
-const MANY_WORKERS_SHARE = 0.1
+/** Number of workers, and share of all of them, that are many to lose at once. */
+const MANY_WORKERS_MIN = 2
+const MANY_WORKERS_SHARE = 0.05
 /** Time for which a crash at an address makes further ones there likely, in milliseconds. */
 const UNSTABLE_ADDRESS_MS = 60_000
 /** Share of the usable workers on which tasks may be on trial at once. */
@@ -74,10 +74,9 @@
 
   /** Records the crash of a worker with the tasks that ran there. */
   noteCrash (session: WorkerSession, evidence: string): void {
-    const { log, workerCount } = this._options
+    const { log } = this._options
     this.noteLoss(session)
     this._counts.crashedWorkers++
-    const amongMany = this._losses.size >= Math.max(MANY_WORKERS_MIN, MANY_WORKERS_SHARE * workerCount())
     const repeated = this.hasCrashedLately(session)
     this._crashedAddresses.set(session.entry.address, session.lostMs)
     const runs = [...session.runs.values()].filter(run => this._mayBeCause(run))
@@ -91,7 +90,7 @@
       lostAtOnce: this._losses.size,
       repeated
     })
-    for (const run of runs) this._addEvidence(run, session, { doubtful: amongMany || repeated })
+    for (const run of runs) this._addEvidence(run, session, { doubtful: repeated || this._wereManyLostSince(run.startedMs) })
     this._trials.delete(session)
   }
 
@@ -165,6 +164,12 @@
     this._options.onChanged(task.step.workflow)
   }
 
+  /** A worker that was lost before the run started has crashed for another reason than its worker, or by the same task. */
+  private _wereManyLostSince (startedMs: number): boolean {
+    const lost = [...this._losses.values()].filter(atMs => atMs >= startedMs).length
+    return lost >= Math.max(MANY_WORKERS_MIN, MANY_WORKERS_SHARE * this._options.workerCount())
+  }
+
   /** Runs that are no longer needed may have crashed their worker, but their tasks are not started again. */
   private _mayBeCause ({ task }: Run): boolean {
     return task !== undefined && task.state !== TASK_STATES.done && !task.step.workflow.isOver
@@ -179,7 +184,9 @@
     if (workflow.isOver || crashUnit.crashes.some(({ worker }) => worker === session.incarnation)) return
     const ageMs = ageAtLoss(run)
     const onTrial = this._trials.get(session)?.has(run) ?? false
-    const weight = crashWeight(crashUnit.crashes, { ageMs, onTrial, doubtful })
+    // A start that timed out may not have been carried out at all.
+    const isStartUnknown = run.startConfirmedMs === undefined && run.unansweredMs !== undefined && !run.startBroken
+    const weight = crashWeight(crashUnit.crashes, { ageMs, onTrial, doubtful: doubtful || isStartUnknown })
     if (weight === 0) return
     const before = judge(crashUnit.crashes)
     const atMs = Math.round(timers.wallClock())
--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -7,7 +7,7 @@
 import { RUN_STATES, type Run } from './workflowRuntime.js'
 import { delay, type Timers } from '../seams/timers.js'
 import { START_REFUSALS, type StartRefusal, type WorkerClient } from '../seams/workflowUpstreams.js'
-import { EFFECTS } from '../utils/errors.js'
+import { CallTimeoutError, EFFECTS } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Longest delay with which a worker carries out an order, in milliseconds. */
@@ -101,6 +101,7 @@
       mayBeSent ||= answer.error.effect !== EFFECTS.none
       if (answer.error.effect !== EFFECTS.none) {
         run.unansweredMs = sentMs
+        run.startBroken ||= !(answer.error instanceof CallTimeoutError)
         onUnanswered(run, sentMs)
       }
       await delay(timers, START_RETRY_MS)
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -230,6 +230,7 @@
       pendingStartMs: undefined,
       startConfirmedMs: undefined,
       unansweredMs: undefined,
+      startBroken: false,
       stopConfirmedMs: undefined,
       percent: 0,
       progressedMs: nowMs,
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -89,6 +89,8 @@
    * out, or may be carried out later. Undefined when every start was answered or cannot have reached the worker.
    */
   unansweredMs: number | undefined
+  /** True when the worker broke the connection off before it answered the start. */
+  startBroken: boolean
   /** Time at which the worker confirmed the stop: when a report requested later does not list the run, the run has ended. */
   stopConfirmedMs: number | undefined
   /** Progress in percent, and the time at which it last changed. */
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -63,6 +63,7 @@
     pendingStartMs: undefined,
     startConfirmedMs: 0,
     unansweredMs: undefined,
+    startBroken: false,
     stopConfirmedMs: undefined,
     percent: 10,
     progressedMs: 0,
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -165,6 +165,7 @@
       startConfirmedMs: nowMs,
       pendingStartMs: undefined,
       unansweredMs: undefined,
+      startBroken: false,
       stopConfirmedMs: undefined,
       percent: 0,
       progressedClockMs: undefined,
