Place no copy of a task beside an earlier one that still runs

A copy was kept off the worker of the task's current run, and not off those of the runs before it. The new test failed before: placed on the first worker; it holds now.

--- a/packages/pomelofold/src/workflows/stepPlacer.ts
+++ b/packages/pomelofold/src/workflows/stepPlacer.ts
@@ -123,9 +123,9 @@
   return tasks.filter(task => mayPlace(task, worker)).slice(0, room.slots(worker, tasks.length)).map(task => ({ task, worker }))
 }
 
-/** False for a worker that the task avoids, or on which it runs. */
-function mayPlace (task: Task, worker: WorkerSession): boolean {
-  return !task.avoid?.has(worker.incarnation) && task.run?.session !== worker
+/** False for a worker that the task avoids, or on which a run of it is. */
+function mayPlace ({ avoid, run, supersededRuns }: Task, worker: WorkerSession): boolean {
+  return !avoid?.has(worker.incarnation) && run?.session !== worker && supersededRuns.every(({ session }) => session !== worker)
 }
 
 type AssignOptions = Omit<PlaceStepOptions, 'freeRoom'> & { room: StepRoom }
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -84,6 +84,18 @@
   t.same(plan.map(({ worker }) => worker.entry.id), ['quick', 'quick'])
 })
 
+// Guards against two runs of one task on one worker, of which the later one ends the earlier one or waits for it.
+t.test('a copy of a task is placed beside none of its other runs', async t => {
+  const placedStep = step({ tasks: 1, speculative: true })
+  const workers = [session('first'), session('second'), session('third')]
+  const task = placedStep.tasks[0]
+  task.supersededRuns = [run(placedStep, 0, workers[0])]
+  task.run = run(placedStep, 0, workers[1], { attempt: 2 })
+  const slowness = (worker: WorkerSession): number => worker === workers[2] ? 2 : 1
+  const plan = placeStep({ step: placedStep, tasks: [task], workers, urgent: true, slowness })
+  t.same(plan.map(({ worker }) => worker.entry.id), ['third'])
+})
+
 t.test('an overnight step is placed at a worker in use before an empty one', async t => {
   const placedStep = step({ tasks: 2 })
   const [empty, used] = [session('empty'), session('used')]
