--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -164,7 +164,7 @@
     this._options.onChanged(task.step.workflow)
   }
 
-  /** A worker that was lost before the run started has crashed for another reason than its worker, or by the same task. */
+  /** Workers that were lost before the run started are left out: an earlier run of the same task may have crashed them. */
   private _wereManyLostSince (startedMs: number): boolean {
     const lost = [...this._losses.values()].filter(atMs => atMs >= startedMs).length
     return lost >= Math.max(MANY_WORKERS_MIN, MANY_WORKERS_SHARE * this._options.workerCount())
