Teams: types of the configuration and of workflows, usage of each team; the order of steps and the queries in modules of their own

Cause: no module knows a team, and the dispatcher holds order, queries and explanations in one file. Change: TeamConfig and TeamsConfig in the configuration, the team in a workflow and a run, TeamUsage as the sum of a team's runs; StepOrder, EligibilityQueries, readyStep and waitExplanation moved out of the dispatcher without a change of what they decide. Nothing sets a team yet.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -12,6 +12,7 @@
   settings: ['utils', 'protocol'],
   commits: ['utils', 'protocol', 'seams'],
   crashes: ['utils', 'protocol'],
+  teams: ['utils', 'protocol', 'seams'],
   edge: ['utils', 'protocol', 'seams'],
   client: ['utils', 'protocol', 'settings'],
   claims: ['utils', 'protocol', 'seams'],
@@ -20,9 +21,9 @@
   requests: ['utils', 'protocol', 'seams'],
   outcomes: ['utils', 'protocol', 'seams'],
   tasks: ['utils', 'protocol', 'seams', 'commits', 'crashes'],
-  workflows: ['utils', 'protocol', 'seams', 'commits', 'crashes'],
+  workflows: ['utils', 'protocol', 'seams', 'commits', 'crashes', 'teams'],
   reports: ['utils', 'protocol', 'seams'],
-  server: ['utils', 'protocol', 'seams', 'settings', 'commits', 'edge', 'claims', 'peers', 'config', 'requests', 'outcomes', 'tasks', 'workflows', 'reports']
+  server: ['utils', 'protocol', 'seams', 'settings', 'commits', 'teams', 'edge', 'claims', 'peers', 'config', 'requests', 'outcomes', 'tasks', 'workflows', 'reports']
 }
 
 const folderRules = Object.entries(ALLOWED).map(([folder, allowed]) => ({
--- a/packages/pomelofold/src/protocol/workflows.ts
+++ b/packages/pomelofold/src/protocol/workflows.ts
@@ -80,6 +80,8 @@
 export const workflowSchema = z.object({
   id: z.string().regex(/^[0-9a-f]{16}$/),
   queue: z.string().min(1),
+  /** Team that submitted it; absent when its caller needed no key. */
+  team: z.string().min(1).optional(),
   /** Text that is passed to the workers. The scheduler does not interpret it. */
   payload: z.string().max(MAX_PAYLOAD_CHARS),
   /** Date of submission, in milliseconds since the Unix epoch. */
--- a/packages/pomelofold/src/seams/workflowUpstreams.ts
+++ b/packages/pomelofold/src/seams/workflowUpstreams.ts
@@ -210,6 +210,28 @@
   queue: string
   host: string
   prefix: string
+  /** True when callers need no key. */
+  open?: boolean
+}
+
+/** A team: callers who share its limits. */
+export interface TeamConfig {
+  name: string
+  /**
+   * Share of the team when there is not room for all, relative to the other teams. Also the number of workflows a second up to
+   * which its work comes before what any team submits beyond its own number.
+   */
+  weight: number
+  /** Maximum resources that the team's runs use on all workers together; 0 for no limit of that resource. */
+  cap: Resources
+}
+
+/** The teams of a configuration. */
+export interface TeamsConfig {
+  /** Teams by name. */
+  byName: ReadonlyMap<string, TeamConfig>
+  /** Names of the teams by the hash of each of their keys; see `hashKey`. */
+  nameByKeyHash: ReadonlyMap<string, string>
 }
 
 /** Active configuration of the cell. */
@@ -217,6 +239,8 @@
   version: number
   queues: Map<string, QueueConfig>
   routes: QueueRoute[]
+  /** Absent when the configuration names no teams: then every caller is served, without shares and caps. */
+  teams?: TeamsConfig
   /** Maximum size of a submission's body, in bytes. */
   maxBodyBytes: number
 }
--- /dev/null
+++ b/packages/pomelofold/src/workflows/eligibilityQueries.ts
@@ -0,0 +1,156 @@
+/**
+ * Decides which blocked steps query the eligibility service, in which order, and which room they claim meanwhile.
+ *
+ * Load pattern: more steps need a query than daemons can call the service, which takes up to a second for a call. Queries are
+ * made in the order of the steps' waits, with a handicap for less urgent queues, so that the daemons are not used by urgent
+ * steps alone.
+ *
+ * @module
+ */
+
+import { MAX_WORKERS_PER_CALL, type EligibilityCache } from './eligibilityCache.js'
+import type { EligibilityDaemons } from './eligibilityDaemons.js'
+import type { PlacementPass } from './placementPass.js'
+import { planQuery, splitQuery, type PlannedQuery } from './queryPlanner.js'
+import type { BlockedStep } from './readyStep.js'
+import { StepRoom } from './stepPlacer.js'
+import type { WorkerFleet } from './workerFleet.js'
+import type { WorkerSession } from './workerSession.js'
+import type { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
+import type { StepRuntime } from './workflowRuntime.js'
+import type { QueueConfig } from '../seams/workflowUpstreams.js'
+
+/**
+ * Handicap of a queue for each step of its priority when queries compete for daemons, in milliseconds: a step that has
+ * waited this much longer comes before one of the next more urgent queue.
+ */
+const PRIORITY_HANDICAP_MS = 2_000
+/** Longest time after a step had nothing to ask until it is considered again, in milliseconds; a quarter of a call if that is less. */
+const QUERY_PAUSE_MAX_MS = 100
+/** Maximum number of long queries, and of short ones, that are planned in one pass: bounds its time while many steps wait. */
+const MAX_PLANS = 16
+/** Time after the answer to a query within which room must be expected to become free, in milliseconds: a third of a ticket's validity. */
+const EXPECTED_ROOM_MS = 700
+/** Duration from which a query is long, in milliseconds. Its step claims room; within a short one, other steps seldom take the room. */
+const LONG_QUERY_MS = 100
+/** Share of the free daemons that one query uses for simultaneous calls. */
+const DAEMON_SHARE_PER_QUERY = 0.25
+
+/** Options of {@link EligibilityQueries}. */
+export interface EligibilityQueriesOptions {
+  fleet: Pick<WorkerFleet, 'sessions'>
+  eligibility: EligibilityCache
+  /** The daemons that can call the eligibility service. */
+  daemons: EligibilityDaemons
+  speedEstimator: WorkerSpeedEstimator
+}
+
+/** Plans the queries of each placement pass. */
+export class EligibilityQueries {
+  private readonly _options: EligibilityQueriesOptions
+  /** Times before which steps that had nothing to ask are not considered again, in milliseconds of the monotonic clock. */
+  private readonly _asksAgainMs = new WeakMap<StepRuntime, number>()
+  /** Position at which the planning of queries continues in the next pass. */
+  private _nextPlan = 0
+
+  constructor (options: EligibilityQueriesOptions) {
+    this._options = options
+  }
+
+  /**
+   * Claims room for the waiting tasks of a step on workers with a valid ticket, and on those in its queries in progress.
+   * A gang that does not fit claims none.
+   */
+  claimRoom (blocked: BlockedStep, pass: PlacementPass): void {
+    const { eligibility, fleet } = this._options
+    const { step, waiting, queue } = blocked
+    if (!isLongQuery(queue)) return
+    const calls = [...eligibility.pendingCalls(step.name)]
+    const idleUntilMs = Math.max(pass.nowMs, ...calls.map(call => call.endsMs))
+    const atMs = idleUntilMs + EXPECTED_ROOM_MS
+    const room = new StepRoom(step, worker => pass.expectedRoom(blocked, worker, atMs))
+    const claims: Array<{ worker: WorkerSession, tasks: number }> = []
+    let missing = waiting
+    for (const incarnation of [...eligibility.ticketHolders(step.name), ...calls.flatMap(call => call.workers)]) {
+      if (missing === 0) break
+      const worker = fleet.sessions.get(incarnation)
+      const tasks = worker && pass.isUsable(worker, step, queue.service) ? room.slots(worker, missing) : 0
+      if (tasks === 0) continue
+      claims.push({ worker: worker!, tasks })
+      missing -= tasks
+    }
+    if (missing > 0 && step.spec.gang) return
+    for (const { worker, tasks } of claims) pass.claim(blocked, worker, { tasks, idleUntilMs })
+  }
+
+  /** Queries the eligibility service: first for steps that could start tasks after the answer, then in advance for others. */
+  queryFor (blocked: BlockedStep[], pass: PlacementPass): void {
+    const { eligibility } = this._options
+    const turn = ({ step, queue }: BlockedStep): number => (step.readyMs ?? pass.nowMs) + queue.priority * PRIORITY_HANDICAP_MS
+    const asking = blocked.filter(({ step, queue }) => queue.eligibility && !eligibility.isQueryPending(step.name))
+    asking.sort((a, b) => turn(a) - turn(b))
+    // Steps with short queries are not kept waiting by any number of others, and the other way round.
+    for (const long of [false, true]) this._queryInTurn(asking.filter(({ queue }) => isLongQuery(queue) === long), pass)
+  }
+
+  /** Plans at most `MAX_PLANS` queries. While more steps are due, each pass continues where the last one ended. */
+  private _queryInTurn (asking: BlockedStep[], pass: PlacementPass): void {
+    const due = asking.filter(({ step, queue }) => (this._asksAgainMs.get(step) ?? 0) <= pass.nowMs && this._freeDaemons(queue, 1) > 0)
+    const first = due.length > MAX_PLANS ? this._nextPlan % due.length : 0
+    this._nextPlan = first + MAX_PLANS
+    const inAdvance: Array<{ blocked: BlockedStep, workers: WorkerSession[] }> = []
+    for (const blocked of [...due.slice(first), ...due.slice(0, first)].slice(0, MAX_PLANS)) {
+      const { step, queue } = blocked
+      if (this._freeDaemons(queue, 1) === 0) continue
+      const { workers, startsTasks } = this._planQuery(blocked, pass)
+      if (workers.length === 0) {
+        this._asksAgainMs.set(step, pass.nowMs + Math.min(QUERY_PAUSE_MAX_MS, queue.eligibility!.baseMs / 4))
+      } else if (!startsTasks) {
+        inAdvance.push({ blocked, workers })
+      } else if (this._query(blocked, workers)) {
+        this.claimRoom(blocked, pass)
+      }
+    }
+    // The last free daemon is kept for a step that could start tasks.
+    for (const { blocked, workers } of inAdvance) if (this._freeDaemons(blocked.queue, 1) > 1) this._query(blocked, workers)
+  }
+
+  /** Number of calls about that many workers that could start now. */
+  private _freeDaemons ({ eligibility }: QueueConfig, workers: number): number {
+    return this._options.daemons.freeCount(eligibility!.baseMs + eligibility!.perWorkerMs * workers)
+  }
+
+  /** Calls the service for a step, in several simultaneous calls where daemons are plenty. Returns whether a call was made. */
+  private _query ({ step, queue }: BlockedStep, workers: WorkerSession[]): boolean {
+    const { baseMs, perWorkerMs } = queue.eligibility!
+    const maxCalls = Math.floor(this._freeDaemons(queue, workers.length) * DAEMON_SHARE_PER_QUERY)
+    const calls = splitQuery(workers, maxCalls).map(part => this._options.eligibility.queryWorkers({
+      step: step.name,
+      workers: part.map(worker => ({ id: worker.entry.id, incarnation: worker.incarnation })),
+      priority: queue.priority,
+      expectedMs: baseMs + perWorkerMs * part.length
+    }))
+    return calls.includes(true)
+  }
+
+  private _planQuery (blocked: BlockedStep, pass: PlacementPass): PlannedQuery {
+    const { eligibility, speedEstimator } = this._options
+    const { step, queue, waiting } = blocked
+    const atMs = pass.nowMs + queue.eligibility!.baseMs + EXPECTED_ROOM_MS
+    return planQuery({
+      step,
+      tasks: waiting,
+      workers: pass.workersFor(step, queue.service),
+      isEligible: worker => eligibility.isEligible(step.name, worker.incarnation),
+      hasTicket: worker => eligibility.ticket(step.name, worker.incarnation) !== undefined,
+      freeRoom: worker => pass.freeRoom(blocked, worker),
+      expectedRoom: worker => pass.expectedRoom(blocked, worker, atMs),
+      slowness: worker => speedEstimator.slowness(worker),
+      maxWorkers: MAX_WORKERS_PER_CALL
+    })
+  }
+}
+
+function isLongQuery ({ eligibility }: QueueConfig): boolean {
+  return eligibility !== undefined && eligibility.baseMs >= LONG_QUERY_MS
+}
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -223,9 +223,10 @@
 
   private _addRun (options: Pick<Run, 'task' | 'name' | 'attempt' | 'state' | 'adopted'> & { session: WorkerSession, size: Resources | undefined }): Run {
     const nowMs = this._options.timers.now()
-    const { task, session } = options
+    const { task, session, name } = options
     const run: Run = {
       ...options,
+      team: (task ?? this._options.registry.findTask(name))?.step.workflow.record.team,
       startedMs: nowMs,
       pendingStartMs: undefined,
       startConfirmedMs: undefined,
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -28,6 +28,7 @@
 import type { RandomSource } from '../seams/randomSource.js'
 import { delay, type Timers, type TimerSubscription } from '../seams/timers.js'
 import type { CellConfig, LeaseReport, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
+import { TeamUsage } from '../teams/teamUsage.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Minimum time between the starts of two writes of a committer, in milliseconds: limits each committer to 25 writes a second. */
@@ -125,6 +126,7 @@
       predecessorActiveUntilMs
     } = options
     const onFenced = (): void => this._endByTakeover('the store contains a newer epoch')
+    const teamUsage = new TeamUsage()
     this._fleet = new WorkerFleet({
       epoch,
       platform,
@@ -136,6 +138,7 @@
       leaseMs: Math.min(LEASE_MS, timeLimits.maxLeaseMs),
       maxLeaseMs: timeLimits.maxLeaseMs,
       predecessorActiveUntilMs,
+      teamUsage,
       onChange: () => this._scheduleDispatch(),
       onFenced
     })
@@ -196,6 +199,7 @@
       speedEstimator,
       suspensions,
       crashes: this._crashes,
+      teamUsage,
       predecessorActiveUntilMs,
       newFromRevision: options.newFromRevision,
       start: (task, worker, attempt, ticket) => this._runTracker.start(task, worker, { attempt, ticket })
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -15,6 +15,7 @@
 import type { PlatformClient } from '../seams/platformClient.js'
 import { delay, type Timers } from '../seams/timers.js'
 import type { WorkerClient, WorkerDirectory, WorkerEntry } from '../seams/workflowUpstreams.js'
+import type { TeamUsage } from '../teams/teamUsage.js'
 import type { EventLog } from '../utils/eventLog.js'
 import { decodeJson } from '../utils/storedJson.js'
 
@@ -65,6 +66,8 @@
   maxLeaseMs: number
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
   predecessorActiveUntilMs: number
+  /** Usage of the teams, to which the runs on the workers count. */
+  teamUsage: TeamUsage
   /** Called after each reading of the directory. */
   onChange: () => void
   /** Called when the store shows that another scheduler has taken over. */
@@ -324,7 +327,7 @@
   }
 
   private _openSession (entry: WorkerEntry, { listed }: { listed: boolean }): void {
-    const { epoch, client, timers, log, listener, leaseMs } = this._options
+    const { epoch, client, timers, log, listener, leaseMs, teamUsage } = this._options
     const session = new WorkerSession({
       entry,
       epoch,
@@ -334,7 +337,8 @@
       listener,
       leaseMs,
       longPollPolicy: this._longPollPolicy,
-      inheritedRunsEndMs: this._inheritedRunsEndMs
+      inheritedRunsEndMs: this._inheritedRunsEndMs,
+      teamUsage
     })
     session.listed = listed
     session.mayRunLateStarts = this._inheritedWorkers.isSuccessor(session.incarnation)
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -15,6 +15,7 @@
 import { START_REFUSALS, type LeaseReport, type WorkerClient, type WorkerEntry } from '../seams/workflowUpstreams.js'
 import { delay, type Timers } from '../seams/timers.js'
 import { isConnectionRefused, type CallError } from '../utils/errors.js'
+import type { TeamUsage } from '../teams/teamUsage.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Lowest rate of a worker's clock relative to the scheduler's: it may be 2% slow. */
@@ -68,6 +69,8 @@
   longPollPolicy: LongPollPolicy
   /** Time by which runs that an earlier scheduler started have ended, in milliseconds of the monotonic clock. */
   inheritedRunsEndMs: number
+  /** Usage of the teams, to which the runs on this worker count. */
+  teamUsage: TeamUsage
 }
 
 /** A report whose ends are being recorded. */
@@ -170,7 +173,7 @@
 
   addRun (run: Run): void {
     this.runs.set(runIdOf(run.name, run.attempt), run)
-    this._addToUsed(run.size, 1)
+    this._addToUsed(run, 1)
   }
 
   hasRun (name: string, attempt: number): boolean {
@@ -181,7 +184,7 @@
     const run = this.runs.get(runIdOf(name, attempt))
     if (!run) return
     this.runs.delete(runIdOf(name, attempt))
-    this._addToUsed(run.size, -1)
+    this._addToUsed(run, -1)
   }
 
   /** Lease end of an extension sent now, on the worker's clock. Undefined before the worker's clock is known. */
@@ -367,7 +370,8 @@
     this._options.listener.onLapse(this, reason)
   }
 
-  private _addToUsed (size: Resources | undefined, sign: 1 | -1): void {
+  private _addToUsed ({ size, team }: Run, sign: 1 | -1): void {
+    if (size && team !== undefined) this._options.teamUsage.add(team, size, sign)
     if (!size) {
       this._unsizedRuns += sign
       return
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -73,6 +73,8 @@
   readonly session: RunHost
   /** Undefined for a run that no waiting task needs; such a run is stopped. */
   readonly task: Task | undefined
+  /** Team to whose usage the run counts; undefined when it is not known, or when there is none. */
+  readonly team: string | undefined
   /** Room that the run reserves at its worker. Undefined when it is not known: then nothing starts beside it. */
   readonly size: Resources | undefined
   /** True for a run that was found in a worker's report: its age is not known. */
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -8,6 +8,7 @@
 import t from 'tap'
 import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import type { EligibilityAnswer, WorkerEntry } from 'pomelofold/seams/workflowUpstreams'
+import { TeamUsage } from 'pomelofold/teams/teamUsage'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 import { workersToQuery } from 'pomelofold/workflows/workersToQuery'
 import { remainingRunMs, shouldMoveRun } from 'pomelofold/workflows/drainMoves'
@@ -45,7 +46,8 @@
     },
     labels
   }
-  return new WorkerSession({ entry, timers: new ManualTimers() } as unknown as ConstructorParameters<typeof WorkerSession>[0])
+  const options = { entry, timers: new ManualTimers(), teamUsage: new TeamUsage() }
+  return new WorkerSession(options as unknown as ConstructorParameters<typeof WorkerSession>[0])
 }
 
 /** Adds a run of a task to a worker. */
@@ -56,6 +58,7 @@
     attempt: 1,
     session: worker,
     task,
+    team: undefined,
     size: placedStep.spec.size,
     state: RUN_STATES.running,
     adopted: false,
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -9,6 +9,7 @@
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { workflowSchema, type Resources, type WorkflowStep } from 'pomelofold/protocol/workflows'
 import type { CellConfig, QueueConfig } from 'pomelofold/seams/workflowUpstreams'
+import { TeamUsage } from 'pomelofold/teams/teamUsage'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 import { CrashTracker } from 'pomelofold/workflows/crashTracker'
 import { Dispatcher } from 'pomelofold/workflows/dispatcher'
@@ -116,6 +117,7 @@
         onRecorded: () => {},
         onGivenUp: () => {}
       }),
+      teamUsage: new TeamUsage(),
       predecessorActiveUntilMs: 0,
       newFromRevision: 0,
       start: (task, worker, attempt) => this._start(task, worker, attempt)
@@ -158,6 +160,7 @@
       attempt,
       session,
       task,
+      team: undefined,
       size: task.step.spec.size,
       state: RUN_STATES.running,
       adopted: false,
@@ -199,7 +202,8 @@
     capacity: CAPACITY,
     labels: [`k${index % 3}`, `r${index % 20}`]
   }
-  const session = new WorkerSession({ entry, timers } as unknown as ConstructorParameters<typeof WorkerSession>[0])
+  const options = { entry, timers, teamUsage: new TeamUsage() }
+  const session = new WorkerSession(options as unknown as ConstructorParameters<typeof WorkerSession>[0])
   Object.assign(session, { reachable: true, synced: true })
   return session
 }
