--- a/packages/pomelofold/src/workflows/readyStep.ts
+++ b/packages/pomelofold/src/workflows/readyStep.ts
@@ -12,6 +12,8 @@
 export interface ReadyStep {
   step: StepRuntime
   queue: QueueConfig
+  /** True when its workflow is beyond its team's number of workflows a second: it comes after all that are not. */
+  beyondBudget?: boolean
 }
 
 /** A step with tasks that could not be placed. */
