Admission: decide whether a team's submission can still be served

Cause: nothing is refused for load; a flood of one team is accepted whole, and its last workflows end long after their callers need them. Change: a decision without network: refuse what is beyond the team's number when its backlog is longer than the workflow can wait, and what can never fit the team's cap; accept all else. Not wired yet.

--- /dev/null
+++ b/tests/teams/admission.test.ts
@@ -0,0 +1,56 @@
+/**
+ * Tests of the admission of submissions: floods of one team, backlogs that drain, and workflows that never fit.
+ */
+
+import t from 'tap'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import type { TeamConfig } from 'pomelofold/seams/workflowUpstreams'
+import { admit, expectedWaitMs, type Admission, type AdmitOptions, type TeamBacklog } from 'pomelofold/teams/admission'
+import type { WorkflowStep } from 'pomelofold/protocol/workflows'
+import { WorkflowCell } from '../workflows/workflowCell.js'
+
+const cell = new WorkflowCell({ daemons: 0 })
+const TEAM: TeamConfig = { name: 'surveys', weight: 5, cap: { cpuMillis: 20_000, memoryMb: 0, accelerators: 0 } }
+const FLOODED: TeamBacklog = { beyondBudget: true, waiting: 60, startsPerS: 6, oldestWaitMs: 7_000 }
+
+type DecideOptions = Partial<AdmitOptions> & { ageMs?: number, step?: Partial<WorkflowStep> }
+
+function decide (backlog: TeamBacklog | undefined, { ageMs = 100, step = {}, ...extra }: DecideOptions = {}): Admission {
+  const known = backlog && { backlog, ageMs }
+  return admit({ workflow: cell.workflow([step]), team: TEAM, known, usefulWaitMs: 5_000, random: new SeededRandom(1), ...extra })
+}
+
+t.test('a submission beyond the share of its team is refused when the backlog is longer than it can wait', async t => {
+  t.equal(expectedWaitMs(FLOODED), 10_000)
+  t.equal(decide(FLOODED).outcome, 'backlog')
+  t.equal(decide(FLOODED, { usefulWaitMs: 12_000 }).outcome, 'accepted', 'it can be served, although late')
+  t.equal(decide({ ...FLOODED, startsPerS: 0, oldestWaitMs: 4_000 }).outcome, 'accepted', 'nothing shows yet that it would wait too long')
+  t.equal(decide({ ...FLOODED, startsPerS: 0, oldestWaitMs: 6_000 }).outcome, 'backlog', 'nothing drains')
+})
+
+t.test('a submission within the share of its team is accepted, whatever the backlog', async t => {
+  t.equal(decide({ ...FLOODED, beyondBudget: false }).outcome, 'accepted')
+})
+
+t.test('without a recent backlog of the leader, submissions are accepted', async t => {
+  t.equal(decide(undefined).outcome, 'accepted')
+  t.equal(decide(FLOODED, { ageMs: 5_000 }).outcome, 'accepted')
+})
+
+t.test('refused callers of one moment are told to return at different times, none before there is a chance', async t => {
+  const random = new SeededRandom(7)
+  const delays = Array.from({ length: 200 }, () => decide(FLOODED, { random })).map(admission => 'retryAfterMs' in admission ? admission.retryAfterMs : 0)
+  t.ok(Math.min(...delays) >= 1_000 && Math.max(...delays) <= 5_000)
+  for (const fromMs of [2_500, 3_000, 3_500, 4_000, 4_500]) {
+    const share = delays.filter(ms => ms >= fromMs && ms < fromMs + 500).length / delays.length
+    t.ok(share > 0.1 && share < 0.3, `${share} of them return from ${fromMs} ms on`)
+  }
+})
+
+t.test('a task or a gang that is larger than the cap of its team is refused, and its caller is told why', async t => {
+  const size = { cpuMillis: 5_000, memoryMb: 100_000, accelerators: 0 }
+  t.equal(decide(undefined, { step: { size, tasks: 10 } }).outcome, 'accepted', 'its tasks run one after the other; memory has no limit')
+  t.match(decide(undefined, { step: { size, tasks: 5, gang: true } }), { outcome: 'neverFits', detail: /step 0 needs 25000 cpuMillis/ })
+  t.equal(decide(undefined, { step: { size, tasks: 4, gang: true } }).outcome, 'accepted')
+  t.equal(decide(undefined, { step: { size: { ...size, cpuMillis: 20_001 }, tasks: 1 } }).outcome, 'neverFits')
+})
