--- a/tests/teams/admission.test.ts
+++ b/tests/teams/admission.test.ts
@@ -3,10 +3,13 @@
  */
 
 import t from 'tap'
+import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import type { TeamConfig } from 'pomelofold/seams/workflowUpstreams'
 import { admit, expectedWaitMs, type Admission, type AdmitOptions, type TeamBacklog } from 'pomelofold/teams/admission'
-import type { WorkflowStep } from 'pomelofold/protocol/workflows'
+import { JOB_STATES } from 'pomelofold/protocol/jobs'
+import { TeamBacklogs } from 'pomelofold/teams/teamBacklogs'
+import type { WorkflowState, WorkflowStep } from 'pomelofold/protocol/workflows'
 import { WorkflowCell } from '../workflows/workflowCell.js'
 
 const cell = new WorkflowCell({ daemons: 0 })
@@ -54,3 +57,20 @@
   t.equal(decide(undefined, { step: { size, tasks: 4, gang: true } }).outcome, 'accepted')
   t.equal(decide(undefined, { step: { size: { ...size, cpuMillis: 20_001 }, tasks: 1 } }).outcome, 'neverFits')
 })
+
+t.test('the backlog of a team counts what has not started and how fast it drains', async t => {
+  const timers = new ManualTimers()
+  const open: Array<{ record: { team: string }, state: WorkflowState, addedMs: number }> = []
+  const backlogs = new TeamBacklogs({ timers, open: () => open, isBeyond: () => true, isExhausted: team => team === 'flooding' })
+  const firstMs = timers.now()
+  for (let index = 0; index < 40; index++) open.push({ record: { team: 'flooding' }, state: JOB_STATES.accepted, addedMs: firstMs })
+  t.same(backlogs.of('flooding'), { beyondBudget: true, waiting: 40, startsPerS: 0, oldestWaitMs: 0 })
+  for (let index = 0; index < 20; index++) {
+    await timers.advance(500)
+    if (index < 10) open[index].state = JOB_STATES.running
+    backlogs.of('calm')
+    if (index === 9) t.match(backlogs.of('flooding'), { waiting: 30, startsPerS: 2, oldestWaitMs: 5_000 }, 'one start each period')
+  }
+  t.match(backlogs.of('flooding'), { waiting: 30, startsPerS: 0, oldestWaitMs: 10_000 }, 'it has stopped to drain')
+  t.same(backlogs.of('calm'), { beyondBudget: false, waiting: 0, startsPerS: 0, oldestWaitMs: 0 })
+})
