Callers' keys: decision by key and age of the proof, proof from store and peers, 401 and 503

Change: teams/credentials decides; ActiveConfiguration holds the newest version with the time at which the call was sent that confirmed it; ConfigurationPeers takes both from peers while the own proof is old; keys are hashed when the configuration is decoded. Without teams in the configuration nothing is checked or asked.

--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -36,6 +36,9 @@
 /** Answer to a call about one job. */
 export type JobAnswer = z.infer<typeof jobAnswerSchema>
 
+/** Version of the configuration, and the time since it was known to be the newest, in milliseconds; null when not known. */
+const configurationProofSchema = z.object({ version: z.number().nullable(), ageMs: z.number().nonnegative().nullable() })
+
 /** Methods of the protocol with the schemas of their parameters and results. */
 export const peerMethodSchemas = {
   /** Exchanges loads and manifest revisions with the peer. */
@@ -121,6 +124,10 @@
     params: z.object({ step: z.string(), workers: z.array(z.string()), timeoutMs: z.number() }),
     result: z.object({ answer: z.object({ tickets: z.record(z.string(), z.string()), validMs: z.number() }).nullable() })
   },
+  /** Reads which version of the configuration the peer has, and how recently that was the newest. */
+  configurationProof: { params: z.object({}), result: configurationProofSchema },
+  /** Reads the peer's configuration, as a text that only the program's own adapter interprets. It contains no keys. */
+  configurationText: { params: z.object({}), result: configurationProofSchema.extend({ text: z.string().nullable() }) },
   explainRequest: { params: z.object({ requestId: z.string() }), result: requestRecordSchema.nullable() },
   /** Reads the figures for reports; see `reports/`. */
   figures: { params: z.object({}), result: z.record(z.string(), z.unknown()) }
--- a/packages/pomelofold/src/seams/platformClient.ts
+++ b/packages/pomelofold/src/seams/platformClient.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Result } from 'true-myth/result'
+import type { ClockReading } from './clockReading.js'
 import type { CallError } from '../utils/errors.js'
 import type { VmRecord } from '../protocol/vms.js'
 
@@ -58,12 +59,15 @@
   close (): void
 }
 
-/** Callbacks of a watch. `onEnd` is the last call: the caller then reads the range again and opens a new watch. */
+/**
+ * Callbacks of a watch. `onEnd` is the last call: the caller then reads the range again and opens a new watch.
+ * `sent` is the time at which the call was sent that the service answered with the events; clients that do not know it omit it.
+ */
 export interface WatchHandlers {
-  onEvents: (events: WatchEvent[]) => void
+  onEvents: (events: WatchEvent[], sent?: ClockReading) => void
   onEnd: (reason: string) => void
   /** Called when the service has confirmed that there were no further changes. Optional for clients. */
-  onProgress?: () => void
+  onProgress?: (sent?: ClockReading) => void
 }
 
 /** Options of every call. */
--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -5,7 +5,9 @@
  */
 
 import type Result from 'true-myth/result'
+import type { ActiveConfiguration } from '../workflows/activeConfiguration.js'
 import { CellSession, CONFIRMED_OUTAGE_MS, SESSION_TTL_MS, type Leader } from '../workflows/cellSession.js'
+import { ConfigurationPeers } from '../workflows/configurationPeers.js'
 import { LEADER_KEY } from '../workflows/keys.js'
 import { PeerReachability } from '../workflows/peerReachability.js'
 import { SchedulerTerm, type SchedulerTimeLimits, type TermFigures } from '../workflows/schedulerTerm.js'
@@ -64,6 +66,8 @@
   timeLimits: SchedulerTimeLimits
   /** The configuration in force; undefined while it is not known. */
   config: () => CellConfig | undefined
+  /** The same configuration with its proof, for which peers are asked. Absent when callers need no keys. */
+  configuration?: ActiveConfiguration
 }
 
 /** Values for the metrics of a daemon. */
@@ -83,6 +87,7 @@
   private readonly _session: CellSession
   private readonly _transport: PeerTransport
   private readonly _reachability: PeerReachability
+  private readonly _configurationPeers: ConfigurationPeers | undefined
   private _term: SchedulerTerm | undefined
   private _termEpoch = 0
   /** True while a peer is asked to delete the leader's entry. */
@@ -109,6 +114,14 @@
     })
     this._transport = options.transport(this._session.members)
     this._reachability = new PeerReachability({ vm, failureDomain, session: this._session, transport: this._transport, timers, random })
+    this._configurationPeers = options.configuration && new ConfigurationPeers({
+      configuration: options.configuration,
+      peers: () => this._session.presentMembers.filter(member => member !== vm),
+      transport: this._transport,
+      timers,
+      random,
+      log
+    })
     const store = new WorkflowStore({ platform, timers, log })
     this.service = new WorkflowService({
       vm,
@@ -127,6 +140,7 @@
   async start (): Promise<void> {
     await this._transport.listen(this._handlers())
     this._session.start()
+    this._configurationPeers?.start()
     this._options.timers.every(PROBE_PERIOD_MS, () => {
       if (this._session.connected) return
       this._reachability.probe()
@@ -171,6 +185,7 @@
 
   async close (): Promise<void> {
     this._endTerm('the daemon is shutting down')
+    this._configurationPeers?.close()
     await this._session.close()
     await this._transport.close()
   }
@@ -366,6 +381,7 @@
   private _handlers (): PeerHandlers {
     const { eligibility, log } = this._options
     return {
+      ...this._configurationPeers?.handlers,
       workflowStored: async ({ workflow, revision }) => {
         this._term?.addWorkflow(workflow, revision)
         return {}
--- a/packages/pomelofold/src/workflows/prefixView.ts
+++ b/packages/pomelofold/src/workflows/prefixView.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { readClocks, type ClockReading } from '../seams/clockReading.js'
 import type { PlatformClient, StoredValue, Watch, WatchOptions } from '../seams/platformClient.js'
 import type { Timers, TimerSubscription } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
@@ -23,6 +24,11 @@
   log: EventLog
   /** Called with the keys that have changed, after each change. */
   onChange: (keys: string[]) => void
+  /**
+   * Called when the store has confirmed the view, after `onChange`, with the time at which the confirming call was sent: the store
+   * answered it later, so no change before that time is missing.
+   */
+  onConfirmed?: (sent: ClockReading) => void
   watch?: WatchOptions
   /**
    * Maximum of the timeout of a page, which doubles with each failed try, in milliseconds. Without it the timeout
@@ -69,6 +75,11 @@
     return this._confirmedMs === undefined ? Number.POSITIVE_INFINITY : this._options.timers.now() - this._confirmedMs
   }
 
+  /** True while the list cannot be read. */
+  get failing (): boolean {
+    return this._failing
+  }
+
   get (key: string): StoredValue | undefined {
     return this._values.get(key)
   }
@@ -80,7 +91,7 @@
   /** Reads all keys, then opens a watch. Called again when the watch ends. */
   private async _list (): Promise<void> {
     const { prefix, platform, timers, log } = this._options
-    const requestSentMs = timers.now()
+    const sent = readClocks(timers)
     const list = await platform.range(prefix, { timeoutMs: this._timeoutMs })
     if (this._closed) return
     if (list.isErr) {
@@ -95,11 +106,11 @@
     this._failing = false
     this._retryMs = LIST_RETRY_MIN_MS
     this._timeoutMs = LIST_TIMEOUT_MS
-    this._replaceValues(list.value.values, requestSentMs)
+    this._replaceValues(list.value.values, sent)
     this._openWatch(list.value.revision + 1)
   }
 
-  private _replaceValues (values: StoredValue[], requestSentMs: number): void {
+  private _replaceValues (values: StoredValue[], sent: ClockReading): void {
     const first = !this.loaded
     const removedKeys = new Set(this._values.keys())
     const changed: string[] = []
@@ -110,14 +121,15 @@
       changed.push(value.key)
     }
     for (const key of removedKeys) this._values.delete(key)
-    this._confirmedMs = requestSentMs
+    this._confirmedMs = sent.monotonicMs
     if (first || changed.length || removedKeys.size) this._options.onChange([...changed, ...removedKeys])
+    this._options.onConfirmed?.(sent)
   }
 
   private _openWatch (fromRevision: number): void {
     const { prefix, platform, timers, log } = this._options
     this._watch = platform.watch(prefix, fromRevision, {
-      onEvents: events => {
+      onEvents: (events, sent) => {
         if (this._closed) return
         this._confirmedMs = timers.now()
         for (const { key, value } of events) {
@@ -125,8 +137,12 @@
           else this._values.delete(key)
         }
         this._options.onChange([...new Set(events.map(event => event.key))])
+        if (sent) this._options.onConfirmed?.(sent)
+      },
+      onProgress: sent => {
+        this._confirmedMs = timers.now()
+        if (sent) this._options.onConfirmed?.(sent)
       },
-      onProgress: () => { this._confirmedMs = timers.now() },
       onEnd: reason => {
         if (this._closed) return
         log.event('debug', 'view.watch.ended', { prefix, reason })
--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -9,6 +9,8 @@
 import t from 'tap'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 import { SystemTimers } from 'pomelofold/edge/systemTimers'
+import { CredentialChecker } from 'pomelofold/teams/credentialChecker'
+import type { CredentialBounds } from 'pomelofold/teams/credentials'
 import type { CellConfig } from 'pomelofold/seams/workflowUpstreams'
 import type { StateAnswer, WorkflowService } from 'pomelofold/workflows/workflowService'
 import { frontApp, type FrontOptions } from 'pomelofold-on-platform/front'
@@ -46,6 +48,8 @@
   maxBodyBytes: 1_000
 }
 
+const STRICT_BOUNDS: CredentialBounds = { strict: true, withdrawalMs: 5_000, applyMs: 3_000 }
+
 const ID = '5c0e7a21d94b36f8'
 const BODY = JSON.stringify({ spec: 'text', steps: [{ task_count: 2, cpu: 500 }] })
 
@@ -58,6 +62,10 @@
     log: SILENT_LOG,
     shuttingDown: () => false,
     onAnswer: () => {},
+    onRefusal: () => {},
+    credentials: new CredentialChecker({
+      configuration: { config: CONFIG, proofAgeMs: Infinity, renewFromStore: () => undefined }, bounds: STRICT_BOUNDS
+    }),
     ...options
   })
 }
