Callers' keys: compare with the configuration of the moment; tests of the read beside the watch and of the daemon's wiring

Cause: a key was not hashed while the configuration named no teams, so that a request which came just before the first version with teams was refused as if it had no key.

--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -22,7 +22,7 @@
 /** The platform's wire names that differ from all names of this project. */
 const WIRE_NAMES = [
   'acked_through', 'ended_runs', 'fence_token', 'est_runtime_ms', 'may_miss', 'max_per_server', 'wait_ms', 'clock_ms',
-  'task_count', 'heartbeat_ms', 'op/config', 'servers/'
+  'task_count', 'heartbeat_ms', 'op/config', 'servers/', 'tenant', 'api_keys', 'no_auth', 'revoke_ms'
 ]
 
 const SETTINGS = `node_name=front-a-1
--- a/tests/platform/credentials.test.ts
+++ b/tests/platform/credentials.test.ts
@@ -165,13 +165,19 @@
 /** A watcher on a store whose answers a test gives. */
 function watchConfiguration (timers: ManualTimers, texts: string[]): {
   watcher: ConfigurationWatcher
+  /** False while the store does not answer reads beside the watch. */
+  reads: { answered: boolean, count: number }
   answer: (text: string | undefined, sent: ClockReading) => void
 } {
   const values = (text: string): StoredValue => ({ key: 'op/config', value: text, createRevision: 1, modRevision: texts.indexOf(text) + 1 })
   let handlers: WatchHandlers | undefined
+  const reads = { answered: true, count: 0 }
   const platform = {
     range: async () => Result.ok({ values: [values(texts[0])], revision: 1 }),
-    get: async () => Result.ok(values(texts[0])),
+    get: async () => {
+      reads.count++
+      return reads.answered ? Result.ok(values(texts[0])) : Result.err(new Error('no answer'))
+    },
     watch: (_prefix: string, _from: number, given: WatchHandlers) => { handlers = given; return { close: () => {} } }
   } as unknown as PlatformClient
   const watcher = new ConfigurationWatcher({ platform, timers, log: SILENT_LOG, bounds: BOUNDS })
@@ -181,7 +187,7 @@
     const value = values(text)
     handlers!.onEvents([{ key: value.key, value, revision: value.modRevision }], sent)
   }
-  return { watcher, answer }
+  return { watcher, reads, answer }
 }
 
 t.test('the proof counts from the sending of the confirming call, and a version that cannot be read proves nothing', async t => {
@@ -203,3 +209,34 @@
   t.equal(watcher.active.proofAgeMs, 1_800)
   t.equal(watcher.config!.teams!.nameByKeyHash.size, 0, 'a withdrawn key stays withdrawn')
 })
+
+t.test('an old proof is renewed by one read of the store, and after a failed read there is a pause', async t => {
+  const timers = new ManualTimers()
+  const { watcher: { active }, reads } = watchConfiguration(timers, [storedText(5, [KEY])])
+  await timers.advance(10_000)
+  t.equal(active.proofAgeMs, 10_000)
+  const renewal = active.renewFromStore()
+  t.equal(active.renewFromStore(), renewal, 'one read for all that wait')
+  await renewal
+  t.equal(active.proofAgeMs, 0)
+  reads.answered = false
+  await active.renewFromStore()
+  t.equal(active.renewFromStore(), undefined)
+  await timers.advance(1_000)
+  t.ok(active.renewFromStore())
+  t.equal(reads.count, 3)
+})
+
+t.test('a key is compared with the configuration of the moment, also when it named no teams as the request came', async t => {
+  const { send, configuration } = setUp()
+  const { config } = configuration
+  configuration.config = { ...config, teams: undefined }
+  const body = new ReadableStream({
+    pull: controller => {
+      configuration.config = config
+      controller.enqueue(new TextEncoder().encode(BODY))
+      controller.close()
+    }
+  }, { highWaterMark: 0 })
+  t.equal((await send('POST', `/q/${ID}`, { key: KEY, body })).status, 200)
+})
--- a/tests/teams/configurationProof.test.ts
+++ b/tests/teams/configurationProof.test.ts
@@ -14,6 +14,7 @@
 import type { EventFields } from 'pomelofold/utils/eventLog'
 import { ActiveConfiguration, type ConfigurationVersion } from 'pomelofold/workflows/activeConfiguration'
 import { ConfigurationPeers } from 'pomelofold/workflows/configurationPeers'
+import { WorkflowCell } from '../workflows/workflowCell.js'
 
 const RENEW_AFTER_MS = 2_500
 const WITHDRAWAL_MS = 5_000
@@ -204,3 +205,26 @@
   }), { seed: 4, numRuns: 120 })
   t.ok(acceptedWithoutStore > 1_000)
 })
+
+t.test('a daemon whose link to the store is cut takes proof and configuration from the other daemons of its cell', async t => {
+  const configurations: ActiveConfiguration[] = []
+  const cell = new WorkflowCell({
+    configuration: (timers, log) => {
+      const decode = (text: string): Result<ConfigurationVersion, string> => Result.ok(versionOf(Number(text)))
+      const active = new ActiveConfiguration({
+        timers, log, decode, readStore: () => undefined, renewAfterMs: RENEW_AFTER_MS, lostAfterMs: WITHDRAWAL_MS
+      })
+      active.note(versionOf(1), readClocks(timers), { source: 'store' })
+      configurations.push(active)
+      return active
+    }
+  })
+  await cell.waitUntilReady()
+  cell.daemons[2].platform.faults.unreachable = true
+  for (let passedMs = 0; passedMs < 10_000; passedMs += POLL_MS) {
+    await cell.timers.advance(POLL_MS)
+    for (const active of configurations.slice(0, 2)) active.note(versionOf(2), readClocks(cell.timers), { source: 'store' })
+  }
+  t.equal(configurations[2].config!.version, 2)
+  t.ok(configurations[2].proofAgeMs < RENEW_AFTER_MS + 1_000)
+})
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -16,6 +16,7 @@
 import type { CellConfig, EligibilityClient, QueueConfig, WorkerEntry } from 'pomelofold/seams/workflowUpstreams'
 import type { Timers } from 'pomelofold/seams/timers'
 import { WorkflowDaemon } from 'pomelofold/server/workflowDaemon'
+import type { ActiveConfiguration } from 'pomelofold/workflows/activeConfiguration'
 import type { EventFields, EventLog } from 'pomelofold/utils/eventLog'
 import { runViolations } from './runViolations.js'
 
@@ -38,6 +39,8 @@
   queue?: Partial<QueueConfig>
   /** Time after a start at which the task crashes its worker, in milliseconds; 0 for before the answer, undefined for never. */
   crashAfterMs?: (task: string) => number | undefined
+  /** Creates the configuration of a daemon whose callers need keys. */
+  configuration?: (timers: Timers, log: EventLog) => ActiveConfiguration
   /** Creates the eligibility client of a daemon. By default every worker may run every step, and answers come at once. */
   eligibility?: (timers: Timers) => EligibilityClient
 }
@@ -74,6 +77,7 @@
   readonly refusingDomains = new Set<string>()
   private readonly _newWorker: (index: number, options?: { id?: string, clockStartMs?: number }) => LeasedWorker
   private readonly _newEligibilityClient: (timers: Timers) => EligibilityClient
+  private readonly _newConfiguration: WorkflowCellOptions['configuration']
   private readonly _random: SeededRandom
   private readonly _network = new PeerNetwork({
     timers: this.timers,
@@ -86,9 +90,10 @@
 
   constructor ({
     daemons = 3, workers = 3, cpuMillis = 8_000, seed = 1, runMs = () => 300, queue = {}, crashAfterMs = () => undefined,
-    eligibility = () => EVERY_WORKER_ELIGIBLE
+    eligibility = () => EVERY_WORKER_ELIGIBLE, configuration
   }: WorkflowCellOptions = {}) {
     this._newEligibilityClient = eligibility
+    this._newConfiguration = configuration
     this._random = new SeededRandom(seed)
     this.config = {
       version: 1,
@@ -142,7 +147,8 @@
       random: this._random,
       log,
       timeLimits: { maxLeaseMs: MAX_LEASE_MS, retentionMs: 120_000 },
-      config: () => this.config
+      config: () => this.config,
+      configuration: this._newConfiguration?.(process, log)
     })
     const entry = { vm, daemon, platform, client, process }
     const kill = process.kill.bind(process)
