Teams: shares of the room by weight, and a budget of submissions

Cause: one team's flood stood before all others, since steps were ordered by priority and date alone. Change: with teams in the configuration, steps come by budget of submissions, priority (30 s of wait count as one step), lowest weighted dominant share at that moment, restarts of long-running tasks, date. Claims count to shares within a pass; two reservations a team. Without teams the order is as before.

--- a/packages/pomelofold/src/teams/teamUsage.ts
+++ b/packages/pomelofold/src/teams/teamUsage.ts
@@ -6,6 +6,9 @@
 
 import { addResources, NO_RESOURCES, type Resources } from '../protocol/workflows.js'
 
+/** Name under which work counts whose caller needed no key. No team of a configuration has it. */
+export const NO_TEAM = ''
+
 /** Keeps the sum of the runs of each team. Runs that are starting or stopping count. */
 export class TeamUsage {
   private readonly _used = new Map<string, Resources>()
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -14,7 +14,7 @@
 import { EligibilityQueries } from './eligibilityQueries.js'
 import { PlacementPass, type OrderedStep } from './placementPass.js'
 import type { BlockedStep, ReadyStep } from './readyStep.js'
-import { needsReservation, planReservations } from './roomReservation.js'
+import { needsReservation, planReservations, ReservingSteps } from './roomReservation.js'
 import { StepOrder } from './stepOrder.js'
 import { placeApart, placeStep, type Assignment } from './stepPlacer.js'
 import { findStragglers } from './stragglers.js'
@@ -28,7 +28,8 @@
 import type { StepRuntime, Task, WorkflowRuntime } from './workflowRuntime.js'
 import type { Timers } from '../seams/timers.js'
 import type { CellConfig, QueueConfig } from '../seams/workflowUpstreams.js'
-import type { TeamUsage } from '../teams/teamUsage.js'
+import type { SubmissionBudget } from '../teams/submissionBudget.js'
+import type { TeamShares } from '../teams/teamShares.js'
 
 /** Size of the range of attempt numbers of a term. Each term has its own range, so that no two schedulers use the same number. */
 const ATTEMPTS_PER_TERM = 1_000
@@ -36,8 +37,6 @@
 const URGENT_PRIORITY = 0
 /** Wait after which a gang or a large task reserves room, in milliseconds. */
 const RESERVE_AFTER_MS = 1_000
-/** Maximum number of steps that reserve room in one pass: limits the room that stands idle and the time of a pass. */
-const MAX_RESERVING_STEPS = 8
 
 /** Options of a {@link Dispatcher}. */
 export interface DispatcherOptions {
@@ -55,8 +54,10 @@
   speedEstimator: WorkerSpeedEstimator
   suspensions: WorkerSuspensions
   crashes: CrashTracker
-  /** Resources that the runs of each team use. */
-  teamUsage: TeamUsage
+  /** Shares of the teams in the cell's room. */
+  shares: TeamShares
+  /** Which workflows are beyond their team's number of workflows a second. */
+  budget: SubmissionBudget
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
   predecessorActiveUntilMs: number
   /** Store revision from which on workflows cannot have been started by the earlier scheduler; infinite while it is not known. */
@@ -81,8 +82,8 @@
 
   constructor (options: DispatcherOptions) {
     this._options = options
-    const { fleet, eligibility, daemons, speedEstimator, teamUsage, config } = options
-    this._order = new StepOrder({ teamUsage, teams: () => config()?.teams })
+    const { fleet, eligibility, daemons, speedEstimator, shares, config } = options
+    this._order = new StepOrder({ shares, teams: () => config()?.teams })
     this._queries = new EligibilityQueries({ fleet, eligibility, daemons, speedEstimator })
     this._predecessorActiveUntilMs = options.predecessorActiveUntilMs
     this._newFromRevision = options.newFromRevision
@@ -123,13 +124,13 @@
       trialOn: worker => crashes.trialOn(worker)
     })
     const blocked: BlockedStep[] = []
-    let reserving = 0
-    for (const { step, queue } of this._order.inOrder(this._readySteps(nowMs))) {
+    const reserving = new ReservingSteps({ byTeam: this._options.config()?.teams !== undefined })
+    for (const { step, queue, beyondBudget } of this._order.inOrder(this._readySteps(nowMs), pass)) {
       const waiting = this._placeStep({ step, order: blocked.length }, queue, pass)
       if (waiting === 0) continue
-      const blockedStep = { step, order: blocked.length, queue, waiting }
+      const blockedStep = { step, order: blocked.length, queue, beyondBudget, waiting }
       blocked.push(blockedStep)
-      if (reserving < MAX_RESERVING_STEPS && this._reserve(blockedStep, pass)) reserving++
+      if (reserving.mayAdd(step) && this._reserve(blockedStep, pass)) reserving.add(step)
       else if (queue.eligibility) this._queries.claimRoom(blockedStep, pass)
     }
     this._queries.queryFor(blocked, pass)
@@ -138,7 +139,8 @@
 
   /** Open steps whose tasks may start. */
   private _readySteps (nowMs: number): ReadyStep[] {
-    const { timers, fleet, registry } = this._options
+    const { timers, fleet, registry, budget } = this._options
+    budget.update(registry.open)
     const wallClockMs = timers.wallClock()
     const inheritanceSettled = fleet.inheritedWorkersSettled
     // The earlier scheduler may still start tasks of any workflow, new ones included, at workers that have not received this epoch.
@@ -153,7 +155,7 @@
       for (const step of workflow.openSteps(wallClockMs)) {
         step.readyMs ??= nowMs
         const mayStart = mayStartWorkflow || step.spec.speculative || (predecessorStopped && step.becameReadyInTerm)
-        if (mayStart) steps.push({ step, queue })
+        if (mayStart) steps.push({ step, queue, beyondBudget: budget.isBeyond(workflow) })
         else this._noteWait(step, queue, step.waitingTasks(nowMs), () => ({ cause: WAIT_CAUSES.predecessor }))
       }
     }
--- a/packages/pomelofold/src/workflows/placementPass.ts
+++ b/packages/pomelofold/src/workflows/placementPass.ts
@@ -14,6 +14,7 @@
 import type { StepRuntime, WorkflowRuntime } from './workflowRuntime.js'
 import type { WorkerSession } from './workerSession.js'
 import { addResources, NO_RESOURCES, type Resources } from '../protocol/workflows.js'
+import { NO_TEAM, TeamUsage } from '../teams/teamUsage.js'
 
 interface Claim {
   /** Position of the claimant in the pass. */
@@ -50,6 +51,8 @@
 /** State of one placement pass. */
 export class PlacementPass {
   readonly nowMs: number
+  /** Room that steps of each team have claimed. */
+  readonly claimedByTeam = new TeamUsage()
   private readonly _estimateMs: PlacementPassOptions['estimateMs']
   private readonly _trialOn: PlacementPassOptions['trialOn']
   private readonly _usable = new Set<WorkerSession>()
@@ -88,6 +91,7 @@
   /** Claims room for `tasks` tasks of a step, which cannot start before `idleUntilMs`. */
   claim ({ step, order }: OrderedStep, worker: WorkerSession, { tasks, idleUntilMs }: { tasks: number, idleUntilMs: number }): void {
     const claim = { order, room: addResources(NO_RESOURCES, reservedRoom(step), tasks), idleUntilMs }
+    this.claimedByTeam.add(step.workflow.record.team ?? NO_TEAM, claim.room)
     const others = this._claims.get(worker)
     if (others) others.push(claim)
     else this._claims.set(worker, [claim])
--- a/packages/pomelofold/src/workflows/roomReservation.ts
+++ b/packages/pomelofold/src/workflows/roomReservation.ts
@@ -12,9 +12,14 @@
 import type { StepRuntime } from './workflowRuntime.js'
 import type { WorkerSession } from './workerSession.js'
 import { addResources, type Resources } from '../protocol/workflows.js'
+import { NO_TEAM } from '../teams/teamUsage.js'
 
 /** Share of a worker's capacity from which a task counts as large. */
 const LARGE_TASK_SHARE = 0.5
+/** Maximum number of steps that reserve room in one pass: limits the room that stands idle and the time of a pass. */
+const MAX_RESERVING_STEPS = 8
+/** Maximum number of them of one team, so that the gangs of one team do not keep those of others from reserving room. */
+const MAX_RESERVING_STEPS_OF_TEAM = 2
 
 /** Room that a step waits for on a worker. */
 export interface Reservation {
@@ -24,6 +29,33 @@
   freeAtMs: number
 }
 
+/** Counts the steps that reserve room in one pass. */
+export class ReservingSteps {
+  private readonly _byTeam: boolean
+  private readonly _countOf = new Map<string, number>()
+  private _count = 0
+
+  /** `byTeam` tells whether the configuration names teams. */
+  constructor ({ byTeam }: { byTeam: boolean }) {
+    this._byTeam = byTeam
+  }
+
+  /** True when the step may reserve room, too. */
+  mayAdd (step: StepRuntime): boolean {
+    if (this._count === MAX_RESERVING_STEPS) return false
+    return !this._byTeam || this._of(step) < MAX_RESERVING_STEPS_OF_TEAM
+  }
+
+  add (step: StepRuntime): void {
+    this._count++
+    this._countOf.set(teamOf(step), this._of(step) + 1)
+  }
+
+  private _of (step: StepRuntime): number {
+    return this._countOf.get(teamOf(step)) ?? 0
+  }
+}
+
 /** Options of {@link planReservations}. */
 export interface PlanReservationsOptions {
   ordered: OrderedStep
@@ -77,3 +109,7 @@
     if (slots > 0) return { worker, tasks: slots, freeAtMs: endsMs }
   }
 }
+
+function teamOf ({ workflow }: StepRuntime): string {
+  return workflow.record.team ?? NO_TEAM
+}
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { CellCapacity } from './cellCapacity.js'
 import { CrashTracker, type CrashCounts } from './crashTracker.js'
 import { Dispatcher } from './dispatcher.js'
 import { EligibilityCache, type EligibilityCall } from './eligibilityCache.js'
@@ -27,7 +28,9 @@
 import type { PlatformClient } from '../seams/platformClient.js'
 import type { RandomSource } from '../seams/randomSource.js'
 import { delay, type Timers, type TimerSubscription } from '../seams/timers.js'
-import type { CellConfig, LeaseReport, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
+import type { CellConfig, LeaseReport, TeamsConfig, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
+import { SubmissionBudget } from '../teams/submissionBudget.js'
+import { TeamShares, type TeamShare } from '../teams/teamShares.js'
 import { TeamUsage } from '../teams/teamUsage.js'
 import type { EventLog } from '../utils/eventLog.js'
 
@@ -97,6 +100,14 @@
   runs: number
   /** Number of steps that have waited longer than their queue's objective, by cause, in the last second. */
   waitingSteps: Partial<Record<WaitCause, number>>
+  /** Absent when the configuration names no teams. */
+  teams?: TeamFigures[]
+}
+
+/** Metrics of a team. */
+export interface TeamFigures extends TeamShare {
+  /** Number of open workflows beyond the team's number of workflows a second. */
+  beyondBudget: number
 }
 
 /** Connects the parts of the scheduler: the workflow registry, the workers, placement, runs and the recording of progress. */
@@ -110,6 +121,8 @@
   private readonly _eligibility: EligibilityCache
   private readonly _dispatcher: Dispatcher
   private readonly _waits: WaitReporter
+  private readonly _shares: TeamShares
+  private readonly _budget: SubmissionBudget
   private readonly _speedStore: WorkerSpeedStore
   private readonly _timers: TimerSubscription[] = []
   /** True while the daemon prepares to hand over leadership: no task is started. */
@@ -186,6 +199,10 @@
       onRecorded: () => this._scheduleDispatch(),
       onGivenUp: (workflow, reason) => this._runTracker.finishWorkflow(workflow, JOB_STATES.failed, reason)
     })
+    const teams = (): TeamsConfig | undefined => options.config()?.teams
+    const capacity = new CellCapacity({ timers, sessions: () => this._fleet.sessions.values() })
+    this._shares = new TeamShares({ usage: teamUsage, teams, capacity: () => capacity.total })
+    this._budget = new SubmissionBudget({ timers, log, teams })
     this._dispatcher = new Dispatcher({
       epoch,
       term: options.term,
@@ -199,7 +216,8 @@
       speedEstimator,
       suspensions,
       crashes: this._crashes,
-      teamUsage,
+      shares: this._shares,
+      budget: this._budget,
       predecessorActiveUntilMs,
       newFromRevision: options.newFromRevision,
       start: (task, worker, attempt, ticket) => this._runTracker.start(task, worker, { attempt, ticket })
@@ -327,6 +345,9 @@
       reachableWorkers: sessions.filter(session => session.reachable).length,
       runs: sessions.reduce((sum, session) => sum + session.runs.size, 0),
       waitingSteps: this._waits.counts,
+      ...this._options.config()?.teams && {
+        teams: this._shares.figures().map(share => ({ ...share, beyondBudget: this._budget.beyondCount(share.team) }))
+      },
       ...this._runTracker.counts(),
       ...this._crashes.counts
     }
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -15,7 +15,7 @@
 import { START_REFUSALS, type LeaseReport, type WorkerClient, type WorkerEntry } from '../seams/workflowUpstreams.js'
 import { delay, type Timers } from '../seams/timers.js'
 import { isConnectionRefused, type CallError } from '../utils/errors.js'
-import type { TeamUsage } from '../teams/teamUsage.js'
+import { NO_TEAM, type TeamUsage } from '../teams/teamUsage.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Lowest rate of a worker's clock relative to the scheduler's: it may be 2% slow. */
@@ -371,7 +371,7 @@
   }
 
   private _addToUsed ({ size, team }: Run, sign: 1 | -1): void {
-    if (size && team !== undefined) this._options.teamUsage.add(team, size, sign)
+    if (size) this._options.teamUsage.add(team ?? NO_TEAM, size, sign)
     if (!size) {
       this._unsizedRuns += sign
       return
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -9,6 +9,8 @@
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { workflowSchema, type Resources, type WorkflowStep } from 'pomelofold/protocol/workflows'
 import type { CellConfig, QueueConfig } from 'pomelofold/seams/workflowUpstreams'
+import { SubmissionBudget } from 'pomelofold/teams/submissionBudget'
+import { TeamShares } from 'pomelofold/teams/teamShares'
 import { TeamUsage } from 'pomelofold/teams/teamUsage'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 import { CrashTracker } from 'pomelofold/workflows/crashTracker'
@@ -117,7 +119,8 @@
         onRecorded: () => {},
         onGivenUp: () => {}
       }),
-      teamUsage: new TeamUsage(),
+      shares: new TeamShares({ usage: new TeamUsage(), teams: () => undefined, capacity: () => CAPACITY }),
+      budget: new SubmissionBudget({ timers, log: SILENT_LOG, teams: () => undefined }),
       predecessorActiveUntilMs: 0,
       newFromRevision: 0,
       start: (task, worker, attempt) => this._start(task, worker, attempt)
