Teams: what a team may have running, over all workers and changes of leader

Cause: the scheduler knew no caps; a team's flood took any room. Change: TeamCaps limits the tasks of a step in a pass (gangs whole) from TeamUsage, which now counts the full size of tasks that use spare CPU, starts that a later incarnation may carry out and runs of unknown teams; InheritedUsage bounds what an earlier leader may have running at workers that have not answered; final records say what a workflow has left running. Steps held by their cap neither claim room nor query. The session in rooms.test.ts gets the usage that its options require; its check is as it was.

--- a/packages/pomelofold/src/protocol/workflows.ts
+++ b/packages/pomelofold/src/protocol/workflows.ts
@@ -102,6 +102,9 @@
 /** State of a workflow as callers see it. */
 export type WorkflowState = typeof JOB_STATES[keyof typeof JOB_STATES]
 
+/** What a workflow that has ended has left running, for the team that it counts for. */
+const leftRunningSchema = z.object({ team: z.string(), size: resourcesSchema })
+
 /** Stored form of the progress of a workflow's tasks. */
 export const workflowProgressSchema = z.object({
   /** Final state; absent while the workflow runs. */
@@ -119,7 +122,9 @@
   /** Crashes of workers that count against a task, by `occurrence.step.index`; for a gang, those of its first task. */
   crashes: z.record(z.string(), z.array(crashRecordSchema)).default({}),
   /** Why the workflow has failed, for callers. */
-  reason: z.string().optional()
+  reason: z.string().optional(),
+  /** Runs that had not ended when the final state was decided. Absent when there were none, or when the workflow has no team. */
+  leftRunning: leftRunningSchema.optional()
 })
 
 /** Stored form of the progress of a workflow's tasks. */
@@ -127,7 +132,11 @@
 
 /** Stored form of the progress of a workflow that has ended. */
 export const endedWorkflowSchema = z.object({
-  state: z.enum(JOB_STATES), endedAtMs: z.number(), queue: z.string(), reason: z.string().optional()
+  state: z.enum(JOB_STATES),
+  endedAtMs: z.number(),
+  queue: z.string(),
+  reason: z.string().optional(),
+  leftRunning: leftRunningSchema.optional()
 })
 
 /** Stored form of the progress of a workflow that has ended. */
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -12,6 +12,7 @@
 import type { EligibilityCache } from './eligibilityCache.js'
 import type { EligibilityDaemons } from './eligibilityDaemons.js'
 import { EligibilityQueries } from './eligibilityQueries.js'
+import { InheritedUsage } from './inheritedUsage.js'
 import { PlacementPass, type OrderedStep } from './placementPass.js'
 import type { BlockedStep, ReadyStep } from './readyStep.js'
 import { needsReservation, planReservations } from './roomReservation.js'
@@ -27,8 +28,10 @@
 import type { WorkflowRegistry } from './workflowRegistry.js'
 import type { StepRuntime, Task, WorkflowRuntime } from './workflowRuntime.js'
 import type { Timers } from '../seams/timers.js'
-import type { CellConfig, QueueConfig } from '../seams/workflowUpstreams.js'
+import type { CellConfig, QueueConfig, TeamsConfig } from '../seams/workflowUpstreams.js'
+import { TeamCaps, type CapFigures, type CapRequest } from '../teams/teamCaps.js'
 import type { TeamUsage } from '../teams/teamUsage.js'
+import type { EventLog } from '../utils/eventLog.js'
 
 /** Size of the range of attempt numbers of a term. Each term has its own range, so that no two schedulers use the same number. */
 const ATTEMPTS_PER_TERM = 1_000
@@ -45,6 +48,7 @@
   /** Number of the term; increases with each election. */
   term: number
   timers: Timers
+  log: EventLog
   config: () => CellConfig | undefined
   registry: WorkflowRegistry
   fleet: WorkerFleet
@@ -71,6 +75,8 @@
   private readonly _lastKnownQueues = new Map<string, QueueConfig>()
   private readonly _order: StepOrder
   private readonly _queries: EligibilityQueries
+  private readonly _inheritedUsage: InheritedUsage
+  private readonly _caps: TeamCaps
   /**
    * Time until which the earlier scheduler may start tasks at workers that have not received this epoch, in
    * milliseconds of the monotonic clock.
@@ -81,9 +87,12 @@
 
   constructor (options: DispatcherOptions) {
     this._options = options
-    const { fleet, eligibility, daemons, speedEstimator, teamUsage, config } = options
-    this._order = new StepOrder({ teamUsage, teams: () => config()?.teams })
+    const { timers, log, fleet, registry, eligibility, daemons, speedEstimator, teamUsage, config } = options
+    const teams = (): TeamsConfig | undefined => config()?.teams
+    this._order = new StepOrder({ teamUsage, teams })
     this._queries = new EligibilityQueries({ fleet, eligibility, daemons, speedEstimator })
+    this._inheritedUsage = new InheritedUsage({ fleet, registry, newFromRevision: () => this._newFromRevision })
+    this._caps = new TeamCaps({ usage: teamUsage, teams, inherited: team => this._inheritedUsage.of(team), timers, log })
     this._predecessorActiveUntilMs = options.predecessorActiveUntilMs
     this._newFromRevision = options.newFromRevision
   }
@@ -110,6 +119,11 @@
     return queue ?? this._lastKnownQueues.get(record.queue)
   }
 
+  /** Current values of the teams' caps for the metrics. */
+  capFigures (): CapFigures {
+    return this._caps.figures()
+  }
+
   /** Starts all tasks that can start now. */
   dispatch (): void {
     const { timers, fleet, speedEstimator, crashes } = this._options
@@ -122,6 +136,8 @@
       estimateMs: (step, worker) => step.spec.estimateMs * speedEstimator.slowness(worker),
       trialOn: worker => crashes.trialOn(worker)
     })
+    this._inheritedUsage.startPass()
+    this._caps.startPass()
     const blocked: BlockedStep[] = []
     let reserving = 0
     for (const { step, queue } of this._order.inOrder(this._readySteps(nowMs))) {
@@ -160,14 +176,27 @@
     return steps
   }
 
-  /** Starts the tasks of a step for which there is room. Returns the number of tasks that go on waiting for workers. */
+  /**
+   * Starts the tasks of a step for which there is room under its team's cap. Returns the number of tasks that go on waiting for
+   * workers: those beyond the cap neither claim room nor need a query.
+   */
   private _placeStep (ordered: OrderedStep, queue: QueueConfig, pass: PlacementPass): number {
     const { step } = ordered
-    const tasks = [...step.waitingTasks(pass.nowMs), ...findStragglers(step, pass.nowMs)]
+    const candidates = [...step.waitingTasks(pass.nowMs), ...findStragglers(step, pass.nowMs)]
     const { spec } = step
-    if (tasks.length === 0) return 0
-    if (spec.gang && tasks.length < step.tasks.length) {
-      this._noteWait(step, queue, tasks, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
+    if (candidates.length === 0) return 0
+    if (spec.gang && candidates.length < step.tasks.length) {
+      this._noteWait(step, queue, candidates, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
+      return 0
+    }
+    const capRequest = capRequestOf(step, candidates, pass.nowMs)
+    const allowed = this._caps.limit(capRequest)
+    const tasks = allowed < candidates.length ? candidates.slice(0, allowed) : candidates
+    const noteCap = (): void => this._noteWait(
+      step, queue, candidates.slice(allowed), () => ({ cause: WAIT_CAUSES.cap, ...this._caps.explain(capRequest) })
+    )
+    if (allowed === 0) {
+      noteCap()
       return 0
     }
     const { eligibility, start } = this._options
@@ -178,7 +207,10 @@
     for (const { task, worker } of assignments) {
       start(task, worker, attempt ?? this._nextAttempt(task.attempt), eligibility.ticket(step.name, worker.incarnation))
     }
-    return tasks.length - assignments.length
+    const waiting = tasks.length - assignments.length
+    if (waiting > 0) this._caps.noteNotPlaced(capRequest)
+    else if (allowed < candidates.length) noteCap()
+    return waiting
   }
 
   /** Assigns workers to tasks: to suspected tasks, workers on which they can be tried. */
@@ -258,3 +290,15 @@
     return Math.max(attempt, (this._options.term - 1) * ATTEMPTS_PER_TERM) + 1
   }
 }
+
+function capRequestOf (step: StepRuntime, tasks: Task[], nowMs: number): CapRequest {
+  const { spec, workflow } = step
+  return {
+    step,
+    team: workflow.record.team,
+    size: spec.size,
+    tasks: tasks.length,
+    gang: spec.gang,
+    waitedMs: () => Math.max(...tasks.map(task => step.waitOf(task, nowMs)))
+  }
+}
--- a/packages/pomelofold/src/workflows/inheritedWorkers.ts
+++ b/packages/pomelofold/src/workflows/inheritedWorkers.ts
@@ -9,6 +9,7 @@
 
 import { MAX_ORDER_DELAY_MS } from './runOrderSender.js'
 import { incarnationOf, WORKER_CLOCK_RATE, type WorkerSession } from './workerSession.js'
+import { addResources, NO_RESOURCES, type Resources } from '../protocol/workflows.js'
 import type { Timers } from '../seams/timers.js'
 import type { WorkerEntry } from '../seams/workflowUpstreams.js'
 
@@ -77,19 +78,49 @@
 
   /** True when each of these workers has answered, or nothing that an earlier scheduler has started can run there any more. */
   get settled (): boolean {
-    if (!this._complete) return false
-    const lateRunsEnded = this._options.timers.now() >= this._lateRunsEndMs
-    if (this._unlistedIds.size > 0 && !lateRunsEnded) return false
+    return this._complete && this._awaitedUnlisted === 0 && this._unsettled().next().done === true
+  }
+
+  /** Capacity of the workers for which `settled` waits: `NO_RESOURCES` once it is true, and undefined while they are not known. */
+  get unsettledCapacity (): Resources | undefined {
+    if (!this._complete) return
+    if (this.settled) return NO_RESOURCES
+    let capacity: Resources = NO_RESOURCES
+    for (const { entry } of this._unsettled()) capacity = addResources(capacity, entry.capacity)
+    return addResources(capacity, this._largestCapacity(), this._awaitedUnlisted)
+  }
+
+  /** Number of incarnations that are not listed yet and may run late starts. */
+  private get _awaitedUnlisted (): number {
+    return this._lateRunsEnded ? 0 : this._unlistedIds.size
+  }
+
+  private get _lateRunsEnded (): boolean {
+    return this._options.timers.now() >= this._lateRunsEndMs
+  }
+
+  /** Sessions with workers that may run what an earlier scheduler has started, and have not listed it. */
+  private * _unsettled (): Generator<WorkerSession> {
+    const lateRunsEnded = this._lateRunsEnded
     for (const incarnation of this._incarnations) {
       const session = this._options.sessions.get(incarnation)
-      if (session && !session.synced && !session.lapsed) return false
-      if (session?.restarted && !lateRunsEnded) return false
+      if (session && ((!session.synced && !session.lapsed) || (session.restarted && !lateRunsEnded))) yield session
     }
     for (const incarnation of lateRunsEnded ? [] : this._successors) {
       const session = this._options.sessions.get(incarnation)
-      if (session && (!session.synced || session.restarted)) return false
+      if (session && (!session.synced || session.restarted)) yield session
+    }
+  }
+
+  /** Largest capacity of any worker, by resource. */
+  private _largestCapacity (): Resources {
+    const largest = { ...NO_RESOURCES }
+    for (const { entry: { capacity } } of this._options.sessions.values()) {
+      largest.cpuMillis = Math.max(largest.cpuMillis, capacity.cpuMillis)
+      largest.memoryMb = Math.max(largest.memoryMb, capacity.memoryMb)
+      largest.accelerators = Math.max(largest.accelerators, capacity.accelerators)
     }
-    return true
+    return largest
   }
 
   private _addSession (entry: WorkerEntry): void {
--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -15,6 +15,7 @@
 import type { Resources } from '../protocol/workflows.js'
 import type { Timers, TimerSubscription } from '../seams/timers.js'
 import type { LeaseReport, ListedEnd, ListedRun } from '../seams/workflowUpstreams.js'
+import type { TeamUsage } from '../teams/teamUsage.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** A start that may be carried out by an incarnation of its worker that does not know its outcome. */
@@ -23,6 +24,9 @@
   readonly attempt: number
   readonly task: Task | undefined
   readonly size: Resources | undefined
+  /** Team for which it counts, and its size there. */
+  readonly team: string | undefined
+  readonly teamSize: Resources | undefined
   readonly address: string
   readonly bornMs: number
   /** Incarnation to which it was sent, or which has carried it out. */
@@ -34,6 +38,8 @@
   refusedBy: string | undefined
   /** Time since which its task waits for it, in milliseconds of the monotonic clock; undefined while it does not. */
   heldSinceMs: number | undefined
+  /** True while it counts for its team, because its run does not and may still be started. */
+  counted: boolean
   timer: TimerSubscription | undefined
 }
 
@@ -45,6 +51,7 @@
   maxLeaseMs: number
   /** Called when the worker is to refuse the start. Its incarnation is the one to which the start was sent if `settles` is true. */
   onRefusalNeeded: (session: WorkerSession, start: LateStart, options: { settles: boolean }) => void
+  teamUsage: TeamUsage
   /** Called when a start that was held turns out to have been carried out. */
   onCarriedOut: (run: Run) => void
 }
@@ -94,6 +101,7 @@
       return
     }
     this._idsReturn ||= session.restarted
+    for (const start of this._startsAt(id)) this._count(start, true)
     if (this._idsReturn) this._hold(id)
   }
 
@@ -103,6 +111,7 @@
     const nowMs = timers.now()
     for (const start of this._startsAt(id)) {
       start.refusedBy = undefined
+      this._count(start, true)
       if (start.heldSinceMs !== undefined) continue
       start.heldSinceMs = nowMs
       if (start.task) start.task.heldStarts++
@@ -143,7 +152,9 @@
     }
   }
 
-  private _note ({ name, attempt, task, size, session: { entry, incarnation } }: Run, sentMs: number, untilMs: number): void {
+  private _note (
+    { name, attempt, task, size, team, teamSize = size, session: { entry, incarnation } }: Run, sentMs: number, untilMs: number
+  ): void {
     const { timers } = this._options
     const starts = this._starts.get(entry.id) ?? new Map<string, LateStart>()
     this._starts.set(entry.id, starts)
@@ -152,6 +163,8 @@
       attempt,
       task,
       size,
+      team,
+      teamSize,
       address: entry.address,
       bornMs: entry.bornMs,
       incarnation,
@@ -159,6 +172,7 @@
       untilMs,
       refusedBy: undefined,
       heldSinceMs: undefined,
+      counted: false,
       timer: undefined
     }
     starts.set(runIdOf(name, attempt), start)
@@ -171,6 +185,13 @@
     })
   }
 
+  private _count (start: LateStart, counted: boolean): void {
+    if (start.counted === counted) return
+    start.counted = counted
+    const { team, teamSize } = start
+    if (team !== undefined && teamSize) this._options.teamUsage.add(team, teamSize, counted ? 1 : -1)
+  }
+
   private _startsAt (id: string): LateStart[] {
     return [...this._starts.get(id)?.values() ?? []]
   }
@@ -212,6 +233,7 @@
   }
 
   private _endHold (start: LateStart, outcome: string, session?: WorkerSession): void {
+    this._count(start, false)
     if (start.heldSinceMs === undefined) return
     const { timers, log } = this._options
     const nowMs = timers.now()
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -20,12 +20,13 @@
 import type { WorkflowRegistry } from './workflowRegistry.js'
 import { RUN_STATES, TASK_STATES, type Run, type StepRuntime, type Task, type WorkflowRuntime } from './workflowRuntime.js'
 import { JOB_STATES } from '../protocol/jobs.js'
-import type { Resources, WorkflowState } from '../protocol/workflows.js'
+import type { WorkflowState } from '../protocol/workflows.js'
 import type { Timers } from '../seams/timers.js'
 import {
   RUN_ENDS, START_REFUSALS,
   type LeaseReport, type ListedEnd, type ListedRun, type RunEnd, type StartRefusal, type WorkerClient
 } from '../seams/workflowUpstreams.js'
+import type { TeamUsage } from '../teams/teamUsage.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Delay before a task is placed again after a worker refused its start, in milliseconds. */
@@ -55,6 +56,8 @@
   speedEstimator: WorkerSpeedEstimator
   suspensions: WorkerSuspensions
   crashes: CrashTracker
+  /** Resources that the runs of each team use. */
+  teamUsage: TeamUsage
   /** Maximum length of a worker's lease, in milliseconds. */
   maxLeaseMs: number
   /** Time for which this daemon is guaranteed to remain the leader and may send starts, in milliseconds. */
@@ -101,6 +104,7 @@
       timers,
       log,
       maxLeaseMs,
+      teamUsage: options.teamUsage,
       onRefusalNeeded: (session, start, settling) => this._refuseLateStart(session, start, settling),
       onCarriedOut: run => { if (run.task?.step.spec.gang) this._orderSender.stop(run, 'its gang was stopped') }
     })
@@ -201,9 +205,11 @@
    * does not list it. When this settles the start, its task waits for that.
    */
   private _refuseLateStart (session: WorkerSession, start: LateStart, { settles }: { settles: boolean }): void {
-    const { name, attempt, size, task, sentMs } = start
+    const { name, attempt, size, team, teamSize, task, sentMs } = start
     const waiting = settles && task && task.state === TASK_STATES.waiting && !task.run
-    const run = this._addRun({ task: waiting ? task : undefined, name, attempt, session, size, state: RUN_STATES.starting, adopted: false })
+    const run = this._addRun({
+      task: waiting ? task : undefined, name, attempt, session, size, team, teamSize, state: RUN_STATES.starting, adopted: false
+    })
     run.unansweredMs = sentMs
     this._orderSender.stop(run, 'its start may still be carried out late')
     session.skipNextWait = true
@@ -221,12 +227,17 @@
     }
   }
 
-  private _addRun (options: Pick<Run, 'task' | 'name' | 'attempt' | 'state' | 'adopted'> & { session: WorkerSession, size: Resources | undefined }): Run {
+  /** Adds a run to its worker. It counts for the team of its workflow; the team is given when the workflow may have been archived. */
+  private _addRun (
+    options: Pick<Run, 'task' | 'name' | 'attempt' | 'size' | 'state' | 'adopted'> & Partial<Pick<Run, 'team' | 'teamSize'>> & { session: WorkerSession }
+  ): Run {
     const nowMs = this._options.timers.now()
     const { task, session, name } = options
+    const step = (task ?? this._options.registry.findTask(name))?.step
     const run: Run = {
       ...options,
-      team: (task ?? this._options.registry.findTask(name))?.step.workflow.record.team,
+      team: options.team ?? step?.workflow.record.team,
+      teamSize: options.teamSize ?? step?.spec.size,
       startedMs: nowMs,
       pendingStartMs: undefined,
       startConfirmedMs: undefined,
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -28,6 +28,7 @@
 import type { RandomSource } from '../seams/randomSource.js'
 import { delay, type Timers, type TimerSubscription } from '../seams/timers.js'
 import type { CellConfig, LeaseReport, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
+import type { CapFigures } from '../teams/teamCaps.js'
 import { TeamUsage } from '../teams/teamUsage.js'
 import type { EventLog } from '../utils/eventLog.js'
 
@@ -89,7 +90,7 @@
 }
 
 /** Metrics of a term. */
-export interface TermFigures extends RunCounts, CrashCounts {
+export interface TermFigures extends RunCounts, CrashCounts, CapFigures {
   workflows: number
   openWorkflows: number
   workers: number
@@ -202,6 +203,7 @@
       teamUsage,
       predecessorActiveUntilMs,
       newFromRevision: options.newFromRevision,
+      log,
       start: (task, worker, attempt, ticket) => this._runTracker.start(task, worker, { attempt, ticket })
     })
     this._runTracker = new RunTracker({
@@ -214,6 +216,7 @@
       speedEstimator,
       suspensions,
       crashes: this._crashes,
+      teamUsage,
       maxLeaseMs: timeLimits.maxLeaseMs,
       leadershipRemainingMs,
       maxAttempts: workflow => this._dispatcher.queueOf(workflow)?.maxAttempts,
@@ -328,7 +331,8 @@
       runs: sessions.reduce((sum, session) => sum + session.runs.size, 0),
       waitingSteps: this._waits.counts,
       ...this._runTracker.counts(),
-      ...this._crashes.counts
+      ...this._crashes.counts,
+      ...this._dispatcher.capFigures()
     }
   }
 
--- a/packages/pomelofold/src/workflows/waitReporter.ts
+++ b/packages/pomelofold/src/workflows/waitReporter.ts
@@ -14,6 +14,8 @@
   predecessor: 'predecessor',
   /** Earlier runs of members of the gang have not ended. */
   gangEnding: 'gang-ending',
+  /** The workflow's team has as much running as its cap allows, or may have. */
+  cap: 'cap',
   /** Tasks that are suspected of crashing their workers wait for a worker to be tried on. */
   trial: 'trial',
   /** No worker of the service with the required label can be used. */
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -11,7 +11,7 @@
 import { InheritedWorkers } from './inheritedWorkers.js'
 import { LEADER_KEY, ROSTER_KEY } from './keys.js'
 import { incarnationOf, WORKER_CLOCK_RATE, WorkerSession, type WorkerSessionListener } from './workerSession.js'
-import { resourcesSchema } from '../protocol/workflows.js'
+import { resourcesSchema, type Resources } from '../protocol/workflows.js'
 import type { PlatformClient } from '../seams/platformClient.js'
 import { delay, type Timers } from '../seams/timers.js'
 import type { WorkerClient, WorkerDirectory, WorkerEntry } from '../seams/workflowUpstreams.js'
@@ -145,6 +145,11 @@
     return this._inheritedWorkers.settled
   }
 
+  /** Capacity of the workers for which `inheritedWorkersSettled` waits; undefined while it is not known which they are. */
+  get unsettledCapacity (): Resources | undefined {
+    return this._inheritedWorkers.unsettledCapacity
+  }
+
   /** Closes and removes the session of a worker incarnation that has ended. */
   remove (session: WorkerSession): void {
     session.close()
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -11,7 +11,7 @@
 import type { RunHost } from './runHost.js'
 import { MAX_ORDER_DELAY_MS } from './runOrderSender.js'
 import { RUN_STATES, type Run } from './workflowRuntime.js'
-import type { Resources } from '../protocol/workflows.js'
+import { NO_RESOURCES, type Resources } from '../protocol/workflows.js'
 import { START_REFUSALS, type LeaseReport, type WorkerClient, type WorkerEntry } from '../seams/workflowUpstreams.js'
 import { delay, type Timers } from '../seams/timers.js'
 import { isConnectionRefused, type CallError } from '../utils/errors.js'
@@ -129,6 +129,9 @@
   private _leaseEndMs = 0
   private _closed = false
   private _unsizedRuns = 0
+  /** Number of runs whose team is not known, and what they count with. */
+  private _unattributedRuns = 0
+  private _unattributed: Resources = NO_RESOURCES
 
   constructor (options: WorkerSessionOptions) {
     this._options = options
@@ -370,8 +373,9 @@
     this._options.listener.onLapse(this, reason)
   }
 
-  private _addToUsed ({ size, team }: Run, sign: 1 | -1): void {
-    if (size && team !== undefined) this._options.teamUsage.add(team, size, sign)
+  private _addToUsed ({ size, team, teamSize = size }: Run, sign: 1 | -1): void {
+    if (teamSize && team !== undefined) this._options.teamUsage.add(team, teamSize, sign)
+    if (!teamSize) this._addUnattributed(sign)
     if (!size) {
       this._unsizedRuns += sign
       return
@@ -381,6 +385,13 @@
     this.used.accelerators += sign * size.accelerators
   }
 
+  /** Counts the runs of unknown teams on the worker, which together use no more than its capacity. */
+  private _addUnattributed (sign: 1 | -1): void {
+    if (this._unattributedRuns === 0) this._unattributed = this.entry.capacity
+    this._unattributedRuns += sign
+    if (this._unattributedRuns === (sign === 1 ? 1 : 0)) this._options.teamUsage.addUnattributed(this._unattributed, sign)
+  }
+
   /** True when the promise resolves within `ms`. */
   private _settledWithin (promise: Promise<void>, ms: number): Promise<boolean> {
     return new Promise(resolve => {
--- a/packages/pomelofold/src/workflows/workflowRegistry.ts
+++ b/packages/pomelofold/src/workflows/workflowRegistry.ts
@@ -9,7 +9,7 @@
 import { PrefixView } from './prefixView.js'
 import { isFinal, WorkflowRuntime, type Task } from './workflowRuntime.js'
 import type { GroupCommitter } from '../commits/groupCommitter.js'
-import { endedWorkflowSchema, parseTaskName, workflowProgressSchema, workflowSchema, type EndedWorkflow, type Workflow, type WorkflowStatus } from '../protocol/workflows.js'
+import { addResources, endedWorkflowSchema, NO_RESOURCES, parseTaskName, workflowProgressSchema, workflowSchema, type EndedWorkflow, type Resources, type Workflow, type WorkflowStatus } from '../protocol/workflows.js'
 import type { PlatformClient, StoredValue } from '../seams/platformClient.js'
 import { delay, type Timers } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
@@ -104,6 +104,15 @@
     return name && this._workflows.get(name.workflowId)?.task(name.occurrence, name.step, name.index)
   }
 
+  /** Sum of what workflows of earlier terms had left running when they ended, by team. */
+  leftRunning (): Map<string, Resources> {
+    const sums = new Map<string, Resources>()
+    for (const { leftRunning } of this._ended.values()) {
+      if (leftRunning) sums.set(leftRunning.team, addResources(sums.get(leftRunning.team) ?? NO_RESOURCES, leftRunning.size))
+    }
+    return sums
+  }
+
   /** Adds a workflow that was stored at `revision`, unless the registry has it already. */
   add (record: Workflow, revision: number): void {
     if (this._workflows.has(record.id) || this._ended.has(record.id)) return
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -6,7 +6,7 @@
 
 import type { CrashRecord } from '../protocol/crashes.js'
 import { JOB_STATES } from '../protocol/jobs.js'
-import { formatStepName, formatTaskName, type WorkflowProgress, type Resources, type Workflow, type WorkflowState, type WorkflowStep } from '../protocol/workflows.js'
+import { addResources, formatStepName, formatTaskName, NO_RESOURCES, type WorkflowProgress, type Resources, type Workflow, type WorkflowState, type WorkflowStep } from '../protocol/workflows.js'
 import { formatRanges, parseRanges } from '../utils/indexRanges.js'
 import type { RunHost } from './runHost.js'
 
@@ -77,6 +77,8 @@
   readonly team: string | undefined
   /** Room that the run reserves at its worker. Undefined when it is not known: then nothing starts beside it. */
   readonly size: Resources | undefined
+  /** Resources with which it counts for its team: with the CPU of a task that uses spare CPU. Its size unless stated. */
+  readonly teamSize?: Resources
   /** True for a run that was found in a worker's report: its age is not known. */
   readonly adopted: boolean
   state: typeof RUN_STATES[keyof typeof RUN_STATES]
@@ -335,7 +337,24 @@
     // A recorded final state is repeated in every later record.
     const state = this.pendingFinalState ?? (final ? this.state : undefined)
     const queue = final ? this.record.queue : undefined
-    return { state, endedAtMs: this.endedAtMs, queue, done, failures, checkpoints, crashes, reason: this.reason }
+    const leftRunning = final ? this._leftRunning() : undefined
+    return { state, endedAtMs: this.endedAtMs, queue, done, failures, checkpoints, crashes, reason: this.reason, leftRunning }
+  }
+
+  /** Size of the runs that have not ended, with the starts that may still be carried out; undefined for none or without a team. */
+  private _leftRunning (): WorkflowProgress['leftRunning'] {
+    const { team } = this.record
+    if (team === undefined) return
+    let size: Resources = NO_RESOURCES
+    let count = 0
+    for (const step of [...this.occurrences.values()].flat()) {
+      for (const { run, supersededRuns, heldStarts } of step.tasks) {
+        const runs = (run ? 1 : 0) + supersededRuns.length + heldStarts
+        size = addResources(size, step.spec.size, runs)
+        count += runs
+      }
+    }
+    return count > 0 ? { team, size } : undefined
   }
 
   private _restoreByTask<T> (values: Record<string, T>, restore: (task: Task, value: T) => void): void {
--- a/tests/workflows/rooms.test.ts
+++ b/tests/workflows/rooms.test.ts
@@ -6,6 +6,7 @@
 
 import t from 'tap'
 import type { LeasedWorker } from '@pomelofold/standins/leasedWorker'
+import { TeamUsage } from 'pomelofold/teams/teamUsage'
 import { StepRoom } from 'pomelofold/workflows/stepPlacer'
 import { WorkerSession } from 'pomelofold/workflows/workerSession'
 import { WorkflowRuntime, type Run } from 'pomelofold/workflows/workflowRuntime'
@@ -53,7 +54,7 @@
   const cell = new WorkflowCell({ workers: 1 })
   const [{ entry }] = cell.workers
   const session = new WorkerSession({
-    entry: { ...entry, capacity: { ...entry.capacity, cpuMillis: 1_000 } }, timers: cell.timers
+    entry: { ...entry, capacity: { ...entry.capacity, cpuMillis: 1_000 } }, timers: cell.timers, teamUsage: new TeamUsage()
   } as unknown as ConstructorParameters<typeof WorkerSession>[0])
   const [step] = new WorkflowRuntime({ record: cell.workflow(), revision: 1, addedMs: 0 }).steps(0)!
   session.addRun({ name: 'unknown', attempt: 1, size: undefined } as unknown as Run)
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -98,6 +98,7 @@
       epoch: 1,
       term: 1,
       timers,
+      log: SILENT_LOG,
       config: () => CONFIG,
       registry: { open: this._open } as unknown as WorkflowRegistry,
       fleet: {
