--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -30,6 +30,7 @@
 import { delay, type Timers, type TimerSubscription } from '../seams/timers.js'
 import type { CellConfig, LeaseReport, TeamsConfig, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
 import { SubmissionBudget } from '../teams/submissionBudget.js'
+import type { CapFigures } from '../teams/teamCaps.js'
 import { TeamShares, type TeamShare } from '../teams/teamShares.js'
 import { TeamUsage } from '../teams/teamUsage.js'
 import type { EventLog } from '../utils/eventLog.js'
@@ -92,7 +93,7 @@
 }
 
 /** Metrics of a term. */
-export interface TermFigures extends RunCounts, CrashCounts {
+export interface TermFigures extends RunCounts, CrashCounts, CapFigures {
   workflows: number
   openWorkflows: number
   workers: number
@@ -216,10 +217,12 @@
       speedEstimator,
       suspensions,
       crashes: this._crashes,
+      teamUsage,
       shares: this._shares,
       budget: this._budget,
       predecessorActiveUntilMs,
       newFromRevision: options.newFromRevision,
+      log,
       start: (task, worker, attempt, ticket) => this._runTracker.start(task, worker, { attempt, ticket })
     })
     this._runTracker = new RunTracker({
@@ -232,6 +235,7 @@
       speedEstimator,
       suspensions,
       crashes: this._crashes,
+      teamUsage,
       maxLeaseMs: timeLimits.maxLeaseMs,
       leadershipRemainingMs,
       maxAttempts: workflow => this._dispatcher.queueOf(workflow)?.maxAttempts,
@@ -349,7 +353,8 @@
         teams: this._shares.figures().map(share => ({ ...share, beyondBudget: this._budget.beyondCount(share.team) }))
       },
       ...this._runTracker.counts(),
-      ...this._crashes.counts
+      ...this._crashes.counts,
+      ...this._dispatcher.capFigures()
     }
   }
 
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -100,6 +100,7 @@
       epoch: 1,
       term: 1,
       timers,
+      log: SILENT_LOG,
       config: () => CONFIG,
       registry: { open: this._open } as unknown as WorkflowRegistry,
       fleet: {
@@ -119,6 +120,7 @@
         onRecorded: () => {},
         onGivenUp: () => {}
       }),
+      teamUsage: new TeamUsage(),
       shares: new TeamShares({ usage: new TeamUsage(), teams: () => undefined, capacity: () => CAPACITY }),
       budget: new SubmissionBudget({ timers, log: SILENT_LOG, teams: () => undefined }),
       predecessorActiveUntilMs: 0,
