--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -176,7 +176,7 @@
     const assignments = this._assign(ordered, { tasks, workers, queue, pass })
     const attempt = spec.gang ? this._nextAttempt(Math.max(...step.tasks.map(task => task.attempt))) : undefined
     for (const { task, worker } of assignments) {
-      start(task, worker, attempt ?? this._nextAttempt(task.attempt), eligibility.ticket(step.name, worker.incarnation))
+      start(task, worker, attempt ?? this._nextAttempt(task.attempt), eligibility.useTicket(step.name, worker.incarnation))
     }
     return tasks.length - assignments.length
   }
--- a/packages/pomelofold/src/workflows/eligibilityCache.ts
+++ b/packages/pomelofold/src/workflows/eligibilityCache.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { EligibilityCounts } from './eligibilityCounts.js'
 import type { EligibilityDaemons } from './eligibilityDaemons.js'
 import type { EligibilityAnswer } from '../seams/workflowUpstreams.js'
 import type { Timers } from '../seams/timers.js'
@@ -24,7 +25,8 @@
   step: string
   /** Ids of the workers, which are sent to the service, with their incarnations, under which the answers are cached. */
   workers: Array<{ id: string, incarnation: string }>
-  /** Priority of the step's queue, for the log. */
+  /** Name and priority of the step's queue. */
+  queue: string
   priority: number
   /** Expected duration of the call, in milliseconds. */
   expectedMs: number
@@ -33,9 +35,24 @@
 interface Ticket {
   text: string
   validUntilMs: number
+  /** True when a task was started with it. */
+  used: boolean
 }
 
+/** What is known about a worker for a step. */
+export const ELIGIBILITY = {
+  unknown: 'unknown',
+  refused: 'refused',
+  /** Eligible, but the ticket has expired. */
+  expired: 'expired',
+  ticket: 'ticket'
+} as const
+
+/** One of {@link ELIGIBILITY}. */
+export type Eligibility = typeof ELIGIBILITY[keyof typeof ELIGIBILITY]
+
 interface StepEligibility {
+  queue: string
   /** Answers by worker incarnation: whether it may run the step. An answer does not change. */
   eligible: Map<string, boolean>
   /** Latest tickets by worker incarnation. */
@@ -64,11 +81,14 @@
 
 /** Caches the eligibility of workers and their tickets by step. */
 export class EligibilityCache {
+  /** Counts of calls and tickets by queue. */
+  readonly counts: EligibilityCounts
   private readonly _options: EligibilityCacheOptions
   private readonly _steps = new Map<string, StepEligibility>()
 
   constructor (options: EligibilityCacheOptions) {
     this._options = options
+    this.counts = new EligibilityCounts(options)
   }
 
   /** Ticket of a worker incarnation for a step; undefined when there is no valid one. */
@@ -77,6 +97,24 @@
     return ticket && ticket.validUntilMs > this._options.timers.now() ? ticket.text : undefined
   }
 
+  /** Ticket of a worker incarnation for the start of a task. */
+  useTicket (step: string, incarnation: string): string | undefined {
+    const stepEligibility = this._steps.get(step)
+    const ticket = stepEligibility?.tickets.get(incarnation)
+    if (!ticket || ticket.validUntilMs <= this._options.timers.now()) return
+    if (!ticket.used) this.counts.noteUsed(stepEligibility!.queue)
+    ticket.used = true
+    return ticket.text
+  }
+
+  /** What is known about a worker incarnation for the step. */
+  stateOf (step: string, incarnation: string): Eligibility {
+    const eligible = this.isEligible(step, incarnation)
+    if (eligible === undefined) return ELIGIBILITY.unknown
+    if (!eligible) return ELIGIBILITY.refused
+    return this.ticket(step, incarnation) === undefined ? ELIGIBILITY.expired : ELIGIBILITY.ticket
+  }
+
   /** Whether the worker incarnation may run the step; undefined when the service has not answered for it. */
   isEligible (step: string, incarnation: string): boolean | undefined {
     return this._steps.get(step)?.eligible.get(incarnation)
@@ -102,11 +140,13 @@
 
   /** Drops a ticket that a worker has refused. */
   dropTicket (step: string, incarnation: string): void {
-    this._steps.get(step)?.tickets.delete(incarnation)
+    this._dropTicket(this._steps.get(step), incarnation)
   }
 
   /** Drops the answers for a step that is done. */
   dropStep (step: string): void {
+    const stepEligibility = this._steps.get(step)
+    for (const incarnation of stepEligibility?.tickets.keys() ?? []) this._dropTicket(stepEligibility, incarnation)
     this._steps.delete(step)
   }
 
@@ -114,14 +154,16 @@
   queryWorkers (query: EligibilityQuery): boolean {
     const daemon = this._options.daemons.take(query.expectedMs)
     if (daemon === undefined) return false
-    const stepEligibility = this._steps.get(query.step) ?? { eligible: new Map(), tickets: new Map(), pendingCalls: new Set() }
+    const stepEligibility = this._steps.get(query.step) ?? {
+      queue: query.queue, eligible: new Map(), tickets: new Map(), pendingCalls: new Set()
+    }
     this._steps.set(query.step, stepEligibility)
     this._call(daemon, query, stepEligibility)
     return true
   }
 
   private async _call (
-    daemon: string, { step, workers, expectedMs, priority }: EligibilityQuery, stepEligibility: StepEligibility
+    daemon: string, { step, workers, expectedMs, queue, priority }: EligibilityQuery, stepEligibility: StepEligibility
   ): Promise<void> {
     const { timers, log, queryThroughDaemon, daemons, onAnswer } = this._options
     const requestSentMs = timers.now()
@@ -131,11 +173,23 @@
     daemons.release(daemon, { failed: answer === undefined })
     stepEligibility.pendingCalls.delete(pendingCall)
     const tookMs = Math.round(timers.now() - requestSentMs)
+    const unknown = workers.filter(({ incarnation }) => !stepEligibility.eligible.has(incarnation))
+    const good = answer ? Object.keys(answer.tickets).length : 0
+    this.counts.noteCall(queue, {
+      tookMs,
+      asked: workers.length,
+      tickets: good,
+      newAnswers: answer ? unknown.length : 0,
+      newEligible: answer ? unknown.filter(({ id }) => answer.tickets[id] !== undefined).length : 0,
+      failed: !answer
+    })
     if (!answer) {
-      log.event('warn', 'eligibility.failed', { task: step, peer: daemon, workers: workers.length, tookMs })
+      log.event('warn', 'eligibility.failed', { task: step, queue, peer: daemon, workers: workers.length, tookMs })
     } else {
       this._storeAnswer(stepEligibility, workers, answer)
-      log.event('debug', 'eligibility.learned', { task: step, peer: daemon, workers: workers.length, good: Object.keys(answer.tickets).length, validMs: answer.validMs, priority, tookMs })
+      log.event('debug', 'eligibility.learned', {
+        task: step, queue, peer: daemon, workers: workers.length, known: workers.length - unknown.length, good, validMs: answer.validMs, priority, tookMs
+      })
     }
     onAnswer()
   }
@@ -145,7 +199,16 @@
     for (const { id, incarnation } of workers) {
       const text = tickets[id]
       stepEligibility.eligible.set(incarnation, text !== undefined)
-      if (text !== undefined) stepEligibility.tickets.set(incarnation, { text, validUntilMs })
+      if (text === undefined) continue
+      this._dropTicket(stepEligibility, incarnation)
+      stepEligibility.tickets.set(incarnation, { text, validUntilMs, used: false })
     }
   }
+
+  private _dropTicket (stepEligibility: StepEligibility | undefined, incarnation: string): void {
+    const ticket = stepEligibility?.tickets.get(incarnation)
+    if (!ticket) return
+    stepEligibility!.tickets.delete(incarnation)
+    if (!ticket.used) this.counts.noteUnused(stepEligibility!.queue)
+  }
 }
--- a/packages/pomelofold/src/workflows/eligibilityQueries.ts
+++ b/packages/pomelofold/src/workflows/eligibilityQueries.ts
@@ -127,6 +127,7 @@
     const calls = splitQuery(workers, maxCalls).map(part => this._options.eligibility.queryWorkers({
       step: step.name,
       workers: part.map(worker => ({ id: worker.entry.id, incarnation: worker.incarnation })),
+      queue: queue.name,
       priority: queue.priority,
       expectedMs: baseMs + perWorkerMs * part.length
     }))
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -9,6 +9,7 @@
 import { CrashTracker, type CrashCounts } from './crashTracker.js'
 import { Dispatcher } from './dispatcher.js'
 import { EligibilityCache, type EligibilityCall } from './eligibilityCache.js'
+import type { QueueEligibilityCounts } from './eligibilityCounts.js'
 import { EligibilityDaemons } from './eligibilityDaemons.js'
 import { LEADER_KEY } from './keys.js'
 import { ProgressRecorder } from './progressRecorder.js'
@@ -97,6 +98,8 @@
   runs: number
   /** Number of steps that have waited longer than their queue's objective, by cause, in the last second. */
   waitingSteps: Partial<Record<WaitCause, number>>
+  /** Calls to the eligibility service and their tickets, by queue. */
+  eligibility: Record<string, QueueEligibilityCounts>
 }
 
 /** Connects the parts of the scheduler: the workflow registry, the workers, placement, runs and the recording of progress. */
@@ -327,6 +330,7 @@
       reachableWorkers: sessions.filter(session => session.reachable).length,
       runs: sessions.reduce((sum, session) => sum + session.runs.size, 0),
       waitingSteps: this._waits.counts,
+      eligibility: this._eligibility.counts.byQueue,
       ...this._runTracker.counts(),
       ...this._crashes.counts
     }
--- a/packages/pomelofold/src/workflows/waitExplanation.ts
+++ b/packages/pomelofold/src/workflows/waitExplanation.ts
@@ -5,7 +5,7 @@
  */
 
 import { isSuspect } from './crashTracker.js'
-import type { EligibilityCache } from './eligibilityCache.js'
+import { ELIGIBILITY, type EligibilityCache } from './eligibilityCache.js'
 import type { PlacementPass } from './placementPass.js'
 import type { BlockedStep } from './readyStep.js'
 import { StepRoom } from './stepPlacer.js'
@@ -25,15 +25,25 @@
   const slotsOf = (room: StepRoom, workers: WorkerSession[]): number =>
     workers.reduce((sum, worker) => sum + room.slots(worker, waiting), 0)
   const unclaimed = new StepRoom(step, worker => pass.freeRoom(blocked, worker))
-  const answers = usable.map(worker => eligibility.isEligible(step.name, worker.incarnation))
-  const allowed = queue.eligibility ? usable.filter((_worker, index) => answers[index] !== false) : usable
+  const answers = usable.map(worker => eligibility.stateOf(step.name, worker.incarnation))
+  const countOf = (state: string): number => answers.filter(answer => answer === state).length
+  const allowed = queue.eligibility ? usable.filter((_worker, index) => answers[index] !== ELIGIBILITY.refused) : usable
+  const holders = usable.filter((_worker, index) => answers[index] === ELIGIBILITY.ticket)
+  const known = usable.filter((_worker, index) => answers[index] === ELIGIBILITY.ticket || answers[index] === ELIGIBILITY.expired)
   const counts = {
     workers: usable.length,
-    eligible: queue.eligibility ? answers.filter(answer => answer === true).length : usable.length,
-    unknown: queue.eligibility ? answers.filter(answer => answer === undefined).length : 0,
+    eligible: queue.eligibility ? known.length : usable.length,
+    unknown: queue.eligibility ? countOf(ELIGIBILITY.unknown) : 0,
     slots: slotsOf(new StepRoom(step), usable),
     allowedSlots: slotsOf(new StepRoom(step), allowed),
-    unclaimedSlots: slotsOf(unclaimed, allowed)
+    unclaimedSlots: slotsOf(unclaimed, allowed),
+    ...queue.eligibility && {
+      tickets: holders.length,
+      expired: countOf(ELIGIBILITY.expired),
+      ticketSlots: slotsOf(unclaimed, holders),
+      eligibleSlots: slotsOf(unclaimed, known),
+      calls: [...eligibility.pendingCalls(step.name)].length
+    }
   }
   const cause = ((): WaitCause => {
     if (step.waitingTasks(pass.nowMs).some(isSuspect)) return WAIT_CAUSES.trial
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -234,9 +234,9 @@
     onAnswer: () => {}
   })
   const workers = [{ id: 'w1', incarnation: 'w1@1' }, { id: 'w2', incarnation: 'w2@1' }]
-  for (let index = 0; index < 5; index++) cache.queryWorkers({ step: `long${index}`, workers, priority: 2, expectedMs: 800 })
+  for (let index = 0; index < 5; index++) cache.queryWorkers({ step: `long${index}`, workers, queue: 'q', priority: 2, expectedMs: 800 })
   t.equal(calls.length, 2)
-  cache.queryWorkers({ step: 'short', workers, priority: 0, expectedMs: 45 })
+  cache.queryWorkers({ step: 'short', workers, queue: 'q', priority: 0, expectedMs: 45 })
   t.equal(calls.length, 3)
   t.equal(new Set(calls.map(call => call.vm)).size, 3)
   calls[2].answer({ tickets: { w1: 'ticket' }, validMs: 2_000 })
