Eligibility calls go first to long-running tasks that are down, in strict order, sized by the queue's share

Cause: with more than 16 steps due, each pass planned the next 16 in turn, so the daemons that became free went to any step. Under the manual clock, with 80 batch steps due, no call was made for them within 8.6 s. Change: QueryOrder: long-running steps with tasks down first, then by wait; a step whose query started nothing waits from then on; steps beyond their team's budget only when no other step is due. Twelve of the sixteen plans of a pass are for the head of the order. Long queries are sized by the learned share of eligible workers; a query is split only as far as daemons are left for the steps that are due. Result: the cell test fails before (8 of 24 tasks run 2 s after the lapse) and passes now (24).

--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -124,10 +124,11 @@
     })
     const blocked: BlockedStep[] = []
     let reserving = 0
-    for (const { step, queue } of this._order.inOrder(this._readySteps(nowMs))) {
+    for (const ready of this._order.inOrder(this._readySteps(nowMs))) {
+      const { step, queue } = ready
       const waiting = this._placeStep({ step, order: blocked.length }, queue, pass)
       if (waiting === 0) continue
-      const blockedStep = { step, order: blocked.length, queue, waiting }
+      const blockedStep = { ...ready, order: blocked.length, waiting }
       blocked.push(blockedStep)
       if (reserving < MAX_RESERVING_STEPS && this._reserve(blockedStep, pass)) reserving++
       else if (queue.eligibility) this._queries.claimRoom(blockedStep, pass)
--- a/packages/pomelofold/src/workflows/eligibilityCache.ts
+++ b/packages/pomelofold/src/workflows/eligibilityCache.ts
@@ -188,7 +188,15 @@
     } else {
       this._storeAnswer(stepEligibility, workers, answer)
       log.event('debug', 'eligibility.learned', {
-        task: step, queue, peer: daemon, workers: workers.length, known: workers.length - unknown.length, good, validMs: answer.validMs, priority, tookMs
+        task: step,
+        queue,
+        peer: daemon,
+        workers: workers.length,
+        known: workers.length - unknown.length,
+        good,
+        validMs: answer.validMs,
+        priority,
+        tookMs
       })
     }
     onAnswer()
--- a/packages/pomelofold/src/workflows/eligibilityQueries.ts
+++ b/packages/pomelofold/src/workflows/eligibilityQueries.ts
@@ -1,9 +1,8 @@
 /**
- * Decides which blocked steps query the eligibility service, in which order, and which room they claim meanwhile.
+ * Decides which blocked steps query the eligibility service, and which room they claim meanwhile.
  *
  * Load pattern: more steps need a query than daemons can call the service, which takes up to a second for a call. Queries are
- * made in the order of the steps' waits, with a handicap for less urgent queues, so that the daemons are not used by urgent
- * steps alone.
+ * made in the order of `QueryOrder`; a call is split over several daemons only while no step waits for one.
  *
  * @module
  */
@@ -12,6 +11,7 @@
 import type { EligibilityDaemons } from './eligibilityDaemons.js'
 import type { PlacementPass } from './placementPass.js'
 import { planQuery, splitQuery, type PlannedQuery } from './queryPlanner.js'
+import { QueryOrder } from './queryOrder.js'
 import type { BlockedStep } from './readyStep.js'
 import { StepRoom } from './stepPlacer.js'
 import type { WorkerFleet } from './workerFleet.js'
@@ -20,15 +20,12 @@
 import type { StepRuntime } from './workflowRuntime.js'
 import type { QueueConfig } from '../seams/workflowUpstreams.js'
 
-/**
- * Handicap of a queue for each step of its priority when queries compete for daemons, in milliseconds: a step that has
- * waited this much longer comes before one of the next more urgent queue.
- */
-const PRIORITY_HANDICAP_MS = 2_000
 /** Longest time after a step had nothing to ask until it is considered again, in milliseconds; a quarter of a call if that is less. */
 const QUERY_PAUSE_MAX_MS = 100
 /** Maximum number of long queries, and of short ones, that are planned in one pass: bounds its time while many steps wait. */
 const MAX_PLANS = 16
+/** Number of these plans for steps at the head of the order. The others are for all further steps in turn, so that none is left out. */
+const PLANS_AT_HEAD = 12
 /** Time after the answer to a query within which room must be expected to become free, in milliseconds: a third of a ticket's validity. */
 const EXPECTED_ROOM_MS = 700
 /** Duration from which a query is long, in milliseconds. Its step claims room; within a short one, other steps seldom take the room. */
@@ -50,7 +47,8 @@
   private readonly _options: EligibilityQueriesOptions
   /** Times before which steps that had nothing to ask are not considered again, in milliseconds of the monotonic clock. */
   private readonly _asksAgainMs = new WeakMap<StepRuntime, number>()
-  /** Position at which the planning of queries continues in the next pass. */
+  private readonly _order = new QueryOrder()
+  /** Position among the steps behind the head at which planning continues in the next pass. */
   private _nextPlan = 0
 
   constructor (options: EligibilityQueriesOptions) {
@@ -86,33 +84,51 @@
   /** Queries the eligibility service: first for steps that could start tasks after the answer, then in advance for others. */
   queryFor (blocked: BlockedStep[], pass: PlacementPass): void {
     const { eligibility } = this._options
-    const turn = ({ step, queue }: BlockedStep): number => (step.readyMs ?? pass.nowMs) + queue.priority * PRIORITY_HANDICAP_MS
-    const asking = blocked.filter(({ step, queue }) => queue.eligibility && !eligibility.isQueryPending(step.name))
-    asking.sort((a, b) => turn(a) - turn(b))
+    const asking = this._order.sort(
+      blocked.filter(({ step, queue }) => queue.eligibility && !eligibility.isQueryPending(step.name)), pass.nowMs)
     // Steps with short queries are not kept waiting by any number of others, and the other way round.
     for (const long of [false, true]) this._queryInTurn(asking.filter(({ queue }) => isLongQuery(queue) === long), pass)
   }
 
-  /** Plans at most `MAX_PLANS` queries. While more steps are due, each pass continues where the last one ended. */
+  /** Plans at most `MAX_PLANS` queries, those at the head of the order first. */
   private _queryInTurn (asking: BlockedStep[], pass: PlacementPass): void {
-    const due = asking.filter(({ step, queue }) => (this._asksAgainMs.get(step) ?? 0) <= pass.nowMs && this._freeDaemons(queue, 1) > 0)
-    const first = due.length > MAX_PLANS ? this._nextPlan % due.length : 0
-    this._nextPlan = first + MAX_PLANS
+    const ready = asking.filter(({ step, queue }) => (this._asksAgainMs.get(step) ?? 0) <= pass.nowMs && this._freeDaemons(queue, 1) > 0)
+    const withinBudget = ready.filter(({ beyondBudget }) => !beyondBudget)
+    const due = withinBudget.length > 0 ? withinBudget : ready
+    const planned = this._selectPlanned(due)
     const inAdvance: Array<{ blocked: BlockedStep, workers: WorkerSession[] }> = []
-    for (const blocked of [...due.slice(first), ...due.slice(0, first)].slice(0, MAX_PLANS)) {
-      const { step, queue } = blocked
-      if (this._freeDaemons(queue, 1) === 0) continue
+    let waitingForDaemon = due.length
+    for (const blocked of planned) {
+      const { queue } = blocked
+      if (this._freeDaemons(queue, 1) === 0) break
       const { workers, startsTasks } = this._planQuery(blocked, pass)
+      waitingForDaemon--
       if (workers.length === 0) {
-        this._asksAgainMs.set(step, pass.nowMs + Math.min(QUERY_PAUSE_MAX_MS, queue.eligibility!.baseMs / 4))
+        this._pause(blocked, pass)
       } else if (!startsTasks) {
         inAdvance.push({ blocked, workers })
-      } else if (this._query(blocked, workers)) {
+      } else if (this._query(blocked, workers, { othersWaiting: waitingForDaemon })) {
+        this._order.noteQuery(blocked, pass.nowMs)
         this.claimRoom(blocked, pass)
       }
     }
     // The last free daemon is kept for a step that could start tasks.
-    for (const { blocked, workers } of inAdvance) if (this._freeDaemons(blocked.queue, 1) > 1) this._query(blocked, workers)
+    for (const { blocked, workers } of inAdvance) {
+      const queried = this._freeDaemons(blocked.queue, 1) > 1 && this._query(blocked, workers, { othersWaiting: waitingForDaemon })
+      if (!queried) this._pause(blocked, pass)
+    }
+  }
+
+  private _selectPlanned (due: BlockedStep[]): BlockedStep[] {
+    if (due.length <= MAX_PLANS) return due
+    const behind = due.slice(PLANS_AT_HEAD)
+    const first = this._nextPlan % behind.length
+    this._nextPlan = first + MAX_PLANS - PLANS_AT_HEAD
+    return [...due.slice(0, PLANS_AT_HEAD), ...behind.slice(first), ...behind.slice(0, first)].slice(0, MAX_PLANS)
+  }
+
+  private _pause ({ step, queue }: BlockedStep, pass: PlacementPass): void {
+    this._asksAgainMs.set(step, pass.nowMs + Math.min(QUERY_PAUSE_MAX_MS, queue.eligibility!.baseMs / 4))
   }
 
   /** Number of calls about that many workers that could start now. */
@@ -121,9 +137,10 @@
   }
 
   /** Calls the service for a step, in several simultaneous calls where daemons are plenty. Returns whether a call was made. */
-  private _query ({ step, queue }: BlockedStep, workers: WorkerSession[]): boolean {
+  private _query ({ step, queue }: BlockedStep, workers: WorkerSession[], { othersWaiting }: { othersWaiting: number }): boolean {
     const { baseMs, perWorkerMs } = queue.eligibility!
-    const maxCalls = Math.floor(this._freeDaemons(queue, workers.length) * DAEMON_SHARE_PER_QUERY)
+    const freeDaemons = this._freeDaemons(queue, workers.length)
+    const maxCalls = Math.floor(Math.min(freeDaemons * DAEMON_SHARE_PER_QUERY, freeDaemons - othersWaiting))
     const calls = splitQuery(workers, maxCalls).map(part => this._options.eligibility.queryWorkers({
       step: step.name,
       workers: part.map(worker => ({ id: worker.entry.id, incarnation: worker.incarnation })),
@@ -147,6 +164,7 @@
       freeRoom: worker => pass.freeRoom(blocked, worker),
       expectedRoom: worker => pass.expectedRoom(blocked, worker, atMs),
       slowness: worker => speedEstimator.slowness(worker),
+      eligibleShare: isLongQuery(queue) ? eligibility.counts.eligibleShare(queue.name) : undefined,
       maxWorkers: MAX_WORKERS_PER_CALL
     })
   }
--- a/packages/pomelofold/src/workflows/queryPlanner.ts
+++ b/packages/pomelofold/src/workflows/queryPlanner.ts
@@ -40,6 +40,8 @@
   expectedRoom: (worker: WorkerSession) => Resources
   /** Run time on a worker relative to the fastest kind of worker; 1 for the fastest. */
   slowness: (worker: WorkerSession) => number
+  /** Share of the workers that steps of the queue may use, which determines the size of a query; undefined when it is not known. */
+  eligibleShare?: number
   maxWorkers: number
 }
 
@@ -84,7 +86,7 @@
 
 /** Eligible workers with room whose tickets have expired, and others with room while those are too few. */
 function planTaskQuery (options: PlanQueryOptions, { room, eligible, unknown }: Candidates): WorkerSession[] {
-  const { tasks, hasTicket, slowness, maxWorkers } = options
+  const { tasks, hasTicket, slowness, eligibleShare, maxWorkers } = options
   const expired: Array<{ worker: WorkerSession, slots: number, slowness: number, freeCpuMillis: number }> = []
   let missing = tasks
   for (const worker of eligible) {
@@ -101,7 +103,14 @@
   }
   if (missing <= 0) return renewed
   const withRoom = unknown.filter(worker => room.slots(worker, 1) > 0)
-  const asked = workersToQuery({ workers: withRoom, tasks: missing, slowness, maxWorkers: maxWorkers - renewed.length })
+  const asked = workersToQuery({
+    workers: withRoom,
+    tasks: missing,
+    slots: worker => room.slots(worker, missing),
+    slowness,
+    eligibleShare,
+    maxWorkers: maxWorkers - renewed.length
+  })
   const workers = [...renewed, ...asked]
   if (workers.length === 0 || asked.length < withRoom.length) return workers
   // The call is made in any case, and its time grows little with further workers.
@@ -125,10 +134,12 @@
 }
 
 /** Workers whose answers are useful later: those that could run tasks of the step without other runs. */
-function planAdvanceQuery ({ step, tasks, slowness, maxWorkers }: PlanQueryOptions, { eligible, unknown }: Omit<Candidates, 'room'>): WorkerSession[] {
+function planAdvanceQuery (
+  { step, tasks, slowness, eligibleShare, maxWorkers }: PlanQueryOptions, { eligible, unknown }: Omit<Candidates, 'room'>
+): WorkerSession[] {
   const enough = step.spec.gang ? Number.POSITIVE_INFINITY : Math.max(KNOWN_WORKERS_MIN, KNOWN_WORKERS_PER_TASK * tasks)
   if (eligible.length >= enough) return []
   const emptyRoom = new StepRoom(step, worker => worker.entry.capacity)
   const able = unknown.filter(worker => emptyRoom.slots(worker, 1) > 0)
-  return workersToQuery({ workers: able, tasks: step.spec.gang ? maxWorkers : 1, slowness, maxWorkers })
+  return workersToQuery({ workers: able, tasks: step.spec.gang ? maxWorkers : 1, slowness, eligibleShare, maxWorkers })
 }
