--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -244,7 +244,9 @@
 
   private _reportWait (blocked: BlockedStep, pass: PlacementPass): void {
     const { step, queue } = blocked
-    this._noteWait(step, queue, step.waitingTasks(pass.nowMs), () => explainWait(blocked, pass, this._options.eligibility))
+    this._noteWait(step, queue, step.waitingTasks(pass.nowMs), () => ({
+      ...explainWait(blocked, pass, this._options.eligibility), ...queue.eligibility && this._queries.load(step)
+    }))
   }
 
   private _noteWait (step: StepRuntime, queue: QueueConfig, tasks: Task[], explain: () => WaitExplanation): void {
--- a/packages/pomelofold/src/workflows/eligibilityDaemons.ts
+++ b/packages/pomelofold/src/workflows/eligibilityDaemons.ts
@@ -36,6 +36,11 @@
     this._options = options
   }
 
+  /** Number of daemons that have a call in progress. */
+  get busyCount (): number {
+    return this._callsByDaemon.size
+  }
+
   /** Number of calls with that expected time that could start now. */
   freeCount (expectedMs: number): number {
     const daemons = this._options.daemons()
--- a/packages/pomelofold/src/workflows/eligibilityQueries.ts
+++ b/packages/pomelofold/src/workflows/eligibilityQueries.ts
@@ -48,6 +48,8 @@
   /** Times before which steps that had nothing to ask are not considered again, in milliseconds of the monotonic clock. */
   private readonly _asksAgainMs = new WeakMap<StepRuntime, number>()
   private readonly _order = new QueryOrder()
+  /** The steps that had no call in progress before the last pass, in the order of their queries. */
+  private _asking: BlockedStep[] = []
   /** Position among the steps behind the head at which planning continues in the next pass. */
   private _nextPlan = 0
 
@@ -81,11 +83,18 @@
     for (const { worker, tasks } of claims) pass.claim(blocked, worker, { tasks, idleUntilMs })
   }
 
+  /** Number of steps that come before this one when daemons become free, and of calls in progress. For the log. */
+  load (step: StepRuntime): { ahead: number, busyDaemons: number } {
+    const position = this._asking.findIndex(asking => asking.step === step)
+    return { ahead: Math.max(0, position), busyDaemons: this._options.daemons.busyCount }
+  }
+
   /** Queries the eligibility service: first for steps that could start tasks after the answer, then in advance for others. */
   queryFor (blocked: BlockedStep[], pass: PlacementPass): void {
     const { eligibility } = this._options
     const asking = this._order.sort(
       blocked.filter(({ step, queue }) => queue.eligibility && !eligibility.isQueryPending(step.name)), pass.nowMs)
+    this._asking = asking
     // Steps with short queries are not kept waiting by any number of others, and the other way round.
     for (const long of [false, true]) this._queryInTurn(asking.filter(({ queue }) => isLongQuery(queue) === long), pass)
   }
--- a/tests/workflows/scarceEligibility.test.ts
+++ b/tests/workflows/scarceEligibility.test.ts
@@ -69,6 +69,10 @@
   await cell.timers.advanceUntil(() => cell.events.some(({ name }) => name === 'worker.lapsed'))
   await cell.timers.advance(2_000)
   t.equal(running(), 24)
+  const waiting = cell.events.filter(({ name }) => name === 'step.waiting')
+  const counts = ['tickets', 'expired', 'ticketSlots', 'eligibleSlots', 'calls', 'ahead', 'busyDaemons']
+  t.ok(waiting.length > 0)
+  t.ok(waiting.every(({ fields }) => counts.every(count => typeof fields[count] === 'number')), 'the log tells tickets and calls')
 })
 
 /** A blocked step for the order of queries. */
