--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -144,10 +144,11 @@
     this._caps.startPass()
     const blocked: BlockedStep[] = []
     const reserving = new ReservingSteps({ byTeam: this._options.config()?.teams !== undefined })
-    for (const { step, queue, beyondBudget } of this._order.inOrder(this._readySteps(nowMs), pass)) {
+    for (const ready of this._order.inOrder(this._readySteps(nowMs), pass)) {
+      const { step, queue } = ready
       const waiting = this._placeStep({ step, order: blocked.length }, queue, pass)
       if (waiting === 0) continue
-      const blockedStep = { step, order: blocked.length, queue, beyondBudget, waiting }
+      const blockedStep = { ...ready, order: blocked.length, waiting }
       blocked.push(blockedStep)
       if (reserving.mayAdd(step) && this._reserve(blockedStep, pass)) reserving.add(step)
       else if (queue.eligibility) this._queries.claimRoom(blockedStep, pass)
@@ -210,7 +211,7 @@
     const assignments = this._assign(ordered, { tasks, workers, queue, pass })
     const attempt = spec.gang ? this._nextAttempt(Math.max(...step.tasks.map(task => task.attempt))) : undefined
     for (const { task, worker } of assignments) {
-      start(task, worker, attempt ?? this._nextAttempt(task.attempt), eligibility.ticket(step.name, worker.incarnation))
+      start(task, worker, attempt ?? this._nextAttempt(task.attempt), eligibility.useTicket(step.name, worker.incarnation))
     }
     const waiting = tasks.length - assignments.length
     if (waiting > 0) this._caps.noteNotPlaced(capRequest)
@@ -280,7 +281,9 @@
 
   private _reportWait (blocked: BlockedStep, pass: PlacementPass): void {
     const { step, queue } = blocked
-    this._noteWait(step, queue, step.waitingTasks(pass.nowMs), () => explainWait(blocked, pass, this._options.eligibility))
+    this._noteWait(step, queue, step.waitingTasks(pass.nowMs), () => ({
+      ...explainWait(blocked, pass, this._options.eligibility), ...queue.eligibility && this._queries.load(step)
+    }))
   }
 
   private _noteWait (step: StepRuntime, queue: QueueConfig, tasks: Task[], explain: () => WaitExplanation): void {
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -10,6 +10,7 @@
 import { CrashTracker, type CrashCounts } from './crashTracker.js'
 import { Dispatcher } from './dispatcher.js'
 import { EligibilityCache, type EligibilityCall } from './eligibilityCache.js'
+import type { QueueEligibilityCounts } from './eligibilityCounts.js'
 import { EligibilityDaemons } from './eligibilityDaemons.js'
 import { LEADER_KEY } from './keys.js'
 import { ProgressRecorder } from './progressRecorder.js'
@@ -101,6 +102,8 @@
   runs: number
   /** Number of steps that have waited longer than their queue's objective, by cause, in the last second. */
   waitingSteps: Partial<Record<WaitCause, number>>
+  /** Calls to the eligibility service and their tickets, by queue. */
+  eligibility: Record<string, QueueEligibilityCounts>
   /** Absent when the configuration names no teams. */
   teams?: TeamFigures[]
 }
@@ -352,6 +355,7 @@
       ...this._options.config()?.teams && {
         teams: this._shares.figures().map(share => ({ ...share, beyondBudget: this._budget.beyondCount(share.team) }))
       },
+      eligibility: this._eligibility.counts.byQueue,
       ...this._runTracker.counts(),
       ...this._crashes.counts,
       ...this._dispatcher.capFigures()
