Placement passes: leave out steps that fit nowhere, lists kept within a pass; benchmark with bursts and teams

Cause: a pass compared each waiting step with each worker several times, also when one as small had just fitted nowhere: lists by label, trials, reservations (a StepRoom for each expected end) and waits were computed anew for each step.

Change: PlacementPass keeps the sizes that fit nowhere and the workers by service and label; trials are looked up only while there are any; the smallest capacity of a list is computed once; tasks are counted for a wait only when a line is due.

--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -115,6 +115,11 @@
     if (run.task && isSuspect(run.task)) this._trials.set(session, (this._trials.get(session) ?? new Set()).add(run))
   }
 
+  /** True while tasks are on trial on any worker. */
+  get hasTrials (): boolean {
+    return this._trials.size > 0
+  }
+
   /** Workflow whose task is on trial on the worker; undefined for none. Nothing else starts there. */
   trialOn (session: WorkerSession): WorkflowRuntime | undefined {
     const [run] = this._trials.get(session) ?? []
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -120,7 +120,8 @@
       isUsable: worker => this._isUsable(worker, nowMs),
       nowMs,
       estimateMs: (step, worker) => step.spec.estimateMs * speedEstimator.slowness(worker),
-      trialOn: worker => crashes.trialOn(worker)
+      trialOn: worker => crashes.trialOn(worker),
+      hasTrials: () => crashes.hasTrials
     })
     const blocked: BlockedStep[] = []
     let reserving = 0
@@ -154,7 +155,7 @@
         step.readyMs ??= nowMs
         const mayStart = mayStartWorkflow || step.spec.speculative || (predecessorStopped && step.becameReadyInTerm)
         if (mayStart) steps.push({ step, queue })
-        else this._noteWait(step, queue, step.waitingTasks(nowMs), () => ({ cause: WAIT_CAUSES.predecessor }))
+        else this._noteWait(step, queue, () => step.waitingTasks(nowMs), () => ({ cause: WAIT_CAUSES.predecessor }))
       }
     }
     return steps
@@ -167,9 +168,10 @@
     const { spec } = step
     if (tasks.length === 0) return 0
     if (spec.gang && tasks.length < step.tasks.length) {
-      this._noteWait(step, queue, tasks, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
+      this._noteWait(step, queue, () => tasks, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
       return 0
     }
+    if (!pass.mayFit(step, queue.service) && tasks.every(task => task.avoid === undefined)) return tasks.length
     const { eligibility, start } = this._options
     const workers = queue.eligibility ? this._ticketHolders(step, queue, pass) : pass.workersFor(step, queue.service)
     for (const task of tasks) if (workers.length > 0 && workers.every(worker => task.avoid?.has(worker.incarnation))) task.avoid = undefined
@@ -243,12 +245,15 @@
 
   private _reportWait (blocked: BlockedStep, pass: PlacementPass): void {
     const { step, queue } = blocked
-    this._noteWait(step, queue, step.waitingTasks(pass.nowMs), () => explainWait(blocked, pass, this._options.eligibility))
+    this._noteWait(step, queue, () => step.waitingTasks(pass.nowMs), () => explainWait(blocked, pass, this._options.eligibility))
   }
 
-  private _noteWait (step: StepRuntime, queue: QueueConfig, tasks: Task[], explain: () => WaitExplanation): void {
-    if (tasks.length === 0) return
+  private _noteWait (step: StepRuntime, queue: QueueConfig, waitingTasks: () => Task[], explain: () => WaitExplanation): void {
     const { timers, waits } = this._options
+    const longestMs = timers.now() - (step.readyMs ?? timers.now())
+    if (!waits.isDue(step, { objectiveMs: queue.targetMs, waitedMs: longestMs })) return
+    const tasks = waitingTasks()
+    if (tasks.length === 0) return
     const waitedMs = Math.max(...tasks.map(task => step.waitOf(task, timers.now())))
     waits.note({ step, queue: queue.name, objectiveMs: queue.targetMs, tasks: tasks.length, waitedMs, explain })
   }
--- a/packages/pomelofold/src/workflows/placementPass.ts
+++ b/packages/pomelofold/src/workflows/placementPass.ts
@@ -6,11 +6,14 @@
  * handles steps in order. Room that a step claims is not used by the steps after it: neither for their queries, nor for
  * their tasks, unless these are likely to end before the claimant can start.
  *
+ * While hundreds of steps wait in a full cell, most of them are as large as one that did not fit anywhere. The pass keeps the
+ * sizes that did not fit, and the workers of each service and label, so that such a step is not compared with every worker.
+ *
  * @module
  */
 
 import { remainingRunMs } from './drainMoves.js'
-import { unusedRoom, reservedRoom } from './stepPlacer.js'
+import { fitsInto, unusedRoom, reservedRoom } from './stepPlacer.js'
 import type { StepRuntime, WorkflowRuntime } from './workflowRuntime.js'
 import type { WorkerSession } from './workerSession.js'
 import { addResources, NO_RESOURCES, type Resources } from '../protocol/workflows.js'
@@ -45,6 +48,8 @@
   estimateMs: (step: StepRuntime, worker: WorkerSession) => number
   /** Workflow whose task is on trial on the worker: only its tasks may start there. */
   trialOn: (worker: WorkerSession) => WorkflowRuntime | undefined
+  /** True while tasks are on trial on any worker. */
+  hasTrials: () => boolean
 }
 
 /** State of one placement pass. */
@@ -52,15 +57,21 @@
   readonly nowMs: number
   private readonly _estimateMs: PlacementPassOptions['estimateMs']
   private readonly _trialOn: PlacementPassOptions['trialOn']
+  private readonly _hasTrials: PlacementPassOptions['hasTrials']
   private readonly _usable = new Set<WorkerSession>()
   private readonly _byService = new Map<string, WorkerSession[]>()
+  /** Workers by service and required label, without regard to trials. */
+  private readonly _byLabel = new Map<string, Map<string, WorkerSession[]>>()
+  /** Sizes of tasks that no worker of the service has room for. Room does not grow in the course of a pass. */
+  private readonly _unfitSizes = new Map<string, Resources[]>()
   private readonly _claims = new Map<WorkerSession, Claim[]>()
   private readonly _expectedEnds = new Map<WorkerSession, ExpectedEnd[]>()
 
-  constructor ({ workers, isUsable, nowMs, estimateMs, trialOn }: PlacementPassOptions) {
+  constructor ({ workers, isUsable, nowMs, estimateMs, trialOn, hasTrials }: PlacementPassOptions) {
     this.nowMs = nowMs
     this._estimateMs = estimateMs
     this._trialOn = trialOn
+    this._hasTrials = hasTrials
     for (const worker of workers) {
       if (!isUsable(worker)) continue
       this._usable.add(worker)
@@ -70,14 +81,37 @@
     }
   }
 
-  /** Workers of the service on which tasks of the step may start now. */
+  /** Workers of the service on which tasks of the step may start now. Callers share the list and must not change it. */
   workersFor (step: StepRuntime, service: string): WorkerSession[] {
-    return (this._byService.get(service) ?? []).filter(worker => hasRequiredLabel(worker, step) && this._mayShare(worker, step))
+    const workers = this._labelled(step, service)
+    return this._hasTrials() ? workers.filter(worker => this._mayShare(worker, step)) : workers
+  }
+
+  private _labelled (step: StepRuntime, service: string): WorkerSession[] {
+    const all = this._byService.get(service) ?? []
+    const label = step.spec.requiredLabel
+    if (label === '') return all
+    const byLabel = this._byLabel.get(service) ?? new Map<string, WorkerSession[]>()
+    this._byLabel.set(service, byLabel)
+    let workers = byLabel.get(label)
+    if (!workers) byLabel.set(label, workers = all.filter(worker => hasRequiredLabel(worker, step)))
+    return workers
+  }
+
+  /** False when no usable worker of the service has room for a task of the step, whether claimed or not. */
+  mayFit (step: StepRuntime, service: string): boolean {
+    const size = reservedRoom(step)
+    const unfit = this._unfitSizes.get(service) ?? []
+    if (unfit.some(other => fitsInto(other, size))) return false
+    for (const worker of this._byService.get(service) ?? []) if (fitsInto(size, unusedRoom(worker))) return true
+    this._unfitSizes.set(service, [...unfit.filter(other => !fitsInto(size, other)), size])
+    return false
   }
 
   /** True when the worker is one of `workersFor`. */
   isUsable (worker: WorkerSession, step: StepRuntime, service: string): boolean {
-    return this._usable.has(worker) && worker.entry.service === service && hasRequiredLabel(worker, step) && this._mayShare(worker, step)
+    return this._usable.has(worker) && worker.entry.service === service && hasRequiredLabel(worker, step) &&
+      (!this._hasTrials() || this._mayShare(worker, step))
   }
 
   private _mayShare (worker: WorkerSession, { workflow }: StepRuntime): boolean {
@@ -105,12 +139,15 @@
 
   /** Room on a worker for tasks of the step at a later time, if runs end as expected: without the claims of earlier steps. */
   expectedRoom ({ order }: OrderedStep, worker: WorkerSession, atMs: number): Resources {
-    let room = unusedRoom(worker)
-    for (const { size, endsMs } of this.expectedEnds(worker)) {
-      if (endsMs > atMs) break
-      room = addResources(room, size)
+    const room = { ...unusedRoom(worker) }
+    if (atMs >= this.nowMs) {
+      for (const { size, endsMs } of this.expectedEnds(worker)) {
+        if (endsMs > atMs) break
+        addTo(room, size, 1)
+      }
     }
-    for (const claim of this._claims.get(worker) ?? []) if (claim.order < order) room = addResources(room, claim.room, -1)
+    const claims = this._claims.get(worker)
+    if (claims) for (const claim of claims) if (claim.order < order) addTo(room, claim.room, -1)
     return room
   }
 
@@ -118,15 +155,24 @@
   expectedEnds (worker: WorkerSession): ExpectedEnd[] {
     let ends = this._expectedEnds.get(worker)
     if (!ends) {
-      ends = [...worker.runs.values()].filter(run => !run.task?.step.spec.longRunning)
-        .map(run => ({ size: run.size ?? NO_RESOURCES, endsMs: this.nowMs + Math.max(0, remainingRunMs(run, this.nowMs)) }))
-        .sort((a, b) => a.endsMs - b.endsMs)
+      ends = []
+      for (const run of worker.runs.values()) {
+        if (run.task?.step.spec.longRunning) continue
+        ends.push({ size: run.size ?? NO_RESOURCES, endsMs: this.nowMs + Math.max(0, remainingRunMs(run, this.nowMs)) })
+      }
+      ends.sort((a, b) => a.endsMs - b.endsMs)
       this._expectedEnds.set(worker, ends)
     }
     return ends
   }
 }
 
+function addTo (room: Resources, size: Resources, sign: 1 | -1): void {
+  room.cpuMillis += sign * size.cpuMillis
+  room.memoryMb += sign * size.memoryMb
+  room.accelerators += sign * size.accelerators
+}
+
 function hasRequiredLabel ({ entry }: WorkerSession, { spec }: StepRuntime): boolean {
   return spec.requiredLabel === '' || entry.labels.includes(spec.requiredLabel)
 }
--- a/packages/pomelofold/src/workflows/roomReservation.ts
+++ b/packages/pomelofold/src/workflows/roomReservation.ts
@@ -11,11 +11,14 @@
 import { groupByRack, StepRoom } from './stepPlacer.js'
 import type { StepRuntime } from './workflowRuntime.js'
 import type { WorkerSession } from './workerSession.js'
-import { addResources, type Resources } from '../protocol/workflows.js'
+import type { Resources } from '../protocol/workflows.js'
 
 /** Share of a worker's capacity from which a task counts as large. */
 const LARGE_TASK_SHARE = 0.5
 
+/** Smallest capacity among the workers of a list, by resource. A pass uses the same list for many steps. */
+const smallestCapacities = new WeakMap<WorkerSession[], Resources>()
+
 /** Room that a step waits for on a worker. */
 export interface Reservation {
   worker: WorkerSession
@@ -38,9 +41,23 @@
 export function needsReservation ({ spec }: StepRuntime, workers: WorkerSession[]): boolean {
   if (spec.gang) return true
   const { size } = spec
-  return workers.some(({ entry: { capacity } }) =>
-    size.cpuMillis > LARGE_TASK_SHARE * capacity.cpuMillis || size.memoryMb > LARGE_TASK_SHARE * capacity.memoryMb ||
-    (size.accelerators > 0 && size.accelerators > LARGE_TASK_SHARE * capacity.accelerators))
+  const smallest = smallestCapacity(workers)
+  return size.cpuMillis > LARGE_TASK_SHARE * smallest.cpuMillis || size.memoryMb > LARGE_TASK_SHARE * smallest.memoryMb ||
+    (size.accelerators > 0 && size.accelerators > LARGE_TASK_SHARE * smallest.accelerators)
+}
+
+function smallestCapacity (workers: WorkerSession[]): Resources {
+  let smallest = smallestCapacities.get(workers)
+  if (!smallest) {
+    smallest = { cpuMillis: Number.POSITIVE_INFINITY, memoryMb: Number.POSITIVE_INFINITY, accelerators: Number.POSITIVE_INFINITY }
+    for (const { entry: { capacity } } of workers) {
+      smallest.cpuMillis = Math.min(smallest.cpuMillis, capacity.cpuMillis)
+      smallest.memoryMb = Math.min(smallest.memoryMb, capacity.memoryMb)
+      smallest.accelerators = Math.min(smallest.accelerators, capacity.accelerators)
+    }
+    smallestCapacities.set(workers, smallest)
+  }
+  return smallest
 }
 
 /** Workers to wait for, those expected to have room first. None for a gang that does not fit even when all runs have ended. */
@@ -67,13 +84,15 @@
 
 /** The time at which the worker is expected to have room for a task of the step, and the number of tasks that fit then. */
 function firstRoom (worker: WorkerSession, { ordered, tasks, pass }: PlanReservationsOptions): Reservation | undefined {
-  const slotsIn = (room: Resources): number => new StepRoom(ordered.step, () => room).slots(worker, tasks)
-  let room = pass.expectedRoom(ordered, worker, Number.NEGATIVE_INFINITY)
-  let slots = slotsIn(room)
+  const room = pass.expectedRoom(ordered, worker, Number.NEGATIVE_INFINITY)
+  const stepRoom = new StepRoom(ordered.step, () => room)
+  let slots = stepRoom.slots(worker, tasks)
   if (slots > 0) return { worker, tasks: slots, freeAtMs: pass.nowMs }
   for (const { size, endsMs } of pass.expectedEnds(worker)) {
-    room = addResources(room, size)
-    slots = slotsIn(room)
+    room.cpuMillis += size.cpuMillis
+    room.memoryMb += size.memoryMb
+    room.accelerators += size.accelerators
+    slots = stepRoom.slots(worker, tasks)
     if (slots > 0) return { worker, tasks: slots, freeAtMs: endsMs }
   }
 }
--- a/packages/pomelofold/src/workflows/stepPlacer.ts
+++ b/packages/pomelofold/src/workflows/stepPlacer.ts
@@ -87,6 +87,13 @@
   return worker.hasUnsizedRuns ? NO_RESOURCES : addResources(worker.entry.capacity, worker.used, -1)
 }
 
+/** True when a task of that size fits into the room. A task that needs none of a resource also fits where that is overcommitted. */
+export function fitsInto (size: Resources, room: Resources): boolean {
+  return (size.cpuMillis === 0 || size.cpuMillis <= room.cpuMillis) &&
+    (size.memoryMb === 0 || size.memoryMb <= room.memoryMb) &&
+    (size.accelerators === 0 || size.accelerators <= room.accelerators)
+}
+
 /** Room that one task of the step reserves at its worker. Tasks that use only spare CPU reserve no CPU. */
 export function reservedRoom (step: StepRuntime): Resources {
   const { size, usesSpareCpu } = step.spec
--- a/packages/pomelofold/src/workflows/waitReporter.ts
+++ b/packages/pomelofold/src/workflows/waitReporter.ts
@@ -75,11 +75,16 @@
     return this._counts
   }
 
+  /** True when a step that has waited for at most `waitedMs` may be reported. */
+  isDue (step: StepRuntime, { objectiveMs, waitedMs }: Pick<WaitingStep, 'objectiveMs' | 'waitedMs'>): boolean {
+    return waitedMs > objectiveMs && this._options.timers.now() - (this._reportedMs.get(step) ?? Number.NEGATIVE_INFINITY) >= REPEAT_MS
+  }
+
   /** Reports the step if it has waited for longer than its objective and was not reported lately. */
   note ({ step, queue, objectiveMs, tasks, waitedMs, explain }: WaitingStep): void {
     const { timers, log } = this._options
     const nowMs = timers.now()
-    if (waitedMs <= objectiveMs || nowMs - (this._reportedMs.get(step) ?? Number.NEGATIVE_INFINITY) < REPEAT_MS) return
+    if (!this.isDue(step, { objectiveMs, waitedMs })) return
     this._startPeriod(nowMs)
     this._reportedMs.set(step, nowMs)
     const { cause, ...counts } = explain()
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -186,10 +186,13 @@
 
   /** Tasks that can be started now: waiting, without a run, a held start or an unrecorded crash, and past their delay. */
   waitingTasks (nowMs: number): Task[] {
-    // Steps that allow copies wait for no earlier start.
-    const isFree = ({ heldStarts, crashUnit }: Task): boolean =>
-      crashUnit.unrecordedCrashes === 0 && (heldStarts === 0 || this.spec.speculative)
-    return this.tasks.filter(task => task.state === TASK_STATES.waiting && !task.run && task.notBeforeMs <= nowMs && isFree(task))
+    const waiting: Task[] = []
+    for (const task of this.tasks) {
+      if (task.state !== TASK_STATES.waiting || task.run || task.notBeforeMs > nowMs || task.crashUnit.unrecordedCrashes > 0) continue
+      // Steps that allow copies wait for no earlier start.
+      if (task.heldStarts === 0 || this.spec.speculative) waiting.push(task)
+    }
+    return waiting
   }
 }
 
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -7,8 +7,8 @@
 
 import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
-import { workflowSchema, type Resources, type WorkflowStep } from 'pomelofold/protocol/workflows'
-import type { CellConfig, QueueConfig } from 'pomelofold/seams/workflowUpstreams'
+import { NO_RESOURCES, workflowSchema, type Resources, type WorkflowStep } from 'pomelofold/protocol/workflows'
+import type { CellConfig, QueueConfig, TeamConfig } from 'pomelofold/seams/workflowUpstreams'
 import { TeamUsage } from 'pomelofold/teams/teamUsage'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 import { CrashTracker } from 'pomelofold/workflows/crashTracker'
@@ -58,26 +58,42 @@
   maxUnavailable: 0
 }
 
+/** Options of a {@link DispatchCell}. */
+export interface DispatchCellOptions {
+  workerCount: number
+  /** Number of steps that wait. */
+  stepCount: number
+  seed: number
+  /** Number of teams that submit; 0 for a configuration without teams. */
+  teamCount?: number
+}
+
 /** Holds a number of waiting steps in a cell whose workers have no more room for them. */
 export class DispatchCell {
   /** Number of starts so far. */
   starts = 0
+  /** Each start, as task and worker, in order. */
+  readonly startLog: string[] = []
   /** Number of lookups of whether a worker may run a step so far, which grows with the work of the passes. */
   eligibilityLookups = 0
   private readonly _timers = new ManualTimers()
   private readonly _random: SeededRandom
   private readonly _stepCount: number
+  private readonly _teams: string[]
   private readonly _open = new Set<WorkflowRuntime>()
   private readonly _running: Run[] = []
   private readonly _dispatcher: Dispatcher
   private _workflows = 0
 
-  constructor ({ workerCount, stepCount, seed }: { workerCount: number, stepCount: number, seed: number }) {
+  constructor ({ workerCount, stepCount, seed, teamCount = 0 }: DispatchCellOptions) {
     const timers = this._timers
     const random = new SeededRandom(seed)
     this._random = random
     this._stepCount = stepCount
-    const workers = Array.from({ length: workerCount }, (_, index) => newWorker(index, timers))
+    this._teams = Array.from({ length: teamCount }, (_, index) => `team-${index}`)
+    const teamUsage = new TeamUsage()
+    const config = teamCount === 0 ? CONFIG : { ...CONFIG, teams: { byName: new Map(this._teams.map(newTeam)), nameByKeyHash: new Map() } }
+    const workers = Array.from({ length: workerCount }, (_, index) => newWorker(index, { timers, teamUsage }))
     const names = Array.from({ length: DAEMON_COUNT }, (_, index) => `d${index}`)
     const daemons = new EligibilityDaemons({ timers, daemons: () => names })
     const eligibility = new EligibilityCache({
@@ -98,7 +114,7 @@
       epoch: 1,
       term: 1,
       timers,
-      config: () => CONFIG,
+      config: () => config,
       registry: { open: this._open } as unknown as WorkflowRegistry,
       fleet: {
         sessions: new Map(workers.map(worker => [worker.incarnation, worker])), inheritedWorkersSettled: true
@@ -117,7 +133,7 @@
         onRecorded: () => {},
         onGivenUp: () => {}
       }),
-      teamUsage: new TeamUsage(),
+      teamUsage,
       predecessorActiveUntilMs: 0,
       newFromRevision: 0,
       start: (task, worker, attempt) => this._start(task, worker, attempt)
@@ -134,10 +150,12 @@
     } while (this.starts > before || this.starts === 0)
   }
 
-  /** Ends one run, adds steps up to the number that waits, and advances the clock to the next pass. */
-  async prepareAfterEnd (): Promise<void> {
-    const [ended] = this._running.splice(this._random.int(this._running.length), 1)
-    ended.session.removeRun(ended.name, ended.attempt)
+  /** Ends some runs, adds steps up to the number that waits, and advances the clock to the next pass. */
+  async prepareAfterEnd (ends = 1): Promise<void> {
+    for (let end = 0; end < ends; end++) {
+      const [ended] = this._running.splice(this._random.int(this._running.length), 1)
+      ended.session.removeRun(ended.name, ended.attempt)
+    }
     await this.prepare()
   }
 
@@ -160,7 +178,7 @@
       attempt,
       session,
       task,
-      team: undefined,
+      team: task.step.workflow.record.team,
       size: task.step.spec.size,
       state: RUN_STATES.running,
       adopted: false,
@@ -179,6 +197,7 @@
     session.addRun(run)
     Object.assign(task, { run, state: TASK_STATES.running, attempt })
     this._running.push(run)
+    this.startLog.push(`${task.name}@${session.incarnation}`)
     this.starts++
   }
 
@@ -186,12 +205,17 @@
     const size = { cpuMillis: 6_000 + this._random.int(24_000), memoryMb: 60_000, accelerators: 0 }
     const id = (this._workflows++).toString(16).padStart(16, '0')
     const submittedAtMs = this._timers.wallClock()
-    const record = workflowSchema.parse({ id, queue: QUEUE.name, payload: 'p', submittedAtMs, steps: [{ ...STEP, size }] })
+    const team = this._teams.length > 0 ? this._teams[this._random.int(this._teams.length)] : undefined
+    const record = workflowSchema.parse({ id, queue: QUEUE.name, payload: 'p', submittedAtMs, team, steps: [{ ...STEP, size }] })
     return new WorkflowRuntime({ record, revision: 1, addedMs: this._timers.now() })
   }
 }
 
-function newWorker (index: number, timers: ManualTimers): WorkerSession {
+function newTeam (name: string): [string, TeamConfig] {
+  return [name, { name, weight: 1, cap: NO_RESOURCES }]
+}
+
+function newWorker (index: number, { timers, teamUsage }: { timers: ManualTimers, teamUsage: TeamUsage }): WorkerSession {
   const entry = {
     id: `w${index}`,
     bornMs: 1,
@@ -202,7 +226,7 @@
     capacity: CAPACITY,
     labels: [`k${index % 3}`, `r${index % 20}`]
   }
-  const options = { entry, timers, teamUsage: new TeamUsage() }
+  const options = { entry, timers, teamUsage }
   const session = new WorkerSession(options as unknown as ConstructorParameters<typeof WorkerSession>[0])
   Object.assign(session, { reachable: true, synced: true })
   return session
