Placement passes take a limited share of the processor; the work of a term is measured; a record is serialised once

Cause: in a burst each event led to a pass 8 ms after the last one: passes of 10 ms took more than half of the processor, and reports waited for them. Nothing told the operator where the leader's time goes. The recorder serialised the progress of each workflow twice, once only to count its changes.

Change: DispatchPacer spaces passes by their measured time (a quarter of the processor, at most 40 ms, at once in a calm cell). WorkMeter counts passes, reports and records with their times, and late timers: work_* in the metrics, one line term.work each 10 s; it needs no timer of its own.

--- a/packages/pomelofold/src/workflows/progressRecorder.ts
+++ b/packages/pomelofold/src/workflows/progressRecorder.ts
@@ -12,6 +12,7 @@
  */
 
 import { cancellationKey, progressKey, workflowKey } from './keys.js'
+import { WORK_KINDS, type WorkMeter } from './workMeter.js'
 import { isFinal, type WorkflowRuntime } from './workflowRuntime.js'
 import { COMMIT_REFUSALS, CommitRefusedError, type GroupCommitter } from '../commits/groupCommitter.js'
 import type { Change } from '../seams/platformClient.js'
@@ -38,6 +39,7 @@
   committers: GroupCommitter[]
   timers: Timers
   log: EventLog
+  meter: WorkMeter
   /** Called when a workflow's final state has been recorded. */
   onFinal: (workflow: WorkflowRuntime) => void
   /** Called when another scheduler has taken over. */
@@ -122,7 +124,7 @@
     let entries = 0
     for (const [workflow, version] of this._dirty) {
       if (this._inFlight.has(workflow)) continue
-      entries += changesOf(workflow).length
+      entries += countChanges(workflow)
       if (entries > MAX_CHANGES_PER_TRANSACTION) break
       batch.push([workflow, version])
     }
@@ -130,9 +132,9 @@
   }
 
   private async _write (committer: GroupCommitter, batch: Array<[WorkflowRuntime, number]>): Promise<void> {
-    const { timers, log, onFenced } = this._options
+    const { timers, log, meter, onFenced } = this._options
     const endings = new Map(batch.map(([workflow]) => [workflow, workflow.pendingFinalState]))
-    const changes = batch.flatMap(([workflow]) => changesOf(workflow))
+    const changes = meter.measure(WORK_KINDS.record, () => batch.flatMap(([workflow]) => changesOf(workflow)))
     const startedMs = timers.now()
     const result = await committer.commit(changes)
     if (this._closed) return
@@ -165,6 +167,11 @@
   }
 }
 
+function countChanges ({ nextRecordIsFinal, cancelled }: WorkflowRuntime): number {
+  if (!nextRecordIsFinal) return 1
+  return cancelled ? 3 : 2
+}
+
 /** Changes of the store that record the workflow's progress. */
 function changesOf (workflow: WorkflowRuntime): Change[] {
   const { id } = workflow.record
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -8,6 +8,7 @@
 
 import { CrashTracker, type CrashCounts } from './crashTracker.js'
 import { Dispatcher } from './dispatcher.js'
+import { DispatchPacer } from './dispatchPacer.js'
 import { EligibilityCache, type EligibilityCall } from './eligibilityCache.js'
 import { EligibilityDaemons } from './eligibilityDaemons.js'
 import { LEADER_KEY } from './keys.js'
@@ -19,6 +20,7 @@
 import { WorkerFleet } from './workerFleet.js'
 import { WorkflowRegistry } from './workflowRegistry.js'
 import { WorkerSuspensions } from './workerSuspensions.js'
+import { WORK_KINDS, WorkMeter } from './workMeter.js'
 import type { WorkerSession, WorkerSessionListener } from './workerSession.js'
 import type { WorkflowRuntime } from './workflowRuntime.js'
 import { GroupCommitter } from '../commits/groupCommitter.js'
@@ -41,10 +43,6 @@
 const MAX_TXN_ENTRIES = 32
 /** Period of placement attempts without an event, in milliseconds: tickets expire and occurrences become due without one. */
 const DISPATCH_PERIOD_MS = 100
-/** Delay between an event and the placement attempt, in milliseconds: events that arrive meanwhile share one attempt. */
-const DISPATCH_DELAY_MS = 1
-/** Minimum time from the end of a placement attempt to the next one, in milliseconds: bounds their share of the processor time. */
-const DISPATCH_PAUSE_MS = 8
 /** Period at which ended workflows past their retention time are deleted, in milliseconds. */
 const EXPIRY_PERIOD_MS = 5_000
 /** Period at which a report checks whether the workflows have been loaded, in milliseconds. */
@@ -97,6 +95,8 @@
   runs: number
   /** Number of steps that have waited longer than their queue's objective, by cause, in the last second. */
   waitingSteps: Partial<Record<WaitCause, number>>
+  /** Counts and times by kind of work; see {@link WorkMeter}. */
+  work: Record<string, number>
 }
 
 /** Connects the parts of the scheduler: the workflow registry, the workers, placement, runs and the recording of progress. */
@@ -115,8 +115,8 @@
   /** True while the daemon prepares to hand over leadership: no task is started. */
   private _quiesced = false
   private _dispatchTimer: TimerSubscription | undefined
-  /** Time of the end of the last placement attempt, in milliseconds of the monotonic clock. */
-  private _lastDispatchMs = Number.NEGATIVE_INFINITY
+  private readonly _pacer: DispatchPacer
+  private readonly _meter: WorkMeter
   private _closed = false
 
   constructor (options: SchedulerTermOptions) {
@@ -127,6 +127,8 @@
     } = options
     const onFenced = (): void => this._endByTakeover('the store contains a newer epoch')
     const teamUsage = new TeamUsage()
+    this._pacer = new DispatchPacer({ timers })
+    this._meter = new WorkMeter({ timers, log })
     this._fleet = new WorkerFleet({
       epoch,
       platform,
@@ -165,7 +167,7 @@
       onComplete: workflow => this._runTracker.finishWorkflow(workflow, JOB_STATES.done, 'all tasks are done')
     })
     this._recorder = new ProgressRecorder({
-      committers, timers, log, onFinal: workflow => this._archiveWorkflow(workflow), onFenced
+      committers, timers, log, meter: this._meter, onFinal: workflow => this._archiveWorkflow(workflow), onFenced
     })
     const daemons = new EligibilityDaemons({ timers, daemons: eligibilityDaemons })
     this._eligibility = new EligibilityCache({
@@ -229,7 +231,10 @@
     this._registry.start()
     this._fleet.start()
     this._speedStore.start()
-    this._timers.push(timers.every(DISPATCH_PERIOD_MS, () => this._dispatch()))
+    this._timers.push(timers.every(DISPATCH_PERIOD_MS, () => {
+      this._meter.noteTick(DISPATCH_PERIOD_MS)
+      this._dispatch()
+    }))
     this._timers.push(timers.every(EXPIRY_PERIOD_MS, () => this._registry.deleteExpired()))
   }
 
@@ -327,6 +332,7 @@
       reachableWorkers: sessions.filter(session => session.reachable).length,
       runs: sessions.reduce((sum, session) => sum + session.runs.size, 0),
       waitingSteps: this._waits.counts,
+      work: this._meter.figures,
       ...this._runTracker.counts(),
       ...this._crashes.counts
     }
@@ -372,17 +378,15 @@
       await delay(this._options.timers, LOAD_POLL_PERIOD_MS)
     }
     if (this._closed || session.closed) return
-    const changedWorkflows = this._runTracker.applyReport(session, report, requestSentMs)
+    const changedWorkflows = this._meter.measure(WORK_KINDS.report, () => this._runTracker.applyReport(session, report, requestSentMs))
     this._scheduleDispatch()
     await this._recorder.whenRecorded(changedWorkflows)
   }
 
-  /** Schedules one placement attempt for all events within the dispatch delay. */
+  /** Schedules one placement pass for all events until then. */
   private _scheduleDispatch (): void {
     if (this._closed) return
-    const { timers } = this._options
-    const delayMs = Math.max(DISPATCH_DELAY_MS, this._lastDispatchMs + DISPATCH_PAUSE_MS - timers.now())
-    this._dispatchTimer ??= timers.after(delayMs, () => {
+    this._dispatchTimer ??= this._options.timers.after(this._pacer.delayMs, () => {
       this._dispatchTimer = undefined
       this._dispatch()
     })
@@ -391,9 +395,13 @@
   private _dispatch (): void {
     const { leadershipRemainingMs } = this._options
     if (this._closed || this._quiesced || !this._registry.loaded || leadershipRemainingMs() <= 0) return
-    this._runTracker.moveRunsOffDrainingWorkers(this._fleet.sessions.values())
-    this._dispatcher.dispatch()
-    this._lastDispatchMs = this._options.timers.now()
+    const { timers } = this._options
+    const startedMs = timers.now()
+    this._meter.measure(WORK_KINDS.pass, () => {
+      this._runTracker.moveRunsOffDrainingWorkers(this._fleet.sessions.values())
+      this._dispatcher.dispatch()
+    })
+    this._pacer.notePass(timers.now() - startedMs)
   }
 
   /** Called when the final state of a workflow has been recorded. */
