--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -171,8 +171,10 @@
       this._noteWait(step, queue, () => tasks, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
       return 0
     }
-    if (!pass.mayFit(step, queue.service) && tasks.every(task => task.avoid === undefined)) return tasks.length
     const { eligibility, start } = this._options
+    const mayUse = ({ incarnation }: WorkerSession): boolean =>
+      !queue.eligibility || eligibility.ticket(step.name, incarnation) !== undefined
+    if (!pass.mayFit(step, queue.service, mayUse) && tasks.every(task => task.avoid === undefined)) return tasks.length
     const workers = queue.eligibility ? this._ticketHolders(step, queue, pass) : pass.workersFor(step, queue.service)
     for (const task of tasks) if (workers.length > 0 && workers.every(worker => task.avoid?.has(worker.incarnation))) task.avoid = undefined
     const assignments = this._assign(ordered, { tasks, workers, queue, pass })
--- a/packages/pomelofold/src/workflows/placementPass.ts
+++ b/packages/pomelofold/src/workflows/placementPass.ts
@@ -6,8 +6,8 @@
  * handles steps in order. Room that a step claims is not used by the steps after it: neither for their queries, nor for
  * their tasks, unless these are likely to end before the claimant can start.
  *
- * While hundreds of steps wait in a full cell, most of them are as large as one that did not fit anywhere. The pass keeps the
- * sizes that did not fit, and the workers of each service and label, so that such a step is not compared with every worker.
+ * While hundreds of steps wait in a full cell, few workers have room for any of them. The pass keeps the workers that have room
+ * for a size, and those of each service and label, so that a step that is larger is compared with these alone.
  *
  * @module
  */
@@ -18,6 +18,9 @@
 import type { WorkerSession } from './workerSession.js'
 import { addResources, NO_RESOURCES, type Resources } from '../protocol/workflows.js'
 
+/** Number of workers with room from which a step is placed without a look at whether it may use one of them. */
+const MAX_CHECKED_WORKERS = 16
+
 interface Claim {
   /** Position of the claimant in the pass. */
   order: number
@@ -62,8 +65,8 @@
   private readonly _byService = new Map<string, WorkerSession[]>()
   /** Workers by service and required label, without regard to trials. */
   private readonly _byLabel = new Map<string, Map<string, WorkerSession[]>>()
-  /** Sizes of tasks that no worker of the service has room for. Room does not grow in the course of a pass. */
-  private readonly _unfitSizes = new Map<string, Resources[]>()
+  /** Workers by service with room for a task of some size when first asked for. Room does not grow in the course of a pass. */
+  private readonly _withRoom = new Map<string, Array<{ size: Resources, workers: WorkerSession[] }>>()
   private readonly _claims = new Map<WorkerSession, Claim[]>()
   private readonly _expectedEnds = new Map<WorkerSession, ExpectedEnd[]>()
 
@@ -98,16 +101,34 @@
     return workers
   }
 
-  /** False when no usable worker of the service has room for a task of the step, whether claimed or not. */
-  mayFit (step: StepRuntime, service: string): boolean {
+  /**
+   * False when no task of the step can start: no usable worker of the service that `mayUse` accepts has room for one, whether
+   * claimed or not.
+   */
+  mayFit (step: StepRuntime, service: string, mayUse: (worker: WorkerSession) => boolean): boolean {
     const size = reservedRoom(step)
-    const unfit = this._unfitSizes.get(service) ?? []
-    if (unfit.some(other => fitsInto(other, size))) return false
-    for (const worker of this._byService.get(service) ?? []) if (fitsInto(size, unusedRoom(worker))) return true
-    this._unfitSizes.set(service, [...unfit.filter(other => !fitsInto(size, other)), size])
+    let fitting = 0
+    for (const worker of this._workersWithRoom(size, service)) {
+      if (!fitsInto(size, unusedRoom(worker))) continue
+      if (++fitting === MAX_CHECKED_WORKERS || mayUse(worker)) return true
+    }
     return false
   }
 
+  /** Usable workers of the service among which are all that have room for a task of that size. */
+  private _workersWithRoom (size: Resources, service: string): WorkerSession[] {
+    const known = this._withRoom.get(service) ?? []
+    this._withRoom.set(service, known)
+    let shortest: WorkerSession[] | undefined
+    for (const other of known) {
+      if (fitsInto(other.size, size) && other.workers.length < (shortest?.length ?? Number.POSITIVE_INFINITY)) shortest = other.workers
+    }
+    if (shortest) return shortest
+    const workers = (this._byService.get(service) ?? []).filter(worker => fitsInto(size, unusedRoom(worker)))
+    known.push({ size, workers })
+    return workers
+  }
+
   /** True when the worker is one of `workersFor`. */
   isUsable (worker: WorkerSession, step: StepRuntime, service: string): boolean {
     return this._usable.has(worker) && worker.entry.service === service && hasRequiredLabel(worker, step) &&
@@ -139,7 +160,7 @@
 
   /** Room on a worker for tasks of the step at a later time, if runs end as expected: without the claims of earlier steps. */
   expectedRoom ({ order }: OrderedStep, worker: WorkerSession, atMs: number): Resources {
-    const room = { ...unusedRoom(worker) }
+    const room = unusedRoom(worker)
     if (atMs >= this.nowMs) {
       for (const { size, endsMs } of this.expectedEnds(worker)) {
         if (endsMs > atMs) break
--- a/packages/pomelofold/src/workflows/stepPlacer.ts
+++ b/packages/pomelofold/src/workflows/stepPlacer.ts
@@ -82,9 +82,9 @@
   }
 }
 
-/** Room on a worker that no run uses. */
+/** Room on a worker that no run uses: an object of the caller's own. */
 export function unusedRoom (worker: WorkerSession): Resources {
-  return worker.hasUnsizedRuns ? NO_RESOURCES : addResources(worker.entry.capacity, worker.used, -1)
+  return worker.hasUnsizedRuns ? { ...NO_RESOURCES } : addResources(worker.entry.capacity, worker.used, -1)
 }
 
 /** True when a task of that size fits into the room. A task that needs none of a resource also fits where that is overcommitted. */
--- a/tests/workflows/dispatchEquivalence.test.ts
+++ b/tests/workflows/dispatchEquivalence.test.ts
@@ -38,8 +38,8 @@
     PlacementPass.prototype.mayFit = mayFit
     const starts = await startsOf(load)
     let skippable = 0
-    PlacementPass.prototype.mayFit = function (step, service) {
-      if (!mayFit.call(this, step, service)) skippable++
+    PlacementPass.prototype.mayFit = function (...args) {
+      if (!mayFit.apply(this, args)) skippable++
       return true
     }
     t.same(starts, await startsOf(load), JSON.stringify(load))
