--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -138,7 +138,8 @@
       isUsable: worker => this._isUsable(worker, nowMs),
       nowMs,
       estimateMs: (step, worker) => step.spec.estimateMs * speedEstimator.slowness(worker),
-      trialOn: worker => crashes.trialOn(worker)
+      trialOn: worker => crashes.trialOn(worker),
+      hasTrials: () => crashes.hasTrials
     })
     this._inheritedUsage.startPass()
     this._caps.startPass()
@@ -176,7 +177,7 @@
         step.readyMs ??= nowMs
         const mayStart = mayStartWorkflow || step.spec.speculative || (predecessorStopped && step.becameReadyInTerm)
         if (mayStart) steps.push({ step, queue, beyondBudget: budget.isBeyond(workflow) })
-        else this._noteWait(step, queue, step.waitingTasks(nowMs), () => ({ cause: WAIT_CAUSES.predecessor }))
+        else this._noteWait(step, queue, () => step.waitingTasks(nowMs), () => ({ cause: WAIT_CAUSES.predecessor }))
       }
     }
     return steps
@@ -192,20 +193,23 @@
     const { spec } = step
     if (candidates.length === 0) return 0
     if (spec.gang && candidates.length < step.tasks.length) {
-      this._noteWait(step, queue, candidates, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
+      this._noteWait(step, queue, () => candidates, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
       return 0
     }
     const capRequest = capRequestOf(step, candidates, pass.nowMs)
     const allowed = this._caps.limit(capRequest)
     const tasks = allowed < candidates.length ? candidates.slice(0, allowed) : candidates
     const noteCap = (): void => this._noteWait(
-      step, queue, candidates.slice(allowed), () => ({ cause: WAIT_CAUSES.cap, ...this._caps.explain(capRequest) })
+      step, queue, () => candidates.slice(allowed), () => ({ cause: WAIT_CAUSES.cap, ...this._caps.explain(capRequest) })
     )
     if (allowed === 0) {
       noteCap()
       return 0
     }
     const { eligibility, start } = this._options
+    const mayUse = ({ incarnation }: WorkerSession): boolean =>
+      !queue.eligibility || eligibility.ticket(step.name, incarnation) !== undefined
+    if (!pass.mayFit(step, queue.service, mayUse) && tasks.every(task => task.avoid === undefined)) return tasks.length
     const workers = queue.eligibility ? this._ticketHolders(step, queue, pass) : pass.workersFor(step, queue.service)
     for (const task of tasks) if (workers.length > 0 && workers.every(worker => task.avoid?.has(worker.incarnation))) task.avoid = undefined
     const assignments = this._assign(ordered, { tasks, workers, queue, pass })
@@ -281,14 +285,17 @@
 
   private _reportWait (blocked: BlockedStep, pass: PlacementPass): void {
     const { step, queue } = blocked
-    this._noteWait(step, queue, step.waitingTasks(pass.nowMs), () => ({
+    this._noteWait(step, queue, () => step.waitingTasks(pass.nowMs), () => ({
       ...explainWait(blocked, pass, this._options.eligibility), ...queue.eligibility && this._queries.load(step)
     }))
   }
 
-  private _noteWait (step: StepRuntime, queue: QueueConfig, tasks: Task[], explain: () => WaitExplanation): void {
-    if (tasks.length === 0) return
+  private _noteWait (step: StepRuntime, queue: QueueConfig, waitingTasks: () => Task[], explain: () => WaitExplanation): void {
     const { timers, waits } = this._options
+    const longestMs = timers.now() - (step.readyMs ?? timers.now())
+    if (!waits.isDue(step, { objectiveMs: queue.targetMs, waitedMs: longestMs })) return
+    const tasks = waitingTasks()
+    if (tasks.length === 0) return
     const waitedMs = Math.max(...tasks.map(task => step.waitOf(task, timers.now())))
     waits.note({ step, queue: queue.name, objectiveMs: queue.targetMs, tasks: tasks.length, waitedMs, explain })
   }
