Read the record of a key again when its owner no longer knows the outcome

Callers saw "may have run, so it is not sent again" as the second answer to an idempotency key, although the first answer was there and stored.

Cause: the process that handled a request forgets it once its outcome is stored. A second entry VM that read the record as running before that, and asked the process after it, was told that the outcome is unknown. The same when the process died between the two.

Change: when the owner of a record does not know the outcome, the record is read once more. If it has changed, it decides; if it is gone, the request did not run and the key is free. Unchanged, the outcome is unknown as before, so that nothing is sent twice.

Evidence: the test fails without the change in three of its four cases (unknown in place of ran, ran and run).

--- a/packages/pomelofold/src/outcomes/keyedRequests.ts
+++ b/packages/pomelofold/src/outcomes/keyedRequests.ts
@@ -155,11 +155,21 @@
     if (record.digest !== digest) return { decision: 'conflict', requestId: record.requestId }
     if (record.outcome !== OUTCOMES.running) return decisionOf(record.outcome, record.requestId, storedAnswer(record))
     const reported = await this._queryKeyOwner(record, key)
-    if (reported?.outcome !== OUTCOMES.notRun) return decisionOf(reported?.outcome ?? OUTCOMES.unknown, record.requestId, reported?.answer)
+    const outcome = reported?.outcome ?? OUTCOMES.unknown
+    if (outcome === OUTCOMES.unknown) return this._decideByLaterRecord(key, digest, requestId, stored, record)
+    if (outcome !== OUTCOMES.notRun) return decisionOf(outcome, record.requestId, reported?.answer)
     const replaced = await this._putRecord(key, stored.modRevision, { digest, requestId })
     return replaced === 'exists' ? this._refusal('the key is being used through another entry VM') : replaced
   }
 
+  /** Decides when the process that created the record does not know the outcome: it forgets a request once its outcome is stored. */
+  private async _decideByLaterRecord (key: string, digest: string, requestId: string, earlier: StoredValue, record: KeyRecord):
+  Promise<KeyedDecision> {
+    const read = await this._options.platform.get(KEYED_PREFIX + key)
+    if (read.isErr || read.value?.modRevision === earlier.modRevision) return decisionOf(OUTCOMES.unknown, record.requestId, undefined)
+    return read.value ? this._decideByRecord(key, digest, requestId, read.value) : this._decide(key, digest, requestId)
+  }
+
   private async _queryKeyOwner ({ vm, incarnation, requestId }: KeyRecord, key: string):
   Promise<{ outcome: Outcome, answer?: ServiceAnswer } | undefined> {
     const isOwn = vm === this._options.vm && incarnation === this._options.incarnation
--- a/tests/outcomes/keyedRequests.test.ts
+++ b/tests/outcomes/keyedRequests.test.ts
@@ -9,15 +9,17 @@
 import { MemoryPlatformClient } from '@pomelofold/standins/memoryPlatformClient'
 import { KeyedRequests, type KeyedDecision } from 'pomelofold/outcomes/keyedRequests'
 import type { ServiceAnswer } from 'pomelofold/protocol/requests'
+import { delay } from 'pomelofold/seams/timers'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 
 const answer = (outcome: ServiceAnswer['outcome']): ServiceAnswer => ({ outcome, status: 200, headers: {}, body: new Uint8Array([1, 2]) })
 
-/** Entry processes that share a platform and query each other. Those in `dead` do not answer. */
+/** Entry processes that share a platform and query each other after `queries.delayMs`. Those in `dead` do not answer. */
 function startProcesses (count: number) {
   const timers = new ManualTimers()
   const store = new KeyValueStore({ timers })
   const dead = new Set<string>()
+  const queries = { delayMs: 0 }
   const all = new Map<string, KeyedRequests>()
   const start = (vm: string, incarnation = '1') => {
     const platform = new MemoryPlatformClient({ store, timers })
@@ -30,12 +32,15 @@
       committer: {
         commit: async (changes, guards = []) => (await platform.txn(guards, changes)).map(({ applied }) => ({ applied }))
       },
-      queryKeyOwner: async (ownerVm, key, requestId) => dead.has(ownerVm) ? undefined : all.get(ownerVm)!.outcomeOf(key, requestId)
+      queryKeyOwner: async (ownerVm, key, requestId) => {
+        if (queries.delayMs > 0) await delay(timers, queries.delayMs)
+        return dead.has(ownerVm) ? undefined : all.get(ownerVm)!.outcomeOf(key, requestId)
+      }
     })
     all.set(vm, keyed)
     return { keyed, platform }
   }
-  return { timers, dead, start, members: Array.from({ length: count }, (_, i) => start(`entry-${i}`)) }
+  return { timers, dead, queries, start, members: Array.from({ length: count }, (_, i) => start(`entry-${i}`)) }
 }
 
 /** Runs `call` while manual time passes. */
@@ -114,3 +119,26 @@
   dead.add('entry-0')
   t.match(await advanceDuring(timers, members[1].keyed.begin('k', 'd', 'r1')), { decision: 'ran', requestId: 'r0' })
 })
+
+// Guards against an unknown outcome when the owner of a key stores it, and forgets the request, between the reading of the
+// record and the query.
+t.test('an outcome that is stored between the reading of the record and the query of its owner is found', async t => {
+  const ran = { decision: 'ran', requestId: 'r0', answer: { status: 200, body: new Uint8Array([1, 2]) } }
+  const cases = [
+    { outcome: 'ran', ownerDies: false, expected: ran },
+    { outcome: 'ran', ownerDies: true, expected: ran },
+    { outcome: 'not-run', ownerDies: true, expected: { decision: 'run' } },
+    { outcome: 'unknown', ownerDies: false, expected: { decision: 'unknown', requestId: 'r0' } }
+  ] as const
+  for (const { outcome, ownerDies, expected } of cases) {
+    const { timers, members, dead, queries } = startProcesses(2)
+    await advanceDuring(timers, members[0].keyed.begin('k', 'd', 'r0'))
+    queries.delayMs = 100
+    const second = members[1].keyed.begin('k', 'd', 'r1')
+    await timers.advance(50)
+    members[0].keyed.finish('k', answer(outcome))
+    await timers.advance(20)
+    if (ownerDies) dead.add('entry-0')
+    t.match(await advanceDuring(timers, second), expected, `${outcome}, its owner ${ownerDies ? 'has died' : 'answers'}`)
+  }
+})
