Tell in the soak whether a late start came before the first call of an incarnation

A start that a later incarnation of its worker carries out may come before that incarnation has received any call, or after. Only the second can be kept away by what the scheduler sends. The soak names which of them it was, and counts them.

The leader of a start is found by the revisions of the leader's key, not by the token itself, so that the check of starts by one scheduler does not depend on one token for each leader.

--- a/tests/soak/run.ts
+++ b/tests/soak/run.ts
@@ -1,5 +1,6 @@
 /**
- * Runs soaks from the command line: `npm run soak -- --seeds 1-50 [--seconds 20] [--daemons 4] [--workers 5] [--jobs 3]`.
+ * Runs soaks from the command line:
+ * `npm run soak -- --seeds 1-50 [--seconds 20] [--daemons 4] [--workers 5] [--jobs 3] [--no-deadly-jobs]`.
  * Logs of each seed are kept under `target/soak/SEED`. Exits with 1 when a guarantee was violated.
  *
  * @module
@@ -19,8 +20,9 @@
   .option('--daemons <n>', 'number of daemons', '4')
   .option('--workers <n>', 'number of workers', '5')
   .option('--jobs <n>', 'soaks that run at the same time', '3')
+  .option('--no-deadly-jobs', 'no tasks that crash their workers, and no changes of capacity')
   .parse()
-const options = program.opts<{ seeds: string, seconds: string, daemons: string, workers: string, jobs: string }>()
+const options = program.opts<{ seeds: string, seconds: string, daemons: string, workers: string, jobs: string, deadlyJobs: boolean }>()
 const [first, last = first] = options.seeds.split('-').map(Number)
 const seeds = Array.from({ length: last - first + 1 }, (_, index) => first + index)
 let failed = 0
@@ -37,6 +39,7 @@
       faultsMs: Number(options.seconds) * MS_PER_S,
       daemons: Number(options.daemons),
       workers: Number(options.workers),
+      deadlyJobs: options.deadlyJobs,
       dir,
       networkPrefix: `127.${100 + lane}.${process.pid % 250}`
     })
--- a/tests/soak/runChecks.ts
+++ b/tests/soak/runChecks.ts
@@ -92,10 +92,15 @@
 
 function describe ({ task, attempt, worker, startMs, endMs, how, acknowledgedMs }: RunRecord, origin: StartOrigin | undefined): string {
   const end = `${seconds(endMs)} ${how ?? 'with its worker'}${acknowledgedMs === undefined ? '' : `, acknowledged ${seconds(acknowledgedMs)}`}`
-  const late = origin && origin.lateMs > 0 ? `, ${seconds(origin.lateMs)} s late${origin.sentToBornMs === origin.bornMs ? '' : ' at a later incarnation'}` : ''
+  const late = origin && origin.lateMs > 0 ? `, ${seconds(origin.lateMs)} s late${incarnationNote(origin)}` : ''
   return `${task}#${attempt} at ${worker} ${seconds(startMs)} to ${end}, epoch ${origin?.epoch}${late}`
 }
 
+function incarnationNote ({ sentToBornMs, bornMs, first }: StartOrigin): string {
+  if (sentToBornMs === bornMs) return ''
+  return ` at a later incarnation, ${first ? 'before' : 'after'} its first call`
+}
+
 function seconds (ms: number): string {
   return (ms / 1_000).toFixed(3)
 }
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -44,9 +44,10 @@
   jobs: number
   accepted: number
   runs: number
-  /** Number of starts that were carried out late, and of those at a later incarnation of their worker. */
+  /** Number of starts that were carried out late, of those at a later incarnation of their worker, and of those after its first call. */
   lateStarts: number
   lateAtNextIncarnation: number
+  lateAfterFirstCall: number
   /** Number of accepted jobs whose first task crashes its workers. */
   deadlyJobs: number
   /** Number of starts that filled their worker by nine tenths or more. */
@@ -80,6 +81,7 @@
       ...runs.violations, ...callers.violations, ...cell.violations, ...notServed, ...unfinished, ...falseStates(cell, callers)
     ]
     const late = orders.origins.filter(({ lateMs }) => lateMs > 0)
+    const lateAtNext = late.filter(({ sentToBornMs, bornMs }) => sentToBornMs !== bornMs)
     return {
       seed,
       violations,
@@ -88,7 +90,8 @@
       accepted: callers.jobs.filter(job => job.accepted).length,
       runs: records.length,
       lateStarts: late.length,
-      lateAtNextIncarnation: late.filter(({ sentToBornMs, bornMs }) => sentToBornMs !== bornMs).length,
+      lateAtNextIncarnation: lateAtNext.length,
+      lateAfterFirstCall: lateAtNext.filter(({ first }) => !first).length,
       deadlyJobs: callers.jobs.filter(job => job.accepted && cell.workers.isDeadly(job.id)).length,
       fillingStarts: runs.fillingStarts,
       orders: orders.counts,
--- a/tests/soak/soakWorkers.ts
+++ b/tests/soak/soakWorkers.ts
@@ -7,6 +7,7 @@
 import { LeasedWorker, type RunRecord } from '@pomelofold/standins/leasedWorker'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import type { Timers } from 'pomelofold/seams/timers'
+import { LEADER_KEY } from 'pomelofold/workflows/keys'
 import type { Resources } from 'pomelofold/protocol/workflows'
 import { FaultProxy, LINK_FAULTS } from './faultProxy.js'
 import type { StoreServer } from './standins.js'
@@ -79,6 +80,9 @@
     this._store = store
     this._host = host
     this._seed = seed
+    store.store.watch(LEADER_KEY, 1, events => {
+      this.orders.leaderEpochs.push(...events.filter(({ key, value }) => key === LEADER_KEY && value).map(({ revision }) => revision))
+    })
   }
 
   async start (count: number): Promise<void> {
--- a/tests/soak/workerServer.ts
+++ b/tests/soak/workerServer.ts
@@ -43,14 +43,17 @@
 /** Where the start of a run came from. */
 export interface StartOrigin {
   record: RunRecord
+  /** Epoch of the leader that sent it. */
   epoch: number
   /** Start dates of the incarnations to which the start was sent and that carried it out; equal unless it was late. */
   sentToBornMs: number
   bornMs: number
   /** Time between the arrival of the start and its execution, in milliseconds; 0 if it was not late. */
   lateMs: number
-  /** True if some worker had received a newer epoch before. */
+  /** True if another leader had been elected before. */
   replaced: boolean
+  /** True if the incarnation that carried it out had received no call before. */
+  first: boolean
   /** Share of its capacity that the worker had long before the start, and has. */
   capacityShare: number
 }
@@ -66,9 +69,15 @@
   readonly origins: StartOrigin[] = []
   /** Number of calls and orders by fault, or by refusal. */
   readonly counts: Record<string, number> = {}
-  highestEpoch = 0
+  /** Epochs of the leaders so far, in order: the revisions at which their key was written. */
+  readonly leaderEpochs: number[] = []
   /** Number of orders that are still to be carried out. */
   pending = 0
+
+  /** Epoch of the leader that used this fencing token, which is a revision of its term. */
+  epochOf (token: number): number {
+    return this.leaderEpochs.findLast(epoch => epoch <= token) ?? 0
+  }
 }
 
 type Call = { path: string, body: any }
@@ -146,8 +155,8 @@
     const { worker, startedMs } = executor
     const { body } = call
     const nowMs = this._timers.now()
-    const replaced = body.fence_token < this._orders.highestEpoch
-    this._orders.highestEpoch = Math.max(this._orders.highestEpoch, body.fence_token)
+    const epoch = this._orders.epochOf(body.fence_token)
+    const first = worker.epoch === 0
     const untilMs = body.deadline_ms === undefined ? undefined : Math.min(body.deadline_ms + startedMs, nowMs + MAX_LEASE_MS)
     const order = { epoch: body.fence_token, task: body.task, attempt: body.attempt }
     if (call.path === 'POST /api/run-start') {
@@ -156,11 +165,12 @@
       if (this._records.length > recorded) {
         this._orders.origins.push({
           record: this._records[recorded],
-          epoch: body.fence_token,
+          epoch,
           sentToBornMs: receiver.worker.entry.bornMs,
           bornMs: worker.entry.bornMs,
           lateMs: arrivedMs === undefined ? 0 : nowMs - arrivedMs,
-          replaced,
+          replaced: epoch !== this._orders.leaderEpochs.at(-1),
+          first,
           capacityShare: this._knownCapacityShare()
         })
       }
