Call each later incarnation of a worker with a higher fencing token

Cause: a worker refuses calls with a lower fencing token than it has seen, but a new incarnation has seen none, and one token served the whole term. So it obeyed whatever had been sent to an earlier one.

Change: calls to a later incarnation under the same id carry the revision of the roster that first holds it. It lies between the epoch and that of the next leader, since the roster is written under the leader's key. The first call of its session then keeps late starts, stops and lease extensions of the former session away. A refusal of an order whose token was raised since does not end the term.

--- a/packages/pomelofold/src/workflows/runHost.ts
+++ b/packages/pomelofold/src/workflows/runHost.ts
@@ -11,6 +11,8 @@
   /** Unique name of the incarnation: the worker's id and start time. */
   readonly incarnation: string
   readonly entry: WorkerEntry
+  /** Fencing token of calls to the worker: it refuses those with a lower one than it has seen. */
+  readonly token: number
   /** True when no further calls are made to this incarnation. */
   readonly closed: boolean
   /** False while calls to the worker fail. */
@@ -25,6 +27,8 @@
   readonly lastReportRequestSentMs: number
   /** No starts are sent before this time, in milliseconds of the monotonic clock. */
   suspendedUntilMs: number
+  /** True if another scheduler has used the worker when it refuses a call with this token. */
+  isFencedByOther (token: number): boolean
   /** True while the run has room reserved at the worker. */
   hasRun (name: string, attempt: number): boolean
   removeRun (name: string, attempt: number): void
--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { RunHost } from './runHost.js'
 import { RUN_STATES, type Run } from './workflowRuntime.js'
 import { delay, type Timers } from '../seams/timers.js'
 import { START_REFUSALS, type StartRefusal, type WorkerClient } from '../seams/workflowUpstreams.js'
@@ -29,7 +30,6 @@
 
 /** Options of {@link RunOrderSender}. */
 export interface RunOrderSenderOptions {
-  epoch: number
   client: WorkerClient
   timers: Timers
   log: EventLog
@@ -45,7 +45,7 @@
   onStaleEpoch: () => void
 }
 
-/** Sends orders for runs, each under the epoch of the term. */
+/** Sends orders for runs, each with the fencing token of its worker. */
 export class RunOrderSender {
   private readonly _options: RunOrderSenderOptions
   private _closed = false
@@ -63,7 +63,7 @@
    * try was accepted and one of them received no answer, the run is stopped, because it may have started.
    */
   async start (run: Run, { payload, checkpoint, ticket }: { payload: string, checkpoint: string, ticket?: string }): Promise<void> {
-    const { client, epoch, timers, log, leadershipRemainingMs, onRefused, onStarted, onUnanswered, onStaleEpoch } = this._options
+    const { client, timers, log, leadershipRemainingMs, onRefused, onStarted, onUnanswered } = this._options
     const { session } = run
     let mayBeSent = false
     for (let attempt = 1; attempt <= START_TRIES; attempt++) {
@@ -76,6 +76,7 @@
         break
       }
       session.noteLeaseSent(untilMs)
+      const { token: epoch } = session
       const start = { epoch, task: run.name, attempt: run.attempt, payload, untilMs, checkpoint: checkpoint || undefined, ticket }
       const sentMs = timers.now()
       run.pendingStartMs = sentMs
@@ -87,7 +88,10 @@
         run.progressedClockMs ??= answer.value.clockMs
         if (run.state !== RUN_STATES.starting) return
         if (answer.value.refusal === undefined) return onStarted(run)
-        if (answer.value.refusal === START_REFUSALS.staleEpoch) return onStaleEpoch()
+        if (answer.value.refusal === START_REFUSALS.staleEpoch) {
+          if (this._handleStaleEpoch(session, epoch)) return
+          continue
+        }
         onRefused(run, answer.value.refusal, { settled: !mayBeSent })
         if (!mayBeSent) return
         // Another refusal is not expected to change: only a stop settles what became of the earlier tries.
@@ -111,12 +115,13 @@
 
   /** Limits the speed of `run` to a percentage of full speed. It is not retried here: the next report triggers another try. */
   async pace (run: Run, percent: number): Promise<void> {
-    const { client, epoch, log, leadershipRemainingMs, onStaleEpoch } = this._options
+    const { client, log, leadershipRemainingMs } = this._options
     const { session, name, attempt } = run
+    const { token: epoch } = session
     if (this._closed || session.closed || run.state !== RUN_STATES.running || leadershipRemainingMs() <= 0) return
     const answer = await client.pace(session.entry, { epoch, task: name, attempt, percent }, ORDER_TIMEOUT_MS)
     if (this._closed) return
-    if (answer.isOk && answer.value.refusal === START_REFUSALS.staleEpoch) return onStaleEpoch()
+    if (answer.isOk && answer.value.refusal === START_REFUSALS.staleEpoch && this._handleStaleEpoch(session, epoch)) return
     const outcome = answer.isErr ? answer.error.message : answer.value.refusal ?? 'paced'
     log.event('info', 'run.paced', { task: name, attempt, worker: session.incarnation, percent, outcome })
     if (answer.isOk && answer.value.refusal === undefined) run.pacePercent = percent
@@ -124,15 +129,16 @@
 
   /** Stops `run`. The run keeps its room at the worker until a report shows that it has ended. */
   async stop (run: Run, reason: string): Promise<void> {
-    const { client, epoch, timers, log, onStaleEpoch } = this._options
+    const { client, timers, log } = this._options
     const { session } = run
     if (run.state === RUN_STATES.stopping) return
     run.state = RUN_STATES.stopping
     log.event('info', 'run.stop', { task: run.name, attempt: run.attempt, worker: session.incarnation, reason, ranMs: Math.round(timers.now() - run.startedMs) })
     while (!this._closed && !session.closed && session.hasRun(run.name, run.attempt)) {
+      const { token: epoch } = session
       const answer = await client.stop(session.entry, { epoch, task: run.name, attempt: run.attempt }, ORDER_TIMEOUT_MS)
       if (this._closed) return
-      if (answer.isOk && answer.value.refusal === START_REFUSALS.staleEpoch) return onStaleEpoch()
+      if (answer.isOk && answer.value.refusal === START_REFUSALS.staleEpoch && this._handleStaleEpoch(session, epoch)) return
       if (answer.isOk && (answer.value.refusal === undefined || answer.value.refusal === START_REFUSALS.oldAttempt)) {
         run.stopConfirmedMs = timers.now()
         return
@@ -140,4 +146,11 @@
       await delay(timers, STOP_RETRY_MS)
     }
   }
+
+  /** True when another scheduler has used the worker. False when this one has raised the token after the order was sent. */
+  private _handleStaleEpoch (session: RunHost, token: number): boolean {
+    if (!session.isFencedByOther(token)) return false
+    this._options.onStaleEpoch()
+    return true
+  }
 }
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -83,9 +83,8 @@
 
   constructor (options: RunTrackerOptions) {
     this._options = options
-    const { epoch, client, timers, log, maxLeaseMs, leadershipRemainingMs, onStaleEpoch } = options
+    const { client, timers, log, maxLeaseMs, leadershipRemainingMs, onStaleEpoch } = options
     this._orderSender = new RunOrderSender({
-      epoch,
       client,
       timers,
       log,
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -7,6 +7,7 @@
 
 import { z } from 'zod'
 import { DepartureDetector } from './departureDetector.js'
+import { FencingTokens } from './fencingTokens.js'
 import { LongPollPolicy } from './longPollPolicy.js'
 import { InheritedWorkers } from './inheritedWorkers.js'
 import { LEADER_KEY, ROSTER_KEY } from './keys.js'
@@ -83,6 +84,7 @@
   private readonly _departures: DepartureDetector
   private readonly _longPollPolicy: LongPollPolicy
   private _rosterRevision: number | undefined
+  private readonly _fencingTokens: FencingTokens
   /** Worker incarnations in the stored roster. */
   private _roster = new Set<string>()
   private _rosterCleanedMs = Number.NEGATIVE_INFINITY
@@ -101,6 +103,7 @@
       }
     })
     this._longPollPolicy = new LongPollPolicy({ timers: options.timers })
+    this._fencingTokens = new FencingTokens({ epoch: options.epoch })
     const { timers, maxLeaseMs, predecessorActiveUntilMs } = options
     this._inheritedWorkers = new InheritedWorkers({ timers, sessions: this.sessions, predecessorActiveUntilMs, maxLeaseMs })
     this._inheritedRunsEndMs = this._extendedRunsEnd(predecessorActiveUntilMs)
@@ -224,6 +227,7 @@
     if (this._closed) return false
     if (result.isOk && result.value.applied) {
       this._rosterRevision = result.value.revision
+      this._fencingTokens.noteRevision(result.value.revision)
       this._roster = new Set(entries.map(incarnationOf))
       return true
     }
@@ -328,6 +332,7 @@
     const session = new WorkerSession({
       entry,
       epoch,
+      fence: this._fencingTokens.fenceOf(entry),
       client,
       timers,
       log,
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -6,6 +6,7 @@
  */
 
 import { match, P } from 'ts-pattern'
+import type { WorkerFence } from './fencingTokens.js'
 import type { LongPollPolicy } from './longPollPolicy.js'
 import { isSpareCpuRun, isServingRun } from './spareCpuPacer.js'
 import type { RunHost } from './runHost.js'
@@ -58,6 +59,7 @@
 export interface WorkerSessionOptions {
   entry: WorkerEntry
   epoch: number
+  fence: WorkerFence
   client: WorkerClient
   timers: Timers
   log: EventLog
@@ -138,6 +140,10 @@
     return this._closed
   }
 
+  get token (): number {
+    return this._options.fence.token
+  }
+
   /** Starts to extend the lease, until `close`. */
   start (): void {
     this._extendUntilClosed()
@@ -173,6 +179,11 @@
     this._addToUsed(run.size, 1)
   }
 
+  /** A call of an earlier incarnation may reach a later one, at which this scheduler has used a higher token. */
+  isFencedByOther (token: number): boolean {
+    return !this._closed && token === this.token
+  }
+
   hasRun (name: string, attempt: number): boolean {
     return this.runs.has(runIdOf(name, attempt))
   }
@@ -268,7 +279,8 @@
     const requestSentMs = timers.now()
     // After an unanswered call, the next incarnation of the worker may answer. Its ends are numbered from the start again.
     const acknowledged = this.reachable ? this._acknowledgedSequence : 0
-    const answer = await client.extendLease(this.entry, { epoch, acknowledged, untilMs, waitMs: wait }, wait + ANSWER_MARGIN_MS)
+    const { token } = this
+    const answer = await client.extendLease(this.entry, { epoch: token, acknowledged, untilMs, waitMs: wait }, wait + ANSWER_MARGIN_MS)
     if (this._closed) return
     return match(answer)
       .with({ isErr: true }, ({ error }) => {
@@ -277,7 +289,7 @@
         return undefined
       })
       .with({ isErr: false, value: { refusal: P.string } }, ({ value }) => {
-        this._handleRefusal(value.refusal)
+        this._handleRefusal(value.refusal, token)
         return undefined
       })
       .otherwise(({ value }) => {
@@ -337,10 +349,10 @@
     this._options.listener.onCrash(this, evidence)
   }
 
-  private _handleRefusal (refusal: string): void {
+  private _handleRefusal (refusal: string, token: number): void {
     const { listener, log } = this._options
     if (refusal === START_REFUSALS.staleEpoch) {
-      listener.onStaleEpoch(this)
+      if (this.isFencedByOther(token)) listener.onStaleEpoch(this)
       return
     }
     if (refusal === START_REFUSALS.otherIncarnation) {
--- a/tests/workflows/lateStarts.test.ts
+++ b/tests/workflows/lateStarts.test.ts
@@ -20,9 +20,11 @@
  * `idsReturn`, another worker has come back under its id before.
  */
 async function cellWithLateStart (
-  { step = {}, workers = 2, idsReturn = true }: { step?: Partial<WorkflowStep>, workers?: number, idsReturn?: boolean } = {}
+  { step = {}, workers = 2, idsReturn = true, runMs = 30_000 }: {
+    step?: Partial<WorkflowStep>, workers?: number, idsReturn?: boolean, runMs?: number
+  } = {}
 ): Promise<WorkflowCell> {
-  const cell = new WorkflowCell({ daemons: 1, workers, cpuMillis: 1_000, runMs: () => 30_000 })
+  const cell = new WorkflowCell({ daemons: 1, workers, cpuMillis: 1_000, runMs: () => runMs })
   await cell.waitUntilReady()
   // The clock of the next incarnation has to be behind.
   await cell.timers.advance(10_000)
@@ -147,6 +149,21 @@
   t.equal(cell.records.length, 2, 'the next incarnation refuses the copy')
 })
 
+// Guards against a second run of a task that is done: the order to refuse the late start of it is late, too.
+t.test('a start that comes late to an incarnation that has answered already is refused there', async t => {
+  for (const orderDelayMs of [12_000, 0]) {
+    const cell = await cellWithLateStart({ runMs: 300 })
+    cell.workers[0].faults.orderDelayMs = 0
+    await cell.timers.advanceUntil(() => cell.records.some(run => run.how === 'done' && run.acknowledgedMs !== undefined))
+    cell.restartWorker('w0')
+    cell.workers[0].faults.orderDelayMs = orderDelayMs
+    await cell.timers.advance(SETTLED_MS)
+    t.same(cell.violations(), [], `its orders take ${orderDelayMs} ms`)
+    t.equal(cell.records.length, 1, `its orders take ${orderDelayMs} ms: the task has run once`)
+    t.equal(cell.events.filter(({ name }) => name === 'term.deposed').length, 0, 'the scheduler goes on')
+  }
+})
+
 // Guards against two runs of one task when a worker whose lease has lapsed carries out a start that it should refuse as too late.
 t.test('a start that is carried out after its worker lapsed and answers again runs no task twice', async t => {
   for (const idsReturn of [true, false]) {
