--- a/packages/pomelofold/src/teams/teamCaps.ts
+++ b/packages/pomelofold/src/teams/teamCaps.ts
@@ -16,6 +16,10 @@
 
 /** Wait after which later steps of the team leave the rest of its cap to a step that does not fit, in milliseconds. */
 const CLAIM_AFTER_MS = 1_000
+/** Time for which a gang that its cap allows keeps it free while workers are looked for, in milliseconds: several eligibility calls. */
+const CLAIM_KEEP_MS = 4_000
+/** Time without claims of a gang for which no workers were found, in milliseconds. */
+const CLAIM_PAUSE_MS = 20_000
 /** Time without a held step after which a team counts as below its cap again, in milliseconds. */
 const BELOW_AFTER_MS = 1_000
 /** Maximum number of teams in the figures: those nearest to their caps. */
@@ -121,8 +125,8 @@
   private readonly _lastCaps = new Map<string, Resources>()
   /** Parts of the caps that are kept free for steps of this pass. */
   private readonly _claims = new Map<string, Resources>()
-  /** Gangs that have claimed: they keep their claim until they are placed. */
-  private readonly _claimants = new WeakSet<object>()
+  /** Gangs that have claimed, and the end of their claims once the cap allows them, in milliseconds of the monotonic clock. */
+  private readonly _claimEndsMs = new WeakMap<object, number>()
   private readonly _held = new Map<string, HeldTeam>()
 
   constructor (options: TeamCapsOptions) {
@@ -150,16 +154,23 @@
     const allowed = tasksWithinCap({ ...req, cap, used: addResources(this._mayUse(team), this._claims.get(team) ?? NO_RESOURCES) })
     if (allowed === tasks) return tasks
     this._noteHeld(req)
-    if (allowed === 0 && waitedMs() >= CLAIM_AFTER_MS && fitsCap({ ...req, cap })) {
-      if (gang) this._claimants.add(step)
+    const nowMs = this._options.timers.now()
+    const endMs = this._claimEndsMs.get(step) ?? Number.POSITIVE_INFINITY
+    const isPaused = nowMs >= endMs && nowMs < endMs + CLAIM_PAUSE_MS
+    if (allowed === 0 && !isPaused && waitedMs() >= CLAIM_AFTER_MS && fitsCap({ ...req, cap })) {
+      if (gang) this._claimEndsMs.set(step, Number.POSITIVE_INFINITY)
       this._claim(req)
     }
     return allowed
   }
 
-  /** Called when tasks that the cap allows were not placed: a gang that has waited for its cap goes on keeping it free. */
+  /** Called when tasks that the cap allows were not placed: a gang that has waited for its cap goes on keeping it free for a time. */
   noteNotPlaced (req: CapRequest): void {
-    if (this._claimants.has(req.step)) this._claim(req)
+    const endMs = this._claimEndsMs.get(req.step)
+    if (endMs === undefined) return
+    const nowMs = this._options.timers.now()
+    if (endMs === Number.POSITIVE_INFINITY) this._claimEndsMs.set(req.step, nowMs + CLAIM_KEEP_MS)
+    if (nowMs < endMs) this._claim(req)
   }
 
   /** The figures of the resource that holds the step; undefined when none does. */
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -193,7 +193,10 @@
     const allowed = this._caps.limit(capRequest)
     const tasks = allowed < candidates.length ? candidates.slice(0, allowed) : candidates
     const noteCap = (): void => this._noteWait(
-      step, queue, candidates.slice(allowed), () => ({ cause: WAIT_CAUSES.cap, ...this._caps.explain(capRequest) })
+      step,
+      queue,
+      candidates.slice(allowed).filter(({ run }) => !run),
+      () => ({ cause: WAIT_CAUSES.cap, ...this._caps.explain(capRequest) })
     )
     if (allowed === 0) {
       noteCap()
