--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -15,7 +15,7 @@
 import { InheritedUsage } from './inheritedUsage.js'
 import { PlacementPass, type OrderedStep } from './placementPass.js'
 import type { BlockedStep, ReadyStep } from './readyStep.js'
-import { needsReservation, planReservations } from './roomReservation.js'
+import { needsReservation, planReservations, ReservingSteps } from './roomReservation.js'
 import { StepOrder } from './stepOrder.js'
 import { placeApart, placeStep, type Assignment } from './stepPlacer.js'
 import { findStragglers } from './stragglers.js'
@@ -29,7 +29,9 @@
 import type { StepRuntime, Task, WorkflowRuntime } from './workflowRuntime.js'
 import type { Timers } from '../seams/timers.js'
 import type { CellConfig, QueueConfig, TeamsConfig } from '../seams/workflowUpstreams.js'
+import type { SubmissionBudget } from '../teams/submissionBudget.js'
 import { TeamCaps, type CapFigures, type CapRequest } from '../teams/teamCaps.js'
+import type { TeamShares } from '../teams/teamShares.js'
 import type { TeamUsage } from '../teams/teamUsage.js'
 import type { EventLog } from '../utils/eventLog.js'
 
@@ -39,8 +41,6 @@
 const URGENT_PRIORITY = 0
 /** Wait after which a gang or a large task reserves room, in milliseconds. */
 const RESERVE_AFTER_MS = 1_000
-/** Maximum number of steps that reserve room in one pass: limits the room that stands idle and the time of a pass. */
-const MAX_RESERVING_STEPS = 8
 
 /** Options of a {@link Dispatcher}. */
 export interface DispatcherOptions {
@@ -61,6 +61,10 @@
   crashes: CrashTracker
   /** Resources that the runs of each team use. */
   teamUsage: TeamUsage
+  /** Shares of the teams in the cell's room. */
+  shares: TeamShares
+  /** Which workflows are beyond their team's number of workflows a second. */
+  budget: SubmissionBudget
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
   predecessorActiveUntilMs: number
   /** Store revision from which on workflows cannot have been started by the earlier scheduler; infinite while it is not known. */
@@ -87,9 +91,9 @@
 
   constructor (options: DispatcherOptions) {
     this._options = options
-    const { timers, log, fleet, registry, eligibility, daemons, speedEstimator, teamUsage, config } = options
+    const { timers, log, fleet, registry, eligibility, daemons, speedEstimator, shares, teamUsage, config } = options
     const teams = (): TeamsConfig | undefined => config()?.teams
-    this._order = new StepOrder({ teamUsage, teams })
+    this._order = new StepOrder({ shares, teams })
     this._queries = new EligibilityQueries({ fleet, eligibility, daemons, speedEstimator })
     this._inheritedUsage = new InheritedUsage({ fleet, registry, newFromRevision: () => this._newFromRevision })
     this._caps = new TeamCaps({ usage: teamUsage, teams, inherited: team => this._inheritedUsage.of(team), timers, log })
@@ -134,18 +138,20 @@
       isUsable: worker => this._isUsable(worker, nowMs),
       nowMs,
       estimateMs: (step, worker) => step.spec.estimateMs * speedEstimator.slowness(worker),
-      trialOn: worker => crashes.trialOn(worker)
+      trialOn: worker => crashes.trialOn(worker),
+      hasTrials: () => crashes.hasTrials
     })
     this._inheritedUsage.startPass()
     this._caps.startPass()
     const blocked: BlockedStep[] = []
-    let reserving = 0
-    for (const { step, queue } of this._order.inOrder(this._readySteps(nowMs))) {
+    const reserving = new ReservingSteps({ byTeam: this._options.config()?.teams !== undefined })
+    for (const ready of this._order.inOrder(this._readySteps(nowMs), pass)) {
+      const { step, queue } = ready
       const waiting = this._placeStep({ step, order: blocked.length }, queue, pass)
       if (waiting === 0) continue
-      const blockedStep = { step, order: blocked.length, queue, waiting }
+      const blockedStep = { ...ready, order: blocked.length, waiting }
       blocked.push(blockedStep)
-      if (reserving < MAX_RESERVING_STEPS && this._reserve(blockedStep, pass)) reserving++
+      if (reserving.mayAdd(step) && this._reserve(blockedStep, pass)) reserving.add(step)
       else if (queue.eligibility) this._queries.claimRoom(blockedStep, pass)
     }
     this._queries.queryFor(blocked, pass)
@@ -154,7 +160,8 @@
 
   /** Open steps whose tasks may start. */
   private _readySteps (nowMs: number): ReadyStep[] {
-    const { timers, fleet, registry } = this._options
+    const { timers, fleet, registry, budget } = this._options
+    budget.update(registry.open)
     const wallClockMs = timers.wallClock()
     const inheritanceSettled = fleet.inheritedWorkersSettled
     // The earlier scheduler may still start tasks of any workflow, new ones included, at workers that have not received this epoch.
@@ -169,8 +176,8 @@
       for (const step of workflow.openSteps(wallClockMs)) {
         step.readyMs ??= nowMs
         const mayStart = mayStartWorkflow || step.spec.speculative || (predecessorStopped && step.becameReadyInTerm)
-        if (mayStart) steps.push({ step, queue })
-        else this._noteWait(step, queue, step.waitingTasks(nowMs), () => ({ cause: WAIT_CAUSES.predecessor }))
+        if (mayStart) steps.push({ step, queue, beyondBudget: budget.isBeyond(workflow) })
+        else this._noteWait(step, queue, () => step.waitingTasks(nowMs), () => ({ cause: WAIT_CAUSES.predecessor }))
       }
     }
     return steps
@@ -186,7 +193,7 @@
     const { spec } = step
     if (candidates.length === 0) return 0
     if (spec.gang && candidates.length < step.tasks.length) {
-      this._noteWait(step, queue, candidates, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
+      this._noteWait(step, queue, () => candidates, () => ({ cause: WAIT_CAUSES.gangEnding, members: step.tasks.length }))
       return 0
     }
     const capRequest = capRequestOf(step, candidates, pass.nowMs)
@@ -195,7 +202,7 @@
     const noteCap = (): void => this._noteWait(
       step,
       queue,
-      candidates.slice(allowed).filter(({ run }) => !run),
+      () => candidates.slice(allowed).filter(({ run }) => !run),
       () => ({ cause: WAIT_CAUSES.cap, ...this._caps.explain(capRequest) })
     )
     if (allowed === 0) {
@@ -203,12 +210,18 @@
       return 0
     }
     const { eligibility, start } = this._options
+    const mayUse = ({ incarnation }: WorkerSession): boolean =>
+      !queue.eligibility || eligibility.ticket(step.name, incarnation) !== undefined
+    if (!pass.mayFit(step, queue.service, mayUse) && tasks.every(task => task.avoid === undefined)) {
+      this._caps.noteNotPlaced(capRequest)
+      return tasks.length
+    }
     const workers = queue.eligibility ? this._ticketHolders(step, queue, pass) : pass.workersFor(step, queue.service)
     for (const task of tasks) if (workers.length > 0 && workers.every(worker => task.avoid?.has(worker.incarnation))) task.avoid = undefined
     const assignments = this._assign(ordered, { tasks, workers, queue, pass })
     const attempt = spec.gang ? this._nextAttempt(Math.max(...step.tasks.map(task => task.attempt))) : undefined
     for (const { task, worker } of assignments) {
-      start(task, worker, attempt ?? this._nextAttempt(task.attempt), eligibility.ticket(step.name, worker.incarnation))
+      start(task, worker, attempt ?? this._nextAttempt(task.attempt), eligibility.useTicket(step.name, worker.incarnation))
     }
     const waiting = tasks.length - assignments.length
     if (waiting > 0) this._caps.noteNotPlaced(capRequest)
@@ -278,12 +291,17 @@
 
   private _reportWait (blocked: BlockedStep, pass: PlacementPass): void {
     const { step, queue } = blocked
-    this._noteWait(step, queue, step.waitingTasks(pass.nowMs), () => explainWait(blocked, pass, this._options.eligibility))
+    this._noteWait(step, queue, () => step.waitingTasks(pass.nowMs), () => ({
+      ...explainWait(blocked, pass, this._options.eligibility), ...queue.eligibility && this._queries.load(step)
+    }))
   }
 
-  private _noteWait (step: StepRuntime, queue: QueueConfig, tasks: Task[], explain: () => WaitExplanation): void {
-    if (tasks.length === 0) return
+  private _noteWait (step: StepRuntime, queue: QueueConfig, waitingTasks: () => Task[], explain: () => WaitExplanation): void {
     const { timers, waits } = this._options
+    const longestMs = timers.now() - (step.readyMs ?? timers.now())
+    if (!waits.isDue(step, { objectiveMs: queue.targetMs, waitedMs: longestMs })) return
+    const tasks = waitingTasks()
+    if (tasks.length === 0) return
     const waitedMs = Math.max(...tasks.map(task => step.waitOf(task, timers.now())))
     waits.note({ step, queue: queue.name, objectiveMs: queue.targetMs, tasks: tasks.length, waitedMs, explain })
   }
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -6,9 +6,12 @@
  * @module
  */
 
+import { CellCapacity } from './cellCapacity.js'
 import { CrashTracker, type CrashCounts } from './crashTracker.js'
 import { Dispatcher } from './dispatcher.js'
+import { DispatchPacer } from './dispatchPacer.js'
 import { EligibilityCache, type EligibilityCall } from './eligibilityCache.js'
+import type { QueueEligibilityCounts } from './eligibilityCounts.js'
 import { EligibilityDaemons } from './eligibilityDaemons.js'
 import { LEADER_KEY } from './keys.js'
 import { ProgressRecorder } from './progressRecorder.js'
@@ -19,6 +22,7 @@
 import { WorkerFleet } from './workerFleet.js'
 import { WorkflowRegistry } from './workflowRegistry.js'
 import { WorkerSuspensions } from './workerSuspensions.js'
+import { WORK_KINDS, WorkMeter } from './workMeter.js'
 import type { WorkerSession, WorkerSessionListener } from './workerSession.js'
 import type { WorkflowRuntime } from './workflowRuntime.js'
 import { GroupCommitter } from '../commits/groupCommitter.js'
@@ -27,8 +31,10 @@
 import type { PlatformClient } from '../seams/platformClient.js'
 import type { RandomSource } from '../seams/randomSource.js'
 import { delay, type Timers, type TimerSubscription } from '../seams/timers.js'
-import type { CellConfig, LeaseReport, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
+import type { CellConfig, LeaseReport, TeamsConfig, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
+import { SubmissionBudget } from '../teams/submissionBudget.js'
 import type { CapFigures } from '../teams/teamCaps.js'
+import { TeamShares, type TeamShare } from '../teams/teamShares.js'
 import { TeamUsage } from '../teams/teamUsage.js'
 import type { EventLog } from '../utils/eventLog.js'
 
@@ -42,10 +48,6 @@
 const MAX_TXN_ENTRIES = 32
 /** Period of placement attempts without an event, in milliseconds: tickets expire and occurrences become due without one. */
 const DISPATCH_PERIOD_MS = 100
-/** Delay between an event and the placement attempt, in milliseconds: events that arrive meanwhile share one attempt. */
-const DISPATCH_DELAY_MS = 1
-/** Minimum time from the end of a placement attempt to the next one, in milliseconds: bounds their share of the processor time. */
-const DISPATCH_PAUSE_MS = 8
 /** Period at which ended workflows past their retention time are deleted, in milliseconds. */
 const EXPIRY_PERIOD_MS = 5_000
 /** Period at which a report checks whether the workflows have been loaded, in milliseconds. */
@@ -98,6 +100,18 @@
   runs: number
   /** Number of steps that have waited longer than their queue's objective, by cause, in the last second. */
   waitingSteps: Partial<Record<WaitCause, number>>
+  /** Counts and times by kind of work; see {@link WorkMeter}. */
+  work: Record<string, number>
+  /** Calls to the eligibility service and their tickets, by queue. */
+  eligibility: Record<string, QueueEligibilityCounts>
+  /** Absent when the configuration names no teams. */
+  teams?: TeamFigures[]
+}
+
+/** Metrics of a team. */
+export interface TeamFigures extends TeamShare {
+  /** Number of open workflows beyond the team's number of workflows a second. */
+  beyondBudget: number
 }
 
 /** Connects the parts of the scheduler: the workflow registry, the workers, placement, runs and the recording of progress. */
@@ -111,13 +125,15 @@
   private readonly _eligibility: EligibilityCache
   private readonly _dispatcher: Dispatcher
   private readonly _waits: WaitReporter
+  private readonly _shares: TeamShares
+  private readonly _budget: SubmissionBudget
   private readonly _speedStore: WorkerSpeedStore
   private readonly _timers: TimerSubscription[] = []
   /** True while the daemon prepares to hand over leadership: no task is started. */
   private _quiesced = false
   private _dispatchTimer: TimerSubscription | undefined
-  /** Time of the end of the last placement attempt, in milliseconds of the monotonic clock. */
-  private _lastDispatchMs = Number.NEGATIVE_INFINITY
+  private readonly _pacer: DispatchPacer
+  private readonly _meter: WorkMeter
   private _closed = false
 
   constructor (options: SchedulerTermOptions) {
@@ -128,6 +144,8 @@
     } = options
     const onFenced = (): void => this._endByTakeover('the store contains a newer epoch')
     const teamUsage = new TeamUsage()
+    this._pacer = new DispatchPacer({ timers })
+    this._meter = new WorkMeter({ timers, log })
     this._fleet = new WorkerFleet({
       epoch,
       platform,
@@ -166,7 +184,7 @@
       onComplete: workflow => this._runTracker.finishWorkflow(workflow, JOB_STATES.done, 'all tasks are done')
     })
     this._recorder = new ProgressRecorder({
-      committers, timers, log, onFinal: workflow => this._archiveWorkflow(workflow), onFenced
+      committers, timers, log, meter: this._meter, onFinal: workflow => this._archiveWorkflow(workflow), onFenced
     })
     const daemons = new EligibilityDaemons({ timers, daemons: eligibilityDaemons })
     this._eligibility = new EligibilityCache({
@@ -187,6 +205,10 @@
       onRecorded: () => this._scheduleDispatch(),
       onGivenUp: (workflow, reason) => this._runTracker.finishWorkflow(workflow, JOB_STATES.failed, reason)
     })
+    const teams = (): TeamsConfig | undefined => options.config()?.teams
+    const capacity = new CellCapacity({ timers, sessions: () => this._fleet.sessions.values() })
+    this._shares = new TeamShares({ usage: teamUsage, teams, capacity: () => capacity.total })
+    this._budget = new SubmissionBudget({ timers, log, teams })
     this._dispatcher = new Dispatcher({
       epoch,
       term: options.term,
@@ -201,6 +223,8 @@
       suspensions,
       crashes: this._crashes,
       teamUsage,
+      shares: this._shares,
+      budget: this._budget,
       predecessorActiveUntilMs,
       newFromRevision: options.newFromRevision,
       log,
@@ -232,7 +256,10 @@
     this._registry.start()
     this._fleet.start()
     this._speedStore.start()
-    this._timers.push(timers.every(DISPATCH_PERIOD_MS, () => this._dispatch()))
+    this._timers.push(timers.every(DISPATCH_PERIOD_MS, () => {
+      this._meter.noteTick(DISPATCH_PERIOD_MS)
+      this._dispatch()
+    }))
     this._timers.push(timers.every(EXPIRY_PERIOD_MS, () => this._registry.deleteExpired()))
   }
 
@@ -330,6 +357,11 @@
       reachableWorkers: sessions.filter(session => session.reachable).length,
       runs: sessions.reduce((sum, session) => sum + session.runs.size, 0),
       waitingSteps: this._waits.counts,
+      work: this._meter.figures,
+      ...this._options.config()?.teams && {
+        teams: this._shares.figures().map(share => ({ ...share, beyondBudget: this._budget.beyondCount(share.team) }))
+      },
+      eligibility: this._eligibility.counts.byQueue,
       ...this._runTracker.counts(),
       ...this._crashes.counts,
       ...this._dispatcher.capFigures()
@@ -376,17 +408,15 @@
       await delay(this._options.timers, LOAD_POLL_PERIOD_MS)
     }
     if (this._closed || session.closed) return
-    const changedWorkflows = this._runTracker.applyReport(session, report, requestSentMs)
+    const changedWorkflows = this._meter.measure(WORK_KINDS.report, () => this._runTracker.applyReport(session, report, requestSentMs))
     this._scheduleDispatch()
     await this._recorder.whenRecorded(changedWorkflows)
   }
 
-  /** Schedules one placement attempt for all events within the dispatch delay. */
+  /** Schedules one placement pass for all events until then. */
   private _scheduleDispatch (): void {
     if (this._closed) return
-    const { timers } = this._options
-    const delayMs = Math.max(DISPATCH_DELAY_MS, this._lastDispatchMs + DISPATCH_PAUSE_MS - timers.now())
-    this._dispatchTimer ??= timers.after(delayMs, () => {
+    this._dispatchTimer ??= this._options.timers.after(this._pacer.delayMs, () => {
       this._dispatchTimer = undefined
       this._dispatch()
     })
@@ -395,9 +425,13 @@
   private _dispatch (): void {
     const { leadershipRemainingMs } = this._options
     if (this._closed || this._quiesced || !this._registry.loaded || leadershipRemainingMs() <= 0) return
-    this._runTracker.moveRunsOffDrainingWorkers(this._fleet.sessions.values())
-    this._dispatcher.dispatch()
-    this._lastDispatchMs = this._options.timers.now()
+    const { timers } = this._options
+    const startedMs = timers.now()
+    this._meter.measure(WORK_KINDS.pass, () => {
+      this._runTracker.moveRunsOffDrainingWorkers(this._fleet.sessions.values())
+      this._dispatcher.dispatch()
+    })
+    this._pacer.notePass(timers.now() - startedMs)
   }
 
   /** Called when the final state of a workflow has been recorded. */
