--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -59,9 +59,9 @@
   speedEstimator: WorkerSpeedEstimator
   suspensions: WorkerSuspensions
   crashes: CrashTracker
-  /** Shares of the teams in the cell's room. */
   /** Resources that the runs of each team use. */
   teamUsage: TeamUsage
+  /** Shares of the teams in the cell's room. */
   shares: TeamShares
   /** Which workflows are beyond their team's number of workflows a second. */
   budget: SubmissionBudget
@@ -200,7 +200,10 @@
     const allowed = this._caps.limit(capRequest)
     const tasks = allowed < candidates.length ? candidates.slice(0, allowed) : candidates
     const noteCap = (): void => this._noteWait(
-      step, queue, () => candidates.slice(allowed), () => ({ cause: WAIT_CAUSES.cap, ...this._caps.explain(capRequest) })
+      step,
+      queue,
+      () => candidates.slice(allowed).filter(({ run }) => !run),
+      () => ({ cause: WAIT_CAUSES.cap, ...this._caps.explain(capRequest) })
     )
     if (allowed === 0) {
       noteCap()
@@ -209,7 +212,10 @@
     const { eligibility, start } = this._options
     const mayUse = ({ incarnation }: WorkerSession): boolean =>
       !queue.eligibility || eligibility.ticket(step.name, incarnation) !== undefined
-    if (!pass.mayFit(step, queue.service, mayUse) && tasks.every(task => task.avoid === undefined)) return tasks.length
+    if (!pass.mayFit(step, queue.service, mayUse) && tasks.every(task => task.avoid === undefined)) {
+      this._caps.noteNotPlaced(capRequest)
+      return tasks.length
+    }
     const workers = queue.eligibility ? this._ticketHolders(step, queue, pass) : pass.workersFor(step, queue.service)
     for (const task of tasks) if (workers.length > 0 && workers.every(worker => task.avoid?.has(worker.incarnation))) task.avoid = undefined
     const assignments = this._assign(ordered, { tasks, workers, queue, pass })
