Admission: entry daemons refuse what a team's backlog leaves no time for, by what the leader told them

Cause: a flood of one team was accepted whole. Change: the leader's answer to each stored workflow tells how its team stands; SubmissionGate decides by it, the front answers 429 with the reason and a Retry-After.

--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -8,6 +8,7 @@
 import { z } from 'zod'
 import { JOB_STATES, jobSpecSchema, jobViewSchema } from './jobs.js'
 import { manifestSchema } from './manifest.js'
+import { teamBacklogSchema } from './teams.js'
 import { vmRecordSchema } from './vms.js'
 import { RELEASE_OUTCOMES, workflowSchema } from './workflows.js'
 import { outcomeSchema, requestRecordSchema, serviceAnswerSchema, serviceLoadSchema, serviceRequestSchema } from './requests.js'
@@ -92,8 +93,11 @@
   },
   /** Reads the history of a job. Null when the peer does not manage the job. */
   explainJob: { params: z.object({ jobId: z.string() }), result: z.record(z.string(), z.unknown()).nullable() },
-  /** Notifies the workflow scheduler of a workflow that has been stored. */
-  workflowStored: { params: z.object({ workflow: workflowSchema, revision: z.number().int() }), result: z.object({}) },
+  /** Notifies the workflow scheduler of a workflow that has been stored. The answer tells how its team stands. */
+  workflowStored: {
+    params: z.object({ workflow: workflowSchema, revision: z.number().int() }),
+    result: z.object({ backlog: teamBacklogSchema.optional() })
+  },
   /** Notifies the workflow scheduler of a cancellation that has been stored. */
   workflowCancelled: { params: z.object({ id: z.string() }), result: z.object({}) },
   /** Reads the state of a workflow from the scheduler. Null when the workflow is unknown, or the peer is not the scheduler. */
--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -133,6 +133,7 @@
       transport: this._transport,
       timers,
       log,
+      config: options.config,
       ownTerm: () => this._term
     })
   }
@@ -384,7 +385,7 @@
       ...this._configurationPeers?.handlers,
       workflowStored: async ({ workflow, revision }) => {
         this._term?.addWorkflow(workflow, revision)
-        return {}
+        return { backlog: workflow.team === undefined ? undefined : this._term?.backlogOf(workflow.team) }
       },
       workflowCancelled: async ({ id }) => {
         this._term?.cancel(id)
--- a/packages/pomelofold/src/teams/submissionBudget.ts
+++ b/packages/pomelofold/src/teams/submissionBudget.ts
@@ -75,6 +75,15 @@
     return this._options.teams() !== undefined && this._beyond.has(workflow)
   }
 
+  /** True when a workflow that the team submits now would be beyond its budget. */
+  isExhausted (name: string): boolean {
+    const team = this._options.teams()?.byName.get(name)
+    const budget = this._budgets.get(name)
+    if (!team || !budget) return false
+    const sinceMs = this._options.timers.wallClock() - RATE_WINDOW_MS
+    return budget.taken.filter(takenMs => takenMs > sinceMs).length >= tokensOf(team)
+  }
+
   /** Number of open workflows beyond the team's budget. */
   beyondCount (team: string): number {
     return this._budgets.get(team)?.beyond.filter(workflow => !workflow.isOver).length ?? 0
--- a/packages/pomelofold/src/teams/teamBacklogs.ts
+++ b/packages/pomelofold/src/teams/teamBacklogs.ts
@@ -7,8 +7,9 @@
  * @module
  */
 
-import type { TeamBacklog } from './admission.js'
+import type { BudgetedWorkflow } from './submissionBudget.js'
 import { JOB_STATES } from '../protocol/jobs.js'
+import type { TeamBacklog } from '../protocol/teams.js'
 import type { WorkflowState } from '../protocol/workflows.js'
 import type { Timers } from '../seams/timers.js'
 
@@ -19,8 +20,7 @@
 const MS_PER_S = 1_000
 
 /** The part of a workflow that the account reads. */
-export interface BacklogWorkflow {
-  readonly record: { readonly team?: string }
+export interface BacklogWorkflow extends BudgetedWorkflow {
   readonly state: WorkflowState
   /** Time at which this scheduler received or loaded the workflow, in milliseconds of the monotonic clock. */
   readonly addedMs: number
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -28,11 +28,13 @@
 import { GroupCommitter } from '../commits/groupCommitter.js'
 import { JOB_STATES } from '../protocol/jobs.js'
 import type { Workflow, WorkflowStatus } from '../protocol/workflows.js'
+import type { TeamBacklog } from '../protocol/teams.js'
 import type { PlatformClient } from '../seams/platformClient.js'
 import type { RandomSource } from '../seams/randomSource.js'
 import { delay, type Timers, type TimerSubscription } from '../seams/timers.js'
 import type { CellConfig, LeaseReport, TeamsConfig, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
 import { SubmissionBudget } from '../teams/submissionBudget.js'
+import { TeamBacklogs } from '../teams/teamBacklogs.js'
 import type { CapFigures } from '../teams/teamCaps.js'
 import { TeamShares, type TeamShare } from '../teams/teamShares.js'
 import { TeamUsage } from '../teams/teamUsage.js'
@@ -126,6 +128,7 @@
   private readonly _dispatcher: Dispatcher
   private readonly _waits: WaitReporter
   private readonly _shares: TeamShares
+  private readonly _backlogs: TeamBacklogs
   private readonly _budget: SubmissionBudget
   private readonly _speedStore: WorkerSpeedStore
   private readonly _timers: TimerSubscription[] = []
@@ -209,6 +212,12 @@
     const capacity = new CellCapacity({ timers, sessions: () => this._fleet.sessions.values() })
     this._shares = new TeamShares({ usage: teamUsage, teams, capacity: () => capacity.total })
     this._budget = new SubmissionBudget({ timers, log, teams })
+    this._backlogs = new TeamBacklogs({
+      timers,
+      open: () => this._registry.open,
+      isBeyond: workflow => this._budget.isBeyond(workflow),
+      isExhausted: team => this._budget.isExhausted(team)
+    })
     this._dispatcher = new Dispatcher({
       epoch,
       term: options.term,
@@ -311,6 +320,11 @@
     return depths
   }
 
+  /** How a team stands that submits beyond its number; undefined until the workflows have been loaded, or without teams. */
+  backlogOf (team: string): TeamBacklog | undefined {
+    return this._registry.loaded && this._options.config()?.teams ? this._backlogs.of(team) : undefined
+  }
+
   /** Adds a workflow that was stored at `revision`. */
   addWorkflow (record: Workflow, revision: number): void {
     this._registry.add(record, revision)
--- a/packages/pomelofold/src/workflows/workflowService.ts
+++ b/packages/pomelofold/src/workflows/workflowService.ts
@@ -9,13 +9,17 @@
 import { retryAfterS } from './retryAfter.js'
 import type { SchedulerTerm } from './schedulerTerm.js'
 import { StoreProxies } from './storeProxies.js'
+import { SubmissionGate } from './submissionGate.js'
 import { isFinal } from './workflowRuntime.js'
 import { STORE_OUTCOMES, type StoreOutcome, type WorkflowStore } from './workflowStore.js'
 import { JOB_STATES } from '../protocol/jobs.js'
+import type { TeamBacklog } from '../protocol/teams.js'
 import type { Workflow, WorkflowState, WorkflowStatus } from '../protocol/workflows.js'
 import type { PeerTransport } from '../seams/peerTransport.js'
 import type { RandomSource } from '../seams/randomSource.js'
 import type { Timers } from '../seams/timers.js'
+import type { CellConfig } from '../seams/workflowUpstreams.js'
+import { ADMISSIONS, type Admission } from '../teams/admission.js'
 import { EFFECTS, isConnectionRefused, type CallError } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
 
@@ -41,6 +45,8 @@
   transport: PeerTransport
   timers: Timers
   log: EventLog
+  /** The active configuration; undefined while it is not known. */
+  config: () => CellConfig | undefined
   /** The term of this daemon; undefined while another daemon schedules. */
   ownTerm: () => SchedulerTerm | undefined
 }
@@ -54,11 +60,14 @@
   /** Final states by workflow id, oldest first. */
   private readonly _finalStates = new Map<string, WorkflowStatus>()
   private readonly _proxies: StoreProxies
+  private readonly _gate: SubmissionGate
   private _lastQueueDepths: { waiting: Record<string, number>, readMs: number } | undefined
 
   constructor (options: WorkflowServiceOptions) {
     this._options = options
-    this._proxies = new StoreProxies({ timers: options.timers, failureDomain: options.failureDomain })
+    const { timers, failureDomain, random, log, config, ownTerm } = options
+    this._proxies = new StoreProxies({ timers, failureDomain })
+    this._gate = new SubmissionGate({ timers, random, log, config, ownBacklog: team => ownTerm()?.backlogOf(team) })
   }
 
   /** Seconds after which a refused caller should retry. `callerWaitMs` is the caller's time limit for all its tries. */
@@ -67,6 +76,17 @@
     return retryAfterS({ outageMs: session.disconnectedForMs, callerWaitMs, random })
   }
 
+  /**
+   * Decides whether a submission is accepted. One that is refused must not be submitted. What an earlier call with the same id has
+   * stored is not refused, since it runs.
+   */
+  async admit (workflow: Workflow): Promise<Admission> {
+    const admission = this._gate.decide(workflow)
+    if (admission.outcome === ADMISSIONS.accepted || await this.state(workflow.id) !== 'unknownWorkflow') return { outcome: ADMISSIONS.accepted }
+    this._gate.logRefusal(workflow, admission)
+    return admission
+  }
+
   /** Stores a workflow, through a peer when this daemon cannot store it. */
   async submit (workflow: Workflow): Promise<StoreOutcome> {
     const { log, timers } = this._options
@@ -209,7 +229,7 @@
   private async _notifyScheduler (...[method, params]: [
     'workflowStored', { workflow: Workflow, revision: number }
   ] | ['workflowCancelled', { id: string }]): Promise<void> {
-    const { session, transport, ownTerm, log } = this._options
+    const { session, transport, ownTerm, log, timers } = this._options
     const term = ownTerm()
     if (term) {
       if (method === 'workflowStored') term.addWorkflow(params.workflow, params.revision)
@@ -219,11 +239,17 @@
     const { leader } = session
     // Without a notification, the scheduler gets the change from its watch of the store.
     if (!leader || leader.vm === this._options.vm) return
+    const sentMs = timers.now()
     const notified = await transport.call(leader.vm, method, params, SCHEDULER_TIMEOUT_MS)
+    if (method === 'workflowStored' && notified.isOk) this._noteBacklog(params.workflow, notified.value, sentMs)
     if (notified.isErr) this._noteSchedulerFailure(leader.epoch, notified.error)
     if (notified.isErr) log.event('warn', 'scheduler.not.told', { step: method, peer: leader.vm, detail: notified.error.message })
   }
 
+  private _noteBacklog ({ team }: Workflow, { backlog }: { backlog?: TeamBacklog }, sentMs: number): void {
+    if (team !== undefined && backlog) this._gate.note(team, backlog, sentMs)
+  }
+
   /** Starts an election when the scheduler refused the connection: its process has ended, and its lease need not be awaited. */
   private _noteSchedulerFailure (epoch: number, err: CallError): void {
     if (isConnectionRefused(err)) this._options.session.noteLeaderRefusedConnection(epoch)
--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -56,7 +56,7 @@
 /** Creates an app for callers on top of the given methods of the service. */
 function app (service: Partial<WorkflowService>, options: Partial<FrontOptions> = {}): ReturnType<typeof frontApp> {
   return frontApp({
-    service: service as WorkflowService,
+    service: { admit: async () => ({ outcome: 'accepted' }), ...service } as WorkflowService,
     config: () => CONFIG,
     timers: new SystemTimers(),
     log: SILENT_LOG,
@@ -130,6 +130,16 @@
   t.same(queues, ['short', 'long'])
 })
 
+t.test('a job that its team cannot be served is refused before it is stored, with its own retry delay', async t => {
+  const target = app({
+    admit: async () => ({ outcome: 'backlog', detail: 'too many wait', retryAfterMs: 2_100 }), submit: async () => { throw new Error('was stored') }
+  })
+  const res = await send(target, 'POST', `/q/${ID}`, BODY)
+  t.equal(res.status, 429)
+  t.equal(res.headers.get('retry-after'), '3')
+  t.match(await res.json(), { error: /has not run/ })
+})
+
 t.test('a job that was not stored is refused with a retry delay, and an unknown outcome is reported as unknown', async t => {
   const retryAfterS = (deadlineMs: number | undefined): number => deadlineMs === undefined ? 2 : deadlineMs / 1_000
   const target = app({ submit: async () => 'notStored', retryAfterS })
--- a/tests/platform/credentials.test.ts
+++ b/tests/platform/credentials.test.ts
@@ -53,6 +53,7 @@
   const configuration = { config: decoded(storedText(1, [KEY])), proofAgeMs: 0, renewFromStore: () => undefined }
   const app = frontApp({
     service: {
+      admit: async () => ({ outcome: 'accepted' }),
       submit: async workflow => { stored.push(workflow.team); return 'stored' },
       state: async () => ({ state: 'running' }),
       cancel: async () => { stored.push('cancelled'); return 'cancelled' },
