Give up a task whose runs crash their workers at similar ages, also when in doubt

A task that crashes its worker over 400 ms after its start cost six workers before its job was given up, or any number, when other causes were likely (BUDGET; the rule allows five).

Cause: a doubtful crash under an older run weighed nothing and was not even recorded, nor was any crash after 10 s. Two tasks that crash their workers at the same moments start together again, and excuse each other for ever.

Change: such a crash is recorded with a weight of 1/10, except for services after 10 s. Five runs that ended with their workers at similar ages give a task up, whatever their weights: it is the task that ends after the same time again and again, while crashes by other causes come at any age. A gang that loses many workers at once has lost one run. The length of a trial leaves such records out.

Ruled out: a plain limit of five crashes.

--- a/packages/pomelofold/src/crashes/crashEvidence.ts
+++ b/packages/pomelofold/src/crashes/crashEvidence.ts
@@ -13,7 +13,7 @@
 
 /** Age of a run up to which a crash of its worker is blamed on its start, in milliseconds: covers the delay of the detection. */
 export const YOUNG_RUN_MS = 400
-/** Age of a run from which a crash of its worker is no evidence against its task, in milliseconds. */
+/** Age of a run from which a crash of its worker is slight evidence against its task at most, in milliseconds. */
 const EVIDENCE_AGE_MAX_MS = 10_000
 /** Shortest trial, in milliseconds. A longer one exceeds the ages of the former runs by this time, and by `TRIAL_AGE_FACTOR`. */
 const TRIAL_MIN_MS = 500
@@ -21,6 +21,13 @@
 /** Total weight from which a task is suspected, and from which it is given up. */
 const SUSPECT_WEIGHT = 1
 const GIVE_UP_WEIGHT = 3
+/** Weight of a crash that is likely to have another cause and came some time after the start. */
+export const SLIGHT_WEIGHT = 0.1
+/** Number of runs that have ended with their workers at similar ages from which a task is given up, even if each is doubtful. */
+const GIVE_UP_RUNS = 5
+/** Longest of these ages: the shortest one times `SIMILAR_AGE_FACTOR`, and this many milliseconds. */
+const SIMILAR_AGE_FACTOR = 1.25
+const SIMILAR_AGE_MS = 250
 
 /** Situations of a run at the crash of its worker, with the weight of the crash when nothing else explains it, and else. */
 const CRASH_WEIGHTS = {
@@ -31,7 +38,7 @@
   /** The run had just started. */
   young: { unexplained: 1, doubtful: 0.5 },
   /** The run had been at work for some time. */
-  settled: { unexplained: 0.5, doubtful: 0 }
+  settled: { unexplained: 0.5, doubtful: SLIGHT_WEIGHT }
 } as const
 
 /** One of the situations of {@link CRASH_WEIGHTS}. */
@@ -44,6 +51,8 @@
   onTrial: boolean
   /** True when the crash is likely to have another cause. */
   doubtful: boolean
+  /** True for a service: in the course of time it loses any number of workers. */
+  longRunning: boolean
 }
 
 /** What the crashes of its workers say about a task. */
@@ -53,8 +62,8 @@
 export type Verdict = typeof VERDICTS[keyof typeof VERDICTS]
 
 /** Weight of a crash as evidence against the task of one of the worker's runs; 0 for none. */
-export function crashWeight (earlier: CrashRecord[], { ageMs, onTrial, doubtful }: CrashSituation): number {
-  if (ageMs > EVIDENCE_AGE_MAX_MS && !onTrial) return 0
+export function crashWeight (earlier: CrashRecord[], { ageMs, onTrial, doubtful, longRunning }: CrashSituation): number {
+  if (ageMs > EVIDENCE_AGE_MAX_MS && !onTrial) return longRunning ? 0 : SLIGHT_WEIGHT
   const young = ageMs <= YOUNG_RUN_MS
   const same = young && earlier.some(crash => crash.ageMs <= YOUNG_RUN_MS)
   return weightOf(onTrial ? same ? 'sameOnTrial' : 'onTrial' : young ? 'young' : 'settled', { doubtful })
@@ -68,13 +77,23 @@
 /** Verdict on a task after these crashes. */
 export function judge (crashes: CrashRecord[]): Verdict {
   const weight = crashes.reduce((sum, crash) => sum + crash.weight, 0)
-  if (weight >= GIVE_UP_WEIGHT) return VERDICTS.givenUp
+  if (weight >= GIVE_UP_WEIGHT || runsOfSimilarAge(crashes) >= GIVE_UP_RUNS) return VERDICTS.givenUp
   return weight >= SUSPECT_WEIGHT ? VERDICTS.suspect : VERDICTS.clear
 }
 
+/** Largest number of runs that have ended with their workers at similar ages. */
+function runsOfSimilarAge (crashes: CrashRecord[]): number {
+  const counts = crashes.map(({ ageMs: shortestMs }) => {
+    const similar = crashes.filter(({ ageMs }) => ageMs >= shortestMs && ageMs <= SIMILAR_AGE_FACTOR * shortestMs + SIMILAR_AGE_MS)
+    return new Set(similar.flatMap(({ attempt }) => attempt ?? [])).size
+  })
+  return Math.max(0, ...counts)
+}
+
 /** Time for which a suspected task has to run on trial until it is cleared, in milliseconds. */
 export function trialMs (crashes: CrashRecord[]): number {
-  return TRIAL_MIN_MS + TRIAL_AGE_FACTOR * Math.max(0, ...crashes.map(({ ageMs }) => ageMs))
+  const ages = crashes.filter(({ weight }) => weight > SLIGHT_WEIGHT).map(({ ageMs }) => ageMs)
+  return TRIAL_MIN_MS + TRIAL_AGE_FACTOR * Math.max(0, ...ages)
 }
 
 /** Describes the crashes for the caller whose job is given up. */
--- a/packages/pomelofold/src/protocol/crashes.ts
+++ b/packages/pomelofold/src/protocol/crashes.ts
@@ -10,6 +10,8 @@
 export const crashRecordSchema = z.object({
   /** Name of the worker. */
   worker: z.string(),
+  /** Attempt whose run ended with the worker; absent when it is not known. */
+  attempt: z.number().int().positive().optional(),
   /** Date of the crash, in milliseconds since the Unix epoch. */
   atMs: z.number(),
   /** Time from the start of the run until the loss of its worker was noticed, in milliseconds. */
--- a/packages/pomelofold/src/tasks/jobs/crashTrials.ts
+++ b/packages/pomelofold/src/tasks/jobs/crashTrials.ts
@@ -7,7 +7,7 @@
  * @module
  */
 
-import { describeCrashes, judge, trialMs, VERDICTS, weightOf } from '../../crashes/crashEvidence.js'
+import { describeCrashes, judge, SLIGHT_WEIGHT, trialMs, VERDICTS, weightOf } from '../../crashes/crashEvidence.js'
 import type { CrashRecord } from '../../protocol/crashes.js'
 import type { Timers } from '../../seams/timers.js'
 import type { EventLog } from '../../utils/eventLog.js'
@@ -110,7 +110,7 @@
     const weight = weightOf(onTrial ? 'sameOnTrial' : alone ? 'young' : 'settled', { doubtful })
     // Members of a gang on the same worker share one record.
     const atMs = Math.round(timers.wallClock())
-    if (weight === 0 || earlier.some(crash => crash.worker === run.worker && crash.atMs === atMs)) return
+    if (weight === SLIGHT_WEIGHT || earlier.some(crash => crash.worker === run.worker && crash.atMs === atMs)) return
     const crashes = [...earlier, { worker: run.worker, atMs, ageMs: Math.round(timers.now() - run.sentAtMs), weight }]
     job.crashes.set(unit, crashes)
     log.event('warn', 'jobs.crashEvidence', {
--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -7,7 +7,7 @@
 
 import type { WorkerSession } from './workerSession.js'
 import { RUN_STATES, TASK_STATES, type Run, type Task, type WorkflowRuntime } from './workflowRuntime.js'
-import { crashWeight, describeCrashes, judge, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from '../crashes/crashEvidence.js'
+import { crashWeight, describeCrashes, judge, SLIGHT_WEIGHT, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from '../crashes/crashEvidence.js'
 import type { CrashRecord } from '../protocol/crashes.js'
 import type { Timers } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
@@ -186,11 +186,14 @@
     const onTrial = this._trials.get(session)?.has(run) ?? false
     // A start that timed out may not have been carried out at all.
     const isStartUnknown = run.startConfirmedMs === undefined && run.unansweredMs !== undefined && !run.startBroken
-    const weight = crashWeight(crashUnit.crashes, { ageMs, onTrial, doubtful: doubtful || isStartUnknown })
-    if (weight === 0) return
+    const { longRunning } = task.step.spec
+    const weight = crashWeight(crashUnit.crashes, { ageMs, onTrial, doubtful: doubtful || isStartUnknown, longRunning })
+    // A gang that loses many workers at once has lost one run.
+    const isCounted = crashUnit.crashes.some(({ attempt }) => attempt === run.attempt)
+    if (weight === 0 || (weight === SLIGHT_WEIGHT && isCounted)) return
     const before = judge(crashUnit.crashes)
     const atMs = Math.round(timers.wallClock())
-    const record: CrashRecord = { worker: session.incarnation, atMs, ageMs: Math.round(ageMs), weight }
+    const record: CrashRecord = { worker: session.incarnation, attempt: run.attempt, atMs, ageMs: Math.round(ageMs), weight }
     crashUnit.crashes = [...crashUnit.crashes, record]
     const verdict = judge(crashUnit.crashes)
     this._options.onChanged(workflow)
--- a/tests/workflows/crashes.test.ts
+++ b/tests/workflows/crashes.test.ts
@@ -6,6 +6,8 @@
 
 import t from 'tap'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import { crashWeight, judge } from 'pomelofold/crashes/crashEvidence'
+import type { CrashRecord } from 'pomelofold/protocol/crashes'
 import type { WorkflowStep } from 'pomelofold/protocol/workflows'
 import { WorkflowCell, type WorkflowCellOptions } from './workflowCell.js'
 
@@ -14,6 +16,9 @@
 /** Number of starts of a task after three crashes of its workers that break the users' rule. */
 const FORBIDDEN_STARTS = 3
 
+/** The same when other causes are likely: three crashes and two starts more. */
+const MAX_DOUBTFUL_CRASHES = 5
+
 /** Id of the first job of a cell. */
 const CRASHING_JOB = '1'.padStart(16, '0')
 
@@ -131,6 +136,53 @@
   }
 })
 
+// Guards against a task that crashes worker after worker while each crash may have another cause (BUDGET).
+t.test('the verdict on a task that crashes its workers comes within five crashes, whichever of them are doubtful', t => {
+  const patterns = Array.from({ length: 2 ** MAX_DOUBTFUL_CRASHES }, (_, bits) => (index: number) => (bits >> index) % 2 === 1)
+  for (const ageMs of [100, 2_000, 20_000]) {
+    for (const isDoubtful of patterns) {
+      const crashes: CrashRecord[] = []
+      for (let attempt = 1; judge(crashes) !== 'givenUp' && attempt <= 20; attempt++) {
+        const onTrial = crashes.length > 0 && judge(crashes) === 'suspect'
+        const weight = crashWeight(crashes, { ageMs, onTrial, doubtful: isDoubtful(attempt - 1), longRunning: false })
+        if (weight > 0) crashes.push({ worker: `w${attempt}`, attempt, atMs: attempt, ageMs, weight })
+        else if (attempt === 20) t.fail(`${ageMs} ms after the start: no verdict after 20 crashes`)
+      }
+      if (crashes.length > MAX_DOUBTFUL_CRASHES) t.fail(`${ageMs} ms after the start: ${crashes.length} crashes`)
+    }
+  }
+  t.end()
+})
+
+// Guards against the same, as it happens when two tasks crash their workers seconds after they have started together.
+t.test('two tasks that crash their workers at the same moments are given up, however late after their start', async t => {
+  for (const afterMs of [600, 12_000]) {
+    for (const speculative of [false, true]) {
+      const isCrashing = (task: string): boolean => Number.parseInt(task, 16) <= 2 && task.endsWith('.0.0.0')
+      const cell = new WorkflowCell({ workers: 8, runMs: () => 30_000, crashAfterMs: task => isCrashing(task) ? afterMs : undefined })
+      await cell.waitUntilReady()
+      const crashing = [cell.workflow([{ tasks: 1, speculative }]), cell.workflow([{ tasks: 1, speculative }])]
+      for (const workflow of crashing) await cell.submit(workflow)
+      for (const { id } of crashing) {
+        await cell.waitForState(id, 'failed', { limitMs: 20 * afterMs + 30_000 })
+        const name = `after ${afterMs} ms, speculative ${speculative}`
+        t.ok(startsAfterThirdCrash(cell, `${id}.0.0.0`) < FORBIDDEN_STARTS, `${name}: starts after the third crash`)
+      }
+    }
+  }
+})
+
+// Guards against a gang that is given up since a rack is lost with several of its workers at once.
+t.test('a gang whose workers crash together has lost one run', async t => {
+  const cell = new WorkflowCell({ workers: 12, cpuMillis: 1_000, runMs: () => 8_000 })
+  await cell.waitUntilReady()
+  const gang = cell.workflow([{ tasks: 8, gang: true }])
+  await cell.submit(gang)
+  await cell.timers.advance(3_000)
+  for (const worker of cell.workers.slice(0, 10)) cell.crashWorker(worker)
+  await cell.waitForState(gang.id, 'done')
+})
+
 // Guards against a count of crashes that starts from zero with each scheduler.
 t.test('the crashes of a task are known to the next scheduler', async t => {
   for (const speculative of [false, true]) {
