Do not excuse a crash by the task's own former one at the address

Cause: a crash at an address that has crashed within a minute is doubtful, as its machine may be unstable. In a small cell the task's own crashes made each further one doubtful.

Change: a crash is not doubtful for that reason if the last one at the address is among the recorded crashes of the task.

--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -53,8 +53,8 @@
   private readonly _trials = new Map<WorkerSession, Set<Run>>()
   /** Times at which workers were lost, by incarnation, in milliseconds of the monotonic clock. */
   private readonly _losses = new Map<string, number>()
-  /** Times of the last crashes, by address, in milliseconds of the monotonic clock. */
-  private readonly _crashedAddresses = new Map<string, number>()
+  /** Incarnations that crashed last, by address, with the times in milliseconds of the monotonic clock. */
+  private readonly _lastCrashes = new Map<string, { incarnation: string, atMs: number }>()
   private readonly _counts: CrashCounts = { crashedWorkers: 0, suspectedTasks: 0, clearedTasks: 0, givenUpTasks: 0 }
 
   constructor (options: CrashTrackerOptions) {
@@ -78,7 +78,8 @@
     this.noteLoss(session)
     this._counts.crashedWorkers++
     const repeated = this.hasCrashedLately(session)
-    this._crashedAddresses.set(session.entry.address, session.lostMs)
+    const former = this._lastCrashes.get(session.entry.address)?.incarnation
+    this._lastCrashes.set(session.entry.address, { incarnation: session.incarnation, atMs: session.lostMs })
     const runs = [...session.runs.values()].filter(run => this._mayBeCause(run))
     const youngRuns = runs.filter(wasYoungAtLoss).length
     log.event('warn', 'worker.crashed', {
@@ -90,7 +91,11 @@
       lostAtOnce: this._losses.size,
       repeated
     })
-    for (const run of runs) this._addEvidence(run, session, { doubtful: repeated || this._wereManyLostSince(run.startedMs) })
+    for (const run of runs) {
+      // A task's own former crash at the address is no excuse for it.
+      const isOwn = run.task!.crashUnit.crashes.some(({ worker }) => worker === former)
+      this._addEvidence(run, session, { doubtful: (repeated && !isOwn) || this._wereManyLostSince(run.startedMs) })
+    }
     this._trials.delete(session)
   }
 
@@ -107,7 +112,8 @@
 
   /** True when a worker at the same address has crashed in the last `UNSTABLE_ADDRESS_MS`. */
   hasCrashedLately ({ entry }: WorkerSession): boolean {
-    return this._options.timers.now() - (this._crashedAddresses.get(entry.address) ?? Number.NEGATIVE_INFINITY) < UNSTABLE_ADDRESS_MS
+    const { atMs } = this._lastCrashes.get(entry.address) ?? { atMs: Number.NEGATIVE_INFINITY }
+    return this._options.timers.now() - atMs < UNSTABLE_ADDRESS_MS
   }
 
   /** Puts a run on trial if its task is suspected. */
--- a/tests/workflows/crashes.test.ts
+++ b/tests/workflows/crashes.test.ts
@@ -154,6 +154,17 @@
   t.end()
 })
 
+// Guards against a task whose former crashes at an address make each further one there doubtful (BUDGET).
+t.test('a task that crashes the same few workers again and again is given up', async t => {
+  for (const workers of [1, 3]) {
+    for (const afterMs of [600, 5_000]) {
+      const { cell, crashing } = await cellWithCrashingTask({ workers, afterMs, ordinaryJobs: 0, runMs: () => 30_000 })
+      await cell.waitForState(crashing, 'failed', { limitMs: 90_000 })
+      t.ok(cell.crashes.length <= MAX_CRASHES, `${workers} workers, after ${afterMs} ms: ${cell.crashes.length} workers crash`)
+    }
+  }
+})
+
 // Guards against the same, as it happens when two tasks crash their workers seconds after they have started together.
 t.test('two tasks that crash their workers at the same moments are given up, however late after their start', async t => {
   for (const afterMs of [600, 12_000]) {
