Soak: teams with keys that come and go, a cap that changes and a team that floods

Half of the seeds (drawn) store teams in the configuration; --no-teams plays seeds as before, and soak.test.ts leaves them out of its earlier cases, so that these keep their meaning. Checked from what callers and workers see: no success for a key that no version held or that was withdrawn longer ago than the bound, no refusal of a key that was added longer ago than the bound, each key at each daemon after the last fault, a team's runs over all workers against the caps that may be in force, refused submissions that run, keys in logs.

--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -6,6 +6,7 @@
 
 import { Agent, request } from 'node:http'
 import type { SoakCell, SoakDaemon } from './soakCell.js'
+import { FLOODING_TEAM } from './soakTeams.js'
 import { runTimeMs } from './soakWorkers.js'
 import type { SeededRandom } from '@pomelofold/standins/seededRandom'
 
@@ -16,6 +17,9 @@
 /** Longest pause between two jobs, and pause after the first refused submission, in milliseconds. */
 const SUBMIT_PAUSE_MS = 120
 const MAX_SUBMIT_ATTEMPTS = 6
+/** Pause between the submissions of a flood, and longest time until a key is handled as expected at the end, in milliseconds. */
+const FLOOD_PERIOD_MS = 120
+const KEY_CHECK_MS = 10_000
 /** Number of jobs that a caller has open at most. */
 const MAX_OPEN_JOBS = 6
 const FINAL_STATES = new Set(['completed', 'failed', 'cancelled'])
@@ -24,6 +28,9 @@
 export interface SoakJob {
   id: string
   queue: string
+  /** Team whose keys the calls have, in soaks with teams, and the key of the submission if it is not valid. */
+  team: string | undefined
+  badKey: string | undefined
   body: string
   /** True once a submission was answered with 2xx. */
   accepted: boolean
@@ -37,6 +44,8 @@
 
 /** Answer of a daemon; status 0 when the connection ended or no answer arrived. */
 interface CallResult { status: number, body: any, sentMs?: number }
+/** Body and key of a request. */
+interface CallContent { body?: string, key?: string }
 
 /** Submits and follows jobs through random daemons. Keeps connections open until the daemon closes them. */
 export class Callers {
@@ -74,6 +83,35 @@
     }
   }
 
+  /** Submits jobs of the flooding team while it floods, whether earlier ones have ended or not. */
+  async flood (): Promise<void> {
+    while (!this._stopped) {
+      await pause(FLOOD_PERIOD_MS)
+      if (!this._cell.teams?.floods) continue
+      const job = this._newJob(FLOODING_TEAM)
+      this.jobs.push(job)
+      this._submit(job)
+    }
+  }
+
+  /** Checks at each daemon that keys are accepted and refused as the newest version says. */
+  async checkKeys (): Promise<void> {
+    for (const daemon of this._cell.daemons) {
+      for (const [key, expected] of this._cell.teams?.keysAndStatuses() ?? []) {
+        const endMs = performance.now() + KEY_CHECK_MS
+        for (;;) {
+          const { status } = await this._call(daemon, 'GET', '/quick/', { key })
+          if (status === expected) break
+          if (performance.now() > endMs) {
+            this.violations.push(`${daemon.name} answers ${status} in place of ${expected} to ${key} after the last fault`)
+            break
+          }
+          await pause(POLL_PERIOD_MS)
+        }
+      }
+    }
+  }
+
   stop (): void {
     this._stopped = true
   }
@@ -84,7 +122,7 @@
 
   /** Queries the state of a job once, at a random daemon. */
   async queryState (job: SoakJob): Promise<void> {
-    const result = await this._call(this._anyDaemon(), 'GET', `/${job.queue}/${job.id}`)
+    const result = await this._call(this._anyDaemon(), 'GET', `/${job.queue}/${job.id}`, { key: this._keyFor(job) })
     if (result.status === 410 && job.accepted) this.violations.push(`${job.id} was accepted but is unknown now`)
     if (result.status !== 200) return
     const { state } = result.body
@@ -97,7 +135,14 @@
     return job.state !== undefined && FINAL_STATES.has(job.state)
   }
 
-  private _newJob (): SoakJob {
+  /** Key for a call for a job; undefined in soaks without teams. A key that is withdrawn may be accepted for a time. */
+  private _keyFor ({ team, badKey, accepted }: SoakJob): string | undefined {
+    return accepted || !badKey ? team && this._cell.teams?.keyOfCall(team) : badKey
+  }
+
+  private _newJob (floodingTeam?: string): SoakJob {
+    const { teams } = this._cell
+    const badKey = teams?.keyOfBadJob()
     const id = this._random.hex(8)
     const queue = this._random.int(3) ? 'quick' : 'advised'
     const steps = Array.from({ length: 1 + this._random.int(3) }, (_, index) => ({
@@ -110,6 +155,8 @@
     return {
       id,
       queue,
+      team: badKey === undefined ? floodingTeam ?? teams?.anyTeam() : teams!.teamOf(badKey),
+      badKey,
       body: JSON.stringify({ spec: queue, steps }),
       accepted: false,
       refusedOnly: true,
@@ -120,9 +167,9 @@
 
   private async _submit (job: SoakJob): Promise<void> {
     for (let attempt = 0; attempt < MAX_SUBMIT_ATTEMPTS && !job.accepted; attempt++) {
-      const { status } = await this._call(this._anyDaemon(), 'POST', `/${job.queue}/${job.id}`, job.body)
+      const { status } = await this._call(this._anyDaemon(), 'POST', `/${job.queue}/${job.id}`, { body: job.body, key: this._keyFor(job) })
       if (status === 200) job.accepted = true
-      if (status !== 429 && status !== 503 && status !== 404) job.refusedOnly = false
+      if (status !== 429 && status !== 503 && status !== 404 && status !== 401) job.refusedOnly = false
       if (status === 400 || status === 500) this.violations.push(`${job.id} was answered with ${status}`)
       if (!job.accepted) await pause(SUBMIT_PAUSE_MS * (1 + attempt))
     }
@@ -134,7 +181,7 @@
       await pause(POLL_PERIOD_MS)
       if (cancels && polls === 2) {
         job.cancelled = true
-        await this._call(this._anyDaemon(), 'DELETE', `/${job.queue}/${job.id}`)
+        await this._call(this._anyDaemon(), 'DELETE', `/${job.queue}/${job.id}`, { key: this._keyFor(job) })
       }
       await this.queryState(job)
     }
@@ -144,11 +191,14 @@
     return this._cell.daemons[this._random.int(this._cell.daemons.length)]
   }
 
-  private async _call (daemon: SoakDaemon, method: string, path: string, body?: string): Promise<CallResult> {
+  private async _call (daemon: SoakDaemon, method: string, path: string, content: CallContent): Promise<CallResult> {
     const { disruptionCount } = daemon
+    const { teams, timers } = this._cell
+    const sentMs = timers.now()
     // A process that is paused or killed reads nothing.
     const disturbed = daemon.paused || daemon.killed
-    const result = await this._send(daemon, method, path, body)
+    const result = await this._send(daemon, method, path, content)
+    if (content.key) teams?.checkAnswer(content.key, { sentMs, status: result.status, what: `${method} ${path} at ${daemon.name}` })
     const key = `${method} ${result.status}`
     this.counts[key] = (this.counts[key] ?? 0) + 1
     // A daemon that shuts down after SIGTERM still answers the requests that it has read.
@@ -161,9 +211,14 @@
     return result
   }
 
-  private _send (daemon: SoakDaemon, method: string, path: string, body?: string): Promise<CallResult> {
+  private _send (daemon: SoakDaemon, method: string, path: string, { body, key }: CallContent): Promise<CallResult> {
     return new Promise(resolve => {
-      const headers = { host: 'cell', 'x-pomelofold-deadline-ms': String(CALL_TIMEOUT_MS), ...(body && { 'content-length': Buffer.byteLength(body) }) }
+      const headers = {
+        host: 'cell',
+        'x-pomelofold-deadline-ms': String(CALL_TIMEOUT_MS),
+        ...(key && { authorization: `Bearer ${key}` }),
+        ...(body && { 'content-length': Buffer.byteLength(body) })
+      }
       const options = { ...this._cell.frontAddress(daemon), method, path, headers, agent: this._agent, timeout: CALL_TIMEOUT_MS }
       const req = request(options, async res => {
         try {
--- a/tests/soak/faultProxy.ts
+++ b/tests/soak/faultProxy.ts
@@ -52,6 +52,10 @@
     await once(this._server, 'listening')
   }
 
+  get fault (): LinkFault {
+    return this._fault
+  }
+
   /** Sets the fault for open and for new connections. */
   setFault (fault: LinkFault): void {
     if (this._closed) return
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -153,6 +153,18 @@
   keeps: async () => {}
 }
 
+/** Changes of teams, by name, in soaks with teams. They overlap with the other faults. */
+const TEAM_FAULTS: Record<string, Fault> = {
+  keyAdded: async ({ cell }) => { cell.teams!.addKey(); cell.configure() },
+  keyWithdrawn: async ({ cell }) => { cell.teams!.withdrawKey(); cell.configure() },
+  capChanges: async ({ cell }) => { cell.teams!.changeCap(); cell.configure() },
+  floods: async ({ cell, random }) => {
+    cell.teams!.floods++
+    await waitFaultDuration(random)
+    cell.teams!.floods--
+  }
+}
+
 /** Faults of calls to workers, and of workers that leave or restart, by name. They overlap with {@link CELL_FAULTS}. */
 const WORKER_FAULTS: Record<string, Fault> = {
   workerRefuses: context => disturbCalls(context, { refused: 0.4 }),
@@ -181,11 +193,16 @@
   }
 }
 
-const FAULTS: Record<string, Fault> = { ...CELL_FAULTS, ...WORKER_FAULTS, ...CAPACITY_FAULTS }
+const FAULTS: Record<string, Fault> = { ...CELL_FAULTS, ...WORKER_FAULTS, ...CAPACITY_FAULTS, ...TEAM_FAULTS }
 
-/** Plans a series of faults of the cell and, unless they are left out, one of its workers and one of their capacities. */
-export function planFaults (seed: number, faultsMs: number, { workerFaults = true, capacityFaults = true } = {}): PlannedFault[][] {
-  return [CELL_FAULTS, ...(workerFaults ? [WORKER_FAULTS] : []), ...(capacityFaults ? [CAPACITY_FAULTS] : [])].map((faults, index) => {
+/** Plans a series of faults of the cell and, unless they are left out, of its workers, of their capacities and of the teams. */
+export function planFaults (
+  seed: number, faultsMs: number, { workerFaults = true, capacityFaults = true, teams = false } = {}
+): PlannedFault[][] {
+  const kinds: Array<[boolean, Record<string, Fault>]> = [
+    [true, CELL_FAULTS], [workerFaults, WORKER_FAULTS], [capacityFaults, CAPACITY_FAULTS], [teams, TEAM_FAULTS]
+  ]
+  return kinds.filter(([included]) => included).map(([, faults], index) => {
     return planSeries(new SeededRandom(seed + SEED_STEP * index), Object.keys(faults), faultsMs)
   })
 }
--- a/tests/soak/run.ts
+++ b/tests/soak/run.ts
@@ -1,6 +1,6 @@
 /**
  * Runs soaks from the command line:
- * `npm run soak -- --seeds 1-50 [--seconds 20] [--daemons 4] [--workers 5] [--jobs 3] [--no-deadly-jobs]`.
+ * `npm run soak -- --seeds 1-50 [--seconds 20] [--daemons 4] [--workers 5] [--jobs 3] [--no-deadly-jobs] [--no-teams]`.
  * Logs of each seed are kept under `target/soak/SEED`. Exits with 1 when a guarantee was violated.
  *
  * @module
@@ -21,8 +21,9 @@
   .option('--workers <n>', 'number of workers', '5')
   .option('--jobs <n>', 'soaks that run at the same time', '3')
   .option('--no-deadly-jobs', 'no tasks that crash their workers, and no changes of capacity')
+  .option('--no-teams', 'no teams; without it, half of the seeds have them')
   .parse()
-const options = program.opts<{ seeds: string, seconds: string, daemons: string, workers: string, jobs: string, deadlyJobs: boolean }>()
+const options = program.opts<Record<'seeds' | 'seconds' | 'daemons' | 'workers' | 'jobs', string> & Record<'deadlyJobs' | 'teams', boolean>>()
 const [first, last = first] = options.seeds.split('-').map(Number)
 const seeds = Array.from({ length: last - first + 1 }, (_, index) => first + index)
 let failed = 0
@@ -40,6 +41,7 @@
       daemons: Number(options.daemons),
       workers: Number(options.workers),
       deadlyJobs: options.deadlyJobs,
+      teams: options.teams ? undefined : false,
       dir,
       networkPrefix: `127.${100 + lane}.${process.pid % 250}`
     })
--- a/tests/soak/runChecks.ts
+++ b/tests/soak/runChecks.ts
@@ -1,5 +1,6 @@
 /**
- * Checks the workers' own records of runs: no task runs twice, and no worker has more running than its capacity.
+ * Checks the workers' own records of runs: no task runs twice, no worker has more running than its capacity, and no team more than
+ * its cap.
  *
  * @module
  */
@@ -7,6 +8,7 @@
 import type { RunRecord } from '@pomelofold/standins/leasedWorker'
 import { findRunViolations } from '../workflows/runViolations.js'
 import type { SoakJob } from './callers.js'
+import type { SoakTeams } from './soakTeams.js'
 import { WORKER_CAPACITY, type SoakWorkers } from './soakWorkers.js'
 import type { StartOrigin } from './workerServer.js'
 
@@ -15,22 +17,24 @@
   violations: string[]
   /** Number of starts that filled their worker by nine tenths or more. */
   fillingStarts: number
+  /** Number of starts of teams with caps that brought their team to nine tenths of what it may have running, or more. */
+  startsNearCap: number
 }
 
-/** A start and what its worker had running with it. */
-interface Load { cause: RunRecord, runs: RunRecord[], cpuMillis: number, memoryMb: number }
+/** A start and what its worker, or its team, had running with it. */
+interface Load { cause: RunRecord, runs: RunRecord[], size: number, cpuMillis: number, memoryMb: number }
 
 const NEARLY_FULL = 0.9
 /** Number of starts of a task by one scheduler, after three workers have crashed under it, that break the users' rule. */
 const FORBIDDEN_STARTS = 3
 
 /** Checks the records of all workers. */
-export function checkRuns (workers: SoakWorkers, jobs: SoakJob[]): RunFindings {
+export function checkRuns (workers: SoakWorkers, jobs: SoakJob[], teams?: SoakTeams): RunFindings {
   const { records, incarnations, orders } = workers
   const origins = new Map(orders.origins.map(origin => [origin.record, origin]))
-  const loads = loadsAtStarts(records, jobs)
+  const loads = loadsAtStarts(records, jobs, ({ worker }) => worker)
   const fillingStarts = loads.filter(load => fillOf(load) >= NEARLY_FULL).length
-  const found: RunFindings = { violations: [], fillingStarts }
+  const found: RunFindings = { violations: [], fillingStarts, startsNearCap: 0 }
   const add = (text: string, runs: RunRecord[], cause: RunRecord): void => {
     const note = isFromReplacedLeader(origins.get(cause)) ? ' (a late start of a replaced leader at a later incarnation)' : ''
     found.violations.push([text + note, ...runs.map(run => describe(run, origins.get(run)))].join('; '))
@@ -40,6 +44,17 @@
     const { cause, runs, cpuMillis, memoryMb } = load
     add(`${cause.worker} was overfilled by ${cause.task}#${cause.attempt}: cpu ${cpuMillis}, memory ${memoryMb}`, runs, cause)
   }
+  const teamsByJob = new Map(jobs.map(({ id, team }) => [id, team]))
+  const teamOf = ({ task }: RunRecord): string | undefined => teamsByJob.get(task.split('.')[0])
+  for (const { cause, runs, cpuMillis, size } of teams ? loadsAtStarts(records, jobs, teamOf) : []) {
+    const team = teamOf(cause)
+    const { startMs } = cause
+    if (team === undefined) continue
+    const sentMs = startMs - (origins.get(cause)?.lateMs ?? 0)
+    const allowed = teams!.allowedCpuMillis(team, { sentMs, startMs, size })
+    if (cpuMillis >= NEARLY_FULL * (allowed - size)) found.startsNearCap++
+    if (cpuMillis > allowed) add(`team ${team} has cpu ${cpuMillis} in place of at most ${allowed} with ${cause.task}#${cause.attempt}`, runs, cause)
+  }
   for (const [task, starts] of startsAfterThirdCrash(records.filter(({ task }) => workers.isDeadly(task)))) {
     const byEpoch = new Map<number | undefined, RunRecord[]>()
     for (const start of starts) {
@@ -68,17 +83,18 @@
   return origin !== undefined && origin.replaced && origin.lateMs > 0 && origin.sentToBornMs !== origin.bornMs
 }
 
-/** Load of the worker after each start. */
-function loadsAtStarts (records: RunRecord[], jobs: SoakJob[]): Load[] {
+/** Load of the worker, or of the other group of each run, after each start. */
+function loadsAtStarts (records: RunRecord[], jobs: SoakJob[], groupOf: (run: RunRecord) => string | undefined): Load[] {
   const stepsByJob = new Map(jobs.map(({ id, body }) => [id, JSON.parse(body).steps as Array<{ cpu: number, mem_mb: number }>]))
   const stepOf = ({ task }: RunRecord): { cpu: number, mem_mb: number } => {
     const [id,, step] = task.split('.')
     return stepsByJob.get(id)![Number(step)]
   }
   return records.map((cause, index) => {
-    const runs = records.slice(0, index + 1).filter(run => run.worker === cause.worker && run.endMs > cause.startMs)
+    const runs = records.slice(0, index + 1).filter(run => groupOf(run) === groupOf(cause) && run.endMs > cause.startMs)
     const steps = runs.map(stepOf)
-    return { cause, runs, cpuMillis: sum(steps.map(({ cpu }) => cpu)), memoryMb: sum(steps.map(step => step.mem_mb)) }
+    const [cpuMillis, memoryMb] = [sum(steps.map(({ cpu }) => cpu)), sum(steps.map(step => step.mem_mb))]
+    return { cause, runs, size: stepOf(cause).cpu, cpuMillis, memoryMb }
   })
 }
 
--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -10,9 +10,10 @@
  * failed; seed 1 never failed.
  */
 const CASES = [
-  ...[1, 4, 7, 8, 32, 55].map(seed => ({ seed, workerFaults: false, deadlyJobs: false })),
-  ...[37885, 32, 706].map(seed => ({ seed, workerFaults: true, deadlyJobs: false })),
-  { seed: 3, workerFaults: true, deadlyJobs: true }
+  ...[1, 4, 7, 8, 32, 55].map(seed => ({ seed, workerFaults: false, deadlyJobs: false, teams: false })),
+  ...[37885, 32, 706].map(seed => ({ seed, workerFaults: true, deadlyJobs: false, teams: false })),
+  { seed: 3, workerFaults: true, deadlyJobs: true, teams: false },
+  { seed: 3003, workerFaults: true, deadlyJobs: true, teams: true }
 ]
 /** Time during which faults start, in milliseconds. */
 const FAULTS_MS = 8_000
@@ -26,12 +27,13 @@
 const dir = mkdtempSync(join(tmpdir(), 'pomelofold-soak-'))
 t.jobs = CELLS_AT_ONCE
 
-for (const [index, { seed, workerFaults, deadlyJobs }] of CASES.entries()) {
-  t.test(`soak: guarantees hold under the faults of ${workerFaults ? 'cell and workers' : 'the cell'}${deadlyJobs ? ', with tasks that crash workers' : ''}, seed ${seed}`, { buffered: true }, async t => {
-    const { violations, accepted, runs, fillingStarts } = await soak({
-      seed, faultsMs: FAULTS_MS, workerFaults, deadlyJobs, dir: join(dir, String(index)), networkPrefix: `127.${90 + index}.${process.pid % 250}`
+for (const [index, { seed, workerFaults, deadlyJobs, teams }] of CASES.entries()) {
+  t.test(`soak: guarantees hold under the faults of ${workerFaults ? 'cell and workers' : 'the cell'}${deadlyJobs ? ', with tasks that crash workers' : ''}${teams ? ', with teams' : ''}, seed ${seed}`, { buffered: true }, async t => {
+    const { violations, accepted, runs, fillingStarts, teams: teamFindings } = await soak({
+      seed, faultsMs: FAULTS_MS, workerFaults, deadlyJobs, teams, dir: join(dir, String(index)), networkPrefix: `127.${90 + index}.${process.pid % 250}`
     })
     t.same(violations, [], `seed ${seed}, logs in ${dir}/${index}`)
     t.ok(accepted > 0 && runs > 0 && fillingStarts > 0)
+    if (teams) t.ok(teamFindings!.refusedCalls > 0 && teamFindings!.startsNearCap > 0)
   })
 }
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -10,6 +10,7 @@
 import { injectFaults, planFaults } from './faults.js'
 import { checkRuns } from './runChecks.js'
 import { SoakCell } from './soakCell.js'
+import { hasTeams, KEY_BOUNDS } from './soakTeams.js'
 
 /**
  * Longest time until a job is accepted before the first fault, until a new job is accepted after the last one, and until every
@@ -29,6 +30,8 @@
   workerFaults?: boolean
   /** False to leave out tasks that crash their workers and changes of capacity. */
   deadlyJobs?: boolean
+  /** Whether the configuration names teams, whose keys and caps change. Drawn from the seed when left out. */
+  teams?: boolean
   /** Directory for the daemons' logs and settings. */
   dir: string
   /** First three bytes of the IPv4 addresses, of a loopback network that nothing else uses. */
@@ -52,6 +55,8 @@
   deadlyJobs: number
   /** Number of starts that filled their worker by nine tenths or more. */
   fillingStarts: number
+  /** Undefined without teams: number of calls refused for their keys, and of starts near the cap of their team. */
+  teams: { refusedCalls: number, startsNearCap: number } | undefined
   /** Number of disturbed calls and refused orders at workers. */
   orders: Record<string, number>
   /** Number of calls by method and status. */
@@ -60,25 +65,32 @@
 
 /** Runs one soak. */
 export async function soak (
-  { seed, faultsMs, daemons = 4, workers = 5, workerFaults, deadlyJobs = true, dir, networkPrefix }: SoakOptions
+  { seed, faultsMs, daemons = 4, workers = 5, workerFaults, deadlyJobs = true, teams = hasTeams(seed), dir, networkPrefix }: SoakOptions
 ): Promise<SoakReport> {
-  const series = planFaults(seed, faultsMs, { workerFaults, capacityFaults: deadlyJobs })
-  const cell = new SoakCell({ dir, networkPrefix, seed, deadlyJobs })
+  const series = planFaults(seed, faultsMs, { workerFaults, capacityFaults: deadlyJobs, teams })
+  const cell = new SoakCell({ dir, networkPrefix, seed, deadlyJobs, teams })
   const callers = new Callers({ cell, random: new SeededRandom(seed) })
   try {
     await cell.start({ daemons, workers })
     for (let caller = 0; caller < CALLER_COUNT; caller++) callers.run()
+    if (teams) callers.flood()
     // Faults begin in a cell that serves, however long its processes take to start.
     const notServed = await waitForAcceptance(callers, { what: 'before the first fault' })
     await injectFaults(cell, { seed, series })
+    if (cell.teams?.restoreCap()) cell.configure()
     notServed.push(...await waitForAcceptance(callers, { what: 'after the last fault', after: callers.jobs.length }))
     callers.stop()
     const unfinished = await waitForRecovery(cell, callers)
     await waitForLateOrders(cell)
+    if (teams) {
+      await pause(Math.max(KEY_BOUNDS.revokeMs, KEY_BOUNDS.applyMs))
+      await callers.checkKeys()
+    }
     const { records, orders } = cell.workers
-    const runs = checkRuns(cell.workers, callers.jobs)
+    const runs = checkRuns(cell.workers, callers.jobs, cell.teams)
     const violations = [
-      ...runs.violations, ...callers.violations, ...cell.violations, ...notServed, ...unfinished, ...falseStates(cell, callers)
+      ...runs.violations, ...callers.violations, ...cell.violations, ...notServed, ...unfinished, ...falseStates(cell, callers),
+      ...cell.teams?.violations ?? [], ...cell.keysInLogs()
     ]
     const late = orders.origins.filter(({ lateMs }) => lateMs > 0)
     const lateAtNext = late.filter(({ sentToBornMs, bornMs }) => sentToBornMs !== bornMs)
@@ -94,6 +106,7 @@
       lateAfterFirstCall: lateAtNext.filter(({ first }) => !first).length,
       deadlyJobs: callers.jobs.filter(job => job.accepted && cell.workers.isDeadly(job.id)).length,
       fillingStarts: runs.fillingStarts,
+      teams: cell.teams && { refusedCalls: cell.teams.refusedCalls, startsNearCap: runs.startsNearCap },
       orders: orders.counts,
       counts: callers.counts
     }
--- a/tests/soak/soakCell.ts
+++ b/tests/soak/soakCell.ts
@@ -9,7 +9,8 @@
 import { join } from 'node:path'
 import { SystemTimers } from 'pomelofold/edge/systemTimers'
 import { delay, type TimerSubscription } from 'pomelofold/seams/timers'
-import { FaultProxy } from './faultProxy.js'
+import { FaultProxy, LINK_FAULTS } from './faultProxy.js'
+import { KEY_BOUNDS, SoakTeams } from './soakTeams.js'
 import { ENTRY_RENEWAL_PERIOD_MS, SoakWorkers, TICKET_VALID_MS } from './soakWorkers.js'
 import { JsonServer, StoreServer } from './standins.js'
 import { MAX_LEASE_MS } from './workerServer.js'
@@ -93,6 +94,8 @@
   readonly store = new StoreServer({ timers: this.timers })
   readonly daemons: SoakDaemon[] = []
   readonly workers: SoakWorkers
+  /** Undefined in soaks whose configuration names no teams. */
+  readonly teams: SoakTeams | undefined
   /** Descriptions of process exits that must not happen. */
   readonly violations: string[] = []
   private readonly _dir: string
@@ -100,10 +103,13 @@
   private readonly _servers: JsonServer[] = [this.store.server]
   private _configurationVersion = 0
 
-  constructor ({ dir, networkPrefix, seed, deadlyJobs }: { dir: string, networkPrefix: string, seed: number, deadlyJobs: boolean }) {
+  constructor ({ dir, networkPrefix, seed, deadlyJobs, teams }: {
+    dir: string, networkPrefix: string, seed: number, deadlyJobs: boolean, teams: boolean
+  }) {
     this._dir = dir
     this._networkPrefix = networkPrefix
     this.workers = new SoakWorkers({ timers: this.timers, store: this.store, host: `${networkPrefix}.250`, seed, deadlyJobs })
+    if (teams) this.teams = new SoakTeams({ seed, timers: this.timers, isDisturbed: () => this._isDisturbed() })
     mkdirSync(dir, { recursive: true })
     process.once('exit', this._killAll)
   }
@@ -121,7 +127,8 @@
 
   /** Writes a new version of the configuration to the store. */
   configure (): void {
-    const value = JSON.stringify({ version: ++this._configurationVersion, routes: ROUTES, services: [{ name: 'hub' }], limits: {} })
+    const tenants = this.teams?.tenants()
+    const value = JSON.stringify({ version: ++this._configurationVersion, routes: ROUTES, services: [{ name: 'hub' }], limits: {}, tenants })
     this.store.store.txn([], [{ op: 'put', key: 'op/config', value }])
   }
 
@@ -132,7 +139,8 @@
       `node_name=${name}`, `ip=${host}`, `zone=${name.split('-')[0]}`, `listen_addrs.front=${host}:${PORTS.front}`,
       `listen_addrs.ready=${host}:${PORTS.ready}`, `port_range=${PORTS.peers},${PORTS.metrics}`,
       `platform.address=${this._networkPrefix}.250:${PORTS.storeProxy + this.daemons.indexOf(daemon)}`,
-      `advice=${this._networkPrefix}.250:${PORTS.advice}`, `bounds.hold_max_ms=${MAX_LEASE_MS}`, 'bounds.status_s=120', `heartbeat_ms=${ENTRY_RENEWAL_PERIOD_MS}`, `bounds.grace_s=${SHUTDOWN_GRACE_MS / 1_000}`
+      `advice=${this._networkPrefix}.250:${PORTS.advice}`, `bounds.hold_max_ms=${MAX_LEASE_MS}`, 'bounds.status_s=120', `heartbeat_ms=${ENTRY_RENEWAL_PERIOD_MS}`, `bounds.grace_s=${SHUTDOWN_GRACE_MS / 1_000}`,
+      ...(this.teams ? [`bounds.revoke_ms=${KEY_BOUNDS.revokeMs}`, 'bounds.revoke_strict=true', `bounds.config_apply_ms=${KEY_BOUNDS.applyMs}`] : [])
     ].join('\n'))
     const child = spawn(process.execPath, [join(PROGRAM_DIR, PROGRAM_FILES[0])], { env: { PATH: process.env.PATH, POMELOFOLD_CONFIG: path }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(this._dir, `${name}.log`), { flags: 'a' })
@@ -163,6 +171,16 @@
     return { host, port: PORTS.front }
   }
 
+  /** Descriptions of keys in the daemons' logs. */
+  keysInLogs (): string[] {
+    return this.daemons.flatMap(({ name }) => this.teams?.findKeys(name, readFileSync(join(this._dir, `${name}.log`), 'utf8')) ?? [])
+  }
+
+  /** True while a daemon may not be in touch with the store. */
+  private _isDisturbed (): boolean {
+    return this.store.fault !== 'none' || this.daemons.some(({ paused, link }) => paused || link.fault !== LINK_FAULTS.none)
+  }
+
   /** Kills the daemons, also when this process exits before the cell is closed. */
   private readonly _killAll = (): void => {
     for (const daemon of this.daemons) this.signal(daemon, 'SIGKILL')
