Backlogs of teams: a question costs the same however many workflows wait; a test of the key check after admission

Each question read the start of every waiting workflow; with 200,000 of them it ended with a RangeError. The oldest is found when the backlog is sampled. The new test failed before. The order of key check and admission in front.ts had no test: with the check before the admission, the new one fails (trial).

--- a/packages/pomelofold/src/teams/teamBacklogs.ts
+++ b/packages/pomelofold/src/teams/teamBacklogs.ts
@@ -39,6 +39,8 @@
 
 interface Account {
   waiting: Set<BacklogWorkflow>
+  /** Time at which the first of them was added, in milliseconds of the monotonic clock; infinite when none waits. */
+  oldestMs: number
   /** Number of workflows that started between the last samples, oldest first. */
   starts: number[]
 }
@@ -59,13 +61,12 @@
     const nowMs = timers.now()
     if (nowMs - this._sampledMs >= SAMPLE_PERIOD_MS) this._sample(nowMs)
     const account = this._accounts.get(team)
-    const oldestMs = Math.min(nowMs, ...[...account?.waiting ?? []].map(({ addedMs }) => addedMs))
     const starts = account?.starts.reduce((sum, count) => sum + count, 0) ?? 0
     return {
       beyondBudget: isExhausted(team),
       waiting: account?.waiting.size ?? 0,
       startsPerS: starts / RATE_SAMPLES / SAMPLE_PERIOD_MS * MS_PER_S,
-      oldestWaitMs: nowMs - oldestMs
+      oldestWaitMs: Math.max(0, nowMs - (account?.oldestMs ?? nowMs))
     }
   }
 
@@ -82,12 +83,16 @@
       if (others) others.add(workflow)
       else waiting.set(team, new Set([workflow]))
     }
-    for (const team of waiting.keys()) if (!this._accounts.has(team)) this._accounts.set(team, { waiting: new Set(), starts: [] })
+    for (const team of waiting.keys()) {
+      if (!this._accounts.has(team)) this._accounts.set(team, { waiting: new Set(), oldestMs: Number.POSITIVE_INFINITY, starts: [] })
+    }
     for (const [team, account] of this._accounts) {
       const started = [...account.waiting].filter(({ state }) => state !== JOB_STATES.accepted && state !== JOB_STATES.cancelled).length
       account.starts.push(...new Array<number>(periods - 1).fill(0), started)
       account.starts.splice(0, account.starts.length - RATE_SAMPLES)
       account.waiting = waiting.get(team) ?? new Set()
+      account.oldestMs = Number.POSITIVE_INFINITY
+      for (const { addedMs } of account.waiting) account.oldestMs = Math.min(account.oldestMs, addedMs)
       if (account.waiting.size === 0 && account.starts.every(count => count === 0)) this._accounts.delete(team)
     }
   }
--- a/tests/platform/credentials.test.ts
+++ b/tests/platform/credentials.test.ts
@@ -114,6 +114,12 @@
   t.same(stored, [])
 })
 
+t.test('a submission that was paused while its admission was decided is refused, and nothing is stored', async t => {
+  const { send, configuration, stored } = setUp({ admit: async () => { configuration.proofAgeMs = 60_000; return { outcome: 'accepted' } } })
+  t.equal((await send('POST', `/q/${ID}`, { key: KEY })).status, 503)
+  t.same(stored, [])
+})
+
 t.test('a state that comes after a pause, or after the withdrawal of the key, is not told', async t => {
   const paused = setUp({ state: async () => { paused.configuration.proofAgeMs = 60_000; return { state: 'running' } } })
   t.equal((await paused.send('GET', `/q/${ID}`, { key: KEY })).status, 503)
--- a/tests/soak/soakTeams.ts
+++ b/tests/soak/soakTeams.ts
@@ -56,7 +56,7 @@
     this._timers = timers
     this._random = new SeededRandom(seed + 2 * SEED_OFFSET)
     this._isDisturbed = isDisturbed
-    for (const team of TEAMS) this.addKey(team)
+    for (const team of [...TEAMS, ...TEAMS]) this.addKey(team)
     this.changeCap()
     timers.every(SAMPLE_PERIOD_MS, () => this._endSuperseded())
   }
@@ -78,8 +78,8 @@
 
   /** Withdraws the oldest key of a team that has another one. */
   withdrawKey (): void {
-    const [key, other] = this._validKeys(this.anyTeam())
-    if (other) this._keys.get(key)!.withdrawnMs = this._timers.now()
+    const candidates = TEAMS.map(team => this._validKeys(team)).filter(keys => keys.length > 1)
+    if (candidates.length > 0) this._keys.get(candidates[this._random.int(candidates.length)][0])!.withdrawnMs = this._timers.now()
   }
 
   changeCap (): void {
--- a/tests/teams/admission.test.ts
+++ b/tests/teams/admission.test.ts
@@ -77,6 +77,20 @@
   t.same(backlogs.of('calm'), { beyondBudget: false, waiting: 0, startsPerS: 0, oldestWaitMs: 0 })
 })
 
+t.test('questions between two samples cost the same however many workflows wait', async t => {
+  const timers = new ManualTimers()
+  const record = { id: '1', team: 'flooding', submittedAtMs: 0 }
+  let reads = 0
+  const workflow = { record, isOver: false, state: JOB_STATES.accepted, get addedMs () { reads++; return 0 } }
+  const open = Array.from({ length: 200_000 }, () => Object.create(workflow) as BacklogWorkflow)
+  const backlogs = new TeamBacklogs({ timers, open: () => open, isBeyond: () => true, isExhausted: () => true })
+  t.match(backlogs.of('flooding'), { waiting: 200_000, oldestWaitMs: timers.now() })
+  const readsOfSample = reads
+  await timers.advance(100)
+  t.match(backlogs.of('flooding'), { waiting: 200_000, oldestWaitMs: timers.now() })
+  t.equal(reads, readsOfSample)
+})
+
 t.test('a workflow can usefully wait until its late objective less its critical path', async t => {
   const steps = [{ estimateMs: 1_000 }, { estimateMs: 500 }, { estimateMs: 2_000, after: [0] }, { estimateMs: 100, after: [1, 2] }]
   const workflow = cell.workflow(steps)
