--- a/packages/pomelofold/src/workflows/eligibilityQueries.ts
+++ b/packages/pomelofold/src/workflows/eligibilityQueries.ts
@@ -102,7 +102,10 @@
 
   /** Plans at most `MAX_PLANS` queries, those at the head of the order first. */
   private _queryInTurn (asking: BlockedStep[], pass: PlacementPass): void {
-    const ready = asking.filter(({ step, queue }) => (this._asksAgainMs.get(step) ?? 0) <= pass.nowMs && this._freeDaemons(queue, 1) > 0)
+    // Counted once for each queue: no call is made meanwhile.
+    const freeByQueue = new Map<QueueConfig, number>()
+    for (const { queue } of asking) if (!freeByQueue.has(queue)) freeByQueue.set(queue, this._freeDaemons(queue, 1))
+    const ready = asking.filter(({ step, queue }) => (this._asksAgainMs.get(step) ?? 0) <= pass.nowMs && freeByQueue.get(queue)! > 0)
     const withinBudget = ready.filter(({ beyondBudget }) => !beyondBudget)
     const due = withinBudget.length > 0 ? withinBudget : ready
     const withRoom = new Set(due.filter(blocked => this._mayHaveRoom(blocked, pass)))
