--- a/tests/workflows/fencingTokens.test.ts
+++ b/tests/workflows/fencingTokens.test.ts
@@ -8,6 +8,7 @@
 import Result from 'true-myth/result'
 import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import { START_REFUSALS, type OrderAnswer, type WorkerEntry } from 'pomelofold/seams/workflowUpstreams'
+import { TeamUsage } from 'pomelofold/teams/teamUsage'
 import type { CallError } from 'pomelofold/utils/errors'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 import { FencingTokens } from 'pomelofold/workflows/fencingTokens'
@@ -55,7 +56,12 @@
   const timers = new ManualTimers()
   const tokens = new FencingTokens({ epoch: EPOCH })
   const session = new WorkerSession({
-    entry: ENTRY, timers, leaseMs: 6_000, fence: tokens.fenceOf(ENTRY), longPollPolicy: { noteUnanswered: () => {} }
+    entry: ENTRY,
+    timers,
+    leaseMs: 6_000,
+    fence: tokens.fenceOf(ENTRY),
+    longPollPolicy: { noteUnanswered: () => {} },
+    teamUsage: new TeamUsage()
   } as unknown as ConstructorParameters<typeof WorkerSession>[0])
   session.noteClock(1_000)
   const sent: number[] = []
