Doubt crashes in a failure domain of which many workers are lost at once, also before the run started

Its 47 workers were found lost one after the other for 0.9 s; a task that started on two of them counted as crashing its workers, since workers that were lost before its run started were left out. Change: a crash counts as doubtful when at least four workers, and a twentieth of all, of its failure domain were lost within a second.

--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -17,6 +17,10 @@
 /** Number of workers, and share of all of them, that are many to lose at once. */
 const MANY_WORKERS_MIN = 2
 const MANY_WORKERS_SHARE = 0.05
+/** Time within which workers of a failure domain count as lost together, in milliseconds: a cut is noticed by call after call. */
+const DOMAIN_LOSS_MS = 1_000
+/** Minimum number of them. */
+const MANY_OF_DOMAIN_MIN = 4
 /** Time for which a crash at an address makes further ones there likely, in milliseconds. */
 const UNSTABLE_ADDRESS_MS = 60_000
 /** Share of the usable workers on which tasks may be on trial at once. */
@@ -53,6 +57,8 @@
   private readonly _trials = new Map<WorkerSession, Set<Run>>()
   /** Times at which workers were lost, by incarnation, in milliseconds of the monotonic clock. */
   private readonly _losses = new Map<string, number>()
+  /** Workers that were lost lately with their times, by failure domain, in milliseconds of the monotonic clock. */
+  private readonly _domainLosses = new Map<string, Map<string, number>>()
   /** Incarnations that crashed last, by address, with the times in milliseconds of the monotonic clock. */
   private readonly _lastCrashes = new Map<string, { incarnation: string, atMs: number }>()
   private readonly _counts: CrashCounts = { crashedWorkers: 0, suspectedTasks: 0, clearedTasks: 0, givenUpTasks: 0 }
@@ -67,7 +73,11 @@
   }
 
   /** Notes that a worker no longer answers. */
-  noteLoss ({ incarnation, lostMs }: WorkerSession): void {
+  noteLoss ({ incarnation, lostMs, entry: { failureDomain } }: WorkerSession): void {
+    const ofDomain = this._domainLosses.get(failureDomain) ?? new Map<string, number>()
+    this._domainLosses.set(failureDomain, ofDomain)
+    for (const [other, atMs] of ofDomain) if (lostMs - atMs > DOMAIN_LOSS_MS) ofDomain.delete(other)
+    ofDomain.set(incarnation, lostMs)
     for (const [other, atMs] of this._losses) if (lostMs - atMs > SIMULTANEOUS_MS) this._losses.delete(other)
     this._losses.set(incarnation, lostMs)
   }
@@ -94,7 +104,7 @@
     for (const run of runs) {
       // A task's own former crash at the address is no excuse for it.
       const isOwn = run.task!.crashUnit.crashes.some(({ worker }) => worker === former)
-      this._addEvidence(run, session, { doubtful: (repeated && !isOwn) || this._wereManyLostSince(run.startedMs) })
+      this._addEvidence(run, session, { doubtful: (repeated && !isOwn) || this._wereManyLostSince(run.startedMs) || this._isDomainCutOff(session) })
     }
     this._trials.delete(session)
   }
@@ -175,6 +185,12 @@
     this._options.onChanged(task.step.workflow)
   }
 
+  /** True when many workers of the failure domain were lost lately, also before the run: a device may refuse connections. */
+  private _isDomainCutOff ({ lostMs, entry: { failureDomain } }: WorkerSession): boolean {
+    const lost = [...this._domainLosses.get(failureDomain)?.values() ?? []].filter(atMs => lostMs - atMs <= DOMAIN_LOSS_MS).length
+    return lost >= Math.max(MANY_OF_DOMAIN_MIN, MANY_WORKERS_SHARE * this._options.workerCount())
+  }
+
   /** Workers that were lost before the run started are left out: an earlier run of the same task may have crashed them. */
   private _wereManyLostSince (startedMs: number): boolean {
     const lost = [...this._losses.values()].filter(atMs => atMs >= startedMs).length
--- a/tests/workflows/crashes.test.ts
+++ b/tests/workflows/crashes.test.ts
@@ -183,6 +183,27 @@
   }
 })
 
+// Guards against jobs that are given up while a device refuses the connections to a whole failure domain (LOST): its workers are
+// found lost one after the other, some of them by the start of a task that has just come.
+t.test('no job is given up for starts that are refused with those of all workers of a failure domain', async t => {
+  const cell = new WorkflowCell({ workers: 40, cpuMillis: 4_000, runMs: () => 400 })
+  const cutOff = cell.workers.slice(0, 20)
+  for (const { entry } of cutOff) entry.failureDomain = 'b'
+  await cell.waitUntilReady()
+  const submitted: string[] = []
+  for (const worker of cutOff) {
+    worker.faults.refusesConnections = true
+    const workflow = cell.workflow([{ tasks: 12, speculative: true }])
+    submitted.push(workflow.id)
+    await cell.submit(workflow)
+    await cell.timers.advance(40)
+  }
+  await cell.timers.advance(5_000)
+  for (const { faults } of cutOff) faults.refusesConnections = false
+  t.same(cell.events.filter(({ name }) => name === 'task.givenUp').map(({ fields }) => fields.task), [])
+  for (const id of submitted) await cell.waitForState(id, 'done')
+})
+
 // Guards against a gang that is given up since a rack is lost with several of its workers at once.
 t.test('a gang whose workers crash together has lost one run', async t => {
   const cell = new WorkflowCell({ workers: 12, cpuMillis: 1_000, runMs: () => 8_000 })
