--- a/packages/pomelofold/src/workflows/eligibilityCache.ts
+++ b/packages/pomelofold/src/workflows/eligibilityCache.ts
@@ -6,7 +6,6 @@
 
 import { EligibilityCounts } from './eligibilityCounts.js'
 import type { EligibilityDaemons } from './eligibilityDaemons.js'
-import type { QueryPurpose } from './queryPlanner.js'
 import type { EligibilityAnswer } from '../seams/workflowUpstreams.js'
 import type { Timers } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
@@ -29,7 +28,6 @@
   /** Name and priority of the step's queue. */
   queue: string
   priority: number
-  purpose: QueryPurpose
   /** Expected duration of the call, in milliseconds. */
   expectedMs: number
 }
@@ -37,7 +35,6 @@
 interface Ticket {
   text: string
   validUntilMs: number
-  purpose: QueryPurpose
   /** True when a task was started with it. */
   used: boolean
 }
@@ -166,7 +163,7 @@
   }
 
   private async _call (
-    daemon: string, { step, workers, expectedMs, queue, priority, purpose }: EligibilityQuery, stepEligibility: StepEligibility
+    daemon: string, { step, workers, expectedMs, queue, priority }: EligibilityQuery, stepEligibility: StepEligibility
   ): Promise<void> {
     const { timers, log, queryThroughDaemon, daemons, onAnswer } = this._options
     const requestSentMs = timers.now()
@@ -179,7 +176,6 @@
     const unknown = workers.filter(({ incarnation }) => !stepEligibility.eligible.has(incarnation))
     const good = answer ? Object.keys(answer.tickets).length : 0
     this.counts.noteCall(queue, {
-      purpose,
       tookMs,
       asked: workers.length,
       tickets: good,
@@ -190,7 +186,7 @@
     if (!answer) {
       log.event('warn', 'eligibility.failed', { task: step, queue, peer: daemon, workers: workers.length, tookMs })
     } else {
-      this._storeAnswer(stepEligibility, { workers, purpose }, answer)
+      this._storeAnswer(stepEligibility, workers, answer)
       log.event('debug', 'eligibility.learned', {
         task: step,
         queue,
@@ -199,7 +195,6 @@
         known: workers.length - unknown.length,
         good,
         validMs: answer.validMs,
-        purpose,
         priority,
         tookMs
       })
@@ -207,16 +202,14 @@
     onAnswer()
   }
 
-  private _storeAnswer (
-    stepEligibility: StepEligibility, { workers, purpose }: Pick<EligibilityQuery, 'workers' | 'purpose'>, { tickets, validMs }: EligibilityAnswer
-  ): void {
+  private _storeAnswer (stepEligibility: StepEligibility, workers: EligibilityQuery['workers'], { tickets, validMs }: EligibilityAnswer): void {
     const validUntilMs = this._options.timers.now() + validMs - TICKET_VALIDITY_MARGIN_MS
     for (const { id, incarnation } of workers) {
       const text = tickets[id]
       stepEligibility.eligible.set(incarnation, text !== undefined)
       if (text === undefined) continue
       this._dropTicket(stepEligibility, incarnation)
-      stepEligibility.tickets.set(incarnation, { text, validUntilMs, purpose, used: false })
+      stepEligibility.tickets.set(incarnation, { text, validUntilMs, used: false })
     }
   }
 
@@ -224,6 +217,6 @@
     const ticket = stepEligibility?.tickets.get(incarnation)
     if (!ticket) return
     stepEligibility!.tickets.delete(incarnation)
-    if (!ticket.used) this.counts.noteUnused(stepEligibility!.queue, ticket.purpose)
+    if (!ticket.used) this.counts.noteUnused(stepEligibility!.queue)
   }
 }
--- a/packages/pomelofold/src/workflows/eligibilityCounts.ts
+++ b/packages/pomelofold/src/workflows/eligibilityCounts.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import { QUERY_PURPOSES, type QueryPurpose } from './queryPlanner.js'
 import type { Timers } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
 
@@ -21,9 +20,6 @@
 export interface QueueEligibilityCounts {
   calls: number
   failedCalls: number
-  /** Calls for room that was expected, and calls in advance. */
-  expectedRoomCalls: number
-  advanceCalls: number
   /** Workers in the answered calls. */
   asked: number
   /** Tickets received. */
@@ -32,9 +28,6 @@
   usedTickets: number
   /** Tickets that expired or were replaced before a task was started with them. */
   unusedTickets: number
-  /** Those of calls for room that was expected, and of calls in advance. */
-  expectedRoomUnusedTickets: number
-  advanceUnusedTickets: number
   /** Time for which daemons were busy with calls, in milliseconds. */
   busyMs: number
 }
@@ -67,13 +60,11 @@
   }
 
   /** Notes the end of a call. `newAnswers` are those about workers that were not known: they show the share of eligible ones. */
-  noteCall (queue: string, { purpose, tookMs, asked, tickets, newAnswers, newEligible, failed }: {
-    purpose: QueryPurpose, tookMs: number, asked: number, tickets: number, newAnswers: number, newEligible: number, failed: boolean
+  noteCall (queue: string, { tookMs, asked, tickets, newAnswers, newEligible, failed }: {
+    tookMs: number, asked: number, tickets: number, newAnswers: number, newEligible: number, failed: boolean
   }): void {
     const { counts, recent } = this._stateOf(queue)
     counts.calls++
-    if (purpose === QUERY_PURPOSES.expectedRoom) counts.expectedRoomCalls++
-    if (purpose === QUERY_PURPOSES.advance) counts.advanceCalls++
     counts.busyMs += Math.round(tookMs)
     if (failed) counts.failedCalls++
     else counts.asked += asked
@@ -88,30 +79,15 @@
     this._stateOf(queue).counts.usedTickets++
   }
 
-  noteUnused (queue: string, purpose: QueryPurpose): void {
-    const { counts } = this._stateOf(queue)
-    counts.unusedTickets++
-    if (purpose === QUERY_PURPOSES.expectedRoom) counts.expectedRoomUnusedTickets++
-    if (purpose === QUERY_PURPOSES.advance) counts.advanceUnusedTickets++
+  noteUnused (queue: string): void {
+    this._stateOf(queue).counts.unusedTickets++
   }
 
   private _stateOf (queue: string): QueueState {
     const name = this._queues.has(queue) || this._queues.size < MAX_QUEUES ? queue : OTHER_QUEUES
     let state = this._queues.get(name)
     if (!state) {
-      const counts: QueueEligibilityCounts = {
-        calls: 0,
-        failedCalls: 0,
-        expectedRoomCalls: 0,
-        advanceCalls: 0,
-        asked: 0,
-        tickets: 0,
-        usedTickets: 0,
-        unusedTickets: 0,
-        expectedRoomUnusedTickets: 0,
-        advanceUnusedTickets: 0,
-        busyMs: 0
-      }
+      const counts = { calls: 0, failedCalls: 0, asked: 0, tickets: 0, usedTickets: 0, unusedTickets: 0, busyMs: 0 }
       state = { counts, recent: { asked: 0, eligible: 0 }, loggedMs: Number.NEGATIVE_INFINITY }
       this._queues.set(name, state)
     }
--- a/packages/pomelofold/src/workflows/eligibilityQueries.ts
+++ b/packages/pomelofold/src/workflows/eligibilityQueries.ts
@@ -2,8 +2,7 @@
  * Decides which blocked steps query the eligibility service, and which room they claim meanwhile.
  *
  * Load pattern: more steps need a query than daemons can call the service, which takes up to a second for a call. Queries are
- * made in the order of `QueryOrder`; a call is split over several daemons only while no step waits for one. Most steps wait for
- * room: a query for room that is only expected yields to those for room that is free, which would stand idle.
+ * made in the order of `QueryOrder`; a call is split over several daemons only while no step waits for one.
  *
  * @module
  */
@@ -11,8 +10,8 @@
 import { MAX_WORKERS_PER_CALL, type EligibilityCache } from './eligibilityCache.js'
 import type { EligibilityDaemons } from './eligibilityDaemons.js'
 import type { PlacementPass } from './placementPass.js'
-import { planQuery, QUERY_PURPOSES, splitQuery, type PlannedQuery } from './queryPlanner.js'
-import { hasTasksDown, QueryOrder } from './queryOrder.js'
+import { planQuery, splitQuery, type PlannedQuery } from './queryPlanner.js'
+import { QueryOrder } from './queryOrder.js'
 import type { BlockedStep } from './readyStep.js'
 import { StepRoom } from './stepPlacer.js'
 import type { WorkerFleet } from './workerFleet.js'
@@ -102,60 +101,33 @@
 
   /** Plans at most `MAX_PLANS` queries, those at the head of the order first. */
   private _queryInTurn (asking: BlockedStep[], pass: PlacementPass): void {
-    // Counted once for each queue: no call is made meanwhile.
-    const freeByQueue = new Map<QueueConfig, number>()
-    for (const { queue } of asking) if (!freeByQueue.has(queue)) freeByQueue.set(queue, this._freeDaemons(queue, 1))
-    const ready = asking.filter(({ step, queue }) => (this._asksAgainMs.get(step) ?? 0) <= pass.nowMs && freeByQueue.get(queue)! > 0)
+    const ready = asking.filter(({ step, queue }) => (this._asksAgainMs.get(step) ?? 0) <= pass.nowMs && this._freeDaemons(queue, 1) > 0)
     const withinBudget = ready.filter(({ beyondBudget }) => !beyondBudget)
     const due = withinBudget.length > 0 ? withinBudget : ready
-    const withRoom = new Set(due.filter(blocked => this._mayHaveRoom(blocked, pass)))
-    const planned = this._selectPlanned(this._order.withRoomFirst(due, { hasRoom: blocked => withRoom.has(blocked), nowMs: pass.nowMs }))
-    const forExpectedRoom: BlockedStep[] = []
+    const planned = this._selectPlanned(due)
     const inAdvance: Array<{ blocked: BlockedStep, workers: WorkerSession[] }> = []
     let waitingForDaemon = due.length
-    const planAndQuery = (blocked: BlockedStep, mayHaveRoom: boolean): void => {
-      const plan = this._planQuery(blocked, { pass, mayHaveRoom })
-      if (mayHaveRoom && plan.purpose === QUERY_PURPOSES.expectedRoom && !hasTasksDown(blocked, pass.nowMs)) {
-        forExpectedRoom.push(blocked)
-        return
-      }
-      waitingForDaemon--
-      if (plan.workers.length === 0) this._pause(blocked, pass)
-      else if (plan.purpose === QUERY_PURPOSES.advance) inAdvance.push({ blocked, workers: plan.workers })
-      else this._queryToStart(blocked, plan, { pass, othersWaiting: waitingForDaemon })
-    }
     for (const blocked of planned) {
-      if (this._freeDaemons(blocked.queue, 1) === 0) break
-      if (withRoom.has(blocked) || hasTasksDown(blocked, pass.nowMs)) planAndQuery(blocked, withRoom.has(blocked))
-      else forExpectedRoom.push(blocked)
-    }
-    for (const blocked of forExpectedRoom) {
-      if (this._freeDaemons(blocked.queue, 1) > 0) planAndQuery(blocked, false)
-      else this._pause(blocked, pass)
+      const { queue } = blocked
+      if (this._freeDaemons(queue, 1) === 0) break
+      const { workers, startsTasks } = this._planQuery(blocked, pass)
+      waitingForDaemon--
+      if (workers.length === 0) {
+        this._pause(blocked, pass)
+      } else if (!startsTasks) {
+        inAdvance.push({ blocked, workers })
+      } else if (this._query(blocked, workers, { othersWaiting: waitingForDaemon })) {
+        this._order.noteQuery(blocked, pass.nowMs)
+        this.claimRoom(blocked, pass)
+      }
     }
     // The last free daemon is kept for a step that could start tasks.
     for (const { blocked, workers } of inAdvance) {
-      const queried = this._freeDaemons(blocked.queue, 1) > 1 &&
-        this._query(blocked, { workers, purpose: QUERY_PURPOSES.advance }, { othersWaiting: waitingForDaemon })
+      const queried = this._freeDaemons(blocked.queue, 1) > 1 && this._query(blocked, workers, { othersWaiting: waitingForDaemon })
       if (!queried) this._pause(blocked, pass)
     }
   }
 
-  private _queryToStart (
-    blocked: BlockedStep, plan: PlannedQuery, { pass, othersWaiting }: { pass: PlacementPass, othersWaiting: number }
-  ): void {
-    if (!this._query(blocked, plan, { othersWaiting })) return
-    this._order.noteQuery(blocked, pass.nowMs)
-    this.claimRoom(blocked, pass)
-  }
-
-  /** False when no worker that may run the step has room for a task of it, whether claimed or not. */
-  private _mayHaveRoom ({ step, queue }: BlockedStep, pass: PlacementPass): boolean {
-    const { eligibility } = this._options
-    return pass.hasRoom(step, queue.service, worker =>
-      eligibility.isEligible(step.name, worker.incarnation) !== false && pass.isUsable(worker, step, queue.service))
-  }
-
   private _selectPlanned (due: BlockedStep[]): BlockedStep[] {
     if (due.length <= MAX_PLANS) return due
     const behind = due.slice(PLANS_AT_HEAD)
@@ -174,9 +146,7 @@
   }
 
   /** Calls the service for a step, in several simultaneous calls where daemons are plenty. Returns whether a call was made. */
-  private _query (
-    { step, queue }: BlockedStep, { workers, purpose }: PlannedQuery, { othersWaiting }: { othersWaiting: number }
-  ): boolean {
+  private _query ({ step, queue }: BlockedStep, workers: WorkerSession[], { othersWaiting }: { othersWaiting: number }): boolean {
     const { baseMs, perWorkerMs } = queue.eligibility!
     const freeDaemons = this._freeDaemons(queue, workers.length)
     const maxCalls = Math.floor(Math.min(freeDaemons * DAEMON_SHARE_PER_QUERY, freeDaemons - othersWaiting))
@@ -185,13 +155,12 @@
       workers: part.map(worker => ({ id: worker.entry.id, incarnation: worker.incarnation })),
       queue: queue.name,
       priority: queue.priority,
-      purpose,
       expectedMs: baseMs + perWorkerMs * part.length
     }))
     return calls.includes(true)
   }
 
-  private _planQuery (blocked: BlockedStep, { pass, mayHaveRoom }: { pass: PlacementPass, mayHaveRoom: boolean }): PlannedQuery {
+  private _planQuery (blocked: BlockedStep, pass: PlacementPass): PlannedQuery {
     const { eligibility, speedEstimator } = this._options
     const { step, queue, waiting } = blocked
     const atMs = pass.nowMs + queue.eligibility!.baseMs + EXPECTED_ROOM_MS
@@ -201,7 +170,6 @@
       workers: pass.workersFor(step, queue.service),
       isEligible: worker => eligibility.isEligible(step.name, worker.incarnation),
       hasTicket: worker => eligibility.ticket(step.name, worker.incarnation) !== undefined,
-      mayHaveRoom,
       freeRoom: worker => pass.freeRoom(blocked, worker),
       expectedRoom: worker => pass.expectedRoom(blocked, worker, atMs),
       slowness: worker => speedEstimator.slowness(worker),
--- a/packages/pomelofold/src/workflows/placementPass.ts
+++ b/packages/pomelofold/src/workflows/placementPass.ts
@@ -109,11 +109,6 @@
    * claimed or not.
    */
   mayFit (step: StepRuntime, service: string, mayUse: (worker: WorkerSession) => boolean): boolean {
-    return this.hasRoom(step, service, mayUse)
-  }
-
-  /** True when a usable worker of the service that `mayUse` accepts has room for a task of the step, claimed or not. */
-  hasRoom (step: StepRuntime, service: string, mayUse: (worker: WorkerSession) => boolean): boolean {
     const size = reservedRoom(step)
     let fitting = 0
     for (const worker of this._workersWithRoom(size, service)) {
--- a/packages/pomelofold/src/workflows/queryOrder.ts
+++ b/packages/pomelofold/src/workflows/queryOrder.ts
@@ -37,15 +37,6 @@
       .map(({ blocked }) => blocked)
   }
 
-  /**
-   * The steps of `sort` with those first that have room now. Others would only wait with their answer, until a run ends; once it has,
-   * they have room, too, and their turn. Steps with long-running tasks down keep their places.
-   */
-  withRoomFirst (sorted: BlockedStep[], { hasRoom, nowMs }: { hasRoom: (blocked: BlockedStep) => boolean, nowMs: number }): BlockedStep[] {
-    const comesFirst = sorted.map(blocked => hasTasksDown(blocked, nowMs) || hasRoom(blocked))
-    return [...sorted.filter((_blocked, index) => comesFirst[index]), ...sorted.filter((_blocked, index) => !comesFirst[index])]
-  }
-
   private _turnMs ({ step, queue, waiting }: BlockedStep, nowMs: number): number {
     const last = this._lastQueries.get(step)
     const waitsSinceMs = last && waiting >= last.waiting ? last.atMs : step.readyMs ?? nowMs
@@ -59,7 +50,7 @@
 }
 
 /** True when long-running tasks of the step are down: they or others of the step have run, or they wait for longer than their objective. */
-export function hasTasksDown ({ step, queue }: BlockedStep, nowMs: number): boolean {
+function hasTasksDown ({ step, queue }: BlockedStep, nowMs: number): boolean {
   if (!step.spec.longRunning) return false
   const waitedMs = nowMs - (step.readyMs ?? nowMs)
   return waitedMs > queue.targetMs || step.tasks.some(({ run, waitingSinceMs }) => run || waitingSinceMs !== undefined)
--- a/packages/pomelofold/src/workflows/queryPlanner.ts
+++ b/packages/pomelofold/src/workflows/queryPlanner.ts
@@ -34,8 +34,6 @@
   isEligible: (worker: WorkerSession) => boolean | undefined
   /** True when a ticket for the worker is valid now. */
   hasTicket: (worker: WorkerSession) => boolean
-  /** False when `freeRoom` is known to be too small on each worker that may run the step. */
-  mayHaveRoom: boolean
   /** Room on a worker that tasks of the step may use now. */
   freeRoom: (worker: WorkerSession) => Resources
   /** Room on a worker that tasks of the step may use soon after the answer. */
@@ -47,24 +45,12 @@
   maxWorkers: number
 }
 
-/** The room that a query counts on. */
-export const QUERY_PURPOSES = {
-  /** Room that is free now. */
-  freeRoom: 'free-room',
-  /** Room that is expected to become free soon after the answer. */
-  expectedRoom: 'expected-room',
-  /** None: the answers are useful later. */
-  advance: 'advance'
-} as const
-
-/** One of {@link QUERY_PURPOSES}. */
-export type QueryPurpose = typeof QUERY_PURPOSES[keyof typeof QUERY_PURPOSES]
-
 /** A planned query. */
 export interface PlannedQuery {
   /** Workers to query, the most suitable ones first. */
   workers: WorkerSession[]
-  purpose: QueryPurpose
+  /** True when a task may be able to start after the answer. Other queries are made in advance. */
+  startsTasks: boolean
 }
 
 /** Plans a query. Without workers when there is nothing to ask. */
@@ -78,13 +64,11 @@
     else if (answer) eligible.push(worker)
   }
   const plan = step.spec.gang ? planGangQuery : planTaskQuery
-  for (const purpose of [QUERY_PURPOSES.freeRoom, QUERY_PURPOSES.expectedRoom]) {
-    if (purpose === QUERY_PURPOSES.freeRoom && !options.mayHaveRoom) continue
-    const roomOf = purpose === QUERY_PURPOSES.freeRoom ? options.freeRoom : options.expectedRoom
+  for (const roomOf of [options.freeRoom, options.expectedRoom]) {
     const workers = plan(options, { room: new StepRoom(step, roomOf), eligible, unknown })
-    if (workers.length > 0) return { workers, purpose }
+    if (workers.length > 0) return { workers, startsTasks: true }
   }
-  return { workers: planAdvanceQuery(options, { eligible, unknown }), purpose: QUERY_PURPOSES.advance }
+  return { workers: planAdvanceQuery(options, { eligible, unknown }), startsTasks: false }
 }
 
 /** Splits a query into simultaneous calls, at most `maxCalls`. */
