--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -104,7 +104,8 @@
     for (const run of runs) {
       // A task's own former crash at the address is no excuse for it.
       const isOwn = run.task!.crashUnit.crashes.some(({ worker }) => worker === former)
-      this._addEvidence(run, session, { doubtful: (repeated && !isOwn) || this._wereManyLostSince(run.startedMs) || this._isDomainCutOff(session) })
+      const areOthersLost = this._wereManyLostSince(run.startedMs) || this._isDomainCutOff(session)
+      this._addEvidence(run, session, { doubtful: (repeated && !isOwn) || areOthersLost })
     }
     this._trials.delete(session)
   }
