--- a/packages/pomelofold/src/teams/admission.ts
+++ b/packages/pomelofold/src/teams/admission.ts
@@ -49,7 +49,7 @@
 export interface AdmitOptions {
   workflow: Workflow
   team: TeamConfig
-  /** The team's backlog and its age, in milliseconds; undefined while the leader has told none. */
+  /** The team's backlog and its age, in milliseconds; undefined while the leader has reported none. */
   known: { backlog: TeamBacklog, ageMs: number } | undefined
   /** Longest useful wait of the workflow, in milliseconds: after it, its result is of no use to the caller. */
   usefulForMs: number
--- a/packages/pomelofold/src/workflows/submissionGate.ts
+++ b/packages/pomelofold/src/workflows/submissionGate.ts
@@ -1,5 +1,5 @@
 /**
- * Decides about the submissions of a daemon's callers by what the leader last told of their teams.
+ * Decides about the submissions of a daemon's callers by what the leader last reported about their teams.
  *
  * @module
  */
@@ -22,7 +22,7 @@
   ownBacklog: (team: string) => TeamBacklog | undefined
 }
 
-/** Keeps what the leader tells of each team. */
+/** Keeps what the leader reports about each team. */
 export class SubmissionGate {
   private readonly _options: SubmissionGateOptions
   private readonly _known = new Map<string, { backlog: TeamBacklog, toldMs: number }>()
@@ -31,7 +31,7 @@
     this._options = options
   }
 
-  /** Notes how a team stands, as the leader told in answer to a call that was sent at `sentMs` of the monotonic clock. */
+  /** Notes how a team stands, as the leader reported in answer to a call that was sent at `sentMs` of the monotonic clock. */
   note (team: string, backlog: TeamBacklog, sentMs: number): void {
     this._known.set(team, { backlog, toldMs: sentMs })
   }
