--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -16,6 +16,7 @@
 import type { BlockedStep, ReadyStep } from './readyStep.js'
 import { needsReservation, planReservations, ReservingSteps } from './roomReservation.js'
 import { StepOrder } from './stepOrder.js'
+import type { STEP_ORDERS } from './stepRanks.js'
 import { placeApart, placeStep, type Assignment } from './stepPlacer.js'
 import { findStragglers } from './stragglers.js'
 import { explainWait, type WaitExplanation } from './waitExplanation.js'
@@ -58,6 +59,8 @@
   shares: TeamShares
   /** Which workflows are beyond their team's number of workflows a second. */
   budget: SubmissionBudget
+  /** How steps of one priority, and of one team, are ranked. */
+  ranking?: keyof typeof STEP_ORDERS
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
   predecessorActiveUntilMs: number
   /** Store revision from which on workflows cannot have been started by the earlier scheduler; infinite while it is not known. */
@@ -83,7 +86,13 @@
   constructor (options: DispatcherOptions) {
     this._options = options
     const { fleet, eligibility, daemons, speedEstimator, shares, config } = options
-    this._order = new StepOrder({ shares, teams: () => config()?.teams })
+    this._order = new StepOrder({
+      shares,
+      teams: () => config()?.teams,
+      ranking: options.ranking,
+      wallClock: () => options.timers.wallClock(),
+      runTimeFactor: queue => speedEstimator.runTimeFactor(queue)
+    })
     this._queries = new EligibilityQueries({ fleet, eligibility, daemons, speedEstimator })
     this._predecessorActiveUntilMs = options.predecessorActiveUntilMs
     this._newFromRevision = options.newFromRevision
--- a/packages/pomelofold/src/workflows/stepOrder.ts
+++ b/packages/pomelofold/src/workflows/stepOrder.ts
@@ -9,6 +9,7 @@
  */
 
 import type { ReadyStep } from './readyStep.js'
+import { compareRanks, STEP_ORDERS, type RankContext } from './stepRanks.js'
 import { TASK_STATES, type StepRuntime } from './workflowRuntime.js'
 import type { TeamsConfig } from '../seams/workflowUpstreams.js'
 import type { TeamShares } from '../teams/teamShares.js'
@@ -22,6 +23,11 @@
   shares: TeamShares
   /** The teams of the active configuration; undefined when it names none. */
   teams: () => TeamsConfig | undefined
+  /** How steps of one priority, and of one team, are ranked. */
+  ranking?: keyof typeof STEP_ORDERS
+  wallClock?: () => number
+  /** Run time over estimate of a queue's tasks, as observed. */
+  runTimeFactor?: (queue: string) => number
 }
 
 /** The part of a placement pass that the order reads. */
@@ -48,11 +54,14 @@
 
   /** Returns the steps one after the other. The caller places each one before it asks for the next. */
   * inOrder (steps: ReadyStep[], pass: OrderedPass): Generator<ReadyStep> {
-    if (!this._options.teams()) {
-      yield * steps.sort((a, b) => a.queue.priority - b.queue.priority || submittedAtMs(a) - submittedAtMs(b))
-      return
-    }
-    for (const { byTeam } of levelsOf(steps, pass.nowMs)) yield * this._inOrderOfShare(byTeam, pass)
+    const { teams, wallClock = () => 0, runTimeFactor = () => 1, ranking = 'slack' } = this._options
+    const context: RankContext = { nowMs: pass.nowMs, wallClockMs: wallClock(), runTimeFactor }
+    const ranked = steps
+      .map(ready => ({ ready, rank: STEP_ORDERS[ranking](ready, context) }))
+      .sort((a, b) => compareRanks(a.rank, b.rank))
+      .map(({ ready }) => ready)
+    if (!teams()) yield * ranked.sort((a, b) => a.queue.priority - b.queue.priority)
+    else for (const { byTeam } of levelsOf(ranked, pass.nowMs)) yield * this._inOrderOfShare(byTeam, pass)
   }
 
   /** Next is always a step of the team with the lowest share, to which the steps before have added what they have started. */
@@ -97,17 +106,12 @@
   return Math.max(0, queue.priority - Math.floor(waitedMs / PRIORITY_AGEING_MS))
 }
 
-/** Restarts of long-running tasks first, then by submission. */
+/** Restarts of long-running tasks first, then the others as they were. */
 function inTeamOrder (steps: ReadyStep[]): ReadyStep[] {
-  const restarts = new Set(steps.filter(({ step }) => isRestart(step)))
-  return steps.sort((a, b) => Number(restarts.has(b)) - Number(restarts.has(a)) || submittedAtMs(a) - submittedAtMs(b))
+  return [...steps.filter(({ step }) => isRestart(step)), ...steps.filter(({ step }) => !isRestart(step))]
 }
 
 /** True when a long-running task of the step has run before and waits to run again. */
 function isRestart ({ spec, tasks }: StepRuntime): boolean {
   return spec.longRunning && tasks.some(({ state, attempt }) => state === TASK_STATES.waiting && attempt > 0)
 }
-
-function submittedAtMs ({ step }: ReadyStep): number {
-  return step.workflow.record.submittedAtMs
-}
--- a/packages/pomelofold/src/workflows/workerSpeedEstimator.ts
+++ b/packages/pomelofold/src/workflows/workerSpeedEstimator.ts
@@ -90,6 +90,12 @@
     return slowness
   }
 
+  /** Run time over estimate of the tasks of a workload; 1 until `MIN_RUNS` runs have been observed. */
+  runTimeFactor (workload: string): number {
+    const effect = this._workloads.get(workload)
+    return effect && effect.runs >= MIN_RUNS ? Math.exp(effect.value) : 1
+  }
+
   /** Effects to store, of all workloads and of the workers in `incarnations`. */
   snapshot (incarnations: ReadonlySet<string>): WorkerSpeeds {
     const rounded = <T extends Effect>(effects: Iterable<[string, T]>): Record<string, T> => Object.fromEntries(
--- a/tests/teams/sharesCell.ts
+++ b/tests/teams/sharesCell.ts
@@ -13,6 +13,7 @@
 import { SILENT_LOG, type EventLog } from 'pomelofold/utils/eventLog'
 import type { ReadyStep } from 'pomelofold/workflows/readyStep'
 import { StepOrder } from 'pomelofold/workflows/stepOrder'
+import type { STEP_ORDERS } from 'pomelofold/workflows/stepRanks'
 import { TASK_STATES, WorkflowRuntime } from 'pomelofold/workflows/workflowRuntime'
 import { STEP } from '../workflows/workflowCell.js'
 
@@ -21,12 +22,16 @@
 /** Size of the smallest tasks, in thousandths of a core. */
 const MIN_TASK_CPU_MILLIS = 1_000
 
+/** Objectives of quick work. */
+export const QUEUE = { stretch: 1.5, targetMs: 300 } as QueueConfig
+
 /** A workflow of one step. */
 export interface Submission {
   team?: string
   tasks: number
   size: Resources
   runMs: number
+  estimateMs?: number
   priority?: number
 }
 
@@ -64,18 +69,22 @@
   private _free: Resources
   private _open = new Map<WorkflowRuntime, Outcome>()
 
-  constructor ({ capacity, teams, log = SILENT_LOG }: { capacity: Resources, teams?: TeamsConfig, log?: EventLog }) {
+  constructor ({ capacity, teams, log = SILENT_LOG, ranking }: {
+    capacity: Resources, teams?: TeamsConfig, log?: EventLog, ranking?: keyof typeof STEP_ORDERS
+  }) {
     this._free = capacity
     this.teams = teams
     this.budget = new SubmissionBudget({ timers: this.timers, log, teams: () => this.teams })
     this.shares = new TeamShares({ usage: this.usage, teams: () => this.teams, capacity: () => capacity })
-    this._order = new StepOrder({ shares: this.shares, teams: () => this.teams })
+    this._order = new StepOrder({
+      shares: this.shares, teams: () => this.teams, ranking, wallClock: () => this.timers.wallClock()
+    })
   }
 
   submit (submission: Submission): Outcome {
-    const { team, tasks, size, runMs } = submission
+    const { team, tasks, size, runMs, estimateMs } = submission
     const id = this.outcomes.length.toString(16).padStart(16, '0')
-    const steps = [{ ...STEP, tasks, size, estimateMs: runMs }]
+    const steps = [{ ...STEP, tasks, size, estimateMs: estimateMs ?? runMs }]
     const record = workflowSchema.parse({ id, queue: 'q', team, payload: 'p', submittedAtMs: this.timers.wallClock(), steps })
     const nowMs = this.timers.now()
     const workflow = new WorkflowRuntime({ record, revision: 1, addedMs: nowMs })
@@ -126,7 +135,7 @@
     return [...this._open].map(([workflow, { priority = 0 }]) => {
       const [step] = workflow.steps(0)!
       step.readyMs ??= nowMs
-      return { step, queue: { priority } as QueueConfig, beyondBudget: this.budget.isBeyond(workflow) }
+      return { step, queue: { ...QUEUE, priority }, beyondBudget: this.budget.isBeyond(workflow) }
     })
   }
 
