Review: a failed run keeps a task from the only minion with room

Cause: a task avoids for ever each minion on which a run of it has failed, unless it avoids all usable minions; full ones count among these. Change: a case with a script. Nothing is fixed.

--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -17,8 +17,13 @@
   #leases = new Map()
   #waiting = new Set()
   #lastLease = 0
+  #silent = new WeakSet()
   #server
   revision = 1
+  /** Tells which calls are carried out and not answered, by method with path and by query. */
+  losesAnswer = () => false
+  /** Numbers of the calls whose answers were lost, and of the others. */
+  counts = { lost: 0, answered: 0 }
 
   async listen (port) {
     this.#server = await startServer(port, (req, res) => this.#handle(req, res))
@@ -77,6 +82,13 @@
     const body = await readJson(req)
     const name = `${req.method} ${pathname.replace(/\/\d+$/, '')}`
     const answer = await this.#handlers[name]?.({ query: searchParams, body, id: Number(pathname.split('/').at(-1)) })
+    // A connection on which an answer is lost returns nothing further.
+    if (this.#silent.has(req.socket) || this.losesAnswer(name, searchParams)) {
+      this.#silent.add(req.socket)
+      this.counts.lost++
+      return
+    }
+    this.counts.answered++
     respond(res, answer ?? { status: 404 })
   }
 
