--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,26 +1,33 @@
 /**
- * The last run that a task may have fails while all daemons are down, and the store loses answers while they start again.
+ * A run of a task fails on a minion that fails all that it starts for some seconds. The other minions that may run the task are full.
  */
 
 import { HOST, runCase, sleep, TROUBLE, VERDICTS } from '../lib/cell.mjs'
 
 const PREFIX = '/rebuild/'
-const MAX_ATTEMPTS = 2
-const MINIONS = 6
+const MINIONS = 12
+const LABELLED = 2
 const CAPACITY = { cpu: 64_000, mem_mb: 131_072, gpu: 0 }
-const JOB = { spec: 'job', steps: [{ task_count: 1, cpu: 11_000, mem_mb: 10_000, est_runtime_ms: 2_000 }] }
-/** Time after which each run of the task fails by its own fault, in milliseconds. */
-const FAILS_AFTER_MS = 2_000
-const DOWN_MS = 1_000
-/** Time for which answers of the store are lost, in milliseconds. */
-const LOST_MS = 1_000
-const CALM_MS = 12_000
+/** Fills one of the two minions that have the label. */
+const LASTING = { spec: 'lasting', steps: [{ task_count: 1, cpu: 60_000, mem_mb: 20_000, est_runtime_ms: 500, required_label: 'b', long_running: true }] }
+const TASK_CPU = 20_000
+const JOB = { spec: 'job', steps: [{ task_count: 1, cpu: TASK_CPU, mem_mb: 10_000, est_runtime_ms: 1_000, required_label: 'b' }] }
+/** Time for which the minion fails all that it starts, in milliseconds. */
+const GREY_MS = 6_500
+/** Time without a disruption in which the job has to run: `contact_ms`, `finish_s` and the 3 s of the rule, in milliseconds. */
+const CALM_MS = 3_000 + 14_000 + 3_000
 
 await runCase(import.meta.url, async cell => {
+  let greyUntilMs = 0
+  const lasts = new Set()
+  const plan = task => {
+    if (lasts.has(task.split('.')[0])) return { workMs: Number.POSITIVE_INFINITY }
+    return cell.nowMs < greyUntilMs ? { workMs: 200, how: 'failed' } : { workMs: 1_000, how: 'done' }
+  }
   await cell.start({
     daemons: 3,
     config: {
-      routes: [{ name: 'rebuild', host: HOST, prefix: PREFIX, service: 'hub', priority: 2, max_attempts: MAX_ATTEMPTS, stretch: 2.2, target_duration_ms: 1_200 }],
+      routes: [{ name: 'rebuild', host: HOST, prefix: PREFIX, service: 'hub', priority: 2, max_attempts: 3, stretch: 2.2, target_duration_ms: 1_200 }],
       services: [{ name: 'hub', health_path: '/health', enforces_capacity: false }]
     },
     minions: Array.from({ length: MINIONS }, (_, index) => ({
@@ -28,33 +35,33 @@
       zone: `zone-${'abc'[index % 3]}`,
       service: 'hub',
       capacity: CAPACITY,
-      labels: ['a', `r${index % 2}`],
-      plan: () => ({ workMs: FAILS_AFTER_MS, how: 'failed' })
+      labels: [index < LABELLED ? 'b' : 'a', `r${index % 2}`],
+      plan
     }))
   })
+  const lastingId = 'ab00000000000001'
+  lasts.add(lastingId)
+  await cell.submit(PREFIX, LASTING, lastingId)
+  await cell.until(() => cell.startsOf(`${lastingId}.0.0.0`).length === 1, 10_000, 'the task that lasts is at work')
+  await sleep(2_000)
+  if (TROUBLE) {
+    greyUntilMs = cell.nowMs + GREY_MS
+    cell.record('grey', { minion: cell.minions.slice(0, LABELLED).find(({ running }) => running.length === 0).id, untilMs: greyUntilMs })
+  }
   const id = await cell.submit(PREFIX, JOB)
   const task = `${id}.0.0.0`
-  await cell.until(() => cell.startsOf(task).length === MAX_ATTEMPTS, 15_000, 'the last run of the task')
-  if (TROUBLE) {
-    await sleep(FAILS_AFTER_MS - DOWN_MS / 2)
-    for (const daemon of cell.daemons) cell.signal(daemon, 'SIGKILL')
-    await cell.until(() => cell.daemons.every(daemon => !daemon.process), 5_000, 'all daemons have ended')
-    await sleep(DOWN_MS)
-    cell.store.counts = { lost: 0, answered: 0 }
-    cell.store.losesAnswer = (name, query) => name === 'GET /api/kv-range' && query.get('prefix') === 'op/config'
-    cell.record('answers-lost-from')
-    for (const daemon of cell.daemons) cell.startDaemon(daemon)
-    await sleep(LOST_MS)
-    cell.store.losesAnswer = () => false
-    cell.record('answers-lost-until', cell.store.counts)
+  await cell.until(() => cell.startsOf(task).length === 1, 10_000, 'the first run of the job')
+  await sleep(Math.max(0, greyUntilMs - cell.nowMs))
+  const calmSinceMs = cell.nowMs
+  let state
+  while (state !== 'completed' && cell.nowMs - calmSinceMs < CALM_MS) {
+    state = await cell.state(PREFIX, id)
+    await sleep(250)
   }
-  await sleep(CALM_MS)
-  const state = await cell.state(PREFIX, id)
-  const events = cell.events.filter(event => event.task === task)
-  const noted = events.filter(({ what, how }) => what === 'taken-note' && how === 'failed').length
-  const lastAllowed = events.filter(({ what, how }) => what === 'end' && how === 'failed')[MAX_ATTEMPTS - 1]
-  const beyond = events.filter(({ what, atMs }) => what === 'start' && atMs > lastAllowed.atMs).length
-  const text = `${beyond} starts after ${MAX_ATTEMPTS} runs had ended as failed, of which note was taken (${noted} ends in all); the job is ` +
-    `shown as ${state}; ${cell.store.counts.lost} answers of the store were lost`
-  return { verdict: beyond > 0 && noted >= MAX_ATTEMPTS ? VERDICTS.broken : VERDICTS.held, text }
+  const free = cell.minions[0].freeCpu(() => 60_000)
+  const other = cell.minions[1].freeCpu(() => 60_000)
+  const room = Math.floor(Math.max(free, other) / TASK_CPU)
+  const starts = cell.startsOf(task).length
+  const text = `after ${CALM_MS} ms without a disruption the job is ${state} with ${starts} starts; a sound minion with the label has room for ${room} of its tasks`
+  return { verdict: state !== 'completed' && room >= 2 ? VERDICTS.broken : VERDICTS.held, text }
 })
