A crash counts against the tasks that ran on the worker, not against their gang

Cause: all tasks of a gang shared one record of crashes, so that the crashes of unrelated workers were added up.

Change: each task has its own record, stored by task. Which members ran on a crashed worker is known, so that a member is judged as a single task is, and no job is given up unless two workers have crashed under one task.

--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -7,7 +7,7 @@
 
 import type { WorkerSession } from './workerSession.js'
 import { RUN_STATES, TASK_STATES, type Run, type Task, type WorkflowRuntime } from './workflowRuntime.js'
-import { crashWeight, describeCrashes, judge, SLIGHT_WEIGHT, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from '../crashes/crashEvidence.js'
+import { crashWeight, describeCrashes, judge, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from '../crashes/crashEvidence.js'
 import type { CrashRecord } from '../protocol/crashes.js'
 import type { Timers } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
@@ -103,7 +103,7 @@
     })
     for (const run of runs) {
       // A task's own former crash at the address is no excuse for it.
-      const isOwn = run.task!.crashUnit.crashes.some(({ worker }) => worker === former)
+      const isOwn = run.task!.crashes.some(({ worker }) => worker === former)
       const areOthersLost = this._wereManyLostSince(run.startedMs) || this._isDomainCutOff(session)
       this._addEvidence(run, session, { doubtful: (repeated && !isOwn) || areOthersLost })
     }
@@ -114,8 +114,8 @@
   noteReached (session: WorkerSession): void {
     if (!session.crashed) return
     for (const { task } of session.runs.values()) {
-      if (!task || !task.crashUnit.crashes.some(({ worker }) => worker === session.incarnation)) continue
-      task.crashUnit.crashes = task.crashUnit.crashes.filter(({ worker }) => worker !== session.incarnation)
+      if (!task || !task.crashes.some(({ worker }) => worker === session.incarnation)) continue
+      task.crashes = task.crashes.filter(({ worker }) => worker !== session.incarnation)
       this._options.log.event('info', 'task.crash.withdrawn', { task: task.name, worker: session.incarnation })
       this._options.onChanged(task.step.workflow)
     }
@@ -164,10 +164,10 @@
     }
   }
 
-  /** A gang has passed when all of its members have. */
+  /** A member of a gang has passed when all members have been at work for as long: they work only together. */
   private _hasPassed ({ task }: Run): boolean {
     const nowMs = this._options.timers.now()
-    const neededMs = trialMs(task!.crashUnit.crashes)
+    const neededMs = trialMs(task!.crashes)
     const members = task!.step.spec.gang ? task!.step.tasks : [task!]
     return members.every(({ run }) => {
       if (run?.startConfirmedMs === undefined || !run.session.reachable || run.state !== RUN_STATES.running) return false
@@ -176,13 +176,11 @@
   }
 
   private _clear (task: Task): void {
-    const { crashUnit } = task
-    if (crashUnit.crashes.length === 0) return
+    const { crashes } = task
+    if (crashes.length === 0) return
     this._counts.clearedTasks++
-    this._options.log.event('info', 'task.cleared', {
-      task: task.name, crashes: crashUnit.crashes.length, trialMs: Math.round(trialMs(crashUnit.crashes))
-    })
-    crashUnit.crashes = []
+    this._options.log.event('info', 'task.cleared', { task: task.name, crashes: crashes.length, trialMs: Math.round(trialMs(crashes)) })
+    task.crashes = []
     this._options.onChanged(task.step.workflow)
   }
 
@@ -206,42 +204,38 @@
   private _addEvidence (run: Run, session: WorkerSession, { doubtful }: { doubtful: boolean }): void {
     const { timers, log } = this._options
     const task = run.task!
-    const { crashUnit } = task
     const { workflow } = task.step
-    // Members of a gang on the same worker share one record.
-    if (workflow.isOver || crashUnit.crashes.some(({ worker }) => worker === session.incarnation)) return
+    if (workflow.isOver || task.crashes.some(({ worker }) => worker === session.incarnation)) return
     const ageMs = ageAtLoss(run)
     const onTrial = this._trials.get(session)?.has(run) ?? false
     // A start that timed out may not have been carried out at all.
     const isStartUnknown = run.startConfirmedMs === undefined && run.unansweredMs !== undefined && !run.startBroken
     const { longRunning } = task.step.spec
-    const weight = crashWeight(crashUnit.crashes, { ageMs, onTrial, doubtful: doubtful || isStartUnknown, longRunning })
-    // A gang that loses many workers at once has lost one run.
-    const isCounted = crashUnit.crashes.some(({ attempt }) => attempt === run.attempt)
-    if (weight === 0 || (weight === SLIGHT_WEIGHT && isCounted)) return
-    const before = judge(crashUnit.crashes)
+    const weight = crashWeight(task.crashes, { ageMs, onTrial, doubtful: doubtful || isStartUnknown, longRunning })
+    if (weight === 0) return
+    const before = judge(task.crashes)
     const atMs = Math.round(timers.wallClock())
     const record: CrashRecord = { worker: session.incarnation, attempt: run.attempt, atMs, ageMs: Math.round(ageMs), weight }
-    crashUnit.crashes = [...crashUnit.crashes, record]
-    const verdict = judge(crashUnit.crashes)
+    task.crashes = [...task.crashes, record]
+    const verdict = judge(task.crashes)
     this._options.onChanged(workflow)
     if (verdict !== VERDICTS.givenUp && (verdict === VERDICTS.suspect || ageMs <= YOUNG_RUN_MS)) this._startWhenRecorded(task)
     if (verdict === VERDICTS.clear) return
     if (before === VERDICTS.clear) this._counts.suspectedTasks++
     log.event('warn', VERDICT_EVENTS[verdict], {
-      task: task.name, attempt: run.attempt, ...record, onTrial, doubtful, crashes: crashUnit.crashes.length
+      task: task.name, attempt: run.attempt, ...record, onTrial, doubtful, crashes: task.crashes.length
     })
     if (verdict === VERDICTS.givenUp) {
       this._counts.givenUpTasks++
-      this._options.onGivenUp(workflow, `${task.name} crashed its workers: ${describeCrashes(crashUnit.crashes)}`)
+      this._options.onGivenUp(workflow, `${task.name} crashed its workers: ${describeCrashes(task.crashes)}`)
     }
   }
 
   /** The next scheduler has to know of the crash before the task is started again. */
-  private async _startWhenRecorded ({ crashUnit, step: { workflow } }: Task): Promise<void> {
-    crashUnit.unrecordedCrashes++
-    await this._options.whenRecorded(workflow)
-    crashUnit.unrecordedCrashes--
+  private async _startWhenRecorded (task: Task): Promise<void> {
+    task.unrecordedCrashes++
+    await this._options.whenRecorded(task.step.workflow)
+    task.unrecordedCrashes--
     this._options.onRecorded()
   }
 }
@@ -249,8 +243,8 @@
 const VERDICT_EVENTS: Record<Exclude<Verdict, 'clear'>, string> = { [VERDICTS.suspect]: 'task.suspected', [VERDICTS.givenUp]: 'task.givenUp' }
 
 /** True when the task has to be started on trial. */
-export function isSuspect ({ crashUnit }: Task): boolean {
-  return crashUnit.crashes.length > 0 && judge(crashUnit.crashes) === VERDICTS.suspect
+export function isSuspect ({ crashes }: Task): boolean {
+  return crashes.length > 0 && judge(crashes) === VERDICTS.suspect
 }
 
 /** True when the run had just started when its worker was lost. */
--- a/packages/pomelofold/src/workflows/stragglers.ts
+++ b/packages/pomelofold/src/workflows/stragglers.ts
@@ -25,8 +25,8 @@
   const compared = step.doneCount >= step.tasks.length * MIN_DONE_SHARE
   const limitMs = compared ? Math.max(step.longestRunMs * LAG_FACTOR, step.longestRunMs + LAG_MIN_MS) : Number.POSITIVE_INFINITY
   return step.tasks.filter(task => {
-    const { state, run, supersededRuns, crashUnit } = task
-    if (state !== TASK_STATES.running || !run || supersededRuns.length > 0 || crashUnit.unrecordedCrashes > 0) return false
+    const { state, run, supersededRuns, unrecordedCrashes } = task
+    if (state !== TASK_STATES.running || !run || supersededRuns.length > 0 || unrecordedCrashes > 0) return false
     // The copy of a task that has crashed its worker would crash the next one.
     if (run.session.lossUnexplained && wasYoungAtLoss(run)) return false
     if (isSuspect(task)) return run.session.crashed
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -45,14 +45,9 @@
   supersededRuns: Run[]
   /** Incarnations of workers on which a run of the task has failed or stalled, and which are avoided while there are others. */
   avoid: Set<string> | undefined
-  /** Crashes of its workers. The tasks of a gang run and crash together and share one. */
-  readonly crashUnit: CrashUnit
-}
-
-/** The crashes that count against a task, or against a gang as a whole. */
-export interface CrashUnit {
+  /** Crashes of workers that count against the task. */
   crashes: CrashRecord[]
-  /** Number of crashes that are not recorded in the store. A suspected task waits for them. */
+  /** Number of these crashes that are not recorded in the store. A suspected task waits for them. */
   unrecordedCrashes: number
 }
 
@@ -132,7 +127,6 @@
     this.index = index
     this.name = formatStepName(workflow.record.id, occurrence, index)
     this.spec = workflow.record.steps[index]
-    const gangUnit = newCrashUnit()
     this.tasks = Array.from({ length: this.spec.tasks }, (_, taskIndex) => ({
       name: formatTaskName({ workflowId: workflow.record.id, occurrence, step: index, index: taskIndex }),
       index: taskIndex,
@@ -147,7 +141,8 @@
       heldStarts: 0,
       supersededRuns: [],
       avoid: undefined,
-      crashUnit: this.spec.gang ? gangUnit : newCrashUnit()
+      crashes: [],
+      unrecordedCrashes: 0
     }))
   }
 
@@ -190,7 +185,7 @@
   waitingTasks (nowMs: number): Task[] {
     const waiting: Task[] = []
     for (const task of this.tasks) {
-      if (task.state !== TASK_STATES.waiting || task.run || task.notBeforeMs > nowMs || task.crashUnit.unrecordedCrashes > 0) continue
+      if (task.state !== TASK_STATES.waiting || task.run || task.notBeforeMs > nowMs || task.unrecordedCrashes > 0) continue
       // Steps that allow copies wait for no earlier start.
       if (task.heldStarts === 0 || this.spec.speculative) waiting.push(task)
     }
@@ -308,7 +303,7 @@
       task.failures = [...attempts]
       task.attempt = Math.max(task.attempt, ...attempts)
     })
-    this._restoreByTask(progress.crashes, (task, crashes) => { task.crashUnit.crashes = [...crashes] })
+    this._restoreByTask(progress.crashes, (task, crashes) => { task.crashes = [...crashes] })
     this._restoreByTask(progress.checkpoints, (task, checkpoint) => task.step.noteCheckpoint(task, checkpoint))
     this.dirty = false
   }
@@ -332,7 +327,7 @@
         for (const task of step.done ? [] : step.tasks) {
           const key = `${occurrence}.${step.index}.${task.index}`
           if (task.failures.length) failures[key] = task.failures
-          if (task.crashUnit.crashes.length && (!step.spec.gang || task.index === 0)) crashes[key] = task.crashUnit.crashes
+          if (task.crashes.length) crashes[key] = task.crashes
           if (task.checkpoint && !task.run && task.state === TASK_STATES.waiting) checkpoints[key] = task.checkpoint
         }
       }
@@ -369,10 +364,6 @@
   }
 }
 
-function newCrashUnit (): CrashUnit {
-  return { crashes: [], unrecordedCrashes: 0 }
-}
-
 const FINAL_STATES: ReadonlySet<WorkflowState> = new Set([JOB_STATES.done, JOB_STATES.failed, JOB_STATES.cancelled])
 
 /** True for states that never change. */
--- a/tests/workflows/crashes.test.ts
+++ b/tests/workflows/crashes.test.ts
@@ -215,6 +215,79 @@
   await cell.waitForState(gang.id, 'done')
 })
 
+/** Crashes workers of a gang with one task each, every time under a task that has lost none, after the gang has run for some time. */
+async function crashUnderEachInTurn (cell: WorkflowCell, { tasks, crashes, ranMs, onCrash = () => {} }: {
+  tasks: number, crashes: number, ranMs: number, onCrash?: (crash: number) => void
+}): Promise<void> {
+  const hit = new Set<string>()
+  for (let crash = 1; crash <= crashes; crash++) {
+    await cell.timers.advanceUntil(() => cell.workers.filter(worker => worker.runs.size === 1).length === tasks)
+    await cell.timers.advance(ranMs)
+    const worker = cell.workers.find(({ runs }) => [...runs.keys()].some(task => !hit.has(task)))!
+    for (const task of worker.runs.keys()) hit.add(task)
+    cell.crashWorker(worker)
+    onCrash(crash)
+  }
+}
+
+// Guards against a gang that is given up for crashes under different tasks of it (LOST): the wider it is, the more workers it sees crash.
+t.test('a gang is not given up when its workers crash one after another, each under another task', async t => {
+  for (const step of [{ longRunning: false }, { longRunning: true }]) {
+    for (const ranMs of [100, 3_000]) {
+      const cell = new WorkflowCell({ workers: 24, cpuMillis: 1_000, runMs: () => step.longRunning ? 1_000_000 : 8_000 })
+      await cell.waitUntilReady()
+      const gang = cell.workflow([{ tasks: 10, gang: true, ...step }])
+      await cell.submit(gang)
+      await crashUnderEachInTurn(cell, { tasks: 10, crashes: 6, ranMs })
+      const name = `${JSON.stringify(step)}, ${ranMs} ms after the start`
+      await cell.timers.advance(12_000)
+      const answer = await cell.advanceUntilSettled(cell.daemons[0].daemon.service.state(gang.id))
+      t.match(answer, { state: step.longRunning ? 'running' : 'done' }, name)
+      if (step.longRunning) t.equal(cell.workers.filter(({ runs }) => runs.size === 1).length, 10, `${name}: the gang runs`)
+    }
+  }
+})
+
+// Guards against the same with crashes that the next schedulers read from the store.
+t.test('a gang is not given up for crashes under different tasks, whichever scheduler has seen them', async t => {
+  const cell = new WorkflowCell({ workers: 24, cpuMillis: 1_000, runMs: () => 30_000 })
+  await cell.waitUntilReady()
+  const gang = cell.workflow([{ tasks: 10, gang: true }])
+  await cell.submit(gang)
+  const killLeader = (): void => {
+    const { vm, process } = cell.leader!
+    cell.timers.after(4_500, () => { process.kill() })
+    cell.timers.after(5_500, () => { cell.startDaemon(vm) })
+  }
+  const onCrash = (crash: number): void => { if (crash === 2 || crash === 4) killLeader() }
+  await crashUnderEachInTurn(cell, { tasks: 10, crashes: 6, ranMs: 3_000, onCrash })
+  await cell.waitForState(gang.id, 'done')
+})
+
+// Guards against tasks of a gang that crash worker after worker since each of them is counted by itself (BUDGET).
+t.test('a gang of which one task, or every task, crashes its worker is given up, however late after the start', async t => {
+  for (const crashing of [1, 6]) {
+    for (const afterMs of [10, 2_000]) {
+      for (const longRunning of [false, true]) {
+        const isCrashing = (task: string): boolean => Number(task.split('.')[3]) < crashing
+        const cell = new WorkflowCell({
+          workers: 12, cpuMillis: 2_000, runMs: () => 1_000_000, crashAfterMs: task => isCrashing(task) ? afterMs : undefined
+        })
+        await cell.waitUntilReady()
+        const gang = cell.workflow([{ tasks: 6, gang: true, longRunning }])
+        await cell.submit(gang)
+        const name = `${crashing} of 6 after ${afterMs} ms, long-running ${longRunning}`
+        await cell.waitForState(gang.id, 'failed', { limitMs: 90_000 })
+        for (let index = 0; index < crashing; index++) {
+          const task = `${gang.id}.0.0.${index}`
+          t.ok(cell.runsOf(task).length <= MAX_DOUBTFUL_CRASHES, `${name}: ${cell.runsOf(task).length} starts of task ${index}`)
+          t.ok(startsAfterThirdCrash(cell, task) < FORBIDDEN_STARTS, `${name}: starts after the third crash`)
+        }
+      }
+    }
+  }
+})
+
 // Guards against a count of crashes that starts from zero with each scheduler.
 t.test('the crashes of a task are known to the next scheduler', async t => {
   for (const speculative of [false, true]) {
