Entry daemons: a crash counts against the tasks that ran on the worker, not against their gang

Callers of the entry daemons saw a gang given up after two crashes of its workers, each under another of its tasks.

Since each member was alone on its worker, the first crash weighed 1 and the second, on trial, 2.

Change: the crashes are kept by task, as for batch jobs.

--- a/packages/pomelofold/src/tasks/jobs/crashTrials.ts
+++ b/packages/pomelofold/src/tasks/jobs/crashTrials.ts
@@ -61,7 +61,7 @@
 
   /** True when the task has to be started on trial. A service is never given up, and stays suspected. */
   isSuspect (job: Job, index: number): boolean {
-    return judge(job.crashes.get(unitOf(job, index)) ?? []) !== VERDICTS.clear
+    return judge(job.crashes.get(index) ?? []) !== VERDICTS.clear
   }
 
   /** True while a task is on trial on the worker. */
@@ -78,7 +78,7 @@
   noteStart (run: TaskRun): void {
     const { job, index, worker } = run
     if (!job || !this.isSuspect(job, index)) return
-    run.trialEndMs = this._options.timers.now() + trialMs(job.crashes.get(unitOf(job, index))!)
+    run.trialEndMs = this._options.timers.now() + trialMs(job.crashes.get(index)!)
     this._trials.set(worker, (this._trials.get(worker) ?? new Set()).add(run))
     this._options.onTrialChange(worker)
   }
@@ -87,7 +87,7 @@
   noteRunning (run: TaskRun): boolean {
     const { job, index, trialEndMs } = run
     if (!job || trialEndMs === undefined || this._options.timers.now() < trialEndMs) return false
-    job.crashes.delete(unitOf(job, index))
+    job.crashes.delete(index)
     this._options.log.event('info', 'jobs.taskCleared', { jobId: job.jobId, index, peer: run.worker })
     this.noteEnd(run)
     return true
@@ -104,23 +104,16 @@
 
   private _addEvidence (job: Job, run: TaskRun, { alone, doubtful }: { alone: boolean, doubtful: boolean }): CrashRecord[] | undefined {
     const { timers, log } = this._options
-    const unit = unitOf(job, run.index)
-    const earlier = job.crashes.get(unit) ?? []
+    const earlier = job.crashes.get(run.index) ?? []
     const onTrial = this._trials.get(run.worker)?.has(run) ?? false
     const weight = weightOf(onTrial ? 'sameOnTrial' : alone ? 'young' : 'settled', { doubtful })
-    // Members of a gang on the same worker share one record.
+    if (weight === SLIGHT_WEIGHT) return
     const atMs = Math.round(timers.wallClock())
-    if (weight === SLIGHT_WEIGHT || earlier.some(crash => crash.worker === run.worker && crash.atMs === atMs)) return
     const crashes = [...earlier, { worker: run.worker, atMs, ageMs: Math.round(timers.now() - run.sentAtMs), weight }]
-    job.crashes.set(unit, crashes)
+    job.crashes.set(run.index, crashes)
     log.event('warn', 'jobs.crashEvidence', {
       jobId: job.jobId, index: run.index, peer: run.worker, weight, onTrial, doubtful, crashes: crashes.length, verdict: judge(crashes)
     })
     return crashes
   }
 }
-
-/** The members of a gang crash together and share the record of the first one. */
-function unitOf (job: Job, index: number): number {
-  return job.isGang ? 0 : index
-}
--- a/packages/pomelofold/src/tasks/jobs/job.ts
+++ b/packages/pomelofold/src/tasks/jobs/job.ts
@@ -102,7 +102,7 @@
   readonly intents = new Map<number, string>()
   /** Workers on which a task of the job failed; its tasks are not placed there. Emptied when it contains all workers. */
   readonly avoid = new Set<string>()
-  /** Crashes of workers that count against a task, by its index; against a gang, by index 0. */
+  /** Crashes of workers that count against a task, by its index. */
   readonly crashes = new Map<number, CrashRecord[]>()
   /** Ended runs to acknowledge to their workers after the next commit. */
   pendingAcks: Array<{ worker: string, taskId: string }> = []
--- a/tests/jobs/crashes.test.ts
+++ b/tests/jobs/crashes.test.ts
@@ -68,3 +68,23 @@
   for (const jobId of ['bad', ...ordinary]) await cell.untilState(placer, jobId, 'done')
   t.same(cell.violations(), [])
 })
+
+// Guards against a gang that is given up for crashes under different tasks of it (LOST).
+t.test('a gang is not given up when its workers crash one after another, each under another task', async t => {
+  const cell = new JobCell({ workers: 8, cpus: 8 })
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'gang', { kind: 'gang', count: 5, cpus: 6, runMs: 120_000 })
+  const hit = new Set<string>()
+  const runningOn = (worker: typeof cell.workers[number]): string[] =>
+    [...worker.tasks.values()].filter(({ state }) => state === 'running').map(({ run }) => run.task)
+  for (let crash = 0; crash < 4; crash++) {
+    await cell.timers.advanceUntil(() => cell.workers.filter(worker => runningOn(worker).length === 1).length === 5)
+    await cell.timers.advance(50_000)
+    const worker = cell.workers.find(each => runningOn(each).some(task => !hit.has(task)))!
+    for (const task of runningOn(worker)) hit.add(task)
+    worker.crash()
+  }
+  await cell.untilState(placer, 'gang', 'done')
+  t.equal(hit.size, 4)
+  t.same(cell.violations({ gangs: new Set(['gang']) }), [])
+})
