A task runs again on a worker where it has failed when no other has room

Cause: a task avoided each worker on which a run of it had failed or stalled, until all usable workers were avoided. A usable worker without room counted among them. Where all workers were avoided, the task went back at once and used up its attempts.

Change: other workers come first. Without room there, the task runs again on an avoided worker 2.5 s after the failure; before its last allowed attempt 6 s after it, unless a run that was started there since has succeeded. Queries, claims and reservations leave such a worker out for that time. task.avoids and the cause `avoided` tell of it.

--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -8,6 +8,7 @@
  * @module
  */
 
+import { withoutExcluded } from './avoidedWorkers.js'
 import { isSuspect, type CrashTracker } from './crashTracker.js'
 import type { EligibilityCache } from './eligibilityCache.js'
 import type { EligibilityDaemons } from './eligibilityDaemons.js'
@@ -212,12 +213,11 @@
     const { eligibility, start } = this._options
     const mayUse = ({ incarnation }: WorkerSession): boolean =>
       !queue.eligibility || eligibility.ticket(step.name, incarnation) !== undefined
-    if (!pass.mayFit(step, queue.service, mayUse) && tasks.every(task => task.avoid === undefined)) {
+    if (!pass.mayFit(step, queue.service, mayUse)) {
       this._caps.noteNotPlaced(capRequest)
       return tasks.length
     }
     const workers = queue.eligibility ? this._ticketHolders(step, queue, pass) : pass.workersFor(step, queue.service)
-    for (const task of tasks) if (workers.length > 0 && workers.every(worker => task.avoid?.has(worker.incarnation))) task.avoid = undefined
     const assignments = this._assign(ordered, { tasks, workers, queue, pass })
     const attempt = spec.gang ? this._nextAttempt(Math.max(...step.tasks.map(task => task.attempt))) : undefined
     for (const { task, worker } of assignments) {
@@ -240,6 +240,7 @@
       step,
       workers,
       urgent: queue.priority === URGENT_PRIORITY,
+      nowMs: pass.nowMs,
       slowness: this._slowness,
       freeRoom: (worker: WorkerSession) => pass.freeRoom(ordered, worker)
     }
@@ -282,7 +283,8 @@
     const { eligibility } = this._options
     const usable = pass.workersFor(step, queue.service)
     if (!needsReservation(step, usable)) return false
-    const workers = queue.eligibility ? usable.filter(worker => eligibility.isEligible(step.name, worker.incarnation)) : usable
+    const eligible = queue.eligibility ? usable.filter(worker => eligibility.isEligible(step.name, worker.incarnation)) : usable
+    const workers = withoutExcluded(eligible, step.waitingTasks(pass.nowMs), pass.nowMs)
     const reservations = planReservations({ ordered: blocked, tasks: waiting, workers, pass })
     const idleUntilMs = Math.max(...reservations.map(({ freeAtMs }) => freeAtMs))
     for (const { worker, tasks } of reservations) pass.claim(blocked, worker, { tasks, idleUntilMs })
--- a/packages/pomelofold/src/workflows/eligibilityQueries.ts
+++ b/packages/pomelofold/src/workflows/eligibilityQueries.ts
@@ -7,6 +7,7 @@
  * @module
  */
 
+import { withoutExcluded } from './avoidedWorkers.js'
 import { MAX_WORKERS_PER_CALL, type EligibilityCache } from './eligibilityCache.js'
 import type { EligibilityDaemons } from './eligibilityDaemons.js'
 import type { PlacementPass } from './placementPass.js'
@@ -71,12 +72,13 @@
     const room = new StepRoom(step, worker => pass.expectedRoom(blocked, worker, atMs))
     const claims: Array<{ worker: WorkerSession, tasks: number }> = []
     let missing = waiting
-    for (const incarnation of [...eligibility.ticketHolders(step.name), ...calls.flatMap(call => call.workers)]) {
+    const known = [...eligibility.ticketHolders(step.name), ...calls.flatMap(call => call.workers)]
+    const workers = known.flatMap(incarnation => fleet.sessions.get(incarnation) ?? [])
+    for (const worker of withoutExcluded(workers, step.waitingTasks(pass.nowMs), pass.nowMs)) {
       if (missing === 0) break
-      const worker = fleet.sessions.get(incarnation)
-      const tasks = worker && pass.isUsable(worker, step, queue.service) ? room.slots(worker, missing) : 0
+      const tasks = pass.isUsable(worker, step, queue.service) ? room.slots(worker, missing) : 0
       if (tasks === 0) continue
-      claims.push({ worker: worker!, tasks })
+      claims.push({ worker, tasks })
       missing -= tasks
     }
     if (missing > 0 && step.spec.gang) return
@@ -167,7 +169,7 @@
     return planQuery({
       step,
       tasks: waiting,
-      workers: pass.workersFor(step, queue.service),
+      workers: withoutExcluded(pass.workersFor(step, queue.service), step.waitingTasks(pass.nowMs), pass.nowMs),
       isEligible: worker => eligibility.isEligible(step.name, worker.incarnation),
       hasTicket: worker => eligibility.ticket(step.name, worker.incarnation) !== undefined,
       freeRoom: worker => pass.freeRoom(blocked, worker),
--- a/packages/pomelofold/src/workflows/runHost.ts
+++ b/packages/pomelofold/src/workflows/runHost.ts
@@ -25,6 +25,8 @@
   readonly crashed: boolean
   /** Time at which the request for the last report was sent, in milliseconds of the monotonic clock. */
   readonly lastReportRequestSentMs: number
+  /** Latest start of a run on the worker that has succeeded, in milliseconds of the monotonic clock. */
+  lastSuccessStartMs: number
   /** No starts are sent before this time, in milliseconds of the monotonic clock. */
   suspendedUntilMs: number
   /** True if another scheduler has used the worker when it refuses a call with this token. */
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { AvoidedWorkers } from './avoidedWorkers.js'
 import type { CrashTracker } from './crashTracker.js'
 import type { EligibilityCache } from './eligibilityCache.js'
 import { shouldMoveRun } from './drainMoves.js'
@@ -147,6 +148,7 @@
       worker: worker.incarnation,
       epoch: this._options.epoch,
       freeCpuMillis: worker.entry.capacity.cpuMillis - worker.used.cpuMillis,
+      avoided: task.avoid?.has(worker),
       waitedMs: Math.round(task.step.waitOf(task, timers.now()))
     })
     this._orderSender.start(run, { payload: workflow.record.payload, checkpoint: task.step.checkpointOf(task), ticket })
@@ -377,7 +379,7 @@
     this._options.suspensions.noteStall(session.incarnation, stalled.length)
     for (const run of stalled) {
       const { task } = run
-      if (task) task.avoid = new Set([...(task.avoid ?? []), session.incarnation])
+      if (task) this._avoidWorker(task, session)
       this._orderSender.stop(run, 'no run of its worker makes progress')
     }
   }
@@ -414,7 +416,7 @@
     if (end.checkpoint) step.noteCheckpoint(task, end.checkpoint)
     this._options.suspensions.noteEnd(session.incarnation, workflow.record.id, end.how)
     if (end.how === RUN_ENDS.done) {
-      if (run) this._noteDuration(step, session, timers.now() - run.startedMs)
+      if (run) this._noteSuccess(run, step, session)
       if (!step.spec.longRunning) this._handleDone(task)
     } else if (end.how === RUN_ENDS.failed) {
       this._handleFailure(task, end, session)
@@ -424,7 +426,9 @@
     return workflow
   }
 
-  private _noteDuration (step: StepRuntime, session: WorkerSession, ranMs: number): void {
+  private _noteSuccess ({ startedMs }: Run, step: StepRuntime, session: WorkerSession): void {
+    const ranMs = this._options.timers.now() - startedMs
+    session.lastSuccessStartMs = Math.max(session.lastSuccessStartMs, startedMs)
     step.longestRunMs = Math.max(step.longestRunMs, ranMs)
     const { estimateMs } = step.spec
     this._options.speedEstimator.noteRunTime({ worker: session, workload: step.workflow.record.queue, estimateMs, ranMs })
@@ -443,18 +447,30 @@
   private _handleFailure (task: Task, end: ListedEnd, session: WorkerSession): void {
     const { step } = task
     const { workflow } = step
-    // The runs of a gang fail together, so the failures of a gang are counted on its first task.
-    const failureCounter = step.spec.gang ? step.tasks[0] : task
+    const { failures } = failureCounterOf(task)
     if (step.spec.gang) this._stopStep(step, 'a member of the gang failed')
-    if (workflow.isOver || step.spec.longRunning || task.state === TASK_STATES.done || failureCounter.failures.includes(end.attempt)) return
-    failureCounter.failures.push(end.attempt)
-    task.avoid = new Set([...(task.avoid ?? []), session.incarnation])
-    const maxAttempts = this._options.maxAttempts(workflow) ?? Number.POSITIVE_INFINITY
-    if (failureCounter.failures.length >= maxAttempts) {
-      this.finishWorkflow(
-        workflow, JOB_STATES.failed, `${end.task} failed ${failureCounter.failures.length} times`
-      )
-    } else this._options.onProgressChanged(workflow)
+    if (workflow.isOver || step.spec.longRunning || task.state === TASK_STATES.done || failures.includes(end.attempt)) return
+    failures.push(end.attempt)
+    if (this._attemptsLeft(task) <= 0) {
+      this.finishWorkflow(workflow, JOB_STATES.failed, `${end.task} failed ${failures.length} times`)
+      return
+    }
+    this._avoidWorker(task, session)
+    this._options.onProgressChanged(workflow)
+  }
+
+  /** Number of runs of the task that may still fail. */
+  private _attemptsLeft (task: Task): number {
+    const maxAttempts = this._options.maxAttempts(task.step.workflow) ?? Number.POSITIVE_INFINITY
+    return maxAttempts - failureCounterOf(task).failures.length
+  }
+
+  private _avoidWorker (task: Task, session: WorkerSession): void {
+    const { timers, log } = this._options
+    const attemptsLeft = this._attemptsLeft(task)
+    task.avoid ??= new AvoidedWorkers()
+    task.avoid.note(session, { nowMs: timers.now(), attemptsLeft })
+    log.event('info', 'task.avoids', { task: task.name, worker: session.incarnation, attemptsLeft })
   }
 
   /** Sets the final state of a workflow unless one is set, stops its runs and schedules the recording of the state. */
@@ -482,3 +498,8 @@
     }
   }
 }
+
+/** The runs of a gang fail together, so the failures of a gang are counted on its first task. */
+function failureCounterOf (task: Task): Task {
+  return task.step.spec.gang ? task.step.tasks[0] : task
+}
--- a/packages/pomelofold/src/workflows/stepPlacer.ts
+++ b/packages/pomelofold/src/workflows/stepPlacer.ts
@@ -12,6 +12,9 @@
 import type { WorkerSession } from './workerSession.js'
 import { addResources, NO_RESOURCES, type Resources } from '../protocol/workflows.js'
 
+/** Cost of a worker on which the task has failed: higher than that of any other worker. */
+const AVOIDED_WORKER_COST = 1_000_000
+
 /** Options of {@link placeStep}. */
 export interface PlaceStepOptions {
   step: StepRuntime
@@ -19,6 +22,8 @@
   /** Workers to which tasks of the step can be assigned now. */
   workers: WorkerSession[]
   urgent: boolean
+  /** Current time, in milliseconds of the monotonic clock. */
+  nowMs: number
   /** Run time on a worker relative to the fastest kind of worker; 1 for the fastest. */
   slowness: (worker: WorkerSession) => number
   /** Room on a worker that tasks of the step may use. */
@@ -101,14 +106,19 @@
 }
 
 /** Assigns workers to as many tasks as there is room for. A gang is assigned completely or not at all. */
-export function placeStep ({ step, tasks, workers, urgent, slowness, freeRoom }: PlaceStepOptions): Assignment[] {
-  const groups = step.spec.gang && step.spec.sameRack ? [...groupByRack(workers), workers] : [workers]
+export function placeStep ({ step, tasks, workers, urgent, nowMs, slowness, freeRoom }: PlaceStepOptions): Assignment[] {
+  const { gang, sameRack } = step.spec
+  const groups = gang && sameRack ? [...groupByRack(workers), workers] : [workers]
+  let withAvoided: Assignment[] = []
   for (const group of groups) {
     const room = new StepRoom(step, freeRoom)
-    const assignments = assign({ room, step, tasks, workers: group, urgent, slowness })
-    if (!step.spec.gang || assignments.length === tasks.length) return assignments
+    const assignments = assign({ room, step, tasks, workers: group, urgent, nowMs, slowness })
+    if (!gang) return assignments
+    if (assignments.length < tasks.length) continue
+    if (!assignments.some(({ task, worker }) => task.avoid?.has(worker))) return assignments
+    if (withAvoided.length === 0) withAvoided = assignments
   }
-  return []
+  return withAvoided
 }
 
 /** Options of {@link placeApart}. */
@@ -121,34 +131,36 @@
  * Assigns as many tasks as possible to one worker: a stable one with few runs, so that a crash says most about the tasks
  * and harms little else.
  */
-export function placeApart ({ step, tasks, workers, slowness, freeRoom, isUnstable }: PlaceApartOptions): Assignment[] {
+export function placeApart ({ step, tasks, workers, nowMs, slowness, freeRoom, isUnstable }: PlaceApartOptions): Assignment[] {
   const room = new StepRoom(step, freeRoom)
-  const candidates = workers.filter(worker => room.slots(worker, 1) > 0 && tasks.some(task => mayPlace(task, worker)))
+  const candidates = workers.filter(worker => room.slots(worker, 1) > 0 && tasks.some(task => mayPlace(task, worker, nowMs)))
   const [worker] = candidates.sort((a, b) =>
     Number(isUnstable(a)) - Number(isUnstable(b)) || a.runs.size - b.runs.size || slowness(a) - slowness(b))
   if (!worker) return []
-  return tasks.filter(task => mayPlace(task, worker)).slice(0, room.slots(worker, tasks.length)).map(task => ({ task, worker }))
+  return tasks.filter(task => mayPlace(task, worker, nowMs)).slice(0, room.slots(worker, tasks.length)).map(task => ({ task, worker }))
 }
 
-/** False for a worker that the task avoids, or on which a run of it is. */
-function mayPlace ({ avoid, run, supersededRuns }: Task, worker: WorkerSession): boolean {
-  return !avoid?.has(worker.incarnation) && run?.session !== worker && supersededRuns.every(({ session }) => session !== worker)
+/** False for a worker that the task excludes, or on which a run of it is. */
+function mayPlace ({ avoid, run, supersededRuns }: Task, worker: WorkerSession, nowMs: number): boolean {
+  return !avoid?.excludes(worker, nowMs) && run?.session !== worker && supersededRuns.every(({ session }) => session !== worker)
 }
 
 type AssignOptions = Omit<PlaceStepOptions, 'freeRoom'> & { room: StepRoom }
 
 function assign ({ tasks, workers, ...options }: AssignOptions): Assignment[] {
-  const { room } = options
+  const { room, nowMs } = options
   const candidates: Array<{ worker: WorkerSession, cost: number }> = []
   for (const worker of workers) if (room.slots(worker, 1) > 0) candidates.push({ worker, cost: costOf(options, worker) })
   const assignments: Assignment[] = []
   for (const task of tasks) {
     let best = -1
+    let bestCost = Number.POSITIVE_INFINITY
     for (let index = 0; index < candidates.length; index++) {
-      const { worker, cost } = candidates[index]
-      if (best >= 0 && cost >= candidates[best].cost) continue
-      if (!mayPlace(task, worker)) continue
+      const { worker } = candidates[index]
+      const cost = candidates[index].cost + (task.avoid?.has(worker) ? AVOIDED_WORKER_COST : 0)
+      if (cost >= bestCost || !mayPlace(task, worker, nowMs)) continue
       best = index
+      bestCost = cost
     }
     if (best < 0) continue
     const { worker } = candidates[best]
@@ -161,7 +173,7 @@
 }
 
 /** Cost of placing a task at a worker; lower is better. Run time and distance to the data dominate; free CPU breaks near ties. */
-function costOf ({ room, step, urgent, slowness }: Omit<AssignOptions, 'tasks' | 'workers'>, worker: WorkerSession): number {
+function costOf ({ room, step, urgent, slowness }: Omit<AssignOptions, 'tasks' | 'workers' | 'nowMs'>, worker: WorkerSession): number {
   const { spec } = step
   const remoteDataCost = spec.dataRack !== '' && !worker.entry.labels.includes(spec.dataRack) ? 1 : 0
   const freeCpuShare = room.free(worker).cpuMillis / Math.max(1, worker.entry.capacity.cpuMillis)
--- a/packages/pomelofold/src/workflows/waitExplanation.ts
+++ b/packages/pomelofold/src/workflows/waitExplanation.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { withoutExcluded } from './avoidedWorkers.js'
 import { isSuspect } from './crashTracker.js'
 import { ELIGIBILITY, type EligibilityCache } from './eligibilityCache.js'
 import type { PlacementPass } from './placementPass.js'
@@ -30,11 +31,13 @@
   const allowed = queue.eligibility ? usable.filter((_worker, index) => answers[index] !== ELIGIBILITY.refused) : usable
   const holders = usable.filter((_worker, index) => answers[index] === ELIGIBILITY.ticket)
   const known = usable.filter((_worker, index) => answers[index] === ELIGIBILITY.ticket || answers[index] === ELIGIBILITY.expired)
+  const waitingTasks = step.waitingTasks(pass.nowMs)
   const counts = {
     workers: usable.length,
     eligible: queue.eligibility ? known.length : usable.length,
     unknown: queue.eligibility ? countOf(ELIGIBILITY.unknown) : 0,
     slots: slotsOf(new StepRoom(step), usable),
+    openSlots: slotsOf(new StepRoom(step), withoutExcluded(usable, waitingTasks, pass.nowMs)),
     allowedSlots: slotsOf(new StepRoom(step), allowed),
     unclaimedSlots: slotsOf(unclaimed, allowed),
     ...queue.eligibility && {
@@ -46,10 +49,11 @@
     }
   }
   const cause = ((): WaitCause => {
-    if (step.waitingTasks(pass.nowMs).some(isSuspect)) return WAIT_CAUSES.trial
+    if (waitingTasks.some(isSuspect)) return WAIT_CAUSES.trial
     if (usable.length === 0) return WAIT_CAUSES.noWorker
     if (eligibility.isQueryPending(step.name)) return WAIT_CAUSES.eligibilityPending
     if (counts.slots === 0) return WAIT_CAUSES.noRoom
+    if (counts.openSlots === 0) return WAIT_CAUSES.avoided
     if (counts.allowedSlots === 0) return WAIT_CAUSES.notEligible
     if (counts.unclaimedSlots === 0) return WAIT_CAUSES.roomClaimed
     if (step.spec.gang && counts.unclaimedSlots < waiting) return WAIT_CAUSES.tooLittleRoom
--- a/packages/pomelofold/src/workflows/waitReporter.ts
+++ b/packages/pomelofold/src/workflows/waitReporter.ts
@@ -22,6 +22,8 @@
   noWorker: 'no-worker',
   /** No usable worker has room for a task. */
   noRoom: 'no-room',
+  /** There is room only on workers on which the tasks have failed or stalled, and which they do not use yet. */
+  avoided: 'avoided',
   /** There is room for fewer tasks than the gang has, or for fewer tasks of the step than wait. */
   tooLittleRoom: 'too-little-room',
   /** The free room is claimed by steps that come first. */
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -117,6 +117,8 @@
   restarted = false
   /** True when a run that an earlier scheduler started may be a late copy of one that it has seen end. */
   mayRunLateStarts = false
+  /** Latest start of a run on the worker that has succeeded, in milliseconds of the monotonic clock. */
+  lastSuccessStartMs = Number.NEGATIVE_INFINITY
   /** Time before which nothing is started on the worker, in milliseconds of the monotonic clock. */
   suspendedUntilMs = 0
   /** Time by which runs that an earlier scheduler started have ended, in milliseconds of the monotonic clock. */
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { AvoidedWorkers } from './avoidedWorkers.js'
 import type { CrashRecord } from '../protocol/crashes.js'
 import { JOB_STATES } from '../protocol/jobs.js'
 import { addResources, formatStepName, formatTaskName, NO_RESOURCES, type WorkflowProgress, type Resources, type Workflow, type WorkflowState, type WorkflowStep } from '../protocol/workflows.js'
@@ -43,8 +44,8 @@
   heldStarts: number
   /** Earlier runs that continue in parallel with the current one. */
   supersededRuns: Run[]
-  /** Incarnations of workers on which a run of the task has failed or stalled, and which are avoided while there are others. */
-  avoid: Set<string> | undefined
+  /** Workers on which a run of the task has failed or stalled; undefined for none. */
+  avoid: AvoidedWorkers | undefined
   /** Crashes of workers that count against the task. */
   crashes: CrashRecord[]
   /** Number of these crashes that are not recorded in the store. A suspected task waits for them. */
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -83,7 +83,7 @@
   const placedStep = step({ tasks: 2 })
   const workers = [session('slow', { labels: ['b', 'r1'] }), session('quick')]
   const slowness = (worker: WorkerSession): number => worker.entry.labels[0] === 'b' ? 2.4 : 1
-  const plan = placeStep({ step: placedStep, tasks: placedStep.tasks, workers, urgent: true, slowness })
+  const plan = placeStep({ step: placedStep, tasks: placedStep.tasks, workers, urgent: true, nowMs: 0, slowness })
   t.same(plan.map(({ worker }) => worker.entry.id), ['quick', 'quick'])
 })
 
@@ -95,7 +95,7 @@
   task.supersededRuns = [run(placedStep, 0, workers[0])]
   task.run = run(placedStep, 0, workers[1], { attempt: 2 })
   const slowness = (worker: WorkerSession): number => worker === workers[2] ? 2 : 1
-  const plan = placeStep({ step: placedStep, tasks: [task], workers, urgent: true, slowness })
+  const plan = placeStep({ step: placedStep, tasks: [task], workers, urgent: true, nowMs: 0, slowness })
   t.same(plan.map(({ worker }) => worker.entry.id), ['third'])
 })
 
@@ -104,14 +104,14 @@
   const [empty, used] = [session('empty'), session('used')]
   run(step({}), 0, used)
   const plan = placeStep({
-    step: placedStep, tasks: placedStep.tasks, workers: [empty, used], urgent: false, slowness: () => 1
+    step: placedStep, tasks: placedStep.tasks, workers: [empty, used], urgent: false, nowMs: 0, slowness: () => 1
   })
   t.same(plan.map(({ worker }) => worker.entry.id), ['used', 'used'])
 })
 
 t.test('a gang is placed completely or not at all', async t => {
   const placedStep = step({ tasks: 5, gang: true, size: { cpuMillis: 4_000, memoryMb: 1, accelerators: 0 } })
-  const options = { step: placedStep, tasks: placedStep.tasks, urgent: false, slowness: () => 1 }
+  const options = { step: placedStep, tasks: placedStep.tasks, urgent: false, nowMs: 0, slowness: () => 1 }
   t.equal(placeStep({ ...options, workers: [session('a'), session('b')] }).length, 0)
   t.equal(placeStep({ ...options, workers: [session('a'), session('b'), session('c')] }).length, 5)
 })
@@ -119,7 +119,7 @@
 t.test('a gang that requires one rack is placed in one rack if it fits, else across racks', async t => {
   const placedStep = step({ tasks: 4, gang: true, sameRack: true, size: { cpuMillis: 4_000, memoryMb: 1, accelerators: 0 } })
   const workers = [session('a', { labels: ['k', 'r1'] }), session('b', { labels: ['k', 'r2'] }), session('c', { labels: ['k', 'r2'] })]
-  const options = { step: placedStep, tasks: placedStep.tasks, urgent: false, slowness: () => 1 }
+  const options = { step: placedStep, tasks: placedStep.tasks, urgent: false, nowMs: 0, slowness: () => 1 }
   t.same(new Set(placeStep({ ...options, workers }).map(({ worker }) => worker.entry.labels[1])), new Set(['r2']))
   t.equal(placeStep({ ...options, workers: workers.slice(0, 2) }).length, 4)
 })
@@ -127,14 +127,14 @@
 t.test('no worker gets more tasks of a step than maxPerWorker', async t => {
   const placedStep = step({ tasks: 5, maxPerWorker: 2 })
   const plan = placeStep({
-    step: placedStep, tasks: placedStep.tasks, workers: [session('a'), session('b')], urgent: true, slowness: () => 1
+    step: placedStep, tasks: placedStep.tasks, workers: [session('a'), session('b')], urgent: true, nowMs: 0, slowness: () => 1
   })
   t.equal(plan.length, 4)
 })
 
 t.test('tasks that use spare CPU reserve memory but no CPU', async t => {
   const placedStep = step({ tasks: 3, usesSpareCpu: true, size: { cpuMillis: 8_000, memoryMb: 20_000, accelerators: 0 } })
-  t.equal(placeStep({ step: placedStep, tasks: placedStep.tasks, workers: [session('a')], urgent: false, slowness: () => 1 }).length, 3)
+  t.equal(placeStep({ step: placedStep, tasks: placedStep.tasks, workers: [session('a')], urgent: false, nowMs: 0, slowness: () => 1 }).length, 3)
 })
 
 t.test('runs count as stalled only when no run of their worker makes progress', async t => {
