The members of a gang avoid a worker together

Callers saw a sound gang shown as failed because of one worker that fails all that it starts.

Cause: only the member that had failed avoided the worker. The next run of the gang had another member there, which failed as well, and the failures of a gang count as a whole.

Change: the members share what they avoid, as they share the count of failures.

Evidence: "a gang that has failed on a worker is not started there again under another task" fails on with "0.0.2 failed 3 times", and passes with this change.

--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -465,11 +465,14 @@
     return maxAttempts - failureCounterOf(task).failures.length
   }
 
+  /** Has the task avoid the worker; in a gang all members, since they fail together. */
   private _avoidWorker (task: Task, session: WorkerSession): void {
     const { timers, log } = this._options
+    const { spec, tasks } = task.step
     const attemptsLeft = this._attemptsLeft(task)
-    task.avoid ??= new AvoidedWorkers()
-    task.avoid.note(session, { nowMs: timers.now(), attemptsLeft })
+    const avoid = task.avoid ?? new AvoidedWorkers()
+    for (const member of spec.gang ? tasks : [task]) member.avoid = avoid
+    avoid.note(session, { nowMs: timers.now(), attemptsLeft })
     log.event('info', 'task.avoids', { task: task.name, worker: session.incarnation, attemptsLeft })
   }
 
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -44,7 +44,7 @@
   heldStarts: number
   /** Earlier runs that continue in parallel with the current one. */
   supersededRuns: Run[]
-  /** Workers on which a run of the task has failed or stalled; undefined for none. */
+  /** Workers on which a run of the task, or of its gang, has failed or stalled; undefined for none. */
   avoid: AvoidedWorkers | undefined
   /** Crashes of workers that count against the task. */
   crashes: CrashRecord[]
--- a/tests/workflows/avoidedWorkers.test.ts
+++ b/tests/workflows/avoidedWorkers.test.ts
@@ -80,6 +80,19 @@
   }
 })
 
+// Guards against a gang that uses up its attempts on one bad worker, each time under another of its tasks (LOST).
+t.test('a gang that has failed on a worker is not started there again under another task', async t => {
+  for (const sameRack of [false, true]) {
+    const cell = new WorkflowCell({ workers: 10, cpuMillis: 1_000, runMs: () => 800 })
+    await cell.waitUntilReady()
+    cell.workers[0].faults.failTasks = true
+    const gang = cell.workflow([{ tasks: 4, gang: true, sameRack }])
+    await cell.submit(gang)
+    await cell.waitForState(gang.id, 'done', { limitMs: 10_000 })
+    t.equal(cell.records.filter(({ how }) => how === 'failed').length, 1)
+  }
+})
+
 // Guards against a wait that is not explained: the task has room, and is not started.
 t.test('the log tells that a task waits because it has failed on the workers with room', async t => {
   const { cell, submit } = await cellWithFailingWorker()
