Entry daemons: a job avoids a worker on which it has failed for the time of a probation

Callers of the entry daemons saw a job wait for as long as other jobs filled all workers but the one on which it had failed.

Cause: the same as in the scheduler of workflows: a worker was avoided until all workers were, those without room included.

Change: the worker is avoided for as long as a first probation lasts, then the job is tried again.

Evidence: "a job that has failed on the only worker with room runs there later" in tests/jobs/decisions.test.ts fails on (running after 600 s) and passes with this change.

--- a/packages/pomelofold/src/tasks/jobs/job.ts
+++ b/packages/pomelofold/src/tasks/jobs/job.ts
@@ -100,7 +100,7 @@
   readonly checkpoints: Map<number, string>
   /** At-most-once jobs only: worker by index of each task that may have been sent. */
   readonly intents = new Map<number, string>()
-  /** Workers on which a task of the job failed; its tasks are not placed there. Emptied when it contains all workers. */
+  /** Workers on which a task of the job failed lately; its tasks are not placed there. Emptied when it contains all workers. */
   readonly avoid = new Set<string>()
   /** Crashes of workers that count against a task, by its index. */
   readonly crashes = new Map<number, CrashRecord[]>()
--- a/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
@@ -272,13 +272,24 @@
     const workersNeeded = Math.min(MIN_FAILED_WORKERS, this._links.size)
     const mustFail = total >= this._cfg.maxTaskFailures && countedFailures.length >= workersNeeded && !job.isService
     if (mustFail) return this.fail(job, `failed ${total} times at ${countedFailures.length} workers; last: ${reason}`)
-    job.avoid.add(worker)
-    if (job.avoid.size >= this._links.size) job.avoid.clear()
+    this._avoidWorker(job, worker)
     this._delayPlacement(job, Math.min(this._cfg.maxBackoffMs, this._cfg.backoffMs * 2 ** Math.max(0, total - 1)))
     if (job.isGang) this._onGangIncomplete(job, `task ${index} failed at ${worker}`)
     else this._requeue(job, index)
   }
 
+  /** Keeps the job off a worker for as long as a probation lasts: the other workers may have no room for it. */
+  private _avoidWorker (job: Job, worker: string): void {
+    if (job.avoid.has(worker)) return
+    job.avoid.add(worker)
+    if (job.avoid.size >= this._links.size) return job.avoid.clear()
+    this._timers.after(this._cfg.probationMs, () => {
+      if (!job.avoid.delete(worker) || job.ended) return
+      job.blockedAtVersion = -1
+      this._schedulePass()
+    })
+  }
+
   /** Restarts a gang of which a task cannot run. An at-most-once gang fails instead when one of its tasks may have run. */
   private _onGangIncomplete (job: Job, reason: string): void {
     const started = [...job.runs.values()].filter(run => run.state !== RUN_STATES.queued && run.state !== RUN_STATES.intending)
--- a/tests/jobs/decisions.test.ts
+++ b/tests/jobs/decisions.test.ts
@@ -209,6 +209,20 @@
   t.equal(countRunning(cell, 'next'), 2, 'planned with the observed size')
 })
 
+// Guards against a job that waits for ever beside the only worker with room, since a task of it has failed there (LOST).
+t.test('a job that has failed on the only worker with room runs there later', async t => {
+  const cell = new JobCell({ workers: 3, cpus: 8 })
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'long', { kind: 'gang', count: 2, cpus: 8, runMs: 100_000_000 })
+  await cell.timers.advance(1_000)
+  const worker = cell.workers.find(({ tasks }) => tasks.size === 0)!
+  worker.faults.failTasks = true
+  await cell.submit(placer, 'job', { cpus: 8 })
+  await cell.timers.advanceUntil(() => cell.runs.some(run => run.task === 'job:0' && run.end === 'failed'))
+  worker.faults.failTasks = false
+  await cell.untilState(placer, 'job', 'done')
+})
+
 t.test('a worker that fails tasks of unrelated jobs goes on probation; the jobs succeed on other workers', async t => {
   const cell = new JobCell()
   const placer = await cell.addPlacer()
