--- a/packages/pomelofold/src/protocol/workflows.ts
+++ b/packages/pomelofold/src/protocol/workflows.ts
@@ -119,7 +119,7 @@
   failures: z.record(z.string(), z.array(z.number().int().positive())).default({}),
   /** Latest checkpoints of the tasks that are not running, by `occurrence.step.index`. */
   checkpoints: z.record(z.string(), z.string()).default({}),
-  /** Crashes of workers that count against a task, by `occurrence.step.index`; for a gang, those of its first task. */
+  /** Crashes of workers that count against a task, by `occurrence.step.index`. */
   crashes: z.record(z.string(), z.array(crashRecordSchema)).default({}),
   /** Why the workflow has failed, for callers. */
   reason: z.string().optional(),
--- a/packages/pomelofold/src/tasks/jobs/jobRecord.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobRecord.ts
@@ -37,7 +37,7 @@
   /** At-most-once jobs only: tasks that may have been sent to a worker, by worker. */
   intents: z.record(z.string(), z.string()).default({}),
   checkpoints: z.record(z.string(), z.string()).default({}),
-  /** Crashes of workers that count against a task, by its index; against a gang, by index 0. */
+  /** Crashes of workers that count against a task, by its index. */
   crashes: z.record(z.string(), z.array(crashRecordSchema)).default({}),
   state: z.enum([JOB_STATES.done, JOB_STATES.failed, JOB_STATES.cancelled]).optional(),
   reason: z.string().optional(),
