--- a/packages/pomelofold/src/edge/httpCaller.ts
+++ b/packages/pomelofold/src/edge/httpCaller.ts
@@ -8,7 +8,7 @@
 import Result from 'true-myth/result'
 import { describeMalformedCall } from './httpCallCheck.js'
 import type { Timers, TimerSubscription } from '../seams/timers.js'
-import { CallError, CallTimeoutError, EFFECTS, type CallErrorOptions, type Effect } from '../utils/errors.js'
+import { CallError, CallTimeoutError, EFFECTS, type CallErrorOptions, type Effect, type PartialAnswer } from '../utils/errors.js'
 import { ManualPromise } from '../utils/manualPromise.js'
 
 /** Options of an {@link HttpCaller}. */
@@ -183,7 +183,7 @@
 
   /** Ends the call at its deadline. A request that has not been sent yet will not be sent. */
   timeOut (): void {
-    this._abort(new CallTimeoutError(this._call.timeoutMs, this._details()))
+    this._abort(new CallTimeoutError(this._call.timeoutMs, { ...this._details(), partial: this._partialAnswer() }))
   }
 
   /** undici calls this before it writes the request to a connected socket. Aborts calls that have ended, and a second send. */
@@ -228,6 +228,13 @@
     this._controller?.abort(err)
   }
 
+  /** What has arrived of the answer; undefined before its headers. */
+  private _partialAnswer (): PartialAnswer | undefined {
+    if (this._status === 0) return
+    const length = this._headers['content-length']
+    return { receivedBytes: this._receivedBytes, totalBytes: length === undefined ? undefined : Number(length) }
+  }
+
   private _details (cause?: unknown): CallErrorOptions {
     const { step, mutates = true } = this._call
     const effect: Effect = this._controller && mutates ? EFFECTS.unknown : EFFECTS.none
--- a/packages/pomelofold/src/utils/errors.ts
+++ b/packages/pomelofold/src/utils/errors.ts
@@ -44,10 +44,17 @@
   }
 }
 
-/** A call was not answered by its deadline. */
+/** A part of an answer. */
+export interface PartialAnswer {
+  receivedBytes: number
+  /** Size of the whole body; undefined when the answer does not state it. */
+  totalBytes: number | undefined
+}
+
+/** A call was not answered by its deadline, or not completely. */
 export class CallTimeoutError extends CallError {
-  constructor (timeoutMs: number, options: CallErrorOptions) {
-    super(`no answer within ${timeoutMs} ms`, options)
+  constructor (timeoutMs: number, { partial, ...options }: CallErrorOptions & { partial?: PartialAnswer }) {
+    super(partial ? `${partial.receivedBytes} of ${partial.totalBytes ?? 'unknown'} bytes within ${timeoutMs} ms` : `no answer within ${timeoutMs} ms`, options)
     this.name = 'CallTimeoutError'
   }
 }
--- a/packages/pomelofold/src/workflows/configurationPeers.ts
+++ b/packages/pomelofold/src/workflows/configurationPeers.ts
@@ -110,8 +110,9 @@
     const { configuration, transport, timers, log } = this._options
     const sent = readClocks(timers)
     const answer = await transport.call(peer, 'configurationText', {}, TEXT_TIMEOUT_MS)
-    if (answer.isErr || answer.value.text === null) return
+    if (answer.isErr) return log.event('warn', 'configuration.fetch.failed', { peer, detail: answer.error.message })
     const { text, ageMs } = answer.value
+    if (text === null) return
     const version = configuration.options.decode(text)
     if (version.isErr) return log.event('error', 'configuration.unreadable', { peer, detail: version.error })
     configuration.note(version.value, undefined, { source: peer })
--- a/packages/pomelofold/src/workflows/prefixView.ts
+++ b/packages/pomelofold/src/workflows/prefixView.ts
@@ -16,6 +16,9 @@
 /** Timeout of a page of a list, in milliseconds. A connection that has become silent is abandoned after it. */
 const LIST_TIMEOUT_MS = 1_000
 
+/** Minimum time between two log lines about failed lists, in milliseconds. */
+const FAILURE_LOG_INTERVAL_MS = 5_000
+
 /** Options of a {@link PrefixView}. */
 export interface PrefixViewOptions {
   prefix: string
@@ -47,7 +50,9 @@
   private _timeoutMs = LIST_TIMEOUT_MS
   /** Time at which the store last confirmed the view. */
   private _confirmedMs: number | undefined
-  private _failing = false
+  /** Lists that have failed since the last one that was read. */
+  private _failures = 0
+  private _failureLoggedMs = 0
   private _closed = false
 
   constructor (options: PrefixViewOptions) {
@@ -77,7 +82,7 @@
 
   /** True while the list cannot be read. */
   get failing (): boolean {
-    return this._failing
+    return this._failures > 0
   }
 
   get (key: string): StoredValue | undefined {
@@ -90,26 +95,38 @@
 
   /** Reads all keys, then opens a watch. Called again when the watch ends. */
   private async _list (): Promise<void> {
-    const { prefix, platform, timers, log } = this._options
+    const { prefix, platform, timers } = this._options
     const sent = readClocks(timers)
     const list = await platform.range(prefix, { timeoutMs: this._timeoutMs })
     if (this._closed) return
     if (list.isErr) {
-      if (!this._failing) log.event('warn', 'view.list.failed', { prefix, detail: list.error.message, ageMs: Math.round(this.ageMs) })
-      this._failing = true
+      this._noteFailure(list.error.message)
       this._retryTimer = timers.after(this._retryMs, () => { this._list() })
       this._retryMs = Math.min(2 * this._retryMs, LIST_RETRY_MAX_MS)
       this._timeoutMs = Math.min(2 * this._timeoutMs, this._options.maxListTimeoutMs ?? LIST_TIMEOUT_MS)
       return
     }
-    if (this._failing) log.event('info', 'view.list.regained', { prefix, revision: list.value.revision })
-    this._failing = false
+    this._noteSuccess(list.value.revision)
     this._retryMs = LIST_RETRY_MIN_MS
     this._timeoutMs = LIST_TIMEOUT_MS
     this._replaceValues(list.value.values, sent)
     this._openWatch(list.value.revision + 1)
   }
 
+  private _noteFailure (detail: string): void {
+    const { prefix, timers, log } = this._options
+    this._failures++
+    if (this._failures > 1 && timers.now() - this._failureLoggedMs < FAILURE_LOG_INTERVAL_MS) return
+    this._failureLoggedMs = timers.now()
+    log.event('warn', 'view.list.failed', { prefix, failures: this._failures, ageMs: Math.round(this.ageMs), detail })
+  }
+
+  private _noteSuccess (revision: number): void {
+    const { prefix, log } = this._options
+    if (this._failures > 0) log.event('info', 'view.list.regained', { prefix, revision, failures: this._failures })
+    this._failures = 0
+  }
+
   private _replaceValues (values: StoredValue[], sent: ClockReading): void {
     const first = !this.loaded
     const removedKeys = new Set(this._values.keys())
@@ -145,7 +162,7 @@
       },
       onEnd: reason => {
         if (this._closed) return
-        log.event('debug', 'view.watch.ended', { prefix, reason })
+        log.event('info', 'view.watch.ended', { prefix, reason })
         this._list()
       }
     }, this._options.watch)
