--- /dev/null
+++ b/tests/platform/smallLinks.test.ts
@@ -0,0 +1,167 @@
+/**
+ * Tests of a daemon whose link to the store is small, with the real HTTP client and a manual clock.
+ *
+ * Load pattern: the operator's configuration grows until its transfer takes longer than a call that has no large answer should.
+ */
+
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import t, { type Test } from 'tap'
+import { ManualTimers } from '@pomelofold/standins/manualTimers'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import { HttpCaller } from 'pomelofold/edge/httpCaller'
+import type { PeerTransport } from 'pomelofold/seams/peerTransport'
+import { SILENT_LOG } from 'pomelofold/utils/eventLog'
+import { ConfigurationPeers } from 'pomelofold/workflows/configurationPeers'
+import { ConfigurationWatcher } from 'pomelofold-on-platform/configurationWatcher'
+import { StoreClient } from 'pomelofold-on-platform/storeClient'
+
+/** Share of a link of 10 Mbit/s, and a link of 2 Mbit/s, in bytes per millisecond. */
+const SMALL_LINK = 7_000 / 8
+const SMALLEST_LINK = 2_000 / 8
+const BOUNDS = { strict: true, withdrawalMs: 5_000, applyMs: 3_000 }
+const STEP_MS = 25
+/** Turns of the event loop after each step, in which requests and answers pass between the sockets of this process. */
+const TURNS_PER_STEP = 12
+
+function configText (version: number, routes: number): string {
+  const random = new SeededRandom(version)
+  return JSON.stringify({
+    version,
+    routes: Array.from({ length: routes }, () => ({
+      name: `r-${random.hex(4)}`,
+      host: `h${random.hex(2)}.example`,
+      prefix: `/q${random.hex(3)}/`,
+      service: 'obrada',
+      priority: 2,
+      max_attempts: 2,
+      stretch: 2.2,
+      target_duration_ms: 1_200,
+      advice: { decide_ms: 380, each_ms: 5.5, valid_ms: 2_500 },
+      no_auth: false
+    })),
+    limits: {},
+    tenants: [{ name: 'team', api_keys: ['key'] }]
+  })
+}
+
+/** A store with one key, behind a link whose bandwidth its open answers share. */
+class LinkedStore {
+  readonly clock = new ManualTimers()
+  bytesSent = 0
+  private readonly _bytesPerMs: number
+  private readonly _answers = new Map<ServerResponse, Buffer>()
+  private _item = { key: 'op/config', value: '', revision: 1, created: 1, lease: 0 }
+  private readonly _polls = new Set<() => void>()
+  private readonly _server = createServer((req, res) => this._serve(req, res))
+
+  constructor (bytesPerMs: number) {
+    this._bytesPerMs = bytesPerMs
+  }
+
+  put (text: string): void {
+    this._item = { ...this._item, value: Buffer.from(text).toString('base64'), revision: this._item.revision + 1 }
+    for (const answer of this._polls) answer()
+  }
+
+  async listen (t: Test): Promise<string> {
+    await new Promise<void>(resolve => this._server.listen(0, '127.0.0.1', resolve))
+    t.teardown(() => { this._server.closeAllConnections(); this._server.close() })
+    return `127.0.0.1:${(this._server.address() as AddressInfo).port}`
+  }
+
+  /** Advances the clock, the link and the sockets. */
+  async advance (ms: number): Promise<void> {
+    for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+      await this.clock.advance(STEP_MS)
+      this._transfer()
+      for (let turn = 0; turn < TURNS_PER_STEP; turn++) await new Promise(resolve => setImmediate(resolve))
+    }
+  }
+
+  private _serve (req: IncomingMessage, res: ServerResponse): void {
+    const { pathname, searchParams } = new URL(req.url!, 'http://store')
+    res.on('close', () => this._answers.delete(res))
+    const asOf = this._item.revision
+    if (pathname === '/api/kv-range') return this._answer(res, { items: [this._item], has_more: false, as_of: asOf })
+    if (pathname === '/api/kv-key') return this._answer(res, { ...this._item, as_of: asOf })
+    const after = Number(searchParams.get('after'))
+    const answer = (): void => {
+      if (!this._polls.delete(answer)) return
+      this._answer(res, { events: this._item.revision > after ? [this._item] : [], as_of: this._item.revision })
+    }
+    this._polls.add(answer)
+    if (this._item.revision > after) answer()
+    else this.clock.after(Number(searchParams.get('wait_ms')), answer)
+  }
+
+  private _answer (res: ServerResponse, body: object): void {
+    const bytes = Buffer.from(JSON.stringify(body))
+    res.writeHead(200, { 'content-type': 'application/json', 'content-length': bytes.length })
+    this._answers.set(res, bytes)
+  }
+
+  private _transfer (): void {
+    let budget = this._bytesPerMs * STEP_MS
+    for (const [res, bytes] of this._answers) {
+      const size = Math.min(bytes.length, Math.ceil(this._bytesPerMs * STEP_MS / this._answers.size), budget)
+      budget -= size
+      this.bytesSent += size
+      res.write(bytes.subarray(0, size))
+      if (size < bytes.length) {
+        this._answers.set(res, bytes.subarray(size))
+        continue
+      }
+      res.end()
+      this._answers.delete(res)
+    }
+  }
+}
+
+/** A daemon's part that keeps the configuration, behind a link of that bandwidth, with a first configuration of one route. */
+async function startDaemon (t: Test, bytesPerMs: number): Promise<{ store: LinkedStore, watcher: ConfigurationWatcher }> {
+  const store = new LinkedStore(bytesPerMs)
+  const timers = store.clock
+  const address = await store.listen(t)
+  const caller = new HttpCaller({ timers, maxAnswerBytes: 8_000_000 })
+  const platform = new StoreClient({ caller, address, timers })
+  const watcher = new ConfigurationWatcher({ platform, timers, log: SILENT_LOG, bounds: BOUNDS })
+  const transport = {} as PeerTransport
+  const random = new SeededRandom(1)
+  const peers = new ConfigurationPeers({ configuration: watcher.active, peers: () => [], transport, timers, random, log: SILENT_LOG })
+  t.teardown(() => { watcher.close(); peers.close(); return caller.close() })
+  store.put(configText(1, 1))
+  watcher.start()
+  peers.start()
+  await store.advance(3_000)
+  t.equal(watcher.config?.version, 1)
+  return { store, watcher }
+}
+
+// Guards against a daemon that never reads a large configuration, since each try is given up before its answer is complete.
+t.test('a large configuration takes effect in time on a small link, and the proof is not lost', async t => {
+  const { store, watcher } = await startDaemon(t, SMALL_LINK)
+  store.put(configText(2, 4_000))
+  let oldestProofMs = 0
+  for (let passedMs = 0; passedMs < BOUNDS.applyMs; passedMs += STEP_MS) {
+    await store.advance(STEP_MS)
+    oldestProofMs = Math.max(oldestProofMs, watcher.active.proofAgeMs)
+  }
+  t.equal(watcher.config!.version, 2)
+  t.ok(oldestProofMs < BOUNDS.withdrawalMs, `a proof of ${oldestProofMs} ms`)
+})
+
+// Guards against tries that share the link with each other, so that none of them is complete.
+t.test('a configuration whose transfer takes longer than its time limit is read with one transfer', async t => {
+  const { store, watcher } = await startDaemon(t, SMALLEST_LINK)
+  const text = configText(2, 4_000)
+  const transferMs = Buffer.byteLength(text) * 4 / 3 / SMALLEST_LINK
+  t.ok(transferMs > BOUNDS.applyMs)
+  store.put(text)
+  store.bytesSent = 0
+  await store.advance(1.2 * transferMs)
+  t.equal(watcher.config!.version, 2)
+  t.ok(store.bytesSent < 1.5 * transferMs * SMALLEST_LINK, `${store.bytesSent} bytes were sent`)
+  await store.advance(2 * BOUNDS.applyMs)
+  t.ok(watcher.active.proofAgeMs < BOUNDS.withdrawalMs, 'the proof is regained')
+})
