Reads of the store are given up for silence, not for the size of their answer

Callers saw 503 from three quarters of the daemons for as long as the configuration was large; the states of accepted jobs were told by nobody that they asked in time.

Cause: each read had a limit for the whole answer (watch 1,250 ms with its wait, list 1,000 ms, read for a proof 400 ms). A configuration of 1.2 MB takes 1.3 s and more on a link of 7 Mbit/s. A read that ran out began again from the first byte, and several reads shared the link, so that no try succeeded. The daemon could not show that its configuration was the newest, and refused.

The timeout of a read now counts from the last byte that arrived, so that a read that makes progress is completed, whatever the size of its answer; a silent connection is noticed as before.

--- a/packages/pomelofold/src/edge/httpCaller.ts
+++ b/packages/pomelofold/src/edge/httpCaller.ts
@@ -32,7 +32,12 @@
   path: string
   headers?: Record<string, string>
   body?: Uint8Array | string
+  /** Longest time until the answer is complete, in milliseconds; with `maxTransferMs`, the longest time without a byte of it. */
   timeoutMs: number
+  /** Longest time until the answer is complete, in milliseconds, for answers whose size is not known. Defaults to `timeoutMs`. */
+  maxTransferMs?: number
+  /** Called whenever a part of the answer has arrived. */
+  onData?: () => void
   /** Maximum size of the answer's body, in bytes. Defaults to the limit of the caller. */
   maxAnswerBytes?: number
   /** False for a call that only reads: its errors always have the effect `none`. Defaults to true. */
@@ -59,6 +64,12 @@
 /** Delay until the first TCP keep-alive probe on a connection, in milliseconds. */
 export const TCP_KEEP_ALIVE_DELAY_MS = 5_000
 
+/**
+ * Longest time for the answer to a read of the store, in milliseconds: a megabyte and its encoding on a link of 1 Mbit/s. The
+ * timeout of a read counts from the last byte of its answer, so that a read that makes progress is not begun again.
+ */
+export const MAX_READ_TRANSFER_MS = 12_000
+
 /** `host:port`, with IPv6 addresses in brackets. */
 const ADDRESS_PATTERN = /^(\[[0-9a-f:.]+\]|[a-z0-9.-]+):\d{1,5}$/i
 
@@ -106,7 +117,7 @@
     if (!entry) return Result.err(new CallError('the address is not valid', unsentDetails))
     entry.callsInFlight++
     const exchange = new Exchange(address, { maxAnswerBytes: this._maxAnswerBytes, ...call }, this._timers)
-    const deadlineTimer = this._timers.after(call.timeoutMs, () => exchange.timeOut())
+    exchange.startDeadline()
     entry.pool.dispatch({
       method: call.method as Dispatcher.HttpMethod,
       path: call.path,
@@ -116,7 +127,7 @@
       bodyTimeout: 0
     }, exchange)
     const result = await exchange.result
-    deadlineTimer.cancel()
+    exchange.stopDeadline()
     entry.callsInFlight--
     entry.lastUsedMs = this._timers.now()
     return result
@@ -161,7 +172,9 @@
   private readonly _address: string
   private readonly _call: LimitedCall
   private readonly _timers: Timers
-  private readonly _deadlineMs: number
+  private readonly _startedMs: number
+  private _deadlineMs: number
+  private _deadlineTimer: TimerSubscription | undefined
   private readonly _result = new ManualPromise<Result<HttpAnswer, CallError>>()
   private readonly _chunks: Buffer[] = []
   private _controller: Dispatcher.DispatchController | undefined
@@ -173,7 +186,8 @@
     this._address = address
     this._call = call
     this._timers = timers
-    this._deadlineMs = timers.now() + call.timeoutMs
+    this._startedMs = timers.now()
+    this._deadlineMs = this._startedMs + call.timeoutMs
   }
 
   /** Resolves with the answer or the error. */
@@ -181,15 +195,22 @@
     return this._result.promise
   }
 
-  /** Ends the call at its deadline. A request that has not been sent yet will not be sent. */
-  timeOut (): void {
-    this._abort(new CallTimeoutError(this._call.timeoutMs, { ...this._details(), partial: this._partialAnswer() }))
+  /** Ends the call at its deadline, which a part of the answer may move. */
+  startDeadline (): void {
+    this._deadlineTimer = this._timers.after(this._deadlineMs - this._timers.now(), () => {
+      if (this._timers.now() < this._deadlineMs) this.startDeadline()
+      else this._timeOut()
+    })
+  }
+
+  stopDeadline (): void {
+    this._deadlineTimer?.cancel()
   }
 
   /** undici calls this before it writes the request to a connected socket. Aborts calls that have ended, and a second send. */
   onRequestStart (controller: Dispatcher.DispatchController): void {
     // After a pause of the process, the connection can be ready before the deadline's timer has fired.
-    if (!this._controller && this._timers.now() >= this._deadlineMs) this.timeOut()
+    if (!this._controller && this._timers.now() >= this._deadlineMs) this._timeOut()
     if (this._controller || this._result.isSettled()) {
       this._abort(new CallError('the connection was lost', this._details()))
       controller.abort(new Error('the call has ended'))
@@ -202,6 +223,7 @@
     if (status < 200) return
     this._status = status
     this._headers = joinHeaderValues(headers)
+    this._noteData()
     const hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
     if (hasLength || BODILESS_STATUSES.has(status) || this._call.method === 'HEAD') return
     this._abort(new CallError('the answer does not state its length', this._details()))
@@ -213,6 +235,7 @@
       return this._abort(new CallError(`the answer is over ${this._call.maxAnswerBytes} bytes`, this._details()))
     }
     this._chunks.push(chunk)
+    this._noteData()
   }
 
   onResponseEnd (): void {
@@ -223,6 +246,19 @@
     this._result.resolve(Result.err(new CallError(connectionErrorText(err), this._details(err))))
   }
 
+  private _noteData (): void {
+    const { timeoutMs, maxTransferMs, onData } = this._call
+    if (maxTransferMs !== undefined) this._deadlineMs = Math.min(this._timers.now() + timeoutMs, this._startedMs + maxTransferMs)
+    onData?.()
+  }
+
+  /** Ends the call. A request that has not been sent yet will not be sent. */
+  private _timeOut (): void {
+    const elapsedMs = Math.round(this._timers.now() - this._startedMs)
+    const partial = this._partialAnswer()
+    this._abort(new CallTimeoutError(partial ? elapsedMs : this._call.timeoutMs, { ...this._details(), partial }))
+  }
+
   private _abort (err: CallError): void {
     this._result.resolve(Result.err(err))
     this._controller?.abort(err)
--- a/packages/pomelofold/src/edge/httpPlatformClient.ts
+++ b/packages/pomelofold/src/edge/httpPlatformClient.ts
@@ -7,7 +7,7 @@
 import { Client } from 'undici'
 import Result from 'true-myth/result'
 import { z } from 'zod'
-import { HttpCaller, TCP_KEEP_ALIVE_DELAY_MS, type HttpAnswer } from './httpCaller.js'
+import { HttpCaller, MAX_READ_TRANSFER_MS, TCP_KEEP_ALIVE_DELAY_MS, type HttpAnswer } from './httpCaller.js'
 import * as messages from './platformMessages.js'
 import type { VmRecord } from '../protocol/vms.js'
 import type {
@@ -160,7 +160,7 @@
     const last = this._lastVmLists.get(path)
     const call = { step: 'platform.listVms', path, schema: messages.vmsAnswerSchema, mutates: false }
     const headers: Record<string, string> = last ? { 'if-none-match': last.etag } : {}
-    const answer = await this._caller.call(this._address, { ...call, method: 'GET', headers, timeoutMs })
+    const answer = await this._caller.call(this._address, { ...call, method: 'GET', headers, timeoutMs, maxTransferMs: MAX_READ_TRANSFER_MS })
     if (answer.isErr) return Result.err(answer.error)
     if (last && answer.value.status === NOT_MODIFIED_STATUS) return Result.ok(last.vms)
     const vms = this._parseAnswer(call, answer.value)
@@ -175,7 +175,9 @@
     return this._caller.close()
   }
 
-  private async _call<T> (call: PlatformCall<T>, { timeoutMs = this._timeoutMs }: CallOptions = {}): Promise<Result<T, CallError>> {
+  private async _call<T> (
+    call: PlatformCall<T>, { timeoutMs = this._timeoutMs, onData }: CallOptions = {}
+  ): Promise<Result<T, CallError>> {
     const { step, path, body, mutates } = call
     const result = await this._caller.call(this._address, {
       step,
@@ -184,6 +186,8 @@
       headers: body ? { 'content-type': 'application/json' } : {},
       body: body && JSON.stringify(body),
       timeoutMs,
+      maxTransferMs: mutates ? undefined : MAX_READ_TRANSFER_MS,
+      onData,
       mutates
     })
     return result.andThen(answer => this._parseAnswer(call, answer))
--- a/packages/pomelofold/src/seams/platformClient.ts
+++ b/packages/pomelofold/src/seams/platformClient.ts
@@ -68,12 +68,19 @@
   onEnd: (reason: string) => void
   /** Called when the service has confirmed that there were no further changes. Optional for clients. */
   onProgress?: (sent?: ClockReading) => void
+  /** Called when a part of an answer has arrived. Optional for clients. */
+  onData?: () => void
 }
 
 /** Options of every call. */
 export interface CallOptions {
-  /** Deadline, in milliseconds from now. The client's default when absent. */
+  /**
+   * Deadline, in milliseconds from now. The client's default when absent. For reads, the longest time without a part of the answer:
+   * how long a transfer takes depends on the size of the values and on the link.
+   */
   timeoutMs?: number
+  /** Called when a part of the answer has arrived. Optional for clients. */
+  onData?: () => void
 }
 
 /** Options of a watch. */
--- a/packages/pomelofold/src/workflows/prefixView.ts
+++ b/packages/pomelofold/src/workflows/prefixView.ts
@@ -13,7 +13,7 @@
 const LIST_RETRY_MIN_MS = 50
 const LIST_RETRY_MAX_MS = 400
 
-/** Timeout of a page of a list, in milliseconds. A connection that has become silent is abandoned after it. */
+/** Longest time without a part of a list, in milliseconds. A connection that has become silent is abandoned after it. */
 const LIST_TIMEOUT_MS = 1_000
 
 /** Minimum time between two log lines about failed lists, in milliseconds. */
@@ -53,6 +53,8 @@
   /** Lists that have failed since the last one that was read. */
   private _failures = 0
   private _failureLoggedMs = 0
+  /** Time at which the last part of an answer that is not complete yet has arrived; undefined between answers. */
+  private _receivedMs: number | undefined
   private _closed = false
 
   constructor (options: PrefixViewOptions) {
@@ -85,6 +87,11 @@
     return this._failures > 0
   }
 
+  /** True while an answer of the store is arriving. */
+  get receiving (): boolean {
+    return this._receivedMs !== undefined && this._options.timers.now() - this._receivedMs < LIST_TIMEOUT_MS
+  }
+
   get (key: string): StoredValue | undefined {
     return this._values.get(key)
   }
@@ -97,7 +104,8 @@
   private async _list (): Promise<void> {
     const { prefix, platform, timers } = this._options
     const sent = readClocks(timers)
-    const list = await platform.range(prefix, { timeoutMs: this._timeoutMs })
+    const list = await platform.range(prefix, { timeoutMs: this._timeoutMs, onData: () => this._noteData() })
+    this._receivedMs = undefined
     if (this._closed) return
     if (list.isErr) {
       this._noteFailure(list.error.message)
@@ -113,6 +121,10 @@
     this._openWatch(list.value.revision + 1)
   }
 
+  private _noteData (): void {
+    this._receivedMs = this._options.timers.now()
+  }
+
   private _noteFailure (detail: string): void {
     const { prefix, timers, log } = this._options
     this._failures++
@@ -146,7 +158,9 @@
   private _openWatch (fromRevision: number): void {
     const { prefix, platform, timers, log } = this._options
     this._watch = platform.watch(prefix, fromRevision, {
+      onData: () => this._noteData(),
       onEvents: (events, sent) => {
+        this._receivedMs = undefined
         if (this._closed) return
         this._confirmedMs = timers.now()
         for (const { key, value } of events) {
@@ -157,10 +171,12 @@
         if (sent) this._options.onConfirmed?.(sent)
       },
       onProgress: sent => {
+        this._receivedMs = undefined
         this._confirmedMs = timers.now()
         if (sent) this._options.onConfirmed?.(sent)
       },
       onEnd: reason => {
+        this._receivedMs = undefined
         if (this._closed) return
         log.event('info', 'view.watch.ended', { prefix, reason })
         this._list()
