Peers pass the configuration on compressed

A daemon that cannot reach the store, or whose store answers slowly, could not take a large configuration from a peer.

A daemon now asks for the compressed text; a peer of the last version ignores the wish and sends the plain text, and one that does not ask for it gets the plain text. The largest value of the store passes a link of 2 Mbit/s within the timeout of the call, which the test checks.

--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -130,8 +130,14 @@
   },
   /** Reads which version of the configuration the peer has, and how recently that was the newest. */
   configurationProof: { params: z.object({}), result: configurationProofSchema },
-  /** Reads the peer's configuration, as a text that only the program's own adapter interprets. It contains no keys. */
-  configurationText: { params: z.object({}), result: configurationProofSchema.extend({ text: z.string().nullable() }) },
+  /**
+   * Reads the peer's configuration, as a text that only the program's own adapter interprets. It contains no keys. A sender that
+   * sets `compressed` gets the text in that form.
+   */
+  configurationText: {
+    params: z.object({ compressed: z.boolean().default(false) }),
+    result: configurationProofSchema.extend({ text: z.string().nullable(), compressed: z.instanceof(Uint8Array).optional() })
+  },
   explainRequest: { params: z.object({ requestId: z.string() }), result: requestRecordSchema.nullable() },
   /** Reads the figures for reports; see `reports/`. */
   figures: { params: z.object({}), result: z.record(z.string(), z.unknown()) }
--- a/packages/pomelofold/src/workflows/configurationPeers.ts
+++ b/packages/pomelofold/src/workflows/configurationPeers.ts
@@ -3,17 +3,19 @@
  *
  * Load pattern: the store turns some VMs away, or they are cut off from it, while operators add and withdraw keys. Their peers
  * still have a proof, which a VM can use with the age that it has there. Each asks a few peers at a time, and only while its own
- * proof is old; the configuration is transferred only when it is newer.
+ * proof is old; the configuration is transferred only when it is newer, and compressed, since links may be small.
  *
  * @module
  */
 
+import Result from 'true-myth/result'
 import type { ActiveConfiguration } from './activeConfiguration.js'
 import type { PeerMethods } from '../protocol/peerMessages.js'
 import { earlierBy, readClocks, type ClockReading } from '../seams/clockReading.js'
 import type { PeerHandlers, PeerTransport } from '../seams/peerTransport.js'
 import type { RandomSource } from '../seams/randomSource.js'
 import type { Timers, TimerSubscription } from '../seams/timers.js'
+import { compressText, decompressText } from '../utils/compressedText.js'
 import type { EventLog } from '../utils/eventLog.js'
 
 /** Period of asking, in milliseconds. */
@@ -22,7 +24,7 @@
 const PEERS_PER_ASK = 3
 /** Timeout of a call for a proof, in milliseconds. */
 const PROOF_TIMEOUT_MS = 300
-/** Timeout of a call for the text of a configuration, in milliseconds. */
+/** Timeout of a call for the text of a configuration, in milliseconds: the compressed text of a megabyte on a link of 2 Mbit/s. */
 const TEXT_TIMEOUT_MS = 1_000
 
 /** Options of {@link ConfigurationPeers}. */
@@ -36,6 +38,7 @@
   log: EventLog
 }
 
+type PeerText = PeerMethods['configurationText']['result']
 type PeerProof = PeerMethods['configurationProof']['result']
 
 /** Keeps the proof recent through peers, answers theirs, and logs when the proof is lost and regained. Inactive without teams. */
@@ -47,6 +50,8 @@
   private _lastUsefulPeer: string | undefined
   /** Time at which the loss of the proof was noticed, in milliseconds of the monotonic clock; undefined while there is one. */
   private _lostSinceMs: number | undefined
+  /** Compressed text of the active version, once a peer has asked for it. */
+  private _compressed: { version: number, bytes: Uint8Array<ArrayBuffer> } | undefined
 
   constructor (options: ConfigurationPeersOptions) {
     this._options = options
@@ -62,11 +67,20 @@
 
   /** Handlers of the peers' calls. */
   get handlers (): PeerHandlers {
-    const { configuration } = this._options
     return {
       configurationProof: async () => this._ownProof(),
-      configurationText: async () => ({ ...this._ownProof(), text: configuration.encode() ?? null })
+      configurationText: async ({ compressed }) => ({ ...this._ownProof(), ...this._ownText(compressed) })
+    }
+  }
+
+  private _ownText (compressed: boolean): Pick<PeerText, 'text' | 'compressed'> {
+    const { configuration } = this._options
+    const { config } = configuration
+    if (!config || !compressed) return { text: configuration.encode() ?? null }
+    if (this._compressed?.version !== config.version) {
+      this._compressed = { version: config.version, bytes: compressText(configuration.encode()!) }
     }
+    return { text: null, compressed: this._compressed.bytes }
   }
 
   private _ownProof (): PeerProof {
@@ -109,11 +123,11 @@
   private async _fetchText (peer: string): Promise<void> {
     const { configuration, transport, timers, log } = this._options
     const sent = readClocks(timers)
-    const answer = await transport.call(peer, 'configurationText', {}, TEXT_TIMEOUT_MS)
+    const answer = await transport.call(peer, 'configurationText', { compressed: true }, TEXT_TIMEOUT_MS)
     if (answer.isErr) return log.event('warn', 'configuration.fetch.failed', { peer, detail: answer.error.message })
-    const { text, ageMs } = answer.value
-    if (text === null) return
-    const version = configuration.options.decode(text)
+    const { text, compressed, ageMs } = answer.value
+    if (text === null && !compressed) return
+    const version = (compressed ? decompressText(compressed) : Result.ok<string, string>(text!)).andThen(configuration.options.decode)
     if (version.isErr) return log.event('error', 'configuration.unreadable', { peer, detail: version.error })
     configuration.note(version.value, undefined, { source: peer })
     if (ageMs !== null) this._noteProof(peer, version.value.config.version, earlierBy(sent, ageMs))
--- a/tests/platform/smallLinks.test.ts
+++ b/tests/platform/smallLinks.test.ts
@@ -10,9 +10,13 @@
 import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { HttpCaller } from 'pomelofold/edge/httpCaller'
+import { encodeFrame, FrameDecoder } from 'pomelofold/protocol/framing'
+import { peerMethodSchemas } from 'pomelofold/protocol/peerMessages'
 import type { PeerTransport } from 'pomelofold/seams/peerTransport'
+import { decompressText } from 'pomelofold/utils/compressedText'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 import { ConfigurationPeers } from 'pomelofold/workflows/configurationPeers'
+import { decodeConfiguration, decodeShared } from 'pomelofold-on-platform/configurationText'
 import { ConfigurationWatcher } from 'pomelofold-on-platform/configurationWatcher'
 import { StoreClient } from 'pomelofold-on-platform/storeClient'
 
@@ -20,6 +24,10 @@
 const SMALL_LINK = 7_000 / 8
 const SMALLEST_LINK = 2_000 / 8
 const BOUNDS = { strict: true, withdrawalMs: 5_000, applyMs: 3_000 }
+/** Timeout of a daemon's call to a peer for the text of its configuration, in milliseconds. */
+const TEXT_TIMEOUT_MS = 1_000
+/** Largest value in the store, in characters. */
+const MAX_VALUE_CHARS = 1_048_576
 const STEP_MS = 25
 /** Turns of the event loop after each step, in which requests and answers pass between the sockets of this process. */
 const TURNS_PER_STEP = 12
@@ -118,7 +126,7 @@
   }
 }
 
-/** A daemon's part that keeps the configuration, behind a link of that bandwidth, with a first configuration of one route. */
+/** The parts of a daemon that keep the configuration, behind a link of that bandwidth; a configuration of one route is active. */
 async function startDaemon (t: Test, bytesPerMs: number): Promise<{ store: LinkedStore, watcher: ConfigurationWatcher }> {
   const store = new LinkedStore(bytesPerMs)
   const timers = store.clock
@@ -165,3 +173,23 @@
   await store.advance(2 * BOUNDS.applyMs)
   t.ok(watcher.active.proofAgeMs < BOUNDS.withdrawalMs, 'the proof is regained')
 })
+
+// Guards against a text that a peer cannot send, or a daemon cannot receive, within the timeout of the call.
+t.test('the largest configuration comes from a peer on the smallest link within the timeout of the call', async t => {
+  const store = new LinkedStore(SMALL_LINK)
+  const text = configText(2, Math.floor(0.99 * MAX_VALUE_CHARS / (configText(2, 100).length / 100)))
+  t.ok(text.length > 0.9 * MAX_VALUE_CHARS && text.length < MAX_VALUE_CHARS, `${text.length} characters`)
+  const decoded = decodeConfiguration(text)
+  if (decoded.isErr) throw new Error(decoded.error)
+  const { active } = new ConfigurationWatcher({ platform: {} as StoreClient, timers: store.clock, log: SILENT_LOG, bounds: BOUNDS })
+  active.note(decoded.value, undefined, { source: 'store' })
+  const transport = {} as PeerTransport
+  const options = { configuration: active, peers: () => [], transport, timers: store.clock, random: new SeededRandom(1), log: SILENT_LOG }
+  const { handlers } = new ConfigurationPeers(options)
+  const result = await handlers.configurationText!({ compressed: true }, { vm: 'b', failureDomain: 'b', incarnation: '1' })
+  const frame = encodeFrame({ type: 'result', id: 1, result })
+  t.ok(frame.length < TEXT_TIMEOUT_MS * SMALLEST_LINK, `a frame of ${frame.length} bytes`)
+  const received = peerMethodSchemas.configurationText.result.parse((new FrameDecoder().push(frame)[0] as { result: unknown }).result)
+  const version = decompressText(received.compressed!).andThen(decodeShared)
+  t.same(version.isOk && version.value.config, decoded.value.config)
+})
--- a/tests/teams/configurationProof.test.ts
+++ b/tests/teams/configurationProof.test.ts
@@ -11,7 +11,10 @@
 import { ProcessTimers } from '@pomelofold/standins/processTimers'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { readClocks } from 'pomelofold/seams/clockReading'
-import type { EventFields } from 'pomelofold/utils/eventLog'
+import { peerMethodSchemas } from 'pomelofold/protocol/peerMessages'
+import type { PeerTransport } from 'pomelofold/seams/peerTransport'
+import { compressText } from 'pomelofold/utils/compressedText'
+import { SILENT_LOG, type EventFields } from 'pomelofold/utils/eventLog'
 import { ActiveConfiguration, type ConfigurationVersion } from 'pomelofold/workflows/activeConfiguration'
 import { ConfigurationPeers } from 'pomelofold/workflows/configurationPeers'
 import { WorkflowCell } from '../workflows/workflowCell.js'
@@ -116,6 +119,48 @@
   t.notOk(vm.events.some(({ name }) => name === 'configuration.proof.lost'))
 })
 
+/** A daemon with version 1 and an old proof, and one peer that answers each call for its text with `text`. */
+function askPeer (
+  text: { text: string | null, compressed?: Uint8Array }
+): { clock: ManualTimers, active: ActiveConfiguration, events: string[] } {
+  const clock = new ManualTimers()
+  const events: string[] = []
+  const log = { event: (_level: string, name: string) => { events.push(name) } }
+  const active = new ActiveConfiguration({
+    timers: clock,
+    log,
+    decode: decoded => Result.ok(versionOf(Number(decoded))),
+    readStore: () => undefined,
+    renewAfterMs: RENEW_AFTER_MS,
+    lostAfterMs: WITHDRAWAL_MS
+  })
+  active.note(versionOf(1), readClocks(clock), { source: 'store' })
+  const transport = { call: async () => Result.ok({ version: 2, ageMs: 0, ...text }) } as unknown as PeerTransport
+  new ConfigurationPeers({ configuration: active, peers: () => ['b'], transport, timers: clock, random: new SeededRandom(1), log }).start()
+  return { clock, active, events }
+}
+
+t.test('a text is read in both forms, and one that is damaged leaves the last version active', async t => {
+  for (const text of [{ text: '2' }, { text: null, compressed: compressText('2') }]) {
+    const { clock, active } = askPeer(text)
+    await clock.advance(RENEW_AFTER_MS + 1_000)
+    t.equal(active.config!.version, 2)
+    t.ok(active.proofAgeMs < RENEW_AFTER_MS)
+  }
+  const { clock, active, events } = askPeer({ text: null, compressed: new Uint8Array([255, 1, 2]) })
+  await clock.advance(RENEW_AFTER_MS + 1_000)
+  t.equal(active.config!.version, 1)
+  t.ok(events.includes('configuration.unreadable'))
+})
+
+t.test('a peer that does not ask for a compressed text gets a plain one', async t => {
+  const { active } = askPeer({ text: null })
+  const options = { configuration: active, peers: () => [], transport: {} as PeerTransport, timers: new ManualTimers(), log: SILENT_LOG }
+  const { handlers } = new ConfigurationPeers({ ...options, random: new SeededRandom(1) })
+  const params = peerMethodSchemas.configurationText.params.parse({})
+  t.match(await handlers.configurationText!(params, { vm: 'b', failureDomain: 'b', incarnation: '1' }), { text: '1', compressed: undefined })
+})
+
 t.test('a cell that is cut off as a whole keeps its proof no longer than the bound, and says when it is lost and regained', async t => {
   const cell = new Cell(4)
   await cell.clock.advance(1_000)
