--- a/packages/pomelofold/src/utils/errors.ts
+++ b/packages/pomelofold/src/utils/errors.ts
@@ -53,9 +53,13 @@
 
 /** A call was not answered by its deadline, or not completely. */
 export class CallTimeoutError extends CallError {
+  /** What had arrived of the answer; undefined when nothing had, or when it is not known. */
+  readonly partial: PartialAnswer | undefined
+
   constructor (timeoutMs: number, { partial, ...options }: CallErrorOptions & { partial?: PartialAnswer }) {
     super(partial ? `${partial.receivedBytes} of ${partial.totalBytes ?? 'unknown'} bytes within ${timeoutMs} ms` : `no answer within ${timeoutMs} ms`, options)
     this.name = 'CallTimeoutError'
+    this.partial = partial
   }
 }
 
