The text of a configuration may take two seconds from a peer, and proofs are asked for meanwhile

Found by the review: hashes of keys cannot be compressed, and 40,000 of them, 1.36 MB compressed, do not pass a link of 7 Mbit/s within a second.

--- a/packages/pomelofold/src/workflows/configurationPeers.ts
+++ b/packages/pomelofold/src/workflows/configurationPeers.ts
@@ -24,8 +24,11 @@
 const PEERS_PER_ASK = 3
 /** Timeout of a call for a proof, in milliseconds. */
 const PROOF_TIMEOUT_MS = 300
-/** Timeout of a call for the text of a configuration, in milliseconds: the compressed text of a megabyte on a link of 2 Mbit/s. */
-const TEXT_TIMEOUT_MS = 1_000
+/**
+ * Timeout of a call for the text of a configuration, in milliseconds: a megabyte on a link of 7 Mbit/s when it cannot be compressed,
+ * on one of 1 Mbit/s else.
+ */
+const TEXT_TIMEOUT_MS = 2_000
 
 /** Options of {@link ConfigurationPeers}. */
 export interface ConfigurationPeersOptions {
@@ -46,6 +49,7 @@
   private readonly _options: ConfigurationPeersOptions
   private _timer: TimerSubscription | undefined
   private _asking = false
+  private _fetching = false
   /** Peer whose last proof was recent enough. */
   private _lastUsefulPeer: string | undefined
   /** Time at which the loss of the proof was noticed, in milliseconds of the monotonic clock; undefined while there is one. */
@@ -105,8 +109,10 @@
       const version = await this._askForProof(peer)
       if (version !== undefined) newer.push({ peer, version })
     }))
-    if (newer.length === 0) return
-    await this._fetchText(newer.reduce((best, next) => next.version > best.version ? next : best).peer)
+    if (newer.length === 0 || this._fetching) return
+    // Not awaited, so that peers are asked for their proofs meanwhile.
+    this._fetching = true
+    this._fetchText(newer.reduce((best, next) => next.version > best.version ? next : best).peer).finally(() => { this._fetching = false })
   }
 
   /** Asks a peer for its proof. Returns the peer's version if it is newer than the active one. */
