--- a/packages/pomelofold/src/edge/httpCaller.ts
+++ b/packages/pomelofold/src/edge/httpCaller.ts
@@ -32,7 +32,10 @@
   path: string
   headers?: Record<string, string>
   body?: Uint8Array | string
-  /** Longest time until the answer is complete, in milliseconds; with `maxTransferMs`, the longest time without a byte of it. */
+  /**
+   * Longest time until the answer is complete, in milliseconds; with `maxTransferMs`, the longest time without progress: until the
+   * headers, and then without {@link PROGRESS_BYTES} of the body.
+   */
   timeoutMs: number
   /** Longest time until the answer is complete, in milliseconds, for answers whose size is not known. Defaults to `timeoutMs`. */
   maxTransferMs?: number
@@ -66,10 +69,13 @@
 
 /**
  * Longest time for the answer to a read of the store, in milliseconds: a megabyte and its encoding on a link of 1 Mbit/s. The
- * timeout of a read counts from the last byte of its answer, so that a read that makes progress is not begun again.
+ * timeout of a read counts from its last progress, so that a transfer that goes on is not begun again.
  */
 export const MAX_READ_TRANSFER_MS = 12_000
 
+/** Part of an answer that counts as progress, in bytes. A connection on which less arrives within the timeout is as good as lost. */
+const PROGRESS_BYTES = 16_384
+
 /** `host:port`, with IPv6 addresses in brackets. */
 const ADDRESS_PATTERN = /^(\[[0-9a-f:.]+\]|[a-z0-9.-]+):\d{1,5}$/i
 
@@ -181,6 +187,8 @@
   private _status = 0
   private _headers: Record<string, string> = {}
   private _receivedBytes = 0
+  /** Bytes that had been received at the last progress; undefined before the headers. */
+  private _progressBytes: number | undefined
 
   constructor (address: string, call: LimitedCall, timers: Timers) {
     this._address = address
@@ -248,8 +256,12 @@
 
   private _noteData (): void {
     const { timeoutMs, maxTransferMs, onData } = this._call
-    if (maxTransferMs !== undefined) this._deadlineMs = Math.min(this._timers.now() + timeoutMs, this._startedMs + maxTransferMs)
-    onData?.()
+    const progressed = this._progressBytes === undefined || this._receivedBytes - this._progressBytes >= PROGRESS_BYTES
+    if (maxTransferMs !== undefined && progressed) {
+      this._progressBytes = this._receivedBytes
+      this._deadlineMs = Math.min(this._timers.now() + timeoutMs, this._startedMs + maxTransferMs)
+    }
+    if (!this._result.isSettled()) onData?.()
   }
 
   /** Ends the call. A request that has not been sent yet will not be sent. */
--- a/packages/pomelofold/src/edge/httpPlatformClient.ts
+++ b/packages/pomelofold/src/edge/httpPlatformClient.ts
@@ -33,6 +33,7 @@
   path: string
   body?: object
   schema: z.ZodType<T>
+  maxTransferMs?: number
   mutates: boolean
 }
 
@@ -81,6 +82,7 @@
       path: '/v3/kv/range',
       body: { ...messages.prefixRange(prefix), sort_order: 'ASCEND', sort_target: 'KEY' },
       schema: messages.rangeAnswerSchema,
+      maxTransferMs: MAX_READ_TRANSFER_MS,
       mutates: false
     }, options)
   }
@@ -178,7 +180,7 @@
   private async _call<T> (
     call: PlatformCall<T>, { timeoutMs = this._timeoutMs, onData }: CallOptions = {}
   ): Promise<Result<T, CallError>> {
-    const { step, path, body, mutates } = call
+    const { step, path, body, maxTransferMs, mutates } = call
     const result = await this._caller.call(this._address, {
       step,
       method: body ? 'POST' : 'GET',
@@ -186,7 +188,7 @@
       headers: body ? { 'content-type': 'application/json' } : {},
       body: body && JSON.stringify(body),
       timeoutMs,
-      maxTransferMs: mutates ? undefined : MAX_READ_TRANSFER_MS,
+      maxTransferMs,
       onData,
       mutates
     })
--- a/packages/pomelofold/src/seams/platformClient.ts
+++ b/packages/pomelofold/src/seams/platformClient.ts
@@ -75,8 +75,8 @@
 /** Options of every call. */
 export interface CallOptions {
   /**
-   * Deadline, in milliseconds from now. The client's default when absent. For reads, the longest time without a part of the answer:
-   * how long a transfer takes depends on the size of the values and on the link.
+   * Deadline, in milliseconds from now. The client's default when absent. For ranges, the longest time without progress of the
+   * answer: how long its transfer takes depends on the size of the values and on the link.
    */
   timeoutMs?: number
   /** Called when a part of the answer has arrived. Optional for clients. */
--- a/packages/pomelofold/src/workflows/prefixView.ts
+++ b/packages/pomelofold/src/workflows/prefixView.ts
@@ -38,6 +38,11 @@
    * stays the same. Only for large lists: a longer timeout means that a silent connection is noticed later.
    */
   maxListTimeoutMs?: number
+  /**
+   * Time of the transfer of events after which the keys are listed in place of watching on, in milliseconds. The events hold every
+   * version of a value, and a list only the newest. Without it the watch always goes on.
+   */
+  relistAfterMs?: number
 }
 
 /** Holds the keys under a prefix. The values may be outdated by up to `ageMs`. */
@@ -53,8 +58,10 @@
   /** Lists that have failed since the last one that was read. */
   private _failures = 0
   private _failureLoggedMs = 0
+  private _listing: Promise<void> | undefined
   /** Time at which the last part of an answer that is not complete yet has arrived; undefined between answers. */
   private _receivedMs: number | undefined
+  private _receivingSinceMs: number | undefined
   private _closed = false
 
   constructor (options: PrefixViewOptions) {
@@ -87,6 +94,11 @@
     return this._failures > 0
   }
 
+  /** Settles when the list in progress has ended; undefined between lists. */
+  get listing (): Promise<void> | undefined {
+    return this._listing
+  }
+
   /** True while an answer of the store is arriving. */
   get receiving (): boolean {
     return this._receivedMs !== undefined && this._options.timers.now() - this._receivedMs < LIST_TIMEOUT_MS
@@ -101,15 +113,19 @@
   }
 
   /** Reads all keys, then opens a watch. Called again when the watch ends. */
-  private async _list (): Promise<void> {
+  private _list (): void {
+    this._listing = this._readList().finally(() => { this._listing = undefined })
+  }
+
+  private async _readList (): Promise<void> {
     const { prefix, platform, timers } = this._options
     const sent = readClocks(timers)
     const list = await platform.range(prefix, { timeoutMs: this._timeoutMs, onData: () => this._noteData() })
-    this._receivedMs = undefined
+    this._noteAnswered()
     if (this._closed) return
     if (list.isErr) {
       this._noteFailure(list.error.message)
-      this._retryTimer = timers.after(this._retryMs, () => { this._list() })
+      this._retryTimer = timers.after(this._retryMs, () => this._list())
       this._retryMs = Math.min(2 * this._retryMs, LIST_RETRY_MAX_MS)
       this._timeoutMs = Math.min(2 * this._timeoutMs, this._options.maxListTimeoutMs ?? LIST_TIMEOUT_MS)
       return
@@ -123,6 +139,15 @@
 
   private _noteData (): void {
     this._receivedMs = this._options.timers.now()
+    this._receivingSinceMs ??= this._receivedMs
+  }
+
+  /** Returns the time of the answer's transfer, in milliseconds. */
+  private _noteAnswered (): number {
+    const { timers } = this._options
+    const transferMs = timers.now() - (this._receivingSinceMs ?? timers.now())
+    this._receivedMs = this._receivingSinceMs = undefined
+    return transferMs
   }
 
   private _noteFailure (detail: string): void {
@@ -156,11 +181,11 @@
   }
 
   private _openWatch (fromRevision: number): void {
-    const { prefix, platform, timers, log } = this._options
+    const { prefix, platform, timers, log, relistAfterMs = Number.POSITIVE_INFINITY } = this._options
     this._watch = platform.watch(prefix, fromRevision, {
       onData: () => this._noteData(),
       onEvents: (events, sent) => {
-        this._receivedMs = undefined
+        const transferMs = this._noteAnswered()
         if (this._closed) return
         this._confirmedMs = timers.now()
         for (const { key, value } of events) {
@@ -169,14 +194,17 @@
         }
         this._options.onChange([...new Set(events.map(event => event.key))])
         if (sent) this._options.onConfirmed?.(sent)
+        if (transferMs <= relistAfterMs) return
+        this._watch?.close()
+        this._list()
       },
       onProgress: sent => {
-        this._receivedMs = undefined
+        this._noteAnswered()
         this._confirmedMs = timers.now()
         if (sent) this._options.onConfirmed?.(sent)
       },
       onEnd: reason => {
-        this._receivedMs = undefined
+        this._noteAnswered()
         if (this._closed) return
         log.event('info', 'view.watch.ended', { prefix, reason })
         this._list()
--- a/tests/edge/httpCaller.test.ts
+++ b/tests/edge/httpCaller.test.ts
@@ -10,15 +10,20 @@
 import type { CallError } from 'pomelofold/utils/errors'
 
 const TIMEOUT_MS = 1_000
-const BODY_BYTES = 100
-const PART = Buffer.alloc(10, 'a')
+const BODY_BYTES = 200_000
+const PART = Buffer.alloc(20_000, 'a')
 
 /** A call whose answer a test sends in parts. */
 interface OpenCall {
   timers: ManualTimers
   result: Promise<Result<HttpAnswer, CallError>>
   /** Sends a part of the answer's body, and resolves when the client has received it. */
-  sendPart: () => Promise<void>
+  sendPart: (part?: Buffer) => Promise<void>
+}
+
+/** Turns of the event loop in which written bytes pass between the sockets of this process. */
+async function settleSockets (): Promise<void> {
+  for (let turn = 0; turn < 50; turn++) await new Promise(resolve => setImmediate(resolve))
 }
 
 async function openCall (t: Test, options: Partial<HttpCall> = {}): Promise<OpenCall> {
@@ -31,20 +36,16 @@
     await caller.close()
   })
   await once(server, 'listening')
-  let received = (): void => {}
-  const nextData = (): Promise<void> => new Promise(resolve => { received = resolve })
   const requested = once(server, 'request')
   const result = caller.call(`127.0.0.1:${(server.address() as AddressInfo).port}`, {
-    step: 'read', method: 'GET', path: '/', timeoutMs: TIMEOUT_MS, mutates: false, onData: () => received(), ...options
+    step: 'read', method: 'GET', path: '/', timeoutMs: TIMEOUT_MS, mutates: false, ...options
   })
   const [, res] = await requested as [unknown, ServerResponse]
-  const headersReceived = nextData()
   res.writeHead(200, { 'content-length': BODY_BYTES }).flushHeaders()
-  await headersReceived
-  const sendPart = async (): Promise<void> => {
-    const partReceived = nextData()
-    res.write(PART)
-    await partReceived
+  await settleSockets()
+  const sendPart = async (part: Buffer = PART): Promise<void> => {
+    res.write(part)
+    await settleSockets()
   }
   return { timers, result, sendPart }
 }
@@ -59,24 +60,34 @@
   t.equal(answer.isOk && answer.value.body.length, BODY_BYTES)
 })
 
-t.test('a read fails after its timeout without a byte, and says how much had arrived', async t => {
+t.test('a read fails after its timeout without progress, and says how much had arrived', async t => {
   const { timers, result, sendPart } = await openCall(t, { maxTransferMs: 20 * TIMEOUT_MS })
   for (let part = 0; part < 4; part++) {
     await timers.advance(0.9 * TIMEOUT_MS)
     await sendPart()
   }
   await timers.advance(TIMEOUT_MS)
-  t.match(await result, { error: { name: 'CallTimeoutError', message: /40 of 100 bytes within 4600 ms/, effect: 'none' } })
+  t.match(await result, { error: { name: 'CallTimeoutError', message: /80000 of 200000 bytes within 4600 ms/, effect: 'none' } })
 })
 
-t.test('a read whose answer trickles in ends at the longest time for a transfer', async t => {
+t.test('a read whose answer takes too long ends at the longest time for a transfer', async t => {
   const { timers, result, sendPart } = await openCall(t, { maxTransferMs: 3 * TIMEOUT_MS })
   for (let part = 0; part < 3; part++) {
     await timers.advance(0.9 * TIMEOUT_MS)
     await sendPart()
   }
   await timers.advance(0.3 * TIMEOUT_MS)
-  t.match(await result, { error: { message: /30 of 100 bytes within 3000 ms/ } })
+  t.match(await result, { error: { message: /60000 of 200000 bytes within 3000 ms/ } })
+})
+
+// Guards against a connection on which too little arrives, and which no other call replaces.
+t.test('a read whose answer trickles in ends at its timeout', async t => {
+  const { timers, result, sendPart } = await openCall(t, { maxTransferMs: 20 * TIMEOUT_MS })
+  for (let part = 0; part < 10; part++) {
+    await sendPart(PART.subarray(0, 100))
+    await timers.advance(0.1 * TIMEOUT_MS)
+  }
+  t.match(await result, { error: { message: /1000 of 200000 bytes within 1000 ms/ } })
 })
 
 t.test('a call without a time for its transfer ends at its timeout, although parts of the answer arrive', async t => {
@@ -84,5 +95,5 @@
   await timers.advance(0.9 * TIMEOUT_MS)
   await sendPart()
   await timers.advance(0.1 * TIMEOUT_MS)
-  t.match(await result, { error: { message: /10 of 100 bytes within 1000 ms/, effect: 'unknown' } })
+  t.match(await result, { error: { message: /20000 of 200000 bytes within 1000 ms/, effect: 'unknown' } })
 })
--- a/tests/platform/smallLinks.test.ts
+++ b/tests/platform/smallLinks.test.ts
@@ -13,7 +13,9 @@
 import { encodeFrame, FrameDecoder } from 'pomelofold/protocol/framing'
 import { peerMethodSchemas } from 'pomelofold/protocol/peerMessages'
 import type { PeerTransport } from 'pomelofold/seams/peerTransport'
-import { decompressText } from 'pomelofold/utils/compressedText'
+import { CredentialChecker } from 'pomelofold/teams/credentialChecker'
+import { hashKey } from 'pomelofold/teams/credentials'
+import { compressText, decompressText } from 'pomelofold/utils/compressedText'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 import { ConfigurationPeers } from 'pomelofold/workflows/configurationPeers'
 import { decodeConfiguration, decodeShared } from 'pomelofold-on-platform/configurationText'
@@ -25,7 +27,7 @@
 const SMALLEST_LINK = 2_000 / 8
 const BOUNDS = { strict: true, withdrawalMs: 5_000, applyMs: 3_000 }
 /** Timeout of a daemon's call to a peer for the text of its configuration, in milliseconds. */
-const TEXT_TIMEOUT_MS = 1_000
+const TEXT_TIMEOUT_MS = 2_000
 /** Largest value in the store, in characters. */
 const MAX_VALUE_CHARS = 1_048_576
 const STEP_MS = 25
@@ -57,9 +59,12 @@
 class LinkedStore {
   readonly clock = new ManualTimers()
   bytesSent = 0
+  /** Rate of the answer that has been open for longest, in bytes per millisecond, when its connection is damaged. */
+  firstAnswerRate = Number.POSITIVE_INFINITY
   private readonly _bytesPerMs: number
   private readonly _answers = new Map<ServerResponse, Buffer>()
   private _item = { key: 'op/config', value: '', revision: 1, created: 1, lease: 0 }
+  private readonly _history: Array<typeof this._item> = []
   private readonly _polls = new Set<() => void>()
   private readonly _server = createServer((req, res) => this._serve(req, res))
 
@@ -69,6 +74,7 @@
 
   put (text: string): void {
     this._item = { ...this._item, value: Buffer.from(text).toString('base64'), revision: this._item.revision + 1 }
+    this._history.push(this._item)
     for (const answer of this._polls) answer()
   }
 
@@ -92,11 +98,12 @@
     res.on('close', () => this._answers.delete(res))
     const asOf = this._item.revision
     if (pathname === '/api/kv-range') return this._answer(res, { items: [this._item], has_more: false, as_of: asOf })
+    if (pathname.startsWith('/api/kv-keep/')) return this._answer(res, { ttl_ms: 2_500 })
     if (pathname === '/api/kv-key') return this._answer(res, { ...this._item, as_of: asOf })
     const after = Number(searchParams.get('after'))
     const answer = (): void => {
       if (!this._polls.delete(answer)) return
-      this._answer(res, { events: this._item.revision > after ? [this._item] : [], as_of: this._item.revision })
+      this._answer(res, { events: this._history.filter(item => item.revision > after), as_of: this._item.revision })
     }
     this._polls.add(answer)
     if (this._item.revision > after) answer()
@@ -112,7 +119,8 @@
   private _transfer (): void {
     let budget = this._bytesPerMs * STEP_MS
     for (const [res, bytes] of this._answers) {
-      const size = Math.min(bytes.length, Math.ceil(this._bytesPerMs * STEP_MS / this._answers.size), budget)
+      const rate = budget === this._bytesPerMs * STEP_MS ? this.firstAnswerRate : Number.POSITIVE_INFINITY
+      const size = Math.min(bytes.length, Math.ceil(this._bytesPerMs * STEP_MS / this._answers.size), budget, rate * STEP_MS)
       budget -= size
       this.bytesSent += size
       res.write(bytes.subarray(0, size))
@@ -127,11 +135,13 @@
 }
 
 /** The parts of a daemon that keep the configuration, behind a link of that bandwidth; a configuration of one route is active. */
-async function startDaemon (t: Test, bytesPerMs: number): Promise<{ store: LinkedStore, watcher: ConfigurationWatcher }> {
+async function startDaemon (
+  t: Test, bytesPerMs: number
+): Promise<{ store: LinkedStore, platform: StoreClient, watcher: ConfigurationWatcher }> {
   const store = new LinkedStore(bytesPerMs)
   const timers = store.clock
   const address = await store.listen(t)
-  const caller = new HttpCaller({ timers, maxAnswerBytes: 8_000_000 })
+  const caller = new HttpCaller({ timers, connections: 16, maxAnswerBytes: 8_000_000 })
   const platform = new StoreClient({ caller, address, timers })
   const watcher = new ConfigurationWatcher({ platform, timers, log: SILENT_LOG, bounds: BOUNDS })
   const transport = {} as PeerTransport
@@ -143,7 +153,7 @@
   peers.start()
   await store.advance(3_000)
   t.equal(watcher.config?.version, 1)
-  return { store, watcher }
+  return { store, platform, watcher }
 }
 
 // Guards against a daemon that never reads a large configuration, since each try is given up before its answer is complete.
@@ -188,8 +198,78 @@
   const { handlers } = new ConfigurationPeers(options)
   const result = await handlers.configurationText!({ compressed: true }, { vm: 'b', failureDomain: 'b', incarnation: '1' })
   const frame = encodeFrame({ type: 'result', id: 1, result })
-  t.ok(frame.length < TEXT_TIMEOUT_MS * SMALLEST_LINK, `a frame of ${frame.length} bytes`)
+  t.ok(frame.length < 0.5 * TEXT_TIMEOUT_MS * SMALLEST_LINK, `a frame of ${frame.length} bytes`)
   const received = peerMethodSchemas.configurationText.result.parse((new FrameDecoder().push(frame)[0] as { result: unknown }).result)
   const version = decompressText(received.compressed!).andThen(decodeShared)
   t.same(version.isOk && version.value.config, decoded.value.config)
 })
+
+// Guards against a request that waits for a transfer, and against a second transfer beside the one in progress.
+t.test('a request after a pause waits no longer than for a small answer', async t => {
+  const { store, watcher } = await startDaemon(t, SMALLEST_LINK)
+  store.put(configText(2, 4_000))
+  await store.advance(12_000)
+  const checker = new CredentialChecker({ configuration: watcher.active, bounds: BOUNDS })
+  store.clock.advanceWithoutCallbacks(6_000)
+  const startedMs = store.clock.now()
+  const decided = checker.check({ keyHash: hashKey('key'), open: false }).then(() => store.clock.now() - startedMs)
+  await store.advance(BOUNDS.applyMs)
+  const tookMs = await decided
+  t.ok(tookMs <= BOUNDS.applyMs / 4, `${tookMs} ms`)
+})
+
+// Guards against a connection that delivers next to nothing, for which the working ones wait.
+t.test('a configuration takes effect in time although the connection of its watch trickles', async t => {
+  const { store, watcher } = await startDaemon(t, SMALL_LINK)
+  store.firstAnswerRate = 4
+  store.put(configText(2, 1_400))
+  await store.advance(1_500)
+  store.firstAnswerRate = Number.POSITIVE_INFINITY
+  await store.advance(BOUNDS.applyMs - 1_500)
+  t.equal(watcher.config!.version, 2)
+})
+
+// Guards against renewals that wait for a free connection while large answers arrive on all of them.
+t.test('a lease is renewed while many large records are read', async t => {
+  const { store, platform } = await startDaemon(t, SMALL_LINK)
+  store.put('x'.repeat(200_000))
+  for (let read = 0; read < 24; read++) platform.get('op/config', { timeoutMs: 450 })
+  let renewedMs = store.clock.now()
+  let longestGapMs = 0
+  let renewing = false
+  for (let passedMs = 0; passedMs < 6_000; passedMs += STEP_MS) {
+    await store.advance(STEP_MS)
+    longestGapMs = Math.max(longestGapMs, store.clock.now() - renewedMs)
+    if (renewing || passedMs % 500 !== 0) continue
+    renewing = true
+    platform.keepAlive('1', { timeoutMs: 600 }).then(renewal => {
+      renewing = false
+      if (renewal.isOk) renewedMs = store.clock.now()
+    })
+  }
+  t.ok(longestGapMs < 2_500, `${longestGapMs} ms`)
+})
+
+// Guards against answers of the watch that hold every version of a large configuration.
+t.test('versions of a large configuration in quick succession do not lose the proof', async t => {
+  const { store, watcher } = await startDaemon(t, SMALL_LINK)
+  let oldestProofMs = 0
+  for (let passedMs = 0; passedMs < 20_000; passedMs += STEP_MS) {
+    if (passedMs % 1_000 === 0 && passedMs < 12_000) store.put(configText(2 + passedMs / 1_000, 4_000))
+    await store.advance(STEP_MS)
+    oldestProofMs = Math.max(oldestProofMs, watcher.active.proofAgeMs)
+  }
+  t.ok(oldestProofMs < BOUNDS.withdrawalMs, `a proof of ${oldestProofMs} ms`)
+})
+
+// Guards against a text that compression does not make small: hashes of keys.
+t.test('the text of a configuration of 40,000 keys comes from a peer within the timeout of the call', async t => {
+  const random = new SeededRandom(1)
+  const keys = (): string[] => Array.from({ length: 100 }, () => random.hex(8))
+  const text = JSON.stringify({ version: 2, routes: [], tenants: Array.from({ length: 400 }, (_, team) => ({ name: `t${team}`, api_keys: keys() })) })
+  t.ok(text.length < MAX_VALUE_CHARS)
+  const decoded = decodeConfiguration(text)
+  if (decoded.isErr) throw new Error(decoded.error)
+  const bytes = compressText(decoded.value.encode())
+  t.ok(bytes.length < TEXT_TIMEOUT_MS * SMALL_LINK, `${bytes.length} bytes`)
+})
