Failing test: a transaction larger than a slow link carries in the time limit of one call

GroupCommitter repeats the same batch for ever, before all later ones: 841,000 bytes, within its limit of 900,000, are 1.1 MB in base64 and take 1.28 s at 7 Mbit/s; a call has 1.0 s. Logic unchanged.

--- a/tests/jobs/groupCommitter.test.ts
+++ b/tests/jobs/groupCommitter.test.ts
@@ -10,6 +10,7 @@
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { CommitRefusedError, GroupCommitter, type CommitResult } from 'pomelofold/commits/groupCommitter'
 import type { Change, Guard } from 'pomelofold/seams/platformClient'
+import { LINK_RATES, limitWriteBandwidth } from '../standins/slowLink.js'
 
 function setUp ({ fence }: { fence?: () => Guard | undefined } = {}) {
   const timers = new ManualTimers()
@@ -89,3 +90,15 @@
   await timers.advance(500)
   t.same([outcomeOf(await sent), outcomeOf(await queued)], ['unknown', 'none'])
 })
+
+// Guards against a batch that is repeated for ever, before all later ones: 29 records of 1,000 checkpoints have this size.
+t.test('a transaction that takes longer than the time limit of one call on a slow link is committed', async t => {
+  const { timers, store, platform, committer } = setUp()
+  limitWriteBandwidth(platform, timers, LINK_RATES.slow)
+  const commits = Array.from({ length: 29 }, (_, i) => committer.commit([put(`key-${i}`, 'x'.repeat(29_000))]))
+  commits.push(committer.commit([put('key-0', 'later')]))
+  await timers.advance(60_000)
+  t.equal(store.range('key-').values.length, 29)
+  t.equal(store.get('key-0')?.value, 'later')
+  committer.close()
+})
