Failing test: a roster of thousands of workers is never stored over a slow link

WorkerFleet writes the whole roster within 0.9 s, and uses no new worker until it is stored. 3,500 workers of docs/CAPACITY.md's 6,000 are 796 KB, 1.06 MB in base64, and need 1.2 s at 7 Mbit/s.

--- a/tests/workflows/slowLinks.test.ts
+++ b/tests/workflows/slowLinks.test.ts
@@ -4,6 +4,7 @@
  */
 
 import t from 'tap'
+import { ROSTER_KEY } from 'pomelofold/workflows/keys'
 import { WorkflowCell } from './workflowCell.js'
 import { LINK_RATES, limitWriteBandwidth } from '../standins/slowLink.js'
 
@@ -14,3 +15,16 @@
   const steps = Array.from({ length: 200 }, (_, step) => ({ after: Array.from({ length: step }, (_, earlier) => earlier) }))
   t.equal(await cell.submit(cell.workflow(steps, { payload: 'x'.repeat(4_000) })), 'stored')
 })
+
+// Without its entry in the roster a worker is not used, so that nothing starts in the cell.
+t.test('a roster of thousands of workers is stored over a slow link', async t => {
+  const cell = new WorkflowCell({ daemons: 1 })
+  const { platform } = await cell.waitUntilReady()
+  limitWriteBandwidth(platform, cell.timers, LINK_RATES.slow)
+  const { entry } = cell.workers[0]
+  for (let index = 0; index < 3_500; index++) {
+    const address = `10.1.${index >> 8}.${index & 0xff}:8150`
+    cell.otherEntries.push({ ...entry, id: `minion-${index}`, address, failureDomain: 'zagreb-a', labels: ['kind-3', 'r1-3'], bornMs: 1.7e12 + index })
+  }
+  await t.resolves(cell.timers.advanceUntil(() => cell.store.get(ROSTER_KEY)!.value.includes('minion-3499'), { limitMs: 10_000 }))
+})
