Failing test: a gang whose payloads take longer than one start may never starts over a slow link

Every start has 0.4 s and three tries, whatever else the link carries: at 2 Mbit/s the tries of 100 tasks of 4 KB send 72 of them, the others are stopped, and with them the gang, which begins anew.

--- a/tests/standins/slowLink.ts
+++ b/tests/standins/slowLink.ts
@@ -6,6 +6,7 @@
 
 import Result from 'true-myth/result'
 import { delay, type Timers } from 'pomelofold/seams/timers'
+import type { LeasedWorkerClient } from '@pomelofold/standins/leasedWorker'
 import type { MemoryPlatformClient } from '@pomelofold/standins/memoryPlatformClient'
 import { CallTimeoutError, EFFECTS } from 'pomelofold/utils/errors'
 
@@ -26,3 +27,23 @@
     return Result.err(new CallTimeoutError(timeoutMs, { step: 'store.txn', peer: 'store', effect: EFFECTS.unknown }))
   }
 }
+
+/**
+ * Sends the starts of a client through one link, one after the other. One whose time is over before its turn comes is not sent,
+ * which is the best that any order of sending achieves.
+ */
+export function limitStartBandwidth (client: LeasedWorkerClient, timers: Timers, bytesPerMs: number): void {
+  const start = client.start.bind(client)
+  let freeMs = 0
+  client.start = async (worker, order, timeoutMs) => {
+    const lostAtMs = timers.now() + timeoutMs
+    const transferMs = JSON.stringify(order).length / bytesPerMs
+    while (freeMs > timers.now() && timers.now() < lostAtMs) await delay(timers, Math.min(freeMs, lostAtMs) - timers.now())
+    if (timers.now() < lostAtMs) {
+      freeMs = timers.now() + transferMs
+      await delay(timers, transferMs)
+      return start(worker, order, timeoutMs)
+    }
+    return Result.err(new CallTimeoutError(timeoutMs, { step: 'worker.start', peer: worker.address, effect: EFFECTS.unknown }))
+  }
+}
--- a/tests/workflows/slowLinks.test.ts
+++ b/tests/workflows/slowLinks.test.ts
@@ -6,7 +6,7 @@
 import t from 'tap'
 import { ROSTER_KEY } from 'pomelofold/workflows/keys'
 import { WorkflowCell } from './workflowCell.js'
-import { LINK_RATES, limitWriteBandwidth } from '../standins/slowLink.js'
+import { LINK_RATES, limitStartBandwidth, limitWriteBandwidth } from '../standins/slowLink.js'
 
 t.test('a workflow of the most steps is stored over a slow link', async t => {
   const cell = new WorkflowCell({ daemons: 1 })
@@ -28,3 +28,14 @@
   }
   await t.resolves(cell.timers.advanceUntil(() => cell.store.get(ROSTER_KEY)!.value.includes('minion-3499'), { limitMs: 10_000 }))
 })
+
+// The payloads take 1.7 s, somewhat over half of the time that a gang has to be complete.
+t.test('a gang whose payloads together take longer than one start may starts over a slow link', async t => {
+  const cell = new WorkflowCell({ daemons: 1, workers: 13, runMs: () => 10_000 })
+  const { client } = await cell.waitUntilReady()
+  limitStartBandwidth(client, cell.timers, LINK_RATES.slowest)
+  const workflow = cell.workflow([{ tasks: 100, gang: true, estimateMs: 10_000 }], { payload: 'x'.repeat(4_000) })
+  await cell.submit(workflow)
+  const running = (): number => cell.records.filter(({ endMs }) => endMs === Number.POSITIVE_INFINITY).length
+  await t.resolves(cell.timers.advanceUntil(() => running() === 100, { limitMs: 8_000, stepMs: 50 }))
+})
