--- a/packages/pomelofold/src/workflows/configurationPeers.ts
+++ b/packages/pomelofold/src/workflows/configurationPeers.ts
@@ -54,7 +54,7 @@
   private _lastUsefulPeer: string | undefined
   /** Time at which the loss of the proof was noticed, in milliseconds of the monotonic clock; undefined while there is one. */
   private _lostSinceMs: number | undefined
-  /** Compressed text of the active version, once a peer has asked for it. */
+  /** Compressed text of the version that a peer last asked for. */
   private _compressed: { version: number, bytes: Uint8Array<ArrayBuffer> } | undefined
 
   constructor (options: ConfigurationPeersOptions) {
--- a/packages/pomelofold/src/workflows/prefixView.ts
+++ b/packages/pomelofold/src/workflows/prefixView.ts
@@ -13,7 +13,7 @@
 const LIST_RETRY_MIN_MS = 50
 const LIST_RETRY_MAX_MS = 400
 
-/** Longest time without a part of a list, in milliseconds. A connection that has become silent is abandoned after it. */
+/** Longest time without progress of a list, in milliseconds. A connection that has become silent is abandoned after it. */
 const LIST_TIMEOUT_MS = 1_000
 
 /** Minimum time between two log lines about failed lists, in milliseconds. */
@@ -59,7 +59,7 @@
   private _failures = 0
   private _failureLoggedMs = 0
   private _listing: Promise<void> | undefined
-  /** Time at which the last part of an answer that is not complete yet has arrived; undefined between answers. */
+  /** Times at which the last and the first part of an answer in transfer have arrived; undefined between answers. */
   private _receivedMs: number | undefined
   private _receivingSinceMs: number | undefined
   private _closed = false
