--- a/tests/platform/smallLinks.test.ts
+++ b/tests/platform/smallLinks.test.ts
@@ -25,6 +25,8 @@
 /** Share of a link of 10 Mbit/s, and a link of 2 Mbit/s, in bytes per millisecond. */
 const SMALL_LINK = 7_000 / 8
 const SMALLEST_LINK = 2_000 / 8
+/** Rate of a damaged connection, in bytes per millisecond. */
+const DAMAGED_RATE = 4
 const BOUNDS = { strict: true, withdrawalMs: 5_000, applyMs: 3_000 }
 /** Timeout of a daemon's call to a peer for the text of its configuration, in milliseconds. */
 const TEXT_TIMEOUT_MS = 2_000
@@ -59,12 +61,13 @@
 class LinkedStore {
   readonly clock = new ManualTimers()
   bytesSent = 0
-  /** Rate of the answer that has been open for longest, in bytes per millisecond, when its connection is damaged. */
-  firstAnswerRate = Number.POSITIVE_INFINITY
+  /** The connection of the next answer is damaged: it delivers next to nothing. */
+  damageNextAnswer = false
   private readonly _bytesPerMs: number
   private readonly _answers = new Map<ServerResponse, Buffer>()
   private _item = { key: 'op/config', value: '', revision: 1, created: 1, lease: 0 }
   private readonly _history: Array<typeof this._item> = []
+  private _damaged: ServerResponse | undefined
   private readonly _polls = new Set<() => void>()
   private readonly _server = createServer((req, res) => this._serve(req, res))
 
@@ -114,13 +117,15 @@
     const bytes = Buffer.from(JSON.stringify(body))
     res.writeHead(200, { 'content-type': 'application/json', 'content-length': bytes.length })
     this._answers.set(res, bytes)
+    if (this.damageNextAnswer) this._damaged = res
+    this.damageNextAnswer = false
   }
 
   private _transfer (): void {
     let budget = this._bytesPerMs * STEP_MS
     for (const [res, bytes] of this._answers) {
-      const rate = budget === this._bytesPerMs * STEP_MS ? this.firstAnswerRate : Number.POSITIVE_INFINITY
-      const size = Math.min(bytes.length, Math.ceil(this._bytesPerMs * STEP_MS / this._answers.size), budget, rate * STEP_MS)
+      const rate = res === this._damaged ? DAMAGED_RATE : this._bytesPerMs / this._answers.size
+      const size = Math.min(bytes.length, Math.ceil(rate * STEP_MS), budget)
       budget -= size
       this.bytesSent += size
       res.write(bytes.subarray(0, size))
@@ -221,11 +226,9 @@
 // Guards against a connection that delivers next to nothing, for which the working ones wait.
 t.test('a configuration takes effect in time although the connection of its watch trickles', async t => {
   const { store, watcher } = await startDaemon(t, SMALL_LINK)
-  store.firstAnswerRate = 4
+  store.damageNextAnswer = true
   store.put(configText(2, 1_400))
-  await store.advance(1_500)
-  store.firstAnswerRate = Number.POSITIVE_INFINITY
-  await store.advance(BOUNDS.applyMs - 1_500)
+  await store.advance(BOUNDS.applyMs)
   t.equal(watcher.config!.version, 2)
 })
 
