--- a/tests/platform/smallLinks.test.ts
+++ b/tests/platform/smallLinks.test.ts
@@ -217,9 +217,9 @@
   const checker = new CredentialChecker({ configuration: watcher.active, bounds: BOUNDS })
   store.clock.advanceWithoutCallbacks(6_000)
   const startedMs = store.clock.now()
-  const decided = checker.check({ keyHash: hashKey('key'), open: false }).then(() => store.clock.now() - startedMs)
+  let tookMs = Number.POSITIVE_INFINITY
+  checker.check({ keyHash: hashKey('key'), open: false }).then(() => { tookMs = store.clock.now() - startedMs })
   await store.advance(BOUNDS.applyMs)
-  const tookMs = await decided
   t.ok(tookMs <= BOUNDS.applyMs / 4, `${tookMs} ms`)
 })
 
