Logs: whether a worker had confirmed the starts that its crash is put down to

task.suspected and task.givenUp did not tell whether the run had been carried out, what else was young or on trial on the worker, nor which attempts make the evidence; a job that fails by its attempts did not name the limit in force.

--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -32,6 +32,8 @@
   suspectedTasks: number
   clearedTasks: number
   givenUpTasks: number
+  /** Crashes that count against a task whose start the worker had not confirmed. */
+  unconfirmedCrashes: number
 }
 
 /** Options of a {@link CrashTracker}. */
@@ -61,7 +63,7 @@
   private readonly _domainLosses = new Map<string, Map<string, number>>()
   /** Incarnations that crashed last, by address, with the times in milliseconds of the monotonic clock. */
   private readonly _lastCrashes = new Map<string, { incarnation: string, atMs: number }>()
-  private readonly _counts: CrashCounts = { crashedWorkers: 0, suspectedTasks: 0, clearedTasks: 0, givenUpTasks: 0 }
+  private readonly _counts: CrashCounts = { crashedWorkers: 0, suspectedTasks: 0, clearedTasks: 0, givenUpTasks: 0, unconfirmedCrashes: 0 }
 
   constructor (options: CrashTrackerOptions) {
     this._options = options
@@ -97,6 +99,7 @@
       evidence,
       runs: session.runs.size,
       youngRuns,
+      unconfirmedRuns: runs.filter(run => run.startConfirmedMs === undefined).length,
       onTrial: this._trials.get(session)?.size ?? 0,
       lostAtOnce: this._losses.size,
       repeated
@@ -105,7 +108,7 @@
       // A task's own former crash at the address is no excuse for it.
       const isOwn = run.task!.crashes.some(({ worker }) => worker === former)
       const areOthersLost = this._wereManyLostSince(run.startedMs) || this._isDomainCutOff(session)
-      this._addEvidence(run, session, { doubtful: (repeated && !isOwn) || areOthersLost })
+      this._addEvidence(run, session, { doubtful: (repeated && !isOwn) || areOthersLost, youngRuns })
     }
     this._trials.delete(session)
   }
@@ -201,13 +204,14 @@
     return task !== undefined && task.state !== TASK_STATES.done && !task.step.workflow.isOver
   }
 
-  private _addEvidence (run: Run, session: WorkerSession, { doubtful }: { doubtful: boolean }): void {
+  private _addEvidence (run: Run, session: WorkerSession, { doubtful, youngRuns }: { doubtful: boolean, youngRuns: number }): void {
     const { timers, log } = this._options
     const task = run.task!
     const { workflow } = task.step
     if (workflow.isOver || task.crashes.some(({ worker }) => worker === session.incarnation)) return
     const ageMs = ageAtLoss(run)
-    const onTrial = this._trials.get(session)?.has(run) ?? false
+    const runsOnTrial = this._trials.get(session)
+    const onTrial = runsOnTrial?.has(run) ?? false
     // A start that timed out may not have been carried out at all.
     const isStartUnknown = run.startConfirmedMs === undefined && run.unansweredMs !== undefined && !run.startBroken
     const { longRunning } = task.step.spec
@@ -218,12 +222,23 @@
     const record: CrashRecord = { worker: session.incarnation, attempt: run.attempt, atMs, ageMs: Math.round(ageMs), weight }
     task.crashes = [...task.crashes, record]
     const verdict = judge(task.crashes)
+    if (run.startConfirmedMs === undefined) this._counts.unconfirmedCrashes++
     this._options.onChanged(workflow)
     if (verdict !== VERDICTS.givenUp && (verdict === VERDICTS.suspect || ageMs <= YOUNG_RUN_MS)) this._startWhenRecorded(task)
     if (verdict === VERDICTS.clear) return
     if (before === VERDICTS.clear) this._counts.suspectedTasks++
     log.event('warn', VERDICT_EVENTS[verdict], {
-      task: task.name, attempt: run.attempt, ...record, onTrial, doubtful, crashes: task.crashes.length
+      task: task.name,
+      attempt: run.attempt,
+      ...record,
+      startConfirmed: run.startConfirmedMs !== undefined,
+      startBroken: run.startBroken,
+      onTrial,
+      runsOnTrial: runsOnTrial?.size ?? 0,
+      youngRuns,
+      doubtful,
+      crashes: task.crashes.length,
+      attempts: task.crashes.map(({ attempt }) => attempt ?? 'unknown').join(' ')
     })
     if (verdict === VERDICTS.givenUp) {
       this._counts.givenUpTasks++
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -451,6 +451,10 @@
     if (step.spec.gang) this._stopStep(step, 'a member of the gang failed')
     if (workflow.isOver || step.spec.longRunning || task.state === TASK_STATES.done || failures.includes(end.attempt)) return
     failures.push(end.attempt)
+    const maxAttempts = this._options.maxAttempts(workflow)
+    this._options.log.event('info', 'task.failed', {
+      task: end.task, attempt: end.attempt, worker: session.incarnation, failures: failures.join(' '), maxAttempts
+    })
     if (this._attemptsLeft(task) <= 0) {
       this.finishWorkflow(workflow, JOB_STATES.failed, `${end.task} failed ${failures.length} times`)
       return
