Failing test: a job is given up for a start that its worker may not have carried out

The worker in memory carried out orders that were on their way when its process ended, so that no test could have such a start. Now an order breaks off, and the fault breaksOrders does it without an end of the process.

The test fails: the job is failed after one crash under its task, with a start that was broken off as the other crash.

--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -58,6 +58,8 @@
   loseEveryNthAnswer: number
   /** Orders time out and are carried out after this delay, in milliseconds. */
   orderDelayMs: number
+  /** Orders that are on their way break off and are not carried out, as when the process ends before they arrive. */
+  breaksOrders: boolean
   /** Refusal of each start that arrives, also of a start whose run is in progress. */
   refuseStarts: StartRefusal | undefined
   /** Starts are refused as too late by the end of the lease in force, not by the one that they carry. */
@@ -85,6 +87,7 @@
     loseAnswers: false,
     loseEveryNthAnswer: 0,
     orderDelayMs: 0,
+    breaksOrders: false,
     refuseStarts: undefined,
     refuseStartsByLeaseInForce: false,
     failTasks: false,
@@ -368,6 +371,7 @@
       return timedOut()
     }
     await delay(this._timers, 1)
+    if (order && (worker.faults.breaksOrders || worker.faults.refusesConnections)) return Result.err(new CallError('other side closed', details))
     const { loseAnswers, loseEveryNthAnswer } = worker.faults
     const answerLost = (order && loseAnswers) || (loseEveryNthAnswer > 0 && ++this._callCount % loseEveryNthAnswer === 0)
     const value = await fn(worker)
