In-memory worker: a process that has ended carries out no late order

An order that was delayed by the fault orderDelayMs ran on the object of a worker that had crashed meanwhile, so that one crash could be counted twice. crashes.test.ts passes with it on the unchanged scheduler (18 passed).

--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -366,8 +366,11 @@
     }
     if (!worker || worker.faults.unreachable || this.disconnected || this.unreachableWorkers.has(entry.id)) return timedOut()
     if (order && worker.faults.orderDelayMs > 0) {
-      // The order reaches the incarnation that has the id when the delay is over, which may be a later one.
-      this._timers.after(worker.faults.orderDelayMs, () => { fn(this._workers().find(({ entry: { id } }) => id === entry.id) ?? worker) })
+      // The order reaches the incarnation that has the id when the delay is over, which may be a later one, or none.
+      this._timers.after(worker.faults.orderDelayMs, () => {
+        const receiver = this._workers().find(({ entry: { id } }) => id === entry.id) ?? worker
+        if (!receiver.faults.refusesConnections) fn(receiver)
+      })
       return timedOut()
     }
     await delay(this._timers, 1)
