A start of unknown outcome does not count as a crash that gives a job up

Callers saw: a job shown as failed after one crash under its task (LOST). Cause: a worker that crashes breaks off the starts on their way to it. Such a start was recorded as a crash at age 0 with full weight, so that the next crash, on trial, gave the job up.

The record of a crash now tells whether the worker had confirmed the start. If not, the start is broken when no other cause of the crash is known, else unknown: another job's run was young there, many workers were lost, or the start timed out. A job is given up when, besides the weight, two crashes came under confirmed runs, or two broke a start off, or four came in all. A task that crashes its worker before the answer breaks every start off; one start broken off beside a confirmed one was probably not carried out. An answer that comes after the crash was noticed confirms the start.

The unknown start still suspects the task: it is recorded before the next start, and the task is tried apart. So a task that crashes its workers is bounded by four crashes that are recorded, below the five that the users allow.

--- a/packages/pomelofold/src/crashes/crashEvidence.ts
+++ b/packages/pomelofold/src/crashes/crashEvidence.ts
@@ -9,7 +9,7 @@
  * @module
  */
 
-import type { CrashRecord } from '../protocol/crashes.js'
+import { UNCONFIRMED_STARTS, type CrashRecord } from '../protocol/crashes.js'
 
 /** Age of a run up to which a crash of its worker is blamed on its start, in milliseconds: covers the delay of the detection. */
 export const YOUNG_RUN_MS = 400
@@ -23,6 +23,10 @@
 const GIVE_UP_WEIGHT = 3
 /** Weight of a crash that is likely to have another cause and came some time after the start. */
 export const SLIGHT_WEIGHT = 0.1
+/** Number of crashes of one kind, under confirmed runs or broken starts, from which a task is given up. */
+const GIVE_UP_RUNS_MIN = 2
+/** The same for crashes of any kind: each single start may not have been carried out. */
+const GIVE_UP_STARTS_MIN = 4
 /** Number of runs that have ended with their workers at similar ages from which a task is given up, even if each is doubtful. */
 const GIVE_UP_RUNS = 5
 /** Longest of these ages: the shortest one times `SIMILAR_AGE_FACTOR`, and this many milliseconds. */
@@ -77,10 +81,25 @@
 /** Verdict on a task after these crashes. */
 export function judge (crashes: CrashRecord[]): Verdict {
   const weight = crashes.reduce((sum, crash) => sum + crash.weight, 0)
-  if (weight >= GIVE_UP_WEIGHT || runsOfSimilarAge(crashes) >= GIVE_UP_RUNS) return VERDICTS.givenUp
+  if ((weight >= GIVE_UP_WEIGHT && haveBeenCarriedOut(crashes)) || runsOfSimilarAge(crashes) >= GIVE_UP_RUNS) return VERDICTS.givenUp
   return weight >= SUSPECT_WEIGHT ? VERDICTS.suspect : VERDICTS.clear
 }
 
+/**
+ * True when at least two of the starts have surely been carried out. A task that crashes its worker before the answer does so each
+ * time: a broken start beside a confirmed one was probably not carried out.
+ */
+function haveBeenCarriedOut (crashes: CrashRecord[]): boolean {
+  const confirmed = crashes.filter(({ unconfirmedStart }) => unconfirmedStart === undefined)
+  const broken = crashes.filter(({ unconfirmedStart }) => unconfirmedStart === UNCONFIRMED_STARTS.broken)
+  return Math.max(countRuns(confirmed), countRuns(broken)) >= GIVE_UP_RUNS_MIN || countRuns(crashes) >= GIVE_UP_STARTS_MIN
+}
+
+/** Number of different runs; a late copy of a start may be carried out by the next incarnation of its worker, too. */
+function countRuns (crashes: CrashRecord[]): number {
+  return new Set(crashes.map(({ attempt, worker }) => attempt ?? worker)).size
+}
+
 /** Largest number of runs that have ended with their workers at similar ages. */
 function runsOfSimilarAge (crashes: CrashRecord[]): number {
   const counts = crashes.map(({ ageMs: shortestMs }) => {
@@ -98,5 +117,8 @@
 
 /** Describes the crashes for the caller whose job is given up. */
 export function describeCrashes (crashes: CrashRecord[]): string {
-  return crashes.map(({ worker, atMs, ageMs }) => `${worker} at ${new Date(atMs).toISOString()}, noticed ${Math.round(ageMs)} ms after the start`).join('; ')
+  return crashes.map(({ worker, atMs, ageMs, unconfirmedStart }) => {
+    const start = unconfirmedStart === undefined ? 'start' : 'start, which was not confirmed'
+    return `${worker} at ${new Date(atMs).toISOString()}, noticed ${Math.round(ageMs)} ms after the ${start}`
+  }).join('; ')
 }
--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -8,7 +8,7 @@
 import type { WorkerSession } from './workerSession.js'
 import { RUN_STATES, TASK_STATES, type Run, type Task, type WorkflowRuntime } from './workflowRuntime.js'
 import { crashWeight, describeCrashes, judge, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from '../crashes/crashEvidence.js'
-import type { CrashRecord } from '../protocol/crashes.js'
+import { UNCONFIRMED_STARTS, type CrashRecord, type UnconfirmedStart } from '../protocol/crashes.js'
 import type { Timers } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
 
@@ -92,13 +92,13 @@
     const repeated = this.hasCrashedLately(session)
     const former = this._lastCrashes.get(session.entry.address)?.incarnation
     this._lastCrashes.set(session.entry.address, { incarnation: session.incarnation, atMs: session.lostMs })
+    const youngRuns = [...session.runs.values()].filter(wasYoungAtLoss)
     const runs = [...session.runs.values()].filter(run => this._mayBeCause(run))
-    const youngRuns = runs.filter(wasYoungAtLoss).length
     log.event('warn', 'worker.crashed', {
       worker: session.incarnation,
       evidence,
       runs: session.runs.size,
-      youngRuns,
+      youngRuns: youngRuns.length,
       unconfirmedRuns: runs.filter(run => run.startConfirmedMs === undefined).length,
       onTrial: this._trials.get(session)?.size ?? 0,
       lostAtOnce: this._losses.size,
@@ -124,6 +124,19 @@
     }
   }
 
+  /** Notes that the answer to a start came after the crash of its worker was noticed: the task was running there. */
+  noteStartConfirmed ({ task, attempt, session: { incarnation } }: Run): void {
+    const { log, onChanged } = this._options
+    if (!task || task.step.workflow.isOver) return
+    const record = task.crashes.find(({ worker, unconfirmedStart }) => worker === incarnation && unconfirmedStart !== undefined)
+    if (!record) return
+    task.crashes = task.crashes.map(crash => crash === record ? { ...crash, unconfirmedStart: undefined } : crash)
+    const verdict = judge(task.crashes)
+    log.event('info', 'task.crash.confirmed', { task: task.name, attempt, worker: incarnation, crashes: task.crashes.length, verdict })
+    onChanged(task.step.workflow)
+    if (verdict === VERDICTS.givenUp) this._giveUp(task)
+  }
+
   /** True when a worker at the same address has crashed in the last `UNSTABLE_ADDRESS_MS`. */
   hasCrashedLately ({ entry }: WorkerSession): boolean {
     const { atMs } = this._lastCrashes.get(entry.address) ?? { atMs: Number.NEGATIVE_INFINITY }
@@ -204,7 +217,7 @@
     return task !== undefined && task.state !== TASK_STATES.done && !task.step.workflow.isOver
   }
 
-  private _addEvidence (run: Run, session: WorkerSession, { doubtful, youngRuns }: { doubtful: boolean, youngRuns: number }): void {
+  private _addEvidence (run: Run, session: WorkerSession, { doubtful, youngRuns }: { doubtful: boolean, youngRuns: Run[] }): void {
     const { timers, log } = this._options
     const task = run.task!
     const { workflow } = task.step
@@ -212,17 +225,21 @@
     const ageMs = ageAtLoss(run)
     const runsOnTrial = this._trials.get(session)
     const onTrial = runsOnTrial?.has(run) ?? false
-    // A start that timed out may not have been carried out at all.
-    const isStartUnknown = run.startConfirmedMs === undefined && run.unansweredMs !== undefined && !run.startBroken
     const { longRunning } = task.step.spec
-    const weight = crashWeight(task.crashes, { ageMs, onTrial, doubtful: doubtful || isStartUnknown, longRunning })
+    const weight = crashWeight(task.crashes, { ageMs, onTrial, doubtful: doubtful || hasStartTimedOut(run), longRunning })
     if (weight === 0) return
     const before = judge(task.crashes)
-    const atMs = Math.round(timers.wallClock())
-    const record: CrashRecord = { worker: session.incarnation, attempt: run.attempt, atMs, ageMs: Math.round(ageMs), weight }
+    const record: CrashRecord = {
+      worker: session.incarnation,
+      attempt: run.attempt,
+      atMs: Math.round(timers.wallClock()),
+      ageMs: Math.round(ageMs),
+      weight,
+      unconfirmedStart: unconfirmedStartOf(run, { doubtful, youngRuns })
+    }
     task.crashes = [...task.crashes, record]
     const verdict = judge(task.crashes)
-    if (run.startConfirmedMs === undefined) this._counts.unconfirmedCrashes++
+    if (record.unconfirmedStart) this._counts.unconfirmedCrashes++
     this._options.onChanged(workflow)
     if (verdict !== VERDICTS.givenUp && (verdict === VERDICTS.suspect || ageMs <= YOUNG_RUN_MS)) this._startWhenRecorded(task)
     if (verdict === VERDICTS.clear) return
@@ -231,19 +248,19 @@
       task: task.name,
       attempt: run.attempt,
       ...record,
-      startConfirmed: run.startConfirmedMs !== undefined,
-      startBroken: run.startBroken,
       onTrial,
       runsOnTrial: runsOnTrial?.size ?? 0,
-      youngRuns,
+      youngRuns: youngRuns.length,
       doubtful,
       crashes: task.crashes.length,
       attempts: task.crashes.map(({ attempt }) => attempt ?? 'unknown').join(' ')
     })
-    if (verdict === VERDICTS.givenUp) {
-      this._counts.givenUpTasks++
-      this._options.onGivenUp(workflow, `${task.name} crashed its workers: ${describeCrashes(task.crashes)}`)
-    }
+    if (verdict === VERDICTS.givenUp) this._giveUp(task)
+  }
+
+  private _giveUp ({ name, step, crashes }: Task): void {
+    this._counts.givenUpTasks++
+    this._options.onGivenUp(step.workflow, `${name} crashed its workers: ${describeCrashes(crashes)}`)
   }
 
   /** The next scheduler has to know of the crash before the task is started again. */
@@ -262,6 +279,19 @@
   return crashes.length > 0 && judge(crashes) === VERDICTS.suspect
 }
 
+/** True when the last start of the run has received no answer in time: it may not have been carried out at all. */
+function hasStartTimedOut ({ startConfirmedMs, unansweredMs, startBroken }: Run): boolean {
+  return startConfirmedMs === undefined && unansweredMs !== undefined && !startBroken
+}
+
+/** What is known of the start of a run whose worker has crashed; undefined when it was confirmed. */
+function unconfirmedStartOf (run: Run, { doubtful, youngRuns }: { doubtful: boolean, youngRuns: Run[] }): UnconfirmedStart | undefined {
+  if (run.startConfirmedMs !== undefined) return
+  const { workflow } = run.task!.step
+  const isOtherJobYoung = youngRuns.some(({ task }) => task?.step.workflow !== workflow)
+  return doubtful || isOtherJobYoung || hasStartTimedOut(run) ? UNCONFIRMED_STARTS.unknown : UNCONFIRMED_STARTS.broken
+}
+
 /** True when the run had just started when its worker was lost. */
 export function wasYoungAtLoss (run: Run): boolean {
   return ageAtLoss(run) <= YOUNG_RUN_MS
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -264,6 +264,7 @@
   private _handleStarted (run: Run): void {
     run.state = RUN_STATES.running
     run.startConfirmedMs = this._options.timers.now()
+    if (run.session.crashed) this._options.crashes.noteStartConfirmed(run)
     const workflow = run.task?.step.workflow
     if (!workflow) return
     if (workflow.state === JOB_STATES.accepted) workflow.state = JOB_STATES.running
