A start that was not carried out is no evidence against its task

Cause: starts that are on their way when the crash of their worker is noticed count against their tasks, and the evidence stayed when the start then found the connection refused.

The refusal of a start withdraws the evidence. Test: fails without the change (the crash stays), passes with it.

--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -116,12 +116,19 @@
   /** Withdraws the crash of a worker that answers again: a device between them has refused the connections. */
   noteReached (session: WorkerSession): void {
     if (!session.crashed) return
-    for (const { task } of session.runs.values()) {
-      if (!task || !task.crashes.some(({ worker }) => worker === session.incarnation)) continue
-      task.crashes = task.crashes.filter(({ worker }) => worker !== session.incarnation)
-      this._options.log.event('info', 'task.crash.withdrawn', { task: task.name, worker: session.incarnation })
-      this._options.onChanged(task.step.workflow)
-    }
+    for (const run of session.runs.values()) this._withdraw(run, 'its worker answered again')
+  }
+
+  /** Withdraws the crash of a worker from the task of a start that was not carried out there. */
+  noteStartRefused (run: Run): void {
+    this._withdraw(run, 'its start was not carried out')
+  }
+
+  private _withdraw ({ task, attempt, session: { incarnation } }: Run, reason: string): void {
+    if (!task || !task.crashes.some(({ worker }) => worker === incarnation)) return
+    task.crashes = task.crashes.filter(({ worker }) => worker !== incarnation)
+    this._options.log.event('info', 'task.crash.withdrawn', { task: task.name, attempt, worker: incarnation, reason, crashes: task.crashes.length })
+    this._options.onChanged(task.step.workflow)
   }
 
   /** Notes that the answer to a start came after the crash of its worker was noticed: the task was running there. */
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -283,6 +283,7 @@
     if (WORKER_PAUSING_REFUSALS.has(reason)) session.suspendedUntilMs = Math.max(session.suspendedUntilMs, nowMs + REFUSING_WORKER_PAUSE_MS)
     if (reason === START_REFUSALS.invalidTicket && task) this._options.eligibility.dropTicket(task.step.name, session.incarnation)
     if (!settled) return
+    if (session.crashed) this._options.crashes.noteStartRefused(run)
     this._release(run, RELEASES.refused, reason)
     if (task) {
       task.notBeforeMs = nowMs + REFUSED_TASK_PAUSE_MS
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -60,6 +60,8 @@
   orderDelayMs: number
   /** Orders that are on their way break off and are not carried out, as when the process ends before they arrive. */
   breaksOrders: boolean
+  /** Time after which orders find the connection refused, in milliseconds, as when the process ends before they are sent. */
+  refuseOrdersAfterMs: number | undefined
   /** Refusal of each start that arrives, also of a start whose run is in progress. */
   refuseStarts: StartRefusal | undefined
   /** Starts are refused as too late by the end of the lease in force, not by the one that they carry. */
@@ -88,6 +90,7 @@
     loseEveryNthAnswer: 0,
     orderDelayMs: 0,
     breaksOrders: false,
+    refuseOrdersAfterMs: undefined,
     refuseStarts: undefined,
     refuseStartsByLeaseInForce: false,
     failTasks: false,
@@ -360,8 +363,9 @@
       await delay(this._timers, 2)
       return Result.ok({ refusal: START_REFUSALS.otherIncarnation } as T)
     }
-    if (worker?.faults.refusesConnections) {
-      await delay(this._timers, 1)
+    const refuseAfterMs = (order ? worker?.faults.refuseOrdersAfterMs : undefined) ?? (worker?.faults.refusesConnections ? 1 : undefined)
+    if (refuseAfterMs !== undefined) {
+      await delay(this._timers, refuseAfterMs)
       return Result.err(new CallError(`connect ECONNREFUSED ${entry.address}`, { ...details, effect: EFFECTS.none }))
     }
     if (!worker || worker.faults.unreachable || this.disconnected || this.unreachableWorkers.has(entry.id)) return timedOut()
--- a/tests/workflows/unconfirmedStarts.test.ts
+++ b/tests/workflows/unconfirmedStarts.test.ts
@@ -5,21 +5,24 @@
  */
 
 import t from 'tap'
+import type { LeasedWorkerFaults } from '@pomelofold/standins/leasedWorker'
 import { crashWeight, judge } from 'pomelofold/crashes/crashEvidence'
 import { UNCONFIRMED_STARTS, type CrashRecord, type UnconfirmedStart } from 'pomelofold/protocol/crashes'
 import type { Workflow } from 'pomelofold/protocol/workflows'
 import { WorkflowCell } from './workflowCell.js'
 
-/** Lets the first start of a job break with a worker on which another job has just started. Returns the job. */
-async function breakFirstStart (cell: WorkflowCell): Promise<Workflow> {
+/** Crashes a worker, on which another job has just started, while the first start of a job is on its way and fails as `faults` say. */
+async function crashBeforeFirstStart (cell: WorkflowCell, { until, faults }: {
+  until: string, faults: Partial<LeasedWorkerFaults>
+}): Promise<Workflow> {
   const [worker] = cell.workers
   const bystander = cell.workflow([{ tasks: 2 }])
   await cell.submit(bystander)
   await cell.timers.advanceUntil(() => worker.runs.size === 2)
-  worker.faults.breaksOrders = true
+  Object.assign(worker.faults, faults)
   const job = cell.workflow([{ tasks: 1 }])
   await cell.submit(job)
-  await cell.timers.advanceUntil(() => cell.events.some(({ name, fields }) => name === 'start.unanswered' && fields.task === `${job.id}.0.0.0`))
+  await cell.timers.advanceUntil(() => cell.events.some(({ name, fields }) => name === until && fields.task === `${job.id}.0.0.0`))
   cell.crashWorker(worker)
   return job
 }
@@ -37,12 +40,26 @@
 t.test('a job is not given up for a start that its worker may not have carried out', async t => {
   const cell = new WorkflowCell({ workers: 1, runMs: () => 2_000 })
   await cell.waitUntilReady()
-  const job = await breakFirstStart(cell)
+  const job = await crashBeforeFirstStart(cell, { until: 'start.unanswered', faults: { breaksOrders: true } })
   t.same(cell.runsOf(`${job.id}.0.0.0`), [], 'the start was not carried out')
   await crashUnderRun(cell, job)
   await cell.waitForState(job.id, 'done')
 })
 
+// Guards against a job that is given up after one crash under its task (LOST): another start was still on its way when the crash of its
+// worker was noticed, and then found the connection refused.
+t.test('the crash of a worker is withdrawn from the task of a start that was not sent there', async t => {
+  const cell = new WorkflowCell({ workers: 1, runMs: () => 2_000 })
+  await cell.waitUntilReady()
+  const job = await crashBeforeFirstStart(cell, { until: 'run.start', faults: { refuseOrdersAfterMs: 200 } })
+  const task = `${job.id}.0.0.0`
+  const eventsOf = (event: string): number => cell.events.filter(({ name, fields }) => name === event && fields.task === task).length
+  await cell.timers.advance(1_000)
+  t.same([eventsOf('task.suspected'), eventsOf('run.refused'), eventsOf('task.crash.withdrawn')], [1, 1, 1])
+  await crashUnderRun(cell, job)
+  await cell.waitForState(job.id, 'done')
+})
+
 /** Crashes of a young task until its verdict, when the starts of its attempts are confirmed or not as the pattern says, again and again. */
 function crashesUntilVerdict (pattern: Array<UnconfirmedStart | undefined>): CrashRecord[] {
   const crashes: CrashRecord[] = []
