A start that is still on its way when its worker has crashed is unknown, not broken

It may be refused next: counted as broken off, two such starts would give a job up before they are known not to have been carried out. A verdict that a late answer brings is logged as task.givenUp like the others.

--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -138,10 +138,12 @@
     const record = task.crashes.find(({ worker, unconfirmedStart }) => worker === incarnation && unconfirmedStart !== undefined)
     if (!record) return
     task.crashes = task.crashes.map(crash => crash === record ? { ...crash, unconfirmedStart: undefined } : crash)
-    const verdict = judge(task.crashes)
-    log.event('info', 'task.crash.confirmed', { task: task.name, attempt, worker: incarnation, crashes: task.crashes.length, verdict })
+    const fields = { task: task.name, attempt, worker: incarnation, crashes: task.crashes.length, attempts: attemptsOf(task) }
+    log.event('info', 'task.crash.confirmed', fields)
     onChanged(task.step.workflow)
-    if (verdict === VERDICTS.givenUp) this._giveUp(task)
+    if (judge(task.crashes) !== VERDICTS.givenUp) return
+    log.event('warn', VERDICT_EVENTS[VERDICTS.givenUp], fields)
+    this._giveUp(task)
   }
 
   /** True when a worker at the same address has crashed in the last `UNSTABLE_ADDRESS_MS`. */
@@ -260,7 +262,7 @@
       youngRuns: youngRuns.length,
       doubtful,
       crashes: task.crashes.length,
-      attempts: task.crashes.map(({ attempt }) => attempt ?? 'unknown').join(' ')
+      attempts: attemptsOf(task)
     })
     if (verdict === VERDICTS.givenUp) this._giveUp(task)
   }
@@ -292,11 +294,17 @@
 }
 
 /** What is known of the start of a run whose worker has crashed; undefined when it was confirmed. */
-function unconfirmedStartOf (run: Run, { doubtful, youngRuns }: { doubtful: boolean, youngRuns: Run[] }): UnconfirmedStart | undefined {
-  if (run.startConfirmedMs !== undefined) return
-  const { workflow } = run.task!.step
-  const isOtherJobYoung = youngRuns.some(({ task }) => task?.step.workflow !== workflow)
-  return doubtful || isOtherJobYoung || hasStartTimedOut(run) ? UNCONFIRMED_STARTS.unknown : UNCONFIRMED_STARTS.broken
+function unconfirmedStartOf (
+  { task, startConfirmedMs, startBroken }: Run, { doubtful, youngRuns }: { doubtful: boolean, youngRuns: Run[] }
+): UnconfirmedStart | undefined {
+  if (startConfirmedMs !== undefined) return
+  const isOtherJobYoung = youngRuns.some(other => other.task?.step.workflow !== task!.step.workflow)
+  return startBroken && !doubtful && !isOtherJobYoung ? UNCONFIRMED_STARTS.broken : UNCONFIRMED_STARTS.unknown
+}
+
+/** Attempts of the task that ended with their workers, for the log. */
+function attemptsOf ({ crashes }: Task): string {
+  return crashes.map(({ attempt }) => attempt ?? 'unknown').join(' ')
 }
 
 /** True when the run had just started when its worker was lost. */
