--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -60,6 +60,8 @@
   orderDelayMs: number
   /** Orders that are on their way break off and are not carried out, as when the process ends before they arrive. */
   breaksOrders: boolean
+  /** Time from the arrival of an order to its answer, in milliseconds. An answer comes even if the worker has crashed meanwhile. */
+  answerDelayMs: number
   /** Refusal of each start that arrives, also of a start whose run is in progress. */
   refuseStarts: StartRefusal | undefined
   /** Starts are refused as too late by the end of the lease in force, not by the one that they carry. */
@@ -88,6 +90,7 @@
     loseEveryNthAnswer: 0,
     orderDelayMs: 0,
     breaksOrders: false,
+    answerDelayMs: 1,
     refuseStarts: undefined,
     refuseStartsByLeaseInForce: false,
     failTasks: false,
@@ -372,12 +375,12 @@
     }
     await delay(this._timers, 1)
     if (order && (worker.faults.breaksOrders || worker.faults.refusesConnections)) return Result.err(new CallError('other side closed', details))
-    const { loseAnswers, loseEveryNthAnswer } = worker.faults
+    const { answerDelayMs, loseAnswers, loseEveryNthAnswer } = worker.faults
     const answerLost = (order && loseAnswers) || (loseEveryNthAnswer > 0 && ++this._callCount % loseEveryNthAnswer === 0)
     const value = await fn(worker)
     if (worker.faults.refusesConnections) return Result.err(new CallError('other side closed', details))
     if (answerLost || worker.faults.unreachable || this.disconnected) return timedOut()
-    await delay(this._timers, 1)
+    await delay(this._timers, order ? answerDelayMs : 1)
     return Result.ok(value)
   }
 }
--- a/tests/workflows/crashingTasks.ts
+++ b/tests/workflows/crashingTasks.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { LeasedWorkerFaults } from '@pomelofold/standins/leasedWorker'
 import type { WorkflowStep } from 'pomelofold/protocol/workflows'
 import { WorkflowCell, type WorkflowCellOptions } from './workflowCell.js'
 
@@ -22,25 +23,32 @@
   return cell.runsOf(task).filter(({ startMs }) => startMs > crashed[2].endMs).length
 }
 
-/** A cell whose task 0 of the first job crashes its worker, and ordinary jobs that come in beside it. */
-export async function cellWithCrashingTask ({ step = {}, afterMs = 10, ordinaryJobs = 20, ...options }: Partial<WorkflowCellOptions> & {
-  step?: Partial<WorkflowStep>, afterMs?: number, ordinaryJobs?: number
+/**
+ * A cell whose task 0 of the first job crashes its worker, and ordinary jobs that come in before and beside it. All workers,
+ * also later ones, have `faults`.
+ */
+export async function cellWithCrashingTask ({
+  step = {}, afterMs = 10, earlierJobs = 0, ordinaryJobs = 20, faults, ...options
+}: Partial<WorkflowCellOptions> & {
+  step?: Partial<WorkflowStep>, afterMs?: number, earlierJobs?: number, ordinaryJobs?: number, faults?: Partial<LeasedWorkerFaults>
 } = {}): Promise<{ cell: WorkflowCell, crashing: string, ordinary: string[], speculative: Set<string> }> {
   const task = `${CRASHING_JOB}.0.0.0`
   const cell = new WorkflowCell({
     workers: 12, runMs: () => 800, crashAfterMs: name => name === task ? afterMs : undefined, ...options
   })
   await cell.waitUntilReady()
+  if (faults) cell.timers.every(1, () => { for (const worker of cell.workers) Object.assign(worker.faults, faults) })
   const crashing = cell.workflow([{ tasks: 4, ...step }])
   const ordinary: string[] = []
   const speculative = new Set(step.speculative ? [crashing.id] : [])
-  await cell.submit(crashing)
-  for (let job = 0; job < ordinaryJobs; job++) {
+  for (let job = -earlierJobs; job < ordinaryJobs; job++) {
+    if (job === 0) await cell.submit(crashing)
     const workflow = cell.workflow([{ tasks: 3, speculative: job % 2 === 0 }])
     ordinary.push(workflow.id)
     if (job % 2 === 0) speculative.add(workflow.id)
     await cell.submit(workflow)
     await cell.timers.advance(100)
   }
+  if (ordinaryJobs === 0) await cell.submit(crashing)
   return { cell, crashing: crashing.id, ordinary, speculative }
 }
--- a/tests/workflows/unconfirmedStarts.test.ts
+++ b/tests/workflows/unconfirmedStarts.test.ts
@@ -5,38 +5,224 @@
  */
 
 import t from 'tap'
-import type { Workflow } from 'pomelofold/protocol/workflows'
+import type { LeasedWorkerFaults } from '@pomelofold/standins/leasedWorker'
+import type { WorkflowStep } from 'pomelofold/protocol/workflows'
+import { CRASHING_JOB, FORBIDDEN_STARTS, cellWithCrashingTask, startsAfterThirdCrash } from './crashingTasks.js'
 import { WorkflowCell } from './workflowCell.js'
 
-/** Lets the first start of a job break with a worker on which another job has just started. Returns the job. */
-async function breakFirstStart (cell: WorkflowCell): Promise<Workflow> {
-  const [worker] = cell.workers
-  const bystander = cell.workflow([{ tasks: 2 }])
-  await cell.submit(bystander)
-  await cell.timers.advanceUntil(() => worker.runs.size === 2)
-  worker.faults.breaksOrders = true
-  const job = cell.workflow([{ tasks: 1 }])
-  await cell.submit(job)
-  await cell.timers.advanceUntil(() => cell.events.some(({ name, fields }) => name === 'start.unanswered' && fields.task === `${job.id}.0.0.0`))
-  cell.crashWorker(worker)
-  return job
+/** Delay of a late order in these tests, in milliseconds: longer than a lease, so that a worker with another id refuses it. */
+const LATE_MS = 9_000
+
+/** A start that does not reach its worker: faults of the worker, and the event after which it crashes. */
+interface LostStart {
+  faults: Partial<LeasedWorkerFaults>
+  event: string
+}
+
+/** Ways in which a start does not reach its worker. */
+const LOST_STARTS = {
+  broken: { faults: { breaksOrders: true }, event: 'start.unanswered' },
+  pending: { faults: { orderDelayMs: LATE_MS }, event: 'run.start' },
+  unanswered: { faults: { orderDelayMs: LATE_MS }, event: 'start.unanswered' }
+} satisfies Record<string, LostStart>
+
+/** Steps of a task that crashes its workers. */
+const STEPS: Array<Partial<WorkflowStep>> = [{}, { speculative: true }, { gang: true }, { tasks: 1 }]
+
+const NO_FAULTS: Partial<LeasedWorkerFaults> = { breaksOrders: false, orderDelayMs: 0 }
+
+/** Lets the first start of a job after so many events get lost, and crashes its worker. Returns the task. */
+async function loseStart (cell: WorkflowCell, job: string, { faults, event }: LostStart, before: number): Promise<string> {
+  const eventOfJob = (): WorkflowCell['events'][0] | undefined =>
+    cell.events.slice(before).find(({ name, fields }) => name === event && String(fields.task).startsWith(job))
+  await cell.timers.advanceUntil(() => {
+    for (const worker of cell.workers) Object.assign(worker.faults, faults)
+    return eventOfJob() !== undefined
+  }, { stepMs: 1 })
+  await cell.timers.advance(20)
+  const { task, worker } = eventOfJob()!.fields
+  for (const worker of cell.workers) Object.assign(worker.faults, NO_FAULTS)
+  cell.crashWorker(cell.workers.find(({ entry }) => `${entry.id}@${entry.bornMs}` === worker)!)
+  return task as string
+}
+
+/** Number of crashes that were noticed before all starts at the worker were confirmed. */
+function unconfirmedCrashes ({ events }: WorkflowCell): number {
+  return events.filter(({ name, fields }) => name === 'worker.crashed' && Number(fields.unconfirmedRuns) > 0).length
 }
 
-/** Waits until the task of the job runs, and crashes its worker. */
-async function crashUnderRun (cell: WorkflowCell, { id }: Workflow): Promise<void> {
-  const task = `${id}.0.0.0`
+/** Waits until the task runs, and crashes its worker. */
+async function crashUnderRun (cell: WorkflowCell, task: string): Promise<void> {
   await cell.timers.advanceUntil(() => cell.workers.some(({ runs }) => runs.has(task)))
   await cell.timers.advance(20)
   cell.crashWorker(cell.workers.find(({ runs }) => runs.has(task))!)
 }
 
+/** Kills the scheduler, and starts its process again once another one schedules. */
+async function changeLeader (cell: WorkflowCell): Promise<void> {
+  const { vm, process } = cell.leader!
+  process.kill()
+  await cell.timers.advanceUntil(() => cell.leader !== undefined)
+  cell.startDaemon(vm)
+}
+
 // Guards against a job that is given up after one crash under its task (LOST): another start of it was broken off by a worker that
 // crashed before it had carried it out.
 t.test('a job is not given up for a start that its worker may not have carried out', async t => {
-  const cell = new WorkflowCell({ workers: 1, runMs: () => 2_000 })
-  await cell.waitUntilReady()
-  const job = await breakFirstStart(cell)
-  t.same(cell.runsOf(`${job.id}.0.0.0`), [], 'the start was not carried out')
-  await crashUnderRun(cell, job)
-  await cell.waitForState(job.id, 'done')
+  const cases: Array<{
+    how: keyof typeof LOST_STARTS, times?: number, step?: Partial<WorkflowStep>, workers?: number, leaderChanges?: boolean
+  }> = [
+    { how: 'broken' },
+    { how: 'broken', leaderChanges: true },
+    { how: 'broken', workers: 2, step: { speculative: true } },
+    { how: 'broken', step: { speculative: true }, leaderChanges: true },
+    { how: 'broken', workers: 2, step: { tasks: 2, gang: true, maxPerWorker: 1 } },
+    { how: 'pending' },
+    { how: 'pending', leaderChanges: true },
+    { how: 'unanswered' },
+    { how: 'unanswered', times: 2 },
+    { how: 'unanswered', times: 3 },
+    { how: 'unanswered', times: 2, leaderChanges: true }
+  ]
+  for (const { how, times = 1, step = {}, workers = 1, leaderChanges = false } of cases) {
+    const name = JSON.stringify({ how, times, step, workers, leaderChanges })
+    const lost = LOST_STARTS[how]
+    const cell = new WorkflowCell({ workers, runMs: () => step.gang ? 8_000 : 2_000 })
+    await cell.waitUntilReady()
+    if (times === 1) await cell.submit(cell.workflow([{ tasks: 2 * workers }]))
+    await cell.timers.advanceUntil(() => times > 1 || cell.workers.every(({ runs }) => runs.size > 0))
+    for (const { faults } of cell.workers) Object.assign(faults, lost.faults)
+    const job = cell.workflow([{ tasks: 1, ...step }])
+    let before = cell.events.length
+    await cell.submit(job)
+    let task = ''
+    for (let start = 0; start < times; start++) {
+      task = await loseStart(cell, job.id, lost, before)
+      before = cell.events.length
+    }
+    await cell.timers.advanceUntil(() => unconfirmedCrashes(cell) === times)
+    if (leaderChanges) {
+      await cell.timers.advance(100)
+      await changeLeader(cell)
+    }
+    t.same(cell.runsOf(task), [], `${name}: no start was carried out`)
+    await crashUnderRun(cell, task)
+    await cell.timers.advance(30_000)
+    t.match(await cell.advanceUntilSettled(cell.daemons[0].daemon.service.state(job.id)), { state: 'done' }, name)
+  }
+})
+
+/** Crashes the only worker of a cell. Its next incarnation has the same id, and can be reached some time later. */
+function restartBehindCut (cell: WorkflowCell): void {
+  cell.restartWorker('w0', { listedAfterMs: 600, reachableAfterMs: 600 })
+}
+
+/** True when a crash has been put down to one attempt of a task more than once. */
+function countsAttemptTwice ({ events }: WorkflowCell): boolean {
+  return events.some(({ fields: { attempts } }) => {
+    const counted = typeof attempts === 'string' ? attempts.split(' ') : []
+    return new Set(counted).size < counted.length
+  })
+}
+
+// Guards against one attempt that counts as two crashes: its start times out, and the next incarnations of its worker, which are told
+// to refuse it, crash, too.
+t.test('a late start that the next incarnations refuse before they crash counts once', async t => {
+  for (const isStopAnswered of [true, false]) {
+    const cell = new WorkflowCell({ daemons: 1, workers: 1, runMs: () => 2_000 })
+    await cell.waitUntilReady()
+    // The clock of the next incarnation has to be behind.
+    await cell.timers.advance(10_000)
+    cell.workers[0].faults.orderDelayMs = LATE_MS
+    const job = cell.workflow([{ tasks: 1 }])
+    const task = `${job.id}.0.0.0`
+    await cell.submit(job)
+    await cell.timers.advanceUntil(() => cell.events.some(({ name }) => name === 'start.unanswered'))
+    restartBehindCut(cell)
+    for (const incarnation of ['w0@2', 'w0@3', 'w0@4']) {
+      cell.workers[0].faults.breaksOrders = !isStopAnswered
+      await cell.timers.advanceUntil(() => cell.events.some(({ name, fields }) => name === 'run.stop' && fields.worker === incarnation))
+      restartBehindCut(cell)
+    }
+    const name = `stop answered: ${isStopAnswered}`
+    t.same(cell.runsOf(task), [], `${name}: no start was carried out`)
+    await crashUnderRun(cell, task)
+    await cell.timers.advance(30_000)
+    t.notOk(countsAttemptTwice(cell), `${name}: each attempt counts once`)
+    t.match(await cell.advanceUntilSettled(cell.daemons[0].daemon.service.state(job.id)), { state: 'done' }, name)
+  }
+})
+
+// Guards against a task that is started without end since none of its starts is confirmed (BUDGET).
+t.test('a task that crashes its worker before the start is answered is given up beside young runs of other jobs', async t => {
+  for (const step of STEPS) {
+    for (const leaderChanges of [false, true]) {
+      const { cell, crashing, ordinary } = await cellWithCrashingTask({
+        workers: 3,
+        step,
+        afterMs: 0,
+        earlierJobs: 4,
+        ordinaryJobs: 1,
+        runMs: task => step.gang && task.startsWith(CRASHING_JOB) ? 100_000 : 800
+      })
+      for (let job = 0; job < 60; job++) {
+        // These workers go on with the rest of a gang, so that the first scheduler has to have stopped it.
+        if (leaderChanges && job === (step.gang ? 30 : 10)) await changeLeader(cell)
+        const workflow = cell.workflow([{ tasks: 3 }])
+        // A daemon that has just started does not know a scheduler yet.
+        if (await cell.submit(workflow) === 'stored') ordinary.push(workflow.id)
+        await cell.timers.advance(100)
+      }
+      const name = JSON.stringify({ step, leaderChanges })
+      await cell.waitForState(crashing, 'failed', { limitMs: 30_000 })
+      const starts = startsAfterThirdCrash(cell, `${crashing}.0.0.0`)
+      t.ok(starts < FORBIDDEN_STARTS, `${name}: ${cell.runsOf(`${crashing}.0.0.0`).length} starts, ${starts} after the third crash`)
+      for (const id of ordinary) await cell.waitForState(id, 'done', { limitMs: 30_000 })
+    }
+  }
+})
+
+// Guards against the same when several such tasks make each crash one of many, and a scheduler takes its evidence with it (BUDGET).
+t.test('several tasks that crash their workers before the starts are answered are given up, whatever happens to the scheduler', async t => {
+  for (const speculative of [false, true]) {
+    for (const awayMs of [0, 5_000]) {
+      for (const leaderChanges of [false, true]) {
+        const name = JSON.stringify({ speculative, awayMs, leaderChanges })
+        const isCrashing = (task: string): boolean => Number.parseInt(task, 16) <= 6 && task.endsWith('.0.0.0')
+        const cell = new WorkflowCell({ workers: 24, runMs: () => 800, crashAfterMs: task => isCrashing(task) ? 0 : undefined })
+        await cell.waitUntilReady()
+        const crashing = Array.from({ length: 6 }, () => cell.workflow([{ tasks: 2, speculative }]))
+        const ordinary = Array.from({ length: 20 }, () => cell.workflow([{ tasks: 3 }]))
+        await Promise.all([...ordinary, ...crashing].map(workflow => cell.submit(workflow)))
+        for (const { platform } of cell.daemons) platform.faults.unreachable = awayMs > 0
+        await cell.timers.advance(awayMs)
+        for (const { platform } of cell.daemons) platform.faults.unreachable = false
+        await cell.timers.advanceUntil(() => cell.leader !== undefined)
+        if (leaderChanges) await changeLeader(cell)
+        for (const { id } of crashing) {
+          await cell.waitForState(id, 'failed', { limitMs: 60_000 })
+          const starts = startsAfterThirdCrash(cell, `${id}.0.0.0`)
+          t.ok(starts < FORBIDDEN_STARTS, `${name}: ${starts} starts after the third crash`)
+        }
+        for (const { id } of ordinary) await cell.waitForState(id, 'done', { limitMs: 30_000 })
+      }
+    }
+  }
+})
+
+// Guards against crashes that stay unconfirmed although the worker has answered the start (BUDGET).
+t.test('a task that crashes its workers is given up when its starts are answered after the crash was noticed', async t => {
+  for (const workers of [1, 2, 12]) {
+    for (const answerDelayMs of [100, 300]) {
+      const { cell, crashing, ordinary } = await cellWithCrashingTask({
+        workers, earlierJobs: 4, ordinaryJobs: 0, faults: { answerDelayMs }
+      })
+      await cell.waitForState(crashing, 'failed', { limitMs: 60_000 })
+      const name = `${workers} workers, answers after ${answerDelayMs} ms`
+      const starts = startsAfterThirdCrash(cell, `${crashing}.0.0.0`)
+      t.ok(unconfirmedCrashes(cell) >= 2, `${name}: crashes are noticed before the answer`)
+      t.ok(starts < FORBIDDEN_STARTS, `${name}: ${cell.runsOf(`${crashing}.0.0.0`).length} starts, ${starts} after the third crash`)
+      for (const id of ordinary) await cell.waitForState(id, 'done', { limitMs: 30_000 })
+    }
+  }
 })
