--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -264,6 +264,7 @@
   private _handleStarted (run: Run): void {
     run.state = RUN_STATES.running
     run.startConfirmedMs = this._options.timers.now()
+    if (run.session.crashed) this._options.crashes.noteStartConfirmed(run)
     const workflow = run.task?.step.workflow
     if (!workflow) return
     if (workflow.state === JOB_STATES.accepted) workflow.state = JOB_STATES.running
@@ -282,6 +283,7 @@
     if (WORKER_PAUSING_REFUSALS.has(reason)) session.suspendedUntilMs = Math.max(session.suspendedUntilMs, nowMs + REFUSING_WORKER_PAUSE_MS)
     if (reason === START_REFUSALS.invalidTicket && task) this._options.eligibility.dropTicket(task.step.name, session.incarnation)
     if (!settled) return
+    if (session.crashed) this._options.crashes.noteStartRefused(run)
     this._release(run, RELEASES.refused, reason)
     if (task) {
       task.notBeforeMs = nowMs + REFUSED_TASK_PAUSE_MS
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -62,6 +62,8 @@
   breaksOrders: boolean
   /** Time from the arrival of an order to its answer, in milliseconds. An answer comes even if the worker has crashed meanwhile. */
   answerDelayMs: number
+  /** Time after which orders find the connection refused, in milliseconds, as when the process ends before they are sent. */
+  refuseOrdersAfterMs: number | undefined
   /** Refusal of each start that arrives, also of a start whose run is in progress. */
   refuseStarts: StartRefusal | undefined
   /** Starts are refused as too late by the end of the lease in force, not by the one that they carry. */
@@ -91,6 +93,7 @@
     orderDelayMs: 0,
     breaksOrders: false,
     answerDelayMs: 1,
+    refuseOrdersAfterMs: undefined,
     refuseStarts: undefined,
     refuseStartsByLeaseInForce: false,
     failTasks: false,
@@ -363,14 +366,18 @@
       await delay(this._timers, 2)
       return Result.ok({ refusal: START_REFUSALS.otherIncarnation } as T)
     }
-    if (worker?.faults.refusesConnections) {
-      await delay(this._timers, 1)
+    const refuseAfterMs = (order ? worker?.faults.refuseOrdersAfterMs : undefined) ?? (worker?.faults.refusesConnections ? 1 : undefined)
+    if (refuseAfterMs !== undefined) {
+      await delay(this._timers, refuseAfterMs)
       return Result.err(new CallError(`connect ECONNREFUSED ${entry.address}`, { ...details, effect: EFFECTS.none }))
     }
     if (!worker || worker.faults.unreachable || this.disconnected || this.unreachableWorkers.has(entry.id)) return timedOut()
     if (order && worker.faults.orderDelayMs > 0) {
-      // The order reaches the incarnation that has the id when the delay is over, which may be a later one.
-      this._timers.after(worker.faults.orderDelayMs, () => { fn(this._workers().find(({ entry: { id } }) => id === entry.id) ?? worker) })
+      // The order reaches the incarnation that has the id when the delay is over, which may be a later one, or none.
+      this._timers.after(worker.faults.orderDelayMs, () => {
+        const receiver = this._workers().find(({ entry: { id } }) => id === entry.id) ?? worker
+        if (!receiver.faults.refusesConnections) fn(receiver)
+      })
       return timedOut()
     }
     await delay(this._timers, 1)
--- a/tests/workflows/unconfirmedStarts.test.ts
+++ b/tests/workflows/unconfirmedStarts.test.ts
@@ -6,6 +6,8 @@
 
 import t from 'tap'
 import type { LeasedWorkerFaults } from '@pomelofold/standins/leasedWorker'
+import { crashWeight, judge } from 'pomelofold/crashes/crashEvidence'
+import { UNCONFIRMED_STARTS, type CrashRecord, type UnconfirmedStart } from 'pomelofold/protocol/crashes'
 import type { WorkflowStep } from 'pomelofold/protocol/workflows'
 import { CRASHING_JOB, FORBIDDEN_STARTS, cellWithCrashingTask, startsAfterThirdCrash } from './crashingTasks.js'
 import { WorkflowCell } from './workflowCell.js'
@@ -22,6 +24,7 @@
 /** Ways in which a start does not reach its worker. */
 const LOST_STARTS = {
   broken: { faults: { breaksOrders: true }, event: 'start.unanswered' },
+  refused: { faults: { refuseOrdersAfterMs: 200 }, event: 'run.start' },
   pending: { faults: { orderDelayMs: LATE_MS }, event: 'run.start' },
   unanswered: { faults: { orderDelayMs: LATE_MS }, event: 'start.unanswered' }
 } satisfies Record<string, LostStart>
@@ -29,7 +32,7 @@
 /** Steps of a task that crashes its workers. */
 const STEPS: Array<Partial<WorkflowStep>> = [{}, { speculative: true }, { gang: true }, { tasks: 1 }]
 
-const NO_FAULTS: Partial<LeasedWorkerFaults> = { breaksOrders: false, orderDelayMs: 0 }
+const NO_FAULTS: Partial<LeasedWorkerFaults> = { breaksOrders: false, refuseOrdersAfterMs: undefined, orderDelayMs: 0 }
 
 /** Lets the first start of a job after so many events get lost, and crashes its worker. Returns the task. */
 async function loseStart (cell: WorkflowCell, job: string, { faults, event }: LostStart, before: number): Promise<string> {
@@ -46,6 +49,25 @@
   return task as string
 }
 
+/** Submits a job whose first starts get lost, one after another. Another job has just started if it is only one. */
+async function loseStarts (cell: WorkflowCell, { how, times = 1, step = {} }: {
+  how: keyof typeof LOST_STARTS, times?: number, step?: Partial<WorkflowStep>
+}): Promise<{ job: string, task: string }> {
+  const lost = LOST_STARTS[how]
+  if (times === 1) await cell.submit(cell.workflow([{ tasks: 2 * cell.workers.length }]))
+  await cell.timers.advanceUntil(() => times > 1 || cell.workers.every(({ runs }) => runs.size > 0))
+  for (const { faults } of cell.workers) Object.assign(faults, lost.faults)
+  const job = cell.workflow([{ tasks: 1, ...step }])
+  let before = cell.events.length
+  let task = ''
+  await cell.submit(job)
+  for (let start = 0; start < times; start++) {
+    task = await loseStart(cell, job.id, lost, before)
+    before = cell.events.length
+  }
+  return { job: job.id, task }
+}
+
 /** Number of crashes that were noticed before all starts at the worker were confirmed. */
 function unconfirmedCrashes ({ events }: WorkflowCell): number {
   return events.filter(({ name, fields }) => name === 'worker.crashed' && Number(fields.unconfirmedRuns) > 0).length
@@ -86,20 +108,9 @@
   ]
   for (const { how, times = 1, step = {}, workers = 1, leaderChanges = false } of cases) {
     const name = JSON.stringify({ how, times, step, workers, leaderChanges })
-    const lost = LOST_STARTS[how]
     const cell = new WorkflowCell({ workers, runMs: () => step.gang ? 8_000 : 2_000 })
     await cell.waitUntilReady()
-    if (times === 1) await cell.submit(cell.workflow([{ tasks: 2 * workers }]))
-    await cell.timers.advanceUntil(() => times > 1 || cell.workers.every(({ runs }) => runs.size > 0))
-    for (const { faults } of cell.workers) Object.assign(faults, lost.faults)
-    const job = cell.workflow([{ tasks: 1, ...step }])
-    let before = cell.events.length
-    await cell.submit(job)
-    let task = ''
-    for (let start = 0; start < times; start++) {
-      task = await loseStart(cell, job.id, lost, before)
-      before = cell.events.length
-    }
+    const { job, task } = await loseStarts(cell, { how, times, step })
     await cell.timers.advanceUntil(() => unconfirmedCrashes(cell) === times)
     if (leaderChanges) {
       await cell.timers.advance(100)
@@ -108,10 +119,23 @@
     t.same(cell.runsOf(task), [], `${name}: no start was carried out`)
     await crashUnderRun(cell, task)
     await cell.timers.advance(30_000)
-    t.match(await cell.advanceUntilSettled(cell.daemons[0].daemon.service.state(job.id)), { state: 'done' }, name)
+    t.match(await cell.advanceUntilSettled(cell.daemons[0].daemon.service.state(job)), { state: 'done' }, name)
   }
 })
 
+// Guards against a job that is given up after one crash under its task (LOST): another start was still on its way when the crash of its
+// worker was noticed, and then found the connection refused.
+t.test('the crash of a worker is withdrawn from the task of a start that was not sent there', async t => {
+  const cell = new WorkflowCell({ workers: 1, runMs: () => 2_000 })
+  await cell.waitUntilReady()
+  const { job, task } = await loseStarts(cell, { how: 'refused' })
+  const eventsOf = (event: string): number => cell.events.filter(({ name, fields }) => name === event && fields.task === task).length
+  await cell.timers.advance(1_000)
+  t.same([eventsOf('task.suspected'), eventsOf('run.refused'), eventsOf('task.crash.withdrawn')], [1, 1, 1])
+  await crashUnderRun(cell, task)
+  await cell.waitForState(job, 'done')
+})
+
 /** Crashes the only worker of a cell. Its next incarnation has the same id, and can be reached some time later. */
 function restartBehindCut (cell: WorkflowCell): void {
   cell.restartWorker('w0', { listedAfterMs: 600, reachableAfterMs: 600 })
@@ -226,3 +250,30 @@
     }
   }
 })
+
+/** Crashes of a young task until its verdict, when the starts of its attempts are confirmed or not as the pattern says, again and again. */
+function crashesUntilVerdict (pattern: Array<UnconfirmedStart | undefined>): CrashRecord[] {
+  const crashes: CrashRecord[] = []
+  for (let attempt = 1; judge(crashes) !== 'givenUp' && attempt <= 20; attempt++) {
+    const unconfirmedStart = pattern[(attempt - 1) % pattern.length]
+    const ageMs = unconfirmedStart ? 0 : 100
+    const situation = { ageMs, onTrial: judge(crashes) === 'suspect', doubtful: unconfirmedStart === UNCONFIRMED_STARTS.unknown, longRunning: false }
+    crashes.push({ worker: `w${attempt}`, attempt, atMs: attempt, ageMs, weight: crashWeight(crashes, situation), unconfirmedStart })
+  }
+  return crashes
+}
+
+// Guards against a job that is given up for a start of unknown outcome (LOST), and against a task that is never given up since its
+// workers crash before they confirm its starts (BUDGET).
+t.test('a task is given up after two crashes under its runs, or four starts that end with their workers', t => {
+  const kinds = [undefined, UNCONFIRMED_STARTS.broken, UNCONFIRMED_STARTS.unknown]
+  const patterns = kinds.flatMap(a => kinds.flatMap(b => kinds.flatMap(c => kinds.map(d => [a, b, c, d]))))
+  for (const pattern of patterns) {
+    const crashes = crashesUntilVerdict(pattern)
+    const name = pattern.map(kind => kind ?? 'confirmed').join(', ')
+    const count = (kind?: UnconfirmedStart): number => crashes.filter(({ unconfirmedStart }) => unconfirmedStart === kind).length
+    if (crashes.length > 4) t.fail(`${name}: ${crashes.length} crashes`)
+    if (Math.max(count(), count(UNCONFIRMED_STARTS.broken)) < 2 && crashes.length < 4) t.fail(`${name}: given up after ${crashes.length} crashes`)
+  }
+  t.end()
+})
