Placer: a failed run counts once, however often its worker lists it

Cause: an acknowledgement waits in the link to its worker and is dropped with the link; the new link lists the run again, and onFailed counted it again, for the job and for the worker's probation. The job now remembers the last counted run of each task.

tests/jobs/failureCounts.test.ts: before, 'failed' after 4 failed runs with 8 counted; now 4 counted, and the job goes on. Its pattern for counted failures had matched refused starts, too (after the mend only: before, all 8 were failures); it is narrower now.

--- a/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
+++ b/packages/pomelofold/src/tasks/jobs/jobLifecycle.ts
@@ -47,6 +47,8 @@
   refusals: number
   /** Number of failed tasks by worker. */
   failuresByWorker: Map<string, number>
+  /** Last failed run that was counted, by task index. */
+  countedRuns: Map<number, string>
   lastFailureMs: number
 }
 
@@ -139,13 +141,16 @@
   /** Handles a task that its worker lists as failed. */
   onFailed (job: Job, index: number, worker: string, task: Pick<WorkerTask, 'taskId' | 'reason'>): void {
     const { taskId, reason = 'no reason given' } = task
+    if (job.ended || !job.plan.atMostOnce) this._acknowledge(worker, taskId)
+    const counts = this._failureCountsOf(job)
+    // A worker lists a failed run again when its link was replaced before the acknowledgement was sent.
+    if (counts.countedRuns.get(index) === taskId) return
+    counts.countedRuns.set(index, taskId)
     this._addEvent(job, `task ${index} failed at ${worker}: ${reason}`)
     if (this._failures.recordFailure(worker, job.plan.family, this._timers.now())) this._onProbation(worker)
-    const counts = this._failureCountsOf(job)
     if (this._timers.now() - counts.lastFailureMs > FAILURE_RESET_MS) counts.failuresByWorker.clear()
     counts.lastFailureMs = this._timers.now()
     counts.failuresByWorker.set(worker, (counts.failuresByWorker.get(worker) ?? 0) + 1)
-    if (job.ended || !job.plan.atMostOnce) this._acknowledge(worker, taskId)
     if (job.ended || job.isSettled(index)) return
     if (job.plan.atMostOnce) {
       job.pendingAcks.push({ worker, taskId })
@@ -356,7 +361,10 @@
 
   private _failureCountsOf (job: Job): FailureCounts {
     let counts = this._failureCounts.get(job)
-    if (!counts) this._failureCounts.set(job, counts = { refusals: 0, failuresByWorker: new Map(), lastFailureMs: 0 })
+    if (!counts) {
+      counts = { refusals: 0, failuresByWorker: new Map(), countedRuns: new Map(), lastFailureMs: 0 }
+      this._failureCounts.set(job, counts)
+    }
     return counts
   }
 }
--- a/tests/jobs/failureCounts.test.ts
+++ b/tests/jobs/failureCounts.test.ts
@@ -22,7 +22,7 @@
   await cell.submit(placer, 'job', { count: 4, runMs: 5_000 })
   await cell.timers.advanceUntil(() => failedRuns(cell) === 4)
   for (const worker of cell.workers) Object.assign(worker.faults, { failTasks: false, refuse: true })
-  const counted = (): number => placer.manager.explain('job')!.events.filter(({ text }) => text.includes(' failed at ')).length
+  const counted = (): number => placer.manager.explain('job')!.events.filter(({ text }) => /^task \d failed at/.test(text)).length
   await cell.timers.advanceUntil(() => counted() === 4)
   const { vms } = cell
   for (const listed of [[], vms]) {
