--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -116,12 +116,19 @@
   /** Withdraws the crash of a worker that answers again: a device between them has refused the connections. */
   noteReached (session: WorkerSession): void {
     if (!session.crashed) return
-    for (const { task } of session.runs.values()) {
-      if (!task || !task.crashes.some(({ worker }) => worker === session.incarnation)) continue
-      task.crashes = task.crashes.filter(({ worker }) => worker !== session.incarnation)
-      this._options.log.event('info', 'task.crash.withdrawn', { task: task.name, worker: session.incarnation })
-      this._options.onChanged(task.step.workflow)
-    }
+    for (const run of session.runs.values()) this._withdraw(run, 'its worker answered again')
+  }
+
+  /** Withdraws the crash of a worker from the task of a start that was not carried out there. */
+  noteStartRefused (run: Run): void {
+    this._withdraw(run, 'its start was not carried out')
+  }
+
+  private _withdraw ({ task, attempt, session: { incarnation } }: Run, reason: string): void {
+    if (!task || !task.crashes.some(({ worker }) => worker === incarnation)) return
+    task.crashes = task.crashes.filter(({ worker }) => worker !== incarnation)
+    this._options.log.event('info', 'task.crash.withdrawn', { task: task.name, attempt, worker: incarnation, reason, crashes: task.crashes.length })
+    this._options.onChanged(task.step.workflow)
   }
 
   /** Notes that the answer to a start came after the crash of its worker was noticed: the task was running there. */
@@ -131,10 +138,12 @@
     const record = task.crashes.find(({ worker, unconfirmedStart }) => worker === incarnation && unconfirmedStart !== undefined)
     if (!record) return
     task.crashes = task.crashes.map(crash => crash === record ? { ...crash, unconfirmedStart: undefined } : crash)
-    const verdict = judge(task.crashes)
-    log.event('info', 'task.crash.confirmed', { task: task.name, attempt, worker: incarnation, crashes: task.crashes.length, verdict })
+    const fields = { task: task.name, attempt, worker: incarnation, crashes: task.crashes.length, attempts: attemptsOf(task) }
+    log.event('info', 'task.crash.confirmed', fields)
     onChanged(task.step.workflow)
-    if (verdict === VERDICTS.givenUp) this._giveUp(task)
+    if (judge(task.crashes) !== VERDICTS.givenUp) return
+    log.event('warn', VERDICT_EVENTS[VERDICTS.givenUp], fields)
+    this._giveUp(task)
   }
 
   /** True when a worker at the same address has crashed in the last `UNSTABLE_ADDRESS_MS`. */
@@ -253,7 +262,7 @@
       youngRuns: youngRuns.length,
       doubtful,
       crashes: task.crashes.length,
-      attempts: task.crashes.map(({ attempt }) => attempt ?? 'unknown').join(' ')
+      attempts: attemptsOf(task)
     })
     if (verdict === VERDICTS.givenUp) this._giveUp(task)
   }
@@ -285,11 +294,17 @@
 }
 
 /** What is known of the start of a run whose worker has crashed; undefined when it was confirmed. */
-function unconfirmedStartOf (run: Run, { doubtful, youngRuns }: { doubtful: boolean, youngRuns: Run[] }): UnconfirmedStart | undefined {
-  if (run.startConfirmedMs !== undefined) return
-  const { workflow } = run.task!.step
-  const isOtherJobYoung = youngRuns.some(({ task }) => task?.step.workflow !== workflow)
-  return doubtful || isOtherJobYoung || hasStartTimedOut(run) ? UNCONFIRMED_STARTS.unknown : UNCONFIRMED_STARTS.broken
+function unconfirmedStartOf (
+  { task, startConfirmedMs, startBroken }: Run, { doubtful, youngRuns }: { doubtful: boolean, youngRuns: Run[] }
+): UnconfirmedStart | undefined {
+  if (startConfirmedMs !== undefined) return
+  const isOtherJobYoung = youngRuns.some(other => other.task?.step.workflow !== task!.step.workflow)
+  return startBroken && !doubtful && !isOtherJobYoung ? UNCONFIRMED_STARTS.broken : UNCONFIRMED_STARTS.unknown
+}
+
+/** Attempts of the task that ended with their workers, for the log. */
+function attemptsOf ({ crashes }: Task): string {
+  return crashes.map(({ attempt }) => attempt ?? 'unknown').join(' ')
 }
 
 /** True when the run had just started when its worker was lost. */
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -60,6 +60,10 @@
   orderDelayMs: number
   /** Orders that are on their way break off and are not carried out, as when the process ends before they arrive. */
   breaksOrders: boolean
+  /** Time from the arrival of an order to its answer, in milliseconds. An answer comes even if the worker has crashed meanwhile. */
+  answerDelayMs: number
+  /** Time after which orders find the connection refused, in milliseconds, as when the process ends before they are sent. */
+  refuseOrdersAfterMs: number | undefined
   /** Refusal of each start that arrives, also of a start whose run is in progress. */
   refuseStarts: StartRefusal | undefined
   /** Starts are refused as too late by the end of the lease in force, not by the one that they carry. */
@@ -88,6 +92,8 @@
     loseEveryNthAnswer: 0,
     orderDelayMs: 0,
     breaksOrders: false,
+    answerDelayMs: 1,
+    refuseOrdersAfterMs: undefined,
     refuseStarts: undefined,
     refuseStartsByLeaseInForce: false,
     failTasks: false,
@@ -360,8 +366,9 @@
       await delay(this._timers, 2)
       return Result.ok({ refusal: START_REFUSALS.otherIncarnation } as T)
     }
-    if (worker?.faults.refusesConnections) {
-      await delay(this._timers, 1)
+    const refuseAfterMs = (order ? worker?.faults.refuseOrdersAfterMs : undefined) ?? (worker?.faults.refusesConnections ? 1 : undefined)
+    if (refuseAfterMs !== undefined) {
+      await delay(this._timers, refuseAfterMs)
       return Result.err(new CallError(`connect ECONNREFUSED ${entry.address}`, { ...details, effect: EFFECTS.none }))
     }
     if (!worker || worker.faults.unreachable || this.disconnected || this.unreachableWorkers.has(entry.id)) return timedOut()
@@ -375,12 +382,12 @@
     }
     await delay(this._timers, 1)
     if (order && (worker.faults.breaksOrders || worker.faults.refusesConnections)) return Result.err(new CallError('other side closed', details))
-    const { loseAnswers, loseEveryNthAnswer } = worker.faults
+    const { answerDelayMs, loseAnswers, loseEveryNthAnswer } = worker.faults
     const answerLost = (order && loseAnswers) || (loseEveryNthAnswer > 0 && ++this._callCount % loseEveryNthAnswer === 0)
     const value = await fn(worker)
     if (worker.faults.refusesConnections) return Result.err(new CallError('other side closed', details))
     if (answerLost || worker.faults.unreachable || this.disconnected) return timedOut()
-    await delay(this._timers, 1)
+    await delay(this._timers, order ? answerDelayMs : 1)
     return Result.ok(value)
   }
 }
