Failing test: evidence stays when a device has refused connections for longer than the lease (LOST)

A job is failed after one crash under its task: the refusals of a worker that goes on count as its crash, and are not withdrawn when it answers again after its lease has lapsed, since noteReached looks for the tasks among the runs of the session, which the lapse has taken away. Refusals of 2.5 s are withdrawn. Run on: fails for 8 s (0 in place of 1 withdrawn, state failed), passes for 2.5 s.

--- a/tests/workflows/unconfirmedStarts.test.ts
+++ b/tests/workflows/unconfirmedStarts.test.ts
@@ -9,6 +9,7 @@
 import { crashWeight, judge } from 'pomelofold/crashes/crashEvidence'
 import { UNCONFIRMED_STARTS, type CrashRecord, type UnconfirmedStart } from 'pomelofold/protocol/crashes'
 import type { WorkflowStep } from 'pomelofold/protocol/workflows'
+import { START_REFUSALS } from 'pomelofold/seams/workflowUpstreams'
 import { CRASHING_JOB, FORBIDDEN_STARTS, cellWithCrashingTask, startsAfterThirdCrash } from './crashingTasks.js'
 import { WorkflowCell } from './workflowCell.js'
 
@@ -136,6 +137,32 @@
   await cell.waitForState(job, 'done')
 })
 
+// Guards against a job that is given up after one crash under its task (LOST): before, a device had refused the connections to another
+// worker until its lease had lapsed, and the evidence stayed when the worker answered again.
+t.test('a refusal of connections that outlasts the lease is no evidence once the worker answers again', async t => {
+  for (const refusedMs of [2_500, 8_000]) {
+    const cell = new WorkflowCell({ workers: 2, runMs: () => 12_000 })
+    await cell.waitUntilReady()
+    const job = cell.workflow([{ tasks: 1 }])
+    await cell.submit(job)
+    await cell.timers.advanceUntil(() => cell.workers.some(({ runs }) => runs.size === 1), { stepMs: 1 })
+    const { faults } = cell.workers.find(({ runs }) => runs.size === 1)!
+    // The task is started once more at the other worker, when this one has answered again.
+    const other = cell.workers.find(worker => worker.runs.size === 0)!
+    other.faults.refuseStarts = START_REFUSALS.unhealthy
+    Object.assign(faults, { refusesConnections: true, refuseStarts: START_REFUSALS.unhealthy })
+    await cell.timers.advance(refusedMs)
+    faults.refusesConnections = false
+    await cell.timers.advanceUntil(() => cell.events.filter(({ name }) => name === 'worker.reached').length === 3)
+    const withdrawn = cell.events.filter(({ name }) => name === 'task.crash.withdrawn').length
+    t.equal(withdrawn, 1, `${refusedMs} ms: the evidence is withdrawn`)
+    other.faults.refuseStarts = undefined
+    await crashUnderRun(cell, `${job.id}.0.0.0`)
+    await cell.timers.advance(30_000)
+    t.match(await cell.advanceUntilSettled(cell.daemons[0].daemon.service.state(job.id)), { state: 'done' }, `${refusedMs} ms`)
+  }
+})
+
 /** Crashes the only worker of a cell. Its next incarnation has the same id, and can be reached some time later. */
 function restartBehindCut (cell: WorkflowCell): void {
   cell.restartWorker('w0', { listedAfterMs: 600, reachableAfterMs: 600 })
