The crash of a worker that answers again is withdrawn, also after its lease and under the next leader

Callers may see a job shown as failed after one crash under its task (LOST): a device refuses the connections to a worker for longer than its lease, and the worker answers again. Cause: the evidence was withdrawn from the runs of the session only, which the lapse of the lease had released, and only by the scheduler that had noticed the crash. Now the tasks are found by incarnation, also those that an earlier scheduler has recorded, and an answer to any later call withdraws it; the address does not count as unstable any more.

--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { CrashIndex } from './crashIndex.js'
 import type { WorkerSession } from './workerSession.js'
 import { RUN_STATES, TASK_STATES, type Run, type Task, type WorkflowRuntime } from './workflowRuntime.js'
 import { crashWeight, describeCrashes, judge, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from '../crashes/crashEvidence.js'
@@ -63,6 +64,7 @@
   private readonly _domainLosses = new Map<string, Map<string, number>>()
   /** Incarnations that crashed last, by address, with the times in milliseconds of the monotonic clock. */
   private readonly _lastCrashes = new Map<string, { incarnation: string, atMs: number }>()
+  private readonly _index = new CrashIndex()
   private readonly _counts: CrashCounts = { crashedWorkers: 0, suspectedTasks: 0, clearedTasks: 0, givenUpTasks: 0, unconfirmedCrashes: 0 }
 
   constructor (options: CrashTrackerOptions) {
@@ -89,6 +91,7 @@
     const { log } = this._options
     this.noteLoss(session)
     this._counts.crashedWorkers++
+    this._index.prune()
     const repeated = this.hasCrashedLately(session)
     const former = this._lastCrashes.get(session.entry.address)?.incarnation
     this._lastCrashes.set(session.entry.address, { incarnation: session.incarnation, atMs: session.lostMs })
@@ -113,27 +116,42 @@
     this._trials.delete(session)
   }
 
-  /** Withdraws the crash of a worker that answers again: a device between them has refused the connections. */
-  noteReached (session: WorkerSession): void {
-    if (!session.crashed) return
-    for (const run of session.runs.values()) this._withdraw(run, 'its worker answered again')
+  /** Notes the crashes that an earlier scheduler has recorded. */
+  noteLoaded (workflows: Iterable<WorkflowRuntime>): void {
+    for (const workflow of workflows) {
+      for (const task of [...workflow.occurrences.values()].flat().flatMap(({ tasks }) => tasks)) {
+        for (const { worker } of task.crashes) this._index.add(worker, task)
+      }
+    }
+  }
+
+  /** Withdraws the crash of a worker that has answered a call sent later: a device between them had refused the connections. */
+  noteAnswered ({ incarnation, entry: { address } }: WorkerSession, requestSentMs: number): void {
+    const crash = this._index.get(incarnation)
+    if (!crash || requestSentMs < crash.noticedMs) return
+    this._index.delete(incarnation)
+    if (this._lastCrashes.get(address)?.incarnation === incarnation) this._lastCrashes.delete(address)
+    for (const task of crash.tasks) this._withdraw(task, incarnation, 'its worker answered again')
   }
 
   /** Withdraws the crash of a worker from the task of a start that was not carried out there. */
-  noteStartRefused (run: Run): void {
-    this._withdraw(run, 'its start was not carried out')
+  noteStartRefused ({ task, session: { incarnation } }: Run): void {
+    if (task) this._withdraw(task, incarnation, 'its start was not carried out')
   }
 
-  private _withdraw ({ task, attempt, session: { incarnation } }: Run, reason: string): void {
-    if (!task || !task.crashes.some(({ worker }) => worker === incarnation)) return
+  private _withdraw (task: Task, incarnation: string, reason: string): void {
+    const crash = task.crashes.find(({ worker }) => worker === incarnation)
+    if (!crash || task.step.workflow.isOver) return
     task.crashes = task.crashes.filter(({ worker }) => worker !== incarnation)
+    const { attempt } = crash
     this._options.log.event('info', 'task.crash.withdrawn', { task: task.name, attempt, worker: incarnation, reason, crashes: task.crashes.length })
     this._options.onChanged(task.step.workflow)
   }
 
   /** Notes that the answer to a start came after the crash of its worker was noticed: the task was running there. */
-  noteStartConfirmed ({ task, attempt, session: { incarnation } }: Run): void {
+  noteStartConfirmed (run: Run): void {
     const { log, onChanged } = this._options
+    const { task, attempt, session: { incarnation } } = run
     if (!task || task.step.workflow.isOver) return
     const record = task.crashes.find(({ worker, unconfirmedStart }) => worker === incarnation && unconfirmedStart !== undefined)
     if (!record) return
@@ -247,6 +265,7 @@
       unconfirmedStart: unconfirmedStartOf(run, { doubtful, youngRuns })
     }
     task.crashes = [...task.crashes, record]
+    this._index.add(session.incarnation, task, timers.now())
     const verdict = judge(task.crashes)
     if (record.unconfirmedStart) this._counts.unconfirmedCrashes++
     this._options.onChanged(workflow)
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -182,7 +182,10 @@
       log,
       retentionMs: timeLimits.retentionMs,
       onAdded: () => this._scheduleDispatch(),
-      onLoaded: () => this._scheduleDispatch(),
+      onLoaded: () => {
+        this._crashes.noteLoaded(this._registry.open)
+        this._scheduleDispatch()
+      },
       onCancelled: workflow => this._runTracker.finishWorkflow(workflow, JOB_STATES.cancelled, 'cancelled'),
       onComplete: workflow => this._runTracker.finishWorkflow(workflow, JOB_STATES.done, 'all tasks are done')
     })
@@ -411,10 +414,6 @@
     this._scheduleDispatch()
   }
 
-  onReached (session: WorkerSession): void {
-    if (!this._closed) this._crashes.noteReached(session)
-  }
-
   /** All runs of the worker have ended. Their tasks wait again, unless the worker's next incarnation may still start them. */
   onLapse (session: WorkerSession, reason: string): void {
     if (this._closed) return
@@ -428,6 +427,7 @@
       await delay(this._options.timers, LOAD_POLL_PERIOD_MS)
     }
     if (this._closed || session.closed) return
+    this._crashes.noteAnswered(session, requestSentMs)
     const changedWorkflows = this._meter.measure(WORK_KINDS.report, () => this._runTracker.applyReport(session, report, requestSentMs))
     this._scheduleDispatch()
     await this._recorder.whenRecorded(changedWorkflows)
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -46,8 +46,6 @@
   onLost (session: WorkerSession): void
   /** Called when this incarnation of the worker is known to have ended without notice, once for each loss. */
   onCrash (session: WorkerSession, evidence: string): void
-  /** Called when the worker answers for the first time, or again after a loss. */
-  onReached (session: WorkerSession): void
   /** Called when all runs on the worker are certain to have ended. */
   onLapse (session: WorkerSession, reason: string): void
   /** Called when the worker has refused a call because it has seen a newer epoch. */
@@ -315,7 +313,6 @@
           )
           this.reachable = true
           this.lossUnexplained = false
-          listener.onReached(this)
           this.crashed = false
         }
         this.lastReportRequestSentMs = requestSentMs
--- a/tests/jobs/crashes.test.ts
+++ b/tests/jobs/crashes.test.ts
@@ -88,3 +88,27 @@
   t.equal(hit.size, 4)
   t.same(cell.violations({ gangs: new Set(['gang']) }), [])
 })
+
+// Guards against a task that the placer of the entry daemons never gives up since it crashes the same worker again and again.
+t.test('a task that crashes the only worker is given up', async t => {
+  const cell = new JobCell({ workers: 1, cpus: 8 })
+  cell.workers[0].crashingTasks.add('bad:0')
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'bad', { count: 1, runMs: 60_000 })
+  await cell.timers.advance(900_000)
+  t.equal(placer.manager.explain('bad')?.state, 'failed')
+  t.ok(cell.workers[0].crashes <= 5, `${cell.workers[0].crashes} crashes`)
+})
+
+// Guards against a task that is never given up (BUDGET): the worker that it has crashed is the only one with room for its trial.
+t.test('a task that crashes the only worker with room for it is given up', async t => {
+  const cell = new JobCell({ workers: 4, cpus: 8 })
+  for (const worker of cell.workers) worker.crashingTasks.add('bad:0')
+  const placer = await cell.addPlacer()
+  await cell.submit(placer, 'long', { count: 3, cpus: 8, runMs: 3_000_000 })
+  await cell.timers.advance(30_000)
+  await cell.submit(placer, 'bad', { count: 1, cpus: 8, runMs: 60_000 })
+  await cell.timers.advance(900_000)
+  t.equal(placer.manager.explain('bad')?.state, 'failed')
+  t.ok(cell.workers.reduce((sum, { crashes }) => sum + crashes, 0) <= 5, cell.workers.map(({ crashes }) => crashes).join(' '))
+})
--- a/tests/workflows/unconfirmedStarts.test.ts
+++ b/tests/workflows/unconfirmedStarts.test.ts
@@ -304,3 +304,46 @@
   }
   t.end()
 })
+
+// Guards against a job that is given up for a start that is still on its way, and then finds the connection refused (LOST).
+t.test('no job is given up for a start that is still on its way when the crash of its worker is noticed', async t => {
+  const cell = new WorkflowCell({ workers: 2, runMs: () => 2_000 })
+  await cell.waitUntilReady()
+  const job = cell.workflow([{ tasks: 1 }])
+  const task = `${job.id}.0.0.0`
+  const seen = (event: string) => cell.events.filter(({ name, fields }) => name === event && fields.task === task)
+  const started = () => cell.workers.find(({ entry }) => String(seen('run.start').at(-1)!.fields.worker).startsWith(entry.id))!
+  for (const { faults } of cell.workers) faults.breaksOrders = true
+  await cell.submit(job)
+  await cell.timers.advanceUntil(() => seen('start.unanswered').length === 1)
+  const other = cell.workers.find(worker => worker !== started())!
+  Object.assign(other.faults, { breaksOrders: false, refuseOrdersAfterMs: 200 })
+  cell.crashWorker(started())
+  await cell.timers.advanceUntil(() => seen('run.start').length === 2)
+  cell.crashWorker(started())
+  await cell.timers.advance(250)
+  t.same(cell.runsOf(task), [])
+  await cell.waitForState(job.id, 'done')
+})
+
+// Guards against a job given up without any run: workers crash beside older runs of others while its start is on its way (LOST).
+t.test('no job is given up for two broken starts beside older runs of another job', async t => {
+  const cell = new WorkflowCell({ workers: 2, runMs: () => 8_000 })
+  await cell.waitUntilReady()
+  const other = cell.workflow([{ tasks: 2, maxPerWorker: 1 }])
+  await cell.submit(other)
+  await cell.timers.advanceUntil(() => cell.workers.every(({ runs }) => runs.size === 1))
+  await cell.timers.advance(700)
+  for (const { faults } of cell.workers) faults.breaksOrders = true
+  const job = cell.workflow([{ tasks: 1 }])
+  const task = `${job.id}.0.0.0`
+  await cell.submit(job)
+  const seen = (event: string) => cell.events.filter(({ name, fields }) => name === event && fields.task === task)
+  for (let crash = 1; crash <= 2; crash++) {
+    await cell.timers.advanceUntil(() => seen('start.unanswered').length >= crash && seen('run.start').length >= crash)
+    cell.crashWorker(cell.workers.find(({ entry }) => String(seen('run.start').at(-1)!.fields.worker).startsWith(entry.id))!)
+    await cell.timers.advance(500)
+  }
+  t.same(cell.runsOf(task), [])
+  await cell.waitForState(job.id, 'done')
+})
--- a/tests/workflows/withdrawnCrashes.test.ts
+++ b/tests/workflows/withdrawnCrashes.test.ts
@@ -56,3 +56,24 @@
     t.equal(cell.crashes.length, 1)
   }
 })
+
+// Guards against evidence that stays although the worker answers again: a device has refused connections for longer than the lease (LOST).
+t.test('the crash of a worker that answers again after its lease has lapsed is withdrawn', async t => {
+  const cell = new WorkflowCell({ workers: 3, runMs: () => 12_000 })
+  await cell.waitUntilReady()
+  const job = cell.workflow([{ tasks: 1 }])
+  await cell.submit(job)
+  const task = `${job.id}.0.0.0`
+  for (let run = 1; run <= 2; run++) {
+    await cell.timers.advanceUntil(() => cell.workers.some(({ runs }) => runs.has(task)))
+    await cell.timers.advance(50)
+    const { faults } = cell.workers.find(({ runs }) => runs.has(task))!
+    faults.refusesConnections = true
+    await cell.timers.advance(9_000)
+    faults.refusesConnections = false
+  }
+  await cell.timers.advance(500)
+  t.equal(cell.crashes.length, 0)
+  const eventsOf = (event: string) => cell.events.filter(({ name, fields }) => name === event && fields.task === task)
+  t.same(eventsOf('task.suspected').map(({ fields }) => fields.crashes), [], 'no worker has crashed')
+})
