A start that broke off long before its worker crashed was not broken off by the crash

Also: a late answer counts only while the task is still wanted, and kinds of unconfirmed starts that a later version writes are read as unknown.

--- a/packages/pomelofold/src/protocol/crashes.ts
+++ b/packages/pomelofold/src/protocol/crashes.ts
@@ -31,8 +31,8 @@
   ageMs: z.number().nonnegative(),
   /** Weight of the crash as evidence against the task. */
   weight: z.number().positive(),
-  /** Absent when the worker had confirmed the start, so that the task was running there. */
-  unconfirmedStart: z.enum(UNCONFIRMED_STARTS).optional()
+  /** Absent when the worker had confirmed the start, so that the task was running there. Kinds of later versions are read as unknown. */
+  unconfirmedStart: z.enum(UNCONFIRMED_STARTS).optional().catch(UNCONFIRMED_STARTS.unknown)
 })
 
 /** Stored form of the crash of a worker on which a task ran. */
--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -152,7 +152,7 @@
   noteStartConfirmed (run: Run): void {
     const { log, onChanged } = this._options
     const { task, attempt, session: { incarnation } } = run
-    if (!task || task.step.workflow.isOver) return
+    if (!task || !this._mayBeCause(run)) return
     const record = task.crashes.find(({ worker, unconfirmedStart }) => worker === incarnation && unconfirmedStart !== undefined)
     if (!record) return
     task.crashes = task.crashes.map(crash => crash === record ? { ...crash, unconfirmedStart: undefined } : crash)
@@ -318,7 +318,8 @@
   if (hasStartTimedOut(run)) return UNCONFIRMED_STARTS.unanswered
   const { workflow } = run.task!.step
   const isOtherJobYoung = youngRuns.some(({ task }) => task?.step.workflow !== workflow)
-  return run.startBroken && !doubtful && !isOtherJobYoung ? UNCONFIRMED_STARTS.broken : UNCONFIRMED_STARTS.unknown
+  const hasBrokenWithWorker = run.startBroken && run.session.lostMs - run.unansweredMs! <= YOUNG_RUN_MS
+  return hasBrokenWithWorker && !doubtful && !isOtherJobYoung ? UNCONFIRMED_STARTS.broken : UNCONFIRMED_STARTS.unknown
 }
 
 /** Attempts of the task that ended with their workers, for the log. */
