--- a/packages/pomelofold/src/crashes/crashEvidence.ts
+++ b/packages/pomelofold/src/crashes/crashEvidence.ts
@@ -9,7 +9,7 @@
  * @module
  */
 
-import { UNCONFIRMED_STARTS, type CrashRecord } from '../protocol/crashes.js'
+import { UNCONFIRMED_STARTS, type CrashRecord, type UnconfirmedStart } from '../protocol/crashes.js'
 
 /** Age of a run up to which a crash of its worker is blamed on its start, in milliseconds: covers the delay of the detection. */
 export const YOUNG_RUN_MS = 400
@@ -55,6 +55,8 @@
   onTrial: boolean
   /** True when the crash is likely to have another cause. */
   doubtful: boolean
+  /** What is known of a start that was not confirmed. */
+  unconfirmedStart?: UnconfirmedStart
   /** True for a service: in the course of time it loses any number of workers. */
   longRunning: boolean
 }
@@ -66,11 +68,13 @@
 export type Verdict = typeof VERDICTS[keyof typeof VERDICTS]
 
 /** Weight of a crash as evidence against the task of one of the worker's runs; 0 for none. */
-export function crashWeight (earlier: CrashRecord[], { ageMs, onTrial, doubtful, longRunning }: CrashSituation): number {
+export function crashWeight (earlier: CrashRecord[], { ageMs, onTrial, doubtful, unconfirmedStart, longRunning }: CrashSituation): number {
   if (ageMs > EVIDENCE_AGE_MAX_MS && !onTrial) return longRunning ? 0 : SLIGHT_WEIGHT
   const young = ageMs <= YOUNG_RUN_MS
   const same = young && earlier.some(crash => crash.ageMs <= YOUNG_RUN_MS)
-  return weightOf(onTrial ? same ? 'sameOnTrial' : 'onTrial' : young ? 'young' : 'settled', { doubtful })
+  // A start on trial that may not have been carried out is no proof. Before that, it is reason enough for a trial.
+  const isStartDoubtful = unconfirmedStart === UNCONFIRMED_STARTS.unanswered || (onTrial && unconfirmedStart === UNCONFIRMED_STARTS.unknown)
+  return weightOf(onTrial ? same ? 'sameOnTrial' : 'onTrial' : young ? 'young' : 'settled', { doubtful: doubtful || isStartDoubtful })
 }
 
 /** Weight of a crash in these circumstances. */
--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -253,7 +253,8 @@
     const runsOnTrial = this._trials.get(session)
     const onTrial = runsOnTrial?.has(run) ?? false
     const { longRunning } = task.step.spec
-    const weight = crashWeight(task.crashes, { ageMs, onTrial, doubtful: doubtful || hasStartTimedOut(run), longRunning })
+    const unconfirmedStart = unconfirmedStartOf(run, { doubtful, youngRuns })
+    const weight = crashWeight(task.crashes, { ageMs, onTrial, doubtful, unconfirmedStart, longRunning })
     if (weight === 0) return
     const before = judge(task.crashes)
     const record: CrashRecord = {
@@ -262,7 +263,7 @@
       atMs: Math.round(timers.wallClock()),
       ageMs: Math.round(ageMs),
       weight,
-      unconfirmedStart: unconfirmedStartOf(run, { doubtful, youngRuns })
+      unconfirmedStart
     }
     task.crashes = [...task.crashes, record]
     this._index.add(session.incarnation, task, timers.now())
--- a/tests/workflows/unconfirmedStarts.test.ts
+++ b/tests/workflows/unconfirmedStarts.test.ts
@@ -284,7 +284,7 @@
   for (let attempt = 1; judge(crashes) !== 'givenUp' && attempt <= 20; attempt++) {
     const unconfirmedStart = pattern[(attempt - 1) % pattern.length]
     const ageMs = unconfirmedStart ? 0 : 100
-    const situation = { ageMs, onTrial: judge(crashes) === 'suspect', doubtful: unconfirmedStart === UNCONFIRMED_STARTS.unanswered, longRunning: false }
+    const situation = { ageMs, onTrial: judge(crashes) === 'suspect', doubtful: false, unconfirmedStart, longRunning: false }
     crashes.push({ worker: `w${attempt}`, attempt, atMs: attempt, ageMs, weight: crashWeight(crashes, situation), unconfirmedStart })
   }
   return crashes
@@ -305,6 +305,17 @@
   t.end()
 })
 
+// Guards against a sound job that is given up for a start on trial that was broken off when another job crashed the worker: two crashes
+// under older runs had made its task a suspect.
+t.test('a broken start beside a young run of another job is no proof against a suspect', t => {
+  const settled: CrashRecord[] = [1, 2].map(attempt => ({ worker: `w${attempt}`, attempt, atMs: attempt, ageMs: attempt === 1 ? 300 : 700, weight: 0.5 }))
+  const situation = { ageMs: 0, onTrial: true, doubtful: false, unconfirmedStart: UNCONFIRMED_STARTS.unknown, longRunning: false }
+  const crash = { worker: 'w3', attempt: 3, atMs: 3, ageMs: 0, weight: crashWeight(settled, situation), unconfirmedStart: UNCONFIRMED_STARTS.unknown }
+  t.equal(judge(settled), 'suspect')
+  t.equal(judge([...settled, crash]), 'suspect')
+  t.end()
+})
+
 // Guards against a job that is given up for a start that is still on its way, and then finds the connection refused (LOST).
 t.test('no job is given up for a start that is still on its way when the crash of its worker is noticed', async t => {
   const cell = new WorkflowCell({ workers: 2, runMs: () => 2_000 })
