A broken start beside any recent run of another job is unknown

A job was failed without a run (LOST): two workers crashed beside runs of another job that were over 400 ms old, and broke its starts off. Another task may crash its worker up to 10 s after its start, so that any such run explains the crash as well.

--- a/packages/pomelofold/src/crashes/crashEvidence.ts
+++ b/packages/pomelofold/src/crashes/crashEvidence.ts
@@ -14,7 +14,7 @@
 /** Age of a run up to which a crash of its worker is blamed on its start, in milliseconds: covers the delay of the detection. */
 export const YOUNG_RUN_MS = 400
 /** Age of a run from which a crash of its worker is slight evidence against its task at most, in milliseconds. */
-const EVIDENCE_AGE_MAX_MS = 10_000
+export const EVIDENCE_AGE_MAX_MS = 10_000
 /** Shortest trial, in milliseconds. A longer one exceeds the ages of the former runs by this time, and by `TRIAL_AGE_FACTOR`. */
 const TRIAL_MIN_MS = 500
 const TRIAL_AGE_FACTOR = 1.25
--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -8,7 +8,7 @@
 import { CrashIndex } from './crashIndex.js'
 import type { WorkerSession } from './workerSession.js'
 import { RUN_STATES, TASK_STATES, type Run, type Task, type WorkflowRuntime } from './workflowRuntime.js'
-import { crashWeight, describeCrashes, judge, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from '../crashes/crashEvidence.js'
+import { EVIDENCE_AGE_MAX_MS, crashWeight, describeCrashes, judge, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from '../crashes/crashEvidence.js'
 import { UNCONFIRMED_STARTS, type CrashRecord, type UnconfirmedStart } from '../protocol/crashes.js'
 import type { Timers } from '../seams/timers.js'
 import type { EventLog } from '../utils/eventLog.js'
@@ -95,13 +95,13 @@
     const repeated = this.hasCrashedLately(session)
     const former = this._lastCrashes.get(session.entry.address)?.incarnation
     this._lastCrashes.set(session.entry.address, { incarnation: session.incarnation, atMs: session.lostMs })
-    const youngRuns = [...session.runs.values()].filter(wasYoungAtLoss)
+    const recentRuns = [...session.runs.values()].filter(run => ageAtLoss(run) <= EVIDENCE_AGE_MAX_MS)
     const runs = [...session.runs.values()].filter(run => this._mayBeCause(run))
     log.event('warn', 'worker.crashed', {
       worker: session.incarnation,
       evidence,
       runs: session.runs.size,
-      youngRuns: youngRuns.length,
+      youngRuns: recentRuns.filter(wasYoungAtLoss).length,
       unconfirmedRuns: runs.filter(run => run.startConfirmedMs === undefined).length,
       onTrial: this._trials.get(session)?.size ?? 0,
       lostAtOnce: this._losses.size,
@@ -111,7 +111,7 @@
       // A task's own former crash at the address is no excuse for it.
       const isOwn = run.task!.crashes.some(({ worker }) => worker === former)
       const areOthersLost = this._wereManyLostSince(run.startedMs) || this._isDomainCutOff(session)
-      this._addEvidence(run, session, { doubtful: (repeated && !isOwn) || areOthersLost, youngRuns })
+      this._addEvidence(run, session, { doubtful: (repeated && !isOwn) || areOthersLost, recentRuns })
     }
     this._trials.delete(session)
   }
@@ -244,7 +244,7 @@
     return task !== undefined && task.state !== TASK_STATES.done && !task.step.workflow.isOver
   }
 
-  private _addEvidence (run: Run, session: WorkerSession, { doubtful, youngRuns }: { doubtful: boolean, youngRuns: Run[] }): void {
+  private _addEvidence (run: Run, session: WorkerSession, { doubtful, recentRuns }: { doubtful: boolean, recentRuns: Run[] }): void {
     const { timers, log } = this._options
     const task = run.task!
     const { workflow } = task.step
@@ -253,7 +253,7 @@
     const runsOnTrial = this._trials.get(session)
     const onTrial = runsOnTrial?.has(run) ?? false
     const { longRunning } = task.step.spec
-    const unconfirmedStart = unconfirmedStartOf(run, { doubtful, youngRuns })
+    const unconfirmedStart = unconfirmedStartOf(run, { doubtful, recentRuns })
     const weight = crashWeight(task.crashes, { ageMs, onTrial, doubtful, unconfirmedStart, longRunning })
     if (weight === 0) return
     const before = judge(task.crashes)
@@ -279,7 +279,7 @@
       ...record,
       onTrial,
       runsOnTrial: runsOnTrial?.size ?? 0,
-      youngRuns: youngRuns.length,
+      youngRuns: recentRuns.filter(wasYoungAtLoss).length,
       doubtful,
       crashes: task.crashes.length,
       attempts: attemptsOf(task)
@@ -314,13 +314,13 @@
 }
 
 /** What is known of the start of a run whose worker has crashed; undefined when it was confirmed. */
-function unconfirmedStartOf (run: Run, { doubtful, youngRuns }: { doubtful: boolean, youngRuns: Run[] }): UnconfirmedStart | undefined {
+function unconfirmedStartOf (run: Run, { doubtful, recentRuns }: { doubtful: boolean, recentRuns: Run[] }): UnconfirmedStart | undefined {
   if (run.startConfirmedMs !== undefined) return
   if (hasStartTimedOut(run)) return UNCONFIRMED_STARTS.unanswered
   const { workflow } = run.task!.step
-  const isOtherJobYoung = youngRuns.some(({ task }) => task?.step.workflow !== workflow)
+  const mayBeOtherJob = recentRuns.some(({ task }) => task?.step.workflow !== workflow)
   const hasBrokenWithWorker = run.startBroken && run.session.lostMs - run.unansweredMs! <= YOUNG_RUN_MS
-  return hasBrokenWithWorker && !doubtful && !isOtherJobYoung ? UNCONFIRMED_STARTS.broken : UNCONFIRMED_STARTS.unknown
+  return hasBrokenWithWorker && !doubtful && !mayBeOtherJob ? UNCONFIRMED_STARTS.broken : UNCONFIRMED_STARTS.unknown
 }
 
 /** Attempts of the task that ended with their workers, for the log. */
