--- a/packages/pomelofold/src/crashes/crashEvidence.ts
+++ b/packages/pomelofold/src/crashes/crashEvidence.ts
@@ -23,10 +23,10 @@
 const GIVE_UP_WEIGHT = 3
 /** Weight of a crash that is likely to have another cause and came some time after the start. */
 export const SLIGHT_WEIGHT = 0.1
-/** Number of crashes of one kind, under confirmed runs or broken starts, from which a task is given up. */
-const GIVE_UP_RUNS_MIN = 2
-/** The same for crashes of both kinds, and others whose starts had not yet gone unanswered. */
-const GIVE_UP_STARTS_MIN = 4
+/** Number of crashes under confirmed runs, or of those that broke a start off, that a verdict needs. */
+const ALIKE_CRASHES_MIN = 2
+/** Number of crashes that a verdict needs otherwise, without those under starts that had timed out. */
+const MIXED_CRASHES_MIN = 4
 /** Number of runs that have ended with their workers from which a task is given up, even if each is doubtful, or its start unanswered. */
 const GIVE_UP_RUNS = 5
 /** Longest of these ages: the shortest one times `SIMILAR_AGE_FACTOR`, and this many milliseconds. */
@@ -85,23 +85,23 @@
 /** Verdict on a task after these crashes. */
 export function judge (crashes: CrashRecord[]): Verdict {
   const weight = crashes.reduce((sum, crash) => sum + crash.weight, 0)
-  if ((weight >= GIVE_UP_WEIGHT && haveBeenCarriedOut(crashes)) || runsOfSimilarAge(crashes) >= GIVE_UP_RUNS) return VERDICTS.givenUp
+  if ((weight >= GIVE_UP_WEIGHT && areConclusive(crashes)) || runsOfSimilarAge(crashes) >= GIVE_UP_RUNS) return VERDICTS.givenUp
   return weight >= SUSPECT_WEIGHT ? VERDICTS.suspect : VERDICTS.clear
 }
 
 /**
- * True when at least two of the starts have surely been carried out. A task that crashes its worker before the answer does so each
- * time: a broken start beside a confirmed one was probably not carried out.
+ * True when there are enough crashes for a verdict, though some starts may not have been carried out. A task that crashes its worker
+ * before the answer breaks each start off: one that broke off beside a confirmed one was probably not carried out.
  */
-function haveBeenCarriedOut (crashes: CrashRecord[]): boolean {
+function areConclusive (crashes: CrashRecord[]): boolean {
   const confirmed = crashes.filter(({ unconfirmedStart }) => unconfirmedStart === undefined)
   const broken = crashes.filter(({ unconfirmedStart }) => unconfirmedStart === UNCONFIRMED_STARTS.broken)
-  const answered = crashes.filter(({ unconfirmedStart }) => unconfirmedStart !== UNCONFIRMED_STARTS.unanswered)
-  return Math.max(countRuns(confirmed), countRuns(broken)) >= GIVE_UP_RUNS_MIN ||
-    countRuns(answered) >= GIVE_UP_STARTS_MIN || countRuns(crashes) >= GIVE_UP_RUNS
+  const withoutTimeouts = crashes.filter(({ unconfirmedStart }) => unconfirmedStart !== UNCONFIRMED_STARTS.unanswered)
+  return Math.max(countRuns(confirmed), countRuns(broken)) >= ALIKE_CRASHES_MIN ||
+    countRuns(withoutTimeouts) >= MIXED_CRASHES_MIN || countRuns(crashes) >= GIVE_UP_RUNS
 }
 
-/** Number of different runs; a late copy of a start may be carried out by the next incarnation of its worker, too. */
+/** Number of different runs: the next incarnation of a worker may crash under a late copy of a start that counts already. */
 function countRuns (crashes: CrashRecord[]): number {
   return new Set(crashes.map(({ attempt, worker, atMs }) => attempt ?? `${worker} ${atMs}`)).size
 }
--- a/packages/pomelofold/src/workflows/crashIndex.ts
+++ b/packages/pomelofold/src/workflows/crashIndex.ts
@@ -1,5 +1,5 @@
 /**
- * Tasks by the incarnation of a worker whose crash counts against them: it proves the evidence wrong when it answers again.
+ * Tasks by the incarnation of a worker whose crash counts against them. An incarnation that answers again has not crashed.
  *
  * @module
  */
--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -64,6 +64,7 @@
   private readonly _domainLosses = new Map<string, Map<string, number>>()
   /** Incarnations that crashed last, by address, with the times in milliseconds of the monotonic clock. */
   private readonly _lastCrashes = new Map<string, { incarnation: string, atMs: number }>()
+  /** Tasks with crashes, by the incarnation of the worker. */
   private readonly _index = new CrashIndex()
   private readonly _counts: CrashCounts = { crashedWorkers: 0, suspectedTasks: 0, clearedTasks: 0, givenUpTasks: 0, unconfirmedCrashes: 0 }
 
