Logs: for which workers of an earlier scheduler tasks wait, and until when

step.waiting with cause predecessor names the workers that are neither heard nor lapsed, the time until the last of them can run nothing, whether the earlier scheduler may still start, and how many tasks had a run that ended in this term. inheritance.awaited and inheritance.settled bound that wait; worker.lapsed is also written for a worker that never answered this scheduler. No decision changes.

--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -89,6 +89,9 @@
   private _predecessorActiveUntilMs: number
   /** Store revision from which on workflows cannot have been started by the earlier scheduler. */
   private _newFromRevision: number
+  /** Whether the workers of the earlier scheduler were settled in the last pass that was logged; undefined before. */
+  private _inheritanceSettled: boolean | undefined
+  private readonly _createdMs: number
 
   constructor (options: DispatcherOptions) {
     this._options = options
@@ -100,6 +103,7 @@
     this._caps = new TeamCaps({ usage: teamUsage, teams, inherited: team => this._inheritedUsage.of(team), timers, log })
     this._predecessorActiveUntilMs = options.predecessorActiveUntilMs
     this._newFromRevision = options.newFromRevision
+    this._createdMs = timers.now()
   }
 
   /** Called when workflows stored at `revision` or later are known to be new to the earlier scheduler. */
@@ -165,6 +169,7 @@
     budget.update(registry.open)
     const wallClockMs = timers.wallClock()
     const inheritanceSettled = fleet.inheritedWorkersSettled
+    this._noteInheritance(inheritanceSettled)
     // The earlier scheduler may still start tasks of any workflow, new ones included, at workers that have not received this epoch.
     const predecessorStopped = inheritanceSettled || nowMs >= this._predecessorActiveUntilMs
     const steps: ReadyStep[] = []
@@ -178,12 +183,36 @@
         step.readyMs ??= nowMs
         const mayStart = mayStartWorkflow || step.spec.speculative || (predecessorStopped && step.becameReadyInTerm)
         if (mayStart) steps.push({ step, queue, beyondBudget: budget.isBeyond(workflow) })
-        else this._noteWait(step, queue, () => step.waitingTasks(nowMs), () => ({ cause: WAIT_CAUSES.predecessor }))
+        else this._noteWait(step, queue, () => step.waitingTasks(nowMs), () => this._explainInheritance(step, nowMs))
       }
     }
     return steps
   }
 
+  /** Logs the workers of an earlier scheduler for which tasks wait, and the end of that wait. */
+  private _noteInheritance (settled: boolean): void {
+    if (settled === this._inheritanceSettled) return
+    const { log, epoch, fleet, timers } = this._options
+    const sinceElectionMs = Math.round(timers.now() - this._createdMs)
+    if (settled) log.event('info', 'inheritance.settled', { epoch, sinceElectionMs })
+    else {
+      const awaited = fleet.awaitedWorkers
+      if (!awaited) return
+      log.event('info', 'inheritance.awaited', { epoch, sinceElectionMs, ...awaited })
+    }
+    this._inheritanceSettled = settled
+  }
+
+  /** What a step waits for that an earlier scheduler may have started. */
+  private _explainInheritance (step: StepRuntime, nowMs: number): WaitExplanation {
+    return {
+      cause: WAIT_CAUSES.predecessor,
+      ...this._options.fleet.awaitedWorkers,
+      predecessorActiveMs: Math.max(0, Math.round(this._predecessorActiveUntilMs - nowMs)),
+      endedInTerm: step.waitingTasks(nowMs).filter(task => task.waitingSinceMs !== undefined).length
+    }
+  }
+
   /**
    * Starts the tasks of a step for which there is room under its team's cap. Returns the number of tasks that go on waiting for
    * workers: those beyond the cap neither claim room nor need a query.
--- a/packages/pomelofold/src/workflows/inheritedWorkers.ts
+++ b/packages/pomelofold/src/workflows/inheritedWorkers.ts
@@ -13,6 +13,19 @@
 import type { Timers } from '../seams/timers.js'
 import type { WorkerEntry } from '../seams/workflowUpstreams.js'
 
+/** Maximum number of workers that are named in a line of the log. */
+const MAX_NAMES_IN_LINE = 5
+
+/** The workers for which tasks wait, for the log. */
+export interface AwaitedWorkers {
+  /** Number of them, with those that are not listed yet. */
+  workers: number
+  /** Incarnations of some of them. */
+  names: string
+  /** Time until the last of them can run nothing that an earlier scheduler has started, in milliseconds. */
+  untilMs: number
+}
+
 /** Options of {@link InheritedWorkers}. */
 export interface InheritedWorkersOptions {
   timers: Timers
@@ -90,6 +103,18 @@
     return addResources(capacity, this._largestCapacity(), this._awaitedUnlisted)
   }
 
+  /** The workers for which `settled` waits; undefined once it is true, and while they are not known. */
+  get awaited (): AwaitedWorkers | undefined {
+    if (!this._complete || this.settled) return
+    const nowMs = this._options.timers.now()
+    const sessions = [...this._unsettled()]
+    const ends = sessions.map(({ incarnation, restarted, lapsesAtMs }) =>
+      restarted || this._successors.has(incarnation) ? this._lateRunsEndMs : lapsesAtMs)
+    if (this._awaitedUnlisted) ends.push(this._lateRunsEndMs)
+    const names = sessions.slice(0, MAX_NAMES_IN_LINE).map(({ incarnation }) => incarnation).join(',')
+    return { workers: ends.length, names, untilMs: Math.round(Math.max(...ends) - nowMs) }
+  }
+
   /** Number of incarnations that are not listed yet and may run late starts. */
   private get _awaitedUnlisted (): number {
     return this._lateRunsEnded ? 0 : this._unlistedIds.size
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -183,7 +183,7 @@
 
   /** All runs of the worker have ended. Tasks whose start another incarnation of it may carry out wait. */
   handleLapse (session: WorkerSession, reason: string): void {
-    if (session.runs.size) {
+    if (session.runs.size || !session.synced) {
       this._options.log.event('warn', 'worker.lapsed', {
         worker: session.incarnation,
         reason,
@@ -191,7 +191,8 @@
         unansweredStarts: [...session.runs.values()].filter(run => run.unansweredMs !== undefined).length,
         leaseEndedAgoMs: Math.round(this._options.timers.now() - session.lapsesAtMs),
         draining: session.entry.draining,
-        listed: session.listed
+        listed: session.listed,
+        answered: session.synced
       })
     }
     for (const run of [...session.runs.values()]) {
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -9,7 +9,7 @@
 import { DepartureDetector } from './departureDetector.js'
 import { FencingTokens } from './fencingTokens.js'
 import { LongPollPolicy } from './longPollPolicy.js'
-import { InheritedWorkers } from './inheritedWorkers.js'
+import { InheritedWorkers, type AwaitedWorkers } from './inheritedWorkers.js'
 import { LEADER_KEY, ROSTER_KEY } from './keys.js'
 import { incarnationOf, WORKER_CLOCK_RATE, WorkerSession, type WorkerSessionListener } from './workerSession.js'
 import { resourcesSchema, type Resources } from '../protocol/workflows.js'
@@ -158,6 +158,11 @@
     return this._inheritedWorkers.unsettledCapacity
   }
 
+  /** The workers for which `inheritedWorkersSettled` waits, for the log; undefined for none. */
+  get awaitedWorkers (): AwaitedWorkers | undefined {
+    return this._inheritedWorkers.awaited
+  }
+
   /** Closes and removes the session of a worker incarnation that has ended. */
   remove (session: WorkerSession): void {
     session.close()
