--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -166,6 +166,11 @@
     return this._timers.now() - this._clockStartMs
   }
 
+  /** End of the lease in force, in milliseconds of the timers; the start of the worker's clock before the first one. */
+  get leaseEndMs (): number {
+    return this._clockStartMs + this._leaseUntilMs
+  }
+
   /** Simulates a crash: all runs end, and unacknowledged ends are lost. The worker is unreachable and unlisted from now on. */
   crash (): void {
     for (const active of this.runs.values()) {
@@ -204,6 +209,11 @@
     for (const task of [...this.runs.keys()]) this._endRun(task, RUN_ENDS.gangBroken)
   }
 
+  /** Ends the run of a task, if any, with `failed`. */
+  failRun (task: string): void {
+    this._endRun(task, RUN_ENDS.failed)
+  }
+
   /** Stops a run, and refuses later starts of this attempt or an earlier one. */
   stop ({ epoch, task, attempt }: { epoch: number, task: string, attempt: number }): StartRefusal | undefined {
     if (epoch < this.epoch) return START_REFUSALS.staleEpoch
