The end of a lost worker's lease is kept over changes of scheduler (LOST)

Cause: a worker that does not answer a new leader counted as running until 10.2 s after that leader's election, whenever its lease had been given. Nothing that an earlier leader knew of it was kept, so each leader began anew.

Change: a leader records the loss of a worker and the rest of its lease in the store, fenced by the leader key. Every daemon counts that time on its own clock from when it first saw the loss; a new leader reads the record after its election, and takes the earliest end that it or another member has counted. The lease of a recorded worker is extended, and tasks are started there, only after the removal of its loss is stored. Starts to a worker that does not answer carry no later lease. A loss stays in the record until the roster no longer contains the worker. Lengths of leases and waits for workers of which nothing is known are as they were.

--- /dev/null
+++ b/packages/pomelofold/src/protocol/leaseEnds.ts
@@ -0,0 +1,20 @@
+/**
+ * Ends of the leases of lost workers, as schedulers keep them in the store and daemons report them to each other.
+ *
+ * @module
+ */
+
+import { z } from 'zod'
+
+/** The end of the lease of a worker that does not answer. */
+export const leaseEndSchema = z.object({
+  /** Incarnation of the worker. */
+  worker: z.string(),
+  /** Identifies this loss of the worker: its lease has not been extended since. */
+  loss: z.string(),
+  /** Time until all runs on the worker have ended, in milliseconds from when the message was made. */
+  endsInMs: z.number().nonnegative()
+})
+
+/** The end of the lease of a worker that does not answer. */
+export type LeaseEnd = z.infer<typeof leaseEndSchema>
--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -7,6 +7,7 @@
 
 import { z } from 'zod'
 import { JOB_STATES, jobSpecSchema, jobViewSchema } from './jobs.js'
+import { leaseEndSchema } from './leaseEnds.js'
 import { manifestSchema } from './manifest.js'
 import { teamBacklogSchema } from './teams.js'
 import { vmRecordSchema } from './vms.js'
@@ -111,6 +112,8 @@
   releaseLeadership: { params: z.object({ epoch: z.number().int() }), result: z.object({ outcome: z.enum(RELEASE_OUTCOMES) }) },
   /** Reads whether the peer can reach the platform's store. */
   reachesStore: { params: z.object({}), result: z.object({ reaches: z.boolean(), forMs: z.number().default(0) }) },
+  /** Reads for how long the leases of lost workers last, as the peer counts them from when it first saw each loss. */
+  leaseEnds: { params: z.object({}), result: z.object({ leases: z.array(leaseEndSchema) }) },
   /** Reads from the scheduler how many workflows of each queue have not started. Null when the peer is not the scheduler. */
   queueDepths: { params: z.object({}), result: z.object({ waiting: z.record(z.string(), z.number().int()).nullable() }) },
   /** Stores a workflow for a daemon that cannot reach the platform. */
--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -31,6 +31,8 @@
 const PEER_ANSWER_GRACE_MS = 500
 /** Timeout of a call to the earlier scheduler, and pause between two of them, in milliseconds. */
 const RETIRE_TIMEOUT_MS = 250
+/** Number of times that each peer is asked for the ends of leases: a peer may not have seen a new daemon yet. */
+const LEASE_END_TRIES = 4
 /**
  * Share of all known members that must have reached the store. Members that the earlier scheduler did not know do not prevent it
  * from counting a majority without the store, so this is more than half.
@@ -212,6 +214,7 @@
       log,
       timeLimits,
       config,
+      leaseEnds: this._session.leaseEnds,
       // The earlier scheduler stops when its lease ends, or when nobody confirms an outage of the store to it any more.
       predecessorActiveUntilMs: nowMs + (replacedRunning ? SESSION_TTL_MS : CONFIRMED_OUTAGE_MS),
       newFromRevision: replacedRunning ? Number.POSITIVE_INFINITY : leader.epoch,
@@ -224,6 +227,7 @@
     this._term.start()
     if (predecessor) this._retirePredecessor(leader, this._term, predecessor)
     if (replacedRunning) this._awaitPredecessorStop(this._term)
+    this._askForLeaseEnds(this._term)
     this._checkPredecessor(this._term, { replacedRunning: replacedRunning ? predecessor : undefined, electedMs: nowMs })
   }
 
@@ -259,6 +263,22 @@
     }
   }
 
+  /** Asks the other members how long recorded leases last: they may have seen the loss of a worker earlier than this daemon. */
+  private async _askForLeaseEnds (term: SchedulerTerm): Promise<void> {
+    const { vm, timers } = this._options
+    const unasked = new Set(this._session.presentMembers.filter(member => member !== vm))
+    for (let attempt = 1; attempt <= LEASE_END_TRIES && unasked.size > 0 && await term.inheritsLeaseEnds(); attempt++) {
+      await Promise.all([...unasked].map(async member => {
+        const answer = await this._transport.call(member, 'leaseEnds', {}, RETIRE_TIMEOUT_MS)
+        if (answer.isErr || term.closed) return
+        unasked.delete(member)
+        term.noteLeaseEnds(answer.value.leases)
+      }))
+      await delay(timers, RETIRE_TIMEOUT_MS)
+      if (term.closed) return
+    }
+  }
+
   /**
    * Checks whether the earlier scheduler may still start work: while its process runs, for the rest of its lease; and because most
    * members confirmed an outage of the store. Once most members have reached the store for `CONFIRMED_OUTAGE_MS` without a break,
@@ -398,6 +418,7 @@
         return { retired: this._term === undefined }
       },
       releaseLeadership: async ({ epoch }) => ({ outcome: await this._session.releaseForPeer(epoch) }),
+      leaseEnds: async () => ({ leases: this._session.leaseEnds.list() }),
       reachesStore: async () => ({ reaches: this._session.connected, forMs: this._session.connectedForMs }),
       queueDepths: async () => ({ waiting: this._term?.queueDepths() ?? null }),
       storeWorkflow: async ({ workflow }) => ({ outcome: await this.service.storeDirectly(workflow) }),
--- a/packages/pomelofold/src/workflows/cellSession.ts
+++ b/packages/pomelofold/src/workflows/cellSession.ts
@@ -6,8 +6,9 @@
  */
 
 import { z } from 'zod'
-import { LEADER_KEY, CELL_PREFIX, memberKey, memberNameOf, TERM_KEY } from './keys.js'
+import { LEADER_KEY, CELL_PREFIX, LEASE_ENDS_KEY, memberKey, memberNameOf, TERM_KEY } from './keys.js'
 import { LeaseClock } from './leaseClock.js'
+import { LeaseEndView } from './leaseEndView.js'
 import { PrefixView } from './prefixView.js'
 import { RELEASE_OUTCOMES, type ReleaseOutcome } from '../protocol/workflows.js'
 import type { PlatformClient, StoredValue } from '../seams/platformClient.js'
@@ -86,6 +87,8 @@
 export class CellSession {
   /** Entries of all members by VM, including members whose entry has lapsed within `MEMBER_RETENTION_MS`. */
   readonly members = new Map<string, Member>()
+  /** Ends of the leases of lost workers, which each daemon counts so that the next scheduler knows them. */
+  readonly leaseEnds: LeaseEndView
   private readonly _options: CellSessionOptions
   private readonly _lease: LeaseClock
   private readonly _view: PrefixView
@@ -116,6 +119,7 @@
     this._options = options
     const { platform, timers, log } = options
     this._lease = new LeaseClock(timers)
+    this.leaseEnds = new LeaseEndView({ timers })
     this._view = new PrefixView({
       prefix: CELL_PREFIX, platform, timers, log, onChange: keys => this._applyChanges(keys), watch: CELL_WATCH_OPTIONS
     })
@@ -343,6 +347,7 @@
       const peers = seen.length > MAX_NAMES_IN_LINE ? `${seen.slice(0, MAX_NAMES_IN_LINE).join(',')},…` : seen.join(',')
       this._options.log.event('info', 'member.seen', { peers, count: seen.length, revision: this._view.get(memberKey(seen[0]))?.modRevision })
     }
+    if (keys.includes(LEASE_ENDS_KEY)) this._applyLeaseEnds(this._view.get(LEASE_ENDS_KEY))
     if (keys.includes(LEADER_KEY) || !this._leader) this._applyLeader(this._view.get(LEADER_KEY))
     this._considerElection()
   }
@@ -370,6 +375,11 @@
     return true
   }
 
+  private _applyLeaseEnds (stored: StoredValue | undefined): void {
+    const applied = this.leaseEnds.apply(stored?.value)
+    if (applied.isErr) this._options.log.event('warn', 'leaseEnds.unreadable', { revision: stored?.modRevision, detail: applied.error })
+  }
+
   private _applyLeader (stored: StoredValue | undefined): void {
     const value = stored && this._decodeLeader(stored)
     const released = stored?.modRevision === this._releasedEpoch
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -301,7 +301,7 @@
   }
 
   private _isUsable (worker: WorkerSession, nowMs: number): boolean {
-    if (worker.entry.draining || !worker.listed || !worker.reachable || !worker.synced || worker.closed) return false
+    if (worker.entry.draining || !worker.listed || !worker.extendable || !worker.synced || worker.closed) return false
     return worker.suspendedUntilMs <= nowMs && !this._options.suspensions.isSuspended(worker.incarnation)
   }
 
--- a/packages/pomelofold/src/workflows/inheritedWorkers.ts
+++ b/packages/pomelofold/src/workflows/inheritedWorkers.ts
@@ -74,6 +74,11 @@
     if (!successorListed) this._unlistedIds.add(id)
   }
 
+  /** True for an incarnation that the earlier scheduler has used, or that was listed before this one began. */
+  isInherited (incarnation: string): boolean {
+    return this._incarnations.has(incarnation) && !this._successors.has(incarnation)
+  }
+
   /** True for an incarnation that started under the id of an inherited worker: late starts of an earlier scheduler may run there. */
   isSuccessor (incarnation: string): boolean {
     return this._successors.has(incarnation)
@@ -127,9 +132,12 @@
   /** Sessions with workers that may run what an earlier scheduler has started, and have not listed it. */
   private * _unsettled (): Generator<WorkerSession> {
     const lateRunsEnded = this._lateRunsEnded
+    const nowMs = this._options.timers.now()
     for (const incarnation of this._incarnations) {
       const session = this._options.sessions.get(incarnation)
-      if (session && ((!session.synced && !session.lapsed) || (session.restarted && !lateRunsEnded))) yield session
+      if (!session) continue
+      const mayRun = !session.synced && !session.lapsed && nowMs < session.lapsesAtMs
+      if (mayRun || (session.restarted && !lateRunsEnded)) yield session
     }
     for (const incarnation of lateRunsEnded ? [] : this._successors) {
       const session = this._options.sessions.get(incarnation)
--- a/packages/pomelofold/src/workflows/keys.ts
+++ b/packages/pomelofold/src/workflows/keys.ts
@@ -16,6 +16,8 @@
 export const LEADER_KEY = `${CELL_PREFIX}leader`
 /** Number and VM size of the last term. Not attached to a lease, so that it is kept when the leader ends. */
 export const TERM_KEY = `${CELL_PREFIX}term`
+/** Ends of the leases of lost workers. Under this prefix, since every daemon counts them from when it sees them. */
+export const LEASE_ENDS_KEY = `${CELL_PREFIX}lease-ends`
 const MEMBERS_PREFIX = `${CELL_PREFIX}members/`
 /** Worker incarnations that may hold a lease from a scheduler. */
 export const ROSTER_KEY = 'pomelofold/roster'
--- /dev/null
+++ b/packages/pomelofold/src/workflows/leaseEndView.ts
@@ -0,0 +1,60 @@
+/**
+ * When the leases of lost workers end, on the clock of this daemon.
+ *
+ * Load pattern: schedulers that are replaced every few seconds while workers that have crashed hold leases. A daemon that has seen
+ * the record of a loss counts the lease from then on, also when it is elected only later. The clocks of two VMs cannot be compared,
+ * so a record says how long a lease lasts, and counts from when it was read: a later reading only gives a later end.
+ *
+ * @module
+ */
+
+import Result from 'true-myth/result'
+import { z } from 'zod'
+import { leaseEndSchema, type LeaseEnd } from '../protocol/leaseEnds.js'
+import type { Timers } from '../seams/timers.js'
+import { decodeJson } from '../utils/storedJson.js'
+
+const recordSchema = z.array(leaseEndSchema)
+
+/** The end of a lease that has not been extended since the loss of its worker. */
+export interface KnownLeaseEnd {
+  readonly loss: string
+  /** Time by which all runs on the worker have ended, in milliseconds of the monotonic clock. */
+  readonly endMs: number
+}
+
+/** Ends of leases by the incarnation of the worker. */
+export type KnownLeaseEnds = ReadonlyMap<string, KnownLeaseEnd>
+
+/** Keeps the earliest known end of each lease in the record. */
+export class LeaseEndView {
+  private readonly _timers: Timers
+  private _ends: KnownLeaseEnds = new Map()
+
+  constructor ({ timers }: { timers: Timers }) {
+    this._timers = timers
+  }
+
+  /** Applies a stored record that was just read; undefined for none. Returns the ends of the losses that it contains. */
+  apply (stored: string | undefined): Result<KnownLeaseEnds, string> {
+    const record = decodeJson(recordSchema, stored ?? '[]')
+    if (record.isErr) return Result.err(record.error)
+    const nowMs = this._timers.now()
+    this._ends = new Map(record.value.map(({ worker, loss, endsInMs }) => {
+      const known = this._ends.get(worker)
+      const endMs = nowMs + endsInMs
+      return [worker, { loss, endMs: known?.loss === loss ? Math.min(known.endMs, endMs) : endMs }]
+    }))
+    return Result.ok(this._ends)
+  }
+
+  /** The ends of all leases in the record, counted from now. */
+  list (): LeaseEnd[] {
+    return listLeaseEnds(this._ends, this._timers.now())
+  }
+}
+
+/** Message form of the ends of leases, counted from `nowMs`. */
+export function listLeaseEnds (ends: KnownLeaseEnds, nowMs: number): LeaseEnd[] {
+  return [...ends].map(([worker, { loss, endMs }]) => ({ worker, loss, endsInMs: Math.max(0, Math.ceil(endMs - nowMs)) }))
+}
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -14,6 +14,8 @@
 import type { QueueEligibilityCounts } from './eligibilityCounts.js'
 import { EligibilityDaemons } from './eligibilityDaemons.js'
 import { LEADER_KEY } from './keys.js'
+import { LeaseEndRecorder } from './leaseEndRecorder.js'
+import type { LeaseEndView } from './leaseEndView.js'
 import { ProgressRecorder } from './progressRecorder.js'
 import { RunTracker, type RunCounts } from './runTracker.js'
 import { WaitReporter, type WaitCause } from './waitReporter.js'
@@ -27,9 +29,10 @@
 import type { WorkflowRuntime } from './workflowRuntime.js'
 import { GroupCommitter } from '../commits/groupCommitter.js'
 import { JOB_STATES } from '../protocol/jobs.js'
+import type { LeaseEnd } from '../protocol/leaseEnds.js'
 import type { Workflow, WorkflowStatus } from '../protocol/workflows.js'
 import type { TeamBacklog } from '../protocol/teams.js'
-import type { PlatformClient } from '../seams/platformClient.js'
+import type { Guard, PlatformClient } from '../seams/platformClient.js'
 import type { RandomSource } from '../seams/randomSource.js'
 import { delay, type Timers, type TimerSubscription } from '../seams/timers.js'
 import type { CellConfig, LeaseReport, TeamsConfig, WorkerClient, WorkerDirectory } from '../seams/workflowUpstreams.js'
@@ -48,6 +51,8 @@
 const WRITE_RETRY_MAX_MS = 400
 /** Maximum number of entries that the store accepts in one transaction. */
 const MAX_TXN_ENTRIES = 32
+/** Minimum time between two writes of the ends of leases, in milliseconds: workers that are lost together are in one of them. */
+const LEASE_END_WRITE_INTERVAL_MS = 100
 /** Period of placement attempts without an event, in milliseconds: tickets expire and occurrences become due without one. */
 const DISPATCH_PERIOD_MS = 100
 /** Period at which ended workflows past their retention time are deleted, in milliseconds. */
@@ -78,6 +83,8 @@
   log: EventLog
   timeLimits: SchedulerTimeLimits
   config: () => CellConfig | undefined
+  /** Ends of the leases of lost workers, as this daemon has counted them so far. */
+  leaseEnds: LeaseEndView
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
   predecessorActiveUntilMs: number
   /** Store revision from which on workflows cannot have been started by the earlier scheduler; infinite while it is not known. */
@@ -121,6 +128,7 @@
   private readonly _options: SchedulerTermOptions
   private readonly _registry: WorkflowRegistry
   private readonly _fleet: WorkerFleet
+  private readonly _leaseEnds: LeaseEndRecorder
   private readonly _recorder: ProgressRecorder
   private readonly _runTracker: RunTracker
   private readonly _crashes: CrashTracker
@@ -149,6 +157,26 @@
     const teamUsage = new TeamUsage()
     this._pacer = new DispatchPacer({ timers })
     this._meter = new WorkMeter({ timers, log })
+    const fence = (): Guard => ({ key: LEADER_KEY, modRevision: epoch })
+    this._leaseEnds = new LeaseEndRecorder({
+      epoch,
+      platform,
+      committer: new GroupCommitter({
+        timers,
+        platform,
+        random,
+        writer: 'lease-ends',
+        minIntervalMs: LEASE_END_WRITE_INTERVAL_MS,
+        maxEntries: MAX_TXN_ENTRIES,
+        retryMaxMs: WRITE_RETRY_MAX_MS,
+        fence
+      }),
+      timers,
+      log,
+      view: options.leaseEnds,
+      onWritten: revision => this._fleet.noteGuardedWrite(revision),
+      onFenced
+    })
     this._fleet = new WorkerFleet({
       epoch,
       platform,
@@ -160,6 +188,7 @@
       leaseMs: Math.min(LEASE_MS, timeLimits.maxLeaseMs),
       maxLeaseMs: timeLimits.maxLeaseMs,
       predecessorActiveUntilMs,
+      leaseEnds: this._leaseEnds,
       teamUsage,
       onChange: () => this._scheduleDispatch(),
       onFenced
@@ -172,7 +201,7 @@
       minIntervalMs: WRITE_INTERVAL_MS,
       maxEntries: MAX_TXN_ENTRIES,
       retryMaxMs: WRITE_RETRY_MAX_MS,
-      fence: () => ({ key: LEADER_KEY, modRevision: epoch })
+      fence
     }))
     this._registry = new WorkflowRegistry({
       epoch,
@@ -289,6 +318,7 @@
     this._dispatchTimer?.cancel()
     this._registry.close()
     this._fleet.close()
+    this._leaseEnds.close()
     this._speedStore.close()
     this._recorder.close()
     this._runTracker.close()
@@ -300,7 +330,7 @@
 
   /** Resolves when all changes made so far are recorded in the store. */
   async flush (): Promise<void> {
-    await this._recorder.whenRecorded(this._registry.all())
+    await Promise.all([this._recorder.whenRecorded(this._registry.all()), this._leaseEnds.flush()])
   }
 
   /** Stops the start of tasks, in preparation for handing over leadership. */
@@ -350,6 +380,18 @@
     this._fleet.notePredecessorActiveUntil(untilMs)
   }
 
+  /** Resolves to whether a lease in the record of the earlier scheduler lasts, when that has been read. */
+  async inheritsLeaseEnds (): Promise<boolean> {
+    await this._leaseEnds.loaded.promise
+    return this._leaseEnds.awaitsLeases
+  }
+
+  /** Applies how long the recorded leases last as another daemon counts them. */
+  noteLeaseEnds (answer: LeaseEnd[]): void {
+    this._leaseEnds.applyAnswer(answer)
+    this._fleet.noteLeaseEnds()
+  }
+
   /** Called when workflows stored at `revision` or later are known to be new to the earlier scheduler. */
   noteNewFromRevision (revision: number): void {
     this._dispatcher.noteNewFromRevision(revision)
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -8,6 +8,7 @@
 import { z } from 'zod'
 import { DepartureDetector } from './departureDetector.js'
 import { FencingTokens } from './fencingTokens.js'
+import type { LeaseEndRecorder } from './leaseEndRecorder.js'
 import { LongPollPolicy } from './longPollPolicy.js'
 import { InheritedWorkers, type AwaitedWorkers } from './inheritedWorkers.js'
 import { LEADER_KEY, ROSTER_KEY } from './keys.js'
@@ -67,6 +68,8 @@
   maxLeaseMs: number
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
   predecessorActiveUntilMs: number
+  /** Ends of the leases of lost workers, over changes of scheduler. */
+  leaseEnds: LeaseEndRecorder
   /** Usage of the teams, to which the runs on the workers count. */
   teamUsage: TeamUsage
   /** Called after each reading of the directory. */
@@ -145,7 +148,7 @@
 
   private _noteInheritedRunsEnd (endMs: number): void {
     this._inheritedRunsEndMs = Math.min(this._inheritedRunsEndMs, endMs)
-    for (const session of this.sessions.values()) session.inheritedRunsEndMs = this._inheritedRunsEndMs
+    for (const session of this.sessions.values()) session.inheritedRunsEndMs = Math.min(session.inheritedRunsEndMs, endMs)
   }
 
   /** True when every worker that an earlier scheduler may have used has answered, or can run nothing that it has started. */
@@ -163,6 +166,14 @@
     return this._inheritedWorkers.awaited
   }
 
+  /** Applies earlier ends of recorded leases, which another daemon has counted from an earlier time. */
+  noteLeaseEnds (): void {
+    for (const session of this.sessions.values()) {
+      const endMs = this._options.leaseEnds.endOf(session.incarnation)
+      if (endMs !== undefined) session.inheritedRunsEndMs = Math.min(session.inheritedRunsEndMs, endMs)
+    }
+  }
+
   /** Closes and removes the session of a worker incarnation that has ended. */
   remove (session: WorkerSession): void {
     session.close()
@@ -171,6 +182,7 @@
 
   private async _pollDirectory (): Promise<void> {
     const { timers } = this._options
+    while (!this._closed && !await this._options.leaseEnds.load()) await delay(timers, DIRECTORY_PERIOD_MS / 3)
     while (!this._closed && !await this._readRoster()) await delay(timers, DIRECTORY_PERIOD_MS / 3)
     while (!this._closed) {
       const done = await this._readDirectory()
@@ -247,6 +259,7 @@
       this._rosterRevision = result.value.revision
       this.noteGuardedWrite(result.value.revision)
       this._roster = new Set(entries.map(incarnationOf))
+      this._options.leaseEnds.retain(this._roster)
       return true
     }
     log.event('warn', 'roster.write.failed', {
@@ -346,7 +359,7 @@
   }
 
   private _openSession (entry: WorkerEntry, { listed }: { listed: boolean }): void {
-    const { epoch, client, timers, log, listener, leaseMs, teamUsage } = this._options
+    const { epoch, client, timers, log, listener, leaseMs, leaseEnds, teamUsage } = this._options
     const session = new WorkerSession({
       entry,
       epoch,
@@ -356,11 +369,13 @@
       log,
       listener,
       leaseMs,
+      leaseEnds,
       longPollPolicy: this._longPollPolicy,
-      inheritedRunsEndMs: this._inheritedRunsEndMs,
+      inheritedRunsEndMs: Math.min(this._inheritedRunsEndMs, leaseEnds.endOf(incarnationOf(entry)) ?? Number.POSITIVE_INFINITY),
       teamUsage
     })
     session.listed = listed
+    session.inherited = this._inheritedWorkers.isInherited(session.incarnation)
     session.mayRunLateStarts = this._inheritedWorkers.isSuccessor(session.incarnation)
     this.sessions.set(session.incarnation, session)
     session.start()
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -7,6 +7,7 @@
 
 import { match, P } from 'ts-pattern'
 import type { WorkerFence } from './fencingTokens.js'
+import type { LeaseEndRecorder } from './leaseEndRecorder.js'
 import type { LongPollPolicy } from './longPollPolicy.js'
 import { isSpareCpuRun, isServingRun } from './spareCpuPacer.js'
 import type { RunHost } from './runHost.js'
@@ -65,6 +66,8 @@
   listener: WorkerSessionListener
   /** Length of the worker's lease, in milliseconds. */
   leaseMs: number
+  /** Keeps the end of the lease in the store while the worker does not answer. Shared by all sessions. */
+  leaseEnds: Pick<LeaseEndRecorder, 'mayExtend' | 'noteLost' | 'noteAnswered'>
   /** Decides how long a call waits for an end. Shared by all sessions. */
   longPollPolicy: LongPollPolicy
   /** Time by which runs that an earlier scheduler started have ended, in milliseconds of the monotonic clock. */
@@ -113,6 +116,8 @@
   replaced = false
   /** True when a later incarnation with the same id is known: orders to this incarnation may reach it. */
   restarted = false
+  /** True when the worker was in use by an earlier scheduler: what that has started there ends by `inheritedRunsEndMs`. */
+  inherited = false
   /** True when a run that an earlier scheduler started may be a late copy of one that it has seen end. */
   mayRunLateStarts = false
   /** Latest start of a run on the worker that has succeeded, in milliseconds of the monotonic clock. */
@@ -130,6 +135,8 @@
   /** Latest lease end that was sent to the worker, on the worker's clock. */
   private _leaseEndMs = 0
   private _closed = false
+  /** Number of calls since the last one that was answered. */
+  private _unansweredCalls = 0
   private _unsizedRuns = 0
   /** Number of runs whose team is not known, and what they count with. */
   private _unattributedRuns = 0
@@ -210,15 +217,22 @@
 
   /**
    * Lease end of a start, on the worker's clock. It is the latest one sent while that is far enough in the
-   * future, so that starts on a worker that has just been lost do not delay its lapse.
+   * future, so that starts on a worker that has just been lost do not delay its lapse. Undefined when the lease of a worker
+   * that does not answer has ended.
    */
   leaseEndForStart (): number | undefined {
     const next = this.nextLeaseEndMs()
     if (next === undefined) return
     const remainingMs = this._leaseEndMs - (next - this._options.leaseMs)
+    if (!this.extendable) return remainingMs > 0 ? this._leaseEndMs : undefined
     return remainingMs >= START_LEASE_MIN_MS ? this._leaseEndMs : next
   }
 
+  /** True while the worker answers and its lease may be extended. */
+  get extendable (): boolean {
+    return this.reachable && this._options.leaseEnds.mayExtend(this.incarnation)
+  }
+
   /** Notes an order that was not answered: nothing is started on the worker for `UNANSWERED_PAUSE_MS`. */
   noteUnanswered (): void {
     this._options.longPollPolicy.noteUnanswered()
@@ -239,7 +253,8 @@
   get lapsesAtMs (): number {
     if (!this._workerClock) return this.inheritedRunsEndMs
     const ownMs = this._workerClock.receivedMs + (this._leaseEndMs - this._workerClock.atMs) / WORKER_CLOCK_RATE + LAPSE_SLACK_MS
-    return this.synced ? ownMs : Math.max(ownMs, this.inheritedRunsEndMs)
+    // Until this scheduler has extended the lease, its end is the one that an earlier scheduler has set.
+    return this.synced && this._leaseEndMs > 0 ? ownMs : Math.max(ownMs, this.inheritedRunsEndMs)
   }
 
   private async _extendUntilClosed (): Promise<void> {
@@ -277,7 +292,7 @@
    */
   private async _extendLease ({ mayWait }: { mayWait: boolean }): Promise<HandledReport | undefined> {
     const { client, epoch, timers, listener, longPollPolicy, log } = this._options
-    const untilMs = this.reachable ? this.nextLeaseEndMs() : undefined
+    const untilMs = this.extendable ? this.nextLeaseEndMs() : undefined
     if (untilMs !== undefined) this.noteLeaseSent(untilMs)
     const longestMs = this._pacesRuns ? PACED_WAIT_MS : longPollPolicy.waitMs
     const wait = mayWait && this.reachable && !this.skipNextWait ? longestMs : 0
@@ -300,6 +315,7 @@
       })
       .otherwise(({ value }) => {
         const report = value as LeaseReport
+        this._unansweredCalls = 0
         this.noteClock(report.clockMs)
         if (report.bornMs !== undefined && report.bornMs !== this.entry.bornMs) {
           this.restarted = true
@@ -312,6 +328,7 @@
             { worker: this.incarnation, epoch, running: report.running.length, ended: report.ended.length, first: !this.synced }
           )
           this.reachable = true
+          this._options.leaseEnds.noteAnswered(this.incarnation)
           this.lossUnexplained = false
           this.crashed = false
         }
@@ -328,7 +345,8 @@
   }
 
   private _handleNoAnswer (err: CallError): void {
-    const { listener } = this._options
+    const { listener, leaseEnds } = this._options
+    this._unansweredCalls++
     this.lossUnexplained = this.reachable
     if (this.reachable) {
       this._noteLoss(err)
@@ -339,6 +357,9 @@
     }
     // A process that is only cut off does not refuse connections.
     if (isConnectionRefused(err)) this.noteCrash('it refuses connections')
+    // Often only one answer is lost, and the next call is answered.
+    const isLost = this._unansweredCalls > 1 || isConnectionRefused(err)
+    if (isLost && !this.lapsed && (this.synced || this.inherited)) leaseEnds.noteLost(this.incarnation, this.lapsesAtMs)
   }
 
   private _noteLoss ({ step, peer, message }: CallError): void {
--- a/tests/workflows/fencingTokens.test.ts
+++ b/tests/workflows/fencingTokens.test.ts
@@ -60,10 +60,12 @@
     timers,
     leaseMs: 6_000,
     fence: tokens.fenceOf(ENTRY),
+    leaseEnds: { mayExtend: () => true },
     longPollPolicy: { noteUnanswered: () => {} },
     teamUsage: new TeamUsage()
   } as unknown as ConstructorParameters<typeof WorkerSession>[0])
   session.noteClock(1_000)
+  session.reachable = true
   const sent: number[] = []
   const answer = async (_entry: WorkerEntry, { epoch }: { epoch: number }): Promise<Result<OrderAnswer, CallError>> => {
     sent.push(epoch)
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -233,7 +233,7 @@
     capacity: CAPACITY,
     labels: [`k${index % 3}`, `r${index % 20}`]
   }
-  const options = { entry, timers, teamUsage }
+  const options = { entry, timers, teamUsage, leaseEnds: { mayExtend: () => true } }
   const session = new WorkerSession(options as unknown as ConstructorParameters<typeof WorkerSession>[0])
   Object.assign(session, { reachable: true, synced: true })
   return session
