--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -306,8 +306,11 @@
     if (replacedRunning) term.noteNewFromRevision(this._termEpoch)
     term.notePredecessorActiveUntil(electedMs + CONFIRMED_OUTAGE_MS)
     const connectedForMs = [this._session.connectedForMs, ...answers.map(answer => answer.isOk ? answer.value.forMs : 0)]
-    const connected = connectedForMs.filter(ms => ms >= CONFIRMED_OUTAGE_MS).length
-    if (connected >= STORE_QUORUM_SHARE * connectedForMs.length) term.notePredecessorStopped()
+    const haveMostReached = (forMs: number): boolean =>
+      connectedForMs.filter(ms => ms >= forMs).length >= STORE_QUORUM_SHARE * connectedForMs.length
+    // A lease that had ended before the election was the only authority left if no outage was confirmed up to then.
+    if (!replacedRunning && haveMostReached(CONFIRMED_OUTAGE_MS + timers.now() - electedMs)) term.notePredecessorActiveUntil(electedMs)
+    if (haveMostReached(CONFIRMED_OUTAGE_MS)) term.notePredecessorStopped()
   }
 
   /** True when no device cuts off the failure domain of `leader`: it is the own one, or a member or a worker in it answers. */
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -118,7 +118,12 @@
 
   /** Called when the earlier scheduler has stopped sending orders to workers. */
   notePredecessorEnded (): void {
-    this._predecessorActiveUntilMs = this._options.timers.now()
+    this.notePredecessorActiveUntil(this._options.timers.now())
+  }
+
+  /** True when the earlier scheduler is known to have started no tasks at or after a time, in milliseconds of the monotonic clock. */
+  predecessorHadStopped (atMs: number): boolean {
+    return atMs >= this._predecessorActiveUntilMs
   }
 
   /** Configuration of the workflow's queue. When the current configuration lacks the queue, the last one that contained it. */
@@ -182,8 +187,9 @@
       for (const step of workflow.openSteps(wallClockMs)) {
         step.readyMs ??= nowMs
         const mayStart = mayStartWorkflow || step.spec.speculative || (predecessorStopped && step.becameReadyInTerm)
-        if (mayStart) steps.push({ step, queue, beyondBudget: budget.isBeyond(workflow) })
-        else this._noteWait(step, queue, () => step.waitingTasks(nowMs), () => this._explainInheritance(step, nowMs))
+        step.awaitsPredecessor = !mayStart
+        if (mayStart || (predecessorStopped && step.hasSeenTasks)) steps.push({ step, queue, beyondBudget: budget.isBeyond(workflow) })
+        if (!mayStart) this._noteWait(step, queue, () => step.unseenTasks(nowMs), () => this._explainInheritance(step, nowMs))
       }
     }
     return steps
@@ -209,7 +215,7 @@
       cause: WAIT_CAUSES.predecessor,
       ...this._options.fleet.awaitedWorkers,
       predecessorActiveMs: Math.max(0, Math.round(this._predecessorActiveUntilMs - nowMs)),
-      endedInTerm: step.waitingTasks(nowMs).filter(task => task.waitingSinceMs !== undefined).length
+      endedInTerm: step.unseenTasks(nowMs).filter(task => task.waitingSinceMs !== undefined).length
     }
   }
 
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -65,6 +65,8 @@
   leadershipRemainingMs: () => number
   /** Number of failed runs of a task after which its workflow fails; undefined when the queue is unknown. */
   maxAttempts: (workflow: WorkflowRuntime) => number | undefined
+  /** True when the earlier scheduler is known to have started no tasks at or after a time, in milliseconds of the monotonic clock. */
+  predecessorHadStopped: (atMs: number) => boolean
   /** Called when the progress of a workflow has changed and has to be recorded. */
   onProgressChanged: (workflow: WorkflowRuntime) => void
   /** Called when a start was refused, so that its task has to be placed again. */
@@ -141,6 +143,7 @@
       task, name: task.name, attempt, session: worker, size: reservedRoom(task.step), state: RUN_STATES.starting, adopted: false
     })
     task.attempt = attempt
+    task.seenInTerm = true
     this._startCount++
     log.event('info', 'run.start', {
       task: task.name,
@@ -168,6 +171,7 @@
     for (const row of report.running) {
       listed.add(runIdOf(row.task, row.attempt))
       this._handleListedRun(session, row, report.clockMs)
+      this._noteSeen(session, row, requestSentMs)
     }
     this._pacer.observe(session, [...session.runs.values()])
     // A run that is not listed may be among the further ends.
@@ -196,6 +200,8 @@
       })
     }
     for (const run of [...session.runs.values()]) {
+      // The next incarnation may carry out tries of the earlier scheduler's start.
+      if (session.restarted && run.adopted && run.task) run.task.seenInTerm = false
       this._lateStarts.noteUnconfirmed(run)
       this._handleLost(run, reason)
     }
@@ -368,6 +374,16 @@
     }
   }
 
+  /**
+   * Notes a task whose run was in progress after the earlier scheduler had stopped: that would have started no other. The run
+   * may be a late copy of an earlier one on a worker that has come back under its id.
+   */
+  private _noteSeen (session: WorkerSession, { task: name, attempt }: ListedRun, requestSentMs: number): void {
+    const run = session.runs.get(runIdOf(name, attempt))
+    if (!run?.task || run.task.run !== run || session.mayRunLateStarts) return
+    if (this._options.predecessorHadStopped(requestSentMs)) run.task.seenInTerm = true
+  }
+
   /** Counts a run that a worker lists although none was expected there. Returns how it had been released. */
   private _noteUnexpected ({ task, attempt }: { task: string, attempt: number }): ReturnType<ReleasedRuns['find']> {
     const found = this._releasedRuns.find(task, attempt)
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -291,6 +291,7 @@
       maxLeaseMs: timeLimits.maxLeaseMs,
       leadershipRemainingMs,
       maxAttempts: workflow => this._dispatcher.queueOf(workflow)?.maxAttempts,
+      predecessorHadStopped: atMs => this._dispatcher.predecessorHadStopped(atMs),
       onProgressChanged: workflow => this._recorder.noteChanged(workflow),
       onDispatchNeeded: () => this._scheduleDispatch(),
       onStaleEpoch: () => this._endByTakeover('a worker has received a newer epoch')
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -40,6 +40,11 @@
   notBeforeMs: number
   /** Time at which the last run of the task ended, in milliseconds of the monotonic clock; undefined before the first run. */
   waitingSinceMs: number | undefined
+  /**
+   * True when its last run was started or seen in progress in this term, after the earlier scheduler had stopped: no run that
+   * the earlier scheduler has started goes on elsewhere.
+   */
+  seenInTerm: boolean
   /** Number of its earlier starts that another incarnation of their worker may still carry out. The task waits for them. */
   heldStarts: number
   /** Earlier runs that continue in parallel with the current one. */
@@ -120,6 +125,8 @@
   readyMs: number | undefined
   /** True when a run of the step was in progress under the epoch of this scheduler: an earlier one cannot have seen the step end. */
   ranInTerm = false
+  /** True while an earlier scheduler's runs of the step may be unseen: only tasks that were seen in this term may start. */
+  awaitsPredecessor = false
   private _gangCheckpoint = ''
 
   constructor (workflow: WorkflowRuntime, occurrence: number, index: number) {
@@ -139,6 +146,7 @@
       checkpoint: '',
       notBeforeMs: 0,
       waitingSinceMs: undefined,
+      seenInTerm: false,
       heldStarts: 0,
       supersededRuns: [],
       avoid: undefined,
@@ -184,6 +192,29 @@
 
   /** Tasks that can be started now: waiting, without a run, a held start or an unrecorded crash, and past their delay. */
   waitingTasks (nowMs: number): Task[] {
+    const waiting = this._waitingTasks(nowMs)
+    return this.awaitsPredecessor ? waiting.filter(this._isSeen) : waiting
+  }
+
+  /** Tasks that wait only because a run that an earlier scheduler has started may be unseen. */
+  unseenTasks (nowMs: number): Task[] {
+    const isSeen = this._isSeen
+    return this.awaitsPredecessor ? this._waitingTasks(nowMs).filter(task => !isSeen(task)) : []
+  }
+
+  /** True when tasks may start although runs of others may be unseen. */
+  get hasSeenTasks (): boolean {
+    return this.tasks.some(this._isSeen)
+  }
+
+  /** The members of a gang start together, so all of them must have been seen. */
+  private get _isSeen (): (task: Task) => boolean {
+    if (!this.spec.gang) return task => task.seenInTerm
+    const areAllSeen = this.tasks.every(({ seenInTerm }) => seenInTerm)
+    return () => areAllSeen
+  }
+
+  private _waitingTasks (nowMs: number): Task[] {
     const waiting: Task[] = []
     for (const task of this.tasks) {
       if (task.state !== TASK_STATES.waiting || task.run || task.notBeforeMs > nowMs || task.unrecordedCrashes > 0) continue
