--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -303,14 +303,20 @@
   readonly unreachableWorkers = new Set<string>()
   private _callCount = 0
   private readonly _timers: Timers
+  private readonly _networkTimers: Timers
   private readonly _workers: () => LeasedWorker[]
   /** Entries that another writer has added to the directory. */
   private readonly _otherEntries: () => WorkerEntry[]
 
-  constructor ({ timers, workers, otherEntries = () => [] }: {
-    timers: Timers, workers: () => LeasedWorker[], otherEntries?: () => WorkerEntry[]
+  constructor ({ timers, networkTimers = timers, workers, otherEntries = () => [] }: {
+    timers: Timers,
+    /** Timers of orders on their way, which arrive also when the process that sent them has ended. */
+    networkTimers?: Timers,
+    workers: () => LeasedWorker[],
+    otherEntries?: () => WorkerEntry[]
   }) {
     this._timers = timers
+    this._networkTimers = networkTimers
     this._workers = workers
     this._otherEntries = otherEntries
   }
@@ -384,7 +390,7 @@
     if (!worker || worker.faults.unreachable || this.disconnected || this.unreachableWorkers.has(entry.id)) return timedOut()
     if (order && worker.faults.orderDelayMs > 0) {
       // The order reaches the incarnation that has the id when the delay is over, which may be a later one, or none.
-      this._timers.after(worker.faults.orderDelayMs, () => {
+      this._networkTimers.after(worker.faults.orderDelayMs, () => {
         const receiver = this._workers().find(({ entry: { id } }) => id === entry.id) ?? worker
         if (!receiver.faults.refusesConnections) fn(receiver)
       })
--- a/tests/workflows/inheritance.test.ts
+++ b/tests/workflows/inheritance.test.ts
@@ -10,6 +10,7 @@
 import { CallError, EFFECTS } from 'pomelofold/utils/errors'
 import { delay } from 'pomelofold/seams/timers'
 import { PROGRESS_PREFIX } from 'pomelofold/workflows/keys'
+import { delayWatches } from './leaderChain.js'
 import { WorkflowCell, type TestDaemon } from './workflowCell.js'
 
 /** Hands leadership over and waits for the next scheduler. */
@@ -61,14 +62,6 @@
   }
 })
 
-/** Delays the events of all watches of a daemon. */
-function delayWatches ({ platform, process }: TestDaemon, delayMs: number): void {
-  const watch = platform.watch.bind(platform)
-  platform.watch = (prefix, fromRevision, handlers) => watch(prefix, fromRevision, {
-    ...handlers, onEvents: events => { process.after(delayMs, () => handlers.onEvents(events)) }
-  })
-}
-
 // Guards against two runs of a task when a scheduler that is still running is taken for ended and learns late that it was replaced.
 t.test('a scheduler that is replaced while it is running and cut off from its peers starts no task that its successor starts', async t => {
   const cases = [500, 1_000, 2_000, 4_000].flatMap(lagMs => [false, true].map(readsFail => ({ lagMs, readsFail })))
@@ -76,7 +69,7 @@
     const cell = new WorkflowCell({ daemons: 0, runMs: () => 4_000 })
     for (const vm of ['a1', 'a2', 'b1', 'b2', 'c1', 'c2', 'd1']) {
       const daemon = cell.startDaemon(vm, { failureDomain: vm[0] })
-      if (vm[0] === 'a') delayWatches(daemon, lagMs)
+      if (vm[0] === 'a') delayWatches(daemon, { lagMs })
     }
     for (const { entry } of cell.workers.slice(1)) entry.failureDomain = 'b'
     const former = await cell.waitUntilReady()
--- a/tests/workflows/leaderChain.ts
+++ b/tests/workflows/leaderChain.ts
@@ -4,10 +4,20 @@
  * @module
  */
 
+import { z } from 'zod'
+import Result from 'true-myth/result'
 import type { LeasedWorker } from '@pomelofold/standins/leasedWorker'
 import type { WorkflowStep } from 'pomelofold/protocol/workflows'
+import { CallTimeoutError, EFFECTS } from 'pomelofold/utils/errors'
+import { delay } from 'pomelofold/seams/timers'
+import { incarnationOf } from 'pomelofold/workflows/workerSession'
 import { WorkflowCell, type TestDaemon, type WorkflowCellOptions } from './workflowCell.js'
 
+/** Ends of the leases of lost workers in the store. */
+const LEASE_ENDS_KEY = 'pomelofold/cell/lease-ends'
+
+const leaseEndsSchema = z.array(z.object({ worker: z.string(), loss: z.string(), endsInMs: z.number() }))
+
 /** Time in which a task is started again once the lease of its former worker has ended, in milliseconds. */
 export const RESTART_MS = 3_000
 
@@ -17,13 +27,28 @@
   /** Tasks of the step, in order. */
   tasks: string[]
   worker: LeasedWorker
+  /** Lag of the watches of all daemons. It may be made longer at any time. */
+  lag: { lagMs: number }
+  /** What `observeLeaseEnds` has found. */
+  leaseEndViolations: string[]
+}
+
+/** Options of {@link cellWithService}. */
+export interface ServiceCellOptions extends WorkflowCellOptions {
+  step?: Partial<WorkflowStep>
+  /** Called before the clock is advanced for the first time. */
+  prepare?: (cell: WorkflowCell) => void
 }
 
 /** Starts a cell with a long-running step of one task, or of the given form, and waits until it runs. */
 export async function cellWithService (
-  { step = {}, ...options }: WorkflowCellOptions & { step?: Partial<WorkflowStep> } = {}
+  { step = {}, prepare = () => {}, ...options }: ServiceCellOptions = {}
 ): Promise<ServiceCell> {
   const cell = new WorkflowCell({ daemons: 5, runMs: () => 600_000, ...options })
+  const lag = { lagMs: 0 }
+  for (const daemon of cell.daemons) delayWatches(daemon, lag)
+  const leaseEndViolations = observeLeaseEnds(cell)
+  prepare(cell)
   const leader = await cell.waitUntilReady()
   await cell.timers.advance(3_000)
   const workflow = cell.workflow([{ tasks: 1, longRunning: true, ...step }])
@@ -31,7 +56,7 @@
   const tasks = Array.from({ length: step.tasks ?? 1 }, (_, index) => `${workflow.id}.0.0.${index}`)
   await cell.timers.advanceUntil(() => tasks.every(task => cell.runsOf(task).length > 0))
   await cell.timers.advance(2_000)
-  return { cell, tasks, worker: workerOf(cell, tasks[0]) }
+  return { cell, tasks, worker: workerOf(cell, tasks[0]), lag, leaseEndViolations }
 }
 
 /** The worker of the last run of a task. */
@@ -94,3 +119,95 @@
 export function electionsMs (cell: WorkflowCell): number[] {
   return cell.events.filter(({ name }) => name === 'leader.elected').map(({ atMs }) => atMs)
 }
+
+/** Cuts a worker off from all daemons that run now, except one. */
+export function cutFromOthers (cell: WorkflowCell, { entry }: LeasedWorker, kept: TestDaemon): void {
+  for (const daemon of cell.daemons) if (daemon !== kept) daemon.client.unreachableWorkers.add(entry.id)
+}
+
+/** Has a worker answer no call until the scheduler has called it twice in vain, so that its loss is certain. */
+export async function loseWorker (cell: WorkflowCell, worker: LeasedWorker): Promise<void> {
+  worker.faults.unreachable = true
+  await waitForEvent(cell, 'worker.lost', worker)
+  await cell.timers.advance(700)
+}
+
+/** Has a lost worker answer again, and advances the clock until it has. */
+export async function regainWorker (cell: WorkflowCell, worker: LeasedWorker): Promise<void> {
+  worker.faults.unreachable = false
+  await waitForEvent(cell, 'worker.reached', worker)
+}
+
+/** Advances the clock until a daemon logs a new event with this name about the worker. */
+async function waitForEvent (cell: WorkflowCell, name: string, { entry }: LeasedWorker): Promise<void> {
+  const seen = cell.events.length
+  await cell.timers.advanceUntil(
+    () => cell.events.slice(seen).some(event => event.name === name && event.fields.worker === incarnationOf(entry)), { limitMs: 20_000 }
+  )
+}
+
+/** Delays the events of all watches of a daemon. The lag may be made longer at any time. */
+export function delayWatches ({ platform, process }: TestDaemon, lag: { lagMs: number }): void {
+  const watch = platform.watch.bind(platform)
+  platform.watch = (prefix, fromRevision, handlers) => watch(prefix, fromRevision, {
+    ...handlers, onEvents: events => { process.after(lag.lagMs, () => handlers.onEvents(events)) }
+  })
+}
+
+/** What becomes of a write of the ends of leases. */
+export interface RecordFaults {
+  /** Time until it is carried out, in milliseconds; infinite for never. It has no answer in time when this is longer than its timeout. */
+  delayMs: number
+  /** It is carried out, and its answer is lost. */
+  losesAnswer?: boolean
+}
+
+/** Injects faults into the writes that a daemon makes of the ends of leases. Returns the faults, which may be changed. */
+export function injectRecordFaults ({ platform, process }: TestDaemon, cell: WorkflowCell): { current: RecordFaults | undefined } {
+  const faults: { current: RecordFaults | undefined } = { current: undefined }
+  const txn = platform.txn.bind(platform)
+  platform.txn = async (guards, changes, options) => {
+    if (!faults.current || !changes.some(({ key }) => key === LEASE_ENDS_KEY)) return txn(guards, changes, options)
+    const { delayMs, losesAnswer } = faults.current
+    const timeoutMs = options?.timeoutMs ?? 1_000
+    if (delayMs < timeoutMs && !losesAnswer) {
+      await delay(process, delayMs)
+      return txn(guards, changes, options)
+    }
+    if (delayMs !== Number.POSITIVE_INFINITY) cell.timers.after(delayMs, () => { cell.store.txn(guards, changes) })
+    await delay(process, timeoutMs)
+    return Result.err(new CallTimeoutError(timeoutMs, { step: 'platform.txn', peer: 'platform', effect: EFFECTS.unknown }))
+  }
+  return faults
+}
+
+/**
+ * Observes the recorded ends of leases as a daemon does that sees each write at once. Returns descriptions of the workers whose lease
+ * lasts longer than the end of a loss that is in the store: another scheduler may start their tasks by then.
+ */
+export function observeLeaseEnds (cell: WorkflowCell): string[] {
+  const found = new Set<string>()
+  const violations: string[] = []
+  const endsMs = new Map<string, number>()
+  let recorded: string[] = []
+  const check = (): void => {
+    for (const { entry, leaseEndMs } of cell.workers) {
+      for (const loss of recorded.filter(key => key.startsWith(`${incarnationOf(entry)} `) && !found.has(key))) {
+        if (leaseEndMs <= endsMs.get(loss)!) continue
+        found.add(loss)
+        violations.push(`${loss}: recorded until ${endsMs.get(loss)}, lasts until ${leaseEndMs}`)
+      }
+    }
+  }
+  cell.store.watch(LEASE_ENDS_KEY, 1, events => {
+    const record = leaseEndsSchema.parse(JSON.parse(events.at(-1)!.value?.value ?? '[]'))
+    recorded = record.map(({ worker, loss }) => `${worker} ${loss}`)
+    for (const [index, { endsInMs }] of record.entries()) {
+      const endMs = cell.timers.now() + endsInMs
+      endsMs.set(recorded[index], Math.min(endMs, endsMs.get(recorded[index]) ?? endMs))
+    }
+    check()
+  })
+  cell.timers.every(50, check)
+  return violations
+}
--- a/tests/workflows/leaseEnds.test.ts
+++ b/tests/workflows/leaseEnds.test.ts
@@ -10,9 +10,12 @@
 /** Longest wait for a worker of which nothing is known, from the election of the first leader that it does not answer, in milliseconds. */
 const UNKNOWN_WORKER_MS = 10_500
 
+/** Ways in which a leader goes. */
+const WAYS = ['silent', 'refused', 'handedOver'] as const
+
 // Guards against a wait that is counted from the election (LOST).
 t.test('a task whose worker crashed before the change of leader starts again once the lease of that worker has ended', async t => {
-  for (const how of ['silent', 'refused', 'handedOver'] as const) {
+  for (const how of WAYS) {
     const { cell, tasks: [task], worker } = await cellWithService()
     crashForGood(worker)
     await cell.timers.advance(1_000)
@@ -66,7 +69,7 @@
 
 // Guards against a silent worker that holds every task of the cell (LOST).
 t.test('a task whose run was listed to the new leader and failed starts again although another worker does not answer', async t => {
-  for (const how of ['silent', 'refused', 'handedOver'] as const) {
+  for (const how of WAYS) {
     const { cell, tasks: [task], worker } = await cellWithService()
     const silent = cell.workers.find(other => other !== worker)!
     silent.faults.unreachable = true
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -128,7 +128,7 @@
     const process = new ProcessTimers({ timers: this.timers })
     const platform = new MemoryPlatformClient({ store: this.store, timers: process })
     const client = new LeasedWorkerClient({
-      timers: process, workers: () => this.workers, otherEntries: () => this.otherEntries
+      timers: process, networkTimers: this.timers, workers: () => this.workers, otherEntries: () => this.otherEntries
     })
     const incarnation = this._random.hex(4)
     const self = { vm, failureDomain, incarnation }
