--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -110,8 +110,14 @@
   retireScheduler: { params: z.object({ epoch: z.number().int() }), result: z.object({ retired: z.boolean() }) },
   /** Deletes the leader's entry for a scheduler that cannot reach the store, if it is still the one of that epoch. */
   releaseLeadership: { params: z.object({ epoch: z.number().int() }), result: z.object({ outcome: z.enum(RELEASE_OUTCOMES) }) },
-  /** Reads whether the peer can reach the platform's store. */
-  reachesStore: { params: z.object({}), result: z.object({ reaches: z.boolean(), forMs: z.number().default(0) }) },
+  /**
+   * Reads whether the peer can reach the platform's store, for how long it has without a break, and for how long it has known the
+   * leader of `leaderEpoch`, in milliseconds.
+   */
+  reachesStore: {
+    params: z.object({ leaderEpoch: z.number().int().optional() }),
+    result: z.object({ reaches: z.boolean(), forMs: z.number().default(0), leaderKnownForMs: z.number().default(0) })
+  },
   /** Reads for how long the leases of lost workers last, as the peer counts them from when it first saw each loss. */
   leaseEnds: { params: z.object({}), result: z.object({ leases: z.array(leaseEndSchema) }) },
   /** Reads from the scheduler how many workflows of each queue have not started. Null when the peer is not the scheduler. */
--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -14,6 +14,7 @@
 import { EXTENSION_AFTER_LOSS_MS } from '../workflows/workerFleet.js'
 import { WorkflowService } from '../workflows/workflowService.js'
 import { WorkflowStore } from '../workflows/workflowStore.js'
+import type { PeerMethods } from '../protocol/peerMessages.js'
 import { RELEASE_OUTCOMES, type ReleaseOutcome } from '../protocol/workflows.js'
 import type { PeerHandlers, PeerTransport } from '../seams/peerTransport.js'
 import type { PlatformClient } from '../seams/platformClient.js'
@@ -33,6 +34,8 @@
 const RETIRE_TIMEOUT_MS = 250
 /** Number of times that each peer is asked for the ends of leases: a peer may not have seen a new daemon yet. */
 const LEASE_END_TRIES = 4
+/** Number of leaders for which the time is kept at which they were first seen. */
+const MAX_SEEN_LEADERS = 8
 /**
  * Share of all known members that must have reached the store. Members that the earlier scheduler did not know do not prevent it
  * from counting a majority without the store, so this is more than half.
@@ -82,6 +85,18 @@
   term?: TermFigures
 }
 
+/** An election of this daemon, and the leader before it if that is known. */
+interface Election {
+  leader: Leader
+  predecessor: Leader | undefined
+  /** True when the predecessor was replaced because its address refused a connection. */
+  replacedRunning: boolean
+  /** Time of the election, in milliseconds of the monotonic clock. */
+  electedMs: number
+}
+
+type StoreReachability = PeerMethods['reachesStore']['result']
+
 /** Connects the session, the term, the service and the transport of a daemon. */
 export class WorkflowDaemon {
   readonly service: WorkflowService
@@ -101,6 +116,8 @@
   /** The newest known leader, and the leader before it. */
   private _knownLeader: Leader | undefined
   private _previousLeader: Leader | undefined
+  /** Times at which this daemon or a peer first saw a leader, by epoch, in milliseconds of the monotonic clock. */
+  private readonly _leaderSeenMs = new Map<number, number>()
 
   constructor (options: WorkflowDaemonOptions) {
     this._options = options
@@ -201,6 +218,10 @@
     const predecessor = this._previousLeader
     this._previousLeader = undefined
     const replacedRunning = predecessor !== undefined && this._session.replacedRunningLeader
+    const election: Election = { leader, predecessor, replacedRunning, electedMs: nowMs }
+    const earlierActiveUntilMs = this._earlierActiveUntilMs(election)
+    const predecessorActiveUntilMs = Math.max(nowMs + (replacedRunning ? SESSION_TTL_MS : CONFIRMED_OUTAGE_MS), earlierActiveUntilMs)
+    const mayStartNewWork = replacedRunning || earlierActiveUntilMs > nowMs
     this._authorityLostMs = undefined
     this._termEpoch = leader.epoch
     this._term = new SchedulerTerm({
@@ -216,8 +237,8 @@
       config,
       leaseEnds: this._session.leaseEnds,
       // The earlier scheduler stops when its lease ends, or when nobody confirms an outage of the store to it any more.
-      predecessorActiveUntilMs: nowMs + (replacedRunning ? SESSION_TTL_MS : CONFIRMED_OUTAGE_MS),
-      newFromRevision: replacedRunning ? Number.POSITIVE_INFINITY : leader.epoch,
+      predecessorActiveUntilMs,
+      newFromRevision: mayStartNewWork ? Number.POSITIVE_INFINITY : leader.epoch,
       leadershipRemainingMs: () => this._session.leadershipRemainingMs(leader.epoch),
       mayExtend: () => this._mayExtend(leader.epoch),
       queryEligibility: (daemon, step, names, timeoutMs) => this._queryEligibility(daemon, step, names, timeoutMs),
@@ -225,15 +246,26 @@
       onTakeover: reason => { if (this._termEpoch === leader.epoch) this._endTerm(reason) }
     })
     this._term.start()
-    if (predecessor) this._retirePredecessor(leader, this._term, predecessor)
-    if (replacedRunning) this._awaitPredecessorStop(this._term)
+    if (predecessor) this._retirePredecessor(this._term, predecessor, election)
+    if (mayStartNewWork) this._awaitPredecessorStop(this._term, predecessorActiveUntilMs)
     this._askForLeaseEnds(this._term)
-    this._checkPredecessor(this._term, { replacedRunning: replacedRunning ? predecessor : undefined, electedMs: nowMs })
+    this._checkPredecessor(this._term, election)
+  }
+
+  /**
+   * Time until which leaders before the predecessor may start work, in milliseconds of the monotonic clock: the predecessor may
+   * have replaced a running one just before it ended itself.
+   */
+  private _earlierActiveUntilMs ({ leader, predecessor, electedMs }: Election): number {
+    if (leader.term <= 2) return Number.NEGATIVE_INFINITY
+    const seenMs = (predecessor && this._leaderSeenMs.get(predecessor.epoch)) ?? electedMs
+    return Math.min(seenMs, electedMs) + SESSION_TTL_MS
   }
 
   /** Asks the earlier scheduler to stop, until it has stopped or its process is known to have ended. */
-  private async _retirePredecessor ({ epoch }: Leader, term: SchedulerTerm, predecessor: Leader): Promise<void> {
+  private async _retirePredecessor (term: SchedulerTerm, predecessor: Leader, election: Election): Promise<void> {
     const { timers, vm } = this._options
+    const { epoch } = election.leader
     const hasEnded = (): boolean => predecessor.vm === vm ||
       this._session.members.get(predecessor.vm)?.incarnation !== predecessor.incarnation
     while (!term.closed) {
@@ -242,14 +274,19 @@
       if (answer.isOk && answer.value.retired) break
       await delay(timers, RETIRE_TIMEOUT_MS)
     }
+    // The leaders before it may extend leases for some time after their authority has ended.
+    while (!term.closed && timers.now() < this._earlierActiveUntilMs(election) + EXTENSION_AFTER_LOSS_MS) {
+      await delay(timers, RETIRE_TIMEOUT_MS)
+    }
     if (term.closed) return
     term.notePredecessorEnded()
     await this._noteStoreRevision(term)
   }
 
   /** Waits until an earlier scheduler that may still be running has stopped: it may have started workflows stored until then. */
-  private async _awaitPredecessorStop (term: SchedulerTerm): Promise<void> {
-    await delay(this._options.timers, SESSION_TTL_MS)
+  private async _awaitPredecessorStop (term: SchedulerTerm, untilMs: number): Promise<void> {
+    const { timers } = this._options
+    await delay(timers, untilMs - timers.now())
     await this._noteStoreRevision(term)
   }
 
@@ -282,35 +319,43 @@
   /**
    * Checks whether the earlier scheduler may still start work: while its process runs, for the rest of its lease; and because most
    * members confirmed an outage of the store. Once most members have reached the store for `CONFIRMED_OUTAGE_MS` without a break,
-   * every such confirmation has expired. `replacedRunning` is an earlier scheduler that was replaced because its address refused
-   * a connection. A member or a worker of its failure domain that answers shows that no device between the domains refused it.
+   * every such confirmation has expired. A running scheduler is replaced when its address refuses a connection. A member or a worker
+   * of its failure domain that answers shows that no device between the domains refused it.
    */
-  private async _checkPredecessor (
-    term: SchedulerTerm, { replacedRunning, electedMs }: { replacedRunning: Leader | undefined, electedMs: number }
-  ): Promise<void> {
+  private async _checkPredecessor (term: SchedulerTerm, election: Election): Promise<void> {
     const { vm, timers } = this._options
+    const { leader, predecessor, replacedRunning, electedMs } = election
     const others = [...this._session.members].filter(([member]) => member !== vm)
-    const ask = (): Promise<Array<Result<{ reaches: boolean, forMs: number }, CallError>>> =>
-      Promise.all(others.map(([member]) => this._transport.call(member, 'reachesStore', {}, RETIRE_TIMEOUT_MS)))
+    const ask = async (): Promise<Array<Result<StoreReachability, CallError>>> => {
+      const params = { leaderEpoch: predecessor?.epoch }
+      const answers = await Promise.all(others.map(([member]) => this._transport.call(member, 'reachesStore', params, RETIRE_TIMEOUT_MS)))
+      for (const answer of answers) {
+        if (predecessor && answer.isOk) this._noteLeaderSeen(predecessor, timers.now() - answer.value.leaderKnownForMs)
+      }
+      return answers
+    }
     let answers = await ask()
     while (!term.closed) {
-      if (!replacedRunning) break
-      const own = answers[others.findIndex(([member]) => member === replacedRunning.vm)]
+      if (!predecessor || !replacedRunning) break
+      const own = answers[others.findIndex(([member]) => member === predecessor.vm)]
       const reached = others.filter((_, index) => answers[index].isOk).map(([, other]) => other.failureDomain)
-      if (own?.isErr && isConnectionRefused(own.error) && this._reachesDomainOf(replacedRunning, { reached, term })) break
+      if (own?.isErr && isConnectionRefused(own.error) && this._reachesDomainOf(predecessor, { reached, term })) break
       if (timers.now() - electedMs > SESSION_TTL_MS) return
       await delay(timers, RETIRE_TIMEOUT_MS)
       answers = await ask()
     }
     if (term.closed) return
-    if (replacedRunning) term.noteNewFromRevision(this._termEpoch)
-    term.notePredecessorActiveUntil(electedMs + CONFIRMED_OUTAGE_MS)
+    const earlierActiveUntilMs = this._earlierActiveUntilMs(election)
+    if (earlierActiveUntilMs <= electedMs) term.noteNewFromRevision(leader.epoch)
+    term.notePredecessorActiveUntil(Math.max(electedMs + CONFIRMED_OUTAGE_MS, earlierActiveUntilMs))
     const connectedForMs = [this._session.connectedForMs, ...answers.map(answer => answer.isOk ? answer.value.forMs : 0)]
     const haveMostReached = (forMs: number): boolean =>
       connectedForMs.filter(ms => ms >= forMs).length >= STORE_QUORUM_SHARE * connectedForMs.length
     // A lease that had ended before the election was the only authority left if no outage was confirmed up to then.
-    if (!replacedRunning && haveMostReached(CONFIRMED_OUTAGE_MS + timers.now() - electedMs)) term.notePredecessorActiveUntil(electedMs)
-    if (haveMostReached(CONFIRMED_OUTAGE_MS)) term.notePredecessorStopped()
+    if (!replacedRunning && haveMostReached(CONFIRMED_OUTAGE_MS + timers.now() - electedMs)) {
+      term.notePredecessorActiveUntil(Math.max(electedMs, earlierActiveUntilMs))
+    }
+    if (haveMostReached(CONFIRMED_OUTAGE_MS)) term.notePredecessorStopped(Math.max(timers.now(), earlierActiveUntilMs))
   }
 
   /** True when no device cuts off the failure domain of `leader`: it is the own one, or a member or a worker in it answers. */
@@ -381,10 +426,19 @@
 
   private _leaderChanged (leader: Leader | undefined): void {
     if (this._knownLeader && this._knownLeader.epoch !== leader?.epoch) this._previousLeader = this._knownLeader
-    if (leader) this._knownLeader = leader
+    if (leader) {
+      this._knownLeader = leader
+      this._noteLeaderSeen(leader, this._options.timers.now())
+    }
     if (leader && this._term && leader.epoch > this._termEpoch) this._endTerm(`${leader.vm} was elected with epoch ${leader.epoch}`)
   }
 
+  private _noteLeaderSeen ({ epoch }: Leader, seenMs: number): void {
+    this._leaderSeenMs.set(epoch, Math.min(seenMs, this._leaderSeenMs.get(epoch) ?? Number.POSITIVE_INFINITY))
+    const [oldest] = this._leaderSeenMs.keys()
+    if (this._leaderSeenMs.size > MAX_SEEN_LEADERS) this._leaderSeenMs.delete(oldest)
+  }
+
   private _endTerm (reason: string): void {
     if (!this._term) return
     this._options.log.event('info', 'term.ended', { epoch: this._termEpoch, reason })
@@ -403,7 +457,7 @@
   }
 
   private _handlers (): PeerHandlers {
-    const { eligibility, log } = this._options
+    const { eligibility, log, timers } = this._options
     return {
       ...this._configurationPeers?.handlers,
       workflowStored: async ({ workflow, revision }) => {
@@ -422,7 +476,11 @@
       },
       releaseLeadership: async ({ epoch }) => ({ outcome: await this._session.releaseForPeer(epoch) }),
       leaseEnds: async () => ({ leases: this._session.leaseEnds.list() }),
-      reachesStore: async () => ({ reaches: this._session.connected, forMs: this._session.connectedForMs }),
+      reachesStore: async ({ leaderEpoch }) => ({
+        reaches: this._session.connected,
+        forMs: this._session.connectedForMs,
+        leaderKnownForMs: timers.now() - (this._leaderSeenMs.get(leaderEpoch ?? 0) ?? timers.now())
+      }),
       queueDepths: async () => ({ waiting: this._term?.queueDepths() ?? null }),
       storeWorkflow: async ({ workflow }) => ({ outcome: await this.service.storeDirectly(workflow) }),
       storeCancellation: async ({ id }) => ({ outcome: await this.service.cancelForPeer(id) }),
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -399,10 +399,10 @@
     this._scheduleDispatch()
   }
 
-  /** Called when the earlier scheduler can start no more work. It may still extend leases. */
-  notePredecessorStopped (): void {
+  /** Called when the earlier scheduler can start no more work from `atMs` on. It may still extend leases. */
+  notePredecessorStopped (atMs: number): void {
     this._options.log.event('info', 'term.predecessor.stopped', { epoch: this._options.epoch })
-    this._dispatcher.notePredecessorEnded()
+    this._dispatcher.notePredecessorActiveUntil(atMs)
     this._scheduleDispatch()
   }
 
