A loss that is never stored delays no extension of a lease

Cause: a loss was taken to be in the store from when its write was queued. With the store away, a worker that had been silent for 3 s could not be extended before the store came back, and its runs lapsed; and a worker that had answered again was held in a long poll of 2 s while its loss was being removed.

Change: no write of the record begins while the store does not answer; such a write times out after 500 ms; while its lease may not be extended, a worker is asked again within 250 ms.

--- a/packages/pomelofold/src/workflows/leaseEndRecorder.ts
+++ b/packages/pomelofold/src/workflows/leaseEndRecorder.ts
@@ -39,6 +39,8 @@
   timers: Timers
   log: EventLog
   view: LeaseEndView
+  /** True while the store answers. A loss that ends before it can be stored delays no extension. */
+  isStoreReachable: () => boolean
   /** Called with the revision of each write. */
   onWritten: (revision: number) => void
   /** Called when another scheduler has taken over. */
@@ -168,10 +170,14 @@
   }
 
   private async _writeUntilClean (): Promise<void> {
-    const { committer, timers, log, epoch, onWritten, onFenced } = this._options
+    const { committer, timers, log, epoch, isStoreReachable, onWritten, onFenced } = this._options
     while (this._dirty && !this._closed) {
       // Losses of one turn of the event loop go into one record.
       await Promise.resolve()
+      if (!isStoreReachable()) {
+        await delay(timers, RETRY_MS)
+        continue
+      }
       this._dirty = false
       const workers = [...this._losses.keys()]
       for (const worker of workers) this._stored?.add(worker)
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -53,6 +53,8 @@
 const MAX_TXN_ENTRIES = 32
 /** Minimum time between two writes of the ends of leases, in milliseconds: workers that are lost together are in one of them. */
 const LEASE_END_WRITE_INTERVAL_MS = 100
+/** Timeout of such a write, in milliseconds: leases of workers that answer again wait for two of them. */
+const LEASE_END_WRITE_TIMEOUT_MS = 500
 /** Period of placement attempts without an event, in milliseconds: tickets expire and occurrences become due without one. */
 const DISPATCH_PERIOD_MS = 100
 /** Period at which ended workflows past their retention time are deleted, in milliseconds. */
@@ -85,6 +87,8 @@
   config: () => CellConfig | undefined
   /** Ends of the leases of lost workers, as this daemon has counted them so far. */
   leaseEnds: LeaseEndView
+  /** True while the store answers this daemon. */
+  isStoreReachable: () => boolean
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
   predecessorActiveUntilMs: number
   /** Store revision from which on workflows cannot have been started by the earlier scheduler; infinite while it is not known. */
@@ -158,12 +162,13 @@
     this._pacer = new DispatchPacer({ timers })
     this._meter = new WorkMeter({ timers, log })
     const fence = (): Guard => ({ key: LEADER_KEY, modRevision: epoch })
+    const timeout = { timeoutMs: LEASE_END_WRITE_TIMEOUT_MS }
     this._leaseEnds = new LeaseEndRecorder({
       epoch,
       platform,
       committer: new GroupCommitter({
         timers,
-        platform,
+        platform: { get: key => platform.get(key, timeout), txn: (guards, changes) => platform.txn(guards, changes, timeout) },
         random,
         writer: 'lease-ends',
         minIntervalMs: LEASE_END_WRITE_INTERVAL_MS,
@@ -174,6 +179,7 @@
       timers,
       log,
       view: options.leaseEnds,
+      isStoreReachable: options.isStoreReachable,
       onWritten: revision => this._fleet.noteGuardedWrite(revision),
       onFenced
     })
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -294,7 +294,9 @@
     const { client, epoch, timers, listener, longPollPolicy, log } = this._options
     const untilMs = this.extendable ? this.nextLeaseEndMs() : undefined
     if (untilMs !== undefined) this.noteLeaseSent(untilMs)
-    const longestMs = this._pacesRuns ? PACED_WAIT_MS : longPollPolicy.waitMs
+    const usualMs = this._pacesRuns ? PACED_WAIT_MS : longPollPolicy.waitMs
+    // The lease has to be extended as soon as that is allowed again.
+    const longestMs = this.extendable ? usualMs : PROBE_PERIOD_MS
     const wait = mayWait && this.reachable && !this.skipNextWait ? longestMs : 0
     this.skipNextWait = false
     const requestSentMs = timers.now()
