--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -111,8 +111,8 @@
   private _releasing = false
   /** True from the beginning of a hand-over on: the daemon starts no more tasks. */
   private _handingOver = false
-  /** Time at which the authority to start work ended; undefined while it lasts. */
-  private _authorityLostMs: number | undefined
+  /** Time at which the authority to start work ends, as it was last known, in milliseconds of the monotonic clock. */
+  private _authorityEndMs = Number.NEGATIVE_INFINITY
   /** The newest known leader, and the leader before it. */
   private _knownLeader: Leader | undefined
   private _previousLeader: Leader | undefined
@@ -222,7 +222,7 @@
     const earlierActiveUntilMs = this._earlierActiveUntilMs(election)
     const predecessorActiveUntilMs = Math.max(nowMs + (replacedRunning ? SESSION_TTL_MS : CONFIRMED_OUTAGE_MS), earlierActiveUntilMs)
     const mayStartNewWork = replacedRunning || earlierActiveUntilMs > nowMs
-    this._authorityLostMs = undefined
+    this._authorityEndMs = nowMs
     this._termEpoch = leader.epoch
     this._term = new SchedulerTerm({
       epoch: leader.epoch,
@@ -417,12 +417,14 @@
    */
   private _mayExtend (epoch: number): boolean {
     const nowMs = this._options.timers.now()
-    if (this._session.leadershipRemainingMs(epoch) > 0) {
-      this._authorityLostMs = undefined
+    const remainingMs = this._session.leadershipRemainingMs(epoch)
+    if (remainingMs > 0) {
+      this._authorityEndMs = nowMs + remainingMs
       return true
     }
-    this._authorityLostMs ??= nowMs
-    return nowMs - this._authorityLostMs < EXTENSION_AFTER_LOSS_MS
+    // The loss may be noticed long after it, by a process that was suspended.
+    const lostForMs = remainingMs < 0 ? -remainingMs : nowMs - this._authorityEndMs
+    return lostForMs < EXTENSION_AFTER_LOSS_MS
   }
 
   private _leaderChanged (leader: Leader | undefined): void {
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -292,7 +292,7 @@
    */
   private async _extendLease ({ mayWait }: { mayWait: boolean }): Promise<HandledReport | undefined> {
     const { client, epoch, timers, listener, longPollPolicy, log } = this._options
-    const untilMs = this.extendable ? this.nextLeaseEndMs() : undefined
+    const untilMs = this.extendable && listener.mayExtend() ? this.nextLeaseEndMs() : undefined
     if (untilMs !== undefined) this.noteLeaseSent(untilMs)
     const usualMs = this._pacesRuns ? PACED_WAIT_MS : longPollPolicy.waitMs
     // The lease has to be extended as soon as that is allowed again.
