Logs and metrics of the wait after a change of leader

Cause: a new leader said neither by what evidence the earlier one counts as stopped or ended, nor that calls to it or through peers fail; how long long-running tasks are down was in no metric.

term.predecessor.stopped and ended tell the evidence and the members that reached the store, term.predecessor.unconfirmed that there are too few, and term.predecessor.unreachable the first call to the earlier leader that failed. eligibility.peer.failed and regained bound a row of failed calls through a peer. Figures awaitedWorkers and longRunningDownMs at the leader, and a histogram pomelofold_long_running_down_ms. No decision changes.

--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -73,6 +73,8 @@
   config: () => CellConfig | undefined
   /** The same configuration with its proof, for which peers are asked. Absent when callers need no keys. */
   configuration?: ActiveConfiguration
+  /** Called with the time for which a long-running task was down, in milliseconds, when it is started. */
+  onLongRunningRestart?: (downMs: number) => void
 }
 
 /** Values for the metrics of a daemon. */
@@ -118,6 +120,8 @@
   private _previousLeader: Leader | undefined
   /** Times at which this daemon or a peer first saw a leader, by epoch, in milliseconds of the monotonic clock. */
   private readonly _leaderSeenMs = new Map<number, number>()
+  /** Number of failed eligibility calls in a row through each peer, in this term. */
+  private readonly _failedQueries = new Map<string, number>()
 
   constructor (options: WorkflowDaemonOptions) {
     this._options = options
@@ -213,7 +217,7 @@
   /** Starts a scheduler term after this daemon's election. */
   private _startTerm (leader: Leader): void {
     this._endTerm('this daemon was elected again')
-    const { platform, directory, workers, timers, random, log, timeLimits, config, vm } = this._options
+    const { platform, directory, workers, timers, random, log, timeLimits, config, vm, onLongRunningRestart } = this._options
     const nowMs = timers.now()
     const predecessor = this._previousLeader
     this._previousLeader = undefined
@@ -223,6 +227,7 @@
     const predecessorActiveUntilMs = Math.max(nowMs + (replacedRunning ? SESSION_TTL_MS : CONFIRMED_OUTAGE_MS), earlierActiveUntilMs)
     const mayStartNewWork = replacedRunning || earlierActiveUntilMs > nowMs
     this._authorityLostMs = undefined
+    this._failedQueries.clear()
     this._termEpoch = leader.epoch
     this._term = new SchedulerTerm({
       epoch: leader.epoch,
@@ -243,7 +248,8 @@
       mayExtend: () => this._mayExtend(leader.epoch),
       queryEligibility: (daemon, step, names, timeoutMs) => this._queryEligibility(daemon, step, names, timeoutMs),
       eligibilityDaemons: () => [vm, ...this._session.presentMembers.filter(member => member !== vm)],
-      onTakeover: reason => { if (this._termEpoch === leader.epoch) this._endTerm(reason) }
+      onTakeover: reason => { if (this._termEpoch === leader.epoch) this._endTerm(reason) },
+      onLongRunningRestart
     })
     this._term.start()
     if (predecessor) this._retirePredecessor(this._term, predecessor, election)
@@ -264,14 +270,20 @@
 
   /** Asks the earlier scheduler to stop, until it has stopped or its process is known to have ended. */
   private async _retirePredecessor (term: SchedulerTerm, predecessor: Leader, election: Election): Promise<void> {
-    const { timers, vm } = this._options
+    const { timers, vm, log } = this._options
     const { epoch } = election.leader
     const hasEnded = (): boolean => predecessor.vm === vm ||
       this._session.members.get(predecessor.vm)?.incarnation !== predecessor.incarnation
+    let retired = false
+    let failures = 0
     while (!term.closed) {
       if (hasEnded()) break
       const answer = await this._transport.call(predecessor.vm, 'retireScheduler', { epoch }, RETIRE_TIMEOUT_MS)
-      if (answer.isOk && answer.value.retired) break
+      retired = answer.isOk && answer.value.retired
+      if (retired) break
+      if (answer.isErr && failures++ === 0) {
+        log.event('warn', 'term.predecessor.unreachable', { epoch, peer: predecessor.vm, detail: answer.error.message })
+      }
       await delay(timers, RETIRE_TIMEOUT_MS)
     }
     // The leaders before it may extend leases for some time after their authority has ended.
@@ -279,7 +291,8 @@
       await delay(timers, RETIRE_TIMEOUT_MS)
     }
     if (term.closed) return
-    term.notePredecessorEnded()
+    const evidence = retired ? 'it has retired' : 'its VM has no such process any more'
+    term.notePredecessorEnded({ peer: predecessor.vm, evidence, failures })
     await this._noteStoreRevision(term)
   }
 
@@ -323,8 +336,9 @@
    * of its failure domain that answers shows that no device between the domains refused it.
    */
   private async _checkPredecessor (term: SchedulerTerm, election: Election): Promise<void> {
-    const { vm, timers } = this._options
+    const { vm, timers, log } = this._options
     const { leader, predecessor, replacedRunning, electedMs } = election
+    const { epoch } = leader
     const others = [...this._session.members].filter(([member]) => member !== vm)
     const ask = async (): Promise<Array<Result<StoreReachability, CallError>>> => {
       const params = { leaderEpoch: predecessor?.epoch }
@@ -340,22 +354,32 @@
       const own = answers[others.findIndex(([member]) => member === predecessor.vm)]
       const reached = others.filter((_, index) => answers[index].isOk).map(([, other]) => other.failureDomain)
       if (own?.isErr && isConnectionRefused(own.error) && this._reachesDomainOf(predecessor, { reached, term })) break
-      if (timers.now() - electedMs > SESSION_TTL_MS) return
+      if (timers.now() - electedMs > SESSION_TTL_MS) {
+        log.event('info', 'term.predecessor.unconfirmed', { epoch, evidence: 'its lease has ended' })
+        return
+      }
       await delay(timers, RETIRE_TIMEOUT_MS)
       answers = await ask()
     }
     if (term.closed) return
     const earlierActiveUntilMs = this._earlierActiveUntilMs(election)
-    if (earlierActiveUntilMs <= electedMs) term.noteNewFromRevision(leader.epoch)
+    if (earlierActiveUntilMs <= electedMs) term.noteNewFromRevision(epoch)
     term.notePredecessorActiveUntil(Math.max(electedMs + CONFIRMED_OUTAGE_MS, earlierActiveUntilMs))
     const connectedForMs = [this._session.connectedForMs, ...answers.map(answer => answer.isOk ? answer.value.forMs : 0)]
-    const haveMostReached = (forMs: number): boolean =>
-      connectedForMs.filter(ms => ms >= forMs).length >= STORE_QUORUM_SHARE * connectedForMs.length
+    const countReached = (forMs: number): number => connectedForMs.filter(ms => ms >= forMs).length
+    const haveMostReached = (forMs: number): boolean => countReached(forMs) >= STORE_QUORUM_SHARE * connectedForMs.length
     // A lease that had ended before the election was the only authority left if no outage was confirmed up to then.
-    if (!replacedRunning && haveMostReached(CONFIRMED_OUTAGE_MS + timers.now() - electedMs)) {
-      term.notePredecessorActiveUntil(Math.max(electedMs, earlierActiveUntilMs))
+    const beforeElection = !replacedRunning && haveMostReached(CONFIRMED_OUTAGE_MS + timers.now() - electedMs)
+    if (beforeElection) term.notePredecessorActiveUntil(Math.max(electedMs, earlierActiveUntilMs))
+    const evidence = {
+      evidence: replacedRunning ? 'its process refuses connections, and its failure domain is reached' : 'its entry had gone',
+      beforeElection,
+      connected: countReached(CONFIRMED_OUTAGE_MS),
+      members: connectedForMs.length,
+      earlierActiveMs: Math.max(0, Math.round(earlierActiveUntilMs - timers.now()))
     }
-    if (haveMostReached(CONFIRMED_OUTAGE_MS)) term.notePredecessorStopped(Math.max(timers.now(), earlierActiveUntilMs))
+    if (haveMostReached(CONFIRMED_OUTAGE_MS)) term.notePredecessorStopped(Math.max(timers.now(), earlierActiveUntilMs), evidence)
+    else log.event('info', 'term.predecessor.unconfirmed', { epoch, ...evidence })
   }
 
   /** True when no device cuts off the failure domain of `leader`: it is the own one, or a member or a worker in it answers. */
@@ -453,9 +477,22 @@
     const { vm, eligibility } = this._options
     if (daemon === vm) return (await eligibility.query(step, workers, timeoutMs)).unwrapOr(undefined)
     const answer = await this._transport.call(daemon, 'askEligibility', { step, workers, timeoutMs }, timeoutMs + PEER_MARGIN_MS)
+    this._noteQuery(daemon, answer.isErr ? answer.error : undefined)
     return answer.isOk ? answer.value.answer ?? undefined : undefined
   }
 
+  /** Logs the first of the eligibility calls in a row that fail on the way to or from a peer, and the end of such a row. */
+  private _noteQuery (peer: string, error: CallError | undefined): void {
+    const { log } = this._options
+    const failures = this._failedQueries.get(peer) ?? 0
+    if (error) {
+      this._failedQueries.set(peer, failures + 1)
+      if (failures === 0) log.event('warn', 'eligibility.peer.failed', { peer, detail: error.message })
+    } else if (this._failedQueries.delete(peer)) {
+      log.event('info', 'eligibility.peer.regained', { peer, failures })
+    }
+  }
+
   private _handlers (): PeerHandlers {
     const { eligibility, log, timers } = this._options
     return {
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -16,6 +16,7 @@
 import { LEADER_KEY } from './keys.js'
 import { LeaseEndRecorder } from './leaseEndRecorder.js'
 import type { LeaseEndView } from './leaseEndView.js'
+import { LongRunningDowntime } from './longRunningDowntime.js'
 import { ProgressRecorder } from './progressRecorder.js'
 import { RunTracker, type RunCounts } from './runTracker.js'
 import { WaitReporter, type WaitCause } from './waitReporter.js'
@@ -41,7 +42,7 @@
 import type { CapFigures } from '../teams/teamCaps.js'
 import { TeamShares, type TeamShare } from '../teams/teamShares.js'
 import { TeamUsage } from '../teams/teamUsage.js'
-import type { EventLog } from '../utils/eventLog.js'
+import type { EventFields, EventLog } from '../utils/eventLog.js'
 
 /** Minimum time between the starts of two writes of a committer, in milliseconds: limits each committer to 25 writes a second. */
 const WRITE_INTERVAL_MS = 40
@@ -98,6 +99,8 @@
   eligibilityDaemons: () => string[]
   /** Called once when another scheduler has taken over. */
   onTakeover: (reason: string) => void
+  /** Called with the time for which a long-running task was down, in milliseconds, when it is started. */
+  onLongRunningRestart?: (downMs: number) => void
 }
 
 /** Metrics of a term. */
@@ -107,6 +110,10 @@
   workers: number
   reachableWorkers: number
   runs: number
+  /** Number of workers of an earlier scheduler that have neither answered nor lapsed, and for which tasks wait. */
+  awaitedWorkers: number
+  /** Longest time for which a long-running task has been down, in milliseconds. */
+  longRunningDownMs: number
   /** Number of steps that have waited longer than their queue's objective, by cause, in the last second. */
   waitingSteps: Partial<Record<WaitCause, number>>
   /** Counts and times by kind of work; see {@link WorkMeter}. */
@@ -135,6 +142,7 @@
   private readonly _eligibility: EligibilityCache
   private readonly _dispatcher: Dispatcher
   private readonly _waits: WaitReporter
+  private readonly _downtime: LongRunningDowntime
   private readonly _shares: TeamShares
   private readonly _backlogs: TeamBacklogs
   private readonly _budget: SubmissionBudget
@@ -256,6 +264,9 @@
       isBeyond: workflow => this._budget.isBeyond(workflow),
       isExhausted: team => this._budget.isExhausted(team)
     })
+    this._downtime = new LongRunningDowntime({
+      epoch, timers, open: () => this._registry.open, onRestart: downMs => options.onLongRunningRestart?.(downMs)
+    })
     this._dispatcher = new Dispatcher({
       epoch,
       term: options.term,
@@ -275,7 +286,10 @@
       predecessorActiveUntilMs,
       newFromRevision: options.newFromRevision,
       log,
-      start: (task, worker, attempt, ticket) => this._runTracker.start(task, worker, { attempt, ticket })
+      start: (task, worker, attempt, ticket) => {
+        this._downtime.noteStart(task)
+        this._runTracker.start(task, worker, { attempt, ticket })
+      }
     })
     this._runTracker = new RunTracker({
       epoch,
@@ -399,16 +413,16 @@
     this._scheduleDispatch()
   }
 
-  /** Called when the earlier scheduler can start no more work from `atMs` on. It may still extend leases. */
-  notePredecessorStopped (atMs: number): void {
-    this._options.log.event('info', 'term.predecessor.stopped', { epoch: this._options.epoch })
+  /** Called when the earlier scheduler can start no more work from `atMs` on, with the evidence for the log. It may still extend leases. */
+  notePredecessorStopped (atMs: number, evidence: EventFields): void {
+    this._options.log.event('info', 'term.predecessor.stopped', { epoch: this._options.epoch, ...evidence })
     this._dispatcher.notePredecessorActiveUntil(atMs)
     this._scheduleDispatch()
   }
 
-  /** Called when the earlier scheduler has stopped sending orders to workers. */
-  notePredecessorEnded (): void {
-    this._options.log.event('info', 'term.predecessor.ended', { epoch: this._options.epoch })
+  /** Called when the earlier scheduler has stopped sending orders to workers, with the evidence for the log. */
+  notePredecessorEnded (evidence: EventFields): void {
+    this._options.log.event('info', 'term.predecessor.ended', { epoch: this._options.epoch, ...evidence })
     this._dispatcher.notePredecessorEnded()
     this._fleet.notePredecessorEnded()
   }
@@ -422,6 +436,8 @@
       workers: sessions.length,
       reachableWorkers: sessions.filter(session => session.reachable).length,
       runs: sessions.reduce((sum, session) => sum + session.runs.size, 0),
+      awaitedWorkers: this._fleet.awaitedWorkers?.workers ?? 0,
+      longRunningDownMs: this._downtime.longestMs,
       waitingSteps: this._waits.counts,
       work: this._meter.figures,
       ...this._options.config()?.teams && {
--- a/tests/platform/metrics.test.ts
+++ b/tests/platform/metrics.test.ts
@@ -79,6 +79,16 @@
   t.match(await metricsText(new PlatformMetrics(), { configProofAgeMs: Infinity }), 'pomelofold_figure{name="configProofAgeMs"} +Inf')
 })
 
+t.test('the times for which long-running tasks were down are counted in a histogram', async t => {
+  const metrics = new PlatformMetrics()
+  metrics.observeLongRunningRestart(2_400)
+  metrics.observeLongRunningRestart(11_000)
+  const text = await metricsText(metrics)
+  t.match(text, 'pomelofold_long_running_down_ms_bucket{le="2000"} 0')
+  t.match(text, 'pomelofold_long_running_down_ms_bucket{le="3000"} 1')
+  t.match(text, 'pomelofold_long_running_down_ms_count 2')
+})
+
 t.test('the pages for operators name only metrics that the program has', async t => {
   const names = new Set([...(await metricsText(new PlatformMetrics())).matchAll(/^# TYPE (\S+)/gm)].map(([, name]) => name))
   const documented = [readPage('docs/OPERATIONS.md'), readPage('docs/operators/monitoring.md').split('## On the platform')[1]]
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -68,6 +68,8 @@
   readonly daemons: TestDaemon[] = []
   /** Events of all daemons. */
   readonly events: Array<{ vm: string, atMs: number, name: string, fields: EventFields }> = []
+  /** Times for which long-running tasks were down until a start, in milliseconds, as the schedulers measured them. */
+  readonly downtimesMs: number[] = []
   readonly config: CellConfig
   /** Entries that another writer has added to the directory. */
   readonly otherEntries: WorkerEntry[] = []
@@ -148,7 +150,8 @@
       log,
       timeLimits: { maxLeaseMs: MAX_LEASE_MS, retentionMs: 120_000 },
       config: () => this.config,
-      configuration: this._newConfiguration?.(process, log)
+      configuration: this._newConfiguration?.(process, log),
+      onLongRunningRestart: downMs => { this.downtimesMs.push(downMs) }
     })
     const entry = { vm, daemon, platform, client, process }
     const kill = process.kill.bind(process)
