--- a/packages/pomelofold/src/workflows/runHost.ts
+++ b/packages/pomelofold/src/workflows/runHost.ts
@@ -11,6 +11,8 @@
   /** Unique name of the incarnation: the worker's id and start time. */
   readonly incarnation: string
   readonly entry: WorkerEntry
+  /** True when a later incarnation with the same id is known: orders to this incarnation may reach it. */
+  readonly restarted: boolean
   /** Fencing token of calls to the worker: it refuses those with a lower one than it has seen. */
   readonly token: number
   /** True when no further calls are made to this incarnation. */
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -143,7 +143,7 @@
       task, name: task.name, attempt, session: worker, size: reservedRoom(task.step), state: RUN_STATES.starting, adopted: false
     })
     task.attempt = attempt
-    task.seenInTerm = true
+    task.startedInTerm = true
     this._startCount++
     log.event('info', 'run.start', {
       task: task.name,
@@ -200,8 +200,6 @@
       })
     }
     for (const run of [...session.runs.values()]) {
-      // The next incarnation may carry out tries of the earlier scheduler's start.
-      if (session.restarted && run.adopted && run.task) run.task.seenInTerm = false
       this._lateStarts.noteUnconfirmed(run)
       this._handleLost(run, reason)
     }
@@ -381,7 +379,7 @@
   private _noteSeen (session: WorkerSession, { task: name, attempt }: ListedRun, requestSentMs: number): void {
     const run = session.runs.get(runIdOf(name, attempt))
     if (!run?.task || run.task.run !== run || session.mayRunLateStarts) return
-    if (this._options.predecessorHadStopped(requestSentMs)) run.task.seenInTerm = true
+    if (this._options.predecessorHadStopped(requestSentMs)) run.task.seenOn = session
   }
 
   /** Counts a run that a worker lists although none was expected there. Returns how it had been released. */
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -40,11 +40,10 @@
   notBeforeMs: number
   /** Time at which the last run of the task ended, in milliseconds of the monotonic clock; undefined before the first run. */
   waitingSinceMs: number | undefined
-  /**
-   * True when its last run was started or seen in progress in this term, after the earlier scheduler had stopped: no run that
-   * the earlier scheduler has started goes on elsewhere.
-   */
-  seenInTerm: boolean
+  /** True when it was started in this term: no run that an earlier scheduler has started goes on. */
+  startedInTerm: boolean
+  /** Worker that has listed its run as running after the earlier scheduler had stopped: that has started no other. Undefined for none. */
+  seenOn: RunHost | undefined
   /** Number of its earlier starts that another incarnation of their worker may still carry out. The task waits for them. */
   heldStarts: number
   /** Earlier runs that continue in parallel with the current one. */
@@ -146,7 +145,8 @@
       checkpoint: '',
       notBeforeMs: 0,
       waitingSinceMs: undefined,
-      seenInTerm: false,
+      startedInTerm: false,
+      seenOn: undefined,
       heldStarts: 0,
       supersededRuns: [],
       avoid: undefined,
@@ -209,8 +209,10 @@
 
   /** The members of a gang start together, so all of them must have been seen. */
   private get _isSeen (): (task: Task) => boolean {
-    if (!this.spec.gang) return task => task.seenInTerm
-    const areAllSeen = this.tasks.every(({ seenInTerm }) => seenInTerm)
+    // The next incarnation of a worker may carry out a late try of the start.
+    const isSeen = ({ startedInTerm, seenOn }: Task): boolean => startedInTerm || (seenOn !== undefined && !seenOn.restarted)
+    if (!this.spec.gang) return isSeen
+    const areAllSeen = this.tasks.every(isSeen)
     return () => areAllSeen
   }
 
