--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -219,7 +219,8 @@
     this._endTerm('this daemon was elected again')
     const { platform, directory, workers, timers, random, log, timeLimits, config, vm, onLongRunningRestart } = this._options
     const nowMs = timers.now()
-    const predecessor = this._previousLeader
+    // A leader between the two may have come and gone unseen.
+    const predecessor = this._previousLeader?.term === leader.term - 1 ? this._previousLeader : undefined
     this._previousLeader = undefined
     const replacedRunning = predecessor !== undefined && this._session.replacedRunningLeader
     const election: Election = { leader, predecessor, replacedRunning, electedMs: nowMs }
