--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -243,6 +243,7 @@
       config,
       leaseEnds: this._session.leaseEnds,
       isStoreReachable: () => this._session.connected,
+      trustsLeaseEnds: this._session.predecessorKeptLeaseEnds,
       // The earlier scheduler stops when its lease ends, or when nobody confirms an outage of the store to it any more.
       predecessorActiveUntilMs,
       newFromRevision: mayStartNewWork ? Number.POSITIVE_INFINITY : leader.epoch,
--- a/packages/pomelofold/src/workflows/cellSession.ts
+++ b/packages/pomelofold/src/workflows/cellSession.ts
@@ -58,7 +58,12 @@
 })
 
 /** Number of the last term and size of the VM that led in it. The size is infinite when there was no term yet. */
-const termSchema = z.object({ term: z.number().int().default(0), size: z.number().default(Number.POSITIVE_INFINITY) })
+const termSchema = z.object({
+  term: z.number().int().default(0),
+  size: z.number().default(Number.POSITIVE_INFINITY),
+  /** False for a leader of a version that extends leases without regard to the record of their ends. */
+  keepsLeaseEnds: z.boolean().default(false)
+})
 
 const leaderSchema = z.object({ vm: z.string(), incarnation: z.string(), term: z.number().int() })
 
@@ -104,6 +109,8 @@
   private _leaderConfirmedMs = Number.NEGATIVE_INFINITY
   /** True when this daemon's last campaign replaced the entry of a leader on another VM, whose lease may last. */
   private _replacedRunningLeader = false
+  /** True when the leader before this daemon's last campaign kept the record of the ends of leases. */
+  private _predecessorKeptLeaseEnds = false
   /** Epoch of the leader whose address last refused a connection, and the time of the refusal. */
   private _lastRefusal = { epoch: 0, atMs: Number.NEGATIVE_INFINITY }
   private _resigning = false
@@ -165,6 +172,11 @@
     return this._replacedRunningLeader
   }
 
+  /** True when the leader before this daemon's last campaign removed the end of a lease from the record before it extended the lease. */
+  get predecessorKeptLeaseEnds (): boolean {
+    return this._predecessorKeptLeaseEnds
+  }
+
   /**
    * Time for which this daemon may still start work under `epoch`, in milliseconds; zero or less when it may not.
    * It is the rest of its lease, and at most `SESSION_TTL_MS` from the last confirmation that it leads; or the rest of
@@ -444,11 +456,13 @@
     this._campaigning = true
     this._replacedRunningLeader = predecessor !== undefined && predecessor.vm !== vm
     this._leaderConfirmedMs = timers.now()
-    const term = Math.max(predecessor?.term ?? 0, this._lastElection.term) + 1
+    const { term: lastTerm, keepsLeaseEnds } = this._lastElection
+    this._predecessorKeptLeaseEnds = keepsLeaseEnds
+    const term = Math.max(predecessor?.term ?? 0, lastTerm) + 1
     const value = JSON.stringify({ vm, incarnation: self.incarnation, term })
     const changes = [
       { op: 'put' as const, key: LEADER_KEY, value, leaseId: this._leaseId },
-      { op: 'put' as const, key: TERM_KEY, value: JSON.stringify({ term, size: self.size }) }
+      { op: 'put' as const, key: TERM_KEY, value: JSON.stringify({ term, size: self.size, keepsLeaseEnds: true }) }
     ]
     const guards = [
       { key: LEADER_KEY, modRevision: current?.modRevision ?? 0 },
--- a/packages/pomelofold/src/workflows/leaseEndRecorder.ts
+++ b/packages/pomelofold/src/workflows/leaseEndRecorder.ts
@@ -39,6 +39,8 @@
   timers: Timers
   log: EventLog
   view: LeaseEndView
+  /** False when the leader before may have extended leases in the record without removing them from it. */
+  isRecordKept: boolean
   /** True while the store answers. A loss that ends before it can be stored delays no extension. */
   isStoreReachable: () => boolean
   /** Called with the revision of each write. */
@@ -75,7 +77,7 @@
 
   /** Reads the record of the earlier scheduler, which cannot write it any more. False when it could not be read. */
   async load (): Promise<boolean> {
-    const { platform, log, view, epoch } = this._options
+    const { platform, log, view, epoch, isRecordKept } = this._options
     const read = await platform.get(LEASE_ENDS_KEY, { timeoutMs: READ_TIMEOUT_MS })
     if (this._closed) return false
     if (read.isErr) {
@@ -84,11 +86,12 @@
     }
     const record = view.apply(read.value?.value)
     this._loaded = true
-    if (record.isOk) {
+    if (record.isOk && (isRecordKept || record.value.size === 0)) {
       for (const [worker, end] of record.value) this._losses.set(worker, end)
       this._stored = new Set(this._losses.keys())
     } else {
-      log.event('error', 'leaseEnds.unreadable', { epoch, revision: read.value?.modRevision, detail: record.error })
+      const detail = record.isErr ? record.error : 'the leader before did not keep it'
+      log.event('error', 'leaseEnds.unusable', { epoch, revision: read.value?.modRevision, detail })
       this._write()
     }
     this.loaded.resolve()
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -88,6 +88,8 @@
   config: () => CellConfig | undefined
   /** Ends of the leases of lost workers, as this daemon has counted them so far. */
   leaseEnds: LeaseEndView
+  /** False when the leader before may have extended leases in the record without removing them from it. */
+  trustsLeaseEnds: boolean
   /** True while the store answers this daemon. */
   isStoreReachable: () => boolean
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
@@ -188,6 +190,7 @@
       log,
       view: options.leaseEnds,
       isStoreReachable: options.isStoreReachable,
+      isRecordKept: options.trustsLeaseEnds,
       onWritten: revision => this._fleet.noteGuardedWrite(revision),
       onFenced
     })
--- a/tests/workflows/outlastingLeases.test.ts
+++ b/tests/workflows/outlastingLeases.test.ts
@@ -7,6 +7,7 @@
 
 import t, { type Test } from 'tap'
 import type { LeasedWorker, RunRecord } from '@pomelofold/standins/leasedWorker'
+import { LEASE_ENDS_KEY, TERM_KEY } from 'pomelofold/workflows/keys'
 import { runViolations } from './runViolations.js'
 import {
   cellWithService, cutFromOthers, injectRecordFaults, loseWorker, regainWorker, replaceLeader, workerOf, type RecordFaults, type ServiceCell
@@ -185,6 +186,27 @@
   }
 })
 
+// Guards against a recorded end that a leader of a version without the record has left while it extended the lease (TWICE).
+t.test('the record of ends of leases is not used after a leader that did not keep it', async t => {
+  const service = await cellWithService()
+  const { cell, worker } = service
+  await loseWorker(cell, worker)
+  const record = cell.store.get(LEASE_ENDS_KEY)!.value
+  await regainWorker(cell, worker)
+  await cell.timers.advance(8_000)
+  const { term, size } = JSON.parse(cell.store.get(TERM_KEY)!.value)
+  cell.store.txn([], [
+    { op: 'put', key: TERM_KEY, value: JSON.stringify({ term, size }) },
+    { op: 'put', key: LEASE_ENDS_KEY, value: record }
+  ])
+  cutFromOthers(cell, worker, cell.leader!)
+  await replaceLeader(cell, 'silent')
+  await cell.timers.advance(14_000)
+  const [first, second] = cell.runsOf(service.tasks[0])
+  t.same(cell.violations(), [])
+  t.ok(first.endMs >= worker.leaseEndMs && second.startMs >= worker.leaseEndMs, 'the next run began once the lease had ended')
+})
+
 /** Starts daemons in five failure domains. With `hideOthers` only the first worker is there. */
 function prepareDomains (cell: WorkflowCell, { hideOthers }: { hideOthers: boolean }): void {
   for (const domain of ['a', 'b', 'c', 'd', 'e']) cell.startDaemon(`${domain}1`, { failureDomain: domain })
