--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -11,7 +11,6 @@
 import { LEADER_KEY } from '../workflows/keys.js'
 import { PeerReachability } from '../workflows/peerReachability.js'
 import { SchedulerTerm, type SchedulerTimeLimits, type TermFigures } from '../workflows/schedulerTerm.js'
-import { EXTENSION_AFTER_LOSS_MS } from '../workflows/workerFleet.js'
 import { WorkflowService } from '../workflows/workflowService.js'
 import { WorkflowStore } from '../workflows/workflowStore.js'
 import type { PeerMethods } from '../protocol/peerMessages.js'
@@ -34,6 +33,8 @@
 const RETIRE_TIMEOUT_MS = 250
 /** Number of times that each peer is asked for the ends of leases: a peer may not have seen a new daemon yet. */
 const LEASE_END_TRIES = 4
+/** Time for which a leader of a version without the record of lease ends extends leases after its authority has ended, in milliseconds. */
+const LEGACY_EXTENSION_MS = 3_000
 /** Number of leaders for which the time is kept at which they were first seen. */
 const MAX_SEEN_LEADERS = 8
 /**
@@ -113,8 +114,6 @@
   private _releasing = false
   /** True from the beginning of a hand-over on: the daemon starts no more tasks. */
   private _handingOver = false
-  /** Time at which the authority to start work ends, as it was last known, in milliseconds of the monotonic clock. */
-  private _authorityEndMs = Number.NEGATIVE_INFINITY
   /** The newest known leader, and the leader before it. */
   private _knownLeader: Leader | undefined
   private _previousLeader: Leader | undefined
@@ -227,7 +226,6 @@
     const earlierActiveUntilMs = this._earlierActiveUntilMs(election)
     const predecessorActiveUntilMs = Math.max(nowMs + (replacedRunning ? SESSION_TTL_MS : CONFIRMED_OUTAGE_MS), earlierActiveUntilMs)
     const mayStartNewWork = replacedRunning || earlierActiveUntilMs > nowMs
-    this._authorityEndMs = nowMs
     this._failedQueries.clear()
     this._termEpoch = leader.epoch
     this._term = new SchedulerTerm({
@@ -246,9 +244,9 @@
       trustsLeaseEnds: this._session.predecessorKeptLeaseEnds,
       // The earlier scheduler stops when its lease ends, or when nobody confirms an outage of the store to it any more.
       predecessorActiveUntilMs,
+      predecessorExtensionMs: this._session.predecessorKeptLeaseEnds ? 0 : LEGACY_EXTENSION_MS,
       newFromRevision: mayStartNewWork ? Number.POSITIVE_INFINITY : leader.epoch,
       leadershipRemainingMs: () => this._session.leadershipRemainingMs(leader.epoch),
-      mayExtend: () => this._mayExtend(leader.epoch),
       queryEligibility: (daemon, step, names, timeoutMs) => this._queryEligibility(daemon, step, names, timeoutMs),
       eligibilityDaemons: () => [vm, ...this._session.presentMembers.filter(member => member !== vm)],
       onTakeover: reason => { if (this._termEpoch === leader.epoch) this._endTerm(reason) },
@@ -290,7 +288,7 @@
       await delay(timers, RETIRE_TIMEOUT_MS)
     }
     // The leaders before it may extend leases for some time after their authority has ended.
-    while (!term.closed && timers.now() < this._earlierActiveUntilMs(election) + EXTENSION_AFTER_LOSS_MS) {
+    while (!term.closed && timers.now() < this._earlierActiveUntilMs(election) + LEGACY_EXTENSION_MS) {
       await delay(timers, RETIRE_TIMEOUT_MS)
     }
     if (term.closed) return
@@ -437,22 +435,6 @@
     this._endTerm('leadership was given up through a peer')
   }
 
-  /**
-   * True while leases may be extended: also for `EXTENSION_AFTER_LOSS_MS` after the authority has ended, so that a
-   * short outage of the store ends no task.
-   */
-  private _mayExtend (epoch: number): boolean {
-    const nowMs = this._options.timers.now()
-    const remainingMs = this._session.leadershipRemainingMs(epoch)
-    if (remainingMs > 0) {
-      this._authorityEndMs = nowMs + remainingMs
-      return true
-    }
-    // The loss may be noticed long after it, by a process that was suspended.
-    const lostForMs = remainingMs < 0 ? -remainingMs : nowMs - this._authorityEndMs
-    return lostForMs < EXTENSION_AFTER_LOSS_MS
-  }
-
   private _leaderChanged (leader: Leader | undefined): void {
     if (this._knownLeader && this._knownLeader.epoch !== leader?.epoch) this._previousLeader = this._knownLeader
     if (leader) {
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -94,12 +94,12 @@
   isStoreReachable: () => boolean
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
   predecessorActiveUntilMs: number
+  /** Time for which the earlier scheduler may extend leases beyond that, in milliseconds. */
+  predecessorExtensionMs: number
   /** Store revision from which on workflows cannot have been started by the earlier scheduler; infinite while it is not known. */
   newFromRevision: number
   /** Time for which this daemon is guaranteed to remain the leader, in milliseconds; 0 or less when it may have lost leadership. */
   leadershipRemainingMs: () => number
-  /** True while worker leases may be extended, which continues for a short time after leadership is lost. */
-  mayExtend: () => boolean
   queryEligibility: EligibilityCall
   /** VMs of the daemons that can call the eligibility service, this one included. */
   eligibilityDaemons: () => string[]
@@ -205,6 +205,7 @@
       leaseMs: Math.min(LEASE_MS, timeLimits.maxLeaseMs),
       maxLeaseMs: timeLimits.maxLeaseMs,
       predecessorActiveUntilMs,
+      predecessorExtensionMs: options.predecessorExtensionMs,
       leaseEnds: this._leaseEnds,
       teamUsage,
       onChange: () => this._scheduleDispatch(),
@@ -465,7 +466,7 @@
   }
 
   mayExtend (): boolean {
-    return !this._closed && this._options.mayExtend()
+    return !this._closed && this._options.leadershipRemainingMs() > 0
   }
 
   onStaleEpoch (session: WorkerSession): void {
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -34,11 +34,6 @@
 const ROSTER_CLEANUP_PERIOD_MS = 1_000
 /** Consecutive readings of the directory without a worker after which it counts as unlisted. */
 const MISSING_READINGS = 2
-/**
- * Time for which a scheduler continues to extend leases after its authority has ended, in milliseconds. Together
- * with a worker's lease it is longer than most network partitions, so that these end no task.
- */
-export const EXTENSION_AFTER_LOSS_MS = 3_000
 
 const RESOURCE_NAMES = ['cpuMillis', 'memoryMb', 'accelerators'] as const
 
@@ -68,6 +63,8 @@
   maxLeaseMs: number
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
   predecessorActiveUntilMs: number
+  /** Time for which the earlier scheduler may extend leases beyond that, in milliseconds. */
+  predecessorExtensionMs: number
   /** Ends of the leases of lost workers, over changes of scheduler. */
   leaseEnds: LeaseEndRecorder
   /** Usage of the teams, to which the runs on the workers count. */
@@ -136,14 +133,15 @@
     this._inheritedWorkers.notePredecessorActiveUntil(nowMs)
   }
 
-  /** Notes that the earlier scheduler starts no tasks after `untilMs`. It may extend leases for `EXTENSION_AFTER_LOSS_MS` more. */
+  /** Notes that the earlier scheduler starts no tasks after `untilMs`. It may extend leases for `predecessorExtensionMs` more. */
   notePredecessorActiveUntil (untilMs: number): void {
     this._noteInheritedRunsEnd(this._extendedRunsEnd(untilMs))
     this._inheritedWorkers.notePredecessorActiveUntil(untilMs)
   }
 
   private _extendedRunsEnd (activeUntilMs: number): number {
-    return activeUntilMs + (EXTENSION_AFTER_LOSS_MS + this._options.leaseMs) / WORKER_CLOCK_RATE
+    const { predecessorExtensionMs, leaseMs } = this._options
+    return activeUntilMs + (predecessorExtensionMs + leaseMs) / WORKER_CLOCK_RATE
   }
 
   private _noteInheritedRunsEnd (endMs: number): void {
