--- a/tests/workflows/leaseEnds.test.ts
+++ b/tests/workflows/leaseEnds.test.ts
@@ -10,6 +10,9 @@
 /** Longest wait for a worker of which nothing is known, from the election of the first leader that it does not answer, in milliseconds. */
 const UNKNOWN_WORKER_MS = 10_500
 
+/** Time in which a long-running task is started again after the last loss in the cell, in milliseconds: 7 s of calm, and 3 s. */
+const RESTART_AFTER_LOSS_MS = 10_000
+
 /** Ways in which a leader goes. */
 const WAYS = ['silent', 'refused', 'handedOver'] as const
 
@@ -100,3 +103,16 @@
     }
   }
 })
+
+// Guards against a wait for leases that nobody can have extended any more (LOST).
+t.test('a task whose worker is lost together with the leader starts again in time', async t => {
+  for (const silent of [false, true]) {
+    const { cell, tasks: [task], worker } = await cellWithService()
+    crashForGood(worker, { silent })
+    const lostMs = cell.timers.now()
+    await replaceLeader(cell, 'silent')
+    const waitedMs = await timeOfRestart(cell, task) - lostMs
+    t.ok(waitedMs <= RESTART_AFTER_LOSS_MS, `worker silent ${silent}: started after ${waitedMs} ms`)
+    t.same(cell.violations(), [])
+  }
+})
