What a loss hides is handed over: starts in transit, and leaders without the record (TWICE)

Two findings of the review of the record of lease ends, each with a test that failed before: - A start that a lost worker may not have carried out can be carried out by its next incarnation, seconds after the recorded end of the lease. The loss names the tasks of such starts, and the next scheduler holds just these until the longest delay of an order has passed.

--- a/packages/pomelofold/src/protocol/leaseEnds.ts
+++ b/packages/pomelofold/src/protocol/leaseEnds.ts
@@ -13,7 +13,11 @@
   /** Identifies this loss of the worker: its lease has not been extended since. */
   loss: z.string(),
   /** Time until all runs on the worker have ended, in milliseconds from when the message was made. */
-  endsInMs: z.number().nonnegative()
+  endsInMs: z.number().nonnegative(),
+  /** Tasks whose start the worker may not have carried out: a later incarnation may carry it out late. */
+  unconfirmedTasks: z.array(z.string()).default([]),
+  /** Time until the last of these starts is carried out or not at all, in milliseconds. */
+  startsEndInMs: z.number().nonnegative().default(0)
 })
 
 /** The end of the lease of a worker that does not answer. */
--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -241,10 +241,9 @@
       config,
       leaseEnds: this._session.leaseEnds,
       isStoreReachable: () => this._session.connected,
-      trustsLeaseEnds: this._session.predecessorKeptLeaseEnds,
       // The earlier scheduler stops when its lease ends, or when nobody confirms an outage of the store to it any more.
       predecessorActiveUntilMs,
-      predecessorExtensionMs: this._session.predecessorKeptLeaseEnds ? 0 : LEGACY_EXTENSION_MS,
+      predecessorExtensionMs: this._session.onlyLeadersExtend ? 0 : LEGACY_EXTENSION_MS,
       newFromRevision: mayStartNewWork ? Number.POSITIVE_INFINITY : leader.epoch,
       leadershipRemainingMs: () => this._session.leadershipRemainingMs(leader.epoch),
       queryEligibility: (daemon, step, names, timeoutMs) => this._queryEligibility(daemon, step, names, timeoutMs),
--- a/packages/pomelofold/src/workflows/cellSession.ts
+++ b/packages/pomelofold/src/workflows/cellSession.ts
@@ -61,8 +61,11 @@
 const termSchema = z.object({
   term: z.number().int().default(0),
   size: z.number().default(Number.POSITIVE_INFINITY),
-  /** False for a leader of a version that extends leases without regard to the record of their ends. */
-  keepsLeaseEnds: z.boolean().default(false)
+  /**
+   * First of the terms up to this one whose leaders all kept the record of the ends of leases. Absent for a leader of a version
+   * without it, which extends leases regardless, and also for some time after its authority has ended.
+   */
+  leaseEndsSince: z.number().int().optional()
 })
 
 const leaderSchema = z.object({ vm: z.string(), incarnation: z.string(), term: z.number().int() })
@@ -109,8 +112,8 @@
   private _leaderConfirmedMs = Number.NEGATIVE_INFINITY
   /** True when this daemon's last campaign replaced the entry of a leader on another VM, whose lease may last. */
   private _replacedRunningLeader = false
-  /** True when the leader before this daemon's last campaign kept the record of the ends of leases. */
-  private _predecessorKeptLeaseEnds = false
+  /** True when the leaders that may still extend leases at this daemon's election do so only by their authority. */
+  private _onlyLeadersExtend = false
   /** Epoch of the leader whose address last refused a connection, and the time of the refusal. */
   private _lastRefusal = { epoch: 0, atMs: Number.NEGATIVE_INFINITY }
   private _resigning = false
@@ -172,9 +175,9 @@
     return this._replacedRunningLeader
   }
 
-  /** True when the leader before this daemon's last campaign removed the end of a lease from the record before it extended the lease. */
-  get predecessorKeptLeaseEnds (): boolean {
-    return this._predecessorKeptLeaseEnds
+  /** True when the leaders before this daemon's election extend leases only by their authority. */
+  get onlyLeadersExtend (): boolean {
+    return this._onlyLeadersExtend
   }
 
   /**
@@ -456,13 +459,17 @@
     this._campaigning = true
     this._replacedRunningLeader = predecessor !== undefined && predecessor.vm !== vm
     this._leaderConfirmedMs = timers.now()
-    const { term: lastTerm, keepsLeaseEnds } = this._lastElection
-    this._predecessorKeptLeaseEnds = keepsLeaseEnds
-    const term = Math.max(predecessor?.term ?? 0, lastTerm) + 1
+    const last = this._lastElection
+    const term = Math.max(predecessor?.term ?? 0, last.term) + 1
+    const leaseEndsSince = last.leaseEndsSince ?? term
+    // The leader before the predecessor may have been replaced while it was running.
+    this._onlyLeadersExtend = leaseEndsSince <= Math.max(1, term - 2)
     const value = JSON.stringify({ vm, incarnation: self.incarnation, term })
     const changes = [
       { op: 'put' as const, key: LEADER_KEY, value, leaseId: this._leaseId },
-      { op: 'put' as const, key: TERM_KEY, value: JSON.stringify({ term, size: self.size, keepsLeaseEnds: true }) }
+      // Leases in the record may have been extended since.
+      ...leaseEndsSince === term ? [{ op: 'delete' as const, key: LEASE_ENDS_KEY }] : [],
+      { op: 'put' as const, key: TERM_KEY, value: JSON.stringify({ term, size: self.size, leaseEndsSince }) }
     ]
     const guards = [
       { key: LEADER_KEY, modRevision: current?.modRevision ?? 0 },
--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -97,11 +97,11 @@
   noteEnd (session: WorkerSession): void {
     const { id } = session.entry
     if (session.replaced) {
-      for (const start of this._startsAt(id)) this._remove(id, start, 'another id is at its address')
+      for (const start of this.startsAt(id)) this._remove(id, start, 'another id is at its address')
       return
     }
     this._idsReturn ||= session.restarted
-    for (const start of this._startsAt(id)) this._count(start, true)
+    for (const start of this.startsAt(id)) this._count(start, true)
     if (this._idsReturn) this._hold(id)
   }
 
@@ -109,7 +109,7 @@
   private _hold (id: string): void {
     const { timers, log } = this._options
     const nowMs = timers.now()
-    for (const start of this._startsAt(id)) {
+    for (const start of this.startsAt(id)) {
       start.refusedBy = undefined
       this._count(start, true)
       if (start.heldSinceMs !== undefined) continue
@@ -134,12 +134,12 @@
     const { id } = session.entry
     if (!session.synced) {
       this._forgetReplaced(session)
-      if (this._startsAt(id).some(({ incarnation }) => incarnation !== session.incarnation)) {
+      if (this.startsAt(id).some(({ incarnation }) => incarnation !== session.incarnation)) {
         this._idsReturn = true
         this._hold(id)
       }
     }
-    for (const start of this._startsAt(id)) {
+    for (const start of this.startsAt(id)) {
       const isLapsed = session.lapsed && start.incarnation === session.incarnation
       if (start.heldSinceMs === undefined && !isLapsed) continue
       const runId = runIdOf(start.name, start.attempt)
@@ -192,7 +192,8 @@
     if (team !== undefined && teamSize) this._options.teamUsage.add(team, teamSize, counted ? 1 : -1)
   }
 
-  private _startsAt (id: string): LateStart[] {
+  /** Starts that an incarnation of the worker may carry out late. */
+  startsAt (id: string): LateStart[] {
     return [...this._starts.get(id)?.values() ?? []]
   }
 
--- a/packages/pomelofold/src/workflows/leaseEndRecorder.ts
+++ b/packages/pomelofold/src/workflows/leaseEndRecorder.ts
@@ -11,7 +11,7 @@
  */
 
 import { LEASE_ENDS_KEY } from './keys.js'
-import { listLeaseEnds, type KnownLeaseEnd, type LeaseEndView } from './leaseEndView.js'
+import { listLeaseEnds, type KnownLeaseEnd, type LeaseEndView, type UnconfirmedStarts } from './leaseEndView.js'
 import { COMMIT_REFUSALS, CommitRefusedError, type GroupCommitter } from '../commits/groupCommitter.js'
 import type { LeaseEnd } from '../protocol/leaseEnds.js'
 import type { PlatformClient } from '../seams/platformClient.js'
@@ -39,8 +39,6 @@
   timers: Timers
   log: EventLog
   view: LeaseEndView
-  /** False when the leader before may have extended leases in the record without removing them from it. */
-  isRecordKept: boolean
   /** True while the store answers. A loss that ends before it can be stored delays no extension. */
   isStoreReachable: () => boolean
   /** Called with the revision of each write. */
@@ -77,7 +75,7 @@
 
   /** Reads the record of the earlier scheduler, which cannot write it any more. False when it could not be read. */
   async load (): Promise<boolean> {
-    const { platform, log, view, epoch, isRecordKept } = this._options
+    const { platform, log, view, epoch } = this._options
     const read = await platform.get(LEASE_ENDS_KEY, { timeoutMs: READ_TIMEOUT_MS })
     if (this._closed) return false
     if (read.isErr) {
@@ -86,12 +84,11 @@
     }
     const record = view.apply(read.value?.value)
     this._loaded = true
-    if (record.isOk && (isRecordKept || record.value.size === 0)) {
+    if (record.isOk) {
       for (const [worker, end] of record.value) this._losses.set(worker, end)
       this._stored = new Set(this._losses.keys())
     } else {
-      const detail = record.isErr ? record.error : 'the leader before did not keep it'
-      log.event('error', 'leaseEnds.unusable', { epoch, revision: read.value?.modRevision, detail })
+      log.event('error', 'leaseEnds.unreadable', { epoch, revision: read.value?.modRevision, detail: record.error })
       this._write()
     }
     this.loaded.resolve()
@@ -105,7 +102,7 @@
     const nowMs = this._options.timers.now()
     for (const { worker, loss, endsInMs } of answer) {
       const known = this._losses.get(worker)
-      if (known?.loss === loss) this._losses.set(worker, { loss, endMs: Math.min(known.endMs, nowMs + endsInMs) })
+      if (known?.loss === loss) this._losses.set(worker, { ...known, endMs: Math.min(known.endMs, nowMs + endsInMs) })
     }
   }
 
@@ -120,16 +117,21 @@
     return this._losses.get(worker)?.endMs
   }
 
+  /** Starts that a later incarnation of a recorded worker may carry out. */
+  get unconfirmedStarts (): UnconfirmedStarts[] {
+    return [...this._losses.values()].map(({ starts }) => starts).filter(({ tasks }) => tasks.length > 0)
+  }
+
   /** Notes that the worker does not answer, and that its lease, which is not extended any more, ends at `endMs` of the monotonic clock. */
-  noteLost (worker: string, endMs: number): void {
+  noteLost (worker: string, endMs: number, starts: UnconfirmedStarts): void {
     const { epoch, log, timers } = this._options
     if (!this._loaded || this._closed) return
     const known = this._losses.get(worker)
     if (known && known.endMs <= endMs + MIN_CHANGE_MS) return
     if (!known && this._losses.size >= MAX_LOSSES) return
     const loss = known?.loss ?? `${epoch}.${++this._lossCount}`
-    this._losses.set(worker, { loss, endMs })
-    log.event('info', 'leaseEnd.noted', { worker, loss, endsInMs: Math.round(endMs - timers.now()) })
+    this._losses.set(worker, { loss, endMs, starts: known?.starts ?? starts })
+    log.event('info', 'leaseEnd.noted', { worker, loss, endsInMs: Math.round(endMs - timers.now()), unconfirmedTasks: starts.tasks.length })
     this._write()
   }
 
--- a/packages/pomelofold/src/workflows/leaseEndView.ts
+++ b/packages/pomelofold/src/workflows/leaseEndView.ts
@@ -21,6 +21,14 @@
   readonly loss: string
   /** Time by which all runs on the worker have ended, in milliseconds of the monotonic clock. */
   readonly endMs: number
+  readonly starts: UnconfirmedStarts
+}
+
+/** Starts that the worker may not have carried out: a later incarnation may carry them out late. */
+export interface UnconfirmedStarts {
+  readonly tasks: string[]
+  /** Time until the last of them is carried out or not at all, in milliseconds of the monotonic clock. */
+  readonly endMs: number
 }
 
 /** Ends of leases by the incarnation of the worker. */
@@ -40,10 +48,15 @@
     const record = decodeJson(recordSchema, stored ?? '[]')
     if (record.isErr) return Result.err(record.error)
     const nowMs = this._timers.now()
-    this._ends = new Map(record.value.map(({ worker, loss, endsInMs }) => {
+    this._ends = new Map(record.value.map(({ worker, loss, endsInMs, unconfirmedTasks, startsEndInMs }) => {
       const known = this._ends.get(worker)
-      const endMs = nowMs + endsInMs
-      return [worker, { loss, endMs: known?.loss === loss ? Math.min(known.endMs, endMs) : endMs }]
+      const earlier = known?.loss === loss ? known : undefined
+      const earliest = (ms: number, earlierMs = Number.POSITIVE_INFINITY): number => Math.min(nowMs + ms, earlierMs)
+      return [worker, {
+        loss,
+        endMs: earliest(endsInMs, earlier?.endMs),
+        starts: { tasks: unconfirmedTasks, endMs: earliest(startsEndInMs, earlier?.starts.endMs) }
+      }]
     }))
     return Result.ok(this._ends)
   }
@@ -56,5 +69,8 @@
 
 /** Message form of the ends of leases, counted from `nowMs`. */
 export function listLeaseEnds (ends: KnownLeaseEnds, nowMs: number): LeaseEnd[] {
-  return [...ends].map(([worker, { loss, endMs }]) => ({ worker, loss, endsInMs: Math.max(0, Math.ceil(endMs - nowMs)) }))
+  const remainingMs = (endMs: number): number => Math.max(0, Math.ceil(endMs - nowMs))
+  return [...ends].map(([worker, { loss, endMs, starts }]) => ({
+    worker, loss, endsInMs: remainingMs(endMs), unconfirmedTasks: starts.tasks, startsEndInMs: remainingMs(starts.endMs)
+  }))
 }
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -11,8 +11,9 @@
 import { shouldMoveRun } from './drainMoves.js'
 import { SpareCpuPacer, isSpareCpuRun } from './spareCpuPacer.js'
 import { LateStartTracker, type LateStart } from './lateStartTracker.js'
+import type { UnconfirmedStarts } from './leaseEndView.js'
 import { ReleasedRuns, RELEASES, type Release } from './releasedRuns.js'
-import { RunOrderSender, type StartTryRefusal } from './runOrderSender.js'
+import { MAX_ORDER_DELAY_MS, RunOrderSender, type StartTryRefusal } from './runOrderSender.js'
 import type { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
 import { findStalledRuns } from './stalledRuns.js'
 import { reservedRoom } from './stepPlacer.js'
@@ -221,6 +222,26 @@
     session.skipNextWait = true
   }
 
+  /** Starts that the worker may not have carried out, and a later incarnation of it may. */
+  unconfirmedStarts (session: WorkerSession): UnconfirmedStarts {
+    const nowMs = this._options.timers.now()
+    const late = this._lateStarts.startsAt(session.entry.id).map(({ name, untilMs }) => ({ name, untilMs }))
+    const pending = [...session.runs.values()].filter(({ state }) => state === RUN_STATES.starting)
+      .map(({ name }) => ({ name, untilMs: nowMs + MAX_ORDER_DELAY_MS }))
+    const starts = [...late, ...pending].filter(({ untilMs }) => untilMs > nowMs)
+    return { tasks: [...new Set(starts.map(({ name }) => name))], endMs: Math.max(nowMs, ...starts.map(({ untilMs }) => untilMs)) }
+  }
+
+  /** Keeps tasks waiting whose start under an earlier scheduler may be carried out late, unless copies may run. */
+  holdTasks (unconfirmed: UnconfirmedStarts[]): void {
+    for (const { tasks, endMs } of unconfirmed) {
+      for (const name of tasks) {
+        const task = this._options.registry.findTask(name)
+        if (task && !task.step.spec.speculative) task.notBeforeMs = Math.max(task.notBeforeMs, endMs)
+      }
+    }
+  }
+
   /** Stops runs on draining workers that are better started elsewhere. */
   moveRunsOffDrainingWorkers (sessions: Iterable<WorkerSession>): void {
     const nowMs = this._options.timers.now()
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -15,7 +15,7 @@
 import { EligibilityDaemons } from './eligibilityDaemons.js'
 import { LEADER_KEY } from './keys.js'
 import { LeaseEndRecorder } from './leaseEndRecorder.js'
-import type { LeaseEndView } from './leaseEndView.js'
+import type { LeaseEndView, UnconfirmedStarts } from './leaseEndView.js'
 import { LongRunningDowntime } from './longRunningDowntime.js'
 import { ProgressRecorder } from './progressRecorder.js'
 import { RunTracker, type RunCounts } from './runTracker.js'
@@ -88,8 +88,6 @@
   config: () => CellConfig | undefined
   /** Ends of the leases of lost workers, as this daemon has counted them so far. */
   leaseEnds: LeaseEndView
-  /** False when the leader before may have extended leases in the record without removing them from it. */
-  trustsLeaseEnds: boolean
   /** True while the store answers this daemon. */
   isStoreReachable: () => boolean
   /** Time until which the earlier scheduler may start tasks, in milliseconds of the monotonic clock. */
@@ -190,7 +188,6 @@
       log,
       view: options.leaseEnds,
       isStoreReachable: options.isStoreReachable,
-      isRecordKept: options.trustsLeaseEnds,
       onWritten: revision => this._fleet.noteGuardedWrite(revision),
       onFenced
     })
@@ -231,7 +228,10 @@
       onAdded: () => this._scheduleDispatch(),
       onLoaded: () => {
         this._crashes.noteLoaded(this._registry.open)
-        this._scheduleDispatch()
+        this._leaseEnds.loaded.promise.then(() => {
+          this._runTracker.holdTasks(this._leaseEnds.unconfirmedStarts)
+          this._scheduleDispatch()
+        })
       },
       onCancelled: workflow => this._runTracker.finishWorkflow(workflow, JOB_STATES.cancelled, 'cancelled'),
       onComplete: workflow => this._runTracker.finishWorkflow(workflow, JOB_STATES.done, 'all tasks are done')
@@ -473,6 +473,10 @@
     this._endByTakeover(`worker ${session.incarnation} has received a newer epoch`)
   }
 
+  unconfirmedStarts (session: WorkerSession): UnconfirmedStarts {
+    return this._runTracker.unconfirmedStarts(session)
+  }
+
   onLost (session: WorkerSession): void {
     this._crashes.noteLoss(session)
   }
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -8,6 +8,7 @@
 import { match, P } from 'ts-pattern'
 import type { WorkerFence } from './fencingTokens.js'
 import type { LeaseEndRecorder } from './leaseEndRecorder.js'
+import type { UnconfirmedStarts } from './leaseEndView.js'
 import type { LongPollPolicy } from './longPollPolicy.js'
 import { isSpareCpuRun, isServingRun } from './spareCpuPacer.js'
 import type { RunHost } from './runHost.js'
@@ -43,6 +44,8 @@
 export interface WorkerSessionListener {
   /** Called when the worker has answered. Resolves when the ends in the report are recorded. */
   onReport (session: WorkerSession, report: LeaseReport, requestSentMs: number): Promise<void>
+  /** Starts that the worker may not have carried out, and a later incarnation may. */
+  unconfirmedStarts (session: WorkerSession): UnconfirmedStarts
   /** Called when the worker no longer answers. */
   onLost (session: WorkerSession): void
   /** Called when this incarnation of the worker is known to have ended without notice, once for each loss. */
@@ -361,7 +364,8 @@
     if (isConnectionRefused(err)) this.noteCrash('it refuses connections')
     // Often only one answer is lost, and the next call is answered.
     const isLost = this._unansweredCalls > 1 || isConnectionRefused(err)
-    if (isLost && !this.lapsed && (this.synced || this.inherited)) leaseEnds.noteLost(this.incarnation, this.lapsesAtMs)
+    if (!isLost || this.lapsed || !(this.synced || this.inherited)) return
+    leaseEnds.noteLost(this.incarnation, this.lapsesAtMs, listener.unconfirmedStarts(this))
   }
 
   private _noteLoss ({ step, peer, message }: CallError): void {
--- a/tests/workflows/leaderChain.ts
+++ b/tests/workflows/leaderChain.ts
@@ -10,6 +10,7 @@
 import type { WorkflowStep } from 'pomelofold/protocol/workflows'
 import { CallTimeoutError, EFFECTS } from 'pomelofold/utils/errors'
 import { delay } from 'pomelofold/seams/timers'
+import { LEADER_KEY } from 'pomelofold/workflows/keys'
 import { incarnationOf } from 'pomelofold/workflows/workerSession'
 import { WorkflowCell, type TestDaemon, type WorkflowCellOptions } from './workflowCell.js'
 
@@ -162,12 +163,13 @@
   losesAnswer?: boolean
 }
 
-/** Injects faults into the writes that a daemon makes of the ends of leases. Returns the faults, which may be changed. */
+/** Injects faults into the writes that a daemon makes of the ends of leases, except for its election. The returned faults may be changed. */
 export function injectRecordFaults ({ platform, process }: TestDaemon, cell: WorkflowCell): { current: RecordFaults | undefined } {
   const faults: { current: RecordFaults | undefined } = { current: undefined }
   const txn = platform.txn.bind(platform)
   platform.txn = async (guards, changes, options) => {
-    if (!faults.current || !changes.some(({ key }) => key === LEASE_ENDS_KEY)) return txn(guards, changes, options)
+    const isRecord = changes.some(({ key }) => key === LEASE_ENDS_KEY) && !changes.some(({ key }) => key === LEADER_KEY)
+    if (!faults.current || !isRecord) return txn(guards, changes, options)
     const { delayMs, losesAnswer } = faults.current
     const timeoutMs = options?.timeoutMs ?? 1_000
     if (delayMs < timeoutMs && !losesAnswer) {
