--- /dev/null
+++ b/tests/workflows/leaseEndsReview.test.ts
@@ -0,0 +1,68 @@
+/**
+ * Tests of the review of issue 52: ends of leases that a new scheduler takes from the record although a run may begin or go on later.
+ *
+ * @module
+ */
+
+import t from 'tap'
+import { LEASE_ENDS_KEY, TERM_KEY } from 'pomelofold/workflows/keys'
+import { cellWithService, cutFromOthers, injectRecordFaults, loseWorker, regainWorker, replaceLeader } from './leaderChain.js'
+import { WorkflowCell } from './workflowCell.js'
+
+// Guards against a record that no leader has kept, and that the next but one trusts (TWICE).
+t.test('the record of ends of leases is not used when the leader that should have written it anew has ended before', async t => {
+  for (const how of ['refused', 'silent'] as const) {
+    const service = await cellWithService()
+    const { cell, worker } = service
+    await loseWorker(cell, worker)
+    const record = cell.store.get(LEASE_ENDS_KEY)!.value
+    await regainWorker(cell, worker)
+    await cell.timers.advance(8_000)
+    const { term, size } = JSON.parse(cell.store.get(TERM_KEY)!.value)
+    // The leader is one of a version without the record, which extends the lease of the worker.
+    cell.store.txn([], [
+      { op: 'put', key: TERM_KEY, value: JSON.stringify({ term, size }) },
+      { op: 'put', key: LEASE_ENDS_KEY, value: record }
+    ])
+    await cell.timers.advance(8_000)
+    cutFromOthers(cell, worker, cell.leader!)
+    const faults = cell.daemons.map(daemon => injectRecordFaults(daemon, cell))
+    for (const fault of faults) fault.current = { delayMs: Number.POSITIVE_INFINITY }
+    await replaceLeader(cell, 'refused')
+    await cell.timers.advance(100)
+    for (const fault of faults) fault.current = undefined
+    await replaceLeader(cell, how)
+    await cell.timers.advance(14_000)
+    const [first, second] = cell.runsOf(service.tasks[0])
+    t.same(cell.violations(), [], how)
+    t.ok(
+      first.endMs >= worker.leaseEndMs && second.startMs >= worker.leaseEndMs,
+      `${how}: the next run began at ${second.startMs}, the lease ended at ${worker.leaseEndMs}`
+    )
+  }
+})
+
+// Guards against a recorded end of a lease that hides a start which the next incarnation of the worker carries out late (TWICE).
+t.test('a late start at a worker that comes back under its id after its recorded lease end runs no task twice', async t => {
+  for (const how of ['refused', 'silent'] as const) {
+    for (const { backMs, orderDelayMs } of [{ backMs: 7_000, orderDelayMs: 7_400 }, { backMs: 8_000, orderDelayMs: 9_000 }]) {
+      const cell = new WorkflowCell({ daemons: 5, runMs: () => 600_000 })
+      await cell.waitUntilReady()
+      const [worker, , other] = cell.workers
+      other.faults.draining = true
+      await cell.timers.advance(10_000)
+      worker.faults.orderDelayMs = orderDelayMs
+      const workflow = cell.workflow([{ tasks: 1, longRunning: true, requiredLabel: 'r0' }])
+      await cell.submit(workflow, cell.leader!)
+      await cell.timers.advance(100)
+      worker.faults.refusesConnections = true
+      cell.restartWorker('w0', { listedAfterMs: backMs, reachableAfterMs: backMs + 3_000 })
+      other.faults.draining = false
+      await cell.timers.advance(1_000)
+      await replaceLeader(cell, how)
+      await cell.timers.advance(30_000)
+      const runs = cell.runsOf(`${workflow.id}.0.0.0`).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
+      t.same(cell.violations(), [], `leader ${how}, back after ${backMs} ms, late by ${orderDelayMs} ms: ${runs.join(', ')}`)
+    }
+  }
+})
