--- a/tests/workflows/leaseEndsReview.test.ts
+++ b/tests/workflows/leaseEndsReview.test.ts
@@ -66,3 +66,55 @@
     }
   }
 })
+
+// Guards against a wait that is shorter than the delay of orders to a worker that was lost with the leader (TWICE).
+t.test('a late start at a worker that is lost in the moment of its leader and comes back under its id runs no task twice', async t => {
+  for (const how of ['refused', 'silent'] as const) {
+    for (const { backMs, orderDelayMs } of [{ backMs: 8_000, orderDelayMs: 8_500 }, { backMs: 10_000, orderDelayMs: 10_500 }]) {
+      const cell = new WorkflowCell({ daemons: 5, runMs: () => 600_000 })
+      await cell.waitUntilReady()
+      const [worker, , other] = cell.workers
+      other.faults.draining = true
+      await cell.timers.advance(10_000)
+      worker.faults.orderDelayMs = orderDelayMs
+      const workflow = cell.workflow([{ tasks: 1, longRunning: true, requiredLabel: 'r0' }])
+      await cell.submit(workflow, cell.leader!)
+      await cell.timers.advance(100)
+      cell.restartWorker('w0', { listedAfterMs: backMs, reachableAfterMs: backMs + 3_000 })
+      other.faults.draining = false
+      await replaceLeader(cell, how)
+      await cell.timers.advance(30_000)
+      const runs = cell.runsOf(`${workflow.id}.0.0.0`).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
+      t.same(cell.violations(), [], `leader ${how}, back after ${backMs} ms, late by ${orderDelayMs} ms: ${runs.join(', ')}`)
+    }
+  }
+})
+
+/** Time for which a leader of a version without the record extends leases after its authority has ended, in milliseconds. */
+const LEGACY_EXTENSION_MS = 3_000
+
+// Guards against a bound that leaves out how long the leader before the predecessor extends leases (TWICE).
+t.test('a worker that only a leader of an older version reaches is waited for, also by the next leader but one', async t => {
+  for (const lastMs of [200, 600, 1_200]) {
+    const service = await cellWithService()
+    const { cell, worker } = service
+    const { term, size } = JSON.parse(cell.store.get(TERM_KEY)!.value)
+    cell.store.txn([], [{ op: 'put', key: TERM_KEY, value: JSON.stringify({ term, size }) }])
+    await cell.timers.advance(1_000)
+    // The older leader is cut off: its authority ends with its lease, and it reaches only this worker.
+    for (const daemon of cell.daemons) daemon.client.unreachableWorkers.add(worker.entry.id)
+    const { epoch } = worker
+    const extension = cell.timers.every(100, () => {
+      worker.extend({ epoch, acknowledged: 0, untilMs: worker.clockMs + 6_000, waitMs: 0 })
+    })
+    await replaceLeader(cell, 'refused')
+    // It may start work until 2.5 s after it was replaced.
+    cell.timers.after(2_400 + LEGACY_EXTENSION_MS, () => extension.cancel())
+    await cell.timers.advance(lastMs)
+    await replaceLeader(cell, 'refused')
+    await cell.timers.advance(25_000)
+    const [first, second] = cell.runsOf(service.tasks[0])
+    t.same(cell.violations(), [], `the predecessor lasts ${lastMs} ms`)
+    t.ok(second.startMs >= first.endMs, `the next run began at ${second.startMs}, the first ended at ${first.endMs}`)
+  }
+})
