--- /dev/null
+++ b/tests/workflows/observerLimits.test.ts
@@ -0,0 +1,116 @@
+/**
+ * Tests of the review of issue 52: time limits that each scheduler counts from its own beginning, or from what it notices.
+ *
+ * @module
+ */
+
+import t from 'tap'
+import { MemoryPlatformClient } from '@pomelofold/standins/memoryPlatformClient'
+import { KeyValueStore } from '@pomelofold/standins/keyValueStore'
+import { ManualTimers } from '@pomelofold/standins/manualTimers'
+import { SeededRandom } from '@pomelofold/standins/seededRandom'
+import { GroupCommitter } from 'pomelofold/commits/groupCommitter'
+import { LEASE_ENDS_KEY } from 'pomelofold/workflows/keys'
+import { LeaseEndRecorder } from 'pomelofold/workflows/leaseEndRecorder'
+import { LeaseEndView } from 'pomelofold/workflows/leaseEndView'
+import { SILENT_LOG } from 'pomelofold/utils/eventLog'
+import { replaceLeader, replaceLeaders, timeOfRestart, workerOf } from './leaderChain.js'
+import { WorkflowCell } from './workflowCell.js'
+
+// Guards against a late start that a chain of leaders forgets (TWICE).
+t.test('a late start at a restarted worker that does not answer runs no task twice under a chain of leaders', async t => {
+  for (const { lastMs, orderDelayMs } of [{ lastMs: 1_500, orderDelayMs: 10_000 }, { lastMs: 3_000, orderDelayMs: 11_500 }]) {
+    for (const count of [1, 2, 3]) {
+      const cell = new WorkflowCell({ daemons: 6, runMs: () => 600_000 })
+      await cell.waitUntilReady()
+      const [worker, , other] = cell.workers
+      other.faults.draining = true
+      await cell.timers.advance(10_000)
+      worker.faults.orderDelayMs = orderDelayMs
+      const workflow = cell.workflow([{ tasks: 1, longRunning: true, requiredLabel: 'r0' }])
+      await cell.submit(workflow, cell.leader!)
+      await cell.timers.advance(100)
+      cell.restartWorker('w0', { reachableAfterMs: 25_000 })
+      other.faults.draining = false
+      await replaceLeaders(cell, { how: 'refused', count, lastMs })
+      await cell.timers.advance(40_000)
+      const runs = cell.runsOf(`${workflow.id}.0.0.0`).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
+      t.same(cell.violations(), [], `${count} leaders, each ${lastMs} ms, late by ${orderDelayMs} ms: ${runs.join(', ')}`)
+    }
+  }
+})
+
+// Guards against a stall that is counted from the first report to each leader.
+t.test('a chain of leaders does not prolong the time until a stalled run is replaced', async t => {
+  for (const count of [0, 5]) {
+    const cell = new WorkflowCell({ daemons: 5, runMs: () => 600_000 })
+    await cell.waitUntilReady()
+    await cell.timers.advance(3_000)
+    const workflow = cell.workflow([{ tasks: 1, estimateMs: 40_000 }])
+    const task = `${workflow.id}.0.0.0`
+    await cell.submit(workflow, cell.leader!)
+    await cell.timers.advanceUntil(() => cell.runsOf(task).length > 0)
+    const worker = workerOf(cell, task)
+    const extend = worker.extend.bind(worker)
+    worker.extend = async extension => {
+      const report = await extend(extension)
+      return 'running' in report ? { ...report, running: report.running.map(run => ({ ...run, percent: 0 })) } : report
+    }
+    const stalledMs = cell.timers.now()
+    await replaceLeaders(cell, { how: 'handedOver', count, lastMs: 6_000, newVms: true })
+    const waitedMs = await timeOfRestart(cell, task, { limitMs: 120_000 }) - stalledMs
+    t.ok(waitedMs <= 18_000, `${count} changes of leader: started ${waitedMs} ms after the stall`)
+  }
+})
+
+// Guards against a run that counts as young because the scheduler has just found it.
+t.test('a task that has run for long is not suspected for crashes of its workers soon after changes of leader', async t => {
+  for (const changes of [false, true]) {
+    const cell = new WorkflowCell({ daemons: 5, workers: 6, runMs: () => 600_000 })
+    await cell.waitUntilReady()
+    await cell.timers.advance(3_000)
+    const workflow = cell.workflow([{ tasks: 1, estimateMs: 600_000 }])
+    const task = `${workflow.id}.0.0.0`
+    await cell.submit(workflow, cell.leader!)
+    for (let crash = 1; crash <= 2; crash++) {
+      await cell.timers.advanceUntil(() => cell.runsOf(task).length >= crash, { limitMs: 30_000 })
+      await cell.timers.advance(20_000)
+      if (changes) await replaceLeader(cell, 'refused')
+      await cell.timers.advance(1_500)
+      cell.crashWorker(workerOf(cell, task))
+    }
+    await cell.timers.advance(15_000)
+    const suspicions = cell.events.filter(({ name }) => name === 'task.suspected').map(({ fields }) => `${String(fields.ageMs)} ms old`)
+    t.same(suspicions, [], `with changes of leader ${changes}`)
+  }
+})
+
+// Guards against a record that is full of leases which have ended long ago (LOST).
+t.test('the loss of a worker is recorded although many others have been cut off for long', async t => {
+  for (const cutOff of [100, 400]) {
+    const timers = new ManualTimers()
+    const store = new KeyValueStore({ timers })
+    const platform = new MemoryPlatformClient({ store, timers })
+    const committer = new GroupCommitter({ timers, platform, random: new SeededRandom(1), writer: 'test', minIntervalMs: 100 })
+    const recorder = new LeaseEndRecorder({
+      epoch: 1,
+      platform,
+      committer,
+      timers,
+      log: SILENT_LOG,
+      view: new LeaseEndView({ timers }),
+      isRecordKept: true,
+      isStoreReachable: () => true,
+      onWritten: () => {},
+      onFenced: () => {}
+    })
+    recorder.load()
+    await timers.advance(100)
+    for (let index = 0; index < cutOff; index++) recorder.noteLost(`w${index}@1`, timers.now() + 6_000)
+    await timers.advance(60_000)
+    recorder.noteLost('new@1', timers.now() + 6_000)
+    await timers.advance(2_000)
+    t.match(store.get(LEASE_ENDS_KEY)?.value, 'new@1', `${cutOff} workers are cut off`)
+    recorder.close()
+  }
+})
