--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -22,6 +22,9 @@
 const KEY_CHECK_MS = 10_000
 /** Number of jobs that a caller has open at most. */
 const MAX_OPEN_JOBS = 6
+const QUEUES = ['quick', 'advised']
+/** Number of tasks of a job whose tasks run until they are cancelled. */
+const LONG_RUNNING_TASKS = 4
 const FINAL_STATES = new Set(['completed', 'failed', 'cancelled'])
 
 /** A job with the answers that its caller has received. */
@@ -94,6 +97,30 @@
     }
   }
 
+  /** Submits jobs whose tasks run until they are cancelled. */
+  async startLongRunning (count: number): Promise<void> {
+    for (let index = 0; index < count; index++) {
+      const queue = QUEUES[index % QUEUES.length]
+      const steps = [{ task_count: LONG_RUNNING_TASKS, cpu: 500, mem_mb: 250, long_running: true }]
+      const job = createJob({ id: this._random.hex(8), queue, body: JSON.stringify({ spec: queue, steps }) })
+      this._cell.workers.longRunningJobs.add(job.id)
+      this.jobs.push(job)
+      await this._submit(job)
+    }
+  }
+
+  /** Cancels the jobs whose tasks run until then. */
+  async cancelLongRunning (): Promise<void> {
+    for (const job of this.jobs.filter(({ id }) => this._cell.workers.longRunningJobs.has(id))) {
+      job.cancelled = true
+      for (let attempt = 0; attempt < MAX_SUBMIT_ATTEMPTS; attempt++) {
+        const { status } = await this._call(this._anyDaemon(), 'DELETE', `/${job.queue}/${job.id}`, {})
+        if (status === 200 || status === 410) break
+        await pause(SUBMIT_PAUSE_MS * (1 + attempt))
+      }
+    }
+  }
+
   /** Checks at each daemon that keys are accepted and refused as the newest version says. */
   async checkKeys (): Promise<void> {
     for (const daemon of this._cell.daemons) {
@@ -152,17 +179,8 @@
       est_runtime_ms: runTimeMs(id),
       after: index ? [index - 1] : []
     }))
-    return {
-      id,
-      queue,
-      team: badKey === undefined ? floodingTeam ?? teams?.anyTeam() : teams!.teamOf(badKey),
-      badKey,
-      body: JSON.stringify({ spec: queue, steps }),
-      accepted: false,
-      refusedOnly: true,
-      cancelled: false,
-      state: undefined
-    }
+    const team = badKey === undefined ? floodingTeam ?? teams?.anyTeam() : teams!.teamOf(badKey)
+    return createJob({ id, queue, team, badKey, body: JSON.stringify({ spec: queue, steps }) })
   }
 
   private async _submit (job: SoakJob): Promise<void> {
@@ -238,6 +256,10 @@
   }
 }
 
+function createJob ({ id, queue, team, badKey, body }: Pick<SoakJob, 'id' | 'queue' | 'body'> & Partial<SoakJob>): SoakJob {
+  return { id, queue, team, badKey, body, accepted: false, refusedOnly: true, cancelled: false, state: undefined }
+}
+
 export function pause (ms: number): Promise<void> {
   return new Promise(resolve => { setTimeout(resolve, ms) })
 }
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -25,6 +25,13 @@
 const MAX_DOWNTIME_MS = 1_500
 /** Shares of its capacity that remain to a worker. */
 const SHRUNK_SHARES = [0.25, 0.5, 0.75]
+/** Shortest and longest time between two ends of the leader, and least number of them, in milliseconds. */
+const MIN_TERM_MS = 2_000
+const MAX_TERM_MS = 5_000
+const MIN_CHAIN = 3
+/** Longest time between the crash of a worker and the end of the leader, and greatest number of such workers. */
+const MAX_CRASH_BEFORE_MS = 1_500
+const MAX_LOST_WORKERS = 2
 /** Distance between the seeds of two series, greater than that between any two seeds of soaks. */
 const SEED_STEP = 2_000_000
 
@@ -193,7 +200,81 @@
   }
 }
 
-const FAULTS: Record<string, Fault> = { ...CELL_FAULTS, ...WORKER_FAULTS, ...CAPACITY_FAULTS, ...TEAM_FAULTS }
+/** Starts a chain link: workers crash for good, and the leader ends while they do or shortly after. */
+async function endLeader (context: FaultContext, end: (leader: SoakDaemon) => Promise<void>): Promise<void> {
+  const { cell, random } = context
+  const crashes = Array.from({ length: 1 + random.int(MAX_LOST_WORKERS) }, () => ({
+    beforeMs: random.int(3) ? random.int(MAX_CRASH_BEFORE_MS) : 0, silent: random.int(2) === 0, choice: random.int(1_000)
+  }))
+  const until = performance.now() + MAX_CRASH_BEFORE_MS
+  const losses = crashes.map(async ({ beforeMs, silent, choice }) => {
+    await pause(until - beforeMs - performance.now())
+    const up = cell.workers.all.filter(({ incarnation }) => incarnation)
+    const holders = up.filter(({ incarnation }) => [...incarnation!.worker.runs.keys()].some(task => cell.workers.isLongRunning(task)))
+    if (holders.length === 0) return
+    cell.workers.remove(holders[choice % holders.length], { silent })
+    await pause(MAX_DOWNTIME_MS)
+    await cell.workers.add()
+  })
+  await pause(MAX_CRASH_BEFORE_MS)
+  let { leader } = cell
+  while (!leader?.process || leader.endRequested || leader.paused) {
+    await pause(20)
+    leader = cell.leader
+  }
+  await Promise.all([end(leader), ...losses])
+}
+
+/** Takes a daemon away with its VM, and adds one with a new VM name. */
+async function replace ({ cell, random }: FaultContext, daemon: SoakDaemon, signal: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP'): Promise<void> {
+  cell.retire(daemon)
+  cell.signal(daemon, daemon.hasLogged ? signal : 'SIGKILL')
+  await pause(random.int(MAX_DOWNTIME_MS))
+  await cell.addDaemon()
+}
+
+/** Ends of the leader among crashes of workers, by name. */
+const LEADER_FAULTS: Record<string, Fault> = {
+  leaderTerm: context => endLeader(context, leader => restart(context, [leader], 'SIGTERM')),
+  leaderKill: context => endLeader(context, leader => restart(context, [leader], 'SIGKILL')),
+  // A process that is paused and later killed does nothing more, and its ports are silent.
+  leaderSilent: context => endLeader(context, async leader => {
+    context.cell.signal(leader, 'SIGSTOP')
+    await waitFaultDuration(context.random)
+    await restart(context, [leader], 'SIGKILL')
+  }),
+  leaderReplaced: context => endLeader(context, leader => replace(context, leader, context.random.int(2) ? 'SIGTERM' : 'SIGKILL')),
+  leaderLost: context => endLeader(context, leader => replace(context, leader, 'SIGSTOP'))
+}
+
+/** Changes beside {@link LEADER_FAULTS}, by name. */
+const CHANGES: Record<string, Fault> = {
+  kill: CELL_FAULTS.kill,
+  term: CELL_FAULTS.term,
+  hangup: CELL_FAULTS.hangup,
+  configuration: CELL_FAULTS.configuration,
+  workerCrash: CELL_FAULTS.workerCrash,
+  runFails: async context => {
+    const { incarnation } = anyWorker(context)
+    const task = [...incarnation?.worker.runs.keys() ?? []].find(each => context.cell.workers.isLongRunning(each))
+    if (task) incarnation!.worker.failRun(task)
+  }
+}
+
+/** Plans a chain of at least three ends of the leader, and changes beside it. */
+export function planLeaderFaults (seed: number, faultsMs: number): PlannedFault[][] {
+  const random = new SeededRandom(seed)
+  const chain: PlannedFault[] = []
+  const names = Object.keys(LEADER_FAULTS)
+  for (let atMs = 0; atMs < faultsMs || chain.length < MIN_CHAIN;) {
+    const afterMs = chain.length ? MIN_TERM_MS + random.int(MAX_TERM_MS - MIN_TERM_MS) : 0
+    chain.push({ name: names[random.int(names.length)], afterMs })
+    atMs += afterMs
+  }
+  return [chain, planSeries(new SeededRandom(seed + SEED_STEP), Object.keys(CHANGES), faultsMs)]
+}
+
+const FAULTS: Record<string, Fault> = { ...CELL_FAULTS, ...WORKER_FAULTS, ...CAPACITY_FAULTS, ...TEAM_FAULTS, ...LEADER_FAULTS, ...CHANGES }
 
 /** Plans a series of faults of the cell and, unless they are left out, of its workers, of their capacities and of the teams. */
 export function planFaults (
--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -15,13 +15,16 @@
   { seed: 3, workerFaults: true, deadlyJobs: true, teams: false },
   { seed: 3003, workerFaults: true, deadlyJobs: true, teams: true }
 ]
+/** Soaks with chains of leaders among crashes of workers: tasks that run until they are cancelled stayed down (issue 52). */
+const LEADER_SEEDS = [5269, 5416]
+const LEADER_FAULTS_MS = 4_000
 /** Time during which faults start, in milliseconds. */
 const FAULTS_MS = 8_000
 const CELLS_AT_ONCE = 2
 /** Longest time of one soak, in milliseconds: usually below half of it. */
 const SOAK_LIMIT_MS = 60_000
 /** Longest time of the test, in milliseconds. */
-const TIMEOUT_MS = Math.ceil(CASES.length / CELLS_AT_ONCE) * SOAK_LIMIT_MS
+const TIMEOUT_MS = Math.ceil((CASES.length + LEADER_SEEDS.length) / CELLS_AT_ONCE) * SOAK_LIMIT_MS
 
 t.setTimeout(TIMEOUT_MS)
 buildProgram()
@@ -39,3 +42,14 @@
     if (teams) t.ok(teamFindings!.refusedCalls > 0 && teamFindings!.startsNearCap > 0)
   })
 }
+
+for (const [index, seed] of LEADER_SEEDS.entries()) {
+  t.test(`soak: long-running tasks run again after chains of leaders, seed ${seed}`, { buffered: true }, async t => {
+    const name = `leaders-${index}`
+    const { violations, accepted, downtimes } = await soak({
+      seed, faultsMs: LEADER_FAULTS_MS, leaders: true, dir: join(dir, name), networkPrefix: `127.${90 + CASES.length + index}.${process.pid % 250}`
+    })
+    t.same(violations, [], `seed ${seed}, logs in ${dir}/${name}`)
+    t.ok(accepted > 0 && downtimes!.count > 0)
+  })
+}
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -7,7 +7,8 @@
 
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { Callers, pause } from './callers.js'
-import { injectFaults, planFaults } from './faults.js'
+import { Downtimes, RESTART_MS } from './downtimes.js'
+import { injectFaults, planFaults, planLeaderFaults } from './faults.js'
 import { checkRuns } from './runChecks.js'
 import { SoakCell } from './soakCell.js'
 import { hasTeams, KEY_BOUNDS } from './soakTeams.js'
@@ -18,6 +19,10 @@
  */
 const RECOVERY_MS = 40_000
 const CALLER_COUNT = 4
+/** Workers, callers, and jobs whose tasks run until they are cancelled, in soaks with chains of leaders: there is room for all. */
+const LEADER_SOAK = { workers: 10, callers: 2, longRunningJobs: 4 }
+/** Time for which a task that does not run in time is waited for, in milliseconds. */
+const CALM_MS = RESTART_MS + 1_000
 
 /** Options of {@link soak}. */
 export interface SoakOptions {
@@ -26,6 +31,8 @@
   faultsMs: number
   daemons?: number
   workers?: number
+  /** True to play ends of the leader among crashes of workers, with tasks that run until they are cancelled, and nothing else. */
+  leaders?: boolean
   /** False to leave the series of worker faults out. */
   workerFaults?: boolean
   /** False to leave out tasks that crash their workers and changes of capacity. */
@@ -57,6 +64,8 @@
   fillingStarts: number
   /** Undefined without teams: number of calls refused for their keys, and of starts near the cap of their team. */
   teams: { refusedCalls: number, startsNearCap: number } | undefined
+  /** Undefined without chains of leaders: times in which long-running tasks had no run. */
+  downtimes: { count: number, longestMs: number, beyondTarget: string[] } | undefined
   /** Number of disturbed calls and refused orders at workers. */
   orders: Record<string, number>
   /** Number of calls by method and status. */
@@ -65,21 +74,30 @@
 
 /** Runs one soak. */
 export async function soak (
-  { seed, faultsMs, daemons = 4, workers = 5, workerFaults, deadlyJobs = true, teams = hasTeams(seed), dir, networkPrefix }: SoakOptions
+  {
+    seed, faultsMs, daemons = 4, leaders = false, workers = leaders ? LEADER_SOAK.workers : 5, workerFaults, deadlyJobs = !leaders,
+    teams = !leaders && hasTeams(seed), dir, networkPrefix
+  }: SoakOptions
 ): Promise<SoakReport> {
-  const series = planFaults(seed, faultsMs, { workerFaults, capacityFaults: deadlyJobs, teams })
+  const series = leaders
+    ? planLeaderFaults(seed, faultsMs)
+    : planFaults(seed, faultsMs, { workerFaults, capacityFaults: deadlyJobs, teams })
   const cell = new SoakCell({ dir, networkPrefix, seed, deadlyJobs, teams })
   const callers = new Callers({ cell, random: new SeededRandom(seed) })
   try {
     await cell.start({ daemons, workers })
-    for (let caller = 0; caller < CALLER_COUNT; caller++) callers.run()
+    for (let caller = 0; caller < (leaders ? LEADER_SOAK.callers : CALLER_COUNT); caller++) callers.run()
     if (teams) callers.flood()
     // Faults begin in a cell that serves, however long its processes take to start.
     const notServed = await waitForAcceptance(callers, { what: 'before the first fault' })
+    if (leaders) await callers.startLongRunning(LEADER_SOAK.longRunningJobs)
+    const downtimes = leaders ? new Downtimes({ cell, jobs: callers.jobs }) : undefined
     await injectFaults(cell, { seed, series })
+    if (leaders) await pause(CALM_MS)
     if (cell.teams?.restoreCap()) cell.configure()
     notServed.push(...await waitForAcceptance(callers, { what: 'after the last fault', after: callers.jobs.length }))
     callers.stop()
+    await callers.cancelLongRunning()
     const unfinished = await waitForRecovery(cell, callers)
     await waitForLateOrders(cell)
     if (teams) {
@@ -90,7 +108,7 @@
     const runs = checkRuns(cell.workers, callers.jobs, cell.teams)
     const violations = [
       ...runs.violations, ...callers.violations, ...cell.violations, ...notServed, ...unfinished, ...falseStates(cell, callers),
-      ...cell.teams?.violations ?? [], ...cell.keysInLogs()
+      ...downtimes?.violations ?? [], ...cell.teams?.violations ?? [], ...cell.keysInLogs()
     ]
     const late = orders.origins.filter(({ lateMs }) => lateMs > 0)
     const lateAtNext = late.filter(({ sentToBornMs, bornMs }) => sentToBornMs !== bornMs)
@@ -107,6 +125,7 @@
       deadlyJobs: callers.jobs.filter(job => job.accepted && cell.workers.isDeadly(job.id)).length,
       fillingStarts: runs.fillingStarts,
       teams: cell.teams && { refusedCalls: cell.teams.refusedCalls, startsNearCap: runs.startsNearCap },
+      downtimes: downtimes?.figures,
       orders: orders.counts,
       counts: callers.counts
     }
--- a/tests/soak/soakCell.ts
+++ b/tests/soak/soakCell.ts
@@ -9,6 +9,7 @@
 import { join } from 'node:path'
 import { SystemTimers } from 'pomelofold/edge/systemTimers'
 import { delay, type TimerSubscription } from 'pomelofold/seams/timers'
+import { LEADER_KEY } from 'pomelofold/workflows/keys'
 import { FaultProxy, LINK_FAULTS } from './faultProxy.js'
 import { KEY_BOUNDS, SoakTeams } from './soakTeams.js'
 import { ENTRY_RENEWAL_PERIOD_MS, SoakWorkers, TICKET_VALID_MS } from './soakWorkers.js'
@@ -57,8 +58,9 @@
 export interface SoakDaemon {
   name: string
   host: string
-  /** Link to the store. */
+  /** Link to the store, and its port. */
   link: FaultProxy
+  linkPort: number
   process: ChildProcess | undefined
   /** True once the daemon has logged its start. A signal before that may end the process before it can handle signals. */
   hasLogged: boolean
@@ -101,6 +103,8 @@
   private readonly _dir: string
   private readonly _networkPrefix: string
   private readonly _servers: JsonServer[] = [this.store.server]
+  /** Daemons whose VM is gone, or goes when their process has ended. */
+  private readonly _retired: SoakDaemon[] = []
   private _configurationVersion = 0
 
   constructor ({ dir, networkPrefix, seed, deadlyJobs, teams }: {
@@ -122,7 +126,26 @@
     this._servers.push(advice)
     this.configure()
     await this.workers.start(workers)
-    for (let index = 0; index < daemons; index++) await this._addDaemon(index, standinHost)
+    for (let index = 0; index < daemons; index++) await this.addDaemon()
+  }
+
+  /** The daemon that has the leader's entry; undefined if none of the cell has. */
+  get leader (): SoakDaemon | undefined {
+    const entry = this.store.store.get(LEADER_KEY)
+    return entry && this.daemons.find(({ name }) => name === JSON.parse(entry.value).vm)
+  }
+
+  /** True while a daemon or a link to a daemon or worker is not sound, or a worker is down that will be back. */
+  get isDisturbed (): boolean {
+    return this._isDisturbed() || this._retired.some(({ stopping }) => stopping) ||
+      this.daemons.some(({ process, hasLogged, stopping }) => !process || !hasLogged || stopping) ||
+      this.workers.all.some(({ gone, incarnation, link }) => !gone && (!incarnation || link.fault !== LINK_FAULTS.none))
+  }
+
+  /** Takes a daemon out of the cell. Its process is not started again, and killed in the end if it is paused. */
+  retire (daemon: SoakDaemon): void {
+    this.daemons.splice(this.daemons.indexOf(daemon), 1)
+    this._retired.push(daemon)
   }
 
   /** Writes a new version of the configuration to the store. */
@@ -133,12 +156,13 @@
   }
 
   startDaemon (daemon: SoakDaemon): void {
-    const { name, host } = daemon
+    if (!this.daemons.includes(daemon)) return
+    const { name, host, linkPort } = daemon
     const path = join(this._dir, `${name}.conf`)
     writeFileSync(path, [
       `node_name=${name}`, `ip=${host}`, `zone=${name.split('-')[0]}`, `listen_addrs.front=${host}:${PORTS.front}`,
       `listen_addrs.ready=${host}:${PORTS.ready}`, `port_range=${PORTS.peers},${PORTS.metrics}`,
-      `platform.address=${this._networkPrefix}.250:${PORTS.storeProxy + this.daemons.indexOf(daemon)}`,
+      `platform.address=${this._networkPrefix}.250:${linkPort}`,
       `advice=${this._networkPrefix}.250:${PORTS.advice}`, `bounds.hold_max_ms=${MAX_LEASE_MS}`, 'bounds.status_s=120', `heartbeat_ms=${ENTRY_RENEWAL_PERIOD_MS}`, `bounds.grace_s=${SHUTDOWN_GRACE_MS / 1_000}`,
       ...(this.teams ? [`bounds.revoke_ms=${KEY_BOUNDS.revokeMs}`, 'bounds.revoke_strict=true', `bounds.config_apply_ms=${KEY_BOUNDS.applyMs}`] : [])
     ].join('\n'))
@@ -173,7 +197,7 @@
 
   /** Descriptions of keys in the daemons' logs. */
   keysInLogs (): string[] {
-    return this.daemons.flatMap(({ name }) => this.teams?.findKeys(name, readFileSync(join(this._dir, `${name}.log`), 'utf8')) ?? [])
+    return [...this.daemons, ...this._retired].flatMap(({ name }) => this.teams?.findKeys(name, readFileSync(join(this._dir, `${name}.log`), 'utf8')) ?? [])
   }
 
   /** True while a daemon may not be in touch with the store. */
@@ -183,26 +207,30 @@
 
   /** Kills the daemons, also when this process exits before the cell is closed. */
   private readonly _killAll = (): void => {
-    for (const daemon of this.daemons) this.signal(daemon, 'SIGKILL')
+    for (const daemon of [...this.daemons, ...this._retired]) this.signal(daemon, 'SIGKILL')
   }
 
   async close (): Promise<void> {
     process.off('exit', this._killAll)
     this._killAll()
     // The next cell may use the same addresses.
-    while (this.daemons.some(daemon => daemon.process)) await delay(this.timers, 20)
+    while ([...this.daemons, ...this._retired].some(daemon => daemon.process)) await delay(this.timers, 20)
     this.workers.close()
-    for (const { link } of this.daemons) link.close()
+    for (const { link } of [...this.daemons, ...this._retired]) link.close()
     for (const server of this._servers) server.close()
     this.store.store.close()
     this.timers.dispose()
   }
 
-  private async _addDaemon (index: number, standinHost: string): Promise<void> {
+  /** Adds a daemon with a VM name and address of its own. */
+  async addDaemon (): Promise<void> {
+    const index = this.daemons.length + this._retired.length
+    const standinHost = `${this._networkPrefix}.250`
     const link = new FaultProxy(`${standinHost}:${PORTS.store}`)
-    await link.listen(standinHost, PORTS.storeProxy + index)
+    const linkPort = PORTS.storeProxy + index
+    await link.listen(standinHost, linkPort)
     const name = `${'abc'[index % 3]}-${index}`
-    const daemon = { name, host: `${this._networkPrefix}.${index + 1}`, link, process: undefined, hasLogged: false, endRequested: false, killed: false, stopping: false, paused: false, disruptionCount: 0 }
+    const daemon = { name, host: `${this._networkPrefix}.${index + 1}`, link, linkPort, process: undefined, hasLogged: false, endRequested: false, killed: false, stopping: false, paused: false, disruptionCount: 0 }
     this.daemons.push(daemon)
     this.startDaemon(daemon)
   }
--- a/tests/soak/soakWorkers.ts
+++ b/tests/soak/soakWorkers.ts
@@ -35,6 +35,8 @@
 
 /** Ids of jobs whose first task crashes its workers, in soaks with such jobs: one of 16. */
 const DEADLY_JOBS = /^f/
+/** Run time of tasks that run until they are cancelled: longer than any soak. */
+const LONG_RUN_MS = 86_400_000
 
 /** A worker id, with its current incarnation; undefined while it is down. */
 export interface SoakWorker {
@@ -46,6 +48,8 @@
   leavesAtMs: number
   /** The worker writes no entry to the store. */
   cutOffFromStore: boolean
+  /** The worker has ended and does not come back. */
+  gone: boolean
   /** Share of `WORKER_CAPACITY` that it has, and since when, in milliseconds. */
   capacityShare: number
   shrunkMs: number
@@ -69,6 +73,8 @@
   private readonly _host: string
   private readonly _seed: number
   private readonly _deadlyJobs: boolean
+  /** Ids of jobs whose tasks run until they are cancelled. */
+  readonly longRunningJobs = new Set<string>()
   private readonly _leases = new Map<string, string>()
   private _closed = false
 
@@ -86,7 +92,7 @@
   }
 
   async start (count: number): Promise<void> {
-    for (let index = 0; index < count; index++) await this._add(index)
+    for (let index = 0; index < count; index++) await this.add()
     this._timers.every(ENTRY_RENEWAL_PERIOD_MS, () => { for (const worker of this.all) this._writeEntry(worker) })
   }
 
@@ -95,6 +101,11 @@
     return this._deadlyJobs && DEADLY_JOBS.test(jobId)
   }
 
+  /** True for the task of a job in {@link longRunningJobs}. */
+  isLongRunning (task: string): boolean {
+    return this.longRunningJobs.has(task.split('.')[0])
+  }
+
   /** Lists the worker with a share of its capacity. What runs there goes on. */
   resize (worker: SoakWorker, share: number): void {
     worker.capacityShare = share
@@ -108,14 +119,21 @@
     worker.incarnation = undefined
   }
 
+  /** Ends the worker without notice and for good. From then on its address refuses connections, or is silent. */
+  remove (worker: SoakWorker, { silent }: { silent: boolean }): void {
+    worker.gone = true
+    this.crash(worker)
+    worker.link.setFault(silent ? LINK_FAULTS.blackholed : LINK_FAULTS.refused)
+  }
+
   /** Starts a new incarnation of a worker that is down. */
   restart (worker: SoakWorker): void {
-    if (worker.incarnation) return
+    if (worker.incarnation || worker.gone) return
     const incarnation = new LeasedWorker({
       id: worker.id,
       timers: this._timers,
       records: this.records,
-      runMs: runTimeMs,
+      runMs: task => this.isLongRunning(task) ? LONG_RUN_MS : runTimeMs(task),
       onStarted: record => this._crashIfDeadly(worker, record),
       capacity: WORKER_CAPACITY
     })
@@ -156,7 +174,9 @@
     }
   }
 
-  private async _add (index: number): Promise<void> {
+  /** Adds a worker with an id and address of its own. */
+  async add (): Promise<void> {
+    const index = this.all.length
     const timers = this._timers
     const server = new WorkerServer({
       current: () => worker.incarnation,
@@ -168,7 +188,7 @@
     })
     const link = new FaultProxy(`${this._host}:${PORTS.worker + index}`)
     const worker: SoakWorker = {
-      id: `w${index}`, link, server, incarnation: undefined, leavesAtMs: 0, cutOffFromStore: false, capacityShare: 1, shrunkMs: 0
+      id: `w${index}`, link, server, incarnation: undefined, leavesAtMs: 0, cutOffFromStore: false, gone: false, capacityShare: 1, shrunkMs: 0
     }
     await server.server.listen(this._host, PORTS.worker + index)
     await link.listen(this._host, PORTS.workerProxy + index)
