Soak with chains of leaders: cuts of workers and store, and long-running tasks run before the faults

Change: the series beside the chain cuts workers that live and links to the store; faults begin when all long-running tasks run.

--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -97,8 +97,8 @@
     }
   }
 
-  /** Submits jobs whose tasks run until they are cancelled. */
-  async startLongRunning (count: number): Promise<void> {
+  /** Submits jobs whose tasks run until they are cancelled. Returns the number of these tasks. */
+  async startLongRunning (count: number): Promise<number> {
     for (let index = 0; index < count; index++) {
       const queue = QUEUES[index % QUEUES.length]
       const steps = [{ task_count: LONG_RUNNING_TASKS, cpu: 500, mem_mb: 250, long_running: true }]
@@ -107,6 +107,7 @@
       this.jobs.push(job)
       await this._submit(job)
     }
+    return count * LONG_RUNNING_TASKS
   }
 
   /** Cancels the jobs whose tasks run until then. */
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -41,6 +41,7 @@
 /** A fault and the pause before its start. */
 export interface PlannedFault { name: string, afterMs: number }
 
+const CUTS = [LINK_FAULTS.blackholed, LINK_FAULTS.oneWay, LINK_FAULTS.reset, LINK_FAULTS.refused]
 const HARMFUL_LINK_FAULTS = [LINK_FAULTS.delayed, LINK_FAULTS.blackholed, LINK_FAULTS.oneWay, LINK_FAULTS.reset]
 
 function waitFaultDuration (random: SeededRandom): Promise<void> {
@@ -254,6 +255,15 @@
   hangup: CELL_FAULTS.hangup,
   configuration: CELL_FAULTS.configuration,
   workerCrash: CELL_FAULTS.workerCrash,
+  storeLink: CELL_FAULTS.storeLink,
+  // The worker lives, and its runs go on until its lease ends.
+  workerCut: async context => {
+    const worker = anyWorker(context)
+    if (worker.gone) return
+    worker.link.setFault(CUTS[context.random.int(CUTS.length)])
+    await waitFaultDuration(context.random)
+    if (!worker.gone) worker.link.setFault(LINK_FAULTS.none)
+  },
   runFails: async context => {
     const { incarnation } = anyWorker(context)
     const task = [...incarnation?.worker.runs.keys() ?? []].find(each => context.cell.workers.isLongRunning(each))
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -90,7 +90,7 @@
     if (teams) callers.flood()
     // Faults begin in a cell that serves, however long its processes take to start.
     const notServed = await waitForAcceptance(callers, { what: 'before the first fault' })
-    if (leaders) await callers.startLongRunning(LEADER_SOAK.longRunningJobs)
+    if (leaders) notServed.push(...await startLongRunning(cell, callers))
     const downtimes = leaders ? new Downtimes({ cell, jobs: callers.jobs }) : undefined
     await injectFaults(cell, { seed, series })
     if (leaders) await pause(CALM_MS)
@@ -135,6 +135,17 @@
   }
 }
 
+/** Submits the jobs whose tasks run until they are cancelled, and waits until all these tasks run. Returns a description if they don't. */
+async function startLongRunning ({ workers }: SoakCell, callers: Callers): Promise<string[]> {
+  const endMs = performance.now() + RECOVERY_MS
+  const tasks = await callers.startLongRunning(LEADER_SOAK.longRunningJobs)
+  while (workers.records.filter(({ task, endMs }) => workers.isLongRunning(task) && endMs === Number.POSITIVE_INFINITY).length < tasks) {
+    if (performance.now() > endMs) return [`${tasks} long-running tasks did not all start within ${RECOVERY_MS / 1_000} s`]
+    await pause(50)
+  }
+  return []
+}
+
 /** Waits until one of the jobs after the first `after` ones is accepted. Returns a description if none is in time. */
 async function waitForAcceptance (
   callers: Callers, { what, after = 0 }: { what: string, after?: number }
