--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -180,6 +180,13 @@
     if (reachableAfterMs > 0) this.timers.after(reachableAfterMs, () => { faults.unreachable = false })
   }
 
+  /** Starts a worker on a new VM, with a new name and a new clock. */
+  addWorker (): LeasedWorker {
+    const worker = this._newWorker(this.workers.length, { clockStartMs: this.timers.now() })
+    this.workers.push(worker)
+    return worker
+  }
+
   /** Crashes a worker: it refuses connections, and after `CRASH_DOWNTIME_MS` a worker with a new id starts at its address. */
   crashWorker (worker: LeasedWorker): void {
     const index = this.workers.indexOf(worker)
