--- a/tests/workflows/leaderChain.ts
+++ b/tests/workflows/leaderChain.ts
@@ -163,7 +163,7 @@
   losesAnswer?: boolean
 }
 
-/** Injects faults into the writes that a daemon makes of the ends of leases, except for its election. The returned faults may be changed. */
+/** Injects faults into a daemon's writes of the ends of leases, except for its election. The returned faults may be changed. */
 export function injectRecordFaults ({ platform, process }: TestDaemon, cell: WorkflowCell): { current: RecordFaults | undefined } {
   const faults: { current: RecordFaults | undefined } = { current: undefined }
   const txn = platform.txn.bind(platform)
--- a/tests/workflows/observerLimits.test.ts
+++ b/tests/workflows/observerLimits.test.ts
@@ -85,6 +85,8 @@
   }
 })
 
+const NO_STARTS = { tasks: [], endMs: 0 }
+
 // Guards against a record that is full of leases which have ended long ago (LOST).
 t.test('the loss of a worker is recorded although many others have been cut off for long', async t => {
   for (const cutOff of [100, 400]) {
@@ -99,16 +101,15 @@
       timers,
       log: SILENT_LOG,
       view: new LeaseEndView({ timers }),
-      isRecordKept: true,
       isStoreReachable: () => true,
       onWritten: () => {},
       onFenced: () => {}
     })
     recorder.load()
     await timers.advance(100)
-    for (let index = 0; index < cutOff; index++) recorder.noteLost(`w${index}@1`, timers.now() + 6_000)
+    for (let index = 0; index < cutOff; index++) recorder.noteLost(`w${index}@1`, timers.now() + 6_000, NO_STARTS)
     await timers.advance(60_000)
-    recorder.noteLost('new@1', timers.now() + 6_000)
+    recorder.noteLost('new@1', timers.now() + 6_000, NO_STARTS)
     await timers.advance(2_000)
     t.match(store.get(LEASE_ENDS_KEY)?.value, 'new@1', `${cutOff} workers are cut off`)
     recorder.close()
