The record of lease ends is bounded by the tasks that it names

A loss with starts beyond 1,000 named tasks in the record is left out, so that the former bound holds for its worker; names are dropped once their starts cannot be carried out any more. leaseEnds.full tells when a loss does not fit.

--- a/packages/pomelofold/src/workflows/leaseEndRecorder.ts
+++ b/packages/pomelofold/src/workflows/leaseEndRecorder.ts
@@ -29,6 +29,8 @@
 const MIN_CHANGE_MS = 250
 /** Maximum number of losses in the record: about 30 KB. Leases of further workers are counted from the election of each scheduler. */
 const MAX_LOSSES = 400
+/** Maximum number of tasks that are named in the record. A loss with which there were more is left out. */
+const MAX_UNCONFIRMED_TASKS = 1_000
 
 /** Options of a {@link LeaseEndRecorder}. */
 export interface LeaseEndRecorderOptions {
@@ -57,6 +59,8 @@
   /** Workers whose loss the store may contain; undefined while these are not known. */
   private _stored: Set<string> | undefined
   private _lossCount = 0
+  /** True when the last loss did not fit into the record. */
+  private _isFull = false
   private _loaded = false
   private _dirty = false
   private _writing: Promise<void> | undefined
@@ -119,7 +123,8 @@
 
   /** Starts that a later incarnation of a recorded worker may carry out. */
   get unconfirmedStarts (): UnconfirmedStarts[] {
-    return [...this._losses.values()].map(({ starts }) => starts).filter(({ tasks }) => tasks.length > 0)
+    const nowMs = this._options.timers.now()
+    return [...this._losses.values()].map(({ starts }) => starts).filter(({ tasks, endMs }) => tasks.length > 0 && endMs > nowMs)
   }
 
   /** Notes that the worker does not answer, and that its lease, which is not extended any more, ends at `endMs` of the monotonic clock. */
@@ -128,7 +133,7 @@
     if (!this._loaded || this._closed) return
     const known = this._losses.get(worker)
     if (known && known.endMs <= endMs + MIN_CHANGE_MS) return
-    if (!known && this._losses.size >= MAX_LOSSES) return
+    if (!known && this._isFullWith(starts)) return
     const loss = known?.loss ?? `${epoch}.${++this._lossCount}`
     this._losses.set(worker, { loss, endMs, starts: known?.starts ?? starts })
     log.event('info', 'leaseEnd.noted', { worker, loss, endsInMs: Math.round(endMs - timers.now()), unconfirmedTasks: starts.tasks.length })
@@ -164,6 +169,16 @@
     return Math.round(Math.max(...[...this._losses.values()].map(({ endMs }) => endMs)) - this._options.timers.now())
   }
 
+  /** True when one more loss with these starts does not fit into the record. */
+  private _isFullWith ({ tasks }: UnconfirmedStarts): boolean {
+    const named = this.unconfirmedStarts.reduce((sum, starts) => sum + starts.tasks.length, tasks.length)
+    const isFull = this._losses.size >= MAX_LOSSES || named > MAX_UNCONFIRMED_TASKS
+    const { log, epoch } = this._options
+    if (isFull && !this._isFull) log.event('warn', 'leaseEnds.full', { epoch, workers: this._losses.size, unconfirmedTasks: named })
+    this._isFull = isFull
+    return isFull
+  }
+
   /** Writes the remaining time of the leases that last. */
   private _refresh (): void {
     if (this.awaitsLeases) this._write()
--- a/packages/pomelofold/src/workflows/leaseEndView.ts
+++ b/packages/pomelofold/src/workflows/leaseEndView.ts
@@ -71,6 +71,10 @@
 export function listLeaseEnds (ends: KnownLeaseEnds, nowMs: number): LeaseEnd[] {
   const remainingMs = (endMs: number): number => Math.max(0, Math.ceil(endMs - nowMs))
   return [...ends].map(([worker, { loss, endMs, starts }]) => ({
-    worker, loss, endsInMs: remainingMs(endMs), unconfirmedTasks: starts.tasks, startsEndInMs: remainingMs(starts.endMs)
+    worker,
+    loss,
+    endsInMs: remainingMs(endMs),
+    unconfirmedTasks: starts.endMs > nowMs ? starts.tasks : [],
+    startsEndInMs: remainingMs(starts.endMs)
   }))
 }
