--- a/packages/pomelofold/src/workflows/leaseEndRecorder.ts
+++ b/packages/pomelofold/src/workflows/leaseEndRecorder.ts
@@ -27,7 +27,7 @@
 const READ_TIMEOUT_MS = 900
 /** Smallest change of an end for which the record is written, in milliseconds. */
 const MIN_CHANGE_MS = 250
-/** Maximum number of losses in the record: about 30 KB. Leases of further workers are counted from the election of each scheduler. */
+/** Maximum number of losses in the record: about 46 KB. Leases of further workers are counted from the election of each scheduler. */
 const MAX_LOSSES = 400
 
 /** Options of a {@link LeaseEndRecorder}. */
