--- a/tests/workflows/observerLimits.test.ts
+++ b/tests/workflows/observerLimits.test.ts
@@ -40,6 +40,33 @@
   }
 })
 
+// Guards against starts in transit that are handed over once, and forgotten when the roster no longer contains their worker (TWICE).
+t.test('a late start at a worker that comes back under its id is known to the next leader but one', async t => {
+  for (const how of ['refused', 'handedOver'] as const) {
+    for (const lastMs of [7_500, 8_500]) {
+      const cell = new WorkflowCell({ daemons: 6, runMs: () => 600_000 })
+      await cell.waitUntilReady()
+      const [worker, , other] = cell.workers
+      other.faults.draining = true
+      await cell.timers.advance(10_000)
+      worker.faults.orderDelayMs = 11_500
+      const workflow = cell.workflow([{ tasks: 1, longRunning: true, requiredLabel: 'r0' }])
+      await cell.submit(workflow, cell.leader!)
+      await cell.timers.advance(100)
+      worker.faults.refusesConnections = true
+      cell.restartWorker('w0', { listedAfterMs: 11_000, reachableAfterMs: 14_000 })
+      other.faults.draining = false
+      await cell.timers.advance(1_000)
+      await replaceLeader(cell, how)
+      await cell.timers.advance(lastMs)
+      await replaceLeader(cell, how)
+      await cell.timers.advance(30_000)
+      const runs = cell.runsOf(`${workflow.id}.0.0.0`).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
+      t.same(cell.violations(), [], `leader ${how}, the second lasts ${lastMs} ms: ${runs.join(', ')}`)
+    }
+  }
+})
+
 // Guards against a stall that is counted from the first report to each leader.
 t.test('a chain of leaders does not prolong the time until a stalled run is replaced', async t => {
   for (const count of [0, 5]) {
