--- a/tests/workflows/observerLimits.test.ts
+++ b/tests/workflows/observerLimits.test.ts
@@ -10,9 +10,14 @@
 import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import { SeededRandom } from '@pomelofold/standins/seededRandom'
 import { GroupCommitter } from 'pomelofold/commits/groupCommitter'
-import { LEASE_ENDS_KEY } from 'pomelofold/workflows/keys'
+import { EligibilityCache } from 'pomelofold/workflows/eligibilityCache'
+import { EligibilityDaemons } from 'pomelofold/workflows/eligibilityDaemons'
+import { LEASE_ENDS_KEY, SPEEDS_KEY } from 'pomelofold/workflows/keys'
 import { LeaseEndRecorder } from 'pomelofold/workflows/leaseEndRecorder'
 import { LeaseEndView } from 'pomelofold/workflows/leaseEndView'
+import type { WorkerSpeedEstimator } from 'pomelofold/workflows/workerSpeedEstimator'
+import { WorkerSpeedStore } from 'pomelofold/workflows/workerSpeedStore'
+import { delay } from 'pomelofold/seams/timers'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 import { replaceLeader, replaceLeaders, timeOfRestart, workerOf } from './leaderChain.js'
 import { WorkflowCell } from './workflowCell.js'
@@ -142,3 +147,46 @@
     recorder.close()
   }
 })
+
+// Guards against starts with an invalid ticket: its validity begins when the service answers, not when the answer arrives.
+t.test('a ticket whose answer was long on its way is not used after the end of its validity', async t => {
+  for (const transitMs of [100, 500]) {
+    const timers = new ManualTimers()
+    const daemons = new EligibilityDaemons({ timers, daemons: () => ['d'] })
+    const cache = new EligibilityCache({
+      timers,
+      log: SILENT_LOG,
+      daemons,
+      queryThroughDaemon: async (_daemon, _step, ids) => {
+        const answer = { tickets: Object.fromEntries(ids.map(id => [id, 'ticket'])), validMs: 2_000 }
+        await delay(timers, transitMs)
+        return answer
+      },
+      onAnswer: () => {}
+    })
+    cache.queryWorkers({ step: 's', workers: [{ id: 'w', incarnation: 'w@1' }], queue: 'q', priority: 0, expectedMs: 400 })
+    await timers.advance(1_000)
+    t.equal(cache.ticket('s', 'w@1'), 'ticket', 'it is used before')
+    await timers.advance(1_050)
+    t.equal(cache.ticket('s', 'w@1'), undefined, `the answer was ${transitMs} ms on its way`)
+  }
+})
+
+// Guards against measurements that no leader keeps, since each one writes only long after its beginning.
+t.test('speeds that were measured are kept by leaders that last a minute', async t => {
+  for (const workerCount of [245, 6_000]) {
+    const timers = new ManualTimers()
+    const store = new KeyValueStore({ timers })
+    const platform = new MemoryPlatformClient({ store, timers })
+    const incarnations = new Set(Array.from({ length: workerCount }, (_, index) => `w${index}@1`))
+    const snapshot = { workers: { 'w0@1': [1, 1] } }
+    for (let leader = 0; leader < 5; leader++) {
+      const estimator = { restore: () => {}, snapshot: () => snapshot } as unknown as WorkerSpeedEstimator
+      const speeds = new WorkerSpeedStore({ platform, timers, log: SILENT_LOG, estimator, incarnations: () => incarnations })
+      speeds.start()
+      await timers.advance(60_000)
+      speeds.close()
+    }
+    t.ok(store.get(SPEEDS_KEY), `${workerCount} workers, five leaders of 60 s`)
+  }
+})
