Test: a second loss of a worker does not end with its first one at a daemon that has not seen the time between

A daemon without the store sees the first and the second loss of a worker in its record, and not that the worker answered between them.

--- a/tests/workflows/outlastingLeases.test.ts
+++ b/tests/workflows/outlastingLeases.test.ts
@@ -10,7 +10,8 @@
 import { LEASE_ENDS_KEY, TERM_KEY } from 'pomelofold/workflows/keys'
 import { runViolations } from './runViolations.js'
 import {
-  cellWithService, cutFromOthers, injectRecordFaults, loseWorker, regainWorker, replaceLeader, workerOf, type RecordFaults, type ServiceCell
+  cellWithService, cutFromOthers, followersOf, injectRecordFaults, loseWorker, regainWorker,
+  replaceLeader, workerOf, type RecordFaults, type ServiceCell
 } from './leaderChain.js'
 import { WorkflowCell } from './workflowCell.js'
 
@@ -47,6 +48,23 @@
   }
 })
 
+// Guards against the end of an earlier loss that is taken for that of a later one (TWICE).
+t.test('a second loss of a worker does not end with its first one at a daemon that has not seen the time between', async t => {
+  const service = await cellWithService()
+  const { cell, worker } = service
+  const followers = followersOf(cell)
+  await loseWorker(cell, worker)
+  for (const { platform } of followers) platform.faults.unreachable = true
+  await regainWorker(cell, worker)
+  await cell.timers.advance(3_500)
+  await loseWorker(cell, worker)
+  for (const { platform } of followers) platform.faults.unreachable = false
+  await cell.timers.advance(500)
+  await replaceLeader(cell, 'refused')
+  await cell.timers.advance(14_000)
+  checkFirstRun(t, service, 'lost twice')
+})
+
 /** What becomes of writes of the ends of leases. */
 const RECORD_FAULTS: RecordFaults[] = [
   { delayMs: 400 }, { delayMs: 2_000 }, { delayMs: 4_000 }, { delayMs: 1, losesAnswer: true }, { delayMs: Number.POSITIVE_INFINITY }
