--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -14,6 +14,7 @@
 import type { EligibilityDaemons } from './eligibilityDaemons.js'
 import { EligibilityQueries } from './eligibilityQueries.js'
 import { InheritedUsage } from './inheritedUsage.js'
+import type { AwaitedWorkers } from './inheritedWorkers.js'
 import { PlacementPass, type OrderedStep } from './placementPass.js'
 import type { BlockedStep, ReadyStep } from './readyStep.js'
 import { needsReservation, planReservations, ReservingSteps } from './roomReservation.js'
@@ -175,6 +176,9 @@
     const wallClockMs = timers.wallClock()
     const inheritanceSettled = fleet.inheritedWorkersSettled
     this._noteInheritance(inheritanceSettled)
+    // All workers are looked at for it: at most once in a pass.
+    let awaitedWorkers: AwaitedWorkers | undefined
+    const awaited = (): AwaitedWorkers | undefined => { awaitedWorkers ??= fleet.awaitedWorkers; return awaitedWorkers }
     // The earlier scheduler may still start tasks of any workflow, new ones included, at workers that have not received this epoch.
     const predecessorStopped = inheritanceSettled || nowMs >= this._predecessorActiveUntilMs
     const steps: ReadyStep[] = []
@@ -189,7 +193,7 @@
         const mayStart = mayStartWorkflow || step.spec.speculative || (predecessorStopped && step.becameReadyInTerm)
         step.awaitsPredecessor = !mayStart
         if (mayStart || (predecessorStopped && step.hasSeenTasks)) steps.push({ step, queue, beyondBudget: budget.isBeyond(workflow) })
-        if (!mayStart) this._noteWait(step, queue, () => step.unseenTasks(nowMs), () => this._explainInheritance(step, nowMs))
+        if (!mayStart) this._noteWait(step, queue, () => step.unseenTasks(nowMs), () => this._explainInheritance(step, nowMs, awaited()))
       }
     }
     return steps
@@ -210,10 +214,10 @@
   }
 
   /** What a step waits for that an earlier scheduler may have started. */
-  private _explainInheritance (step: StepRuntime, nowMs: number): WaitExplanation {
+  private _explainInheritance (step: StepRuntime, nowMs: number, awaited: AwaitedWorkers | undefined): WaitExplanation {
     return {
       cause: WAIT_CAUSES.predecessor,
-      ...this._options.fleet.awaitedWorkers,
+      ...awaited,
       predecessorActiveMs: Math.max(0, Math.round(this._predecessorActiveUntilMs - nowMs)),
       endedInTerm: step.unseenTasks(nowMs).filter(task => task.waitingSinceMs !== undefined).length
     }
--- a/packages/pomelofold/src/workflows/leaseEndRecorder.ts
+++ b/packages/pomelofold/src/workflows/leaseEndRecorder.ts
@@ -59,6 +59,8 @@
   /** Workers whose loss the store may contain; undefined while these are not known. */
   private _stored: Set<string> | undefined
   private _lossCount = 0
+  /** Workers of the stored roster; undefined until this scheduler has written it. */
+  private _roster: ReadonlySet<string> | undefined
   /** True when the last loss did not fit into the record. */
   private _isFull = false
   private _loaded = false
@@ -147,10 +149,19 @@
     this._write()
   }
 
-  /** Removes the losses of workers that are no longer in the stored roster: no later scheduler waits for these. */
+  /** Notes the workers of the stored roster: no later scheduler waits for others. */
   retain (roster: ReadonlySet<string>): void {
+    this._roster = roster
+    this._prune()
+  }
+
+  /** Removes the losses of workers that are no longer in the roster, unless a start may still be carried out by a later incarnation. */
+  private _prune (): void {
     const { size } = this._losses
-    for (const worker of this._losses.keys()) if (!roster.has(worker)) this._losses.delete(worker)
+    const nowMs = this._options.timers.now()
+    for (const [worker, { starts }] of this._losses) {
+      if (this._roster && !this._roster.has(worker) && starts.endMs <= nowMs) this._losses.delete(worker)
+    }
     if (this._losses.size < size) this._write()
   }
 
@@ -179,9 +190,10 @@
     return isFull
   }
 
-  /** Writes the remaining time of the leases that last. */
+  /** Writes the remaining time of the leases that last, and of the starts that may still be carried out. */
   private _refresh (): void {
-    if (this.awaitsLeases) this._write()
+    this._prune()
+    if (this.awaitsLeases || this.unconfirmedStarts.length > 0) this._write()
   }
 
   private _write (): void {
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -86,6 +86,8 @@
   private readonly _releasedRuns: ReleasedRuns
   private readonly _lateStarts: LateStartTracker
   private readonly _pacer: SpareCpuPacer
+  /** Workers that have lapsed without an answer in this term, which is logged once. */
+  private readonly _unansweredLapses = new WeakSet<WorkerSession>()
   private _startCount = 0
 
   constructor (options: RunTrackerOptions) {
@@ -188,7 +190,9 @@
 
   /** All runs of the worker have ended. Tasks whose start another incarnation of it may carry out wait. */
   handleLapse (session: WorkerSession, reason: string): void {
-    if (session.runs.size || !session.synced) {
+    const isUnansweredLapse = !session.synced && !this._unansweredLapses.has(session)
+    if (session.runs.size || isUnansweredLapse) {
+      this._unansweredLapses.add(session)
       this._options.log.event('warn', 'worker.lapsed', {
         worker: session.incarnation,
         reason,
