--- a/packages/pomelofold/src/workflows/leaseEndRecorder.ts
+++ b/packages/pomelofold/src/workflows/leaseEndRecorder.ts
@@ -27,8 +27,10 @@
 const READ_TIMEOUT_MS = 900
 /** Smallest change of an end for which the record is written, in milliseconds. */
 const MIN_CHANGE_MS = 250
-/** Maximum number of losses in the record: about 30 KB. Leases of further workers are counted from the election of each scheduler. */
+/** Maximum number of losses in the record: about 46 KB. Leases of further workers are counted from the election of each scheduler. */
 const MAX_LOSSES = 400
+/** Maximum number of tasks that are named in the record. A loss with which there were more is left out. */
+const MAX_UNCONFIRMED_TASKS = 1_000
 
 /** Options of a {@link LeaseEndRecorder}. */
 export interface LeaseEndRecorderOptions {
@@ -57,6 +59,10 @@
   /** Workers whose loss the store may contain; undefined while these are not known. */
   private _stored: Set<string> | undefined
   private _lossCount = 0
+  /** Workers of the stored roster; undefined until this scheduler has written it. */
+  private _roster: ReadonlySet<string> | undefined
+  /** True when the last loss did not fit into the record. */
+  private _isFull = false
   private _loaded = false
   private _dirty = false
   private _writing: Promise<void> | undefined
@@ -119,7 +125,8 @@
 
   /** Starts that a later incarnation of a recorded worker may carry out. */
   get unconfirmedStarts (): UnconfirmedStarts[] {
-    return [...this._losses.values()].map(({ starts }) => starts).filter(({ tasks }) => tasks.length > 0)
+    const nowMs = this._options.timers.now()
+    return [...this._losses.values()].map(({ starts }) => starts).filter(({ tasks, endMs }) => tasks.length > 0 && endMs > nowMs)
   }
 
   /** Notes that the worker does not answer, and that its lease, which is not extended any more, ends at `endMs` of the monotonic clock. */
@@ -128,7 +135,7 @@
     if (!this._loaded || this._closed) return
     const known = this._losses.get(worker)
     if (known && known.endMs <= endMs + MIN_CHANGE_MS) return
-    if (!known && this._losses.size >= MAX_LOSSES) return
+    if (!known && this._isFullWith(starts)) return
     const loss = known?.loss ?? `${epoch}.${++this._lossCount}`
     this._losses.set(worker, { loss, endMs, starts: known?.starts ?? starts })
     log.event('info', 'leaseEnd.noted', { worker, loss, endsInMs: Math.round(endMs - timers.now()), unconfirmedTasks: starts.tasks.length })
@@ -142,10 +149,19 @@
     this._write()
   }
 
-  /** Removes the losses of workers that are no longer in the stored roster: no later scheduler waits for these. */
+  /** Notes the workers of the stored roster: no later scheduler waits for others. */
   retain (roster: ReadonlySet<string>): void {
+    this._roster = roster
+    this._prune()
+  }
+
+  /** Removes the losses of workers that are no longer in the roster, unless a start may still be carried out by a later incarnation. */
+  private _prune (): void {
     const { size } = this._losses
-    for (const worker of this._losses.keys()) if (!roster.has(worker)) this._losses.delete(worker)
+    const nowMs = this._options.timers.now()
+    for (const [worker, { starts }] of this._losses) {
+      if (this._roster && !this._roster.has(worker) && starts.endMs <= nowMs) this._losses.delete(worker)
+    }
     if (this._losses.size < size) this._write()
   }
 
@@ -164,9 +180,20 @@
     return Math.round(Math.max(...[...this._losses.values()].map(({ endMs }) => endMs)) - this._options.timers.now())
   }
 
-  /** Writes the remaining time of the leases that last. */
+  /** True when one more loss with these starts does not fit into the record. */
+  private _isFullWith ({ tasks }: UnconfirmedStarts): boolean {
+    const named = this.unconfirmedStarts.reduce((sum, starts) => sum + starts.tasks.length, tasks.length)
+    const isFull = this._losses.size >= MAX_LOSSES || named > MAX_UNCONFIRMED_TASKS
+    const { log, epoch } = this._options
+    if (isFull && !this._isFull) log.event('warn', 'leaseEnds.full', { epoch, workers: this._losses.size, unconfirmedTasks: named })
+    this._isFull = isFull
+    return isFull
+  }
+
+  /** Writes the remaining time of the leases that last, and of the starts that may still be carried out. */
   private _refresh (): void {
-    if (this.awaitsLeases) this._write()
+    this._prune()
+    if (this.awaitsLeases || this.unconfirmedStarts.length > 0) this._write()
   }
 
   private _write (): void {
