After a quick hand-over, the extension of older versions is awaited only where they may lead

A leader that took over by a hand-over within 5.5 s of the last election waited for the 3 s for which leaders without the record extend leases, also when all leaders keep the record.

--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -243,7 +243,7 @@
       isStoreReachable: () => this._session.connected,
       // The earlier scheduler stops when its lease ends, or when nobody confirms an outage of the store to it any more.
       predecessorActiveUntilMs,
-      predecessorExtensionMs: this._session.onlyLeadersExtend ? 0 : LEGACY_EXTENSION_MS,
+      predecessorExtensionMs: this._predecessorExtensionMs,
       newFromRevision: mayStartNewWork ? Number.POSITIVE_INFINITY : leader.epoch,
       leadershipRemainingMs: () => this._session.leadershipRemainingMs(leader.epoch),
       queryEligibility: (daemon, step, names, timeoutMs) => this._queryEligibility(daemon, step, names, timeoutMs),
@@ -258,6 +258,11 @@
     this._checkPredecessor(this._term, election)
   }
 
+  /** Time for which the leaders before this daemon's election may extend leases after their authority has ended, in milliseconds. */
+  private get _predecessorExtensionMs (): number {
+    return this._session.onlyLeadersExtend ? 0 : LEGACY_EXTENSION_MS
+  }
+
   /**
    * Time until which leaders before the predecessor may start work, in milliseconds of the monotonic clock: the predecessor may
    * have replaced a running one just before it ended itself.
@@ -286,8 +291,8 @@
       }
       await delay(timers, RETIRE_TIMEOUT_MS)
     }
-    // The leaders before it may extend leases for some time after their authority has ended.
-    while (!term.closed && timers.now() < this._earlierActiveUntilMs(election) + LEGACY_EXTENSION_MS) {
+    // The leaders before it may still extend leases.
+    while (!term.closed && timers.now() < this._earlierActiveUntilMs(election) + this._predecessorExtensionMs) {
       await delay(timers, RETIRE_TIMEOUT_MS)
     }
     if (term.closed) return
