--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -225,7 +225,7 @@
     const election: Election = { leader, predecessor, replacedRunning, electedMs: nowMs }
     const earlierActiveUntilMs = this._earlierActiveUntilMs(election)
     const predecessorActiveUntilMs = Math.max(nowMs + (replacedRunning ? SESSION_TTL_MS : CONFIRMED_OUTAGE_MS), earlierActiveUntilMs)
-    const mayStartNewWork = replacedRunning || earlierActiveUntilMs > nowMs
+    const mayOthersStartNewWork = replacedRunning || earlierActiveUntilMs > nowMs
     this._failedQueries.clear()
     this._termEpoch = leader.epoch
     this._term = new SchedulerTerm({
@@ -244,7 +244,7 @@
       // The earlier scheduler stops when its lease ends, or when nobody confirms an outage of the store to it any more.
       predecessorActiveUntilMs,
       predecessorExtensionMs: this._predecessorExtensionMs,
-      newFromRevision: mayStartNewWork ? Number.POSITIVE_INFINITY : leader.epoch,
+      newFromRevision: mayOthersStartNewWork ? Number.POSITIVE_INFINITY : leader.epoch,
       leadershipRemainingMs: () => this._session.leadershipRemainingMs(leader.epoch),
       queryEligibility: (daemon, step, names, timeoutMs) => this._queryEligibility(daemon, step, names, timeoutMs),
       eligibilityDaemons: () => [vm, ...this._session.presentMembers.filter(member => member !== vm)],
@@ -253,7 +253,7 @@
     })
     this._term.start()
     if (predecessor) this._retirePredecessor(this._term, predecessor, election)
-    if (mayStartNewWork) this._awaitPredecessorStop(this._term, predecessorActiveUntilMs)
+    if (mayOthersStartNewWork) this._awaitPredecessorStop(this._term, predecessorActiveUntilMs)
     this._askForLeaseEnds(this._term)
     this._checkPredecessor(this._term, election)
   }
--- a/tests/workflows/leaderChain.ts
+++ b/tests/workflows/leaderChain.ts
@@ -60,6 +60,37 @@
   return { cell, tasks, worker: workerOf(cell, tasks[0]), lag, leaseEndViolations }
 }
 
+/** Options of {@link cellWithStartInTransit}. */
+export interface StartInTransitOptions {
+  /** Time from the start until it is carried out, in milliseconds. */
+  orderDelayMs: number
+  /** Times from the restart of the worker until the directory lists it, and until it answers, in milliseconds. */
+  listedAfterMs?: number
+  reachableAfterMs?: number
+  /** The worker refuses connections as it restarts. */
+  refusesConnections?: boolean
+  daemons?: number
+}
+
+/** Starts a cell with a long-running task whose start is on its way to a worker that has just restarted under its id. */
+export async function cellWithStartInTransit (
+  { orderDelayMs, refusesConnections = false, daemons = 5, ...back }: StartInTransitOptions
+): Promise<{ cell: WorkflowCell, task: string }> {
+  const cell = new WorkflowCell({ daemons, runMs: () => 600_000 })
+  await cell.waitUntilReady()
+  const [worker, , other] = cell.workers
+  other.faults.draining = true
+  await cell.timers.advance(10_000)
+  worker.faults.orderDelayMs = orderDelayMs
+  const workflow = cell.workflow([{ tasks: 1, longRunning: true, requiredLabel: 'r0' }])
+  await cell.submit(workflow, cell.leader!)
+  await cell.timers.advance(100)
+  worker.faults.refusesConnections = refusesConnections
+  cell.restartWorker(worker.entry.id, back)
+  other.faults.draining = false
+  return { cell, task: `${workflow.id}.0.0.0` }
+}
+
 /** The worker of the last run of a task. */
 export function workerOf (cell: WorkflowCell, task: string): LeasedWorker {
   const id = cell.runsOf(task).at(-1)!.worker
--- a/tests/workflows/observerLimits.test.ts
+++ b/tests/workflows/observerLimits.test.ts
@@ -1,5 +1,5 @@
 /**
- * Tests of the review of issue 52: time limits that each scheduler counts from its own beginning, or from what it notices.
+ * Tests of time limits that each scheduler counts from its own beginning, or from when it notices an event.
  *
  * @module
  */
@@ -19,27 +19,17 @@
 import { WorkerSpeedStore } from 'pomelofold/workflows/workerSpeedStore'
 import { delay } from 'pomelofold/seams/timers'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
-import { replaceLeader, replaceLeaders, timeOfRestart, workerOf } from './leaderChain.js'
+import { cellWithStartInTransit, replaceLeader, replaceLeaders, timeOfRestart, workerOf } from './leaderChain.js'
 import { WorkflowCell } from './workflowCell.js'
 
 // Guards against a late start that a chain of leaders forgets (TWICE).
 t.test('a late start at a restarted worker that does not answer runs no task twice under a chain of leaders', async t => {
   for (const { lastMs, orderDelayMs } of [{ lastMs: 1_500, orderDelayMs: 10_000 }, { lastMs: 3_000, orderDelayMs: 11_500 }]) {
     for (const count of [1, 2, 3]) {
-      const cell = new WorkflowCell({ daemons: 6, runMs: () => 600_000 })
-      await cell.waitUntilReady()
-      const [worker, , other] = cell.workers
-      other.faults.draining = true
-      await cell.timers.advance(10_000)
-      worker.faults.orderDelayMs = orderDelayMs
-      const workflow = cell.workflow([{ tasks: 1, longRunning: true, requiredLabel: 'r0' }])
-      await cell.submit(workflow, cell.leader!)
-      await cell.timers.advance(100)
-      cell.restartWorker('w0', { reachableAfterMs: 25_000 })
-      other.faults.draining = false
+      const { cell, task } = await cellWithStartInTransit({ orderDelayMs, reachableAfterMs: 25_000, daemons: 6 })
       await replaceLeaders(cell, { how: 'refused', count, lastMs })
       await cell.timers.advance(40_000)
-      const runs = cell.runsOf(`${workflow.id}.0.0.0`).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
+      const runs = cell.runsOf(task).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
       t.same(cell.violations(), [], `${count} leaders, each ${lastMs} ms, late by ${orderDelayMs} ms: ${runs.join(', ')}`)
     }
   }
@@ -49,24 +39,15 @@
 t.test('a late start at a worker that comes back under its id is known to the next leader but one', async t => {
   for (const how of ['refused', 'handedOver'] as const) {
     for (const lastMs of [7_500, 8_500]) {
-      const cell = new WorkflowCell({ daemons: 6, runMs: () => 600_000 })
-      await cell.waitUntilReady()
-      const [worker, , other] = cell.workers
-      other.faults.draining = true
-      await cell.timers.advance(10_000)
-      worker.faults.orderDelayMs = 11_500
-      const workflow = cell.workflow([{ tasks: 1, longRunning: true, requiredLabel: 'r0' }])
-      await cell.submit(workflow, cell.leader!)
-      await cell.timers.advance(100)
-      worker.faults.refusesConnections = true
-      cell.restartWorker('w0', { listedAfterMs: 11_000, reachableAfterMs: 14_000 })
-      other.faults.draining = false
+      const { cell, task } = await cellWithStartInTransit({
+        orderDelayMs: 11_500, listedAfterMs: 11_000, reachableAfterMs: 14_000, refusesConnections: true, daemons: 6
+      })
       await cell.timers.advance(1_000)
       await replaceLeader(cell, how)
       await cell.timers.advance(lastMs)
       await replaceLeader(cell, how)
       await cell.timers.advance(30_000)
-      const runs = cell.runsOf(`${workflow.id}.0.0.0`).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
+      const runs = cell.runsOf(task).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
       t.same(cell.violations(), [], `leader ${how}, the second lasts ${lastMs} ms: ${runs.join(', ')}`)
     }
   }
--- a/tests/workflows/leaseEndsReview.test.ts
+++ b/tests/workflows/recordedLeaseEnds.test.ts
@@ -1,13 +1,12 @@
 /**
- * Tests of the review of issue 52: ends of leases that a new scheduler takes from the record although a run may begin or go on later.
+ * Tests of ends of leases that a new scheduler takes from the record although a run may begin or go on later.
  *
  * @module
  */
 
 import t from 'tap'
 import { LEASE_ENDS_KEY, TERM_KEY } from 'pomelofold/workflows/keys'
-import { cellWithService, cutFromOthers, injectRecordFaults, loseWorker, regainWorker, replaceLeader } from './leaderChain.js'
-import { WorkflowCell } from './workflowCell.js'
+import { cellWithService, cellWithStartInTransit, cutFromOthers, injectRecordFaults, loseWorker, regainWorker, replaceLeader } from './leaderChain.js'
 
 // Guards against a record that no leader has kept, and that the next but one trusts (TWICE).
 t.test('the record of ends of leases is not used when the leader that should have written it anew has ended before', async t => {
@@ -46,22 +45,13 @@
 t.test('a late start at a worker that comes back under its id after its recorded lease end runs no task twice', async t => {
   for (const how of ['refused', 'silent'] as const) {
     for (const { backMs, orderDelayMs } of [{ backMs: 7_000, orderDelayMs: 7_400 }, { backMs: 8_000, orderDelayMs: 9_000 }]) {
-      const cell = new WorkflowCell({ daemons: 5, runMs: () => 600_000 })
-      await cell.waitUntilReady()
-      const [worker, , other] = cell.workers
-      other.faults.draining = true
-      await cell.timers.advance(10_000)
-      worker.faults.orderDelayMs = orderDelayMs
-      const workflow = cell.workflow([{ tasks: 1, longRunning: true, requiredLabel: 'r0' }])
-      await cell.submit(workflow, cell.leader!)
-      await cell.timers.advance(100)
-      worker.faults.refusesConnections = true
-      cell.restartWorker('w0', { listedAfterMs: backMs, reachableAfterMs: backMs + 3_000 })
-      other.faults.draining = false
+      const { cell, task } = await cellWithStartInTransit({
+        orderDelayMs, listedAfterMs: backMs, reachableAfterMs: backMs + 3_000, refusesConnections: true
+      })
       await cell.timers.advance(1_000)
       await replaceLeader(cell, how)
       await cell.timers.advance(30_000)
-      const runs = cell.runsOf(`${workflow.id}.0.0.0`).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
+      const runs = cell.runsOf(task).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
       t.same(cell.violations(), [], `leader ${how}, back after ${backMs} ms, late by ${orderDelayMs} ms: ${runs.join(', ')}`)
     }
   }
@@ -71,20 +61,10 @@
 t.test('a late start at a worker that is lost in the moment of its leader and comes back under its id runs no task twice', async t => {
   for (const how of ['refused', 'silent'] as const) {
     for (const { backMs, orderDelayMs } of [{ backMs: 8_000, orderDelayMs: 8_500 }, { backMs: 10_000, orderDelayMs: 10_500 }]) {
-      const cell = new WorkflowCell({ daemons: 5, runMs: () => 600_000 })
-      await cell.waitUntilReady()
-      const [worker, , other] = cell.workers
-      other.faults.draining = true
-      await cell.timers.advance(10_000)
-      worker.faults.orderDelayMs = orderDelayMs
-      const workflow = cell.workflow([{ tasks: 1, longRunning: true, requiredLabel: 'r0' }])
-      await cell.submit(workflow, cell.leader!)
-      await cell.timers.advance(100)
-      cell.restartWorker('w0', { listedAfterMs: backMs, reachableAfterMs: backMs + 3_000 })
-      other.faults.draining = false
+      const { cell, task } = await cellWithStartInTransit({ orderDelayMs, listedAfterMs: backMs, reachableAfterMs: backMs + 3_000 })
       await replaceLeader(cell, how)
       await cell.timers.advance(30_000)
-      const runs = cell.runsOf(`${workflow.id}.0.0.0`).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
+      const runs = cell.runsOf(task).map(run => `${run.worker} ${run.startMs} to ${run.endMs}`)
       t.same(cell.violations(), [], `leader ${how}, back after ${backMs} ms, late by ${orderDelayMs} ms: ${runs.join(', ')}`)
     }
   }
