--- a/review/lib-2/cell.mjs
+++ b/review/lib-2/cell.mjs
@@ -4,7 +4,6 @@
 
 import { spawn } from 'node:child_process'
 import { createWriteStream, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
-import { once } from 'node:events'
 import { request, Agent } from 'node:http'
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -17,6 +16,8 @@
 export const CLIENT_HOST = 'cell.example'
 const LEADER_KEY = 'pomelofold/cell/leader'
 const RESTART_MS = 300
+const PORTS = { first: 12_000, last: 31_000 }
+const taken = new Set()
 
 /** Exit codes of a case. */
 export const VERDICTS = { held: 0, broken: 1, unable: 2 }
@@ -54,6 +55,7 @@
     this.agent = new Agent({ keepAlive: true })
     this.version = 0
     process.once('exit', () => this._killAll())
+    for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => process.exit(VERDICTS.unable))
   }
 
   async start ({ daemons, zones = ['a', 'b', 'c'] }) {
@@ -223,15 +225,23 @@
   process.exit(verdict)
 }
 
+/** Free ports below the range from which the system takes those of outgoing connections, so that none of these is in the way later. */
 async function freePorts (count) {
-  const servers = await Promise.all(Array.from({ length: count }, async () => {
-    const server = createServer().listen(0, HOST)
-    await once(server, 'listening')
-    return server
-  }))
-  const ports = servers.map(server => server.address().port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
-  return ports
+  const ports = new Set()
+  while (ports.size < count) {
+    const port = PORTS.first + Math.floor(Math.random() * (PORTS.last - PORTS.first))
+    if (!taken.has(port) && await isFree(port)) ports.add(port)
+  }
+  for (const port of ports) taken.add(port)
+  return [...ports]
+}
+
+function isFree (port) {
+  return new Promise(resolve => {
+    const server = createServer()
+    server.once('error', () => resolve(false))
+    server.listen(port, HOST, () => server.close(() => resolve(true)))
+  })
 }
 
 function isReady (port) {
--- a/review/lib-2/minion.mjs
+++ b/review/lib-2/minion.mjs
@@ -13,12 +13,16 @@
 const STOP_MS = 50
 const STARTUP_MS = 200
 const TICK_MS = 10
+/** Time after which a run ends as failed on a minion that fails all that it starts. */
+const FAIL_MS = 50
 
 export class Minion {
   constructor ({ store, record, host, id, service, zone, capacity, labels = ['a', 'r1'] }) {
     Object.assign(this, { store, record, host, id, service, zone, capacity, labels })
     this.port = 0
     this.up = false
+    /** True while the minion fails all that it starts. */
+    this.failing = false
     /** Called with each order before it is carried out; returns `{ ignore: true }`, `{ lose: true }` or nothing. */
     this.gate = () => ({})
   }
@@ -103,6 +107,7 @@
         run.saved = checkpoint(run.workedBefore + worked)
       }
       if (run.stopAt !== undefined && now >= run.stopAt) this._end(run, 'stopped')
+      else if (run.fails && worked >= FAIL_MS) this._end(run, 'failed')
       else if (run.workMs !== undefined && run.workedBefore + worked >= run.workMs) this._end(run, 'done')
     }
   }
@@ -162,6 +167,7 @@
       saved,
       saves: 0,
       startedAt: this.clock,
+      fails: this.failing,
       checkpointing: spec.includes('saves'),
       workMs: workMs === undefined ? undefined : Number(workMs),
       workedBefore: saved === '' ? 0 : Number.parseInt(saved, 16),
