--- a/review/lib-2/cell.mjs
+++ b/review/lib-2/cell.mjs
@@ -16,6 +16,8 @@
 export const CLIENT_HOST = 'cell.example'
 const LEADER_KEY = 'pomelofold/cell/leader'
 const RESTART_MS = 300
+/** Longest time for which a script runs. */
+const LIMIT_MS = 115_000
 const PORTS = { first: 12_000, last: 31_000 }
 const taken = new Set()
 
@@ -54,7 +56,10 @@
     this.daemons = []
     this.agent = new Agent({ keepAlive: true })
     this.version = 0
-    process.once('exit', () => this._killAll())
+    process.once('exit', () => {
+      this._killAll()
+      rmSync(this.dir, { recursive: true, force: true })
+    })
     for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => process.exit(VERDICTS.unable))
   }
 
@@ -213,6 +218,10 @@
 export async function runCase (caseUrl, play) {
   const cell = new Cell(new URL('.', caseUrl).pathname)
   const trouble = process.env.TROUBLE !== '0'
+  setTimeout(() => {
+    cell.record(`UNABLE the script has run for ${LIMIT_MS} ms`)
+    process.exit(VERDICTS.unable)
+  }, LIMIT_MS).unref()
   let verdict = VERDICTS.unable
   try {
     const broken = await play(cell, trouble)
