--- a/packages/pomelofold/src/workflows/prefixView.ts
+++ b/packages/pomelofold/src/workflows/prefixView.ts
@@ -53,6 +53,7 @@
   private _retryTimer: TimerSubscription | undefined
   private _retryMs = LIST_RETRY_MIN_MS
   private _timeoutMs = LIST_TIMEOUT_MS
+  private _revision = 0
   /** Time at which the store last confirmed the view. */
   private _confirmedMs: number | undefined
   /** Lists that have failed since the last one that was read. */
@@ -89,6 +90,11 @@
     return this._confirmedMs === undefined ? Number.POSITIVE_INFINITY : this._options.timers.now() - this._confirmedMs
   }
 
+  /** Revision of the store up to which the view contains every change of its keys; 0 before the first list. */
+  get revision (): number {
+    return this._revision
+  }
+
   /** True while the list cannot be read. */
   get failing (): boolean {
     return this._failures > 0
@@ -133,6 +139,7 @@
     this._noteSuccess(list.value.revision)
     this._retryMs = LIST_RETRY_MIN_MS
     this._timeoutMs = LIST_TIMEOUT_MS
+    this._revision = Math.max(this._revision, list.value.revision)
     this._replaceValues(list.value.values, sent)
     this._openWatch(list.value.revision + 1)
   }
@@ -188,7 +195,8 @@
         const transferMs = this._noteAnswered()
         if (this._closed) return
         this._confirmedMs = timers.now()
-        for (const { key, value } of events) {
+        for (const { key, value, revision } of events) {
+          this._revision = Math.max(this._revision, revision)
           if (value) this._values.set(key, value)
           else this._values.delete(key)
         }
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -389,9 +389,9 @@
     return this._registry.loaded && this._options.config()?.teams ? this._backlogs.of(team) : undefined
   }
 
-  /** Adds a workflow that was stored at `revision`. */
+  /** Adds a workflow that was stored at `revision`, unless it has ended since. */
   addWorkflow (record: Workflow, revision: number): void {
-    this._registry.add(record, revision)
+    this._registry.noteStored(record, revision)
   }
 
   /** Cancels a workflow after its cancellation has been stored. */
--- a/packages/pomelofold/src/workflows/workflowRegistry.ts
+++ b/packages/pomelofold/src/workflows/workflowRegistry.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { cancellationKey, cancelledWorkflowIdOf, INTAKE_PREFIX, PROGRESS_PREFIX, progressKey, workflowIdOf } from './keys.js'
+import { cancellationKey, cancelledWorkflowIdOf, INTAKE_PREFIX, PROGRESS_PREFIX, progressKey, workflowIdOf, workflowKey } from './keys.js'
 import { PrefixView } from './prefixView.js'
 import { isFinal, WorkflowRuntime, type Task } from './workflowRuntime.js'
 import type { GroupCommitter } from '../commits/groupCommitter.js'
@@ -44,6 +44,13 @@
   onLoaded: () => void
 }
 
+/** Notice of another daemon that it has stored a workflow. */
+interface StoredNotice {
+  record: Workflow
+  /** Revision of the store at which the workflow was stored. */
+  revision: number
+}
+
 /** Holds the workflows of the cell for the scheduler. */
 export class WorkflowRegistry {
   /** Workflows that have not ended, in the order in which they were added. */
@@ -53,6 +60,8 @@
   /** Outcomes of the workflows whose final state is recorded, in the order of their ends. */
   private readonly _ended = new Map<string, EndedWorkflow>()
   private readonly _intake: PrefixView
+  /** Notices of stored workflows that arrived before the store was read. */
+  private _earlyNotices: StoredNotice[] = []
   private _loaded = false
   private _closed = false
 
@@ -113,9 +122,28 @@
     return sums
   }
 
-  /** Adds a workflow that was stored at `revision`, unless the registry has it already. */
-  add (record: Workflow, revision: number): void {
-    if (this._workflows.has(record.id) || this._ended.has(record.id)) return
+  /**
+   * Applies a notice, which may arrive ahead of the watch, or so late that the workflow has ended. Revisions tell: the view of the
+   * store contains every workflow that was stored up to its revision, unless the final state is recorded.
+   */
+  noteStored (record: Workflow, revision: number): void {
+    if (!this._loaded) {
+      this._earlyNotices.push({ record, revision })
+      return
+    }
+    if (this._has(record.id)) return
+    if (revision <= this._intake.revision && !this._intake.get(workflowKey(record.id))) {
+      this._options.log.event('info', 'workflow.notice.late', { jobId: record.id, revision, viewRevision: this._intake.revision })
+      return
+    }
+    this._add(record, revision)
+  }
+
+  private _has (id: string): boolean {
+    return this._workflows.has(id) || this._ended.has(id)
+  }
+
+  private _add (record: Workflow, revision: number): void {
     const { timers, log, onAdded } = this._options
     const workflow = new WorkflowRuntime({ record, revision, addedMs: timers.now() })
     this._workflows.set(record.id, workflow)
@@ -169,6 +197,7 @@
     // Cancellations come last: they set the final state, and progress restored after them would overwrite it.
     this._applyCancellations(keys)
     this._loaded = true
+    for (const { record, revision } of this._earlyNotices.splice(0)) this.noteStored(record, revision)
     log.event(
       'info', 'term.loaded',
       { epoch, records: progress.size, workflows: this.size, open: this.open.size, tookMs: Math.round(timers.now() - startedMs) }
@@ -192,9 +221,9 @@
         this._remove(id)
         continue
       }
-      if (this._workflows.has(id)) continue
+      if (this._has(id)) continue
       const workflow = decodeJson(workflowSchema, stored.value)
-      if (workflow.isOk) this.add(workflow.value, stored.modRevision)
+      if (workflow.isOk) this._add(workflow.value, stored.modRevision)
       else log.event('error', 'workflow.unreadable', { jobId: id, revision: stored.modRevision, detail: workflow.error })
     }
   }
@@ -206,11 +235,9 @@
     }
   }
 
-  /** Restores the outcome of an ended workflow. A message of a peer may have added the workflow before the store was read. */
   private _restoreEnded (id: string, { value }: StoredValue): void {
     const ended = decodeJson(endedWorkflowSchema, value)
     if (ended.isErr || !isFinal(ended.value.state)) return
-    this._remove(id)
     this._ended.set(id, ended.value)
   }
 
