--- a/packages/pomelofold/src/workflows/fencingTokens.ts
+++ b/packages/pomelofold/src/workflows/fencingTokens.ts
@@ -31,6 +31,11 @@
     this._revision = Math.max(this._revision, revision)
   }
 
+  /** True when an earlier incarnation with the worker's id has a fence: calls to that one may reach this one. */
+  hasEarlier ({ id, bornMs }: WorkerEntry): boolean {
+    return (this._fences.get(id)?.bornMs ?? bornMs) < bornMs
+  }
+
   /** Fence of a worker that the roster contains. A later incarnation was added by a write of its own, so that its token is higher. */
   fenceOf ({ id, bornMs }: WorkerEntry): WorkerFence {
     const fence = this._fences.get(id) ?? { bornMs, token: this._revision, raise: () => { fence.token = this._revision } }
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -45,7 +45,9 @@
   failureDomain: z.string(),
   draining: z.boolean(),
   capacity: resourcesSchema,
-  labels: z.array(z.string())
+  labels: z.array(z.string()),
+  /** The worker may have a lease of the maximum length, from calls to an earlier incarnation. */
+  mayHaveForeignLease: z.boolean().optional()
 }))
 
 /** Options of a {@link WorkerFleet}. */
@@ -90,6 +92,8 @@
   private readonly _fencingTokens: FencingTokens
   /** Worker incarnations in the stored roster. */
   private _roster = new Set<string>()
+  /** Those of them that may have a lease from calls to an earlier incarnation, by the stored roster. */
+  private _foreignLeases = new Set<string>()
   private _rosterCleanedMs = Number.NEGATIVE_INFINITY
   private readonly _inheritedWorkers: InheritedWorkers
   private _closed = false
@@ -146,7 +150,15 @@
 
   private _noteInheritedRunsEnd (endMs: number): void {
     this._inheritedRunsEndMs = Math.min(this._inheritedRunsEndMs, endMs)
-    for (const session of this.sessions.values()) session.inheritedRunsEndMs = Math.min(session.inheritedRunsEndMs, endMs)
+    for (const session of this.sessions.values()) {
+      session.inheritedRunsEndMs = Math.min(session.inheritedRunsEndMs, this._inheritedRunsEndAt(session))
+    }
+  }
+
+  /** Time by which runs that an earlier scheduler started on the worker have ended, in milliseconds of the monotonic clock. */
+  private _inheritedRunsEndAt ({ mayHaveForeignLease }: { mayHaveForeignLease: boolean }): number {
+    const { leaseMs, maxLeaseMs } = this._options
+    return this._inheritedRunsEndMs + (mayHaveForeignLease ? (maxLeaseMs - leaseMs) / WORKER_CLOCK_RATE : 0)
   }
 
   /** True when every worker that an earlier scheduler may have used has answered, or can run nothing that it has started. */
@@ -202,8 +214,9 @@
       log.event('error', 'roster.unreadable', { revision: this._rosterRevision, detail: roster.error })
       return false
     }
-    for (const entry of roster.value) {
+    for (const { mayHaveForeignLease, ...entry } of roster.value) {
       this._roster.add(incarnationOf(entry))
+      if (mayHaveForeignLease) this._foreignLeases.add(incarnationOf(entry))
       this._inheritedWorkers.addStored(entry)
       this._openSession(entry, { listed: false })
     }
@@ -234,10 +247,11 @@
     return true
   }
 
-  /** Removes workers that have ended from the roster: a new scheduler would wait until their leases have surely ended. */
+  /** Removes from the roster what a new scheduler would wait for in vain: workers and leases that have ended. */
   private async _cleanRoster (): Promise<void> {
     const { timers } = this._options
-    const outdated = [...this._roster].some(incarnation => !this.sessions.has(incarnation))
+    const outdated = [...this._roster].some(incarnation => !this.sessions.has(incarnation)) ||
+      [...this._foreignLeases].some(incarnation => !this.sessions.get(incarnation)?.mayHaveForeignLease)
     if (!outdated || timers.now() - this._rosterCleanedMs < ROSTER_CLEANUP_PERIOD_MS) return
     this._rosterCleanedMs = timers.now()
     await this._writeRoster([])
@@ -249,7 +263,9 @@
     const kept = [...this.sessions.values()].map(session => session.entry)
     const known = new Set(kept.map(incarnationOf))
     const entries = [...kept, ...newEntries.filter(entry => !known.has(incarnationOf(entry)))]
-    const value = JSON.stringify(entries.map(({ leavesInMs, ...entry }) => entry))
+    const foreignLeases = new Set(entries.filter(entry => this._mayHaveForeignLease(entry)).map(incarnationOf))
+    const value = JSON.stringify(entries.map(({ leavesInMs, ...entry }) =>
+      ({ ...entry, mayHaveForeignLease: foreignLeases.has(incarnationOf(entry)) || undefined })))
     const guards = [{ key: LEADER_KEY, modRevision: epoch }, { key: ROSTER_KEY, modRevision: this._rosterRevision! }]
     const result = await platform.txn(guards, [{ op: 'put', key: ROSTER_KEY, value }], { timeoutMs: CALL_TIMEOUT_MS })
     if (this._closed) return false
@@ -257,6 +273,7 @@
       this._rosterRevision = result.value.revision
       this.noteGuardedWrite(result.value.revision)
       this._roster = new Set(entries.map(incarnationOf))
+      this._foreignLeases = foreignLeases
       this._options.leaseEnds.retain(this._roster)
       return true
     }
@@ -272,6 +289,13 @@
     return false
   }
 
+  /** True when a call to an earlier incarnation of the worker may have given it a lease that lasts. */
+  private _mayHaveForeignLease (entry: WorkerEntry): boolean {
+    const incarnation = incarnationOf(entry)
+    return this.sessions.get(incarnation)?.mayHaveForeignLease ??
+      (this._foreignLeases.has(incarnation) || this._fencingTokens.hasEarlier(entry) || this._inheritedWorkers.isSuccessor(incarnation))
+  }
+
   private _applyDirectory (entries: WorkerEntry[]): void {
     const { log } = this._options
     const present = new Map(entries.map(entry => [incarnationOf(entry), entry]))
@@ -357,7 +381,8 @@
   }
 
   private _openSession (entry: WorkerEntry, { listed }: { listed: boolean }): void {
-    const { epoch, client, timers, log, listener, leaseMs, leaseEnds, teamUsage } = this._options
+    const { epoch, client, timers, log, listener, leaseMs, maxLeaseMs, leaseEnds, teamUsage } = this._options
+    const mayHaveForeignLease = this._mayHaveForeignLease(entry)
     const session = new WorkerSession({
       entry,
       epoch,
@@ -367,9 +392,13 @@
       log,
       listener,
       leaseMs,
+      maxLeaseMs,
+      mayHaveForeignLease,
       leaseEnds,
       longPollPolicy: this._longPollPolicy,
-      inheritedRunsEndMs: Math.min(this._inheritedRunsEndMs, leaseEnds.endOf(incarnationOf(entry)) ?? Number.POSITIVE_INFINITY),
+      inheritedRunsEndMs: Math.min(
+        this._inheritedRunsEndAt({ mayHaveForeignLease }), leaseEnds.endOf(incarnationOf(entry)) ?? Number.POSITIVE_INFINITY
+      ),
       teamUsage
     })
     session.listed = listed
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -69,6 +69,13 @@
   listener: WorkerSessionListener
   /** Length of the worker's lease, in milliseconds. */
   leaseMs: number
+  /** Maximum length of the worker's lease, in milliseconds. */
+  maxLeaseMs: number
+  /**
+   * True when calls to an earlier incarnation may have reached this one. A lease end in such a call is a time on another clock, so
+   * that it may give this one a lease of the maximum length.
+   */
+  mayHaveForeignLease: boolean
   /** Keeps the end of the lease in the store while the worker does not answer. Shared by all sessions. */
   leaseEnds: Pick<LeaseEndRecorder, 'mayExtend' | 'noteLost' | 'noteAnswered'>
   /** Decides how long a call waits for an end. Shared by all sessions. */
@@ -137,6 +144,8 @@
   private _workerClock: { atMs: number, receivedMs: number } | undefined
   /** Latest lease end that was sent to the worker, on the worker's clock. */
   private _leaseEndMs = 0
+  /** Latest end, on the worker's clock, of a lease from calls to an earlier incarnation; undefined before the first report. */
+  private _foreignLeaseEndMs: number | undefined
   private _closed = false
   /** Number of calls since the last one that was answered. */
   private _unansweredCalls = 0
@@ -213,9 +222,8 @@
 
   /** Lease end of an extension sent now, on the worker's clock. Undefined before the worker's clock is known. */
   nextLeaseEndMs (): number | undefined {
-    if (!this._workerClock) return
-    const clockMs = this._workerClock.atMs + (this._options.timers.now() - this._workerClock.receivedMs)
-    return Math.floor(clockMs + this._options.leaseMs)
+    const clockMs = this._workerClockNowMs
+    return clockMs === undefined ? undefined : Math.floor(clockMs + this._options.leaseMs)
   }
 
   /**
@@ -255,11 +263,24 @@
   /** Time by which all runs on the worker have ended unless the lease is extended, in milliseconds of the monotonic clock. */
   get lapsesAtMs (): number {
     if (!this._workerClock) return this.inheritedRunsEndMs
-    const ownMs = this._workerClock.receivedMs + (this._leaseEndMs - this._workerClock.atMs) / WORKER_CLOCK_RATE + LAPSE_SLACK_MS
+    const leaseEndMs = Math.max(this._leaseEndMs, this._foreignLeaseEndMs ?? 0)
+    const ownMs = this._workerClock.receivedMs + (leaseEndMs - this._workerClock.atMs) / WORKER_CLOCK_RATE + LAPSE_SLACK_MS
     // Until this scheduler has extended the lease, its end is the one that an earlier scheduler has set.
     return this.synced && this._leaseEndMs > 0 ? ownMs : Math.max(ownMs, this.inheritedRunsEndMs)
   }
 
+  /** True while the worker may have a lease from calls to an earlier incarnation. */
+  get mayHaveForeignLease (): boolean {
+    if (!this._options.mayHaveForeignLease) return false
+    const clockMs = this._workerClockNowMs
+    return this._foreignLeaseEndMs === undefined || clockMs === undefined || clockMs < this._foreignLeaseEndMs
+  }
+
+  /** Time on the worker's clock, which may be slower; undefined before it is known. */
+  private get _workerClockNowMs (): number | undefined {
+    return this._workerClock && this._workerClock.atMs + (this._options.timers.now() - this._workerClock.receivedMs)
+  }
+
   private async _extendUntilClosed (): Promise<void> {
     const { timers, listener } = this._options
     let report: HandledReport | undefined
@@ -327,6 +348,7 @@
           this._endIncarnation('another incarnation of the worker answered')
           return undefined
         }
+        this._noteForeignLease(report)
         if (!this.reachable) {
           log.event(
             'info', 'worker.reached',
@@ -343,6 +365,17 @@
       })
   }
 
+  /**
+   * Bounds the lease from calls to an earlier incarnation at the first report: the worker has now received the token of this session,
+   * and refuses such calls, whose tokens are lower.
+   */
+  private _noteForeignLease ({ clockMs }: LeaseReport): void {
+    const { mayHaveForeignLease, maxLeaseMs, leaseMs, log } = this._options
+    if (!mayHaveForeignLease || this._foreignLeaseEndMs !== undefined) return
+    this._foreignLeaseEndMs = clockMs + maxLeaseMs
+    if (maxLeaseMs > leaseMs) log.event('info', 'worker.lease.foreign', { worker: this.incarnation, token: this.token, mayLastMs: maxLeaseMs, leaseMs })
+  }
+
   /** True while runs that use spare CPU share the worker with runs that have a latency target. */
   private get _pacesRuns (): boolean {
     const runs = [...this.runs.values()]
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -25,6 +25,11 @@
 /** Time without a heartbeat after which an entry of the directory is removed, in milliseconds. */
 const ENTRY_EXPIRY_MS = 3 * HEARTBEAT_MS
 
+/** Refusals of a start whose lease end is taken nevertheless. */
+const LEASE_EXTENDING_REFUSALS: ReadonlySet<StartRefusal> = new Set([
+  START_REFUSALS.oldAttempt, START_REFUSALS.noRoom, START_REFUSALS.invalidTicket
+])
+
 /** Record of one run, written by the worker. Times are those of the timers; `endMs` is infinite while it runs. */
 export interface RunRecord {
   task: string
@@ -188,7 +193,9 @@
   start ({ epoch, task, attempt, untilMs, checkpoint }: RunStart): StartRefusal | undefined {
     if (epoch < this.epoch) return START_REFUSALS.staleEpoch
     this.epoch = epoch
-    if (this.faults.refuseStarts) return this.faults.refuseStarts
+    const { refuseStarts } = this.faults
+    if (refuseStarts && LEASE_EXTENDING_REFUSALS.has(refuseStarts)) this._extendLeaseTo(untilMs)
+    if (refuseStarts) return refuseStarts
     const now = this._timers.now()
     const leaseEndMs = this.faults.refuseStartsByLeaseInForce ? Math.max(untilMs, this._leaseUntilMs) : untilMs
     if (leaseEndMs <= this.clockMs) return START_REFUSALS.leaseLapsed
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -37,6 +37,8 @@
   seed?: number
   runMs?: (task: string, worker: string) => number
   queue?: Partial<QueueConfig>
+  /** Maximum length of a worker's lease, in milliseconds. */
+  maxLeaseMs?: number
   /** Time after a start at which the task crashes its worker, in milliseconds; 0 for before the answer, undefined for never. */
   crashAfterMs?: (task: string) => number | undefined
   /** Creates the configuration of a daemon whose callers need keys. */
@@ -51,7 +53,7 @@
 
 const QUEUE: QueueConfig = { name: 'checks', service: 'leafline', priority: 0, maxAttempts: 3, stretch: 2, targetMs: 250 }
 
-/** Maximum length of a worker's lease, in milliseconds. */
+/** Default maximum length of a worker's lease, in milliseconds. */
 const MAX_LEASE_MS = 6_000
 
 /** Time from a crash of a worker to the start of its successor, in milliseconds. */
@@ -80,6 +82,7 @@
   private readonly _newWorker: (index: number, options?: { id?: string, clockStartMs?: number }) => LeasedWorker
   private readonly _newEligibilityClient: (timers: Timers) => EligibilityClient
   private readonly _newConfiguration: WorkflowCellOptions['configuration']
+  private readonly _maxLeaseMs: number
   private readonly _random: SeededRandom
   private readonly _network = new PeerNetwork({
     timers: this.timers,
@@ -92,10 +95,11 @@
 
   constructor ({
     daemons = 3, workers = 3, cpuMillis = 8_000, seed = 1, runMs = () => 300, queue = {}, crashAfterMs = () => undefined,
-    eligibility = () => EVERY_WORKER_ELIGIBLE, configuration
+    eligibility = () => EVERY_WORKER_ELIGIBLE, configuration, maxLeaseMs = MAX_LEASE_MS
   }: WorkflowCellOptions = {}) {
     this._newEligibilityClient = eligibility
     this._newConfiguration = configuration
+    this._maxLeaseMs = maxLeaseMs
     this._random = new SeededRandom(seed)
     this.config = {
       version: 1,
@@ -119,7 +123,7 @@
       },
       labels: ['a', `r${index % 2}`],
       clockStartMs,
-      maxLeaseMs: MAX_LEASE_MS
+      maxLeaseMs
     })
     this.workers = Array.from({ length: workers }, (_, index) => this._newWorker(index))
     for (let index = 0; index < daemons; index++) this.startDaemon(`entry-${index}`)
@@ -148,7 +152,7 @@
       timers: process,
       random: this._random,
       log,
-      timeLimits: { maxLeaseMs: MAX_LEASE_MS, retentionMs: 120_000 },
+      timeLimits: { maxLeaseMs: this._maxLeaseMs, retentionMs: 120_000 },
       config: () => this.config,
       configuration: this._newConfiguration?.(process, log),
       onLongRunningRestart: downMs => { this.downtimesMs.push(downMs) }
