Only reports set the idea of a worker's clock (LOST)

What callers would see: the tasks of a worker that has come back under its id stay down far beyond its lease, if the next incarnation has answered a start and then is neither listed nor reached.

Cause: an answer to an order does not say which incarnation has answered. The session of the former incarnation took the clock of the next one into its account of the lease, and its end moved by the difference of the two clocks.

Change: the clock is taken from reports only, after it is known that this incarnation has sent them.

--- a/packages/pomelofold/src/workflows/runHost.ts
+++ b/packages/pomelofold/src/workflows/runHost.ts
@@ -42,6 +42,4 @@
   noteUnanswered (): void
   /** Records a lease end before it is sent. */
   noteLeaseSent (untilMs: number): void
-  /** Records the worker's clock from an answer that was just received. */
-  noteClock (clockMs: number | undefined): void
 }
--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -84,7 +84,6 @@
       run.pendingStartMs = undefined
       if (this._closed) return
       if (answer.isOk) {
-        session.noteClock(answer.value.clockMs)
         run.progressedClockMs ??= answer.value.clockMs
         if (run.state !== RUN_STATES.starting) return
         if (answer.value.refusal === undefined) return onStarted(run)
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -255,9 +255,12 @@
     this._leaseEndMs = Math.max(this._leaseEndMs, untilMs)
   }
 
-  /** Notes the time of the worker's clock from an answer that has just arrived. */
-  noteClock (clockMs: number | undefined): void {
-    if (clockMs !== undefined) this._workerClock = { atMs: clockMs, receivedMs: this._options.timers.now() }
+  /**
+   * Notes the time of the worker's clock from a report that has just arrived. Answers to orders do not say which incarnation has
+   * answered, and each has its own clock.
+   */
+  noteClock (clockMs: number): void {
+    this._workerClock = { atMs: clockMs, receivedMs: this._options.timers.now() }
   }
 
   /** Time by which all runs on the worker have ended unless the lease is extended, in milliseconds of the monotonic clock. */
@@ -342,12 +345,12 @@
       .otherwise(({ value }) => {
         const report = value as LeaseReport
         this._unansweredCalls = 0
-        this.noteClock(report.clockMs)
         if (report.bornMs !== undefined && report.bornMs !== this.entry.bornMs) {
           this.restarted = true
           this._endIncarnation('another incarnation of the worker answered')
           return undefined
         }
+        this.noteClock(report.clockMs)
         this._noteForeignLease(report)
         if (!this.reachable) {
           log.event(
--- a/tests/workflows/foreignLeases.test.ts
+++ b/tests/workflows/foreignLeases.test.ts
@@ -86,3 +86,24 @@
   t.same(cell.violations(), [])
   t.ok(cell.runsOf(task)[1].startMs - electedMs <= 6_000 / 0.98 + RESTART_MS, `${cell.runsOf(task)[1].startMs - electedMs} ms after the election`)
 })
+
+// Guards against LOST: the clock of the next incarnation, taken from its answer to a start, moves the end of the former one's lease.
+t.test('the answer of a later incarnation to a start does not prolong the lease of the former one', async t => {
+  const cell = new WorkflowCell({ workers: 1, runMs: () => RUN_MS })
+  await cell.waitUntilReady()
+  await cell.timers.advance(20_000)
+  const running = cell.workflow([{ tasks: 1 }])
+  await cell.submit(running)
+  await cell.timers.advance(1_000)
+  const restartedMs = cell.timers.now()
+  cell.leader!.daemon.service.submit(cell.workflow([{ tasks: 1 }]))
+  cell.restartWorker('w0', { ...DOWNTIME, listedAfterMs: 60_000 })
+  cell.workers[0].faults.refuseStarts = START_REFUSALS.invalidTicket
+  cell.addWorker()
+  await cell.timers.advanceUntil(() => cell.events.some(({ name, fields }) => name === 'run.refused' && fields.reason === START_REFUSALS.invalidTicket))
+  cell.workers[0].faults.unreachable = true
+  const task = `${running.id}.0.0.0`
+  await cell.timers.advanceUntil(() => cell.runsOf(task).length > 1)
+  const waitedMs = cell.runsOf(task)[1].startMs - restartedMs
+  t.ok(waitedMs <= 6_000 / 0.98 + RESTART_MS, `${waitedMs} ms after the restart`)
+})
