--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -259,11 +259,11 @@
 
   /** Adds workers to the stored roster, so that the next scheduler finds them. False when they are not stored for certain. */
   private async _writeRoster (newEntries: WorkerEntry[]): Promise<boolean> {
-    const { platform, epoch, log, onFenced } = this._options
+    const { platform, epoch, log, leaseMs, maxLeaseMs, onFenced } = this._options
     const kept = [...this.sessions.values()].map(session => session.entry)
     const known = new Set(kept.map(incarnationOf))
     const entries = [...kept, ...newEntries.filter(entry => !known.has(incarnationOf(entry)))]
-    const foreignLeases = new Set(entries.filter(entry => this._mayHaveForeignLease(entry)).map(incarnationOf))
+    const foreignLeases = new Set(entries.filter(entry => maxLeaseMs > leaseMs && this._mayHaveForeignLease(entry)).map(incarnationOf))
     const value = JSON.stringify(entries.map(({ leavesInMs, ...entry }) =>
       ({ ...entry, mayHaveForeignLease: foreignLeases.has(incarnationOf(entry)) || undefined })))
     const guards = [{ key: LEADER_KEY, modRevision: epoch }, { key: ROSTER_KEY, modRevision: this._rosterRevision! }]
