Log runs that are listed after their task was started again

A task that ran twice left run.unwanted at one leader and run.start at another: which incarnation had listed which run, how the other start had ended, and what the leader knew of the worker's former incarnation had to be guessed. An end as done that was listed after the next start looked like one that was acknowledged before it was recorded.

- run.overlap, and the figures overlap_running, overlap_done and so on: a worker lists a run, as running or as ended, whose task has been started again.
It names both starts and incarnations, and how the first had been released.
- worker.reached first=true: the token, the former incarnation that is known, whether a lease from calls to it is expected, and the time since the start date.
- run.ended how=done known=false: the state of the task, its highest attempt and the worker of its current run.
- releasedWorker beside release: the incarnation at which a released run had been counted.

--- a/packages/pomelofold/src/workflows/releasedRuns.ts
+++ b/packages/pomelofold/src/workflows/releasedRuns.ts
@@ -6,6 +6,7 @@
  */
 
 import { runIdOf } from './workerSession.js'
+import type { Run } from './workflowRuntime.js'
 import type { Timers } from '../seams/timers.js'
 
 /** Ways in which the scheduler ceases to count a run. */
@@ -29,6 +30,8 @@
 interface ReleasedRun {
   release: Release
   reason: string
+  /** Incarnation of the worker. */
+  worker: string
   atMs: number
 }
 
@@ -42,20 +45,21 @@
     this._timers = timers
   }
 
-  note ({ name, attempt }: { name: string, attempt: number }, release: Release, reason: string): void {
+  note ({ name, attempt, session }: Pick<Run, 'name' | 'attempt' | 'session'>, release: Release, reason: string): void {
     const nowMs = this._timers.now()
     this._runs.delete(runIdOf(name, attempt))
-    this._runs.set(runIdOf(name, attempt), { release, reason, atMs: nowMs })
+    this._runs.set(runIdOf(name, attempt), { release, reason, worker: session.incarnation, atMs: nowMs })
     for (const [id, { atMs }] of this._runs) {
       if (this._runs.size <= MAX_RUNS && nowMs - atMs <= RETENTION_MS) break
       this._runs.delete(id)
     }
   }
 
-  /** How and why a run was released, and how long ago in milliseconds; for the log. */
-  find (name: string, attempt: number): { release: Release, releaseReason?: string, releasedAgoMs?: number } {
+  /** How and why a run was released, at which worker, and how long ago in milliseconds; for the log. */
+  find (name: string, attempt: number): { release: Release, releaseReason?: string, releasedWorker?: string, releasedAgoMs?: number } {
     const found = this._runs.get(runIdOf(name, attempt))
     if (!found) return { release: 'none' }
-    return { release: found.release, releaseReason: found.reason, releasedAgoMs: Math.round(this._timers.now() - found.atMs) }
+    const { release, reason, worker, atMs } = found
+    return { release, releaseReason: reason, releasedWorker: worker, releasedAgoMs: Math.round(this._timers.now() - atMs) }
   }
 }
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -12,6 +12,7 @@
 import { SpareCpuPacer, isSpareCpuRun } from './spareCpuPacer.js'
 import { LateStartTracker, type LateStart } from './lateStartTracker.js'
 import type { UnconfirmedStarts } from './leaseEndView.js'
+import { OverlapDetector, type Listing } from './overlapDetector.js'
 import { ReleasedRuns, RELEASES, type Release } from './releasedRuns.js'
 import { MAX_ORDER_DELAY_MS, RunOrderSender, type StartTryRefusal } from './runOrderSender.js'
 import type { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
@@ -45,6 +46,8 @@
   refusals: Record<string, number>
   /** Runs that a worker listed although none was expected there, by how they had been released. */
   unexpected: Partial<Record<Release, number>>
+  /** Runs that a worker listed after their task had been started again, by how it listed them first. */
+  overlaps: Partial<Record<Listing, number>>
 }
 
 /** Options of a {@link RunTracker}. */
@@ -84,6 +87,7 @@
   private readonly _refusalCounts: Record<string, number> = {}
   private readonly _unexpectedCounts: RunCounts['unexpected'] = {}
   private readonly _releasedRuns: ReleasedRuns
+  private readonly _overlaps: OverlapDetector
   private readonly _lateStarts: LateStartTracker
   private readonly _pacer: SpareCpuPacer
   /** Workers that have lapsed without an answer in this term, which is logged once. */
@@ -92,7 +96,7 @@
 
   constructor (options: RunTrackerOptions) {
     this._options = options
-    const { client, timers, log, maxLeaseMs, leadershipRemainingMs, onStaleEpoch } = options
+    const { epoch, client, timers, log, maxLeaseMs, leadershipRemainingMs, onStaleEpoch } = options
     this._orderSender = new RunOrderSender({
       client,
       timers,
@@ -104,6 +108,7 @@
       onStaleEpoch
     })
     this._releasedRuns = new ReleasedRuns({ timers })
+    this._overlaps = new OverlapDetector({ epoch, timers, log, releasedRuns: this._releasedRuns })
     this._pacer = new SpareCpuPacer({ timers, log, pace: (run, percent) => { this._orderSender.pace(run, percent) } })
     this._lateStarts = new LateStartTracker({
       timers,
@@ -127,7 +132,8 @@
       starts: this._startCount,
       ends: { ...this._endCounts },
       refusals: { ...this._refusalCounts },
-      unexpected: { ...this._unexpectedCounts }
+      unexpected: { ...this._unexpectedCounts },
+      overlaps: this._overlaps.counts
     }
   }
 
@@ -366,11 +372,13 @@
     const nowMs = timers.now()
     const knownRun = session.runs.get(runIdOf(row.task, row.attempt))
     if (knownRun) {
+      this._noteOverlap(session, row, { how: 'running', run: knownRun })
       if (knownRun.state === RUN_STATES.starting) this._handleStarted(knownRun)
       this._noteProgress(knownRun, row, { nowMs, clockMs })
       return
     }
     const task = this._options.registry.findTask(row.task)
+    this._noteOverlap(session, row, { how: 'running', run: undefined })
     const wanted = task && !task.step.workflow.isOver && task.state === TASK_STATES.waiting && !task.run
     if (task) task.attempt = Math.max(task.attempt, row.attempt)
     const run = this._addRun({
@@ -414,6 +422,15 @@
     return found
   }
 
+  /** Notes a listed run unless it is the current one of its task. */
+  private _noteOverlap (
+    worker: WorkerSession, { task: name, attempt }: ListedRun | ListedEnd, { how, run }: { how: Listing, run: Run | undefined }
+  ): void {
+    if (run && run.task?.run === run) return
+    const task = this._options.registry.findTask(name)
+    if (task) this._overlaps.noteListed(task, { attempt, worker, how })
+  }
+
   /** Stops the runs of a worker when none of them makes progress, and suspends the worker. */
   private _stopStalledRuns (session: WorkerSession, clockMs: number): void {
     const stalled = findStalledRuns(session.runs.values(), clockMs)
@@ -448,8 +465,10 @@
       sequence: end.sequence,
       ranMs: run && Math.round(timers.now() - run.startedMs),
       known: run !== undefined,
-      ...(run ? {} : this._noteUnexpected(end))
+      ...(run ? {} : this._noteUnexpected(end)),
+      ...(run || end.how !== RUN_ENDS.done ? {} : { taskState: task?.state ?? 'unknown', taskAttempt: task?.attempt, taskWorker: task?.run?.session.incarnation })
     })
+    this._noteOverlap(session, end, { how: end.how, run })
     if (run) this._release(run, RELEASES.ended, end.how)
     if (!task) return
     const { step } = task
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -19,7 +19,7 @@
 import { delay, type Timers } from '../seams/timers.js'
 import { isConnectionRefused, type CallError } from '../utils/errors.js'
 import { NO_TEAM, type TeamUsage } from '../teams/teamUsage.js'
-import type { EventLog } from '../utils/eventLog.js'
+import type { EventFields, EventLog } from '../utils/eventLog.js'
 
 /** Lowest rate of a worker's clock relative to the scheduler's: it may be 2% slow. */
 export const WORKER_CLOCK_RATE = 0.98
@@ -353,10 +353,14 @@
         this.noteClock(report.clockMs)
         this._noteForeignLease(report)
         if (!this.reachable) {
-          log.event(
-            'info', 'worker.reached',
-            { worker: this.incarnation, epoch, running: report.running.length, ended: report.ended.length, first: !this.synced }
-          )
+          log.event('info', 'worker.reached', {
+            worker: this.incarnation,
+            epoch,
+            running: report.running.length,
+            ended: report.ended.length,
+            first: !this.synced,
+            ...this._originOf(token)
+          })
           this.reachable = true
           this._options.leaseEnds.noteAnswered(this.incarnation)
           this.lossUnexplained = false
@@ -368,6 +372,19 @@
       })
   }
 
+  /** What is known of this incarnation and the one before it at its first report; for the log. */
+  private _originOf (token: number): EventFields {
+    if (this.synced) return {}
+    const { fence: { earlierBornMs }, timers, mayHaveForeignLease } = this._options
+    const { bornMs } = this.entry
+    return {
+      token,
+      earlier: earlierBornMs !== undefined && earlierBornMs < bornMs ? incarnationOf({ ...this.entry, bornMs: earlierBornMs }) : undefined,
+      mayHaveForeignLease,
+      bornAgoMs: Math.round(timers.wallClock() - bornMs)
+    }
+  }
+
   /**
    * Bounds the lease from calls to an earlier incarnation at the first report: the worker has now received the token of this session,
    * and refuses such calls, whose tokens are lower.
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -17,7 +17,7 @@
 import type { Timers } from 'pomelofold/seams/timers'
 import { WorkflowDaemon } from 'pomelofold/server/workflowDaemon'
 import type { ActiveConfiguration } from 'pomelofold/workflows/activeConfiguration'
-import type { EventFields, EventLog } from 'pomelofold/utils/eventLog'
+import type { EventFields, EventLog, LogLevel } from 'pomelofold/utils/eventLog'
 import { runViolations } from './runViolations.js'
 
 /** A daemon with the timers of its process and its own connections to the store and the workers. */
@@ -69,7 +69,7 @@
   readonly workers: LeasedWorker[]
   readonly daemons: TestDaemon[] = []
   /** Events of all daemons. */
-  readonly events: Array<{ vm: string, atMs: number, name: string, fields: EventFields }> = []
+  readonly events: Array<{ vm: string, atMs: number, level: LogLevel, name: string, fields: EventFields }> = []
   /** Times for which long-running tasks were down until a start, in milliseconds, as the schedulers measured them. */
   readonly downtimesMs: number[] = []
   readonly config: CellConfig
@@ -138,7 +138,9 @@
     })
     const incarnation = this._random.hex(4)
     const self = { vm, failureDomain, incarnation }
-    const log: EventLog = { event: (_level, name, fields = {}) => { this.events.push({ vm, atMs: this.timers.now(), name, fields }) } }
+    const log: EventLog = {
+      event: (level, name, fields = {}) => { this.events.push({ vm, atMs: this.timers.now(), level, name, fields }) }
+    }
     let gone = false
     const daemon = new WorkflowDaemon({
       ...self,
