A late call prolongs every run at a silent next incarnation (TWICE)

What callers would see: two runs of one task, when the next incarnation of a worker has accepted its start, is cut off, and carries another call to the former incarnation out seconds later.

Cause: the scheduler waited for each such start by itself. Lease ends apply to everything that runs on a worker: a start of another task, or an extension without an answer, that is carried out late at the next incarnation prolongs the lease of all its runs to the maximum.

Change: the wait for runs at an incarnation that does not report ends with the longest lease after the last call to its former incarnation that can still be carried out. The last extension without an answer counts when the restart is known.

--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -63,6 +63,8 @@
   private readonly _starts = new Map<string, Map<string, LateStart>>()
   /** Longest time for which a run goes on without a later extension of its lease, in milliseconds. */
   private readonly _longestLeaseMs: number
+  /** Times until which a later incarnation may carry out an extension, by worker id, in milliseconds of the monotonic clock. */
+  private readonly _extensionsEndMs = new Map<string, number>()
   /** True once a worker has come back under its id. */
   private _idsReturn = false
 
@@ -100,6 +102,7 @@
       for (const start of this.startsAt(id)) this._remove(id, start, 'another id is at its address')
       return
     }
+    if (session.restarted && this.startsAt(id).length) this._extensionsEndMs.set(id, session.unansweredExtensionMs + MAX_ORDER_DELAY_MS)
     this._idsReturn ||= session.restarted
     for (const start of this.startsAt(id)) this._count(start, true)
     if (this._idsReturn) this._hold(id)
@@ -155,7 +158,6 @@
   private _note (
     { name, attempt, task, size, team, teamSize = size, session: { entry, incarnation } }: Run, sentMs: number, untilMs: number
   ): void {
-    const { timers } = this._options
     const starts = this._starts.get(entry.id) ?? new Map<string, LateStart>()
     this._starts.set(entry.id, starts)
     const start: LateStart = starts.get(runIdOf(name, attempt)) ?? {
@@ -178,13 +180,29 @@
     starts.set(runIdOf(name, attempt), start)
     start.sentMs = Math.max(start.sentMs, sentMs)
     start.untilMs = Math.max(start.untilMs, untilMs)
+    this._awaitEnd(entry.id, start)
+  }
+
+  /** Removes a start when a run that it has begun has ended at an incarnation that does not report. */
+  private _awaitEnd (id: string, start: LateStart): void {
+    const { timers } = this._options
     start.timer?.cancel()
-    // A run of an incarnation that does not report goes on until its lease ends.
-    start.timer = timers.after(Math.max(0, start.untilMs + this._longestLeaseMs - timers.now()), () => {
-      this._remove(entry.id, start, 'no incarnation of its worker has reported')
+    start.timer = timers.after(Math.max(0, this._runsEndMs(id) - timers.now()), () => {
+      // Another start at the worker may have become known since.
+      if (timers.now() < this._runsEndMs(id)) this._awaitEnd(id, start)
+      else this._remove(id, start, 'no incarnation of its worker has reported')
     })
   }
 
+  /**
+   * Time by which all runs have ended that later incarnations of a worker have begun and not reported, in milliseconds of the monotonic
+   * clock: each call that is carried out late prolongs the lease of all of them.
+   */
+  private _runsEndMs (id: string): number {
+    const callsEndMs = Math.max(this._extensionsEndMs.get(id) ?? 0, ...this.startsAt(id).map(({ untilMs }) => untilMs))
+    return callsEndMs + this._longestLeaseMs
+  }
+
   private _count (start: LateStart, counted: boolean): void {
     if (start.counted === counted) return
     start.counted = counted
@@ -230,7 +248,9 @@
     this._endHold(start, outcome)
     const starts = this._starts.get(id)
     starts?.delete(runIdOf(start.name, start.attempt))
-    if (starts?.size === 0) this._starts.delete(id)
+    if (starts?.size !== 0) return
+    this._starts.delete(id)
+    this._extensionsEndMs.delete(id)
   }
 
   private _endHold (start: LateStart, outcome: string, session?: WorkerSession): void {
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -126,6 +126,8 @@
   skipNextWait = false
   /** Time at which the last report was requested, in milliseconds of the monotonic clock. */
   lastReportRequestSentMs = Number.NEGATIVE_INFINITY
+  /** Time at which the last extension without an answer was sent, in milliseconds of the monotonic clock: it may be carried out late. */
+  unansweredExtensionMs = Number.NEGATIVE_INFINITY
   /** True when another id is known to be at the worker's address: no later incarnation receives orders to this one. */
   replaced = false
   /** True when a later incarnation with the same id is known: orders to this incarnation may reach it. */
@@ -351,9 +353,11 @@
     const requestSentMs = timers.now()
     // After an unanswered call, the next incarnation of the worker may answer. Its ends are numbered from the start again.
     const acknowledged = this.reachable ? this._acknowledgedSequence : 0
-    const { token } = this
+    const { token, unansweredExtensionMs } = this
+    if (untilMs !== undefined) this.unansweredExtensionMs = requestSentMs
     const answer = await client.extendLease(this.entry, { epoch: token, acknowledged, untilMs, waitMs: wait }, wait + ANSWER_MARGIN_MS)
     if (this._closed) return
+    if (answer.isOk) this.unansweredExtensionMs = unansweredExtensionMs
     return match(answer)
       .with({ isErr: true }, ({ error }) => {
         longPollPolicy.noteUnanswered()
--- a/packages/standins/src/leasedWorker.ts
+++ b/packages/standins/src/leasedWorker.ts
@@ -63,6 +63,8 @@
   loseEveryNthAnswer: number
   /** Orders time out and are carried out after this delay, in milliseconds. */
   orderDelayMs: number
+  /** Extensions of the lease time out and are carried out after this delay, in milliseconds. */
+  extensionDelayMs: number
   /** Orders that are on their way break off and are not carried out, as when the process ends before they arrive. */
   breaksOrders: boolean
   /** Time from the arrival of an order to its answer, in milliseconds. An answer comes even if the worker has crashed meanwhile. */
@@ -96,6 +98,7 @@
     loseAnswers: false,
     loseEveryNthAnswer: 0,
     orderDelayMs: 0,
+    extensionDelayMs: 0,
     breaksOrders: false,
     answerDelayMs: 1,
     refuseOrdersAfterMs: undefined,
@@ -395,9 +398,10 @@
       return Result.err(new CallError(`connect ECONNREFUSED ${entry.address}`, { ...details, effect: EFFECTS.none }))
     }
     if (!worker || worker.faults.unreachable || this.disconnected || this.unreachableWorkers.has(entry.id)) return timedOut()
-    if (order && worker.faults.orderDelayMs > 0) {
-      // The order reaches the incarnation that has the id when the delay is over, which may be a later one, or none.
-      this._networkTimers.after(worker.faults.orderDelayMs, () => {
+    const delayMs = order ? worker.faults.orderDelayMs : worker.faults.extensionDelayMs
+    if (delayMs > 0) {
+      // The call reaches the incarnation that has the id when the delay is over, which may be a later one, or none.
+      this._networkTimers.after(delayMs, () => {
         const receiver = this._workers().find(({ entry: { id } }) => id === entry.id) ?? worker
         if (!receiver.faults.refusesConnections) fn(receiver)
       })
--- a/tests/workflows/formerIncarnations.test.ts
+++ b/tests/workflows/formerIncarnations.test.ts
@@ -70,3 +70,32 @@
   t.ok(waitedMs <= RESTART_MS, `${waitedMs} ms after the restart`)
   t.same(cell.violations(), [])
 })
+
+// Guards against TWICE: a call that comes late to the next incarnation prolongs the lease of everything that runs there.
+t.test('a start that the next incarnation has accepted is waited for while a late start may prolong its lease', async t => {
+  const cell = await silentlyRestartedWorker()
+  const [accepted, late] = [cell.workflow([{ tasks: 1 }]), cell.workflow([{ tasks: 1 }])]
+  const { faults } = cell.workers[0]
+  faults.orderDelayMs = 6_000
+  cell.leader!.daemon.service.submit(late)
+  await cell.timers.advanceUntil(() => cell.events.filter(({ name }) => name === 'run.start').length === 1)
+  faults.orderDelayMs = 0
+  await startAndCutOff(cell, accepted)
+  t.same(cell.violations(), [])
+})
+
+// Guards against TWICE: the same with an extension that was sent to the former incarnation.
+t.test('a start that the next incarnation has accepted is waited for while a late extension may prolong its lease', async t => {
+  const cell = new WorkflowCell({ workers: 1, maxLeaseMs: MAX_LEASE_MS, runMs: () => RUN_MS })
+  await cell.waitUntilReady()
+  await cell.timers.advance(FORMER_AGE_MS)
+  cell.workers[0].faults.extensionDelayMs = 8_000
+  const calls = cell.leader!.client
+  const extendLease = calls.extendLease.bind(calls)
+  let extended = false
+  calls.extendLease = (...args) => { extended = true; return extendLease(...args) }
+  await cell.timers.advanceUntil(() => extended)
+  cell.restartWorker('w0', { listedAfterMs: 60_000 })
+  await startAndCutOff(cell, cell.workflow([{ tasks: 1 }]))
+  t.same(cell.violations(), [])
+})
