Starts at a former incarnation are known to the next leaders (TWICE)

What callers would see: two runs of one task, when a worker comes back under its id, the leader changes before the next incarnation has answered, and a start that was sent to the former one is carried out late.

Cause: what may still run at a worker, by whose start and until when, was kept in the process of one leader. The roster names the next incarnation only, so that the next leader but one, or the next one after a leader that has known the restart, took it for an ordinary worker and waited for the usual lease. A recorded loss was forgotten as soon as the roster no longer contained its worker.

Change: the record of lost workers holds a restarted worker as well, until no start to it can be carried out, or until its next incarnation has answered and refuses them. A leader that reads it waits for later incarnations of these workers, to the end of the longest lease after the last such start, counted from when the loss was first seen. A worker that has come back and answers delays nothing.

--- a/packages/pomelofold/src/protocol/leaseEnds.ts
+++ b/packages/pomelofold/src/protocol/leaseEnds.ts
@@ -17,7 +17,9 @@
   /** Tasks whose start the worker may not have carried out: a later incarnation may carry it out late. */
   unconfirmedTasks: z.array(z.string()).default([]),
   /** Time until the last of these starts is carried out or not at all, in milliseconds. */
-  startsEndInMs: z.number().nonnegative().default(0)
+  startsEndInMs: z.number().nonnegative().default(0),
+  /** True when the next incarnation of the worker has answered since: it refuses these starts. */
+  nextAnswered: z.boolean().default(false)
 })
 
 /** The end of the lease of a worker that does not answer. */
--- a/packages/pomelofold/src/workflows/departureDetector.ts
+++ b/packages/pomelofold/src/workflows/departureDetector.ts
@@ -8,7 +8,7 @@
  * @module
  */
 
-import { incarnationOf } from './workerSession.js'
+import { incarnationOf } from './incarnations.js'
 import type { DirectoryReading } from '../seams/workflowUpstreams.js'
 
 /** Share of the expiry time within which an entry cannot have expired: intervals of heartbeats and clocks are approximate. */
--- a/packages/pomelofold/src/workflows/inheritedWorkers.ts
+++ b/packages/pomelofold/src/workflows/inheritedWorkers.ts
@@ -7,8 +7,9 @@
  * @module
  */
 
+import { incarnationOf, workerIdOf } from './incarnations.js'
 import { MAX_ORDER_DELAY_MS } from './runOrderSender.js'
-import { incarnationOf, WORKER_CLOCK_RATE, type WorkerSession } from './workerSession.js'
+import { WORKER_CLOCK_RATE, type WorkerSession } from './workerSession.js'
 import { addResources, NO_RESOURCES, type Resources } from '../protocol/workflows.js'
 import type { Timers } from '../seams/timers.js'
 import type { WorkerEntry } from '../seams/workflowUpstreams.js'
@@ -26,6 +27,14 @@
   untilMs: number
 }
 
+/** A worker to which starts are on their way by the record of an earlier scheduler. */
+interface RecordedWorker {
+  /** Incarnations to which they were sent. */
+  incarnations: ReadonlySet<string>
+  /** Time until which a later incarnation may begin one of them, in milliseconds of the monotonic clock. */
+  startsEndMs: number
+}
+
 /** Options of {@link InheritedWorkers}. */
 export interface InheritedWorkersOptions {
   timers: Timers
@@ -42,8 +51,12 @@
   private readonly _options: InheritedWorkersOptions
   private readonly _ids = new Set<string>()
   private readonly _incarnations = new Set<string>()
+  /** Incarnations to which starts are on their way by the record of an earlier scheduler, by id. */
+  private readonly _recorded = new Map<string, RecordedWorker>()
   /** Incarnations that started under the id of an inherited worker. */
   private readonly _successors = new Set<string>()
+  /** Incarnations that started under the id of a recorded worker. The earlier scheduler may have used them. */
+  private readonly _recordedSuccessors = new Set<string>()
   /** Ids whose next incarnation has answered and is not listed yet. */
   private readonly _unlistedIds = new Set<string>()
   private _complete = false
@@ -55,6 +68,15 @@
     this._lateRunsEndMs = this._lateRunsEnd(options.predecessorActiveUntilMs)
   }
 
+  /** Adds a worker to which starts that an earlier scheduler has recorded may come until `startsEndMs`. Called before all others. */
+  addRecorded (incarnation: string, startsEndMs: number): void {
+    const id = workerIdOf(incarnation)
+    const known = this._recorded.get(id)
+    this._recorded.set(id, {
+      incarnations: new Set([...known?.incarnations ?? [], incarnation]), startsEndMs: Math.max(startsEndMs, known?.startsEndMs ?? 0)
+    })
+  }
+
   /** Adds a worker of the stored roster. */
   addStored (entry: WorkerEntry): void {
     this._addSession(entry)
@@ -79,9 +101,15 @@
     return this._incarnations.has(incarnation) && !this._successors.has(incarnation)
   }
 
-  /** True for an incarnation that started under the id of an inherited worker: late starts of an earlier scheduler may run there. */
+  /** True for an incarnation that started under the id of such a worker: late starts of an earlier scheduler may run there. */
   isSuccessor (incarnation: string): boolean {
-    return this._successors.has(incarnation)
+    return this._successors.has(incarnation) || this._recordedSuccessors.has(incarnation)
+  }
+
+  /** Time until which a later incarnation with the id may begin a start of an earlier scheduler, in milliseconds of the monotonic clock. */
+  startsEndAt (id: string): number {
+    const inheritedMs = this._ids.has(id) ? this._lateRunsEndMs - this._longestLeaseMs : Number.NEGATIVE_INFINITY
+    return Math.max(inheritedMs, this._recorded.get(id)?.startsEndMs ?? Number.NEGATIVE_INFINITY)
   }
 
   /** Called when the roster and the directory have been read. */
@@ -96,7 +124,7 @@
 
   /** True when each of these workers has answered, or nothing that an earlier scheduler has started can run there any more. */
   get settled (): boolean {
-    return this._complete && this._awaitedUnlisted === 0 && this._unsettled().next().done === true
+    return this._complete && this._awaitedUnlisted === 0 && this._unsettledSessions().next().done === true
   }
 
   /** Capacity of the workers for which `settled` waits: `NO_RESOURCES` once it is true, and undefined while they are not known. */
@@ -104,7 +132,7 @@
     if (!this._complete) return
     if (this.settled) return NO_RESOURCES
     let capacity: Resources = NO_RESOURCES
-    for (const { entry } of this._unsettled()) capacity = addResources(capacity, entry.capacity)
+    for (const { entry } of this._unsettled) capacity = addResources(capacity, entry.capacity)
     return addResources(capacity, this._largestCapacity(), this._awaitedUnlisted)
   }
 
@@ -112,9 +140,9 @@
   get awaited (): AwaitedWorkers | undefined {
     if (!this._complete || this.settled) return
     const nowMs = this._options.timers.now()
-    const sessions = [...this._unsettled()]
-    const ends = sessions.map(({ incarnation, restarted, lapsesAtMs }) =>
-      restarted || this._successors.has(incarnation) ? this._lateRunsEndMs : lapsesAtMs)
+    const sessions = [...this._unsettled]
+    const ends = sessions.map(({ incarnation, entry: { id }, restarted, lapsesAtMs }) =>
+      restarted || this.isSuccessor(incarnation) ? this.startsEndAt(id) + this._longestLeaseMs : lapsesAtMs)
     if (this._awaitedUnlisted) ends.push(this._lateRunsEndMs)
     const names = sessions.slice(0, MAX_NAMES_IN_LINE).map(({ incarnation }) => incarnation).join(',')
     return { workers: ends.length, names, untilMs: Math.round(Math.max(...ends) - nowMs) }
@@ -130,7 +158,12 @@
   }
 
   /** Sessions with workers that may run what an earlier scheduler has started, and have not listed it. */
-  private * _unsettled (): Generator<WorkerSession> {
+  private get _unsettled (): Set<WorkerSession> {
+    return new Set(this._unsettledSessions())
+  }
+
+  /** As `_unsettled`; a session may come twice. */
+  private * _unsettledSessions (): Generator<WorkerSession> {
     const lateRunsEnded = this._lateRunsEnded
     const nowMs = this._options.timers.now()
     for (const incarnation of this._incarnations) {
@@ -143,6 +176,11 @@
       const session = this._options.sessions.get(incarnation)
       if (session && (!session.synced || session.restarted)) yield session
     }
+    for (const incarnation of this._recordedSuccessors) {
+      const session = this._options.sessions.get(incarnation)
+      if (!session || (session.synced && !session.restarted)) continue
+      if (nowMs < this._recorded.get(session.entry.id)!.startsEndMs + this._longestLeaseMs) yield session
+    }
   }
 
   /** Largest capacity of any worker, by resource. */
@@ -160,9 +198,16 @@
     this._unlistedIds.delete(entry.id)
     if (this._ids.has(entry.id)) this._successors.add(incarnationOf(entry))
     else if (!this._complete) this._ids.add(entry.id)
+    const recorded = this._recorded.get(entry.id)
+    if (recorded && !recorded.incarnations.has(incarnationOf(entry))) this._recordedSuccessors.add(incarnationOf(entry))
+  }
+
+  /** Longest time for which a run goes on that a late start has begun, in milliseconds. */
+  private get _longestLeaseMs (): number {
+    return this._options.maxLeaseMs / WORKER_CLOCK_RATE
   }
 
   private _lateRunsEnd (activeUntilMs: number): number {
-    return activeUntilMs + MAX_ORDER_DELAY_MS + this._options.maxLeaseMs / WORKER_CLOCK_RATE
+    return activeUntilMs + MAX_ORDER_DELAY_MS + this._longestLeaseMs
   }
 }
--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -215,6 +215,15 @@
     return [...this._starts.get(id)?.values() ?? []]
   }
 
+  /**
+   * Time until which a start at a worker may be carried out; if that is over and its task is held for a run that it may have begun, the
+   * end of that run. In milliseconds of the monotonic clock.
+   */
+  waitEndMs (id: string, { untilMs, heldSinceMs }: LateStart): number {
+    const mayRun = heldSinceMs !== undefined && untilMs <= this._options.timers.now()
+    return mayRun ? this._runsEndMs(id) : untilMs
+  }
+
   /** Forgets the starts that were sent to the address of the worker when another id had it. */
   private _forgetReplaced ({ entry: { id, address, bornMs } }: WorkerSession): void {
     for (const [otherId, starts] of this._starts) {
--- a/packages/pomelofold/src/workflows/leaseEndRecorder.ts
+++ b/packages/pomelofold/src/workflows/leaseEndRecorder.ts
@@ -10,6 +10,7 @@
  * @module
  */
 
+import { workerIdOf } from './incarnations.js'
 import { LEASE_ENDS_KEY } from './keys.js'
 import { listLeaseEnds, type KnownLeaseEnd, type LeaseEndView, type UnconfirmedStarts } from './leaseEndView.js'
 import { COMMIT_REFUSALS, CommitRefusedError, type GroupCommitter } from '../commits/groupCommitter.js'
@@ -126,7 +127,17 @@
   /** Starts that a later incarnation of a recorded worker may carry out. */
   get unconfirmedStarts (): UnconfirmedStarts[] {
     const nowMs = this._options.timers.now()
-    return [...this._losses.values()].map(({ starts }) => starts).filter(({ tasks, endMs }) => tasks.length > 0 && endMs > nowMs)
+    return [...this._losses.values()].map(({ starts }) => starts).filter(({ endMs }) => endMs > nowMs)
+  }
+
+  /**
+   * Lost workers whose next incarnation has not answered and may carry out starts that were sent to them, with the time until which it
+   * may begin to, in milliseconds of the monotonic clock.
+   */
+  get awaitedStarts (): Array<{ worker: string, endMs: number }> {
+    const nowMs = this._options.timers.now()
+    return [...this._losses].filter(([, { starts, nextAnswered }]) => starts.endMs > nowMs && !nextAnswered)
+      .map(([worker, { starts: { endMs } }]) => ({ worker, endMs }))
   }
 
   /** Notes that the worker does not answer, and that its lease, which is not extended any more, ends at `endMs` of the monotonic clock. */
@@ -137,11 +148,41 @@
     if (known && known.endMs <= endMs + MIN_CHANGE_MS) return
     if (!known && this._isFullWith(starts)) return
     const loss = known?.loss ?? `${epoch}.${++this._lossCount}`
-    this._losses.set(worker, { loss, endMs, starts: known?.starts ?? starts })
+    this._losses.set(worker, { loss, endMs, starts: known?.starts ?? starts, nextAnswered: false })
     log.event('info', 'leaseEnd.noted', { worker, loss, endsInMs: Math.round(endMs - timers.now()), unconfirmedTasks: starts.tasks.length })
     this._write()
   }
 
+  /** Notes that the worker has ended, and that a later incarnation may carry out starts that were sent to it. */
+  noteRestarted (worker: string, starts: UnconfirmedStarts): void {
+    const { epoch, log, timers } = this._options
+    const nowMs = timers.now()
+    const known = this._losses.get(worker)
+    if (!this._loaded || this._closed || starts.endMs <= Math.max(nowMs, known?.starts.endMs ?? 0)) return
+    if (!known && this._isFullWith(starts)) return
+    const loss = known?.loss ?? `${epoch}.${++this._lossCount}`
+    const tasks = [...new Set([...known?.starts.tasks ?? [], ...starts.tasks])]
+    const endMs = Math.min(nowMs, known?.endMs ?? nowMs)
+    this._losses.set(worker, { loss, endMs, starts: { tasks, endMs: starts.endMs }, nextAnswered: false })
+    const startsEndInMs = Math.round(starts.endMs - nowMs)
+    log.event('info', 'lateStarts.noted', { worker, loss, startsEndInMs, unconfirmedTasks: tasks.length })
+    this._write()
+  }
+
+  /** Notes that an incarnation of a worker has answered: it refuses what was sent to earlier ones. */
+  noteNextAnswered (incarnation: string): void {
+    const nowMs = this._options.timers.now()
+    for (const [worker, end] of this._losses) {
+      const isEarlier = worker !== incarnation && workerIdOf(worker) === workerIdOf(incarnation)
+      if (!isEarlier || end.nextAnswered || end.starts.endMs <= nowMs) continue
+      if (end.starts.tasks.length === 0 && end.endMs <= nowMs) this._losses.delete(worker)
+      else this._losses.set(worker, { ...end, nextAnswered: true })
+      const startsEndInMs = Math.round(end.starts.endMs - nowMs)
+      this._options.log.event('info', 'lateStarts.refused', { worker, next: incarnation, startsEndInMs })
+      this._write()
+    }
+  }
+
   /** Notes that the worker has answered: its lease may be extended once its loss is removed from the store. */
   noteAnswered (worker: string): void {
     if (!this._losses.delete(worker)) return
--- a/packages/pomelofold/src/workflows/leaseEndView.ts
+++ b/packages/pomelofold/src/workflows/leaseEndView.ts
@@ -22,10 +22,13 @@
   /** Time by which all runs on the worker have ended, in milliseconds of the monotonic clock. */
   readonly endMs: number
   readonly starts: UnconfirmedStarts
+  /** True when the next incarnation of the worker has answered since: it refuses these starts. */
+  readonly nextAnswered: boolean
 }
 
 /** Starts that the worker may not have carried out: a later incarnation may carry them out late. */
 export interface UnconfirmedStarts {
+  /** Tasks that are known to be among them. An earlier scheduler may have sent others. */
   readonly tasks: string[]
   /** Time until the last of them is carried out or not at all, in milliseconds of the monotonic clock. */
   readonly endMs: number
@@ -48,14 +51,15 @@
     const record = decodeJson(recordSchema, stored ?? '[]')
     if (record.isErr) return Result.err(record.error)
     const nowMs = this._timers.now()
-    this._ends = new Map(record.value.map(({ worker, loss, endsInMs, unconfirmedTasks, startsEndInMs }) => {
+    this._ends = new Map(record.value.map(({ worker, loss, endsInMs, unconfirmedTasks, startsEndInMs, nextAnswered }) => {
       const known = this._ends.get(worker)
       const earlier = known?.loss === loss ? known : undefined
       const earliest = (ms: number, earlierMs = Number.POSITIVE_INFINITY): number => Math.min(nowMs + ms, earlierMs)
       return [worker, {
         loss,
         endMs: earliest(endsInMs, earlier?.endMs),
-        starts: { tasks: unconfirmedTasks, endMs: earliest(startsEndInMs, earlier?.starts.endMs) }
+        starts: { tasks: unconfirmedTasks, endMs: earliest(startsEndInMs, earlier?.starts.endMs) },
+        nextAnswered
       }]
     }))
     return Result.ok(this._ends)
@@ -70,11 +74,12 @@
 /** Message form of the ends of leases, counted from `nowMs`. */
 export function listLeaseEnds (ends: KnownLeaseEnds, nowMs: number): LeaseEnd[] {
   const remainingMs = (endMs: number): number => Math.max(0, Math.ceil(endMs - nowMs))
-  return [...ends].map(([worker, { loss, endMs, starts }]) => ({
+  return [...ends].map(([worker, { loss, endMs, starts, nextAnswered }]) => ({
     worker,
     loss,
     endsInMs: remainingMs(endMs),
     unconfirmedTasks: starts.endMs > nowMs ? starts.tasks : [],
-    startsEndInMs: remainingMs(starts.endMs)
+    startsEndInMs: remainingMs(starts.endMs),
+    nextAnswered
   }))
 }
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -235,7 +235,8 @@
   /** Starts that the worker may not have carried out, and a later incarnation of it may. */
   unconfirmedStarts (session: WorkerSession): UnconfirmedStarts {
     const nowMs = this._options.timers.now()
-    const late = this._lateStarts.startsAt(session.entry.id).map(({ name, untilMs }) => ({ name, untilMs }))
+    const { id } = session.entry
+    const late = this._lateStarts.startsAt(id).map(start => ({ name: start.name, untilMs: this._lateStarts.waitEndMs(id, start) }))
     const pending = [...session.runs.values()].filter(({ state }) => state === RUN_STATES.starting)
       .map(({ name }) => ({ name, untilMs: nowMs + MAX_ORDER_DELAY_MS }))
     const starts = [...late, ...pending].filter(({ untilMs }) => untilMs > nowMs)
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -491,6 +491,7 @@
   onLapse (session: WorkerSession, reason: string): void {
     if (this._closed) return
     this._runTracker.handleLapse(session, reason)
+    if (session.restarted) this._fleet.noteRestarted(session, this._runTracker.unconfirmedStarts(session))
     this._scheduleDispatch()
   }
 
@@ -501,7 +502,9 @@
     }
     if (this._closed || session.closed) return
     this._crashes.noteAnswered(session, requestSentMs)
+    const wasSynced = session.synced
     const changedWorkflows = this._meter.measure(WORK_KINDS.report, () => this._runTracker.applyReport(session, report, requestSentMs))
+    if (session.synced && !wasSynced) this._leaseEnds.noteNextAnswered(session.incarnation)
     this._scheduleDispatch()
     await this._recorder.whenRecorded(changedWorkflows)
   }
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -8,11 +8,13 @@
 import { z } from 'zod'
 import { DepartureDetector } from './departureDetector.js'
 import { FencingTokens } from './fencingTokens.js'
+import { incarnationOf } from './incarnations.js'
 import type { LeaseEndRecorder } from './leaseEndRecorder.js'
+import type { UnconfirmedStarts } from './leaseEndView.js'
 import { LongPollPolicy } from './longPollPolicy.js'
 import { InheritedWorkers, type AwaitedWorkers } from './inheritedWorkers.js'
 import { LEADER_KEY, ROSTER_KEY } from './keys.js'
-import { incarnationOf, WORKER_CLOCK_RATE, WorkerSession, type WorkerSessionListener } from './workerSession.js'
+import { WORKER_CLOCK_RATE, WorkerSession, type WorkerSessionListener } from './workerSession.js'
 import { resourcesSchema, type Resources } from '../protocol/workflows.js'
 import type { PlatformClient } from '../seams/platformClient.js'
 import { delay, type Timers } from '../seams/timers.js'
@@ -184,6 +186,11 @@
     }
   }
 
+  /** Notes that a later incarnation of a worker is known, which may carry out starts that were sent to this one. */
+  noteRestarted ({ incarnation, entry: { id } }: WorkerSession, { tasks, endMs }: UnconfirmedStarts): void {
+    this._options.leaseEnds.noteRestarted(incarnation, { tasks, endMs: Math.max(endMs, this._inheritedWorkers.startsEndAt(id)) })
+  }
+
   /** Closes and removes the session of a worker incarnation that has ended. */
   remove (session: WorkerSession): void {
     session.close()
@@ -193,6 +200,7 @@
   private async _pollDirectory (): Promise<void> {
     const { timers } = this._options
     while (!this._closed && !await this._options.leaseEnds.load()) await delay(timers, DIRECTORY_PERIOD_MS / 3)
+    for (const { worker, endMs } of this._options.leaseEnds.awaitedStarts) this._inheritedWorkers.addRecorded(worker, endMs)
     while (!this._closed && !await this._readRoster()) await delay(timers, DIRECTORY_PERIOD_MS / 3)
     while (!this._closed) {
       const done = await this._readDirectory()
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -7,6 +7,7 @@
 
 import { match, P } from 'ts-pattern'
 import type { WorkerFence } from './fencingTokens.js'
+import { incarnationOf } from './incarnations.js'
 import type { LeaseEndRecorder } from './leaseEndRecorder.js'
 import type { UnconfirmedStarts } from './leaseEndView.js'
 import type { LongPollPolicy } from './longPollPolicy.js'
@@ -520,11 +521,6 @@
   }
 }
 
-/** Unique name of an incarnation of a worker. */
-export function incarnationOf (entry: WorkerEntry): string {
-  return `${entry.id}@${entry.bornMs}`
-}
-
 /** Id of a run within its worker. */
 export function runIdOf (task: string, attempt: number): string {
   return `${task}#${attempt}`
--- a/tests/workflows/formerIncarnations.test.ts
+++ b/tests/workflows/formerIncarnations.test.ts
@@ -7,6 +7,7 @@
 
 import t from 'tap'
 import type { Workflow } from 'pomelofold/protocol/workflows'
+import { cellWithStartInTransit, replaceLeader } from './leaderChain.js'
 import { WorkflowCell } from './workflowCell.js'
 
 const MAX_LEASE_MS = 10_000
@@ -99,3 +100,49 @@
   await startAndCutOff(cell, cell.workflow([{ tasks: 1 }]))
   t.same(cell.violations(), [])
 })
+
+// Guards against TWICE: the leader knows the restart and ends, and the next one finds only the next incarnation, which does not answer.
+t.test('a late start to a former incarnation that is in no roster any more runs no task twice under the next leader', async t => {
+  for (const how of ['refused', 'silent', 'handedOver'] as const) {
+    for (const lastMs of [1_500, 3_000]) {
+      const { cell, task } = await cellWithStartInTransit({ orderDelayMs: 10_000, reachableAfterMs: 25_000 })
+      await cell.timers.advance(lastMs)
+      await replaceLeader(cell, how)
+      await cell.timers.advance(40_000)
+      t.same(cell.violations(), [], `leader ${how} after ${lastMs} ms`)
+      t.equal(cell.runsOf(task).filter(({ endMs }) => endMs === Number.POSITIVE_INFINITY).length, 1, 'the task runs')
+    }
+  }
+})
+
+// Guards against TWICE: the leader that has seen the next incarnation accept a start ends before that incarnation is listed or reports.
+t.test('a start that the next incarnation of its worker has accepted is known to the next leader', async t => {
+  for (const lastMs of [300, 1_500, 4_000]) {
+    const cell = await silentlyRestartedWorker({ daemons: 5 })
+    const workflow = cell.workflow([{ tasks: 1 }])
+    const task = `${workflow.id}.0.0.0`
+    await cell.submit(workflow, cell.leader!)
+    await cell.timers.advanceUntil(() => cell.runsOf(task).length > 0, { limitMs: 1_000 })
+    cell.workers[0].faults.unreachable = true
+    cell.addWorker()
+    await cell.timers.advance(lastMs)
+    await replaceLeader(cell, 'refused')
+    await cell.timers.advanceUntil(() => cell.runsOf(task).length > 1)
+    t.same(cell.violations(), [], `the leader ends ${lastMs} ms after the start`)
+  }
+})
+
+// Guards against LOST: starts that the next incarnation refuses, since it has answered, delay nothing under the next leader.
+t.test('a worker that has come back under its id and answers delays no task under the next leader', async t => {
+  const { cell, task } = await cellWithStartInTransit({ orderDelayMs: 10_000 })
+  await cell.timers.advance(1_500)
+  await replaceLeader(cell, 'refused')
+  const electedMs = cell.timers.now()
+  const other = cell.workflow([{ tasks: 1 }])
+  await cell.submit(other, cell.leader!)
+  await cell.timers.advanceUntil(() => cell.runsOf(`${other.id}.0.0.0`).length > 0)
+  t.ok(cell.timers.now() - electedMs <= 2_000, `started ${cell.timers.now() - electedMs} ms after the election`)
+  await cell.timers.advance(30_000)
+  t.same(cell.violations(), [])
+  t.equal(cell.runsOf(task).length, 1)
+})
--- a/tests/workflows/leaderChain.ts
+++ b/tests/workflows/leaderChain.ts
@@ -10,8 +10,8 @@
 import type { WorkflowStep } from 'pomelofold/protocol/workflows'
 import { CallTimeoutError, EFFECTS } from 'pomelofold/utils/errors'
 import { delay } from 'pomelofold/seams/timers'
+import { incarnationOf } from 'pomelofold/workflows/incarnations'
 import { LEADER_KEY } from 'pomelofold/workflows/keys'
-import { incarnationOf } from 'pomelofold/workflows/workerSession'
 import { WorkflowCell, type TestDaemon, type WorkflowCellOptions } from './workflowCell.js'
 
 /** Ends of the leases of lost workers in the store. */
