The next leader knows that workers come back under their ids (TWICE)

What callers would see: two runs of one task, when the start of one gets no answer soon after a change of leader, its worker is cut off, and the next incarnation carries it out behind the cut.

Cause: a task waits for a start without an answer beyond the lease only where workers come back under their ids; elsewhere that would keep tasks down for workers that are gone. Each leader learned it anew from the first worker that came back in its own term.

Change: the roster marks workers that have come back under their ids, as long as they are in it.

--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -52,6 +52,8 @@
   /** Called when the worker is to refuse the start. Its incarnation is the one to which the start was sent if `settles` is true. */
   onRefusalNeeded: (session: WorkerSession, start: LateStart, options: { settles: boolean }) => void
   teamUsage: TeamUsage
+  /** True once a worker has come back under its id, also under an earlier scheduler. */
+  idsReturn: () => boolean
   /** Called when a start that was held turns out to have been carried out. */
   onCarriedOut: (run: Run) => void
 }
@@ -65,7 +67,7 @@
   private readonly _longestLeaseMs: number
   /** Times until which a later incarnation may carry out an extension, by worker id, in milliseconds of the monotonic clock. */
   private readonly _extensionsEndMs = new Map<string, number>()
-  /** True once a worker has come back under its id. */
+  /** True once a worker has come back under its id in this term. */
   private _idsReturn = false
 
   constructor (options: LateStartTrackerOptions) {
@@ -105,7 +107,7 @@
     if (session.restarted && this.startsAt(id).length) this._extensionsEndMs.set(id, session.unansweredExtensionMs + MAX_ORDER_DELAY_MS)
     this._idsReturn ||= session.restarted
     for (const start of this.startsAt(id)) this._count(start, true)
-    if (this._idsReturn) this._hold(id)
+    if (this._idsReturn || this._options.idsReturn()) this._hold(id)
   }
 
   /** Keeps the tasks of all such starts at a worker waiting, since another incarnation may carry them out. */
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -65,6 +65,8 @@
   teamUsage: TeamUsage
   /** Maximum length of a worker's lease, in milliseconds. */
   maxLeaseMs: number
+  /** True once a worker has come back under its id, also under an earlier scheduler. */
+  idsReturn: () => boolean
   /** Time for which this daemon is guaranteed to remain the leader and may send starts, in milliseconds. */
   leadershipRemainingMs: () => number
   /** Number of failed runs of a task after which its workflow fails; undefined when the queue is unknown. */
@@ -115,6 +117,7 @@
       log,
       maxLeaseMs,
       teamUsage: options.teamUsage,
+      idsReturn: options.idsReturn,
       onRefusalNeeded: (session, start, settling) => this._refuseLateStart(session, start, settling),
       onCarriedOut: run => { if (run.task?.step.spec.gang) this._orderSender.stop(run, 'its gang was stopped') }
     })
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -313,6 +313,7 @@
       crashes: this._crashes,
       teamUsage,
       maxLeaseMs: timeLimits.maxLeaseMs,
+      idsReturn: () => this._fleet.idsReturn,
       leadershipRemainingMs,
       maxAttempts: workflow => this._dispatcher.queueOf(workflow)?.maxAttempts,
       predecessorHadStopped: atMs => this._dispatcher.predecessorHadStopped(atMs),
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -49,7 +49,9 @@
   capacity: resourcesSchema,
   labels: z.array(z.string()),
   /** The worker may have a lease of the maximum length, from calls to an earlier incarnation. */
-  mayHaveForeignLease: z.boolean().optional()
+  mayHaveForeignLease: z.boolean().optional(),
+  /** The worker has come back under its id. */
+  returned: z.boolean().optional()
 }))
 
 /** Options of a {@link WorkerFleet}. */
@@ -96,6 +98,8 @@
   private _roster = new Set<string>()
   /** Those of them that may have a lease from calls to an earlier incarnation, by the stored roster. */
   private _foreignLeases = new Set<string>()
+  /** Ids under which workers have come back, by the stored roster and in this term. */
+  private readonly _returnedIds = new Set<string>()
   private _rosterCleanedMs = Number.NEGATIVE_INFINITY
   private readonly _inheritedWorkers: InheritedWorkers
   private _closed = false
@@ -222,8 +226,9 @@
       log.event('error', 'roster.unreadable', { revision: this._rosterRevision, detail: roster.error })
       return false
     }
-    for (const { mayHaveForeignLease, ...entry } of roster.value) {
+    for (const { mayHaveForeignLease, returned, ...entry } of roster.value) {
       this._roster.add(incarnationOf(entry))
+      if (returned) this._returnedIds.add(entry.id)
       if (mayHaveForeignLease) this._foreignLeases.add(incarnationOf(entry))
       this._inheritedWorkers.addStored(entry)
       this._openSession(entry, { listed: false })
@@ -270,10 +275,14 @@
     const { platform, epoch, log, leaseMs, maxLeaseMs, onFenced } = this._options
     const kept = [...this.sessions.values()].map(session => session.entry)
     const known = new Set(kept.map(incarnationOf))
+    for (const entry of newEntries) if (this._follows(entry)) this._returnedIds.add(entry.id)
     const entries = [...kept, ...newEntries.filter(entry => !known.has(incarnationOf(entry)))]
     const foreignLeases = new Set(entries.filter(entry => maxLeaseMs > leaseMs && this._mayHaveForeignLease(entry)).map(incarnationOf))
-    const value = JSON.stringify(entries.map(({ leavesInMs, ...entry }) =>
-      ({ ...entry, mayHaveForeignLease: foreignLeases.has(incarnationOf(entry)) || undefined })))
+    const value = JSON.stringify(entries.map(({ leavesInMs, ...entry }) => ({
+      ...entry,
+      mayHaveForeignLease: foreignLeases.has(incarnationOf(entry)) || undefined,
+      returned: this._returnedIds.has(entry.id) || undefined
+    })))
     const guards = [{ key: LEADER_KEY, modRevision: epoch }, { key: ROSTER_KEY, modRevision: this._rosterRevision! }]
     const result = await platform.txn(guards, [{ op: 'put', key: ROSTER_KEY, value }], { timeoutMs: CALL_TIMEOUT_MS })
     if (this._closed) return false
@@ -297,11 +306,21 @@
     return false
   }
 
+  /** True when an incarnation has come after another one with its id that this scheduler or an earlier one has used. */
+  private _follows (entry: WorkerEntry): boolean {
+    return this._fencingTokens.hasEarlier(entry) || this._inheritedWorkers.isSuccessor(incarnationOf(entry))
+  }
+
+  /** True once a worker has come back under its id, here or under an earlier scheduler while the worker is in the roster. */
+  get idsReturn (): boolean {
+    return this._returnedIds.size > 0
+  }
+
   /** True when a call to an earlier incarnation of the worker may have given it a lease that lasts. */
   private _mayHaveForeignLease (entry: WorkerEntry): boolean {
     const incarnation = incarnationOf(entry)
     return this.sessions.get(incarnation)?.mayHaveForeignLease ??
-      (this._foreignLeases.has(incarnation) || this._fencingTokens.hasEarlier(entry) || this._inheritedWorkers.isSuccessor(incarnation))
+      (this._foreignLeases.has(incarnation) || this._follows(entry))
   }
 
   private _applyDirectory (entries: WorkerEntry[]): void {
--- a/tests/workflows/formerIncarnations.test.ts
+++ b/tests/workflows/formerIncarnations.test.ts
@@ -146,3 +146,28 @@
   t.same(cell.violations(), [])
   t.equal(cell.runsOf(task).length, 1)
 })
+
+// Guards against TWICE: only the leader under which a worker has come back waits for starts that a next incarnation may carry out.
+t.test('the next leader knows that workers come back under their ids', async t => {
+  const cell = new WorkflowCell({ workers: 2, cpuMillis: 1_000, runMs: () => RUN_MS })
+  await cell.waitUntilReady()
+  await cell.timers.advance(FORMER_AGE_MS)
+  cell.restartWorker('w1')
+  await cell.timers.advance(2_000)
+  await replaceLeader(cell, 'refused')
+  await cell.waitUntilReady()
+  const [{ faults }, other] = cell.workers
+  faults.orderDelayMs = 9_000
+  other.faults.unlisted = true
+  await cell.timers.advance(1_500)
+  const workflow = cell.workflow([{ tasks: 1 }])
+  await cell.submit(workflow, cell.leader!)
+  await cell.timers.advanceUntil(() => cell.events.some(({ name }) => name === 'start.unanswered'))
+  other.faults.unlisted = false
+  faults.unreachable = true
+  await cell.timers.advance(500)
+  cell.restartWorker('w0', { listedAfterMs: 11_000, reachableAfterMs: 11_000 })
+  await cell.timers.advance(SETTLED_MS)
+  t.same(cell.violations(), [])
+  t.equal(cell.runsOf(`${workflow.id}.0.0.0`).length, 1)
+})
