A refusal by another worker at the address is no restart (LOST)

What callers would see since: after the first worker that is replaced by one with another id at its address, tasks of workers that are gone wait up to 18.8 s. Found by a review.

Cause: the answer with which another worker refuses an order has the time on its own clock. It was taken for that of a later incarnation with the same id, and so as evidence that ids return.

Change: such a refusal says nothing about incarnations.

--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -161,6 +161,8 @@
 }
 
 /** Ends the session when a later incarnation of its worker has answered an order. */
-function noteAnswerer (session: RunHost, { clockMs }: OrderAnswer): void {
+function noteAnswerer (session: RunHost, { clockMs, refusal }: OrderAnswer): void {
+  // Another worker at the address has a clock of its own, too.
+  if (refusal === START_REFUSALS.otherIncarnation) return
   if (session.answererOf(clockMs) === ANSWERERS.later) session.noteRestart()
 }
--- /dev/null
+++ b/tests/workflows/returningWorkers.test.ts
@@ -0,0 +1,101 @@
+/**
+ * Workers that come back under their ids, are cut off or gone: over changes of leader, and as opposed to other workers at their address.
+ *
+ * @module
+ */
+
+import t from 'tap'
+import { LeasedWorker } from '@pomelofold/standins/leasedWorker'
+import { delay } from 'pomelofold/seams/timers'
+import { START_REFUSALS } from 'pomelofold/seams/workflowUpstreams'
+import { WorkflowCell } from './workflowCell.js'
+
+/** Time by which the answer to an order is handled after its arrival, in milliseconds. */
+const HANDLED_LATE_MS = 1_300
+/** Longest time until tasks of a worker that is gone for good run elsewhere: its lease, and the time that a lasting task may be down. */
+const GONE_MS = 9_000
+
+/** A worker with another id at the address of an earlier one. */
+function replacement (cell: WorkflowCell, { entry: { address, bornMs, capacity, labels } }: LeasedWorker): LeasedWorker {
+  const worker = new LeasedWorker({
+    id: `${address}-next`, address, timers: cell.timers, records: cell.records, runMs: () => 600_000, capacity, labels, clockStartMs: cell.timers.now()
+  })
+  Object.assign(worker.entry, { bornMs: bornMs + 1 })
+  return worker
+}
+
+/** Ends a worker for good while a start is on its way to it. Returns the time until its task runs elsewhere, in milliseconds. */
+async function timeUntilRestart (cell: WorkflowCell): Promise<number> {
+  const gone = cell.addWorker()
+  const others = cell.workers.filter(worker => worker !== gone)
+  await cell.timers.advance(3_000)
+  for (const { faults } of others) faults.draining = true
+  await cell.timers.advance(1_500)
+  gone.faults.orderDelayMs = 60_000
+  const workflow = cell.workflow([{ tasks: 1, longRunning: true }])
+  const seen = cell.events.length
+  await cell.submit(workflow, cell.leader!)
+  await cell.timers.advanceUntil(() => cell.events.slice(seen).some(({ name }) => name === 'start.unanswered'))
+  const goneMs = cell.timers.now()
+  gone.crash()
+  for (const { faults } of others) faults.draining = false
+  await cell.timers.advanceUntil(() => cell.runsOf(`${workflow.id}.0.0.0`).length > 0, { limitMs: 60_000 })
+  return cell.runsOf(`${workflow.id}.0.0.0`)[0].startMs - goneMs
+}
+
+// Guards against LOST: another id at the address refuses an order, with a time on its own clock in the answer, as in all answers over HTTP.
+// That is no restart under the id: nothing is late there, and the tasks need not wait.
+t.test('an order that another id at the address refuses is no sign of a restart under the same id', async t => {
+  const cell = new WorkflowCell({ workers: 2, cpuMillis: 2_000, runMs: () => 600_000 })
+  const leader = await cell.waitUntilReady()
+  await cell.timers.advance(20_000)
+  const [worker, other] = cell.workers
+  const { client } = leader
+  for (const order of ['start', 'stop'] as const) {
+    const send = client[order].bind(client) as (...args: unknown[]) => ReturnType<typeof client.stop>
+    client[order] = async (...args: unknown[]) => (await send(...args)).map(answer =>
+      answer.refusal === START_REFUSALS.otherIncarnation ? { ...answer, clockMs: cell.workers[0].clockMs } : answer)
+  }
+  other.faults.draining = true
+  await cell.timers.advance(1_500)
+  worker.faults.orderDelayMs = 60_000
+  const workflow = cell.workflow([{ tasks: 1, longRunning: true }])
+  leader.daemon.service.submit(workflow)
+  await cell.timers.advanceUntil(() => cell.events.some(({ name }) => name === 'run.start'))
+  worker.crash()
+  cell.workers[0] = replacement(cell, worker)
+  await cell.timers.advanceUntil(() => cell.runsOf(`${workflow.id}.0.0.0`).length > 0, { limitMs: 60_000 })
+  const evidence = cell.events.filter(({ name }) => name === 'worker.crashed').map(({ fields }) => fields.evidence)
+  await cell.timers.advance(30_000)
+  const waitedMs = await timeUntilRestart(cell)
+  t.ok(waitedMs <= GONE_MS, `a task of another worker started after ${waitedMs} ms; evidence of the crash: ${evidence.join('; ')}`)
+})
+
+// Guards against TWICE: a process that stands still for a second handles an answer to an order after that to a later call, within one turn
+// of its event loop and before the timeouts. A clock that is behind the last report then shows no restart.
+t.test('an answer to an order that is handled late is no sign of a restart', async t => {
+  for (const sentAfterMs of [0, 400, 800, 1_200, 1_600]) {
+    const cell = new WorkflowCell({ workers: 2, cpuMillis: 2_000, runMs: () => 30_000 })
+    const leader = await cell.waitUntilReady()
+    await cell.timers.advance(20_000)
+    const [worker, other] = cell.workers
+    other.faults.draining = true
+    await cell.timers.advance(1_500)
+    const first = cell.workflow([{ tasks: 1 }])
+    await cell.submit(first, leader)
+    await cell.timers.advanceUntil(() => cell.runsOf(`${first.id}.0.0.0`).length > 0)
+    await cell.timers.advance(3_000 + sentAfterMs)
+    const start = leader.client.start.bind(leader.client)
+    leader.client.start = async (...args) => {
+      const answer = await start(...args)
+      await delay(cell.timers, HANDLED_LATE_MS)
+      return answer
+    }
+    await cell.submit(cell.workflow([{ tasks: 1 }]), leader)
+    await cell.timers.advance(1_000)
+    other.faults.draining = false
+    await cell.timers.advance(20_000)
+    t.same(cell.violations(), [], `sent after ${sentAfterMs} ms`)
+    t.equal(worker.entry.bornMs, 1, 'the worker has not restarted')
+  }
+})
