Extensions to each former incarnation are waited for (TWICE)

What callers would see: two runs of one task, when an extension to a former incarnation is carried out late at a silent next one. Found by the specification.

Cause: the end of the second incarnation's session replaced what was known of extensions to the first; and none counted while a restart was not certain, although tasks wait then, too, where ids return.

Change: the latest extension of any incarnation counts, whenever tasks wait for late starts.

--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -104,10 +104,12 @@
       for (const start of this.startsAt(id)) this._remove(id, start, 'another id is at its address')
       return
     }
-    if (session.restarted && this.startsAt(id).length) this._extensionsEndMs.set(id, session.unansweredExtensionMs + MAX_ORDER_DELAY_MS)
     this._idsReturn ||= session.restarted
     for (const start of this.startsAt(id)) this._count(start, true)
-    if (this._idsReturn || this._options.idsReturn()) this._hold(id)
+    if (!this._idsReturn && !this._options.idsReturn()) return
+    const extensionsEndMs = session.unansweredExtensionMs + MAX_ORDER_DELAY_MS
+    if (this.startsAt(id).length) this._extensionsEndMs.set(id, Math.max(extensionsEndMs, this._extensionsEndMs.get(id) ?? extensionsEndMs))
+    this._hold(id)
   }
 
   /** Keeps the tasks of all such starts at a worker waiting, since another incarnation may carry them out. */
