The record keeps a lost worker until its late runs have ended (TWICE)

What callers would see: two runs of one task after one or two changes of leader, when a start is carried out late at a next incarnation that is not listed, or whose entry has expired. Found by a review and by the specification.

Cause: the record said until when a start may begin, not until when a run goes on that it begins. It was dropped at the first of these times, and the next leader held the named tasks until then only. A leader that inherited a silent next incarnation recorded the loss of that one with the end of a usual lease.

Change: the record also says until when such runs go on, with late extensions, and that a later incarnation is known. A leader holds the named tasks until then while no incarnation has reported, if the restart is known or ids return: as the leader before it would have.

--- a/packages/pomelofold/src/protocol/leaseEnds.ts
+++ b/packages/pomelofold/src/protocol/leaseEnds.ts
@@ -18,6 +18,10 @@
   unconfirmedTasks: z.array(z.string()).default([]),
   /** Time until the last of these starts is carried out or not at all, in milliseconds. */
   startsEndInMs: z.number().nonnegative().default(0),
+  /** Time until every run has ended that such a start begins at a later incarnation which does not report, in milliseconds. */
+  runsEndInMs: z.number().nonnegative().default(0),
+  /** True when a later incarnation of the worker is known. */
+  restarted: z.boolean().default(false),
   /** True when the next incarnation of the worker has answered since: it refuses these starts. */
   nextAnswered: z.boolean().default(false)
 })
--- a/packages/pomelofold/src/workflows/inheritedWorkers.ts
+++ b/packages/pomelofold/src/workflows/inheritedWorkers.ts
@@ -8,6 +8,7 @@
  */
 
 import { incarnationOf, workerIdOf } from './incarnations.js'
+import type { UnconfirmedStarts } from './leaseEndView.js'
 import { MAX_ORDER_DELAY_MS } from './runOrderSender.js'
 import { WORKER_CLOCK_RATE, type WorkerSession } from './workerSession.js'
 import { addResources, NO_RESOURCES, type Resources } from '../protocol/workflows.js'
@@ -33,6 +34,8 @@
   incarnations: ReadonlySet<string>
   /** Time until which a later incarnation may begin one of them, in milliseconds of the monotonic clock. */
   startsEndMs: number
+  /** Time until every run has ended that one of them begins at a later incarnation, in milliseconds of the monotonic clock. */
+  runsEndMs: number
 }
 
 /** Options of {@link InheritedWorkers}. */
@@ -68,12 +71,14 @@
     this._lateRunsEndMs = this._lateRunsEnd(options.predecessorActiveUntilMs)
   }
 
-  /** Adds a worker to which starts that an earlier scheduler has recorded may come until `startsEndMs`. Called before all others. */
-  addRecorded (incarnation: string, startsEndMs: number): void {
+  /** Adds a worker to which starts are on their way by the record of an earlier scheduler. Called before all others. */
+  addRecorded (incarnation: string, { endMs, runsEndMs }: UnconfirmedStarts): void {
     const id = workerIdOf(incarnation)
     const known = this._recorded.get(id)
     this._recorded.set(id, {
-      incarnations: new Set([...known?.incarnations ?? [], incarnation]), startsEndMs: Math.max(startsEndMs, known?.startsEndMs ?? 0)
+      incarnations: new Set([...known?.incarnations ?? [], incarnation]),
+      startsEndMs: Math.max(endMs, known?.startsEndMs ?? 0),
+      runsEndMs: Math.max(runsEndMs, known?.runsEndMs ?? 0)
     })
   }
 
@@ -98,7 +103,7 @@
 
   /** True for an incarnation that the earlier scheduler has used, or that was listed before this one began. */
   isInherited (incarnation: string): boolean {
-    return this._incarnations.has(incarnation) && !this._successors.has(incarnation)
+    return this._incarnations.has(incarnation) && !this.isSuccessor(incarnation)
   }
 
   /** True for an incarnation that started under the id of such a worker: late starts of an earlier scheduler may run there. */
@@ -106,10 +111,19 @@
     return this._successors.has(incarnation) || this._recordedSuccessors.has(incarnation)
   }
 
-  /** Time until which a later incarnation with the id may begin a start of an earlier scheduler, in milliseconds of the monotonic clock. */
-  startsEndAt (id: string): number {
-    const inheritedMs = this._ids.has(id) ? this._lateRunsEndMs - this._longestLeaseMs : Number.NEGATIVE_INFINITY
-    return Math.max(inheritedMs, this._recorded.get(id)?.startsEndMs ?? Number.NEGATIVE_INFINITY)
+  /** True while a later incarnation of such a worker may run a late start and has not answered, whether it is listed or not. */
+  mayRunLateStart ({ incarnation, synced, entry: { id } }: WorkerSession): boolean {
+    return this.isSuccessor(incarnation) && !synced && this._options.timers.now() < this.lateStartsAt(id).runsEndMs
+  }
+
+  /** Times until which later incarnations with the id may begin starts of earlier schedulers, and run them. */
+  lateStartsAt (id: string): Pick<UnconfirmedStarts, 'endMs' | 'runsEndMs'> {
+    const recorded = this._recorded.get(id)
+    const inheritedRunsEndMs = this._ids.has(id) ? this._lateRunsEndMs : Number.NEGATIVE_INFINITY
+    return {
+      endMs: Math.max(inheritedRunsEndMs - this._longestLeaseMs, recorded?.startsEndMs ?? Number.NEGATIVE_INFINITY),
+      runsEndMs: Math.max(inheritedRunsEndMs, recorded?.runsEndMs ?? Number.NEGATIVE_INFINITY)
+    }
   }
 
   /** Called when the roster and the directory have been read. */
@@ -142,7 +156,7 @@
     const nowMs = this._options.timers.now()
     const sessions = [...this._unsettled]
     const ends = sessions.map(({ incarnation, entry: { id }, restarted, lapsesAtMs }) =>
-      restarted || this.isSuccessor(incarnation) ? this.startsEndAt(id) + this._longestLeaseMs : lapsesAtMs)
+      restarted || this.isSuccessor(incarnation) ? this.lateStartsAt(id).runsEndMs : lapsesAtMs)
     if (this._awaitedUnlisted) ends.push(this._lateRunsEndMs)
     const names = sessions.slice(0, MAX_NAMES_IN_LINE).map(({ incarnation }) => incarnation).join(',')
     return { workers: ends.length, names, untilMs: Math.round(Math.max(...ends) - nowMs) }
@@ -179,7 +193,7 @@
     for (const incarnation of this._recordedSuccessors) {
       const session = this._options.sessions.get(incarnation)
       if (!session || (session.synced && !session.restarted)) continue
-      if (nowMs < this._recorded.get(session.entry.id)!.startsEndMs + this._longestLeaseMs) yield session
+      if (nowMs < this._recorded.get(session.entry.id)!.runsEndMs) yield session
     }
   }
 
--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -9,6 +9,7 @@
  * @module
  */
 
+import type { UnconfirmedStarts } from './leaseEndView.js'
 import { MAX_ORDER_DELAY_MS } from './runOrderSender.js'
 import { runIdOf, LAPSE_SLACK_MS, WORKER_CLOCK_RATE, type WorkerSession } from './workerSession.js'
 import type { Run, Task } from './workflowRuntime.js'
@@ -64,7 +65,7 @@
   /** Starts by worker id and by the id of their run. */
   private readonly _starts = new Map<string, Map<string, LateStart>>()
   /** Longest time for which a run goes on without a later extension of its lease, in milliseconds. */
-  private readonly _longestLeaseMs: number
+  readonly longestLeaseMs: number
   /** Times until which a later incarnation may carry out an extension, by worker id, in milliseconds of the monotonic clock. */
   private readonly _extensionsEndMs = new Map<string, number>()
   /** True once a worker has come back under its id in this term. */
@@ -72,7 +73,7 @@
 
   constructor (options: LateStartTrackerOptions) {
     this._options = options
-    this._longestLeaseMs = options.maxLeaseMs / WORKER_CLOCK_RATE + LAPSE_SLACK_MS
+    this.longestLeaseMs = options.maxLeaseMs / WORKER_CLOCK_RATE + LAPSE_SLACK_MS
   }
 
   close (): void {
@@ -204,7 +205,7 @@
    */
   private _runsEndMs (id: string): number {
     const callsEndMs = Math.max(this._extensionsEndMs.get(id) ?? 0, ...this.startsAt(id).map(({ untilMs }) => untilMs))
-    return callsEndMs + this._longestLeaseMs
+    return callsEndMs + this.longestLeaseMs
   }
 
   private _count (start: LateStart, counted: boolean): void {
@@ -219,13 +220,12 @@
     return [...this._starts.get(id)?.values() ?? []]
   }
 
-  /**
-   * Time until which a start at a worker may be carried out; if that is over and its task is held for a run that it may have begun, the
-   * end of that run. In milliseconds of the monotonic clock.
-   */
-  waitEndMs (id: string, { untilMs, heldSinceMs }: LateStart): number {
-    const mayRun = heldSinceMs !== undefined && untilMs <= this._options.timers.now()
-    return mayRun ? this._runsEndMs(id) : untilMs
+  /** Starts at a worker that a later incarnation may carry out, or whose tasks are held for a run that it may have begun. */
+  unconfirmedAt (id: string): UnconfirmedStarts {
+    const nowMs = this._options.timers.now()
+    const starts = this.startsAt(id).filter(({ untilMs, heldSinceMs }) => untilMs > nowMs || heldSinceMs !== undefined)
+    const endMs = Math.max(nowMs, ...starts.map(({ untilMs }) => untilMs))
+    return { tasks: starts.map(({ name }) => name), endMs, runsEndMs: starts.length ? this._runsEndMs(id) : nowMs }
   }
 
   /** Forgets the starts that were sent to the address of the worker when another id had it. */
--- a/packages/pomelofold/src/workflows/leaseEndRecorder.ts
+++ b/packages/pomelofold/src/workflows/leaseEndRecorder.ts
@@ -33,6 +33,17 @@
 /** Maximum number of tasks that are named in the record. A loss with which there were more is left out. */
 const MAX_UNCONFIRMED_TASKS = 1_000
 
+/** A recorded loss of a worker, with starts that were sent to it. */
+export interface RecordedLoss {
+  /** Incarnation of the worker. */
+  worker: string
+  starts: UnconfirmedStarts
+  /** True when a later incarnation of the worker is known. */
+  restarted: boolean
+  /** True when the next incarnation has answered since: it refuses these starts. */
+  nextAnswered: boolean
+}
+
 /** Options of a {@link LeaseEndRecorder}. */
 export interface LeaseEndRecorderOptions {
   epoch: number
@@ -124,20 +135,11 @@
     return this._losses.get(worker)?.endMs
   }
 
-  /** Starts that a later incarnation of a recorded worker may carry out. */
-  get unconfirmedStarts (): UnconfirmedStarts[] {
-    const nowMs = this._options.timers.now()
-    return [...this._losses.values()].map(({ starts }) => starts).filter(({ endMs }) => endMs > nowMs)
-  }
-
-  /**
-   * Lost workers whose next incarnation has not answered and may carry out starts that were sent to them, with the time until which it
-   * may begin to, in milliseconds of the monotonic clock.
-   */
-  get awaitedStarts (): Array<{ worker: string, endMs: number }> {
+  /** Losses of workers whose later incarnations may carry out starts that were sent to them, or run what they have carried out. */
+  get withStarts (): RecordedLoss[] {
     const nowMs = this._options.timers.now()
-    return [...this._losses].filter(([, { starts, nextAnswered }]) => starts.endMs > nowMs && !nextAnswered)
-      .map(([worker, { starts: { endMs } }]) => ({ worker, endMs }))
+    return [...this._losses].filter(([, { starts }]) => starts.runsEndMs > nowMs)
+      .map(([worker, { starts, restarted, nextAnswered }]) => ({ worker, starts, restarted, nextAnswered }))
   }
 
   /** Notes that the worker does not answer, and that its lease, which is not extended any more, ends at `endMs` of the monotonic clock. */
@@ -145,10 +147,17 @@
     const { epoch, log, timers } = this._options
     if (!this._loaded || this._closed) return
     const known = this._losses.get(worker)
-    if (known && known.endMs <= endMs + MIN_CHANGE_MS) return
+    const hasLaterStarts = starts.tasks.length > 0 && starts.runsEndMs > (known?.starts.runsEndMs ?? 0) + MIN_CHANGE_MS
+    if (known && known.endMs <= endMs + MIN_CHANGE_MS && !hasLaterStarts) return
     if (!known && this._isFullWith(starts)) return
     const loss = known?.loss ?? `${epoch}.${++this._lossCount}`
-    this._losses.set(worker, { loss, endMs, starts: known?.starts ?? starts, nextAnswered: false })
+    this._losses.set(worker, {
+      loss,
+      endMs: Math.min(endMs, known?.endMs ?? endMs),
+      starts: known ? mergedStarts(known.starts, starts) : starts,
+      restarted: known?.restarted ?? false,
+      nextAnswered: false
+    })
     log.event('info', 'leaseEnd.noted', { worker, loss, endsInMs: Math.round(endMs - timers.now()), unconfirmedTasks: starts.tasks.length })
     this._write()
   }
@@ -158,14 +167,14 @@
     const { epoch, log, timers } = this._options
     const nowMs = timers.now()
     const known = this._losses.get(worker)
-    if (!this._loaded || this._closed || starts.endMs <= Math.max(nowMs, known?.starts.endMs ?? 0)) return
+    if (!this._loaded || this._closed || starts.runsEndMs <= nowMs) return
+    if (known?.restarted && starts.runsEndMs <= known.starts.runsEndMs) return
     if (!known && this._isFullWith(starts)) return
     const loss = known?.loss ?? `${epoch}.${++this._lossCount}`
-    const tasks = [...new Set([...known?.starts.tasks ?? [], ...starts.tasks])]
-    const endMs = Math.min(nowMs, known?.endMs ?? nowMs)
-    this._losses.set(worker, { loss, endMs, starts: { tasks, endMs: starts.endMs }, nextAnswered: false })
-    const startsEndInMs = Math.round(starts.endMs - nowMs)
-    log.event('info', 'lateStarts.noted', { worker, loss, startsEndInMs, unconfirmedTasks: tasks.length })
+    const merged = known ? mergedStarts(known.starts, starts) : starts
+    this._losses.set(worker, { loss, endMs: Math.min(nowMs, known?.endMs ?? nowMs), starts: merged, restarted: true, nextAnswered: false })
+    const runsEndInMs = Math.round(merged.runsEndMs - nowMs)
+    log.event('info', 'lateStarts.noted', { worker, loss, runsEndInMs, unconfirmedTasks: merged.tasks.length })
     this._write()
   }
 
@@ -174,11 +183,11 @@
     const nowMs = this._options.timers.now()
     for (const [worker, end] of this._losses) {
       const isEarlier = worker !== incarnation && workerIdOf(worker) === workerIdOf(incarnation)
-      if (!isEarlier || end.nextAnswered || end.starts.endMs <= nowMs) continue
+      if (!isEarlier || end.nextAnswered || end.starts.runsEndMs <= nowMs) continue
       if (end.starts.tasks.length === 0 && end.endMs <= nowMs) this._losses.delete(worker)
       else this._losses.set(worker, { ...end, nextAnswered: true })
-      const startsEndInMs = Math.round(end.starts.endMs - nowMs)
-      this._options.log.event('info', 'lateStarts.refused', { worker, next: incarnation, startsEndInMs })
+      const runsEndInMs = Math.round(end.starts.runsEndMs - nowMs)
+      this._options.log.event('info', 'lateStarts.refused', { worker, next: incarnation, runsEndInMs })
       this._write()
     }
   }
@@ -201,7 +210,7 @@
     const { size } = this._losses
     const nowMs = this._options.timers.now()
     for (const [worker, { starts }] of this._losses) {
-      if (this._roster && !this._roster.has(worker) && starts.endMs <= nowMs) this._losses.delete(worker)
+      if (this._roster && !this._roster.has(worker) && starts.runsEndMs <= nowMs) this._losses.delete(worker)
     }
     if (this._losses.size < size) this._write()
   }
@@ -223,7 +232,7 @@
 
   /** True when one more loss with these starts does not fit into the record. */
   private _isFullWith ({ tasks }: UnconfirmedStarts): boolean {
-    const named = this.unconfirmedStarts.reduce((sum, starts) => sum + starts.tasks.length, tasks.length)
+    const named = this.withStarts.reduce((sum, { starts }) => sum + starts.tasks.length, tasks.length)
     const isFull = this._losses.size >= MAX_LOSSES || named > MAX_UNCONFIRMED_TASKS
     const { log, epoch } = this._options
     if (isFull && !this._isFull) log.event('warn', 'leaseEnds.full', { epoch, workers: this._losses.size, unconfirmedTasks: named })
@@ -234,7 +243,7 @@
   /** Writes the remaining time of the leases that last, and of the starts that may still be carried out. */
   private _refresh (): void {
     this._prune()
-    if (this.awaitsLeases || this.unconfirmedStarts.length > 0) this._write()
+    if (this.awaitsLeases || this.withStarts.length > 0) this._write()
   }
 
   private _write (): void {
@@ -270,3 +279,10 @@
     }
   }
 }
+
+/** Both groups of starts at one worker. */
+function mergedStarts (a: UnconfirmedStarts, b: UnconfirmedStarts): UnconfirmedStarts {
+  return {
+    tasks: [...new Set([...a.tasks, ...b.tasks])], endMs: Math.max(a.endMs, b.endMs), runsEndMs: Math.max(a.runsEndMs, b.runsEndMs)
+  }
+}
--- a/packages/pomelofold/src/workflows/leaseEndView.ts
+++ b/packages/pomelofold/src/workflows/leaseEndView.ts
@@ -22,6 +22,8 @@
   /** Time by which all runs on the worker have ended, in milliseconds of the monotonic clock. */
   readonly endMs: number
   readonly starts: UnconfirmedStarts
+  /** True when a later incarnation of the worker is known. */
+  readonly restarted: boolean
   /** True when the next incarnation of the worker has answered since: it refuses these starts. */
   readonly nextAnswered: boolean
 }
@@ -32,6 +34,8 @@
   readonly tasks: string[]
   /** Time until the last of them is carried out or not at all, in milliseconds of the monotonic clock. */
   readonly endMs: number
+  /** Time until every run has ended that one of them begins at an incarnation which does not report. Not below `endMs`. */
+  readonly runsEndMs: number
 }
 
 /** Ends of leases by the incarnation of the worker. */
@@ -51,15 +55,19 @@
     const record = decodeJson(recordSchema, stored ?? '[]')
     if (record.isErr) return Result.err(record.error)
     const nowMs = this._timers.now()
-    this._ends = new Map(record.value.map(({ worker, loss, endsInMs, unconfirmedTasks, startsEndInMs, nextAnswered }) => {
-      const known = this._ends.get(worker)
-      const earlier = known?.loss === loss ? known : undefined
+    this._ends = new Map(record.value.map(({ worker, loss, endsInMs, unconfirmedTasks, startsEndInMs, runsEndInMs, ...known }) => {
+      const seen = this._ends.get(worker)
+      const earlier = seen?.loss === loss ? seen : undefined
       const earliest = (ms: number, earlierMs = Number.POSITIVE_INFINITY): number => Math.min(nowMs + ms, earlierMs)
       return [worker, {
         loss,
         endMs: earliest(endsInMs, earlier?.endMs),
-        starts: { tasks: unconfirmedTasks, endMs: earliest(startsEndInMs, earlier?.starts.endMs) },
-        nextAnswered
+        starts: {
+          tasks: unconfirmedTasks,
+          endMs: earliest(startsEndInMs, earlier?.starts.endMs),
+          runsEndMs: earliest(Math.max(startsEndInMs, runsEndInMs), earlier?.starts.runsEndMs)
+        },
+        ...known
       }]
     }))
     return Result.ok(this._ends)
@@ -74,12 +82,14 @@
 /** Message form of the ends of leases, counted from `nowMs`. */
 export function listLeaseEnds (ends: KnownLeaseEnds, nowMs: number): LeaseEnd[] {
   const remainingMs = (endMs: number): number => Math.max(0, Math.ceil(endMs - nowMs))
-  return [...ends].map(([worker, { loss, endMs, starts, nextAnswered }]) => ({
+  return [...ends].map(([worker, { loss, endMs, starts, restarted, nextAnswered }]) => ({
     worker,
     loss,
     endsInMs: remainingMs(endMs),
-    unconfirmedTasks: starts.endMs > nowMs ? starts.tasks : [],
+    unconfirmedTasks: starts.runsEndMs > nowMs ? starts.tasks : [],
     startsEndInMs: remainingMs(starts.endMs),
+    runsEndInMs: remainingMs(starts.runsEndMs),
+    restarted,
     nextAnswered
   }))
 }
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -11,8 +11,10 @@
 import { shouldMoveRun } from './drainMoves.js'
 import { SpareCpuPacer, isSpareCpuRun } from './spareCpuPacer.js'
 import { LateStartTracker, type LateStart } from './lateStartTracker.js'
+import type { RecordedLoss } from './leaseEndRecorder.js'
 import type { UnconfirmedStarts } from './leaseEndView.js'
 import { OverlapDetector, type Listing } from './overlapDetector.js'
+import { RecordedStarts } from './recordedStarts.js'
 import { ReleasedRuns, RELEASES, type Release } from './releasedRuns.js'
 import { MAX_ORDER_DELAY_MS, RunOrderSender, type StartTryRefusal } from './runOrderSender.js'
 import type { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
@@ -91,6 +93,7 @@
   private readonly _releasedRuns: ReleasedRuns
   private readonly _overlaps: OverlapDetector
   private readonly _lateStarts: LateStartTracker
+  private readonly _recordedStarts: RecordedStarts
   private readonly _pacer: SpareCpuPacer
   /** Workers that have lapsed without an answer in this term, which is logged once. */
   private readonly _unansweredLapses = new WeakSet<WorkerSession>()
@@ -112,6 +115,9 @@
     this._releasedRuns = new ReleasedRuns({ timers })
     this._overlaps = new OverlapDetector({ epoch, timers, log, releasedRuns: this._releasedRuns })
     this._pacer = new SpareCpuPacer({ timers, log, pace: (run, percent) => { this._orderSender.pace(run, percent) } })
+    this._recordedStarts = new RecordedStarts({
+      timers, findTask: name => options.registry.findTask(name), idsReturn: options.idsReturn
+    })
     this._lateStarts = new LateStartTracker({
       timers,
       log,
@@ -127,6 +133,7 @@
   close (): void {
     this._orderSender.close()
     this._lateStarts.close()
+    this._recordedStarts.close()
   }
 
   /** Copy of the current counts. */
@@ -189,6 +196,7 @@
     // A run that is not listed may be among the further ends.
     if (report.hasMoreEnds) return changedWorkflows
     this._lateStarts.applyReport(session, report, requestSentMs)
+    this._recordedStarts.noteReport(session, requestSentMs)
     session.noteReport()
     this._stopStalledRuns(session, report.clockMs)
     for (const [key, run] of session.runs) {
@@ -238,22 +246,19 @@
   /** Starts that the worker may not have carried out, and a later incarnation of it may. */
   unconfirmedStarts (session: WorkerSession): UnconfirmedStarts {
     const nowMs = this._options.timers.now()
-    const { id } = session.entry
-    const late = this._lateStarts.startsAt(id).map(start => ({ name: start.name, untilMs: this._lateStarts.waitEndMs(id, start) }))
-    const pending = [...session.runs.values()].filter(({ state }) => state === RUN_STATES.starting)
-      .map(({ name }) => ({ name, untilMs: nowMs + MAX_ORDER_DELAY_MS }))
-    const starts = [...late, ...pending].filter(({ untilMs }) => untilMs > nowMs)
-    return { tasks: [...new Set(starts.map(({ name }) => name))], endMs: Math.max(nowMs, ...starts.map(({ untilMs }) => untilMs)) }
+    const late = this._lateStarts.unconfirmedAt(session.entry.id)
+    const pending = [...session.runs.values()].filter(({ state }) => state === RUN_STATES.starting).map(({ name }) => name)
+    const pendingEndMs = pending.length ? nowMs + MAX_ORDER_DELAY_MS : nowMs
+    return {
+      tasks: [...new Set([...late.tasks, ...pending])],
+      endMs: Math.max(late.endMs, pendingEndMs),
+      runsEndMs: Math.max(late.runsEndMs, pending.length ? pendingEndMs + this._lateStarts.longestLeaseMs : nowMs)
+    }
   }
 
   /** Keeps tasks waiting whose start under an earlier scheduler may be carried out late, unless copies may run. */
-  holdTasks (unconfirmed: UnconfirmedStarts[]): void {
-    for (const { tasks, endMs } of unconfirmed) {
-      for (const name of tasks) {
-        const task = this._options.registry.findTask(name)
-        if (task && !task.step.spec.speculative) task.notBeforeMs = Math.max(task.notBeforeMs, endMs)
-      }
-    }
+  holdRecorded (loss: RecordedLoss): void {
+    this._recordedStarts.hold(loss)
   }
 
   /** Stops runs on draining workers that are better started elsewhere. */
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -229,7 +229,7 @@
       onLoaded: () => {
         this._crashes.noteLoaded(this._registry.open)
         this._leaseEnds.loaded.promise.then(() => {
-          this._runTracker.holdTasks(this._leaseEnds.unconfirmedStarts)
+          for (const loss of this._leaseEnds.withStarts) this._runTracker.holdRecorded(loss)
           this._scheduleDispatch()
         })
       },
--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -191,8 +191,11 @@
   }
 
   /** Notes that a later incarnation of a worker is known, which may carry out starts that were sent to this one. */
-  noteRestarted ({ incarnation, entry: { id } }: WorkerSession, { tasks, endMs }: UnconfirmedStarts): void {
-    this._options.leaseEnds.noteRestarted(incarnation, { tasks, endMs: Math.max(endMs, this._inheritedWorkers.startsEndAt(id)) })
+  noteRestarted ({ incarnation, entry: { id } }: WorkerSession, { tasks, endMs, runsEndMs }: UnconfirmedStarts): void {
+    const inherited = this._inheritedWorkers.lateStartsAt(id)
+    this._options.leaseEnds.noteRestarted(incarnation, {
+      tasks, endMs: Math.max(endMs, inherited.endMs), runsEndMs: Math.max(runsEndMs, inherited.runsEndMs)
+    })
   }
 
   /** Closes and removes the session of a worker incarnation that has ended. */
@@ -204,7 +207,9 @@
   private async _pollDirectory (): Promise<void> {
     const { timers } = this._options
     while (!this._closed && !await this._options.leaseEnds.load()) await delay(timers, DIRECTORY_PERIOD_MS / 3)
-    for (const { worker, endMs } of this._options.leaseEnds.awaitedStarts) this._inheritedWorkers.addRecorded(worker, endMs)
+    for (const { worker, starts, nextAnswered } of this._options.leaseEnds.withStarts) {
+      if (!nextAnswered) this._inheritedWorkers.addRecorded(worker, starts)
+    }
     while (!this._closed && !await this._readRoster()) await delay(timers, DIRECTORY_PERIOD_MS / 3)
     while (!this._closed) {
       const done = await this._readDirectory()
--- a/tests/workflows/observerLimits.test.ts
+++ b/tests/workflows/observerLimits.test.ts
@@ -98,7 +98,7 @@
   }
 })
 
-const NO_STARTS = { tasks: [], endMs: 0 }
+const NO_STARTS = { tasks: [], endMs: 0, runsEndMs: 0 }
 
 // Guards against a record that is full of leases which have ended long ago (LOST).
 t.test('the loss of a worker is recorded although many others have been cut off for long', async t => {
--- a/tests/workflows/returningWorkers.test.ts
+++ b/tests/workflows/returningWorkers.test.ts
@@ -8,8 +8,11 @@
 import { LeasedWorker } from '@pomelofold/standins/leasedWorker'
 import { delay } from 'pomelofold/seams/timers'
 import { START_REFUSALS } from 'pomelofold/seams/workflowUpstreams'
+import { cellWithStartInTransit, replaceLeader } from './leaderChain.js'
 import { WorkflowCell } from './workflowCell.js'
 
+/** Time after which no call is late any more and no lease without extensions goes on, in milliseconds. */
+const SETTLED_MS = 40_000
 /** Time by which the answer to an order is handled after its arrival, in milliseconds. */
 const HANDLED_LATE_MS = 1_300
 /** Longest time until tasks of a worker that is gone for good run elsewhere: its lease, and the time that a lasting task may be down. */
@@ -43,6 +46,24 @@
   return cell.runsOf(`${workflow.id}.0.0.0`)[0].startMs - goneMs
 }
 
+// Guards against TWICE: the record says until when the start may be carried out, not until when the run that it begins goes on. The next
+// incarnation is listed, is cut off, and its entry expires, so that no session of the next leader stands for it.
+t.test('the next leader waits for the end of a late start at an incarnation that is listed no more', async t => {
+  for (const how of ['refused', 'silent', 'handedOver'] as const) {
+    const { cell, task } = await cellWithStartInTransit({ orderDelayMs: 10_000, reachableAfterMs: 25_000 })
+    const [{ faults }] = cell.workers
+    await cell.timers.advance(1_200)
+    faults.unlisted = true
+    await cell.timers.advance(2_800)
+    await replaceLeader(cell, how)
+    await cell.timers.advance(20_000)
+    faults.unlisted = false
+    await cell.timers.advance(SETTLED_MS)
+    t.same(cell.violations(), [], `leader ${how}`)
+    t.ok(cell.runsOf(task).length > 0, 'the task runs')
+  }
+})
+
 // Guards against LOST: another id at the address refuses an order, with a time on its own clock in the answer, as in all answers over HTTP.
 // That is no restart under the id: nothing is late there, and the tasks need not wait.
 t.test('an order that another id at the address refuses is no sign of a restart under the same id', async t => {
