A silent next incarnation is waited for when its entry has expired (TWICE)

What callers would see: two runs of one task after a change of leader, when the worker comes back under its id, is listed, never answers, and its entry expires while a start to its former incarnation is on its way.

Cause: the session of a worker that has never answered ends when it is not listed and the lease of its roster entry has ended. The leader then waited for nothing, though starts of the earlier leader could still come.

Change: such a session stays while the worker may run late starts.

--- a/packages/pomelofold/src/workflows/workerFleet.ts
+++ b/packages/pomelofold/src/workflows/workerFleet.ts
@@ -400,7 +400,11 @@
     const mayHaveLeft = session.entry.draining && !session.reachable && session.leavesAtMs <= this._options.timers.now()
     const hasLeft = mayHaveLeft && this._departures.removalOf(session.incarnation)?.left
     if (!session.listed && hasLeft) this._endSession(session, 'the worker has left')
-    else if (!session.listed && session.lapsed && session.runs.size === 0) this._endSession(session, 'not listed, and its lease has lapsed')
+    else if (!session.listed && session.lapsed && !this._mayHaveRuns(session)) this._endSession(session, 'not listed, and its lease has lapsed')
+  }
+
+  private _mayHaveRuns (session: WorkerSession): boolean {
+    return session.runs.size > 0 || this._inheritedWorkers.mayRunLateStart(session)
   }
 
   private _endSession (session: WorkerSession, reason: string): void {
--- a/tests/workflows/returningWorkers.test.ts
+++ b/tests/workflows/returningWorkers.test.ts
@@ -64,6 +64,23 @@
   }
 })
 
+// Guards against TWICE: the leader that has sent the start ends; the next one sees the next incarnation listed, and its entry expires while
+// the start is on its way.
+t.test('a scheduler waits for late starts at a successor whose entry has expired', async t => {
+  for (const expiresAfterMs of [1_000, 3_000, 5_000]) {
+    const { cell, task } = await cellWithStartInTransit({ orderDelayMs: 10_000, reachableAfterMs: 25_000 })
+    const [{ faults }] = cell.workers
+    await replaceLeader(cell, 'refused')
+    await cell.timers.advance(expiresAfterMs)
+    faults.unlisted = true
+    await cell.timers.advance(20_000)
+    faults.unlisted = false
+    await cell.timers.advance(SETTLED_MS)
+    t.same(cell.violations(), [], `expired ${expiresAfterMs} ms after the election`)
+    t.ok(cell.runsOf(task).length > 0, 'the task runs')
+  }
+})
+
 // Guards against LOST: another id at the address refuses an order, with a time on its own clock in the answer, as in all answers over HTTP.
 // That is no restart under the id: nothing is late there, and the tasks need not wait.
 t.test('an order that another id at the address refuses is no sign of a restart under the same id', async t => {
@@ -92,6 +109,24 @@
   t.ok(waitedMs <= GONE_MS, `a task of another worker started after ${waitedMs} ms; evidence of the crash: ${evidence.join('; ')}`)
 })
 
+// Guards against LOST: one worker has come back under its id a minute ago; another one is gone for good while a start is on its way to it.
+t.test('a task whose worker is gone for good does not wait for a next incarnation for long', async t => {
+  for (const leaderChanges of [true, false]) {
+    const cell = new WorkflowCell({ workers: 3, cpuMillis: 1_000, runMs: () => 600_000 })
+    await cell.waitUntilReady()
+    await cell.timers.advance(20_000)
+    cell.restartWorker('w2')
+    await cell.timers.advance(60_000)
+    if (leaderChanges) {
+      await replaceLeader(cell, 'refused')
+      await cell.waitUntilReady()
+      await cell.timers.advance(20_000)
+    }
+    const waitedMs = await timeUntilRestart(cell)
+    t.ok(waitedMs <= GONE_MS, `leaderChanges=${leaderChanges}: started elsewhere after ${waitedMs} ms`)
+  }
+})
+
 // Guards against TWICE: a process that stands still for a second handles an answer to an order after that to a later call, within one turn
 // of its event loop and before the timeouts. A clock that is behind the last report then shows no restart.
 t.test('an answer to an order that is handled late is no sign of a restart', async t => {
@@ -120,3 +155,24 @@
     t.equal(worker.entry.bornMs, 1, 'the worker has not restarted')
   }
 })
+
+// Guards against TWICE: an extension that was meant for the former incarnation acknowledges an end of the next one that nobody has seen.
+t.test('a late extension acknowledges no end of the next incarnation that is not recorded', async t => {
+  const cell = new WorkflowCell({ workers: 1, cpuMillis: 2_000, runMs: () => 300 })
+  const leader = await cell.waitUntilReady()
+  for (let index = 0; index < 5; index++) await cell.submit(cell.workflow([{ tasks: 2 }]), leader)
+  await cell.timers.advance(20_000)
+  const { client } = leader
+  cell.workers[0].faults.extensionDelayMs = 1_500
+  const extendLease = client.extendLease.bind(client)
+  let extended = false
+  client.extendLease = (...args) => { extended = true; return extendLease(...args) }
+  await cell.timers.advanceUntil(() => extended)
+  cell.restartWorker('w0', { listedAfterMs: 4_000 })
+  await cell.timers.advance(200)
+  const workflow = cell.workflow([{ tasks: 1 }])
+  leader.daemon.service.submit(workflow)
+  await cell.timers.advance(SETTLED_MS)
+  t.same(cell.violations(), [])
+  t.equal(cell.runsOf(`${workflow.id}.0.0.0`).length, 1, 'it runs once')
+})
