The clock in an answer is compared with the one known at sending (TWICE)

What callers would see since: two runs of one task, when a process that has stood still handles an answer to an order after that to a later call. Found by a review; the test puts the delay in, it was not seen in a process.

Cause: the time in the answer was compared with the last report, which may be later than the order. A live incarnation was taken for ended.

Change: it is compared with the clock that was known when the order was sent. No answer of the same incarnation can be behind that, so that no tolerance is needed.

--- a/packages/pomelofold/src/workflows/runHost.ts
+++ b/packages/pomelofold/src/workflows/runHost.ts
@@ -18,6 +18,13 @@
 /** One of {@link ANSWERERS}. */
 export type Answerer = typeof ANSWERERS[keyof typeof ANSWERERS]
 
+/** A time on a worker's clock, and the time at which it was received, both in milliseconds. */
+export interface WorkerClock {
+  readonly atMs: number
+  /** On the monotonic clock. */
+  readonly receivedMs: number
+}
+
 /** One incarnation of a worker: one process, from its start to its end, under an id that later processes may use again. */
 export interface RunHost {
   /** Unique name of the incarnation: the worker's id and start time. */
@@ -54,8 +61,13 @@
   noteUnanswered (): void
   /** Records a lease end before it is sent. */
   noteLeaseSent (untilMs: number): void
-  /** Which incarnation has answered an order, by the time on its clock in the answer. */
-  answererOf (clockMs: number | undefined): Answerer
+  /** Time on the worker's clock in the last report; undefined before the first one. */
+  readonly workerClock: WorkerClock | undefined
+  /**
+   * Which incarnation has answered an order, by the time on its clock in the answer and the last known one when the order was sent: an
+   * answer to a later call may have been handled since.
+   */
+  answererOf (clockMs: number | undefined, sentClock: WorkerClock | undefined): Answerer
   /** Records that a later incarnation has answered an order. */
   noteRestart (): void
 }
--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { ANSWERERS, type RunHost } from './runHost.js'
+import { ANSWERERS, type RunHost, type WorkerClock } from './runHost.js'
 import { RUN_STATES, type Run } from './workflowRuntime.js'
 import { delay, type Timers } from '../seams/timers.js'
 import { START_REFUSALS, type OrderAnswer, type StartRefusal, type WorkerClient } from '../seams/workflowUpstreams.js'
@@ -79,6 +79,7 @@
       const { token: epoch } = session
       const start = { epoch, task: run.name, attempt: run.attempt, payload, untilMs, checkpoint: checkpoint || undefined, ticket }
       const sentMs = timers.now()
+      const sentClock = session.workerClock
       run.pendingStartMs = sentMs
       const answer = await client.start(session.entry, start, ORDER_TIMEOUT_MS)
       run.pendingStartMs = undefined
@@ -87,16 +88,16 @@
         run.progressedClockMs ??= answer.value.clockMs
         if (run.state !== RUN_STATES.starting) return
         if (answer.value.refusal === undefined) {
-          run.startConfirmedByHost = session.answererOf(answer.value.clockMs) === ANSWERERS.host
+          run.startConfirmedByHost = session.answererOf(answer.value.clockMs, sentClock) === ANSWERERS.host
           onStarted(run)
-          return noteAnswerer(session, answer.value)
+          return noteAnswerer(session, answer.value, sentClock)
         }
         if (answer.value.refusal === START_REFUSALS.staleEpoch) {
           if (this._handleStaleEpoch(session, epoch)) return
           continue
         }
         onRefused(run, answer.value.refusal, { settled: !mayBeSent })
-        noteAnswerer(session, answer.value)
+        noteAnswerer(session, answer.value, sentClock)
         if (!mayBeSent) return
         // Another refusal is not expected to change: only a stop settles what became of the earlier tries.
         if (answer.value.refusal !== START_REFUSALS.unhealthy) break
@@ -123,10 +124,11 @@
     const { session, name, attempt } = run
     const { token: epoch } = session
     if (this._closed || session.closed || run.state !== RUN_STATES.running || leadershipRemainingMs() <= 0) return
+    const sentClock = session.workerClock
     const answer = await client.pace(session.entry, { epoch, task: name, attempt, percent }, ORDER_TIMEOUT_MS)
     if (this._closed) return
     if (answer.isOk && answer.value.refusal === START_REFUSALS.staleEpoch && this._handleStaleEpoch(session, epoch)) return
-    if (answer.isOk) noteAnswerer(session, answer.value)
+    if (answer.isOk) noteAnswerer(session, answer.value, sentClock)
     const outcome = answer.isErr ? answer.error.message : answer.value.refusal ?? 'paced'
     log.event('info', 'run.paced', { task: name, attempt, worker: session.incarnation, percent, outcome })
     if (answer.isOk && answer.value.refusal === undefined) run.pacePercent = percent
@@ -141,12 +143,13 @@
     log.event('info', 'run.stop', { task: run.name, attempt: run.attempt, worker: session.incarnation, reason, ranMs: Math.round(timers.now() - run.startedMs) })
     while (!this._closed && !session.closed && session.hasRun(run.name, run.attempt)) {
       const { token: epoch } = session
+      const sentClock = session.workerClock
       const answer = await client.stop(session.entry, { epoch, task: run.name, attempt: run.attempt }, ORDER_TIMEOUT_MS)
       if (this._closed) return
       if (answer.isOk && answer.value.refusal === START_REFUSALS.staleEpoch && this._handleStaleEpoch(session, epoch)) return
       if (answer.isOk && (answer.value.refusal === undefined || answer.value.refusal === START_REFUSALS.oldAttempt)) {
         run.stopConfirmedMs = timers.now()
-        return noteAnswerer(session, answer.value)
+        return noteAnswerer(session, answer.value, sentClock)
       }
       await delay(timers, STOP_RETRY_MS)
     }
@@ -161,8 +164,8 @@
 }
 
 /** Ends the session when a later incarnation of its worker has answered an order. */
-function noteAnswerer (session: RunHost, { clockMs, refusal }: OrderAnswer): void {
+function noteAnswerer (session: RunHost, { clockMs, refusal }: OrderAnswer, sentClock: WorkerClock | undefined): void {
   // Another worker at the address has a clock of its own, too.
   if (refusal === START_REFUSALS.otherIncarnation) return
-  if (session.answererOf(clockMs) === ANSWERERS.later) session.noteRestart()
+  if (session.answererOf(clockMs, sentClock) === ANSWERERS.later) session.noteRestart()
 }
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -12,7 +12,7 @@
 import type { UnconfirmedStarts } from './leaseEndView.js'
 import type { LongPollPolicy } from './longPollPolicy.js'
 import { isSpareCpuRun, isServingRun } from './spareCpuPacer.js'
-import { ANSWERERS, type Answerer, type RunHost } from './runHost.js'
+import { ANSWERERS, type Answerer, type RunHost, type WorkerClock } from './runHost.js'
 import { MAX_ORDER_DELAY_MS } from './runOrderSender.js'
 import { RUN_STATES, type Run } from './workflowRuntime.js'
 import { NO_RESOURCES, type Resources } from '../protocol/workflows.js'
@@ -38,8 +38,8 @@
 const START_LEASE_MIN_MS = 2_500
 /** Time without starts after an unanswered order, in milliseconds: the next extension shows by then whether the worker is lost. */
 const UNANSWERED_PAUSE_MS = 1_000
-/** Longest time by which an answer to an order is overtaken by that to a later call, in milliseconds. */
-const OVERTAKEN_MS = 1_000
+/** Longest time from when an order was carried out until its answer is handled, in milliseconds. */
+const ANSWER_AGE_MS = 1_000
 /** Suspension of this VM that ends its leadership, in milliseconds: the worker's clock is ahead by as much afterwards. */
 const SUSPENSION_MS = 10_000
 /** Longest time that the next extension waits for the ends of a report to be recorded, in milliseconds. */
@@ -148,7 +148,7 @@
   private _acknowledgedSequence = 0
   private _highestEndSequence = 0
   /** Last known time of the worker's clock, and the local time at which it was received. */
-  private _workerClock: { atMs: number, receivedMs: number } | undefined
+  private _workerClock: WorkerClock | undefined
   /** Latest lease end that was sent to the worker, on the worker's clock. */
   private _leaseEndMs = 0
   /** Latest end, on the worker's clock, of a lease from calls to an earlier incarnation; undefined before the first report. */
@@ -270,16 +270,19 @@
     this._workerClock = { atMs: clockMs, receivedMs: this._options.timers.now() }
   }
 
-  answererOf (clockMs: number | undefined): Answerer {
-    const expectedMs = this._workerClockNowMs
-    if (this._closed || clockMs === undefined || !this._workerClock || expectedMs === undefined) return ANSWERERS.unknown
-    const { atMs } = this._workerClock
+  get workerClock (): WorkerClock | undefined {
+    return this._workerClock
+  }
+
+  answererOf (clockMs: number | undefined, sentClock: WorkerClock | undefined): Answerer {
+    if (this._closed || clockMs === undefined || !sentClock) return ANSWERERS.unknown
+    const { atMs, receivedMs } = sentClock
+    const elapsedMs = this._options.timers.now() - receivedMs
     // A clock that stands still while its VM is suspended is behind the expected time, but never behind an earlier reading.
-    if (clockMs < atMs - OVERTAKEN_MS || clockMs > expectedMs + SUSPENSION_MS) return ANSWERERS.later
-    const earliestMs = atMs + (expectedMs - atMs) * WORKER_CLOCK_RATE - OVERTAKEN_MS
+    if (clockMs < atMs || clockMs > atMs + elapsedMs + SUSPENSION_MS) return ANSWERERS.later
+    const isPlain = clockMs >= atMs + elapsedMs * WORKER_CLOCK_RATE - ANSWER_AGE_MS && clockMs <= atMs + elapsedMs + ANSWER_AGE_MS
     // The clock of a later incarnation may show a similar time if this one has just started.
-    const isPlain = clockMs >= earliestMs && clockMs <= expectedMs + OVERTAKEN_MS && atMs > 2 * OVERTAKEN_MS
-    return isPlain ? ANSWERERS.host : ANSWERERS.unknown
+    return isPlain && atMs > 2 * ANSWER_AGE_MS ? ANSWERERS.host : ANSWERERS.unknown
   }
 
   noteRestart (): void {
--- a/tests/workflows/returningWorkers.test.ts
+++ b/tests/workflows/returningWorkers.test.ts
@@ -141,9 +141,11 @@
     await cell.submit(first, leader)
     await cell.timers.advanceUntil(() => cell.runsOf(`${first.id}.0.0.0`).length > 0)
     await cell.timers.advance(3_000 + sentAfterMs)
+    worker.faults.refuseStarts = START_REFUSALS.noRoom
     const start = leader.client.start.bind(leader.client)
     leader.client.start = async (...args) => {
       const answer = await start(...args)
+      if (args[0].id !== worker.entry.id) return answer
       await delay(cell.timers, HANDLED_LATE_MS)
       return answer
     }
