A loss with further starts is a new loss in the record (TWICE)

What callers would see since: two runs of one task after two changes of leader, when a daemon has read the loss of a worker before its restart was known. Found by a review.

Cause: daemons keep the earliest end that they have counted for a loss. The starts that were recorded with the restart came under the same name, and a daemon that knew the loss kept the end of none.

Change: a record with further starts has a new name.

Measured: "a daemon that has read the loss of a worker knows the late starts ..." fails before in 2 of 2 cases and passes now.

--- a/packages/pomelofold/src/workflows/leaseEndRecorder.ts
+++ b/packages/pomelofold/src/workflows/leaseEndRecorder.ts
@@ -150,7 +150,8 @@
     const hasLaterStarts = starts.tasks.length > 0 && starts.runsEndMs > (known?.starts.runsEndMs ?? 0) + MIN_CHANGE_MS
     if (known && known.endMs <= endMs + MIN_CHANGE_MS && !hasLaterStarts) return
     if (!known && this._isFullWith(starts)) return
-    const loss = known?.loss ?? `${epoch}.${++this._lossCount}`
+    // What daemons have counted for a loss holds only as long as its starts are the same.
+    const loss = known && !hasLaterStarts ? known.loss : `${epoch}.${++this._lossCount}`
     this._losses.set(worker, {
       loss,
       endMs: Math.min(endMs, known?.endMs ?? endMs),
@@ -170,7 +171,7 @@
     if (!this._loaded || this._closed || starts.runsEndMs <= nowMs) return
     if (known?.restarted && starts.runsEndMs <= known.starts.runsEndMs) return
     if (!known && this._isFullWith(starts)) return
-    const loss = known?.loss ?? `${epoch}.${++this._lossCount}`
+    const loss = `${epoch}.${++this._lossCount}`
     const merged = known ? mergedStarts(known.starts, starts) : starts
     this._losses.set(worker, { loss, endMs: Math.min(nowMs, known?.endMs ?? nowMs), starts: merged, restarted: true, nextAnswered: false })
     const runsEndInMs = Math.round(merged.runsEndMs - nowMs)
--- a/tests/workflows/returningWorkers.test.ts
+++ b/tests/workflows/returningWorkers.test.ts
@@ -178,3 +178,18 @@
   t.same(cell.violations(), [])
   t.equal(cell.runsOf(`${workflow.id}.0.0.0`).length, 1, 'it runs once')
 })
+
+// Guards against TWICE: a record of a loss is raised when the restart is known. A daemon that has read the loss before takes it for the
+// earlier end.
+t.test('a daemon that has read the loss of a worker knows the late starts that are recorded with its restart', async t => {
+  for (const listedAfterMs of [2_500, 3_500]) {
+    const { cell } = await cellWithStartInTransit({ orderDelayMs: 11_500, listedAfterMs, reachableAfterMs: 25_000 })
+    await replaceLeader(cell, 'refused')
+    await cell.timers.advanceUntil(() => cell.events.some(({ name }) => name === 'lateStarts.noted'), { limitMs: 10_000 })
+    const names = cell.events.filter(({ name }) => name === 'leaseEnd.noted' || name === 'lateStarts.noted').map(({ name }) => name)
+    await cell.timers.advance(400)
+    await replaceLeader(cell, 'refused')
+    await cell.timers.advance(SETTLED_MS)
+    t.same(cell.violations(), [], `listed after ${listedAfterMs} ms; ${names.join(', ')}`)
+  }
+})
