A task whose start the next incarnation refuses does not wait for it (LOST)

What callers would see since: after a change of leader a task waits up to 12 s for a start that can no longer be carried out. Found by a review.

Cause: the next leader held the tasks that the record names also when the next incarnation had answered the leader before, or had answered itself. Such an incarnation has seen a higher token and refuses the start.

Change: these tasks are not held, or not any more. A further incarnation is waited for like that of any worker in the roster.

--- a/packages/pomelofold/src/workflows/recordedStarts.ts
+++ b/packages/pomelofold/src/workflows/recordedStarts.ts
@@ -38,8 +38,9 @@
     this._losses.clear()
   }
 
-  /** Holds the tasks of a loss, except those of steps that allow copies. */
+  /** Holds the tasks of a loss, except those of steps that allow copies, unless the next incarnation refuses their starts. */
   hold (loss: RecordedLoss): void {
+    if (loss.nextAnswered) return
     const tasks = loss.starts.tasks.map(this._options.findTask).filter(task => task !== undefined)
     const held = { ...loss, held: tasks.filter(({ step }) => !step.spec.speculative), timer: undefined }
     if (held.held.length === 0) return
@@ -48,22 +49,17 @@
     this._check(held)
   }
 
-  /** Notes a report that lists all runs of a worker: no earlier start begins there after its request. */
-  noteReport ({ entry: { id } }: WorkerSession, requestSentMs: number): void {
-    for (const loss of this._losses) {
-      if (workerIdOf(loss.worker) !== id) continue
-      loss.nextAnswered = true
-      if (requestSentMs >= loss.starts.endMs) this._release(loss)
-    }
+  /** Notes a report that lists all runs of a worker. Its incarnation refuses starts of earlier schedulers from now on. */
+  noteReport ({ entry: { id } }: WorkerSession): void {
+    for (const loss of this._losses) if (workerIdOf(loss.worker) === id) this._release(loss)
   }
 
   private _check (loss: HeldLoss): void {
     const { timers, idsReturn } = this._options
     const nowMs = timers.now()
-    const { starts: { endMs, runsEndMs }, restarted, nextAnswered } = loss
+    const { starts: { endMs, runsEndMs }, restarted } = loss
     // A worker that does not come back under its id counts as gone once its starts can come no more.
-    const awaitsRuns = !nextAnswered && (restarted || idsReturn())
-    const waitEndMs = nowMs < endMs || !awaitsRuns ? endMs : runsEndMs
+    const waitEndMs = nowMs < endMs || !(restarted || idsReturn()) ? endMs : runsEndMs
     if (nowMs >= waitEndMs) this._release(loss)
     else loss.timer = timers.after(waitEndMs - nowMs, () => this._check(loss))
   }
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -196,7 +196,7 @@
     // A run that is not listed may be among the further ends.
     if (report.hasMoreEnds) return changedWorkflows
     this._lateStarts.applyReport(session, report, requestSentMs)
-    this._recordedStarts.noteReport(session, requestSentMs)
+    this._recordedStarts.noteReport(session)
     session.noteReport()
     this._stopStalledRuns(session, report.clockMs)
     for (const [key, run] of session.runs) {
--- a/tests/workflows/returningWorkers.test.ts
+++ b/tests/workflows/returningWorkers.test.ts
@@ -193,3 +193,18 @@
     t.same(cell.violations(), [], `listed after ${listedAfterMs} ms; ${names.join(', ')}`)
   }
 })
+
+// Guards against LOST: the next incarnation has answered and refuses the start, and the record says so. The task of that start waits
+// nevertheless.
+t.test('a task whose start the next incarnation refuses does not wait for it under the next leader', async t => {
+  const { cell, task } = await cellWithStartInTransit({ orderDelayMs: 10_000 })
+  const restartedMs = cell.timers.now()
+  await cell.timers.advance(1_500)
+  t.ok(cell.events.some(({ name, fields }) => name === 'worker.reached' && fields.worker === 'w0@2'), 'the next incarnation has answered')
+  await replaceLeader(cell, 'refused')
+  await cell.timers.advanceUntil(() => cell.runsOf(task).length > 0, { limitMs: SETTLED_MS })
+  const waitedMs = cell.runsOf(task)[0].startMs - restartedMs
+  t.ok(waitedMs <= GONE_MS, `started ${waitedMs} ms after the restart`)
+  await cell.timers.advance(SETTLED_MS)
+  t.same(cell.violations(), [])
+})
