--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -146,6 +146,8 @@
   private readonly _options: WorkerSessionOptions
   /** Sequence number up to which the ends are recorded. */
   private _acknowledgedSequence = 0
+  /** Sequence number up to which the worker has forgotten the ends. */
+  private _forgottenSequence = 0
   private _highestEndSequence = 0
   /** Last known time of the worker's clock, and the local time at which it was received. */
   private _workerClock: WorkerClock | undefined
@@ -355,8 +357,9 @@
     const wait = mayWait && this.reachable && !this.skipNextWait ? longestMs : 0
     this.skipNextWait = false
     const requestSentMs = timers.now()
-    // After an unanswered call, the next incarnation of the worker may answer. Its ends are numbered from the start again.
-    const acknowledged = this.reachable ? this._acknowledgedSequence : 0
+    // The ends of a later incarnation are numbered from the start again, and this call may reach it: after an unanswered call, or late.
+    const mayAcknowledge = this.reachable && this._acknowledgedSequence > this._forgottenSequence
+    const acknowledged = mayAcknowledge ? this._acknowledgedSequence : 0
     const { token, unansweredExtensionMs } = this
     if (untilMs !== undefined) this.unansweredExtensionMs = requestSentMs
     const answer = await client.extendLease(this.entry, { epoch: token, acknowledged, untilMs, waitMs: wait }, wait + ANSWER_MARGIN_MS)
@@ -380,6 +383,7 @@
           this._endIncarnation('another incarnation of the worker answered')
           return undefined
         }
+        this._forgottenSequence = Math.max(this._forgottenSequence, acknowledged)
         this.noteClock(report.clockMs)
         this._noteForeignLease(report)
         if (!this.reachable) {
