--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -238,7 +238,7 @@
         ...(key && { authorization: `Bearer ${key}` }),
         ...(body && { 'content-length': Buffer.byteLength(body) })
       }
-      const options = { ...this._cell.frontAddress(daemon), method, path, headers, agent: this._agent, timeout: CALL_TIMEOUT_MS }
+      const options = { ...this._cell.address(daemon), method, path, headers, agent: this._agent, timeout: CALL_TIMEOUT_MS }
       const req = request(options, async res => {
         try {
           const text = Buffer.concat(await res.toArray()).toString()
--- a/tests/soak/soakCell.ts
+++ b/tests/soak/soakCell.ts
@@ -20,6 +20,10 @@
 /** Copy of the deployed program, so that later builds do not change the program of a running soak. */
 const PROGRAM_DIR = join(ROOT, 'target', `soak-${process.pid}`)
 const PROGRAM_FILES = ['pomelofold.cjs', 'daemon.cjs', 'daemon.cache']
+/** How the program is built and run as deployed. */
+const DEPLOYMENT = readFileSync(join(ROOT, 'deploy', 'system.toml'), 'utf8')
+/** Option of `node` with which the program is deployed, which limits its heap. */
+const DEPLOYED_HEAP_OPTION = /--max-old-space-size=\d+/.exec(DEPLOYMENT)![0]
 /** Ports of each daemon on its own loopback address, and of the stand-ins and proxies on a common one. */
 const PORTS = {
   front: 8161, ready: 8167, peers: 7720, metrics: 7735, store: 9001, advice: 9002, storeProxy: 9100
@@ -46,7 +50,7 @@
 
 /** Builds the program with the command of `deploy/system.toml`. */
 export function buildProgram (): void {
-  const command = /node deploy\/[^"]*/.exec(readFileSync(join(ROOT, 'deploy', 'system.toml'), 'utf8'))
+  const command = /node deploy\/[^"]*/.exec(DEPLOYMENT)
   if (!command) throw new Error('deploy/system.toml has no command that builds the program')
   execSync(command[0], { cwd: ROOT, stdio: 'pipe' })
   mkdirSync(PROGRAM_DIR, { recursive: true })
@@ -54,6 +58,16 @@
   process.once('exit', () => rmSync(PROGRAM_DIR, { recursive: true }))
 }
 
+/** Limits of each daemon's process, instead of those with which the program is deployed. */
+export interface ProcessLimits {
+  /** Size of the old generation of V8's heap, in MB. */
+  heapMb: number
+  /** Resident memory, in MB. It is only named in the settings. */
+  memoryMb: number
+  /** Number of open descriptors. It is named in the settings, and the operating system enforces it. */
+  maxFds: number
+}
+
 /** A daemon and the state of its process. */
 export interface SoakDaemon {
   name: string
@@ -102,16 +116,18 @@
   readonly violations: string[] = []
   private readonly _dir: string
   private readonly _networkPrefix: string
+  private readonly _limits: ProcessLimits | undefined
   private readonly _servers: JsonServer[] = [this.store.server]
   /** Daemons whose VM is gone, or goes when their process has ended. */
   private readonly _retired: SoakDaemon[] = []
   private _configurationVersion = 0
 
-  constructor ({ dir, networkPrefix, seed, deadlyJobs, teams }: {
-    dir: string, networkPrefix: string, seed: number, deadlyJobs: boolean, teams: boolean
+  constructor ({ dir, networkPrefix, seed, deadlyJobs, teams, limits }: {
+    dir: string, networkPrefix: string, seed: number, deadlyJobs: boolean, teams: boolean, limits?: ProcessLimits
   }) {
     this._dir = dir
     this._networkPrefix = networkPrefix
+    this._limits = limits
     this.workers = new SoakWorkers({ timers: this.timers, store: this.store, host: `${networkPrefix}.250`, seed, deadlyJobs })
     if (teams) this.teams = new SoakTeams({ seed, timers: this.timers, isDisturbed: () => this._isDisturbed() })
     mkdirSync(dir, { recursive: true })
@@ -164,9 +180,11 @@
       `listen_addrs.ready=${host}:${PORTS.ready}`, `port_range=${PORTS.peers},${PORTS.metrics}`,
       `platform.address=${this._networkPrefix}.250:${linkPort}`,
       `advice=${this._networkPrefix}.250:${PORTS.advice}`, `bounds.hold_max_ms=${MAX_LEASE_MS}`, 'bounds.status_s=120', `heartbeat_ms=${ENTRY_RENEWAL_PERIOD_MS}`, `bounds.grace_s=${SHUTDOWN_GRACE_MS / 1_000}`,
-      ...(this.teams ? [`bounds.revoke_ms=${KEY_BOUNDS.revokeMs}`, 'bounds.revoke_strict=true', `bounds.config_apply_ms=${KEY_BOUNDS.applyMs}`] : [])
+      ...(this.teams ? [`bounds.revoke_ms=${KEY_BOUNDS.revokeMs}`, 'bounds.revoke_strict=true', `bounds.config_apply_ms=${KEY_BOUNDS.applyMs}`] : []),
+      ...(this._limits ? [`limits.memory_mb=${this._limits.memoryMb}`, `limits.max_fds=${this._limits.maxFds}`] : [])
     ].join('\n'))
-    const child = spawn(process.execPath, [join(PROGRAM_DIR, PROGRAM_FILES[0])], { env: { PATH: process.env.PATH, POMELOFOLD_CONFIG: path }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const [command, ...args] = this._command()
+    const child = spawn(command, args, { env: { PATH: process.env.PATH, POMELOFOLD_CONFIG: path }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(this._dir, `${name}.log`), { flags: 'a' })
     child.stdout.pipe(log, { end: false })
     child.stderr.pipe(log, { end: false })
@@ -190,9 +208,9 @@
     daemon.process.kill(signal)
   }
 
-  /** Address of a daemon for callers. */
-  frontAddress ({ host }: SoakDaemon): { host: string, port: number } {
-    return { host, port: PORTS.front }
+  /** Address of a daemon for callers, for checks of its readiness, or of its metrics. */
+  address ({ host }: SoakDaemon, port: 'front' | 'ready' | 'metrics' = 'front'): { host: string, port: number } {
+    return { host, port: PORTS[port] }
   }
 
   /** Descriptions of keys in the daemons' logs. */
@@ -200,6 +218,14 @@
     return [...this.daemons, ...this._retired].flatMap(({ name }) => this.teams?.findKeys(name, readFileSync(join(this._dir, `${name}.log`), 'utf8')) ?? [])
   }
 
+  /** Command line of a daemon. */
+  private _command (): string[] {
+    const program = join(PROGRAM_DIR, PROGRAM_FILES[0])
+    if (!this._limits) return [process.execPath, DEPLOYED_HEAP_OPTION, program]
+    const { heapMb, maxFds } = this._limits
+    return ['bash', '-c', 'ulimit -n "$0" && exec "$@"', String(maxFds), process.execPath, `--max-old-space-size=${heapMb}`, program]
+  }
+
   /** True while a daemon may not be in touch with the store. */
   private _isDisturbed (): boolean {
     return this.store.fault !== 'none' || this.daemons.some(({ paused, link }) => paused || link.fault !== LINK_FAULTS.none)
