--- a/tests/crowds/crowds.test.ts
+++ b/tests/crowds/crowds.test.ts
@@ -153,7 +153,7 @@
 
   // Guards against serving requests of a connection whose answers are not taken.
   t.test(`GETs sent ahead at the ${name} address with their answers unread`, t =>
-    checkCrowd(t, { to, connections: 50, unit: `GET ${path} HTTP/1.1\r\nhost: cell\r\n\r\n`, times: 20_000 }))
+    checkCrowd(t, { to, connections: 200, unit: `GET ${path} HTTP/1.1\r\nhost: cell\r\n\r\n`, times: 20_000 }))
 
   // Guards against an address beside the callers' one that takes all descriptors of the process.
   t.test(`half headers at the ${name} address on more connections than there are descriptors`, t =>
