Tasks of open workflows are bounded by the memory of the process

What callers would see: one job of 500,000 tasks, a body of some 10 KB, ends each process that schedules, one after the other.

Cause: a scheduler holds an object for each task of each open workflow, some 460 bytes; a step may have 10,000 tasks, a workflow 200 steps, and 256 occurrences were loaded at once.

Change: a workflow of more than 50,000 tasks is refused at once, as it cannot be served: the cell is made for 51,000 running tasks.

--- a/packages/pomelofold/src/protocol/workflows.ts
+++ b/packages/pomelofold/src/protocol/workflows.ts
@@ -13,6 +13,8 @@
 export const MAX_TASKS_PER_STEP = 10_000
 /** Maximum number of steps in one workflow. */
 export const MAX_STEPS = 200
+/** Maximum number of tasks in one workflow, of one occurrence. */
+export const MAX_TASKS = 50_000
 /** Maximum length of a payload, in UTF-16 code units. */
 export const MAX_PAYLOAD_CHARS = 4_000
 
@@ -90,6 +92,8 @@
   /** Runs the steps `times` times. Occurrence K is due at `startAtMs` + K x `intervalMs`, in milliseconds since the Unix epoch. */
   repeat: z.object({ times: z.number().int().positive(), startAtMs: z.number(), intervalMs: z.number() }).optional()
 }).superRefine((workflow, ctx) => {
+  const tasks = workflow.steps.reduce((sum, step) => sum + step.tasks, 0)
+  if (tasks > MAX_TASKS) ctx.addIssue({ code: 'custom', path: ['steps'], message: `may have at most ${MAX_TASKS} tasks together` })
   workflow.steps.forEach(({ after }, index) => {
     if (after.every(earlier => earlier < index)) return
     ctx.addIssue({ code: 'custom', path: ['steps', index, 'after'], message: 'may name earlier steps only' })
--- a/packages/pomelofold/src/server/workflowDaemon.ts
+++ b/packages/pomelofold/src/server/workflowDaemon.ts
@@ -70,6 +70,8 @@
   random: RandomSource
   log: EventLog
   timeLimits: SchedulerTimeLimits
+  /** Number of tasks of open workflows for which the process has room while it schedules. */
+  maxLoadedTasks?: number
   /** The configuration in force; undefined while it is not known. */
   config: () => CellConfig | undefined
   /** The same configuration with its proof, for which peers are asked. Absent when callers need no keys. */
@@ -238,6 +240,7 @@
       random,
       log,
       timeLimits,
+      maxLoadedTasks: this._options.maxLoadedTasks,
       config,
       leaseEnds: this._session.leaseEnds,
       isStoreReachable: () => this._session.connected,
--- a/packages/pomelofold/src/workflows/dispatcher.ts
+++ b/packages/pomelofold/src/workflows/dispatcher.ts
@@ -19,6 +19,7 @@
 import type { BlockedStep, ReadyStep } from './readyStep.js'
 import { needsReservation, planReservations, ReservingSteps } from './roomReservation.js'
 import { StepOrder } from './stepOrder.js'
+import { TaskBudget } from './taskBudget.js'
 import { placeApart, placeStep, type Assignment } from './stepPlacer.js'
 import { findStragglers } from './stragglers.js'
 import { explainWait, type WaitExplanation } from './waitExplanation.js'
@@ -71,6 +72,8 @@
   predecessorActiveUntilMs: number
   /** Store revision from which on workflows cannot have been started by the earlier scheduler; infinite while it is not known. */
   newFromRevision: number
+  /** Number of tasks of open workflows for which the process has room; see {@link TaskBudget}. */
+  maxLoadedTasks?: number
   /** Starts a task at a worker. */
   start: (task: Task, worker: WorkerSession, attempt: number, ticket: string | undefined) => void
 }
@@ -83,6 +86,7 @@
   private readonly _queries: EligibilityQueries
   private readonly _inheritedUsage: InheritedUsage
   private readonly _caps: TeamCaps
+  private readonly _taskBudget: TaskBudget
   /**
    * Time until which the earlier scheduler may start tasks at workers that have not received this epoch, in
    * milliseconds of the monotonic clock.
@@ -99,6 +103,7 @@
     const { timers, log, fleet, registry, eligibility, daemons, speedEstimator, shares, teamUsage, config } = options
     const teams = (): TeamsConfig | undefined => config()?.teams
     this._order = new StepOrder({ shares, teams })
+    this._taskBudget = new TaskBudget({ log, maxTasks: options.maxLoadedTasks })
     this._queries = new EligibilityQueries({ fleet, eligibility, daemons, speedEstimator })
     this._inheritedUsage = new InheritedUsage({ fleet, registry, newFromRevision: () => this._newFromRevision })
     this._caps = new TeamCaps({ usage: teamUsage, teams, inherited: team => this._inheritedUsage.of(team), timers, log })
@@ -173,6 +178,7 @@
   private _readySteps (nowMs: number): ReadyStep[] {
     const { timers, fleet, registry, budget } = this._options
     budget.update(registry.open)
+    this._taskBudget.startPass(registry.open)
     const wallClockMs = timers.wallClock()
     const inheritanceSettled = fleet.inheritedWorkersSettled
     this._noteInheritance(inheritanceSettled)
@@ -188,7 +194,7 @@
       const mayStartWorkflow = predecessorStopped && (inheritanceSettled || workflow.revision >= this._newFromRevision)
       const queue = this.queueOf(workflow)
       if (!queue) continue
-      for (const step of workflow.openSteps(wallClockMs)) {
+      for (const step of workflow.openSteps(wallClockMs, () => this._taskBudget.mayLoad(workflow))) {
         step.readyMs ??= nowMs
         const mayStart = mayStartWorkflow || step.spec.speculative || (predecessorStopped && step.becameReadyInTerm)
         step.awaitsPredecessor = !mayStart
--- a/packages/pomelofold/src/workflows/schedulerTerm.ts
+++ b/packages/pomelofold/src/workflows/schedulerTerm.ts
@@ -85,6 +85,8 @@
   random: RandomSource
   log: EventLog
   timeLimits: SchedulerTimeLimits
+  /** Number of tasks of open workflows for which the process has room; see {@link TaskBudget}. */
+  maxLoadedTasks?: number
   config: () => CellConfig | undefined
   /** Ends of the leases of lost workers, as this daemon has counted them so far. */
   leaseEnds: LeaseEndView
@@ -296,6 +298,7 @@
       predecessorActiveUntilMs,
       newFromRevision: options.newFromRevision,
       log,
+      maxLoadedTasks: options.maxLoadedTasks,
       start: (task, worker, attempt, ticket) => {
         this._downtime.noteStart(task)
         this._runTracker.start(task, worker, { attempt, ticket })
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -248,12 +248,15 @@
   endedAtMs: number | undefined
   /** Time at which this scheduler received or loaded the workflow, in milliseconds of the monotonic clock. */
   readonly addedMs: number
+  /** Number of tasks of each occurrence. */
+  readonly tasksPerOccurrence: number
   private readonly _doneOccurrences = new Set<number>()
 
   constructor ({ record, revision, addedMs }: { record: Workflow, revision: number, addedMs: number }) {
     this.record = record
     this.revision = revision
     this.addedMs = addedMs
+    this.tasksPerOccurrence = record.steps.reduce((sum, { tasks }) => sum + tasks, 0)
   }
 
   /** Number of occurrences; 1 for a workflow without repetition. */
@@ -287,8 +290,11 @@
     return this.steps(occurrence)?.[step]?.tasks[index]
   }
 
-  /** Unfinished steps of due occurrences whose predecessors are done. Later occurrences follow when earlier ones have ended. */
-  openSteps (wallClockMs: number): StepRuntime[] {
+  /**
+   * Unfinished steps of due occurrences whose predecessors are done. Later occurrences follow when earlier ones have ended, and when
+   * `mayLoad` allows the first access to their tasks.
+   */
+  openSteps (wallClockMs: number, mayLoad: () => boolean = () => true): StepRuntime[] {
     const open: StepRuntime[] = []
     let occurrences = 0
     for (let occurrence = 0; occurrence < this.times; occurrence++) {
@@ -296,6 +302,7 @@
       if (dueAtMs !== undefined && dueAtMs > wallClockMs) break
       if (this._doneOccurrences.has(occurrence)) continue
       if (occurrences++ === MAX_OPEN_OCCURRENCES) break
+      if (!this.occurrences.has(occurrence) && !mayLoad()) break
       const steps = this.steps(occurrence)!
       for (const step of steps) {
         if (!step.done && step.spec.after.every(before => steps[before].done)) open.push(step)
--- a/tests/crowds/crowds.test.ts
+++ b/tests/crowds/crowds.test.ts
@@ -160,6 +160,20 @@
     checkCrowd(t, { to, limits: FEW_FDS, maxAttempts: 1, connections: 600, head: `GET ${path} HTTP/1.1\r\nhost: ce` }))
 }
 
+/** A submission of a job of `steps` steps with 10,000 tasks each, which no worker may run. */
+function manyTasks (steps: number): string {
+  const step = { task_count: 10_000, cpu: 100, mem_mb: 10, required_label: 'none' }
+  const body = JSON.stringify({ spec: 'many', steps: Array.from({ length: steps }, () => step) })
+  return `${postHead({ path: `/quick/${newJobId()}`, framing: `content-length: ${body.length}` })}${body}`
+}
+
+// Guards against one job inside the limit of its body whose tasks take all memory of each process that schedules.
+t.test('a job of 500,000 tasks', t => checkCrowd(t, { connections: 1, head: manyTasks(50) }))
+
+// Guards against jobs that only together have more tasks than a process can hold.
+t.test('jobs that together have 600,000 tasks', t =>
+  checkCrowd(t, { connections: 1, head: Array.from({ length: 15 }, () => manyTasks(4)).join('') }))
+
 /** Reads the statuses of the next `count` answers on a connection, or of fewer if it ends. */
 async function readStatuses (socket: Socket, count: number): Promise<string[]> {
   let text = ''
--- a/tests/workflows/workflowCell.ts
+++ b/tests/workflows/workflowCell.ts
@@ -39,6 +39,8 @@
   queue?: Partial<QueueConfig>
   /** Maximum length of a worker's lease, in milliseconds. */
   maxLeaseMs?: number
+  /** Number of tasks for which a scheduler has room. */
+  maxLoadedTasks?: number
   /** Time after a start at which the task crashes its worker, in milliseconds; 0 for before the answer, undefined for never. */
   crashAfterMs?: (task: string) => number | undefined
   /** Creates the configuration of a daemon whose callers need keys. */
@@ -83,6 +85,7 @@
   private readonly _newEligibilityClient: (timers: Timers) => EligibilityClient
   private readonly _newConfiguration: WorkflowCellOptions['configuration']
   private readonly _maxLeaseMs: number
+  private readonly _maxLoadedTasks: number | undefined
   private readonly _random: SeededRandom
   private readonly _network = new PeerNetwork({
     timers: this.timers,
@@ -95,11 +98,12 @@
 
   constructor ({
     daemons = 3, workers = 3, cpuMillis = 8_000, seed = 1, runMs = () => 300, queue = {}, crashAfterMs = () => undefined,
-    eligibility = () => EVERY_WORKER_ELIGIBLE, configuration, maxLeaseMs = MAX_LEASE_MS
+    eligibility = () => EVERY_WORKER_ELIGIBLE, configuration, maxLeaseMs = MAX_LEASE_MS, maxLoadedTasks
   }: WorkflowCellOptions = {}) {
     this._newEligibilityClient = eligibility
     this._newConfiguration = configuration
     this._maxLeaseMs = maxLeaseMs
+    this._maxLoadedTasks = maxLoadedTasks
     this._random = new SeededRandom(seed)
     this.config = {
       version: 1,
@@ -155,6 +159,7 @@
       random: this._random,
       log,
       timeLimits: { maxLeaseMs: this._maxLeaseMs, retentionMs: 120_000 },
+      maxLoadedTasks: this._maxLoadedTasks,
       config: () => this.config,
       configuration: this._newConfiguration?.(process, log),
       onLongRunningRestart: downMs => { this.downtimesMs.push(downMs) }
