--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -6,6 +6,7 @@
  */
 
 import { CrashIndex } from './crashIndex.js'
+import { ANSWERERS } from './runHost.js'
 import type { WorkerSession } from './workerSession.js'
 import { RUN_STATES, TASK_STATES, type Run, type Task, type WorkflowRuntime } from './workflowRuntime.js'
 import { EVIDENCE_AGE_MAX_MS, crashWeight, describeCrashes, judge, trialMs, VERDICTS, YOUNG_RUN_MS, type Verdict } from '../crashes/crashEvidence.js'
@@ -96,7 +97,8 @@
     const repeated = this.hasCrashedLately(session)
     const former = this._lastCrashes.get(session.entry.address)?.incarnation
     this._lastCrashes.set(session.entry.address, { incarnation: session.incarnation, atMs: session.lostMs })
-    const recentRuns = [...session.runs.values()].filter(run => ageAtLoss(run) <= EVIDENCE_AGE_MAX_MS)
+    const recentRuns = [...session.runs.values()].filter(run =>
+      run.startConfirmedBy !== ANSWERERS.later && ageAtLoss(run) <= EVIDENCE_AGE_MAX_MS)
     const runs = [...session.runs.values()].filter(run => this._mayBeCause(run))
     log.event('warn', 'worker.crashed', {
       worker: session.incarnation,
@@ -240,8 +242,12 @@
     return lost >= Math.max(MANY_WORKERS_MIN, MANY_WORKERS_SHARE * this._options.workerCount())
   }
 
-  /** Runs that are no longer needed may have crashed their worker, but their tasks are not started again. */
-  private _mayBeCause ({ task }: Run): boolean {
+  /**
+   * Runs that are no longer needed may have crashed their worker, but their tasks are not started again. One that a later incarnation
+   * has started came after the crash.
+   */
+  private _mayBeCause ({ task, startConfirmedBy }: Run): boolean {
+    if (startConfirmedBy === ANSWERERS.later) return false
     return task !== undefined && task.state !== TASK_STATES.done && !task.step.workflow.isOver
   }
 
--- a/packages/pomelofold/src/workflows/lateStartTracker.ts
+++ b/packages/pomelofold/src/workflows/lateStartTracker.ts
@@ -10,6 +10,7 @@
  */
 
 import type { UnconfirmedStarts } from './leaseEndView.js'
+import { ANSWERERS } from './runHost.js'
 import { MAX_ORDER_DELAY_MS } from './runOrderSender.js'
 import { runIdOf, LAPSE_SLACK_MS, WORKER_CLOCK_RATE, type WorkerSession } from './workerSession.js'
 import type { Run, Task } from './workflowRuntime.js'
@@ -88,9 +89,10 @@
 
   /** Notes the start of a run whose worker's incarnation may have ended, unless that incarnation is known to have carried it out. */
   noteUnconfirmed (run: Run): void {
-    const { pendingStartMs, startConfirmedMs, startConfirmedByHost, session } = run
+    const { pendingStartMs, startConfirmedMs, startConfirmedBy, session } = run
     if (pendingStartMs !== undefined) this.noteUnanswered(run, pendingStartMs)
-    if (startConfirmedMs === undefined || startConfirmedByHost || startConfirmedMs < session.lastReportRequestSentMs) return
+    if (startConfirmedMs === undefined || startConfirmedBy === ANSWERERS.host) return
+    if (startConfirmedMs < session.lastReportRequestSentMs) return
     // No report of this incarnation was requested since, so that the next one may have confirmed the start.
     this._note(run, startConfirmedMs, startConfirmedMs)
   }
--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -88,7 +88,7 @@
         run.progressedClockMs ??= answer.value.clockMs
         if (run.state !== RUN_STATES.starting) return
         if (answer.value.refusal === undefined) {
-          run.startConfirmedByHost = session.answererOf(answer.value.clockMs, sentClock) === ANSWERERS.host
+          run.startConfirmedBy = session.answererOf(answer.value.clockMs, sentClock)
           onStarted(run)
           return noteAnswerer(session, answer.value, sentClock)
         }
--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -16,6 +16,7 @@
 import { OverlapDetector, type Listing } from './overlapDetector.js'
 import { RecordedStarts } from './recordedStarts.js'
 import { ReleasedRuns, RELEASES, type Release } from './releasedRuns.js'
+import { ANSWERERS } from './runHost.js'
 import { MAX_ORDER_DELAY_MS, RunOrderSender, type StartTryRefusal } from './runOrderSender.js'
 import type { WorkerSpeedEstimator } from './workerSpeedEstimator.js'
 import { findStalledRuns } from './stalledRuns.js'
@@ -287,7 +288,7 @@
       startedMs: nowMs,
       pendingStartMs: undefined,
       startConfirmedMs: undefined,
-      startConfirmedByHost: false,
+      startConfirmedBy: undefined,
       unansweredMs: undefined,
       startBroken: false,
       stopConfirmedMs: undefined,
@@ -384,7 +385,7 @@
     if (knownRun) {
       this._noteOverlap(session, row, { how: 'running', run: knownRun })
       if (knownRun.state === RUN_STATES.starting) this._handleStarted(knownRun)
-      knownRun.startConfirmedByHost = true
+      knownRun.startConfirmedBy = ANSWERERS.host
       this._noteProgress(knownRun, row, { nowMs, clockMs })
       return
     }
@@ -402,7 +403,7 @@
       adopted: true
     })
     run.startConfirmedMs = nowMs
-    run.startConfirmedByHost = true
+    run.startConfirmedBy = ANSWERERS.host
     if (isSpareCpuRun(run)) run.pacePercent = undefined
     const released = this._noteUnexpected(row)
     log.event(
--- a/packages/pomelofold/src/workflows/workflowRuntime.ts
+++ b/packages/pomelofold/src/workflows/workflowRuntime.ts
@@ -9,7 +9,7 @@
 import { JOB_STATES } from '../protocol/jobs.js'
 import { addResources, formatStepName, formatTaskName, NO_RESOURCES, type WorkflowProgress, type Resources, type Workflow, type WorkflowState, type WorkflowStep } from '../protocol/workflows.js'
 import { formatRanges, parseRanges } from '../utils/indexRanges.js'
-import type { RunHost } from './runHost.js'
+import type { Answerer, RunHost } from './runHost.js'
 
 /**
  * Maximum number of unfinished occurrences of a workflow that are considered at once: a caller may ask for any number of them, all
@@ -88,8 +88,8 @@
   pendingStartMs: number | undefined
   /** Time at which the worker confirmed the start: reports requested later list the run or its end. */
   startConfirmedMs: number | undefined
-  /** True when the incarnation to which the start was sent is known to have confirmed it, not a later one with the same id. */
-  startConfirmedByHost: boolean
+  /** Incarnation that has confirmed the start; undefined while none has. */
+  startConfirmedBy: Answerer | undefined
   /**
    * Time at which the last start without an answer was sent, in milliseconds of the monotonic clock: it may have been carried
    * out, or may be carried out later. Undefined when every start was answered or cannot have reached the worker.
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -65,7 +65,7 @@
     startedMs: 0,
     pendingStartMs: undefined,
     startConfirmedMs: 0,
-    startConfirmedByHost: true,
+    startConfirmedBy: 'host',
     unansweredMs: undefined,
     startBroken: false,
     stopConfirmedMs: undefined,
--- a/tests/workflows/formerIncarnations.test.ts
+++ b/tests/workflows/formerIncarnations.test.ts
@@ -171,3 +171,11 @@
   t.same(cell.violations(), [])
   t.equal(cell.runsOf(`${workflow.id}.0.0.0`).length, 1)
 })
+
+// Guards against BUDGET and LOST: a task is suspected of the crash of a worker that had ended before the task was started.
+t.test('a task whose start the next incarnation has accepted is not suspected of the crash', async t => {
+  const cell = await silentlyRestartedWorker()
+  await startAndCutOff(cell, cell.workflow([{ tasks: 1 }]))
+  t.match(cell.events.filter(({ name }) => name === 'worker.crashed').map(({ fields }) => fields.youngRuns), [0])
+  t.same(cell.events.filter(({ name }) => name === 'task.suspected'), [])
+})
--- a/utils/bench/dispatchCell.ts
+++ b/utils/bench/dispatchCell.ts
@@ -191,7 +191,7 @@
       adopted: false,
       startedMs: nowMs,
       startConfirmedMs: nowMs,
-      startConfirmedByHost: true,
+      startConfirmedBy: 'host',
       pendingStartMs: undefined,
       unansweredMs: undefined,
       startBroken: false,
