Bodies are read when they are wanted, within one budget for all callers

Cause: a body was read whole before its limit was looked at, an announced length was not looked at at all, and a chunk of one byte took some hundred bytes of heap. Nothing bounded the sum. hono's limit in the entry daemon did not count pieces either.

Change: the app asks for a body (seams/requestBody) once route, method, id and key are valid. An announced length over the limit is refused at once, any other body where it exceeds it: 413, and the connection is closed. Pieces are copied into blocks. Input is passed to the parser in slices and only while it is wanted; after the last answer it is discarded unparsed. CallerBudget bounds what all connections hold (an eighth of limits.memory_mb; http.maxHeldBytes of pomelofoldd): beyond it, the connection without progress for the longest time among those above their equal share is closed, never one whose request waits for an answer; without such a one, the request gets 503 and has not run. Refusals are counted, and logged once each 10 s and cause. pomelofoldd uses the same.

What callers saw: processes that ended, so resets of all that was in transit. Now: 413, 503 with Retry-After, or a closed connection. A request with an unread body that is neither short nor announced is answered with `connection: close`.

--- a/packages/daemon/src/pomelofoldd.ts
+++ b/packages/daemon/src/pomelofoldd.ts
@@ -49,7 +49,7 @@
   const address = peers.find(peer => peer.vm === vm)!.address
   const transport = new TcpPeerTransport({ self, address, members: new Map(peers.map(peer => [peer.vm, peer])), timers, log })
   const daemon = new EntryDaemon(settings, { timers, random, platform, upstream, transport, log, incarnation, usage: processUsage })
-  const http = new HttpServer(settings.http)
+  const http = new HttpServer({ ...settings.http, timers, log })
 
   await daemon.start()
   await http.listen(daemon.app)
--- /dev/null
+++ b/packages/pomelofold/src/edge/callerConnection.ts
@@ -0,0 +1,230 @@
+/**
+ * A caller's connection. Passes input to the HTTP parser only as far as it is wanted, so that a body that is not wanted is not read.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Timers } from '../seams/timers.js'
+import type { BlockPool } from './bodyBuffer.js'
+import { CONNECTION_STATES, type CallerAccount, type ConnectionState } from './callerBudget.js'
+import { ReceivedRequest } from './receivedRequest.js'
+
+/**
+ * Maximum number of bytes that are passed to the parser at once. The parser cannot be stopped before their end, and emits all requests
+ * and pieces of a body among them.
+ */
+const PARSE_BYTES = 256
+
+/** Amount of input that counts as progress, in bytes. */
+const PROGRESS_BYTES = 16_384
+
+/** Memory that a byte of an incomplete header takes: the parser keeps names and values as separate strings. */
+const HEADER_COST = 8
+
+/** Input that the operating system may buffer for a connection that is not read, in bytes. */
+const UNREAD_INPUT_BYTES = 65_536
+
+/** Time from the last answer on a connection until it is closed, in milliseconds. Input is discarded in this time. */
+const CLOSE_DELAY_MS = 500
+
+/** Maximum amount of input that is discarded before a connection is closed, in bytes. */
+const MAX_DISCARDED_BYTES = 4_000_000
+
+/** Options of a {@link CallerConnection}. */
+export interface CallerConnectionOptions {
+  socket: Socket
+  account: CallerAccount
+  timers: Timers
+  /** Blocks for the bodies of requests. */
+  pool: BlockPool
+  /** Called when the connection is closed because there is no room for its input. */
+  onNoRoom: () => void
+}
+
+/** Input and open requests of a connection of an HTTP server. Must be created in the server's `connection` event. */
+export class CallerConnection {
+  private readonly _socket: Socket
+  private readonly _account: CallerAccount
+  private readonly _options: CallerConnectionOptions
+  private readonly _parse: (chunk: Buffer) => void
+  /** Requests whose answers have not been sent. */
+  private readonly _requests = new Set<ReceivedRequest>()
+  private _lastRequest: ReceivedRequest | undefined
+  /** Input that has not been parsed. */
+  private _input: Buffer | undefined
+  private _headerBytes = 0
+  private _unreportedBytes = 0
+  private _discardedBytes = 0
+  private _parsing = false
+  /** True while this object has paused the socket. Node.js pauses it as well, for answers that are not read. */
+  private _paused = false
+  private _stopped = false
+  private _ending = false
+  private _served = false
+
+  constructor (options: CallerConnectionOptions) {
+    const { socket, account } = options
+    const destroySoon = socket.destroySoon.bind(socket)
+    this._socket = socket
+    this._account = account
+    this._options = options
+    const [parse] = socket.listeners('data') as Array<(chunk: Buffer) => void>
+    this._parse = parse
+    socket.removeListener('data', parse)
+    socket.on('data', (chunk: Buffer) => this._onInput(chunk))
+    socket.on('resume', () => this._parseInput())
+    socket.once('end', () => this.stop())
+    socket.once('close', () => { this.stop(); account.end() })
+    socket.destroySoon = () => this._end(destroySoon)
+  }
+
+  /** Adds a request. Undefined after {@link stop}. */
+  receive (req: IncomingMessage, res: ServerResponse, expectsContinue: boolean): ReceivedRequest | undefined {
+    if (this._stopped) return
+    const request = new ReceivedRequest({ req, res, expectsContinue, pool: this._options.pool, onChange: () => this._onRequestChange() })
+    this._requests.add(request)
+    this._lastRequest = request
+    res.once('prefinish', () => this._checkRoom())
+    res.once('close', () => this._onAnswerSent(request))
+    return request
+  }
+
+  /** Reports what the connection holds. Returns false when there is no room for it. */
+  report (): boolean {
+    return this._account.update(this._heldBytes(), this._state())
+  }
+
+  /** Notes that the app has answered a request. */
+  noteAnswer (request: ReceivedRequest): void {
+    if (!request.noteAnswer()) this.stop()
+    this.report()
+    this._parseInput()
+  }
+
+  /** Parses no further input. What arrives is discarded. */
+  stop (): void {
+    this._stopped = true
+    this._input = undefined
+    if (!this._paused) return
+    this._paused = false
+    this._socket.resume()
+  }
+
+  /** Ends the connection after input that cannot be parsed: with the answers to its open requests, or else with `text`. */
+  endWith (text: string): void {
+    this.stop()
+    for (const request of this._requests) request.abort()
+    if (this._requests.size > 0) return
+    this._socket.write(text)
+    this._socket.destroySoon()
+  }
+
+  /** Closes the connection at once, and gives up what it holds. Its `close` event comes only after the input of other connections. */
+  destroy (): void {
+    this.stop()
+    for (const request of this._requests) request.abort()
+    this._socket.destroy()
+  }
+
+  private _onInput (chunk: Buffer): void {
+    if (this._stopped) return this._discard(chunk)
+    this._unreportedBytes += chunk.length
+    if (this._unreportedBytes >= PROGRESS_BYTES) {
+      this._unreportedBytes = 0
+      this._account.progress()
+    }
+    if (this._input) {
+      this._paused = true
+      this._socket.pause()
+      this._socket.unshift(chunk)
+      return this._checkRoom()
+    }
+    this._input = chunk
+    this._parseInput()
+  }
+
+  private _parseInput (): void {
+    if (this._parsing) return
+    this._parsing = true
+    while (this._input && this._wantsInput()) {
+      if (this._paused) {
+        this._paused = false
+        this._socket.resume()
+      }
+      this._parseSlice(this._input)
+    }
+    this._parsing = false
+    this._checkRoom()
+  }
+
+  private _parseSlice (input: Buffer): void {
+    const lastRequest = this._lastRequest
+    const inHeader = !lastRequest || lastRequest.complete
+    const bytes = Math.min(input.length, Math.max(PARSE_BYTES, inHeader ? 0 : lastRequest.remainingBytes))
+    this._input = bytes < input.length ? input.subarray(bytes) : undefined
+    this._parse(input.subarray(0, bytes))
+    this._headerBytes = inHeader && lastRequest === this._lastRequest ? this._headerBytes + bytes : 0
+  }
+
+  private _wantsInput (): boolean {
+    if (this._stopped || this._socket.destroyed || (this._socket.isPaused() && !this._paused)) return false
+    const request = this._lastRequest
+    return !request || request.complete || request.wantsInput
+  }
+
+  private _onRequestChange (): boolean {
+    if (!this.report()) return false
+    this._parseInput()
+    return true
+  }
+
+  private _onAnswerSent (request: ReceivedRequest): void {
+    this._requests.delete(request)
+    this._served = true
+    this._checkRoom()
+    if (this._stopped && this._requests.size === 0 && !this._socket.destroyed) this._socket.destroySoon()
+  }
+
+  private _checkRoom (): void {
+    if (this.report() || this._stopped || this._socket.destroyed) return
+    this._options.onNoRoom()
+    this.destroy()
+  }
+
+  private _heldBytes (): number {
+    const unreadBytes = this._socket.isPaused() ? UNREAD_INPUT_BYTES : 0
+    let bytes = this._headerBytes * HEADER_COST + unreadBytes + (this._input?.length ?? 0) + this._socket.writableLength
+    for (const request of this._requests) bytes += request.heldBytes
+    return bytes
+  }
+
+  private _state (): ConnectionState {
+    for (const request of this._requests) {
+      if (request.complete && !request.answered) return CONNECTION_STATES.server
+    }
+    const isBetweenRequests = this._requests.size === 0 && this._headerBytes === 0 && !this._input && this._lastRequest?.complete
+    return this._served && isBetweenRequests && !this._stopped ? CONNECTION_STATES.idle : CONNECTION_STATES.caller
+  }
+
+  private _discard (chunk: Buffer): void {
+    this._discardedBytes += chunk.length
+    if (this._discardedBytes > MAX_DISCARDED_BYTES) this._socket.destroy()
+  }
+
+  /**
+   * Closes the connection after the last answer. Closing a connection with unread input resets it, so that a caller that is still
+   * sending would lose the answer; input is discarded for a while.
+   */
+  private _end (destroySoon: () => void): void {
+    if (this._ending) return
+    this._ending = true
+    this.stop()
+    this._socket.end()
+    this._socket.resume()
+    const timer = this._options.timers.after(CLOSE_DELAY_MS, destroySoon)
+    this._socket.once('end', destroySoon)
+    this._socket.once('close', () => timer.cancel())
+  }
+}
--- /dev/null
+++ b/packages/pomelofold/src/edge/refusalCounter.ts
@@ -0,0 +1,74 @@
+/**
+ * Counts refused callers, and logs them without a line for each.
+ *
+ * @module
+ */
+
+import type { Timers } from '../seams/timers.js'
+import type { EventLog } from '../utils/eventLog.js'
+
+/** Period of the lines about a cause that goes on, in milliseconds. */
+const LOG_PERIOD_MS = 10_000
+
+/** Why a server has refused a request or closed a connection. */
+export const CALLER_REFUSALS = {
+  /** The body of a request is larger than the limit. */
+  bodyTooLarge: 'body-too-large',
+  /** There was no room for a request or its body. */
+  noRoom: 'no-room',
+  /** A connection was closed to make room for others. */
+  closedForMemory: 'closed-for-memory',
+  /** A connection was closed, or a new one refused, at the maximum number of connections. */
+  closedForConnections: 'closed-for-connections',
+  /** The input is not HTTP, its header is too large, or it did not come in time. */
+  unparsable: 'unparsable'
+} as const
+
+/** One of {@link CALLER_REFUSALS}. */
+export type CallerRefusal = typeof CALLER_REFUSALS[keyof typeof CALLER_REFUSALS]
+
+/** Options of a {@link RefusalCounter}. */
+export interface RefusalCounterOptions {
+  timers: Timers
+  log: EventLog
+  /** Address of the server, for the log. */
+  address: string
+}
+
+/** Logs the first refusal of each cause at once, and the number of further ones after each period. */
+export class RefusalCounter {
+  private readonly _options: RefusalCounterOptions
+  private readonly _totals = new Map<CallerRefusal, number>()
+  private readonly _loggedTotals = new Map<CallerRefusal, number>()
+  /** Causes in whose current period a line has been written. */
+  private readonly _active = new Set<CallerRefusal>()
+
+  constructor (options: RefusalCounterOptions) {
+    this._options = options
+  }
+
+  /** Number of refusals by cause. */
+  get totals (): ReadonlyMap<CallerRefusal, number> {
+    return this._totals
+  }
+
+  /** Counts a refusal. */
+  count (cause: CallerRefusal): void {
+    this._totals.set(cause, (this._totals.get(cause) ?? 0) + 1)
+    if (!this._active.has(cause)) this._logNew(cause)
+  }
+
+  private _logNew (cause: CallerRefusal): void {
+    const { timers, log, address } = this._options
+    const total = this._totals.get(cause)!
+    const count = total - (this._loggedTotals.get(cause) ?? 0)
+    if (count === 0) {
+      this._active.delete(cause)
+      return
+    }
+    log.event('warn', 'http.refused', { address, cause, count, total })
+    this._active.add(cause)
+    this._loggedTotals.set(cause, total)
+    timers.after(LOG_PERIOD_MS, () => this._logNew(cause))
+  }
+}
--- a/packages/pomelofold/src/server/http/httpApp.ts
+++ b/packages/pomelofold/src/server/http/httpApp.ts
@@ -4,14 +4,17 @@
  * @module
  */
 
-import { Hono, type Context } from 'hono'
-import { bodyLimit } from 'hono/body-limit'
+import { Hono, type Context, type Next } from 'hono'
 import type { EventLog } from '../../utils/eventLog.js'
 import { errorText } from '../../utils/errors.js'
 import { problem } from '../../protocol/problem.js'
 import { OUTCOMES } from '../../protocol/requests.js'
+import { BODY_ERRORS, readBody, type BodyError } from '../../seams/requestBody.js'
 import { sendFault, sendProblem } from './problems.js'
 
+/** Delay after which a caller may repeat a request whose body there was no room for, in milliseconds. */
+const RETRY_AFTER_MS = 1_000
+
 /** Options of {@link createHttpApp}. */
 export interface HttpAppOptions {
   routes: Hono[]
@@ -27,10 +30,7 @@
 /** Creates the HTTP interface of an entry daemon. */
 export function createHttpApp ({ routes, log, maxBodyBytes, ready, metrics }: HttpAppOptions): Hono {
   const app = new Hono()
-  app.use('/v1/*', bodyLimit({
-    maxSize: maxBodyBytes,
-    onError: c => refuseOversizedBody(c, maxBodyBytes)
-  }))
+  app.use('/v1/*', (c, next) => limitBody(c, next, maxBodyBytes))
   for (const route of routes) app.route('/v1', route)
   app.get('/healthz', c => c.text('ok\n'))
   app.get('/readyz', c => {
@@ -46,8 +46,17 @@
   return app
 }
 
-/** Refuses a body without reading the rest of it. `connection: close` tells the caller that the connection cannot be reused. */
-function refuseOversizedBody (c: Context, maxBodyBytes: number): Response {
-  c.header('connection', 'close')
-  return sendFault(c, 'tooLarge', { path: '(root)', message: `the body is over ${maxBodyBytes} bytes` })
+/** Reads the body within the limit. Requests whose body cannot be read go no further. */
+async function limitBody (c: Context, next: Next, maxBodyBytes: number): Promise<Response | void> {
+  if (BODILESS_METHODS.has(c.req.method)) return next()
+  const body = await readBody(c, maxBodyBytes)
+  return body.isErr ? BODY_REFUSALS[body.error](c, maxBodyBytes) : next()
+}
+
+const BODILESS_METHODS = new Set(['GET', 'HEAD'])
+
+const BODY_REFUSALS: Record<BodyError, (c: Context, maxBodyBytes: number) => Response> = {
+  [BODY_ERRORS.tooLarge]: (c, maxBodyBytes) => sendFault(c, 'tooLarge', { path: '(root)', message: `the body is over ${maxBodyBytes} bytes` }),
+  [BODY_ERRORS.noRoom]: c => sendProblem(c, problem('overloaded', 'too many requests are in progress', { outcome: OUTCOMES.notRun, retryAfterMs: RETRY_AFTER_MS })),
+  [BODY_ERRORS.aborted]: c => sendFault(c, 'invalid', { path: '(root)', message: 'the body is not complete' })
 }
--- /dev/null
+++ b/tests/edge/crowdedServer.test.ts
@@ -0,0 +1,191 @@
+/**
+ * Tests of the HTTP server with callers that do not behave. What it holds for them is bounded, and the requests of others are
+ * answered.
+ */
+
+import { once } from 'node:events'
+import { connect, type Socket } from 'node:net'
+import { Hono, type Context } from 'hono'
+import t, { type Test } from 'tap'
+import { HttpServer, type HttpServerOptions } from 'pomelofold/edge/httpServer'
+import { readBody } from 'pomelofold/seams/requestBody'
+import { ManualPromise } from 'pomelofold/utils/manualPromise'
+
+const MAX_BODY_BYTES = 1_000
+const CHUNKED_HEAD = 'POST /bodies HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
+const GET = 'GET /plain HTTP/1.1\r\nhost: h\r\n\r\n'
+
+/** Server with a route that reads its body, one that does not, and one whose answers wait until they are released. */
+async function startServer (t: Test, options: Partial<HttpServerOptions> = {}) {
+  const server = new HttpServer({ address: '127.0.0.1:0', ...options })
+  t.teardown(() => server.close({ timeoutMs: 0 }))
+  const released = new ManualPromise()
+  const running = { now: 0, most: 0, total: 0 }
+  const app = new Hono()
+  app.post('/bodies', async ctx => {
+    const body = await readBody(ctx, MAX_BODY_BYTES)
+    return body.isErr ? ctx.text(body.error, body.error === 'too-large' ? 413 : 503) : ctx.text(`${body.value.length} bytes`)
+  })
+  app.all('/plain', ctx => ctx.text('answer'))
+  app.all('/slow', async (ctx: Context) => {
+    running.most = Math.max(running.most, ++running.now)
+    running.total++
+    await released.promise
+    running.now--
+    return ctx.text('slow')
+  })
+  await server.listen(app)
+  return { server, running, release: () => released.resolve() }
+}
+
+/** A connection that collects what it receives. */
+function open (t: Test, { port }: HttpServer): { socket: Socket, received: () => string, until: (pattern: RegExp) => Promise<string> } {
+  const socket = connect(port, '127.0.0.1')
+  t.teardown(() => socket.destroy())
+  let text = ''
+  socket.on('data', bytes => { text += bytes })
+  socket.on('error', () => {})
+  const untilReceived = async (pattern: RegExp): Promise<string> => {
+    await until(() => pattern.test(text) || socket.destroyed)
+    if (!pattern.test(text)) throw new Error(`closed after ${JSON.stringify(text)}`)
+    return text
+  }
+  return { socket, received: () => text, until: untilReceived }
+}
+
+/** Waits until a condition holds. */
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 2))
+}
+
+t.test('a body within the limit is read, in one piece or in chunks of one byte', async t => {
+  const { server } = await startServer(t)
+  const { socket, until } = open(t, server)
+  socket.write(`POST /bodies HTTP/1.1\r\nhost: h\r\ncontent-length: ${MAX_BODY_BYTES}\r\n\r\n${'x'.repeat(MAX_BODY_BYTES)}`)
+  await until(/1000 bytes$/)
+  socket.write(`${CHUNKED_HEAD}${'1\r\nx\r\n'.repeat(MAX_BODY_BYTES - 1)}0\r\n\r\n`)
+  await until(/999 bytes$/)
+})
+
+t.test('a body that is too large by its header is refused before it is sent', async t => {
+  const { server } = await startServer(t)
+  const { socket, until, received } = open(t, server)
+  socket.write(`POST /bodies HTTP/1.1\r\nhost: h\r\ncontent-length: ${MAX_BODY_BYTES + 1}\r\n\r\n`)
+  await once(socket, 'end')
+  t.match(received(), /^HTTP\/1\.1 413 [^]*connection: close[^]*too-large$/i)
+  t.equal(server.figures().refusals.get('body-too-large'), 1)
+  t.ok(await until(/413/))
+})
+
+t.test('a chunked body that is too large is refused although it does not end', async t => {
+  const { server } = await startServer(t)
+  const { socket, received } = open(t, server)
+  socket.write(CHUNKED_HEAD + `${MAX_BODY_BYTES.toString(16)}\r\n${'x'.repeat(MAX_BODY_BYTES)}\r\n`.repeat(2))
+  await once(socket, 'end')
+  t.match(received(), /^HTTP\/1\.1 413 [^]*connection: close/i)
+})
+
+t.test('a request that needs no body is answered before its body has come, and its connection is closed', async t => {
+  const { server } = await startServer(t)
+  for (const head of ['content-length: 50000000', 'transfer-encoding: chunked']) {
+    const { socket, received } = open(t, server)
+    socket.write(`POST /plain HTTP/1.1\r\nhost: h\r\n${head}\r\n\r\n`)
+    await once(socket, 'end')
+    t.match(received(), /^HTTP\/1\.1 200 [^]*connection: close[^]*answer$/i)
+  }
+})
+
+t.test('the connection of a request without a body is used again, whether its answer comes at once or later', async t => {
+  const { server, release } = await startServer(t)
+  const { socket, until } = open(t, server)
+  release()
+  socket.write(GET)
+  await until(/answer$/)
+  socket.write('POST /slow HTTP/1.1\r\nhost: h\r\n\r\n')
+  await until(/slow$/)
+  socket.write(GET)
+  await until(/slow[^]*answer$/)
+})
+
+t.test('the connection of a request with a small body that was not needed is used again', async t => {
+  const { server } = await startServer(t)
+  const { socket, until } = open(t, server)
+  socket.write('POST /plain HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\n')
+  await until(/answer$/)
+  socket.write(`body${GET}`)
+  t.match(await until(/answer[^]*answer$/), /^HTTP\/1\.1 200 [^]*HTTP\/1\.1 200 /)
+})
+
+t.test('a caller that waits for 100 Continue is told to send a body that is wanted', async t => {
+  const { server } = await startServer(t)
+  const { socket, until } = open(t, server)
+  socket.write('POST /bodies HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\ncontent-length: 4\r\n\r\n')
+  await until(/^HTTP\/1\.1 100 /)
+  socket.write('body')
+  t.match(await until(/4 bytes$/), /HTTP\/1\.1 200 /)
+})
+
+t.test('a caller that waits for 100 Continue is refused without it when its body is not wanted', async t => {
+  const { server } = await startServer(t)
+  const { socket, received } = open(t, server)
+  socket.write('POST /bodies HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\ncontent-length: 2000\r\n\r\n')
+  await once(socket, 'end')
+  t.match(received(), /^HTTP\/1\.1 413 /)
+})
+
+t.test('connections that hold bodies without progress are closed for memory, and another caller is served', async t => {
+  const { server } = await startServer(t, { maxHeldBytes: 200_000, maxConnections: 20 })
+  const stalled = Array.from({ length: 18 }, () => open(t, server))
+  for (const { socket } of stalled) socket.write(`${CHUNKED_HEAD}3e0\r\n${'x'.repeat(0x3e0)}`)
+  await until(() => (server.figures().refusals.get('closed-for-memory') ?? 0) > 0 || server.figures().connections === 18)
+  const { socket, until: untilReceived } = open(t, server)
+  socket.write('POST /bodies HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n\r\nwhole')
+  await untilReceived(/5 bytes$/)
+  t.ok(server.figures().heldBytes <= 200_000)
+})
+
+t.test('a request for which there is no room beside those in progress is refused as not run', async t => {
+  const { server, running, release } = await startServer(t, { maxHeldBytes: 20_000, maxConnections: 10 })
+  for (let i = 0; i < 2; i++) open(t, server).socket.write('GET /slow HTTP/1.1\r\nhost: h\r\n\r\n')
+  await until(() => running.now === 2)
+  const { socket, received } = open(t, server)
+  socket.write(GET)
+  await once(socket, 'end')
+  t.match(received(), /^HTTP\/1\.1 503 [^]*retry-after: 1[^]*"outcome":"not-run"/i)
+  release()
+  await until(() => server.figures().heldBytes === 0)
+  const again = open(t, server)
+  again.socket.write(GET)
+  await again.until(/answer$/)
+})
+
+t.test('input after the last answer is discarded without being parsed', async t => {
+  const { server } = await startServer(t)
+  const { socket, received } = open(t, server)
+  socket.write(`no HTTP\r\n\r\n${GET.repeat(1_000)}`)
+  await once(socket, 'end')
+  t.equal(received().match(/HTTP\/1\.1 \d+/g)?.join(), 'HTTP/1.1 400')
+})
+
+t.test('what cannot be parsed after a request does not take the place of its answer', async t => {
+  const { server, running, release } = await startServer(t)
+  const { socket, received } = open(t, server)
+  socket.write('GET /slow HTTP/1.1\r\nhost: h\r\n\r\nno HTTP\r\n\r\n')
+  await until(() => running.now === 1)
+  release()
+  await once(socket, 'end')
+  t.match(received(), /^HTTP\/1\.1 200 [^]*slow$/)
+  t.equal(received().match(/HTTP\/1\.1 \d+/g)?.length, 1)
+})
+
+t.test('nothing is held for connections that have ended', async t => {
+  const { server } = await startServer(t)
+  for (const text of [`${CHUNKED_HEAD}5\r\nbo`, GET.repeat(50), 'GET /plain HTTP/1.1\r\nhost:', 'GET /slow HTTP/1.1\r\nhost: h\r\n\r\n']) {
+    const { socket } = open(t, server)
+    socket.write(text)
+    await until(() => server.figures().connections === 1)
+    socket.destroy()
+    await until(() => server.figures().connections === 0)
+    t.equal(server.figures().heldBytes, 0)
+  }
+})
--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -7,6 +7,7 @@
 import { join } from 'node:path'
 import fc from 'fast-check'
 import t from 'tap'
+import Result from 'true-myth/result'
 import { SILENT_LOG } from 'pomelofold/utils/eventLog'
 import { SystemTimers } from 'pomelofold/edge/systemTimers'
 import { CredentialChecker } from 'pomelofold/teams/credentialChecker'
@@ -94,6 +95,14 @@
   }
 })
 
+t.test('the limits of the machine are read', async t => {
+  const settings = parseSettings(`${SETTINGS}limits.memory_mb=200\n`)
+  t.ok(settings.isOk)
+  if (settings.isOk) t.same(settings.value.machine, { memoryBytes: 200_000_000 })
+  const withDefaults = parseSettings(SETTINGS)
+  if (withDefaults.isOk) t.same(withDefaults.value.machine, { memoryBytes: 350_000_000 })
+})
+
 t.test('the error about settings names the field', async t => {
   const settings = parseSettings(SETTINGS.replace('port_range=7720,7735', 'port_range=7720'))
   t.ok(settings.isErr)
@@ -179,6 +188,23 @@
   t.equal(stored, 0)
 })
 
+t.test('the body of a request is not read when its route, method or id is not valid', async t => {
+  const target = app({})
+  const env = { readBody: async () => t.fail('was read') }
+  for (const [method, path, status] of [['POST', `/other/${ID}`, 404], ['PUT', `/q/${ID}`, 405], ['POST', '/q/short-id', 400]] as const) {
+    const res = await target.request(`http://h${path}`, { method, body: BODY, headers: { host: 'h' } }, env)
+    t.equal(res.status, status)
+  }
+})
+
+t.test('a job whose body there is no room for is refused with a retry delay, and is not stored', async t => {
+  const target = app({ submit: async () => { throw new Error('was stored') }, retryAfterS: () => 2 })
+  const env = { readBody: async () => Result.err('no-room') }
+  const res = await target.request(`http://h/q/${ID}`, { method: 'POST', body: BODY, headers: { host: 'h' } }, env)
+  t.equal(res.status, 503)
+  t.equal(res.headers.get('retry-after'), '2')
+})
+
 t.test('10,000 damaged jobs are decoded or refused without an exception', async t => {
   const counts = { read: 0, refused: 0 }
   fc.assert(fc.property(nearlyValid(JSON.parse(BODY)), body => {
--- a/tests/platform/credentials.test.ts
+++ b/tests/platform/credentials.test.ts
@@ -77,6 +77,15 @@
   return { send, configuration, stored, refusals, lines }
 }
 
+t.test('the body of a job is not read when its key is missing or not known', async t => {
+  const { send, stored } = setUp()
+  for (const key of [undefined, 'unknown-key']) {
+    const body = new ReadableStream({ pull: () => { t.fail('was read') } }, { highWaterMark: 0 })
+    t.equal((await send('POST', `/q/${ID}`, { key, body })).status, 401)
+  }
+  t.same(stored, [])
+})
+
 const REQUESTS = [['POST', ID], ['GET', ID], ['GET', ''], ['DELETE', ID]]
 
 for (const [method, id] of REQUESTS) {
