Requests sent ahead wait for the answers to earlier ones

Cause: all requests of a connection were parsed and handed to the app as they came, while their answers waited in memory for a caller that does not read them: thousands at once on each connection. Requests without a Host header, and those with an unknown Expect, were answered by Node.js before the app saw them.

Change: one request of a connection is in progress at a time; its successors stay unparsed, and TCP slows the caller down. Each connection parses its next request after the input of the others, so that a caller that sends ahead keeps nobody waiting. Requests without Host or with an unknown Expect take the same path: 400, and the connection is closed. No ordinary caller meets the limit: answers come in the same order as before.

--- a/packages/pomelofold/src/edge/callerConnection.ts
+++ b/packages/pomelofold/src/edge/callerConnection.ts
@@ -1,5 +1,6 @@
 /**
- * A caller's connection. Passes input to the HTTP parser only as far as it is wanted, so that a body that is not wanted is not read.
+ * A caller's connection. Passes input to the HTTP parser only as far as it is wanted, so that a caller that sends ahead, or does
+ * not read its answers, is slowed down by TCP.
  *
  * @module
  */
@@ -39,6 +40,8 @@
   timers: Timers
   /** Blocks for the bodies of requests. */
   pool: BlockPool
+  /** Maximum number of requests that are in progress at once. Further ones wait. */
+  maxPipelinedRequests: number
   /** Called when the connection is closed because there is no room for its input. */
   onNoRoom: () => void
 }
@@ -58,6 +61,7 @@
   private _unreportedBytes = 0
   private _discardedBytes = 0
   private _parsing = false
+  private _yielding = false
   /** True while this object has paused the socket. Node.js pauses it as well, for answers that are not read. */
   private _paused = false
   private _stopped = false
@@ -145,8 +149,18 @@
     this._parseInput()
   }
 
+  /** Parses the next request of a caller that sends ahead after the input of other connections. */
+  private _yield (): void {
+    if (this._yielding) return
+    this._yielding = true
+    setImmediate(() => {
+      this._yielding = false
+      this._parseInput()
+    })
+  }
+
   private _parseInput (): void {
-    if (this._parsing) return
+    if (this._parsing || this._yielding) return
     this._parsing = true
     while (this._input && this._wantsInput()) {
       if (this._paused) {
@@ -171,7 +185,8 @@
   private _wantsInput (): boolean {
     if (this._stopped || this._socket.destroyed || (this._socket.isPaused() && !this._paused)) return false
     const request = this._lastRequest
-    return !request || request.complete || request.wantsInput
+    if (request && !request.complete) return request.wantsInput
+    return this._requests.size < this._options.maxPipelinedRequests
   }
 
   private _onRequestChange (): boolean {
@@ -183,7 +198,8 @@
   private _onAnswerSent (request: ReceivedRequest): void {
     this._requests.delete(request)
     this._served = true
-    this._checkRoom()
+    if (this._input) this._yield()
+    else this._checkRoom()
     if (this._stopped && this._requests.size === 0 && !this._socket.destroyed) this._socket.destroySoon()
   }
 
--- a/packages/pomelofold/src/edge/httpServer.ts
+++ b/packages/pomelofold/src/edge/httpServer.ts
@@ -40,6 +40,8 @@
   maxConnections?: number
   /** Maximum size of what is held for all callers together, in bytes: requests without an answer, their bodies, and unread input. */
   maxHeldBytes?: number
+  /** Maximum number of requests of one connection that are in progress at once. Further ones wait. */
+  maxPipelinedRequests?: number
   timers?: Timers
   log?: EventLog
 }
@@ -69,11 +71,12 @@
     maxHeaderBytes = 16_384,
     maxConnections = 10_000,
     maxHeldBytes = 100_000_000,
+    maxPipelinedRequests = 1,
     timers = new SystemTimers(),
     log = SILENT_LOG,
     ...options
   }: HttpServerOptions) {
-    this._options = { maxHeaderBytes, maxConnections, maxHeldBytes, timers, log, ...options }
+    this._options = { maxHeaderBytes, maxConnections, maxHeldBytes, maxPipelinedRequests, timers, log, ...options }
     this._budget = new CallerBudget({ timers, maxHeldBytes, maxConnections })
     this._pool = new BlockPool({ maxHeldBytes })
     this._refusals = new RefusalCounter({ timers, log, address: options.address })
@@ -94,11 +97,15 @@
       listener(req, res)
     }
     return new Promise((resolve, reject) => {
-      const server = createServer({ maxHeaderSize: maxHeaderBytes })
+      // Requests without a host header are refused here, so that they count as requests.
+      const server = createServer({ maxHeaderSize: maxHeaderBytes, requireHostHeader: false })
       server.once('error', reject)
       server.on('connection', socket => this._onConnection(socket))
       server.on('request', (req, res) => onRequest(req, res))
       server.on('checkContinue', (req, res) => onRequest(req, res, true))
+      server.on('checkExpectation', (req, res) => {
+        if (this._receive(req, res, true)) this._refuse(req, res, 'invalid', 'the expect header is not known', CALLER_REFUSALS.invalidHeader)
+      })
       server.on('clientError', (err, socket) => this._onUnparsable(err, socket as Socket))
       server.maxConnections = maxConnections
       server.listen(port, host, () => resolve())
@@ -135,7 +142,7 @@
   }
 
   private _onConnection (socket: Socket): void {
-    const { timers } = this._options
+    const { timers, maxPipelinedRequests } = this._options
     const account = this._budget.open(bound => {
       this._refusals.count(CLOSE_CAUSES[bound])
       this._connections.get(socket)!.destroy()
@@ -146,7 +153,7 @@
       return
     }
     const onNoRoom = (): void => this._refusals.count(CALLER_REFUSALS.noRoom)
-    this._connections.set(socket, new CallerConnection({ socket, account, timers, pool: this._pool, onNoRoom }))
+    this._connections.set(socket, new CallerConnection({ socket, account, timers, pool: this._pool, maxPipelinedRequests, onNoRoom }))
   }
 
   /** Takes in a request. Undefined when it has been refused, or when its connection takes in no more. */
@@ -155,6 +162,10 @@
     const request = connection?.receive(req, res, expectsContinue)
     if (!connection || !request) return
     this._trackResponse(res)
+    if (req.httpVersion === '1.1' && req.headers.host === undefined) {
+      this._refuse(req, res, 'invalid', 'the host header is missing', CALLER_REFUSALS.invalidHeader)
+      return
+    }
     if (!connection.report()) {
       this._refuse(req, res, 'overloaded', 'too many requests are in progress', CALLER_REFUSALS.noRoom)
       return
--- a/packages/pomelofold/src/edge/refusalCounter.ts
+++ b/packages/pomelofold/src/edge/refusalCounter.ts
@@ -20,6 +20,8 @@
   closedForMemory: 'closed-for-memory',
   /** A connection was closed, or a new one refused, at the maximum number of connections. */
   closedForConnections: 'closed-for-connections',
+  /** A request has no `host` header, or an unknown `expect` header. */
+  invalidHeader: 'invalid-header',
   /** The input is not HTTP, its header is too large, or it did not come in time. */
   unparsable: 'unparsable'
 } as const
--- a/tests/edge/crowdedServer.test.ts
+++ b/tests/edge/crowdedServer.test.ts
@@ -133,6 +133,41 @@
   t.match(received(), /^HTTP\/1\.1 413 /)
 })
 
+t.test('a request with an unknown expectation or without a host header is refused, and its connection is closed', async t => {
+  const { server } = await startServer(t)
+  for (const header of ['host: h\r\nexpect: more', 'x-none: h']) {
+    const { socket, received } = open(t, server)
+    socket.write(`GET /plain HTTP/1.1\r\n${header}\r\n\r\n`.repeat(5_000))
+    await once(socket, 'close')
+    t.match(received(), /^HTTP\/1\.1 400 [^]*"outcome":"not-run"/)
+    t.equal(received().match(/HTTP\/1\.1/g)?.length, 1)
+  }
+})
+
+t.test('requests that are sent ahead wait for the answers to earlier ones, and are answered in order', async t => {
+  const { server, running, release } = await startServer(t)
+  const { socket, until: untilReceived } = open(t, server)
+  const count = 500
+  socket.write('GET /slow HTTP/1.1\r\nhost: h\r\n\r\n'.repeat(count) + GET)
+  await until(() => running.total > 0)
+  const { heldBytes } = server.figures()
+  t.ok(running.most < 20, `${running.most} at once`)
+  t.ok(heldBytes < 250_000, `${heldBytes} bytes`)
+  release()
+  t.equal((await untilReceived(/answer$/)).match(/slow/g)?.length, count)
+})
+
+t.test('a crowd of requests sent ahead whose answers are not read keeps no other caller from being answered', async t => {
+  const { server } = await startServer(t)
+  const crowd = Array.from({ length: 20 }, () => connect(server.port, '127.0.0.1').on('error', () => {}).pause())
+  t.teardown(() => { for (const socket of crowd) socket.destroy() })
+  for (const socket of crowd) socket.write(GET.repeat(20_000))
+  await until(() => server.figures().connections === crowd.length)
+  const { socket, until: untilReceived } = open(t, server)
+  socket.write(GET)
+  t.match(await untilReceived(/answer$/), /200 OK/)
+})
+
 t.test('connections that hold bodies without progress are closed for memory, and another caller is served', async t => {
   const { server } = await startServer(t, { maxHeldBytes: 200_000, maxConnections: 20 })
   const stalled = Array.from({ length: 18 }, () => open(t, server))
