Connections of callers are bounded by the descriptors of the machine

Cause: a server accepted 10,000 connections whatever the machine's descriptors were, and at its maximum it dropped the new connection. Clients with half a header took all descriptors, at the readiness and metrics addresses as well, and an ordinary submission was reset.

At the maximum, a connection is closed for the new one: one that has waited for its caller for 2 s, or the longest idle one, or the oldest without a request; none whose request waits for an answer. http.maxConnections of pomelofoldd means the same.

What callers saw: a reset of a new connection. Now an idle one may be closed.

--- a/packages/pomelofold/src/edge/httpServer.ts
+++ b/packages/pomelofold/src/edge/httpServer.ts
@@ -36,7 +36,7 @@
   address: string
   /** Maximum size of a request's header, in bytes. Larger headers are answered with status 431. */
   maxHeaderBytes?: number
-  /** Maximum number of open connections. */
+  /** Maximum number of open connections. Beyond it, the least active one is closed for a new one. */
   maxConnections?: number
   /** Maximum size of what is held for all callers together, in bytes: requests without an answer, their bodies, and unread input. */
   maxHeldBytes?: number
@@ -84,7 +84,7 @@
 
   /** Starts listening. Rejects when the address cannot be used. */
   listen (app: Hono): Promise<void> {
-    const { address, maxHeaderBytes, maxConnections } = this._options
+    const { address, maxHeaderBytes } = this._options
     const { host, port } = splitAddress(address)
     const requests = new WeakMap<IncomingMessage, ReceivedRequest>()
     const listener = getRequestListener(
@@ -107,7 +107,6 @@
         if (this._receive(req, res, true)) this._refuse(req, res, 'invalid', 'the expect header is not known', CALLER_REFUSALS.invalidHeader)
       })
       server.on('clientError', (err, socket) => this._onUnparsable(err, socket as Socket))
-      server.maxConnections = maxConnections
       server.listen(port, host, () => resolve())
       this._server = server
     })
--- a/packages/pomelofold/src/settings/daemonSettings.ts
+++ b/packages/pomelofold/src/settings/daemonSettings.ts
@@ -40,7 +40,7 @@
     address: addressSchema.describe('Where callers and operators connect'),
     maxBodyBytes: z.number().int().positive().max(1_000_000).default(1_000_000).describe('Largest accepted body, in bytes'),
     maxHeaderBytes: z.number().int().positive().max(65_536).default(16_384).describe('Largest accepted header, in bytes'),
-    maxConnections: z.number().int().positive().default(10_000).describe('Connections accepted at once'),
+    maxConnections: z.number().int().positive().default(10_000).describe('Connections open at once; beyond it, the least active one is closed for a new one'),
     maxHeldBytes: z.number().int().min(4_000_000).default(100_000_000).describe('Memory for requests in progress and their bodies, in bytes')
   }),
   peers: z.array(peerSettingsSchema).min(1).max(500).describe('All entry VMs of the cell, this one included'),
--- a/tests/edge/crowdedServer.test.ts
+++ b/tests/edge/crowdedServer.test.ts
@@ -194,6 +194,18 @@
   await again.until(/answer$/)
 })
 
+t.test('a new connection is accepted in place of one that sends no request', async t => {
+  const { server } = await startServer(t, { maxConnections: 5 })
+  const silent = Array.from({ length: 5 }, () => open(t, server))
+  for (const { socket } of silent) socket.write('GET /plain HTTP/1.1\r\nhost:')
+  await until(() => server.figures().connections === 5)
+  const { socket, until: untilReceived } = open(t, server)
+  socket.write(GET)
+  await untilReceived(/answer$/)
+  t.equal(server.figures().refusals.get('closed-for-connections'), 1)
+  t.equal(server.figures().connections, 5)
+})
+
 t.test('input after the last answer is discarded without being parsed', async t => {
   const { server } = await startServer(t)
   const { socket, received } = open(t, server)
--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -95,12 +95,12 @@
   }
 })
 
-t.test('the limits of the machine are read', async t => {
-  const settings = parseSettings(`${SETTINGS}limits.memory_mb=200\n`)
+t.test('the limits of the machine are read, with the descriptors for files taken off', async t => {
+  const settings = parseSettings(`${SETTINGS}limits.memory_mb=200\nlimits.max_fds=500\n`)
   t.ok(settings.isOk)
-  if (settings.isOk) t.same(settings.value.machine, { memoryBytes: 200_000_000 })
+  if (settings.isOk) t.same(settings.value.machine, { memoryBytes: 200_000_000, maxSockets: 300 })
   const withDefaults = parseSettings(SETTINGS)
-  if (withDefaults.isOk) t.same(withDefaults.value.machine, { memoryBytes: 350_000_000 })
+  if (withDefaults.isOk) t.same(withDefaults.value.machine, { memoryBytes: 350_000_000, maxSockets: 3_900 })
 })
 
 t.test('the error about settings names the field', async t => {
