Callers that leave before their answer are forgotten

What callers saw on the way to this landing, found by a review: a daemon kept each response of a pipelined request whose caller had left (also on: about 6 KB each, for ever); a handler, its account and its descriptor stayed up to 300 s, and kept the daemon from stopping, when a caller left while its key was checked; a connection stayed unusable after a request with an invalid Host header and a body; a connection could be closed for a new one while the key of its complete request was checked.

Cause: Node.js closes only the response whose turn it is; a body was given up only while it was read; requests that hono answers by itself were not noted as answered; a body that the app does not want yet counted as a wait for the caller.

Change: the end of a connection gives up all its requests and responses, an answer that is sent counts as given, and a request whose body is not wanted waits for the server.

--- a/packages/pomelofold/src/edge/callerConnection.ts
+++ b/packages/pomelofold/src/edge/callerConnection.ts
@@ -42,6 +42,8 @@
   pool: BlockPool
   /** Maximum number of requests that are in progress at once. Further ones wait. */
   maxPipelinedRequests: number
+  /** Called for each response that has not been sent when the connection has been closed. */
+  onResponseClosed: (res: ServerResponse) => void
   /** Called when the connection is closed because there is no room for its input. */
   onNoRoom: () => void
 }
@@ -79,8 +81,8 @@
     socket.removeListener('data', parse)
     socket.on('data', (chunk: Buffer) => this._onInput(chunk))
     socket.on('resume', () => this._parseInput())
-    socket.once('end', () => this.stop())
-    socket.once('close', () => { this.stop(); account.end() })
+    socket.once('end', () => this._abort())
+    socket.once('close', () => this._onClose())
     socket.destroySoon = () => this._end(destroySoon)
   }
 
@@ -118,8 +120,7 @@
 
   /** Ends the connection after input that cannot be parsed: with the answers to its open requests, or else with `text`. */
   endWith (text: string): void {
-    this.stop()
-    for (const request of this._requests) request.abort()
+    this._abort()
     if (this._requests.size > 0) return
     this._socket.write(text)
     this._socket.destroySoon()
@@ -127,9 +128,21 @@
 
   /** Closes the connection at once, and gives up what it holds. Its `close` event comes only after the input of other connections. */
   destroy (): void {
+    this._abort()
+    this._socket.destroy()
+  }
+
+  private _abort (): void {
     this.stop()
     for (const request of this._requests) request.abort()
-    this._socket.destroy()
+  }
+
+  /** Node.js closes only the response whose turn it was. */
+  private _onClose (): void {
+    this._abort()
+    this._account.end()
+    for (const { res } of this._requests) this._options.onResponseClosed(res)
+    this._requests.clear()
   }
 
   private _onInput (chunk: Buffer): void {
@@ -196,6 +209,8 @@
   }
 
   private _onAnswerSent (request: ReceivedRequest): void {
+    // Some requests are answered before the app sees them.
+    if (!request.answered && !request.noteAnswer()) this.stop()
     this._requests.delete(request)
     this._served = true
     if (this._input) this._yield()
@@ -218,7 +233,8 @@
 
   private _state (): ConnectionState {
     for (const request of this._requests) {
-      if (request.complete && !request.answered) return CONNECTION_STATES.server
+      // A body that is not wanted yet waits for this server, too.
+      if (!request.answered && (request.complete || !request.wantsInput)) return CONNECTION_STATES.server
     }
     const isBetweenRequests = this._requests.size === 0 && this._headerBytes === 0 && !this._input && this._lastRequest?.complete
     return this._served && isBetweenRequests && !this._stopped ? CONNECTION_STATES.idle : CONNECTION_STATES.caller
--- a/packages/pomelofold/src/edge/httpServer.ts
+++ b/packages/pomelofold/src/edge/httpServer.ts
@@ -152,7 +152,10 @@
       return
     }
     const onNoRoom = (): void => this._refusals.count(CALLER_REFUSALS.noRoom)
-    this._connections.set(socket, new CallerConnection({ socket, account, timers, pool: this._pool, maxPipelinedRequests, onNoRoom }))
+    const onResponseClosed = (res: ServerResponse): void => { this._openResponses.delete(res) }
+    this._connections.set(socket, new CallerConnection({
+      socket, account, timers, pool: this._pool, maxPipelinedRequests, onResponseClosed, onNoRoom
+    }))
   }
 
   /** Takes in a request. Undefined when it has been refused, or when its connection takes in no more. */
--- a/packages/pomelofold/src/edge/receivedRequest.ts
+++ b/packages/pomelofold/src/edge/receivedRequest.ts
@@ -50,6 +50,10 @@
     this._announcedBytes = encoding === undefined ? Number(length) : undefined
   }
 
+  get res (): ServerResponse {
+    return this._options.res
+  }
+
   /** True when the request has been received in full. */
   get complete (): boolean {
     return this._options.req.complete
@@ -102,9 +106,9 @@
     return false
   }
 
-  /** Gives up a body that has not been received in full. */
+  /** Gives up a body that has not been received in full, also if it is not read yet. */
   abort (): void {
-    if (this._reading) this._endRead(Result.err(BODY_ERRORS.aborted))
+    if (!this.complete) this._endRead(Result.err(BODY_ERRORS.aborted))
   }
 
   private _append (chunk: Buffer): void {
--- /dev/null
+++ b/tests/edge/leavingCallers.test.ts
@@ -0,0 +1,277 @@
+/**
+ * Tests of the HTTP server with ordinary callers, some of which leave before their answer.
+ *
+ * @module
+ */
+
+import { connect, type Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { Hono, type Context } from 'hono'
+import t, { type Test } from 'tap'
+import { HttpServer, type HttpServerOptions } from 'pomelofold/edge/httpServer'
+import { readBody } from 'pomelofold/seams/requestBody'
+import { ManualPromise } from 'pomelofold/utils/manualPromise'
+
+const MAX_BODY_BYTES = 250_000
+const GET = 'GET /plain HTTP/1.1\r\nhost: h\r\n\r\n'
+const SLOW_GET = 'GET /slow HTTP/1.1\r\nhost: h\r\n\r\n'
+
+setFlagsFromString('--expose-gc')
+const collectGarbage = runInNewContext('gc') as () => void
+
+async function startServer (t: Test, options: Partial<HttpServerOptions> = {}) {
+  const server = new HttpServer({ address: '127.0.0.1:0', ...options })
+  t.teardown(() => server.close({ timeoutMs: 0 }))
+  const released = new ManualPromise()
+  const checked = new ManualPromise()
+  const running = { now: 0, total: 0, checking: 0 }
+  const app = new Hono()
+  const answerBody = async (ctx: Context): Promise<Response> => {
+    const body = await readBody(ctx, MAX_BODY_BYTES)
+    return body.isErr ? ctx.text(body.error, body.error === 'too-large' ? 413 : 503) : ctx.text(`${body.value.length} bytes`)
+  }
+  app.all('/bodies', answerBody)
+  // A route that checks the caller's key before it reads the body.
+  app.all('/checked', async ctx => {
+    running.checking++
+    await checked.promise
+    return answerBody(ctx)
+  })
+  app.all('/refused', ctx => ctx.text('no such queue', 404))
+  app.all('/plain', ctx => ctx.text('answer'))
+  app.all('/slow', async (ctx: Context) => {
+    running.now++
+    running.total++
+    await released.promise
+    running.now--
+    return ctx.text('slow')
+  })
+  await server.listen(app)
+  return { server, running, release: () => released.resolve(), check: () => checked.resolve() }
+}
+
+interface Caller {
+  socket: Socket
+  received: () => string
+  error: () => string | undefined
+  until: (pattern: RegExp) => Promise<string>
+}
+
+function open (t: Test, { port }: HttpServer, options: { allowHalfOpen?: boolean } = {}): Caller {
+  const socket = connect({ port, host: '127.0.0.1', ...options })
+  t.teardown(() => socket.destroy())
+  let text = ''
+  let code: string | undefined
+  socket.on('data', bytes => { text += bytes })
+  socket.on('error', (err: NodeJS.ErrnoException) => { code = err.code })
+  const untilReceived = async (pattern: RegExp): Promise<string> => {
+    await until(() => pattern.test(text) || socket.destroyed)
+    if (!pattern.test(text)) throw new Error(`closed (${code}) after ${JSON.stringify(text)}`)
+    return text
+  }
+  return { socket, received: () => text, error: () => code, until: untilReceived }
+}
+
+/** Waits until a condition holds; fails after 10 s. */
+async function until (condition: () => boolean): Promise<void> {
+  for (let i = 0; !condition(); i++) {
+    if (i > 2_000) throw new Error('the condition has not held for 10 s')
+    await sleep(5)
+  }
+}
+
+async function externalBytes (): Promise<number> {
+  for (let i = 0; i < 3; i++) {
+    collectGarbage()
+    await sleep(20)
+  }
+  return process.memoryUsage().arrayBuffers
+}
+
+t.test('idle connections do not keep the bodies of their last requests', async t => {
+  const { server } = await startServer(t, { maxHeldBytes: 10_000_000 })
+  const body = 'x'.repeat(240_000)
+  const before = await externalBytes()
+  const callers = Array.from({ length: 100 }, () => open(t, server))
+  for (const { socket, until } of callers) {
+    socket.write(`POST /bodies HTTP/1.1\r\nhost: h\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+    await until(/bytes$/)
+  }
+  t.equal(server.figures().connections, 100)
+  const held = await externalBytes() - before
+  t.ok(held < 15_000_000, `${held} bytes in buffers, ${server.figures().heldBytes} accounted`)
+})
+
+t.test('nothing is held for pipelined requests whose caller has left', async t => {
+  const { server, running, release } = await startServer(t)
+  const openResponses = (server as unknown as { _openResponses: Set<unknown> })._openResponses
+  for (let i = 0; i < 50; i++) {
+    const { socket } = open(t, server)
+    const { total } = running
+    socket.write(SLOW_GET.repeat(6))
+    await until(() => running.total > total)
+    socket.destroy()
+  }
+  await until(() => server.figures().connections === 0)
+  release()
+  await sleep(100)
+  t.equal(running.now, 0)
+  t.equal(openResponses.size, 0)
+})
+
+t.test('a connection whose request has been sent in full is not closed for a new one while its key is checked', async t => {
+  const { server, running, check } = await startServer(t, { maxConnections: 3 })
+  const callers = Array.from({ length: 3 }, () => open(t, server))
+  for (const { socket } of callers) socket.write('POST /checked HTTP/1.1\r\nhost: h\r\ncontent-length: 1000\r\n\r\n' + 'x'.repeat(1_000))
+  await until(() => running.checking === 3)
+  const other = open(t, server)
+  other.socket.write(GET)
+  await until(() => other.socket.destroyed || other.received() !== '')
+  check()
+  const outcomes = await Promise.all(callers.map(({ until }) => until(/1000 bytes$/).then(() => 'answered', (err: Error) => err.message)))
+  t.strictSame(outcomes, ['answered', 'answered', 'answered'])
+})
+
+t.test('a caller of 1 Mbit/s that is refused receives the answer', async t => {
+  const { server } = await startServer(t)
+  const caller = open(t, server)
+  const { socket } = caller
+  socket.setNoDelay(true)
+  socket.write('POST /refused HTTP/1.1\r\nhost: h\r\ncontent-length: 200000\r\n\r\n')
+  for (let sent = 0; sent < 200_000 && !socket.destroyed; sent += 1_250) {
+    socket.write('x'.repeat(1_250))
+    await sleep(10)
+  }
+  await sleep(50)
+  t.match(caller.received(), /^HTTP\/1\.1 404 [^]*no such queue$/)
+  t.equal(caller.error(), undefined, 'the connection is not reset while the caller sends its request')
+})
+
+t.test('a body of 250 KB at 1 Mbit/s in small segments is read', async t => {
+  const { server } = await startServer(t)
+  const { socket, until } = open(t, server)
+  socket.setNoDelay(true)
+  socket.write('POST /bodies HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\ntrailer: x\r\n\r\n')
+  for (let sent = 0; sent < 240_000; sent += 1_250) {
+    socket.write(`${(1_250).toString(16)};name=value\r\n`)
+    socket.write('x'.repeat(1_250) + '\r\n')
+    await sleep(10)
+  }
+  socket.write('0\r\nx: y\r\n\r\n')
+  t.match(await until(/bytes$/), /240000 bytes$/)
+  socket.write(GET)
+  await until(/answer$/)
+})
+
+t.test('a connection whose caller has left while its key was checked is closed', async t => {
+  for (const bytes of [4, 1_000, 100_000]) {
+    const { server, running, check } = await startServer(t)
+    const { socket } = open(t, server)
+    socket.end(`POST /checked HTTP/1.1\r\nhost: h\r\ncontent-length: ${bytes}\r\n\r\n${'x'.repeat(bytes)}`)
+    await until(() => running.checking === 1)
+    await sleep(50)
+    check()
+    await sleep(1_000)
+    t.equal(server.figures().connections, 0, `${bytes} bytes`)
+  }
+})
+
+t.test('a caller that has left while its key was checked does not keep the server from stopping', async t => {
+  const { server, running, check } = await startServer(t)
+  const { socket } = open(t, server)
+  socket.end(`POST /checked HTTP/1.1\r\nhost: h\r\ncontent-length: 1000\r\n\r\n${'x'.repeat(1_000)}`)
+  await until(() => running.checking === 1)
+  await sleep(50)
+  check()
+  const startedMs = Date.now()
+  await server.close({ timeoutMs: 8_000 })
+  t.ok(Date.now() - startedMs < 8_000, 'closed before the timeout')
+})
+
+t.test('a request in progress is answered although its caller has sent the next one and there is no room for it', async t => {
+  const { server, running, release } = await startServer(t, { maxHeldBytes: 30_000, maxConnections: 10 })
+  const callers = Array.from({ length: 3 }, () => open(t, server))
+  for (const { socket } of callers) socket.write(SLOW_GET)
+  await until(() => running.now === 3)
+  for (const { socket } of callers) socket.write(`POST /bodies HTTP/1.1\r\nhost: h\r\ncontent-length: 6000\r\n\r\n${'x'.repeat(6_000)}`)
+  await sleep(100)
+  release()
+  const outcomes = await Promise.all(callers.map(({ until }) => until(/slow/).then(() => 'answered', (err: Error) => err.message)))
+  t.strictSame(outcomes, ['answered', 'answered', 'answered'])
+})
+
+t.test('a request after one with an invalid host header and a body is answered, or its connection closed', async t => {
+  const { server } = await startServer(t)
+  const { socket, received } = open(t, server)
+  socket.write(`POST /plain HTTP/1.1\r\nhost: a b\r\ncontent-length: 1000\r\n\r\n${'x'.repeat(1_000)}${GET}`)
+  await until(() => received() !== '')
+  await sleep(1_000)
+  t.ok(socket.readableEnded || /answer$/.test(received()), JSON.stringify(received()))
+})
+
+t.test('requests of ordinary kinds are answered on one connection', async t => {
+  const { server, release } = await startServer(t)
+  release()
+  const { socket, until: untilReceived, received } = open(t, server)
+  const kinds = [
+    'HEAD /plain HTTP/1.1\r\nhost: h\r\n\r\n',
+    'DELETE /slow HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\n{}',
+    'GET /slow HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\n{}',
+    'GET /plain HTTP/1.1\r\nhost: h\r\nconnection: Upgrade, HTTP2-Settings\r\nupgrade: h2c\r\nhttp2-settings: AAMAAABkAAQAAP__\r\n\r\n',
+    `POST /bodies HTTP/1.1\r\nhost: h\r\ncontent-length: 250000\r\n\r\n${'x'.repeat(250_000)}`,
+    'POST /bodies HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\ncontent-length: 4\r\n\r\nbody',
+    'POST /refused HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\nbody',
+    '\r\nGET /plain HTTP/1.1\r\nhost: h\r\n\r\n'
+  ]
+  let answers = 0
+  for (const kind of kinds) {
+    socket.write(kind)
+    answers++
+    await until(() => socket.destroyed || (received().match(/HTTP\/1\.1 [2-5]\d\d/g)?.length ?? 0) >= answers)
+    t.equal(received().match(/HTTP\/1\.1 [2-5]\d\d/g)?.length, answers, kind.slice(0, 60))
+  }
+  // Sent ahead; Node.js drops what follows a request to upgrade.
+  const ahead = open(t, server)
+  const kindsAhead = kinds.filter(kind => !kind.includes('upgrade: h2c'))
+  ahead.socket.write(kindsAhead.join(''))
+  await until(() => ahead.socket.destroyed || (ahead.received().match(/HTTP\/1\.1 [2-5]\d\d/g)?.length ?? 0) >= kindsAhead.length)
+  t.equal(ahead.received().match(/HTTP\/1\.1 [2-5]\d\d/g)?.length, kindsAhead.length, 'sent ahead')
+  socket.write('GET /plain HTTP/1.0\r\n\r\n')
+  await untilReceived(/answer$/)
+})
+
+t.test('a request whose body is still arriving is answered when the server stops, and the next ones are not run', async t => {
+  const { server, running } = await startServer(t)
+  const { socket, received } = open(t, server)
+  socket.write('POST /bodies HTTP/1.1\r\nhost: h\r\ncontent-length: 1000\r\n\r\nxxx')
+  const headOnly = open(t, server)
+  headOnly.socket.write('POST /bodies HTTP/1.1\r\nhost')
+  const idle = open(t, server)
+  idle.socket.write(GET)
+  await idle.until(/answer$/)
+  const closed = server.close({ timeoutMs: 20_000 })
+  await sleep(600)
+  t.ok(idle.socket.readableEnded)
+  socket.write('x'.repeat(997) + SLOW_GET)
+  headOnly.socket.write(': h\r\ncontent-length: 4\r\n\r\nbody')
+  await closed
+  t.match(received(), /connection: close[^]*1000 bytes$/i)
+  t.match(headOnly.received(), /connection: close[^]*4 bytes$/i)
+  t.equal(running.total, 0)
+})
+
+t.test('requests add no listeners to their connection', async t => {
+  const { server } = await startServer(t)
+  const warnings: string[] = []
+  const note = (warning: Error): void => { warnings.push(warning.name) }
+  process.on('warning', note)
+  const { socket, received } = open(t, server)
+  for (let i = 1; i <= 100; i++) {
+    socket.write(i % 2 ? GET : 'POST /bodies HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\nbody')
+    await until(() => (received().match(/HTTP\/1\.1 200/g)?.length ?? 0) === i)
+  }
+  process.off('warning', note)
+  t.strictSame(warnings, [])
+})
