An idle connection keeps no body, and a job counts with what is made of its body

Cause, both found by a trial with the machine's own limits (heap 158 MB, 350 MB, 4,100 descriptors) and 1,000 valid jobs of 231 KB sent at once: a connection kept its last request, and with it the body, until the next one; and a job that is being stored is held as text, decoded, as it is stored and as the call to the store, but counted twice.

--- a/packages/pomelofold/src/edge/callerConnection.ts
+++ b/packages/pomelofold/src/edge/callerConnection.ts
@@ -38,6 +38,8 @@
   socket: Socket
   account: CallerAccount
   timers: Timers
+  /** Memory that a complete body takes until its answer, as a multiple of its size. */
+  bodyCost: number
   /** Blocks for the bodies of requests. */
   pool: BlockPool
   /** Maximum number of requests that are in progress at once. Further ones wait. */
@@ -56,6 +58,7 @@
   private readonly _parse: (chunk: Buffer) => void
   /** Requests whose answers have not been sent. */
   private readonly _requests = new Set<ReceivedRequest>()
+  /** The last request, until it has been received in full and its answer has been sent. */
   private _lastRequest: ReceivedRequest | undefined
   /** Input that has not been parsed. */
   private _input: Buffer | undefined
@@ -89,7 +92,8 @@
   /** Adds a request. Undefined after {@link stop}. */
   receive (req: IncomingMessage, res: ServerResponse, expectsContinue: boolean): ReceivedRequest | undefined {
     if (this._stopped) return
-    const request = new ReceivedRequest({ req, res, expectsContinue, pool: this._options.pool, onChange: () => this._onRequestChange() })
+    const { bodyCost, pool } = this._options
+    const request = new ReceivedRequest({ req, res, expectsContinue, bodyCost, pool, onChange: () => this._onRequestChange() })
     this._requests.add(request)
     this._lastRequest = request
     res.once('prefinish', () => this._checkRoom())
@@ -180,13 +184,13 @@
         this._paused = false
         this._socket.resume()
       }
-      this._parseSlice(this._input)
+      this._parsePiece(this._input)
     }
     this._parsing = false
     this._checkRoom()
   }
 
-  private _parseSlice (input: Buffer): void {
+  private _parsePiece (input: Buffer): void {
     const lastRequest = this._lastRequest
     const inHeader = !lastRequest || lastRequest.complete
     const bytes = Math.min(input.length, Math.max(PARSE_BYTES, inHeader ? 0 : lastRequest.remainingBytes))
@@ -202,6 +206,11 @@
     return this._requests.size < this._options.maxPipelinedRequests
   }
 
+  /** True while the rest of a request is to come. */
+  private get _isReceiving (): boolean {
+    return this._lastRequest !== undefined && !this._lastRequest.complete
+  }
+
   private _onRequestChange (): boolean {
     if (!this.report()) return false
     this._parseInput()
@@ -212,6 +221,8 @@
     // Some requests are answered before the app sees them.
     if (!request.answered && !request.noteAnswer()) this.stop()
     this._requests.delete(request)
+    // An idle connection must not keep the body of its last request.
+    if (this._lastRequest === request && request.complete) this._lastRequest = undefined
     this._served = true
     if (this._input) this._yield()
     else this._checkRoom()
@@ -236,7 +247,7 @@
       // A body that is not wanted yet waits for this server, too.
       if (!request.answered && (request.complete || !request.wantsInput)) return CONNECTION_STATES.server
     }
-    const isBetweenRequests = this._requests.size === 0 && this._headerBytes === 0 && !this._input && this._lastRequest?.complete
+    const isBetweenRequests = this._requests.size === 0 && this._headerBytes === 0 && !this._input && !this._isReceiving
     return this._served && isBetweenRequests && !this._stopped ? CONNECTION_STATES.idle : CONNECTION_STATES.caller
   }
 
--- a/packages/pomelofold/src/edge/httpServer.ts
+++ b/packages/pomelofold/src/edge/httpServer.ts
@@ -40,6 +40,8 @@
   maxConnections?: number
   /** Maximum size of what is held for all callers together, in bytes: requests without an answer, their bodies, and unread input. */
   maxHeldBytes?: number
+  /** Memory that a complete body takes until its answer, as a multiple of its size. */
+  bodyCost?: number
   /** Maximum number of requests of one connection that are in progress at once. Further ones wait. */
   maxPipelinedRequests?: number
   timers?: Timers
@@ -71,12 +73,13 @@
     maxHeaderBytes = 16_384,
     maxConnections = 10_000,
     maxHeldBytes = 100_000_000,
+    bodyCost = 4,
     maxPipelinedRequests = 1,
     timers = new SystemTimers(),
     log = SILENT_LOG,
     ...options
   }: HttpServerOptions) {
-    this._options = { maxHeaderBytes, maxConnections, maxHeldBytes, maxPipelinedRequests, timers, log, ...options }
+    this._options = { maxHeaderBytes, maxConnections, maxHeldBytes, bodyCost, maxPipelinedRequests, timers, log, ...options }
     this._budget = new CallerBudget({ timers, maxHeldBytes, maxConnections })
     this._pool = new BlockPool({ maxHeldBytes })
     this._refusals = new RefusalCounter({ timers, log, address: options.address })
@@ -141,7 +144,7 @@
   }
 
   private _onConnection (socket: Socket): void {
-    const { timers, maxPipelinedRequests } = this._options
+    const { timers, bodyCost, maxPipelinedRequests } = this._options
     const account = this._budget.open(bound => {
       this._refusals.count(CLOSE_CAUSES[bound])
       this._connections.get(socket)!.destroy()
@@ -154,7 +157,7 @@
     const onNoRoom = (): void => this._refusals.count(CALLER_REFUSALS.noRoom)
     const onResponseClosed = (res: ServerResponse): void => { this._openResponses.delete(res) }
     this._connections.set(socket, new CallerConnection({
-      socket, account, timers, pool: this._pool, maxPipelinedRequests, onResponseClosed, onNoRoom
+      socket, account, timers, pool: this._pool, bodyCost, maxPipelinedRequests, onResponseClosed, onNoRoom
     }))
   }
 
--- a/packages/pomelofold/src/edge/receivedRequest.ts
+++ b/packages/pomelofold/src/edge/receivedRequest.ts
@@ -13,9 +13,6 @@
 /** Memory that a request takes from its header until its answer has been sent, in bytes. */
 const REQUEST_BYTES = 8_192
 
-/** Copies of a complete body that are held until the answer: its bytes and its text. */
-const BODY_COPIES = 2
-
 /** Largest body that is received after the answer so that its connection can be used again, in bytes. */
 const MAX_DRAINED_BODY_BYTES = 16_384
 
@@ -25,6 +22,8 @@
   res: ServerResponse
   /** True when the caller waits for `100 Continue` before it sends the body. */
   expectsContinue: boolean
+  /** Memory that a complete body takes until its answer, as a multiple of its size. */
+  bodyCost: number
   /** Blocks for the body. */
   pool: BlockPool
   /** Called when the request holds more or less, or accepts more input. Returns false when there is no room for what it holds. */
@@ -76,7 +75,7 @@
 
   /** Number of bytes that the request holds. */
   get heldBytes (): number {
-    return REQUEST_BYTES + (this._body?.allocatedBytes ?? 0) + this._completeBodyBytes * BODY_COPIES
+    return REQUEST_BYTES + (this._body?.allocatedBytes ?? 0) + this._completeBodyBytes * this._options.bodyCost
   }
 
   /** Reads the body. A body that is too large by its header is refused at once, any other as soon as it exceeds the limit. */
