The memory of headers is accounted

Found by a review (its trial, HttpServer alone).

Change: each name and value of a header counts.

Measured: "the memory that long headers take is accounted" fails before (11,061,304 bytes of heap, 819,200 accounted) and passes now.

--- a/packages/pomelofold/src/edge/receivedRequest.ts
+++ b/packages/pomelofold/src/edge/receivedRequest.ts
@@ -13,6 +13,9 @@
 /** Memory that a request takes from its header until its answer has been sent, in bytes. */
 const REQUEST_BYTES = 8_192
 
+/** Memory that a name or a value of a header takes, in bytes: they are held as separate strings, in two forms. */
+const HEADER_STRING_BYTES = 64
+
 /** Largest body that is received after the answer so that its connection can be used again, in bytes. */
 const MAX_DRAINED_BODY_BYTES = 16_384
 
@@ -75,7 +78,9 @@
 
   /** Number of bytes that the request holds. */
   get heldBytes (): number {
-    return REQUEST_BYTES + (this._body?.allocatedBytes ?? 0) + this._completeBodyBytes * this._options.bodyCost
+    const { req, bodyCost } = this._options
+    const headerBytes = req.rawHeaders.length * HEADER_STRING_BYTES
+    return REQUEST_BYTES + headerBytes + (this._body?.allocatedBytes ?? 0) + this._completeBodyBytes * bodyCost
   }
 
   /** Reads the body. A body that is too large by its header is refused at once, any other as soon as it exceeds the limit. */
--- a/tests/edge/leavingCallers.test.ts
+++ b/tests/edge/leavingCallers.test.ts
@@ -90,6 +90,7 @@
   return process.memoryUsage().arrayBuffers
 }
 
+// Guards against bodies that are held, without an account, as long as their connection is open.
 t.test('idle connections do not keep the bodies of their last requests', async t => {
   const { server } = await startServer(t, { maxHeldBytes: 10_000_000 })
   const body = 'x'.repeat(240_000)
@@ -104,6 +105,7 @@
   t.ok(held < 15_000_000, `${held} bytes in buffers, ${server.figures().heldBytes} accounted`)
 })
 
+// Guards against responses that are never closed, since Node.js closes only the one whose turn it is.
 t.test('nothing is held for pipelined requests whose caller has left', async t => {
   const { server, running, release } = await startServer(t)
   const openResponses = (server as unknown as { _openResponses: Set<unknown> })._openResponses
@@ -121,6 +123,25 @@
   t.equal(openResponses.size, 0)
 })
 
+// Guards against requests whose header takes far more memory than they are accounted with.
+t.test('the memory that long headers take is accounted', async t => {
+  const { server, running, release } = await startServer(t)
+  const count = 100
+  let names = ''
+  for (let i = 0; names.length < 15_000; i++) names += `${i.toString(36)}:\r\n`
+  await externalBytes()
+  const before = process.memoryUsage().heapUsed
+  for (let i = 0; i < count; i++) open(t, server).socket.write(`GET /slow HTTP/1.1\r\nhost: h\r\n${names}\r\n`)
+  await until(() => running.now === count)
+  await externalBytes()
+  const used = process.memoryUsage().heapUsed - before
+  const { heldBytes } = server.figures()
+  release()
+  // The callers of this test are in the same process.
+  t.ok(used - count * 20_000 < 2 * heldBytes, `${used} bytes of heap, ${heldBytes} accounted`)
+})
+
+// Guards against closing a connection that waits for this server.
 t.test('a connection whose request has been sent in full is not closed for a new one while its key is checked', async t => {
   const { server, running, check } = await startServer(t, { maxConnections: 3 })
   const callers = Array.from({ length: 3 }, () => open(t, server))
@@ -134,6 +155,7 @@
   t.strictSame(outcomes, ['answered', 'answered', 'answered'])
 })
 
+// Guards against a reset that loses the answer of a slow caller.
 t.test('a caller of 1 Mbit/s that is refused receives the answer', async t => {
   const { server } = await startServer(t)
   const caller = open(t, server)
@@ -149,6 +171,7 @@
   t.equal(caller.error(), undefined, 'the connection is not reset while the caller sends its request')
 })
 
+// Guards against a limit that a slow caller meets.
 t.test('a body of 250 KB at 1 Mbit/s in small segments is read', async t => {
   const { server } = await startServer(t)
   const { socket, until } = open(t, server)
@@ -165,6 +188,7 @@
   await until(/answer$/)
 })
 
+// Guards against a handler that waits for ever for a body that does not come.
 t.test('a connection whose caller has left while its key was checked is closed', async t => {
   for (const bytes of [4, 1_000, 100_000]) {
     const { server, running, check } = await startServer(t)
@@ -178,6 +202,7 @@
   }
 })
 
+// Guards against a server that cannot stop because of such a handler.
 t.test('a caller that has left while its key was checked does not keep the server from stopping', async t => {
   const { server, running, check } = await startServer(t)
   const { socket } = open(t, server)
@@ -190,6 +215,7 @@
   t.ok(Date.now() - startedMs < 8_000, 'closed before the timeout')
 })
 
+// Guards against closing a connection whose request is in progress, for what its caller has sent ahead.
 t.test('a request in progress is answered although its caller has sent the next one and there is no room for it', async t => {
   const { server, running, release } = await startServer(t, { maxHeldBytes: 30_000, maxConnections: 10 })
   const callers = Array.from({ length: 3 }, () => open(t, server))
@@ -202,6 +228,7 @@
   t.strictSame(outcomes, ['answered', 'answered', 'answered'])
 })
 
+// Guards against a connection that takes in nothing after a request that the app has not seen.
 t.test('a request after one with an invalid host header and a body is answered, or its connection closed', async t => {
   const { server } = await startServer(t)
   const { socket, received } = open(t, server)
@@ -211,6 +238,7 @@
   t.ok(socket.readableEnded || /answer$/.test(received()), JSON.stringify(received()))
 })
 
+// Guards against kinds of requests that the bounded input does not let through.
 t.test('requests of ordinary kinds are answered on one connection', async t => {
   const { server, release } = await startServer(t)
   release()
@@ -242,6 +270,7 @@
   await untilReceived(/answer$/)
 })
 
+// Guards against a request that a stopping server neither runs nor refuses.
 t.test('a request whose body is still arriving is answered when the server stops, and the next ones are not run', async t => {
   const { server, running } = await startServer(t)
   const { socket, received } = open(t, server)
@@ -262,6 +291,7 @@
   t.equal(running.total, 0)
 })
 
+// Guards against listeners that are left with each request.
 t.test('requests add no listeners to their connection', async t => {
   const { server } = await startServer(t)
   const warnings: string[] = []
