The clock of a worker is compared to its precision

Times are whole milliseconds, and may be rounded differently in reports and in answers to orders. formerIncarnations and returningWorkers: 16 passed, 0 failed.

--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -38,6 +38,8 @@
 const START_LEASE_MIN_MS = 2_500
 /** Time without starts after an unanswered order, in milliseconds: the next extension shows by then whether the worker is lost. */
 const UNANSWERED_PAUSE_MS = 1_000
+/** Precision of the time on a worker's clock, in milliseconds. */
+const CLOCK_PRECISION_MS = 1
 /** Longest time from when an order was carried out until its answer is handled, in milliseconds. */
 const ANSWER_AGE_MS = 1_000
 /** Suspension of this VM that ends its leadership, in milliseconds: the worker's clock is ahead by as much afterwards. */
@@ -281,7 +283,7 @@
     const { atMs, receivedMs } = sentClock
     const elapsedMs = this._options.timers.now() - receivedMs
     // A clock that stands still while its VM is suspended is behind the expected time, but never behind an earlier reading.
-    if (clockMs < atMs || clockMs > atMs + elapsedMs + SUSPENSION_MS) return ANSWERERS.later
+    if (clockMs < atMs - CLOCK_PRECISION_MS || clockMs > atMs + elapsedMs + SUSPENSION_MS) return ANSWERERS.later
     const isPlain = clockMs >= atMs + elapsedMs * WORKER_CLOCK_RATE - ANSWER_AGE_MS && clockMs <= atMs + elapsedMs + ANSWER_AGE_MS
     // The clock of a later incarnation may show a similar time if this one has just started.
     return isPlain && atMs > 2 * ANSWER_AGE_MS ? ANSWERERS.host : ANSWERERS.unknown
