A soak ends although two faults restart the same daemon

Cause: restart() of the soak's faults looked each 20 ms for a daemon without a process.

Each restart now waits for the process that it has ended.

--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -58,8 +58,12 @@
 
 async function restart ({ cell, random }: FaultContext, daemons: SoakDaemon[], signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
   const ending = daemons.filter(daemon => daemon.process && (daemon.hasLogged || signal === 'SIGKILL'))
-  for (const daemon of ending) cell.signal(daemon, signal)
-  await Promise.all(ending.map(async daemon => { while (daemon.process) await pause(20) }))
+  await Promise.all(ending.map(async daemon => {
+    const { process } = daemon
+    cell.signal(daemon, signal)
+    // An overlapping fault may start the next process before this one is seen to be gone.
+    while (daemon.process === process) await pause(20)
+  }))
   await pause(random.int(1_000))
   for (const daemon of daemons) if (!daemon.process) cell.startDaemon(daemon)
 }
