A start that the next incarnation accepts after the session has ended is no evidence (LOST)

What callers would see: a sound task is on trial, or given up with further crashes, since one of several starts in transit to a worker that has come back was answered second.

Cause: the first such answer ends the session of the former incarnation, and the crash counts with the other starts as unconfirmed. The clock in their answers was not looked at once the session had ended, so that each of them confirmed that its task had been running in the crash.

Change: the clock tells the incarnation after the end of the session, too. A start that a later incarnation has accepted at the first try was not carried out by the one that has crashed: the crash is withdrawn from its task.

Measured: "a start that the next incarnation accepts after the session has ended ..." fails before (task.crash.confirmed) and passes now.

--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -151,10 +151,15 @@
     this._options.onChanged(task.step.workflow)
   }
 
-  /** Notes that the answer to a start came after the crash of its worker was noticed: the task was running there. */
+  /**
+   * Notes that the answer to a start came after the crash of its worker was noticed: the task was running there, or a later incarnation
+   * has answered.
+   */
   noteStartConfirmed (run: Run): void {
     const { log, onChanged } = this._options
-    const { task, attempt, session: { incarnation } } = run
+    const { task, attempt, startConfirmedBy, unansweredMs, session: { incarnation } } = run
+    // An earlier try without an answer may have been carried out before the crash.
+    if (startConfirmedBy === ANSWERERS.later && unansweredMs === undefined) return this.noteStartRefused(run)
     if (!task || !this._mayBeCause(run)) return
     const record = task.crashes.find(({ worker, unconfirmedStart }) => worker === incarnation && unconfirmedStart !== undefined)
     if (!record) return
--- a/packages/pomelofold/src/workflows/workerSession.ts
+++ b/packages/pomelofold/src/workflows/workerSession.ts
@@ -279,7 +279,7 @@
   }
 
   answererOf (clockMs: number | undefined, sentClock: WorkerClock | undefined): Answerer {
-    if (this._closed || clockMs === undefined || !sentClock) return ANSWERERS.unknown
+    if (clockMs === undefined || !sentClock) return ANSWERERS.unknown
     const { atMs, receivedMs } = sentClock
     const elapsedMs = this._options.timers.now() - receivedMs
     // A clock that stands still while its VM is suspended is behind the expected time, but never behind an earlier reading.
--- /dev/null
+++ b/tests/workflows/nextIncarnations.test.ts
@@ -0,0 +1,28 @@
+/**
+ * Answers that the next incarnation of a worker gives to orders for the former one, and calls that it carries out after them.
+ *
+ * @module
+ */
+
+import t from 'tap'
+import { WorkflowCell } from './workflowCell.js'
+
+const MAX_LEASE_MS = 10_000
+const RUN_MS = 30_000
+/** Age of the former incarnation when it ends, in milliseconds. */
+const FORMER_AGE_MS = 20_000
+
+// Guards against LOST: two starts are on their way to a worker that has restarted. The first answer ends the session, and the second one
+// confirms that its task was running in the crash, which came before its start.
+t.test('a start that the next incarnation accepts after the session has ended is no evidence of the crash', async t => {
+  const cell = new WorkflowCell({ workers: 1, maxLeaseMs: MAX_LEASE_MS, runMs: () => RUN_MS })
+  await cell.waitUntilReady()
+  await cell.timers.advance(FORMER_AGE_MS)
+  cell.restartWorker('w0', { listedAfterMs: 60_000 })
+  await cell.timers.advance(100)
+  await cell.submit(cell.workflow([{ tasks: 2 }]), cell.leader!)
+  await cell.timers.advance(1_000)
+  t.equal(cell.records.length, 2, 'the next incarnation has started both')
+  t.same(cell.events.filter(({ name }) => name === 'task.crash.confirmed'), [])
+  t.equal(cell.events.filter(({ name }) => name === 'task.crash.withdrawn').length, 1)
+})
