--- a/packages/pomelofold/src/workflows/crashTracker.ts
+++ b/packages/pomelofold/src/workflows/crashTracker.ts
@@ -97,15 +97,14 @@
     const repeated = this.hasCrashedLately(session)
     const former = this._lastCrashes.get(session.entry.address)?.incarnation
     this._lastCrashes.set(session.entry.address, { incarnation: session.incarnation, atMs: session.lostMs })
-    const recentRuns = [...session.runs.values()].filter(run =>
-      run.startConfirmedBy !== ANSWERERS.later && ageAtLoss(run) <= EVIDENCE_AGE_MAX_MS)
+    const recentRuns = [...session.runs.values()].filter(run => !cameAfterCrash(run) && ageAtLoss(run) <= EVIDENCE_AGE_MAX_MS)
     const runs = [...session.runs.values()].filter(run => this._mayBeCause(run))
     log.event('warn', 'worker.crashed', {
       worker: session.incarnation,
       evidence,
       runs: session.runs.size,
       youngRuns: recentRuns.filter(wasYoungAtLoss).length,
-      unconfirmedRuns: runs.filter(run => run.startConfirmedMs === undefined).length,
+      unconfirmedRuns: runs.filter(run => confirmedMs(run) === undefined).length,
       onTrial: this._trials.get(session)?.size ?? 0,
       lostAtOnce: this._losses.size,
       repeated
@@ -159,7 +158,7 @@
     const { log, onChanged } = this._options
     const { task, attempt, startConfirmedBy, unansweredMs, session: { incarnation } } = run
     // An earlier try without an answer may have been carried out before the crash.
-    if (startConfirmedBy === ANSWERERS.later && unansweredMs === undefined) return this.noteStartRefused(run)
+    if (startConfirmedBy === ANSWERERS.later) return unansweredMs === undefined ? this.noteStartRefused(run) : undefined
     if (!task || !this._mayBeCause(run)) return
     const record = task.crashes.find(({ worker, unconfirmedStart }) => worker === incarnation && unconfirmedStart !== undefined)
     if (!record) return
@@ -247,12 +246,10 @@
     return lost >= Math.max(MANY_WORKERS_MIN, MANY_WORKERS_SHARE * this._options.workerCount())
   }
 
-  /**
-   * Runs that are no longer needed may have crashed their worker, but their tasks are not started again. One that a later incarnation
-   * has started came after the crash.
-   */
-  private _mayBeCause ({ task, startConfirmedBy }: Run): boolean {
-    if (startConfirmedBy === ANSWERERS.later) return false
+  /** Runs that are no longer needed may have crashed their worker, but their tasks are not started again. */
+  private _mayBeCause (run: Run): boolean {
+    const { task } = run
+    if (cameAfterCrash(run)) return false
     return task !== undefined && task.state !== TASK_STATES.done && !task.step.workflow.isOver
   }
 
@@ -320,14 +317,24 @@
   return crashes.length > 0 && judge(crashes) === VERDICTS.suspect
 }
 
+/** True when only a later incarnation of the worker than the one that has crashed can have carried out the start of the run. */
+function cameAfterCrash ({ startConfirmedBy, unansweredMs }: Run): boolean {
+  return startConfirmedBy === ANSWERERS.later && unansweredMs === undefined
+}
+
+/** Time at which the incarnation that has crashed confirmed the start, in milliseconds of the monotonic clock; undefined if it did not. */
+function confirmedMs ({ startConfirmedBy, startConfirmedMs }: Run): number | undefined {
+  return startConfirmedBy === ANSWERERS.later ? undefined : startConfirmedMs
+}
+
 /** True when the last start of the run has received no answer in time: it may not have been carried out at all. */
-function hasStartTimedOut ({ startConfirmedMs, unansweredMs, startBroken }: Run): boolean {
-  return startConfirmedMs === undefined && unansweredMs !== undefined && !startBroken
+function hasStartTimedOut (run: Run): boolean {
+  return confirmedMs(run) === undefined && run.unansweredMs !== undefined && !run.startBroken
 }
 
 /** What is known of the start of a run whose worker has crashed; undefined when it was confirmed. */
 function unconfirmedStartOf (run: Run, { doubtful, recentRuns }: { doubtful: boolean, recentRuns: Run[] }): UnconfirmedStart | undefined {
-  if (run.startConfirmedMs !== undefined) return
+  if (confirmedMs(run) !== undefined) return
   if (hasStartTimedOut(run)) return UNCONFIRMED_STARTS.unanswered
   const { workflow } = run.task!.step
   const mayBeOtherJob = recentRuns.some(({ task }) => task?.step.workflow !== workflow)
@@ -349,7 +356,9 @@
  * Age of a run when its worker was lost, in milliseconds. A start without an answer may have been carried out at the last moment.
  * Runs of an earlier scheduler are at least not young.
  */
-function ageAtLoss ({ startedMs, startConfirmedMs, unansweredMs, adopted, session: { lostMs } }: Run): number {
+function ageAtLoss (run: Run): number {
+  const { startedMs, unansweredMs, adopted, session: { lostMs } } = run
+  const startConfirmedMs = confirmedMs(run)
   if (startConfirmedMs === undefined && unansweredMs !== undefined) return 0
   const ageMs = Math.max(0, lostMs - (unansweredMs === undefined ? startedMs : startConfirmedMs!))
   return adopted ? Math.max(YOUNG_RUN_MS + 1, ageMs) : ageMs
--- a/tests/workflows/nextIncarnations.test.ts
+++ b/tests/workflows/nextIncarnations.test.ts
@@ -26,3 +26,24 @@
   t.same(cell.events.filter(({ name }) => name === 'task.crash.confirmed'), [])
   t.equal(cell.events.filter(({ name }) => name === 'task.crash.withdrawn').length, 1)
 })
+
+// Guards against BUDGET: a task crashes its worker before the answer, and the next try of its start reaches the next incarnation.
+t.test('a crash counts when the next incarnation accepts another try of the start', async t => {
+  let restarts = 0
+  const cell: WorkflowCell = new WorkflowCell({
+    workers: 1,
+    maxLeaseMs: MAX_LEASE_MS,
+    runMs: () => RUN_MS,
+    crashAfterMs: () => {
+      if (restarts++ === 0) cell.restartWorker('w0', { listedAfterMs: 60_000 })
+      return undefined
+    }
+  })
+  await cell.waitUntilReady()
+  await cell.timers.advance(FORMER_AGE_MS)
+  await cell.submit(cell.workflow([{ tasks: 1 }]), cell.leader!)
+  await cell.timers.advance(1_500)
+  t.equal(cell.records.length, 2, 'the next incarnation has started it, too')
+  const crashed = cell.events.filter(({ name }) => name === 'worker.crashed')
+  t.match(crashed.map(({ fields }) => fields), [{ evidence: 'another incarnation of the worker answered an order', youngRuns: 1, unconfirmedRuns: 1 }])
+})
