The record of a lost worker counts extensions on their way to it (TWICE)

What callers would see where ids return: two runs of one task after a change of leader, when the worker restarts unseen, a start and a later extension are carried out late there, and the leader ends after it has lost the worker and before it knows of the restart.

Cause: the record of a restart says until when runs go on with late extensions; that of a loss counted starts only. The extension without an answer by which the loss is noticed was left out.

Change: the end of the runs in the record counts the last extension without an answer in both.

Measured: "the next leader waits for a late extension to a worker that was lost before ..." fails before ("ran twice") and passes now.

--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -249,11 +249,13 @@
     const nowMs = this._options.timers.now()
     const late = this._lateStarts.unconfirmedAt(session.entry.id)
     const pending = [...session.runs.values()].filter(({ state }) => state === RUN_STATES.starting).map(({ name }) => name)
-    const pendingEndMs = pending.length ? nowMs + MAX_ORDER_DELAY_MS : nowMs
+    const tasks = [...new Set([...late.tasks, ...pending])]
+    if (tasks.length === 0) return { tasks, endMs: nowMs, runsEndMs: nowMs }
+    const pendingEndMs = pending.length ? nowMs + MAX_ORDER_DELAY_MS : Number.NEGATIVE_INFINITY
+    // An extension that is carried out late prolongs the runs that such a start has begun.
+    const callsEndMs = Math.max(pendingEndMs, session.unansweredExtensionMs + MAX_ORDER_DELAY_MS)
     return {
-      tasks: [...new Set([...late.tasks, ...pending])],
-      endMs: Math.max(late.endMs, pendingEndMs),
-      runsEndMs: Math.max(late.runsEndMs, pending.length ? pendingEndMs + this._lateStarts.longestLeaseMs : nowMs)
+      tasks, endMs: Math.max(late.endMs, pendingEndMs), runsEndMs: Math.max(late.runsEndMs, callsEndMs + this._lateStarts.longestLeaseMs)
     }
   }
 
--- a/tests/workflows/nextIncarnations.test.ts
+++ b/tests/workflows/nextIncarnations.test.ts
@@ -5,12 +5,15 @@
  */
 
 import t from 'tap'
+import { replaceLeader } from './leaderChain.js'
 import { WorkflowCell } from './workflowCell.js'
 
 const MAX_LEASE_MS = 10_000
 const RUN_MS = 30_000
 /** Age of the former incarnation when it ends, in milliseconds. */
 const FORMER_AGE_MS = 20_000
+/** Time after which no call is late any more and no lease without extensions goes on, in milliseconds. */
+const SETTLED_MS = 30_000
 
 // Guards against LOST: two starts are on their way to a worker that has restarted. The first answer ends the session, and the second one
 // confirms that its task was running in the crash, which came before its start.
@@ -47,3 +50,33 @@
   const crashed = cell.events.filter(({ name }) => name === 'worker.crashed')
   t.match(crashed.map(({ fields }) => fields), [{ evidence: 'another incarnation of the worker answered an order', youngRuns: 1, unconfirmedRuns: 1 }])
 })
+
+// Guards against TWICE: the record of a worker that is lost before its restart is known says nothing of an extension on its way.
+t.test('the next leader waits for a late extension to a worker that was lost before its restart was known', async t => {
+  const cell = new WorkflowCell({ daemons: 5, workers: 1, maxLeaseMs: MAX_LEASE_MS, runMs: () => 600_000 })
+  await cell.waitUntilReady()
+  cell.restartWorker('w0')
+  await cell.timers.advance(FORMER_AGE_MS)
+  const [{ faults }] = cell.workers
+  faults.orderDelayMs = 11_500
+  const workflow = cell.workflow([{ tasks: 1, longRunning: true }])
+  await cell.submit(workflow, cell.leader!)
+  await cell.timers.advanceUntil(() => cell.events.filter(({ name }) => name === 'start.unanswered').length === 3)
+  faults.orderDelayMs = 0
+  faults.breaksOrders = true
+  await cell.timers.advance(3_500)
+  faults.extensionDelayMs = 11_000
+  const calls = cell.leader!.client
+  const extendLease = calls.extendLease.bind(calls)
+  let extended = false
+  calls.extendLease = (...args) => { extended = true; return extendLease(...args) }
+  await cell.timers.advanceUntil(() => extended)
+  cell.restartWorker('w0', { listedAfterMs: 60_000, reachableAfterMs: 60_000 })
+  await cell.timers.advanceUntil(() => cell.events.some(({ name }) => name === 'leaseEnd.noted'))
+  await cell.timers.advance(500)
+  cell.addWorker()
+  await replaceLeader(cell, 'refused')
+  await cell.timers.advanceUntil(() => cell.runsOf(`${workflow.id}.0.0.0`).length > 1)
+  await cell.timers.advance(SETTLED_MS)
+  t.same(cell.violations(), [])
+})
