A start that is accepted while its run is being stopped may run at a later incarnation (TWICE)

What callers would see: two runs of a task of a gang. A member's start is accepted by the next incarnation of its worker while the gang is being stopped, since another member was refused, and the stop does not arrive. Found by a review.

Cause: the answer to the start of a run that is being stopped was ignored. Neither the restart was noticed nor the start noted as one that may have been accepted by another incarnation, so that the task was free when the lease of the former one ended.

Change: such an answer counts like any other. The run stays to be stopped.

Measured: "a start in a gang that the next incarnation accepts while it is being stopped ..." fails before ("ran twice") and passes now.

--- a/packages/pomelofold/src/workflows/runOrderSender.ts
+++ b/packages/pomelofold/src/workflows/runOrderSender.ts
@@ -86,7 +86,7 @@
       if (this._closed) return
       if (answer.isOk) {
         run.progressedClockMs ??= answer.value.clockMs
-        if (run.state !== RUN_STATES.starting) return
+        if (run.state !== RUN_STATES.starting) return this._noteAnswerBesideStop(run, answer.value, sentClock)
         if (answer.value.refusal === undefined) {
           run.startConfirmedBy = session.answererOf(answer.value.clockMs, sentClock)
           onStarted(run)
@@ -118,6 +118,14 @@
     if (run.state === RUN_STATES.starting) this.stop(run, 'a try of its start received no answer')
   }
 
+  /** Notes the answer to the start of a run that is being stopped. The stop may not arrive, so that a later incarnation may run it. */
+  private _noteAnswerBesideStop (run: Run, answer: OrderAnswer, sentClock: WorkerClock | undefined): void {
+    if (answer.refusal !== undefined || run.startConfirmedMs !== undefined) return
+    run.startConfirmedMs = this._options.timers.now()
+    run.startConfirmedBy = run.session.answererOf(answer.clockMs, sentClock)
+    noteAnswerer(run.session, answer, sentClock)
+  }
+
   /** Limits the speed of `run` to a percentage of full speed. It is not retried here: the next report triggers another try. */
   async pace (run: Run, percent: number): Promise<void> {
     const { client, log, leadershipRemainingMs } = this._options
--- a/tests/workflows/nextIncarnations.test.ts
+++ b/tests/workflows/nextIncarnations.test.ts
@@ -80,3 +80,24 @@
   await cell.timers.advance(SETTLED_MS)
   t.same(cell.violations(), [])
 })
+
+// Guards against TWICE: a member of a gang is stopped while its start is on its way. The next incarnation accepts the start and is cut off.
+t.test('a start in a gang that the next incarnation accepts while it is being stopped runs no task twice', async t => {
+  const cell = new WorkflowCell({ workers: 2, cpuMillis: 1_000, maxLeaseMs: MAX_LEASE_MS, runMs: () => 600_000 })
+  await cell.waitUntilReady()
+  await cell.timers.advance(FORMER_AGE_MS)
+  cell.restartWorker('w0', { listedAfterMs: 60_000 })
+  const [{ faults }, other] = cell.workers
+  faults.answerDelayMs = 200
+  other.faults.refuseStarts = 'noRoom'
+  await cell.timers.advance(100)
+  const workflow = cell.workflow([{ tasks: 2, gang: true }])
+  cell.leader!.daemon.service.submit(workflow)
+  await cell.timers.advanceUntil(() => cell.records.length > 0, { limitMs: 2_000, stepMs: 1 })
+  await cell.timers.advance(0)
+  cell.leader!.client.unreachableWorkers.add('w0')
+  other.faults.refuseStarts = undefined
+  cell.addWorker()
+  await cell.timers.advance(SETTLED_MS)
+  t.same(cell.violations(), [])
+})
