Test that each end is acknowledged although calls are lost (Acks)

No test lost the call with a new number.

It fails in a trial in which a number is not sent again after a call without an answer.

--- a/tests/workflows/nextIncarnations.test.ts
+++ b/tests/workflows/nextIncarnations.test.ts
@@ -5,6 +5,7 @@
  */
 
 import t from 'tap'
+import { delay } from 'pomelofold/seams/timers'
 import { replaceLeader } from './leaderChain.js'
 import { WorkflowCell } from './workflowCell.js'
 
@@ -101,3 +102,36 @@
   await cell.timers.advance(SETTLED_MS)
   t.same(cell.violations(), [])
 })
+
+// Guards against ends that a worker lists for ever: the first call with a number does not arrive, and the number is sent again, by the next
+// leader, too.
+t.test('each end is acknowledged although calls are lost, records take long and the leader changes', async t => {
+  for (const recordMs of [0, 500]) {
+    const cell = new WorkflowCell({ daemons: 5, workers: 2, runMs: () => 200 })
+    await cell.waitUntilReady()
+    for (const { platform, client, process } of cell.daemons) {
+      const txn = platform.txn.bind(platform)
+      platform.txn = async (...args) => { await delay(process, recordMs); return txn(...args) }
+      const extendLease = client.extendLease.bind(client)
+      const sent = new Set<string>()
+      client.extendLease = (entry, extension, timeoutMs) => {
+        const { faults } = cell.workers.find(worker => worker.entry.id === entry.id)!
+        const call = `${entry.id} ${extension.acknowledged}`
+        faults.unreachable = extension.acknowledged > 0 && !sent.has(call)
+        sent.add(call)
+        const answer = extendLease(entry, extension, timeoutMs)
+        faults.unreachable = false
+        return answer
+      }
+    }
+    for (let job = 0; job < 8; job++) {
+      await cell.submit(cell.workflow([{ tasks: 3 }]), cell.leader!)
+      await cell.timers.advance(400)
+      if (job === 4) await replaceLeader(cell, 'refused')
+    }
+    await cell.timers.advance(SETTLED_MS)
+    const ended = cell.records.filter(({ how }) => how !== undefined)
+    t.ok(ended.length >= 24, `${ended.length} runs have ended`)
+    t.same(ended.filter(({ acknowledgedMs }) => acknowledgedMs === undefined), [], `records take ${recordMs} ms`)
+  }
+})
