The record of a lost worker names starts whose runs are being stopped (TWICE)

What callers would see: two runs of a task of a gang after a change of leader. A member's start is on its way, the gang is being stopped, and the worker is lost before the start has timed out; the start is carried out late at the next incarnation.

Cause: the record names the starts of runs in the state "starting" and those that had timed out. One that was still on its way to a run that is being stopped was neither. It was not added later either, since its time does not end later than those in the record.

Change: a start on its way counts in any state of its run.

Measured: "the record of a lost worker names a start in a gang that is being stopped" fails before ("ran twice") and passes now.

--- a/packages/pomelofold/src/workflows/runTracker.ts
+++ b/packages/pomelofold/src/workflows/runTracker.ts
@@ -248,7 +248,9 @@
   unconfirmedStarts (session: WorkerSession): UnconfirmedStarts {
     const nowMs = this._options.timers.now()
     const late = this._lateStarts.unconfirmedAt(session.entry.id)
-    const pending = [...session.runs.values()].filter(({ state }) => state === RUN_STATES.starting).map(({ name }) => name)
+    const runs = [...session.runs.values()]
+    // A start may also be on its way when its run is being stopped.
+    const pending = runs.filter(run => run.state === RUN_STATES.starting || run.pendingStartMs !== undefined).map(({ name }) => name)
     const tasks = [...new Set([...late.tasks, ...pending])]
     if (tasks.length === 0) return { tasks, endMs: nowMs, runsEndMs: nowMs }
     const pendingEndMs = pending.length ? nowMs + MAX_ORDER_DELAY_MS : Number.NEGATIVE_INFINITY
--- a/tests/workflows/nextIncarnations.test.ts
+++ b/tests/workflows/nextIncarnations.test.ts
@@ -135,3 +135,30 @@
     t.same(ended.filter(({ acknowledgedMs }) => acknowledgedMs === undefined), [], `records take ${recordMs} ms`)
   }
 })
+
+// Guards against TWICE: the loss of the worker is recorded while a start is on its way whose run is being stopped, beside another start.
+t.test('the record of a lost worker names a start in a gang that is being stopped', async t => {
+  const cell = new WorkflowCell({ daemons: 5, workers: 3, cpuMillis: 1_000, runMs: () => 600_000 })
+  await cell.waitUntilReady()
+  const [worker, other, spare] = cell.workers
+  await cell.timers.advance(FORMER_AGE_MS)
+  worker.entry.capacity.cpuMillis = 2_000
+  spare.faults.draining = true
+  await cell.timers.advance(1_500)
+  worker.faults.orderDelayMs = 11_500
+  other.faults.refuseStarts = 'noRoom'
+  const gang = cell.workflow([{ tasks: 2, gang: true }])
+  cell.leader!.daemon.service.submit(cell.workflow([{ tasks: 1, requiredLabel: 'r0' }]))
+  cell.leader!.daemon.service.submit(gang)
+  await cell.timers.advanceUntil(() => cell.events.some(({ name }) => name === 'run.stop'), { stepMs: 1 })
+  worker.faults.refusesConnections = true
+  worker.crash()
+  await cell.timers.advance(100)
+  cell.restartWorker('w0', { listedAfterMs: 60_000, reachableAfterMs: 60_000 })
+  await cell.timers.advance(900)
+  await replaceLeader(cell, 'refused')
+  other.faults.refuseStarts = undefined
+  spare.faults.draining = false
+  await cell.timers.advance(SETTLED_MS)
+  t.same(cell.violations(), [])
+})
