The entry daemon reads a body only where a route wants it

What callers saw: a body below /v1 for no route, a drain, a cancellation, an unknown service, a wrong header, or a service that accepts less was received in full before it was refused, so that a few callers that stop short of the end could use up the memory for callers and get others refused or closed.

Cause: a middleware for all of /v1 read the body before the route was looked up.

Single requests are served as before, but a wrong idempotency key of a job is named before a fault of its body, and a body for a route that takes none (DELETE of a job, drain) is not looked at, also when it is over the limit.

--- a/packages/pomelofold/src/server/entryDaemon.ts
+++ b/packages/pomelofold/src/server/entryDaemon.ts
@@ -221,21 +221,21 @@
 
   private _buildApp (): Hono {
     const { random, log } = this._dependencies
-    const { vm, http } = this._settings
+    const { vm, http: { maxBodyBytes } } = this._settings
     const manifest = () => this.manifest.current().manifest
     return createHttpApp({
       log,
-      maxBodyBytes: http.maxBodyBytes,
       ready: () => this._readiness(),
       metrics: () => this._metrics.text(),
       routes: [
-        requestRoutes({ requests: this.requests, manifest, random, vm, maxBodyBytes: http.maxBodyBytes }),
-        jobRoutes({ jobs: this.jobs, manifest }),
+        requestRoutes({ requests: this.requests, manifest, random, vm, maxBodyBytes }),
+        jobRoutes({ jobs: this.jobs, manifest, maxBodyBytes }),
         operatorRoutes({
           manifest: this.manifest,
           status: () => this._status(),
           figures: () => this._allFigures(),
-          drain: () => this._drain()
+          drain: () => this._drain(),
+          maxBodyBytes
         })
       ]
     })
--- a/packages/pomelofold/src/server/http/jobRoutes.ts
+++ b/packages/pomelofold/src/server/http/jobRoutes.ts
@@ -12,7 +12,7 @@
 import { problem } from '../../protocol/problem.js'
 import { HEADERS, OUTCOMES } from '../../protocol/requests.js'
 import type { JobService } from '../jobService.js'
-import { readJson, sendFault, sendSchemaFaults, sendProblem, unknownTeamFault } from './problems.js'
+import { receiveJson, sendFault, sendSchemaFaults, sendProblem, unknownTeamFault } from './problems.js'
 
 /** Longest idempotency key accepted, in characters. */
 const MAX_IDEMPOTENCY_KEY_CHARS = 256
@@ -21,19 +21,21 @@
 export interface JobRoutesOptions {
   jobs: JobService
   manifest: () => Manifest
+  /** Largest body accepted, in bytes. */
+  maxBodyBytes: number
 }
 
 /** Creates the routes for jobs, relative to `/v1`. */
-export function jobRoutes ({ jobs, manifest }: JobRoutesOptions): Hono {
+export function jobRoutes ({ jobs, manifest, maxBodyBytes }: JobRoutesOptions): Hono {
   const app = new Hono()
 
   app.post('/jobs', async c => {
-    const body = await readJson(c)
-    if ('refusal' in body) return body.refusal
-    const spec = jobSpecSchema.safeParse(body.json)
-    if (!spec.success) return sendSchemaFaults(c, spec.error, body.json)
     const key = c.req.header(HEADERS.idempotencyKey)
     if (key !== undefined && (key.length === 0 || key.length > MAX_IDEMPOTENCY_KEY_CHARS)) return sendFault(c, 'invalid', { path: HEADERS.idempotencyKey, message: `must have 1 to ${MAX_IDEMPOTENCY_KEY_CHARS} characters` })
+    const body = await receiveJson(c, { maxBodyBytes })
+    if (body.isErr) return body.error
+    const spec = jobSpecSchema.safeParse(body.value)
+    if (!spec.success) return sendSchemaFaults(c, spec.error, body.value)
     const teams = manifest().teams.map(team => team.name)
     if (!teams.includes(spec.data.team)) return sendFault(c, 'invalid', unknownTeamFault('team', spec.data.team, manifest()))
     return sendJobAnswer(c, await jobs.submit(spec.data, key), 202)
--- a/packages/pomelofold/src/server/http/operatorRoutes.ts
+++ b/packages/pomelofold/src/server/http/operatorRoutes.ts
@@ -12,7 +12,7 @@
 import { problem } from '../../protocol/problem.js'
 import { OUTCOMES } from '../../protocol/requests.js'
 import { EFFECTS, type CallError } from '../../utils/errors.js'
-import { readJson, sendSchemaFaults, sendProblem } from './problems.js'
+import { receiveJson, sendSchemaFaults, sendProblem } from './problems.js'
 
 /** Retry delay for operators after a submission failed because the platform was unreachable, in milliseconds. */
 const PLATFORM_RETRY_AFTER_MS = 2_000
@@ -29,19 +29,21 @@
   status: () => Record<string, unknown>
   figures: () => Promise<{ figures: Record<string, unknown>, unreachable: string[] }>
   drain: () => void
+  /** Largest body accepted, in bytes. */
+  maxBodyBytes: number
 }
 
 /** Creates the routes for operators, relative to `/v1`. */
-export function operatorRoutes ({ manifest, status, figures, drain }: OperatorRoutesOptions): Hono {
+export function operatorRoutes ({ manifest, status, figures, drain, maxBodyBytes }: OperatorRoutesOptions): Hono {
   const app = new Hono()
 
   app.get('/manifest', c => c.json(manifest.current()))
 
   app.put('/manifest', async c => {
-    const body = await readJson(c)
-    if ('refusal' in body) return body.refusal
-    const submission = submissionSchema.safeParse(body.json)
-    if (!submission.success) return sendSchemaFaults(c, submission.error, body.json)
+    const body = await receiveJson(c, { maxBodyBytes })
+    if (body.isErr) return body.error
+    const submission = submissionSchema.safeParse(body.value)
+    if (!submission.success) return sendSchemaFaults(c, submission.error, body.value)
     const submitted = await manifest.submit(submission.data.manifest, submission.data.baseRevision)
     if (submitted.isErr) return sendPlatformError(c, submitted.error)
     return match(submitted.value)
--- a/packages/pomelofold/src/server/http/requestRoutes.ts
+++ b/packages/pomelofold/src/server/http/requestRoutes.ts
@@ -12,7 +12,7 @@
 import type { Manifest } from '../../protocol/manifest.js'
 import type { RandomSource } from '../../seams/randomSource.js'
 import type { IncomingRequest, RequestService } from '../requestService.js'
-import { sendFault, sendSchemaFaults, sendProblem, unknownTeamFault } from './problems.js'
+import { receiveBody, sendFault, sendSchemaFaults, sendProblem, unknownTeamFault } from './problems.js'
 
 /** Longest deadline that a caller may set, in milliseconds. */
 const MAX_DEADLINE_MS = 300_000
@@ -51,9 +51,9 @@
     const team = headers.data[HEADERS.team]
     if (team !== undefined && !manifest().teams.some(({ name }) => name === team)) return sendFault(c, 'invalid', unknownTeamFault(HEADERS.team, team, manifest()))
 
-    const body = new Uint8Array(await c.req.arrayBuffer())
     const limit = Math.min(maxBodyBytes, service.maxBodyBytes)
-    if (body.length > limit) return sendFault(c, 'tooLarge', { path: '(root)', message: `the body has ${body.length} bytes; ${service.name} accepts at most ${limit}` })
+    const body = await receiveBody(c, { maxBodyBytes: limit, tooLargeMessage: `${service.name} accepts a body of at most ${limit} bytes` })
+    if (body.isErr) return body.error
 
     const requestId = `${vm}.${random.hex(10)}`
     const incoming: IncomingRequest = {
@@ -65,7 +65,7 @@
       atMostOnce: headers.data[HEADERS.atMostOnce] === 'true',
       idempotencyKey: headers.data[HEADERS.idempotencyKey],
       headers: forwardedHeaders(c, requestId),
-      body
+      body: body.value
     }
     return sendAnswer(c, requestId, await requests.handle(incoming))
   })
