An answer of the entry daemon describes the first ten faults

What callers saw: the answer to an invalid job or manifest was as large as the number of its faults, 1.9 MB for a job of unknown fields, and over 3.9 MB for a manifest of 244 KB; a manifest of 300,000 empty objectives was answered with 500.

Cause: all faults were described, twice, in messages of any length. Lists with a maximum are refused before their items are validated; the objectives of a service had none. Each long-running service of an unknown team had its own text of all teams.

Change: fieldFaults describes ten faults, in up to 1,000 characters each, and `detail` tells how many there are beside them. Objectives are at most one a class, as before, but counted first.

--- a/packages/pomelofold/src/protocol/manifest.ts
+++ b/packages/pomelofold/src/protocol/manifest.ts
@@ -7,7 +7,7 @@
 
 import { z } from 'zod'
 import { JOB_CLASSES } from './jobs.js'
-import { requestClassSchema } from './requests.js'
+import { REQUEST_CLASSES, requestClassSchema } from './requests.js'
 import { capacitySchema } from './vms.js'
 
 const nameSchema = z.string().regex(/^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/, 'must be 1 to 63 letters, digits, dots, underscores or dashes, starting with a letter or digit')
@@ -42,7 +42,7 @@
   maxBodyBytes: z.number().int().positive().max(1_000_000).default(1_000_000),
   /** True when a request that may have run can be sent again, unless it is marked at-most-once. */
   idempotent: z.boolean().default(false),
-  objectives: z.array(objectiveSchema).default([])
+  objectives: z.array(objectiveSchema).max(Object.keys(REQUEST_CLASSES).length).default([])
     .refine(items => new Set(items.map(item => item.class)).size === items.length, { message: 'a class has at most one objective' })
 })
 
@@ -85,8 +85,9 @@
   }).default({ batch: PLACEMENT_POLICIES.tight, gang: PLACEMENT_POLICIES.together })
 }).superRefine((manifest, ctx) => {
   const teams = new Set(manifest.teams.map(team => team.name))
+  const message = `must be the name of a team of this manifest: ${[...teams].join(', ') || '(none)'}`
   manifest.longRunning.forEach((item, i) => {
-    if (!teams.has(item.team)) ctx.addIssue({ code: 'custom', path: ['longRunning', i, 'team'], message: `must be the name of a team of this manifest: ${[...teams].join(', ') || '(none)'}` })
+    if (!teams.has(item.team)) ctx.addIssue({ code: 'custom', path: ['longRunning', i, 'team'], message })
   })
 })
 
--- a/packages/pomelofold/src/protocol/problem.ts
+++ b/packages/pomelofold/src/protocol/problem.ts
@@ -57,12 +57,23 @@
 /** Maximum length of an invalid value that an answer quotes. */
 const MAX_VALUE_CHARS = 100
 
-/** Lists the invalid fields of `input`, which a schema has rejected with `err`. */
+/** Maximum length of the message about a fault. */
+const MAX_MESSAGE_CHARS = 1_000
+
+/** Maximum number of faults that an answer describes. */
+const MAX_FAULTS = 10
+
+/** Lists the first invalid fields of `input`, which a schema has rejected with `err`. */
 export function fieldFaults (err: z.ZodError, input: unknown): FieldFault[] {
-  return err.issues.map(issue => {
-    const fault: FieldFault = { path: issue.path.length ? issue.path.map(String).join('.') : '(root)', message: issue.message }
+  return err.issues.slice(0, MAX_FAULTS).map(issue => {
+    const path = issue.path.length ? issue.path.map(String).join('.') : '(root)'
+    const fault: FieldFault = { path, message: shorten(issue.message) }
     const value = issue.path.reduce<unknown>((parent, step) => (parent as Record<PropertyKey, unknown> | undefined)?.[step], input)
     if (value !== undefined && typeof value !== 'object') fault.value = String(value).slice(0, MAX_VALUE_CHARS)
     return fault
   })
 }
+
+function shorten (message: string): string {
+  return message.length > MAX_MESSAGE_CHARS ? `${message.slice(0, MAX_MESSAGE_CHARS)}…` : message
+}
--- a/packages/pomelofold/src/server/http/problems.ts
+++ b/packages/pomelofold/src/server/http/problems.ts
@@ -27,7 +27,9 @@
 /** Answers that an input does not match its schema. The outcome is `not-run`. */
 export function sendSchemaFaults (c: Context, err: z.ZodError, input: unknown): Response {
   const faults = fieldFaults(err, input)
-  const detail = faults.map(fault => `${fault.path}: ${fault.message}`).join('; ')
+  const texts = faults.map(fault => `${fault.path}: ${fault.message}`)
+  const omitted = err.issues.length - faults.length
+  const detail = [...texts, ...omitted > 0 ? [`and ${omitted} more faults`] : []].join('; ')
   return sendProblem(c, problem('invalid', detail, { faults, outcome: OUTCOMES.notRun }))
 }
 
