Connections to the port of the peers are bounded before their hello

What was seen: whoever reaches the port of the peers could open any number of connections, send up to 4 MB on each in pieces of any size before the first message has shown who it is, and cause a line of the log with each. The process shares its descriptors and its memory with callers, store and workers.

Cause: the listener had a time limit for the hello frame, and no other. The decoder of frames had one limit for all frames, and kept each piece, which takes some hundred bytes beside its content.

`peer.connections.refused` counts by cause, by RefusalCounter; the lines about ended connections and refused hello frames go through LimitedEventLog. The timer of the hello frame ends with its connection.

--- a/packages/pomelofold/src/edge/peerListener.ts
+++ b/packages/pomelofold/src/edge/peerListener.ts
@@ -7,17 +7,40 @@
 import type { Server, Socket } from 'node:net'
 import { CallError, EFFECTS, errorText } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
-import { encodeFrame, FrameDecoder } from '../protocol/framing.js'
+import { encodeFrame, FrameDecoder, FrameError, MAX_FRAME_BYTES } from '../protocol/framing.js'
 import { frameSchema, helloSchema, PEER_PROTOCOL_VERSION, peerMethodSchemas, type PeerMethod } from '../protocol/peerMessages.js'
 import type { PeerHandlers, PeerIdentity } from '../seams/peerTransport.js'
-import type { Timers } from '../seams/timers.js'
+import type { Timers, TimerSubscription } from '../seams/timers.js'
+import { LimitedEventLog } from './limitedEventLog.js'
+import { PeerSockets } from './peerSockets.js'
+import { RefusalCounter } from './refusalCounter.js'
 
 /** Time limit for the first frame of a new connection, in milliseconds. */
 const HELLO_TIMEOUT_MS = 5_000
 
+/** Maximum size of a frame until the hello frame has been accepted, in bytes. */
+const MAX_HELLO_BYTES = 4_096
+
+/** Why a connection was refused or closed. */
+export const PEER_REFUSALS = {
+  /** It had not sent a hello frame, and was the oldest one at the maximum number of such connections. */
+  closedWithoutHello: 'closed-without-hello',
+  /** It did not send a hello frame in time. */
+  helloTimeout: 'hello-timeout',
+  /** The hello frame is not valid, is too large, or names no member of the cell. */
+  invalidHello: 'invalid-hello',
+  /** It was the oldest one of a member that has opened too many. */
+  closedForMember: 'closed-for-member'
+} as const
+
+/** One of {@link PEER_REFUSALS}. */
+export type PeerRefusal = typeof PEER_REFUSALS[keyof typeof PEER_REFUSALS]
+
 /** Options of a {@link PeerListener}. */
 export interface PeerListenerOptions {
   self: PeerIdentity
+  /** Address of this listener, for the log. Defaults to the name of the VM. */
+  address?: string
   handlers: PeerHandlers
   /** VMs that may connect, by name. */
   members: ReadonlyMap<string, { failureDomain: string }>
@@ -26,14 +49,32 @@
   createServer: (onConnection: (socket: Socket) => void) => Server
 }
 
+interface AcceptedConnection {
+  socket: Socket
+  /** Address of the other side, for the log. */
+  remote: string
+  /** Set when the hello frame has been accepted. */
+  from?: PeerIdentity
+}
+
 /** Server for the calls of peers. The calls of a connection run concurrently. */
 export class PeerListener {
   private readonly _options: PeerListenerOptions
   private readonly _server: Server
-  private readonly _sockets = new Set<Socket>()
+  /** Log for events that anyone who reaches the port can cause. */
+  private readonly _limitedLog: LimitedEventLog
+  private readonly _sockets: PeerSockets
+  private readonly _refusals: RefusalCounter<PeerRefusal>
 
   constructor (options: PeerListenerOptions) {
+    const { self, address = self.vm, members, timers, log } = options
     this._options = options
+    this._limitedLog = new LimitedEventLog({ timers, log })
+    this._refusals = new RefusalCounter({ timers, log, event: 'peer.connections.refused', address })
+    this._sockets = new PeerSockets({
+      members,
+      onClose: vm => this._refusals.count(vm === undefined ? PEER_REFUSALS.closedWithoutHello : PEER_REFUSALS.closedForMember)
+    })
     this._server = options.createServer(socket => { this._serveConnection(socket) })
   }
 
@@ -57,48 +98,63 @@
 
   /** Stops listening and closes all connections. */
   close (): Promise<void> {
-    for (const socket of this._sockets) socket.destroy()
+    this._sockets.close()
     return new Promise(resolve => this._server.close(() => resolve()))
   }
 
   private async _serveConnection (socket: Socket): Promise<void> {
-    const { log } = this._options
-    const remote = `${socket.remoteAddress}:${socket.remotePort}`
+    const connection: AcceptedConnection = { socket, remote: `${socket.remoteAddress}:${socket.remotePort}` }
     this._sockets.add(socket)
     socket.setNoDelay(true)
     socket.on('error', () => {})
+    const helloTimer = this._options.timers.after(HELLO_TIMEOUT_MS, () => this._onHelloTimeout(socket))
     try {
-      await this._serveFrames(socket, remote)
+      await this._serveFrames(connection, helloTimer)
     } catch (err) {
-      log.event('warn', 'peer.connection.ended', { step: 'peer.read', peer: remote, detail: errorText(err) })
+      this._onFailure(connection, err)
     } finally {
+      helloTimer.cancel()
       socket.destroy()
-      this._sockets.delete(socket)
+      this._sockets.delete(socket, connection.from?.vm)
     }
   }
 
-  private async _serveFrames (socket: Socket, remote: string): Promise<void> {
-    const decoder = new FrameDecoder()
-    const helloTimer = this._options.timers.after(HELLO_TIMEOUT_MS, () => socket.destroy())
-    let from: PeerIdentity | undefined
+  private async _serveFrames (connection: AcceptedConnection, helloTimer: TimerSubscription): Promise<void> {
+    const { socket } = connection
+    const decoder = new FrameDecoder({ maxFrameBytes: MAX_HELLO_BYTES })
     for await (const chunk of socket) {
       for (const frame of decoder.push(chunk as Buffer)) {
-        if (from) {
-          this._serveCall(socket, from, frame)
+        if (connection.from) {
+          this._serveCall(socket, connection.from, frame)
           continue
         }
-        from = this._acceptHello(socket, frame, remote)
         helloTimer.cancel()
-        if (!from) return
+        connection.from = this._acceptHello(connection, frame)
+        if (!connection.from) return
+        decoder.maxFrameBytes = MAX_FRAME_BYTES
       }
     }
   }
 
-  private _acceptHello (socket: Socket, frame: unknown, remote: string): PeerIdentity | undefined {
-    const { self, members, log } = this._options
+  private _onHelloTimeout (socket: Socket): void {
+    if (!this._sockets.delete(socket)) return
+    this._refusals.count(PEER_REFUSALS.helloTimeout)
+    socket.destroy()
+  }
+
+  private _onFailure ({ socket, remote, from }: AcceptedConnection, err: unknown): void {
+    // A connection that was closed at a limit has been counted.
+    if (!this._sockets.delete(socket, from?.vm)) return
+    if (!from && err instanceof FrameError) this._refusals.count(PEER_REFUSALS.invalidHello)
+    this._limitedLog.event('warn', 'peer.connection.ended', { step: 'peer.read', peer: remote, detail: errorText(err) })
+  }
+
+  private _acceptHello ({ socket, remote }: AcceptedConnection, frame: unknown): PeerIdentity | undefined {
+    const { self, members } = this._options
     const hello = helloSchema.safeParse(frame)
     const refuse = (reason: string): undefined => {
-      log.event('warn', 'peer.refused', { step: 'peer.hello', peer: remote, reason })
+      this._refusals.count(PEER_REFUSALS.invalidHello)
+      this._limitedLog.event('warn', 'peer.refused', { step: 'peer.hello', peer: remote, reason })
       socket.end(encodeFrame({ type: 'refused', reason }))
       return undefined
     }
@@ -106,6 +162,7 @@
     const { protocol, vm, failureDomain, incarnation } = hello.data
     if (protocol !== PEER_PROTOCOL_VERSION) return refuse(`protocol version ${protocol}; this daemon supports ${PEER_PROTOCOL_VERSION}`)
     if (members.get(vm)?.failureDomain !== failureDomain) return refuse(`${vm} in ${failureDomain} is not in the member list of ${self.vm}`)
+    this._sockets.accept(socket, vm)
     socket.write(encodeFrame({ type: 'welcome', vm: self.vm, incarnation: self.incarnation }))
     return { vm, failureDomain, incarnation }
   }
--- a/packages/pomelofold/src/edge/refusalCounter.ts
+++ b/packages/pomelofold/src/edge/refusalCounter.ts
@@ -33,42 +33,44 @@
 export interface RefusalCounterOptions {
   timers: Timers
   log: EventLog
+  /** Name of the logged event. */
+  event?: string
   /** Address of the server, for the log. */
   address: string
 }
 
 /** Logs the first refusal of each cause at once, and the number of further ones after each period. */
-export class RefusalCounter {
-  private readonly _options: RefusalCounterOptions
-  private readonly _totals = new Map<CallerRefusal, number>()
-  private readonly _loggedTotals = new Map<CallerRefusal, number>()
+export class RefusalCounter<Cause extends string = CallerRefusal> {
+  private readonly _options: Required<RefusalCounterOptions>
+  private readonly _totals = new Map<Cause, number>()
+  private readonly _loggedTotals = new Map<Cause, number>()
   /** Causes in whose current period a line has been written. */
-  private readonly _active = new Set<CallerRefusal>()
+  private readonly _active = new Set<Cause>()
 
-  constructor (options: RefusalCounterOptions) {
-    this._options = options
+  constructor ({ event = 'http.refused', ...options }: RefusalCounterOptions) {
+    this._options = { event, ...options }
   }
 
   /** Number of refusals by cause. */
-  get totals (): ReadonlyMap<CallerRefusal, number> {
+  get totals (): ReadonlyMap<Cause, number> {
     return this._totals
   }
 
   /** Counts a refusal. */
-  count (cause: CallerRefusal): void {
+  count (cause: Cause): void {
     this._totals.set(cause, (this._totals.get(cause) ?? 0) + 1)
     if (!this._active.has(cause)) this._logNew(cause)
   }
 
-  private _logNew (cause: CallerRefusal): void {
-    const { timers, log, address } = this._options
+  private _logNew (cause: Cause): void {
+    const { timers, log, event, address } = this._options
     const total = this._totals.get(cause)!
     const count = total - (this._loggedTotals.get(cause) ?? 0)
     if (count === 0) {
       this._active.delete(cause)
       return
     }
-    log.event('warn', 'http.refused', { address, cause, count, total })
+    log.event('warn', event, { address, cause, count, total })
     this._active.add(cause)
     this._loggedTotals.set(cause, total)
     timers.after(LOG_PERIOD_MS, () => this._logNew(cause))
--- a/packages/pomelofold/src/edge/tcpPeerTransport.ts
+++ b/packages/pomelofold/src/edge/tcpPeerTransport.ts
@@ -58,7 +58,7 @@
   async listen (handlers: PeerHandlers): Promise<void> {
     const { self, address, members, timers, log } = this._options
     const { host, port } = splitAddress(address)
-    this._listener = new PeerListener({ self, handlers, members, timers, log, createServer })
+    this._listener = new PeerListener({ self, address, handlers, members, timers, log, createServer })
     await this._listener.listen(host, port)
   }
 
--- a/packages/pomelofold/src/protocol/framing.ts
+++ b/packages/pomelofold/src/protocol/framing.ts
@@ -16,6 +16,9 @@
 const encoder = new Encoder(CODEC_OPTIONS)
 const decoder = new Decoder(CODEC_OPTIONS)
 
+/** Size up to which adjacent pieces of an incomplete frame are joined, in bytes: a piece takes some hundred bytes beside its content. */
+const MIN_PIECE_BYTES = 1_024
+
 /** A frame is too large, or its content is not CBOR. The connection cannot be used any further. */
 export class FrameError extends Error {
   override readonly name = 'FrameError'
@@ -31,14 +34,26 @@
   return frame
 }
 
+/** Options of a {@link FrameDecoder}. */
+export interface FrameDecoderOptions {
+  /** Maximum size of a frame without its length prefix, in bytes. */
+  maxFrameBytes?: number
+}
+
 /** Decodes the frames of a byte stream. Buffers at most one incomplete frame. */
 export class FrameDecoder {
+  /** Maximum size of the next frames without their length prefixes, in bytes. */
+  maxFrameBytes: number
   private _chunks: Buffer[] = []
   private _bufferedBytes = 0
 
+  constructor ({ maxFrameBytes = MAX_FRAME_BYTES }: FrameDecoderOptions = {}) {
+    this.maxFrameBytes = maxFrameBytes
+  }
+
   /** Adds the next bytes of the stream and returns the frames that they complete. Throws {@link FrameError}. */
   push (chunk: Buffer): unknown[] {
-    this._chunks.push(chunk)
+    this._append(chunk)
     this._bufferedBytes += chunk.length
     const frames: unknown[] = []
     while (true) {
@@ -48,11 +63,20 @@
     }
   }
 
+  private _append (chunk: Buffer): void {
+    const last = this._chunks.at(-1)
+    if (last && last.length < MIN_PIECE_BYTES && chunk.length < MIN_PIECE_BYTES) {
+      this._chunks[this._chunks.length - 1] = Buffer.concat([last, chunk])
+    } else {
+      this._chunks.push(chunk)
+    }
+  }
+
   private _nextLength (): number | undefined {
     if (this._bufferedBytes < LENGTH_PREFIX_BYTES) return undefined
     if (this._chunks[0].length < LENGTH_PREFIX_BYTES) this._chunks = [Buffer.concat(this._chunks)]
     const length = this._chunks[0].readUInt32BE(0)
-    if (length > MAX_FRAME_BYTES) throw new FrameError(`frame of ${length} bytes exceeds ${MAX_FRAME_BYTES} bytes`)
+    if (length > this.maxFrameBytes) throw new FrameError(`frame of ${length} bytes exceeds ${this.maxFrameBytes} bytes`)
     return length
   }
 
--- a/tests/peers/framing.test.ts
+++ b/tests/peers/framing.test.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import t from 'tap'
 import fc from 'fast-check'
 import { encodeFrame, FrameDecoder, FrameError, MAX_FRAME_BYTES } from 'pomelofold/protocol/framing'
@@ -52,3 +54,31 @@
   }), { seed: SEED, numRuns: 10_000 })
   t.equal(refused, 10_000)
 })
+
+t.test('the limit of a frame may be lower, and may change between frames', async t => {
+  const decoder = new FrameDecoder({ maxFrameBytes: 10 })
+  const frame = encodeFrame('x'.repeat(20))
+  t.throws(() => new FrameDecoder({ maxFrameBytes: 10 }).push(frame), FrameError)
+  t.same(decoder.push(encodeFrame('small')), ['small'])
+  decoder.maxFrameBytes = MAX_FRAME_BYTES
+  t.same(decoder.push(frame), ['x'.repeat(20)])
+})
+
+t.test('an incomplete frame that comes byte by byte does not keep each piece', async t => {
+  const pieces: Array<WeakRef<Buffer>> = []
+  const decoder = new FrameDecoder()
+  const push = (bytes: number[]): void => {
+    const piece = Buffer.from(new Uint8Array(bytes).buffer)
+    pieces.push(new WeakRef(piece))
+    decoder.push(piece)
+  }
+  push([0, 0, 16, 0])
+  for (let i = 0; i < 4_000; i++) push([0])
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc') as () => void
+  await new Promise(resolve => setImmediate(resolve))
+  collect()
+  const kept = pieces.filter(piece => piece.deref()).length
+  t.ok(kept <= 100, `${kept} of ${pieces.length} pieces kept`)
+  t.same(decoder.push(Buffer.alloc(95)), [])
+})
