Answers on connections that take in no more are bounded, too

What callers saw: nothing yet; a process holds more than its account allows. A connection that takes in no more (its request was answered before a long body had come, or the next one was refused) kept an answer of any size for a caller that does not read, beside the account.

Cause: such a connection was left out of the check for room, so that a refusal is not lost when there is no room for the refused request.

Change: a request that is refused because there is no room for it is left out of the account, at most one for each connection, which closes after it; the check holds for all connections. There must be room for a request before its Host is looked at, and a refused request counts as answered.

--- a/packages/pomelofold/src/edge/callerConnection.ts
+++ b/packages/pomelofold/src/edge/callerConnection.ts
@@ -63,6 +63,8 @@
   private readonly _requests = new Set<ReceivedRequest>()
   /** The last request, until it has been received in full and its answer has been sent. */
   private _lastRequest: ReceivedRequest | undefined
+  /** A request for which there was no room. It is not accounted until its refusal has been sent. */
+  private _refusedForRoom: ReceivedRequest | undefined
   /** Input that has not been parsed. */
   private _input: Buffer | undefined
   private _headerBytes = 0
@@ -104,15 +106,23 @@
     return request
   }
 
-  /** Reports what the connection holds. Returns false when there is no room for it. */
-  report (): boolean {
-    return this._account.update(this._heldBytes(), this._state())
+  /** Accounts a request that has been received. Returns false when there is no room for it; it is to be refused. */
+  admit (request: ReceivedRequest): boolean {
+    if (this._report()) return true
+    this._refusedForRoom = request
+    return false
+  }
+
+  /** Notes that a request is answered without the app. No further input is parsed. */
+  refuse (request: ReceivedRequest): void {
+    request.noteAnswer()
+    this.stop()
   }
 
   /** Notes that the app has answered a request. */
   noteAnswer (request: ReceivedRequest): void {
     if (!request.noteAnswer()) this.stop()
-    this.report()
+    this._report()
     this._parseInput()
   }
 
@@ -219,7 +229,7 @@
   }
 
   private _onRequestChange (): boolean {
-    if (!this.report()) return false
+    if (!this._report()) return false
     this._parseInput()
     return true
   }
@@ -236,8 +246,13 @@
     if (this._stopped && this._requests.size === 0 && !this._socket.destroyed) this._socket.destroySoon()
   }
 
+  /** Reports what the connection holds. Returns false when there is no room for it. */
+  private _report (): boolean {
+    return this._account.update(this._heldBytes(), this._state())
+  }
+
   private _checkRoom (): void {
-    if (this.report() || this._stopped || this._socket.destroyed) return
+    if (this._report() || this._socket.destroyed) return
     this._options.onNoRoom()
     this.destroy()
   }
@@ -245,7 +260,7 @@
   private _heldBytes (): number {
     const unreadBytes = this._socket.isPaused() ? UNREAD_INPUT_BYTES : 0
     let bytes = this._headerBytes * HEADER_COST + unreadBytes + (this._input?.length ?? 0) + this._socket.writableLength
-    for (const request of this._requests) bytes += request.heldBytes
+    for (const request of this._requests) if (request !== this._refusedForRoom) bytes += request.heldBytes
     return bytes
   }
 
--- a/packages/pomelofold/src/edge/httpServer.ts
+++ b/packages/pomelofold/src/edge/httpServer.ts
@@ -107,7 +107,8 @@
       server.on('request', (req, res) => onRequest(req, res))
       server.on('checkContinue', (req, res) => onRequest(req, res, true))
       server.on('checkExpectation', (req, res) => {
-        if (this._receive(req, res, true)) this._refuse(req, res, 'invalid', 'the expect header is not known', CALLER_REFUSALS.invalidHeader)
+        const request = this._receive(req, res, true)
+        if (request) this._refuse(request, 'invalid', 'the expect header is not known', CALLER_REFUSALS.invalidHeader)
       })
       server.on('clientError', (err, socket) => this._onUnparsable(err, socket as Socket))
       server.listen(port, host, () => resolve())
@@ -167,12 +168,12 @@
     const request = connection?.receive(req, res, expectsContinue)
     if (!connection || !request) return
     this._trackResponse(res)
-    if (req.httpVersion === '1.1' && req.headers.host === undefined) {
-      this._refuse(req, res, 'invalid', 'the host header is missing', CALLER_REFUSALS.invalidHeader)
+    if (!connection.admit(request)) {
+      this._refuse(request, 'overloaded', 'too many requests are in progress', CALLER_REFUSALS.noRoom)
       return
     }
-    if (!connection.report()) {
-      this._refuse(req, res, 'overloaded', 'too many requests are in progress', CALLER_REFUSALS.noRoom)
+    if (req.httpVersion === '1.1' && req.headers.host === undefined) {
+      this._refuse(request, 'invalid', 'the host header is missing', CALLER_REFUSALS.invalidHeader)
       return
     }
     return request
@@ -196,9 +197,10 @@
   }
 
   /** Answers that a request has not run, and closes its connection. */
-  private _refuse (req: IncomingMessage, res: ServerResponse, kind: ProblemKind, detail: string, cause: CallerRefusal): void {
+  private _refuse (request: ReceivedRequest, kind: ProblemKind, detail: string, cause: CallerRefusal): void {
+    const { req, res } = request
     this._refusals.count(cause)
-    this._connections.get(req.socket)?.stop()
+    this._connections.get(req.socket)?.refuse(request)
     const retryAfterMs = kind === 'overloaded' ? RETRY_AFTER_MS : undefined
     const body = problem(kind, detail, { outcome: OUTCOMES.notRun, retryAfterMs })
     res.shouldKeepAlive = false
--- a/packages/pomelofold/src/edge/receivedRequest.ts
+++ b/packages/pomelofold/src/edge/receivedRequest.ts
@@ -52,6 +52,10 @@
     this._announcedBytes = encoding === undefined ? Number(length) : undefined
   }
 
+  get req (): IncomingMessage {
+    return this._options.req
+  }
+
   get res (): ServerResponse {
     return this._options.res
   }
--- a/tests/edge/crowdedServer.test.ts
+++ b/tests/edge/crowdedServer.test.ts
@@ -12,6 +12,8 @@
 import { ManualPromise } from 'pomelofold/utils/manualPromise'
 
 const MAX_BODY_BYTES = 1_000
+/** More than the buffers of both sockets take. */
+const LARGE_ANSWER_BYTES = 32_000_000
 const CHUNKED_HEAD = 'POST /bodies HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
 const GET = 'GET /plain HTTP/1.1\r\nhost: h\r\n\r\n'
 
@@ -27,6 +29,7 @@
     return body.isErr ? ctx.text(body.error, body.error === 'too-large' ? 413 : 503) : ctx.text(`${body.value.length} bytes`)
   })
   app.all('/plain', ctx => ctx.text('answer'))
+  app.all('/large', ctx => ctx.text('x'.repeat(LARGE_ANSWER_BYTES)))
   app.all('/slow', async (ctx: Context) => {
     running.most = Math.max(running.most, ++running.now)
     running.total++
@@ -194,6 +197,22 @@
   await again.until(/answer$/)
 })
 
+// Guards against answers that are held, without an account, on connections that take in no more.
+t.test('an answer that is not read and for which there is no room is given up, whether or not its connection takes further input', async t => {
+  for (const length of [0, 50_000_000]) {
+    const { server } = await startServer(t, { maxHeldBytes: 30_000, maxConnections: 10 })
+    const { socket } = open(t, server)
+    socket.pause()
+    socket.write(`POST /large HTTP/1.1\r\nhost: h\r\ncontent-length: ${length}\r\n\r\n`)
+    await until(() => server.figures().refusals.get('no-room') === 1 || socket.bytesRead > 0)
+    const other = open(t, server)
+    other.socket.write(GET)
+    await other.until(/answer$/)
+    t.equal(server.figures().connections, 1, `content-length: ${length}`)
+    t.equal(server.figures().refusals.get('no-room'), 1)
+  }
+})
+
 t.test('a new connection is accepted in place of one that sends no request', async t => {
   const { server } = await startServer(t, { maxConnections: 5 })
   const silent = Array.from({ length: 5 }, () => open(t, server))
