--- a/tests/workflows/nextIncarnations.test.ts
+++ b/tests/workflows/nextIncarnations.test.ts
@@ -6,7 +6,7 @@
 
 import t from 'tap'
 import { delay } from 'pomelofold/seams/timers'
-import { replaceLeader } from './leaderChain.js'
+import { cellWithStartInTransit, replaceLeader } from './leaderChain.js'
 import { WorkflowCell } from './workflowCell.js'
 
 const MAX_LEASE_MS = 10_000
@@ -162,3 +162,17 @@
   await cell.timers.advance(SETTLED_MS)
   t.same(cell.violations(), [])
 })
+
+// Guards against TWICE: the next incarnation has answered and ends, too, and the one after it carries out the start of an earlier leader.
+t.test('a late start runs no task twice at the third incarnation under the next leader', async t => {
+  for (const replaced of [false, true]) {
+    const { cell } = await cellWithStartInTransit({ orderDelayMs: 11_500 })
+    await cell.timers.advance(1_500)
+    t.ok(cell.events.some(({ name, fields }) => name === 'worker.reached' && fields.worker === 'w0@2'), 'the next incarnation has answered')
+    if (replaced) await replaceLeader(cell, 'refused')
+    await cell.timers.advance(4_000)
+    cell.restartWorker('w0', { reachableAfterMs: 25_000 })
+    await cell.timers.advance(SETTLED_MS)
+    t.same(cell.violations(), [], `leader replaced: ${replaced}`)
+  }
+})
