A request in progress is answered whatever its caller sends ahead

What callers saw: a connection that is closed without an answer, when the memory for callers is used up and the caller of a request that runs sends the next one; found by a review, known to fail.

Cause: the check for room knew only to close the connection. It did so for unparsed input, too, although that is not part of the requests in progress.

Change: while a request waits for this server, input for which there is no room is given up instead: it is dropped, what follows is discarded, and the connection is closed after the last answer, which says so. A body that has not been read when its input is given up is refused with 503. When there is no room for the rest either, such as for an answer that is not read, the connection is closed as before, so that a caller holds no more than was accounted. The limit of discarded input begins with the last answer, since a request that arrived in full would lose its answer for it.

--- a/packages/pomelofold/src/edge/callerConnection.ts
+++ b/packages/pomelofold/src/edge/callerConnection.ts
@@ -7,6 +7,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { BODY_ERRORS } from '../seams/requestBody.js'
 import type { Timers } from '../seams/timers.js'
 import type { BlockPool } from './bodyBuffer.js'
 import { CONNECTION_STATES, type CallerAccount, type ConnectionState } from './callerBudget.js'
@@ -49,7 +50,7 @@
   maxPipelinedRequests: number
   /** Called for each response that has not been sent when the connection has been closed. */
   onResponseClosed: (res: ServerResponse) => void
-  /** Called when the connection is closed because there is no room for its input. */
+  /** Called when input is given up, or the connection closed, because there is no room. */
   onNoRoom: () => void
 }
 
@@ -151,7 +152,7 @@
 
   private _abort (): void {
     this.stop()
-    for (const request of this._requests) request.abort()
+    for (const request of this._requests) request.abort(BODY_ERRORS.aborted)
   }
 
   /** Node.js closes only the response whose turn it was. */
@@ -253,10 +254,27 @@
 
   private _checkRoom (): void {
     if (this._report() || this._socket.destroyed) return
+    if (this._isWaitingForServer() && this._giveUpInput()) return
     this._options.onNoRoom()
     this.destroy()
   }
 
+  /**
+   * Gives up the input after the last request, so that those in progress are still answered. The connection is closed after the last
+   * answer. Returns false when there is no room nevertheless.
+   */
+  private _giveUpInput (): boolean {
+    const lastRequest = this._lastRequest
+    if (this._stopped || !lastRequest) return false
+    this.stop()
+    lastRequest.res.shouldKeepAlive = false
+    lastRequest.abort(BODY_ERRORS.noRoom)
+    if (!this._report()) return false
+    // A body that is given up is counted when it is read.
+    if (lastRequest.complete) this._options.onNoRoom()
+    return true
+  }
+
   private _heldBytes (): number {
     const unreadBytes = this._socket.isPaused() ? UNREAD_INPUT_BYTES : 0
     let bytes = this._headerBytes * HEADER_COST + unreadBytes + (this._input?.length ?? 0) + this._socket.writableLength
@@ -264,16 +282,22 @@
     return bytes
   }
 
-  private _state (): ConnectionState {
+  private _isWaitingForServer (): boolean {
     for (const request of this._requests) {
       // A body that is not wanted yet waits for this server, too.
-      if (!request.answered && (request.complete || !request.wantsInput)) return CONNECTION_STATES.server
+      if (!request.answered && (request.complete || !request.wantsInput)) return true
     }
+    return false
+  }
+
+  private _state (): ConnectionState {
+    if (this._isWaitingForServer()) return CONNECTION_STATES.server
     const isBetweenRequests = this._requests.size === 0 && this._headerBytes === 0 && !this._input && !this._isReceiving
     return this._served && isBetweenRequests && !this._stopped ? CONNECTION_STATES.idle : CONNECTION_STATES.caller
   }
 
   private _discard (chunk: Buffer): void {
+    if (this._isWaitingForServer()) return
     this._discardedBytes += chunk.length
     if (this._discardedBytes > MAX_DISCARDED_BYTES) this._socket.destroy()
   }
--- a/packages/pomelofold/src/edge/receivedRequest.ts
+++ b/packages/pomelofold/src/edge/receivedRequest.ts
@@ -98,7 +98,7 @@
     this._body = new BodyBuffer({ maxBytes, expectedBytes: this._announcedBytes, pool })
     req.on('data', (chunk: Buffer) => this._append(chunk))
     req.once('end', () => this._complete())
-    req.once('close', () => this.abort())
+    req.once('close', () => this.abort(BODY_ERRORS.aborted))
     if (expectsContinue) res.writeContinue()
     onChange()
     return this._read.promise
@@ -115,8 +115,8 @@
   }
 
   /** Gives up a body that has not been received in full, also if it is not read yet. */
-  abort (): void {
-    if (!this.complete) this._endRead(Result.err(BODY_ERRORS.aborted))
+  abort (error: BodyError): void {
+    if (!this.complete) this._endRead(Result.err(error))
   }
 
   private _append (chunk: Buffer): void {
--- a/tests/edge/crowdedServer.test.ts
+++ b/tests/edge/crowdedServer.test.ts
@@ -16,6 +16,7 @@
 const LARGE_ANSWER_BYTES = 32_000_000
 const CHUNKED_HEAD = 'POST /bodies HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
 const GET = 'GET /plain HTTP/1.1\r\nhost: h\r\n\r\n'
+const SLOW_GET = 'GET /slow HTTP/1.1\r\nhost: h\r\n\r\n'
 
 /** Server with a route that reads its body, one that does not, and one whose answers wait until they are released. */
 async function startServer (t: Test, options: Partial<HttpServerOptions> = {}) {
@@ -24,9 +25,21 @@
   const released = new ManualPromise()
   const running = { now: 0, most: 0, total: 0 }
   const app = new Hono()
-  app.post('/bodies', async ctx => {
+  const answerBody = async (ctx: Context): Promise<Response> => {
     const body = await readBody(ctx, MAX_BODY_BYTES)
     return body.isErr ? ctx.text(body.error, body.error === 'too-large' ? 413 : 503) : ctx.text(`${body.value.length} bytes`)
+  }
+  app.post('/bodies', answerBody)
+  // A route that checks the caller's key before it reads the body.
+  app.post('/checked', async ctx => {
+    running.total++
+    await released.promise
+    return answerBody(ctx)
+  })
+  app.all('/large-later', async ctx => {
+    running.total++
+    await released.promise
+    return ctx.text('x'.repeat(LARGE_ANSWER_BYTES))
   })
   app.all('/plain', ctx => ctx.text('answer'))
   app.all('/large', ctx => ctx.text('x'.repeat(LARGE_ANSWER_BYTES)))
@@ -213,6 +226,59 @@
   }
 })
 
+// Guards against closing a connection whose request is in progress, for its body.
+t.test('a request whose key is checked is refused when there is no room for its body', async t => {
+  const { server, running, release } = await startServer(t, { maxHeldBytes: 9_000, maxConnections: 10 })
+  const { socket, until: untilReceived } = open(t, server)
+  const ended = once(socket, 'end')
+  socket.write('POST /checked HTTP/1.1\r\nhost: h\r\ncontent-length: 1000\r\n\r\n')
+  await until(() => running.total === 1)
+  socket.write('x'.repeat(1_000))
+  const other = open(t, server)
+  other.socket.write(GET)
+  await once(other.socket, 'end')
+  t.match(other.received(), /^HTTP\/1\.1 503 /)
+  release()
+  t.match(await untilReceived(/no-room$/), /^HTTP\/1\.1 503 [^]*connection: close/i)
+  await ended
+  t.equal(server.figures().refusals.get('no-room'), 2)
+})
+
+// Guards against closing a connection whose request is in progress, for what its caller has sent ahead.
+t.test('a request in progress is answered whatever its caller has sent ahead, and what does not fit does not run', async t => {
+  const { server, running, release } = await startServer(t, { maxHeldBytes: 9_000, maxConnections: 10 })
+  const { socket, until: untilReceived, received } = open(t, server)
+  const ended = once(socket, 'end')
+  socket.write(SLOW_GET)
+  await until(() => running.now === 1)
+  const sent = new Promise(resolve => socket.write(SLOW_GET.repeat(500_000), resolve))
+  await until(() => server.figures().refusals.get('no-room') === 1)
+  await sent
+  t.ok(server.figures().heldBytes <= 9_000)
+  release()
+  t.match(await untilReceived(/slow$/), /connection: close/i)
+  await ended
+  t.equal(received().match(/HTTP\/1\.1/g)?.length, 1)
+  t.equal(running.total, 1)
+})
+
+// Guards against answers that are held, without an account, after requests that were sent ahead have been given up.
+t.test('an answer that is not read is given up when there is no room for it, whatever its caller has sent ahead', async t => {
+  const { server, running, release } = await startServer(t, { maxHeldBytes: 30_000, maxConnections: 10 })
+  const { socket } = open(t, server)
+  socket.pause()
+  socket.write('GET /large-later HTTP/1.1\r\nhost: h\r\n\r\n')
+  await until(() => running.total === 1)
+  socket.write(GET.repeat(2_000))
+  await until(() => server.figures().refusals.get('no-room') === 1)
+  release()
+  const other = open(t, server)
+  other.socket.write(GET)
+  await other.until(/answer$/)
+  t.equal(server.figures().connections, 1)
+  t.equal(server.figures().refusals.get('no-room'), 2)
+})
+
 t.test('a new connection is accepted in place of one that sends no request', async t => {
   const { server } = await startServer(t, { maxConnections: 5 })
   const silent = Array.from({ length: 5 }, () => open(t, server))
