The time limits of a stopping server come from its timers

What was seen: tests of a server that stops could only wait in real time, and compared it with a limit.

Cause: close() of the HTTP server used the timers of the runtime, not those it is given.

Change: both delays come from the timer service. With the system's timers nothing changes. The test of a request that is never answered uses the manual clock; it checks that its connection is open 1 ms before the limit, too.

--- a/packages/pomelofold/src/edge/httpServer.ts
+++ b/packages/pomelofold/src/edge/httpServer.ts
@@ -132,15 +132,16 @@
    * when the connections that are still open are closed without an answer.
    */
   close ({ timeoutMs }: { timeoutMs: number }): Promise<void> {
+    const { timers } = this._options
     const server = this._server
     if (!server) return Promise.resolve()
     this._closing = true
     for (const res of this._openResponses) res.shouldKeepAlive = false
     return new Promise(resolve => {
-      const timeout = setTimeout(() => server.closeAllConnections(), timeoutMs)
+      const timeout = timers.after(timeoutMs, () => server.closeAllConnections())
       // The HTTP server's own close() would also end connections whose next request has arrived but has not been read.
-      NetServer.prototype.close.call(server, () => { clearTimeout(timeout); resolve() })
-      setTimeout(() => server.close(), IDLE_CLOSE_DELAY_MS)
+      NetServer.prototype.close.call(server, () => { timeout.cancel(); resolve() })
+      timers.after(IDLE_CLOSE_DELAY_MS, () => server.close())
     })
   }
 
--- a/tests/edge/httpServer.test.ts
+++ b/tests/edge/httpServer.test.ts
@@ -8,6 +8,7 @@
 import { setTimeout } from 'node:timers/promises'
 import { Hono } from 'hono'
 import t from 'tap'
+import { ManualTimers } from '@pomelofold/standins/manualTimers'
 import { HttpServer } from 'pomelofold/edge/httpServer'
 
 /** Longer than any test, so that connections are closed only because their requests were answered. */
@@ -60,13 +61,18 @@
 })
 
 t.test('a request that is never answered does not keep the server from stopping', async t => {
-  const server = new HttpServer({ address: '127.0.0.1:0' })
+  const timers = new ManualTimers()
+  const server = new HttpServer({ address: '127.0.0.1:0', timers })
   const received = new EventEmitter()
   await server.listen(new Hono().get('/', () => { received.emit('request'); return new Promise<Response>(() => {}) }))
   const socket = connect(server.port, '127.0.0.1')
   socket.on('error', () => {})
   socket.write(REQUEST)
   await once(received, 'request')
-  await server.close({ timeoutMs: 50 })
+  const closed = server.close({ timeoutMs: CLOSE_TIMEOUT_MS })
+  await timers.advance(CLOSE_TIMEOUT_MS - 1)
+  t.equal(server.figures().connections, 1)
+  await timers.advance(1)
+  await closed
   t.ok(socket.destroyed || await once(socket, 'close'))
 })
