Hellos of daemons that are not known yet are counted for themselves

Change: such a hello, and one of another protocol version, counts as `refused-hello`.

Evidence: tests/peers/crowdedPort, "refused hellos are logged in few lines", checks the cause. tests/peers, docs and edge/refusalCounter: 33 passed, 0 failed; lint passes.

--- a/packages/pomelofold/src/edge/peerListener.ts
+++ b/packages/pomelofold/src/edge/peerListener.ts
@@ -27,8 +27,10 @@
   closedWithoutHello: 'closed-without-hello',
   /** It did not send a hello frame in time. */
   helloTimeout: 'hello-timeout',
-  /** The hello frame is not valid, is too large, or names no member of the cell. */
+  /** The first frame is not a hello frame, or is too large. */
   invalidHello: 'invalid-hello',
+  /** The hello frame has another protocol version, or names no member that is known yet. */
+  refusedHello: 'refused-hello',
   /** It was the oldest one of a member that has opened too many. */
   closedForMember: 'closed-for-member'
 } as const
@@ -152,13 +154,13 @@
   private _acceptHello ({ socket, remote }: AcceptedConnection, frame: unknown): PeerIdentity | undefined {
     const { self, members } = this._options
     const hello = helloSchema.safeParse(frame)
-    const refuse = (reason: string): undefined => {
-      this._refusals.count(PEER_REFUSALS.invalidHello)
+    const refuse = (reason: string, cause: PeerRefusal = PEER_REFUSALS.refusedHello): undefined => {
+      this._refusals.count(cause)
       this._limitedLog.event('warn', 'peer.refused', { step: 'peer.hello', peer: remote, reason })
       socket.end(encodeFrame({ type: 'refused', reason }))
       return undefined
     }
-    if (!hello.success) return refuse('the first frame is not a hello frame')
+    if (!hello.success) return refuse('the first frame is not a hello frame', PEER_REFUSALS.invalidHello)
     const { protocol, vm, failureDomain, incarnation } = hello.data
     if (protocol !== PEER_PROTOCOL_VERSION) return refuse(`protocol version ${protocol}; this daemon supports ${PEER_PROTOCOL_VERSION}`)
     if (members.get(vm)?.failureDomain !== failureDomain) return refuse(`${vm} in ${failureDomain} is not in the member list of ${self.vm}`)
--- a/tests/peers/crowdedPort.test.ts
+++ b/tests/peers/crowdedPort.test.ts
@@ -133,6 +133,8 @@
   const { listener, accepted, lines } = await startListener(t)
   await sendCrowd(t, listener, STRANGER)
   await untilSettled(accepted, STRANGER.length)
+  t.match(lines.join('\n'), /"cause":"refused-hello"/)
+  t.notMatch(lines.join('\n'), /"cause":"invalid-hello"/)
   t.ok(lines.length > 0 && lines.length <= MAX_LINES, `${lines.length} lines`)
 })
 
