A call of a peer with very many faults is answered

Cause: the answer held a text of all faults (17,788,987 bytes, over the 4,000,000 of a frame), could not be encoded, and nothing handled the rejection. An invalid result of a peer had such a text, too, and the paths of faults may hold keys of any length.

Change: both texts describe the first ten faults, by the function that the answers of the entry daemon use, and paths are shortened as messages are.

--- a/packages/pomelofold/src/edge/peerConnection.ts
+++ b/packages/pomelofold/src/edge/peerConnection.ts
@@ -10,6 +10,7 @@
 import { ManualPromise } from '../utils/manualPromise.js'
 import { encodeFrame, FrameDecoder } from '../protocol/framing.js'
 import { frameSchema, PEER_PROTOCOL_VERSION, peerMethodSchemas, type Frame, type PeerMethod, type PeerMethods } from '../protocol/peerMessages.js'
+import { describeFaults } from '../protocol/problem.js'
 import type { PeerIdentity } from '../seams/peerTransport.js'
 import type { Timers } from '../seams/timers.js'
 
@@ -120,7 +121,8 @@
 
   private _parseResult (method: PeerMethod, value: unknown): Result<unknown, CallError> {
     const parsed = peerMethodSchemas[method].result.safeParse(value)
-    return parsed.success ? Result.ok(parsed.data) : Result.err(this._callError(method, `invalid result: ${parsed.error.message}`, EFFECTS.unknown))
+    if (parsed.success) return Result.ok(parsed.data)
+    return Result.err(this._callError(method, `invalid result: ${describeFaults(parsed.error, value)}`, EFFECTS.unknown))
   }
 
   private _end (reason: string): void {
--- a/packages/pomelofold/src/edge/peerListener.ts
+++ b/packages/pomelofold/src/edge/peerListener.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from '../utils/eventLog.js'
 import { encodeFrame, FrameDecoder, FrameError, MAX_FRAME_BYTES } from '../protocol/framing.js'
 import { frameSchema, helloSchema, PEER_PROTOCOL_VERSION, peerMethodSchemas, type PeerMethod } from '../protocol/peerMessages.js'
+import { describeFaults } from '../protocol/problem.js'
 import type { PeerHandlers, PeerIdentity } from '../seams/peerTransport.js'
 import type { Timers, TimerSubscription } from '../seams/timers.js'
 import { LimitedEventLog } from './limitedEventLog.js'
@@ -192,7 +193,7 @@
     const handler = Object.hasOwn(peerMethodSchemas, method) ? this._options.handlers[method as PeerMethod] : undefined
     if (!handler) throw new CallError('unknown method', details)
     const parsed = peerMethodSchemas[method as PeerMethod].params.safeParse(params)
-    if (!parsed.success) throw new CallError(`invalid parameters: ${parsed.error.message}`, details)
+    if (!parsed.success) throw new CallError(`invalid parameters: ${describeFaults(parsed.error, params)}`, details)
     return (handler as (params: unknown, from: PeerIdentity) => Promise<unknown>)(parsed.data, from)
   }
 }
--- a/packages/pomelofold/src/protocol/problem.ts
+++ b/packages/pomelofold/src/protocol/problem.ts
@@ -57,8 +57,8 @@
 /** Maximum length of an invalid value that an answer quotes. */
 const MAX_VALUE_CHARS = 100
 
-/** Maximum length of the message about a fault. */
-const MAX_MESSAGE_CHARS = 1_000
+/** Maximum length of the path of a fault, which may hold keys of the input, and of the message about it. */
+const MAX_TEXT_CHARS = 1_000
 
 /** Maximum number of faults that an answer describes. */
 const MAX_FAULTS = 10
@@ -66,7 +66,7 @@
 /** Lists the first invalid fields of `input`, which a schema has rejected with `err`. */
 export function fieldFaults (err: z.ZodError, input: unknown): FieldFault[] {
   return err.issues.slice(0, MAX_FAULTS).map(issue => {
-    const path = issue.path.length ? issue.path.map(String).join('.') : '(root)'
+    const path = issue.path.length ? shorten(issue.path.map(String).join('.')) : '(root)'
     const fault: FieldFault = { path, message: shorten(issue.message) }
     const value = issue.path.reduce<unknown>((parent, step) => (parent as Record<PropertyKey, unknown> | undefined)?.[step], input)
     if (value !== undefined && typeof value !== 'object') fault.value = String(value).slice(0, MAX_VALUE_CHARS)
@@ -74,6 +74,13 @@
   })
 }
 
-function shorten (message: string): string {
-  return message.length > MAX_MESSAGE_CHARS ? `${message.slice(0, MAX_MESSAGE_CHARS)}…` : message
+/** Describes the first invalid fields of `input`, which a schema has rejected with `err`, and tells the number of the others. */
+export function describeFaults (err: z.ZodError, input: unknown): string {
+  const texts = fieldFaults(err, input).map(({ path, message }) => `${path}: ${message}`)
+  const omitted = err.issues.length - texts.length
+  return [...texts, ...omitted > 0 ? [`and ${omitted} more faults`] : []].join('; ')
+}
+
+function shorten (text: string): string {
+  return text.length > MAX_TEXT_CHARS ? `${text.slice(0, MAX_TEXT_CHARS)}…` : text
 }
--- a/packages/pomelofold/src/server/http/problems.ts
+++ b/packages/pomelofold/src/server/http/problems.ts
@@ -10,7 +10,7 @@
 import type { z } from 'zod'
 import type { Manifest } from '../../protocol/manifest.js'
 import { HEADERS, OUTCOMES } from '../../protocol/requests.js'
-import { fieldFaults, PROBLEM_CONTENT_TYPE, problem, type FieldFault, type Problem, type ProblemKind } from '../../protocol/problem.js'
+import { describeFaults, fieldFaults, PROBLEM_CONTENT_TYPE, problem, type FieldFault, type Problem, type ProblemKind } from '../../protocol/problem.js'
 import { BODY_ERRORS, readBody, type BodyError } from '../../seams/requestBody.js'
 
 /** Delay after which a caller may repeat a request whose body there was no room for, in milliseconds. */
@@ -27,10 +27,7 @@
 /** Answers that an input does not match its schema. The outcome is `not-run`. */
 export function sendSchemaFaults (c: Context, err: z.ZodError, input: unknown): Response {
   const faults = fieldFaults(err, input)
-  const texts = faults.map(fault => `${fault.path}: ${fault.message}`)
-  const omitted = err.issues.length - faults.length
-  const detail = [...texts, ...omitted > 0 ? [`and ${omitted} more faults`] : []].join('; ')
-  return sendProblem(c, problem('invalid', detail, { faults, outcome: OUTCOMES.notRun }))
+  return sendProblem(c, problem('invalid', describeFaults(err, input), { faults, outcome: OUTCOMES.notRun }))
 }
 
 /** Answers that one value is refused, for example because it is out of bounds or names an unknown team. The outcome is `not-run`. */
--- a/tests/peers/crowdedPort.test.ts
+++ b/tests/peers/crowdedPort.test.ts
@@ -25,6 +25,8 @@
 const MAX_OPEN_PER_MEMBER = 20
 const MAX_HELD_BYTES = 1_000_000
 const MAX_LINES = 110
+/** Wrong values of a call, of one byte each. */
+const FAULTS = 100_000
 
 const MEMBERS = new Map([['entry-a', { failureDomain: 'a' }], ['entry-b', { failureDomain: 'b' }]])
 const HELLO = encodeFrame({ type: 'hello', protocol: PEER_PROTOCOL_VERSION, vm: 'entry-b', failureDomain: 'b', incarnation: '1' })
@@ -37,7 +39,7 @@
   const timers = new ManualTimers()
   const listener = new PeerListener({
     self: { vm: 'entry-a', failureDomain: 'a', incarnation: '1' },
-    handlers: { keyedOutcome: async () => ({ outcome: 'ran' }) },
+    handlers: { keyedOutcome: async () => ({ outcome: 'ran' }), askEligibility: async () => ({ answer: null }) },
     members: MEMBERS,
     timers,
     log: { event: (_level, name, fields) => { lines.push(`${name} ${JSON.stringify(fields)}`) } },
@@ -155,3 +157,20 @@
   t.notOk(peers.some(peer => peer.ended))
   t.same(lines, [])
 })
+
+// Guards against a fault for each wrong value, whose text exceeds a frame: the answer cannot be encoded, and the process ends.
+t.test('a call with very many faults is answered', async t => {
+  const { listener } = await startListener(t)
+  const peer = connectPeer(t, listener)
+  const rejections: unknown[] = []
+  const onRejection = (err: unknown): void => { rejections.push(err) }
+  process.on('unhandledRejection', onRejection)
+  t.teardown(() => process.off('unhandledRejection', onRejection))
+  const workers = new Array(FAULTS).fill(0) as unknown as string[]
+  const call = peer.call('askEligibility', { step: 's', workers, timeoutMs: 1 }, TIMEOUT_MS)
+  const ended = new Promise(resolve => process.once('unhandledRejection', resolve))
+  const answer = await Promise.race([call, ended])
+  t.same(rejections, [], 'the process lives')
+  t.match(answer, { isErr: true })
+  await checkServed(t, connectPeer(t, listener))
+})
