Trailers of chunked bodies are accounted

Cause: the parser keeps trailers as it keeps headers. The account had the bytes of an incomplete header only.

Change: input during a chunked body that yields no part of it counts as an incomplete header does, until the next part or the end of the request. The trailers of a complete request count like its headers.

--- a/packages/pomelofold/src/edge/callerConnection.ts
+++ b/packages/pomelofold/src/edge/callerConnection.ts
@@ -25,7 +25,7 @@
 /** Amount of input that counts as progress, in bytes. */
 const PROGRESS_BYTES = 16_384
 
-/** Memory that a byte of an incomplete header takes: the parser keeps names and values as separate strings. */
+/** Memory that a byte of an incomplete header or trailer takes: the parser keeps names and values as separate strings. */
 const HEADER_COST = 8
 
 /** Input that the operating system may buffer for a connection that is not read, in bytes. */
@@ -211,10 +211,13 @@
   private _parsePiece (input: Buffer): void {
     const lastRequest = this._lastRequest
     const inHeader = !lastRequest || lastRequest.complete
+    const receivedBytes = lastRequest?.receivedChunkBytes
     const bytes = Math.min(input.length, Math.max(PARSE_BYTES, inHeader ? 0 : lastRequest.remainingBytes))
     this._input = bytes < input.length ? input.subarray(bytes) : undefined
     this._parse(input.subarray(0, bytes))
-    this._headerBytes = inHeader && lastRequest === this._lastRequest ? this._headerBytes + bytes : 0
+    // Input that is no part of a chunked body may be one of its trailers, which the parser keeps as it keeps headers.
+    const inTrailer = !inHeader && !lastRequest.complete && receivedBytes !== undefined && receivedBytes === lastRequest.receivedChunkBytes
+    this._headerBytes = inTrailer || (inHeader && lastRequest === this._lastRequest) ? this._headerBytes + bytes : 0
   }
 
   private _wantsInput (): boolean {
--- a/packages/pomelofold/src/edge/receivedRequest.ts
+++ b/packages/pomelofold/src/edge/receivedRequest.ts
@@ -80,10 +80,15 @@
     return this._reading && this._announcedBytes !== undefined ? this._announcedBytes - this._receivedBytes : 0
   }
 
+  /** Number of bytes that have been received of a chunked body; undefined when none is being read. */
+  get receivedChunkBytes (): number | undefined {
+    return this._reading && this._announcedBytes === undefined ? this._receivedBytes : undefined
+  }
+
   /** Number of bytes that the request holds. */
   get heldBytes (): number {
     const { req, bodyCost } = this._options
-    const headerBytes = req.rawHeaders.length * HEADER_STRING_BYTES
+    const headerBytes = (req.rawHeaders.length + req.rawTrailers.length) * HEADER_STRING_BYTES
     return REQUEST_BYTES + headerBytes + (this._body?.allocatedBytes ?? 0) + this._completeBodyBytes * bodyCost
   }
 
--- a/tests/edge/leavingCallers.test.ts
+++ b/tests/edge/leavingCallers.test.ts
@@ -28,6 +28,9 @@
 const SEGMENT_BYTES = 1_250
 const SEGMENT_MS = 10
 
+/** Input that the server parses at once. */
+const PIECE_BYTES = 256
+
 const GET = 'GET /plain HTTP/1.1\r\nhost: h\r\n\r\n'
 const SLOW_GET = 'GET /slow HTTP/1.1\r\nhost: h\r\n\r\n'
 
@@ -174,6 +177,25 @@
   t.ok(used - count * 20_000 < 2 * heldBytes, `${used} bytes of heap, ${heldBytes} accounted`)
 })
 
+// Guards against header lines after a chunked body, which the parser keeps without an account.
+t.test('the memory that long trailers take is accounted', async t => {
+  const { server, serverSockets } = await startServer(t)
+  const count = 100
+  let names = ''
+  for (let i = 0; names.length < 15_000; i++) names += `${i.toString(36)}:\r\n`
+  const text = `POST /bodies HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n${names}`
+  await externalBytes()
+  const before = process.memoryUsage().heapUsed
+  for (let i = 0; i < count; i++) open(t, server).socket.write(text)
+  await until(() => serverSockets.length === count && serverSockets.every(({ bytesRead }) => bytesRead === text.length))
+  for (let i = 0; i < text.length / PIECE_BYTES; i++) await nextTurn()
+  await externalBytes()
+  const used = process.memoryUsage().heapUsed - before
+  const { heldBytes } = server.figures()
+  // The callers of this test are in the same process.
+  t.ok(used - count * 20_000 < 2 * heldBytes, `${used} bytes of heap, ${heldBytes} accounted`)
+})
+
 // Guards against closing a connection that waits for this server.
 t.test('a connection whose request has been sent in full is not closed for a new one while its key is checked', async t => {
   const { server, running, check } = await startServer(t, { maxConnections: 3 })
