Answers that wait for an earlier one are not accounted: known to fail

Requests that are parsed in one piece of 256 bytes run at once; their answers wait in Node.js for the first one. 20 callers with a slow request and three answers of 200 KB: 12.0 MB held, 0.67 MB accounted, of at most 1 MB. Not mended: the account would have to learn when such an answer has been written, which no event tells.

The shortened path of a fault has a test, too: without it the path has 100,000 characters, and the test fails.

--- a/tests/edge/leavingCallers.test.ts
+++ b/tests/edge/leavingCallers.test.ts
@@ -32,6 +32,7 @@
 const PIECE_BYTES = 256
 
 const GET = 'GET /plain HTTP/1.1\r\nhost: h\r\n\r\n'
+const LARGE_GET = 'GET /large HTTP/1.1\r\nhost: h\r\n\r\n'
 const SLOW_GET = 'GET /slow HTTP/1.1\r\nhost: h\r\n\r\n'
 
 setFlagsFromString('--expose-gc')
@@ -66,6 +67,7 @@
   })
   app.all('/refused', ctx => ctx.text('no such queue', 404))
   app.all('/plain', ctx => ctx.text('answer'))
+  app.all('/large', ctx => ctx.body(new ArrayBuffer(200_000)))
   app.all('/slow', async (ctx: Context) => {
     running.now++
     running.total++
@@ -196,6 +198,20 @@
   t.ok(used - count * 20_000 < 2 * heldBytes, `${used} bytes of heap, ${heldBytes} accounted`)
 })
 
+// Guards against answers that wait, without an account, for an earlier one of their connection.
+t.test('answers that wait for an earlier one are accounted', async t => {
+  const { server, running } = await startServer(t, { maxHeldBytes: 1_000_000 })
+  const count = 20
+  const before = await externalBytes()
+  const callers = Array.from({ length: count }, () => open(t, server))
+  for (const { socket } of callers) socket.write(`${SLOW_GET}${LARGE_GET.repeat(3)}`)
+  await until(() => running.total === count)
+  for (let i = 0; i < 50; i++) await nextTurn()
+  const held = await externalBytes() - before
+  const { heldBytes } = server.figures()
+  t.ok(held < 2_000_000, `${held} bytes in buffers, ${heldBytes} accounted, at most 1000000`)
+})
+
 // Guards against closing a connection that waits for this server.
 t.test('a connection whose request has been sent in full is not closed for a new one while its key is checked', async t => {
   const { server, running, check } = await startServer(t, { maxConnections: 3 })
--- a/tests/http/manyFaults.test.ts
+++ b/tests/http/manyFaults.test.ts
@@ -1,9 +1,10 @@
 /** Tests of the answers to documents with very many faults, which must stay short. */
 
 import t from 'tap'
+import { z } from 'zod'
 import { jobSpecSchema } from 'pomelofold/protocol/jobs'
 import { manifestSchema } from 'pomelofold/protocol/manifest'
-import type { Problem } from 'pomelofold/protocol/problem'
+import { fieldFaults, type Problem } from 'pomelofold/protocol/problem'
 import { MAX_BODY_BYTES, startRouteServer } from './routeServer.js'
 
 const MAX_FAULTS = 10
@@ -48,3 +49,9 @@
   ]
   for (const { error } of documents) t.ok(error!.issues.length <= MAX_ISSUES, `${error!.issues.length} issues`)
 })
+
+t.test('the path of a fault is short, whatever the keys of the document', async t => {
+  const input = { ['k'.repeat(100_000)]: 'x' }
+  const [{ path }] = fieldFaults(z.record(z.string(), z.number()).safeParse(input).error!, input)
+  t.ok(path.length <= 1_100, `${path.length} characters`)
+})
