--- a/tests/edge/leavingCallers.test.ts
+++ b/tests/edge/leavingCallers.test.ts
@@ -316,6 +316,20 @@
   t.match(received(), /^HTTP\/1\.1 [45]\d\d /)
 })
 
+// Guards against a request that is dropped by the parser, which stops after one that offers an upgrade.
+t.test('a request after the body of a refused one that offers an upgrade is answered, or its connection closed', async t => {
+  const { server, serverSockets } = await startServer(t)
+  const { socket, received, until: untilReceived } = open(t, server)
+  const upgrade = 'connection: Upgrade, HTTP2-Settings\r\nupgrade: h2c\r\nhttp2-settings: AAEA\r\n'
+  socket.write(`POST /refused HTTP/1.1\r\nhost: h\r\n${upgrade}content-length: 1100\r\n\r\n${'x'.repeat(1_000)}`)
+  await untilReceived(/no such queue/)
+  await send(socket, `${'x'.repeat(100)}${GET}`)
+  await until(() => socket.destroyed || serverSockets[0].bytesRead === socket.bytesWritten)
+  if (!socket.destroyed) socket.write('POST /bodies HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\n{}')
+  await until(() => socket.destroyed || /2 bytes$/.test(received()))
+  t.ok(socket.destroyed || /answer/.test(received()), received())
+})
+
 // Guards against kinds of requests that the bounded input does not let through.
 t.test('requests of ordinary kinds are answered on one connection', async t => {
   const { server, release } = await startServer(t)
