A call of a method with a very long name does not end the process

Change: names of methods have up to 100 characters, so that such a frame is refused as one that is not valid, and the message of any error is shortened before it is logged and answered.

--- a/packages/pomelofold/src/edge/peerListener.ts
+++ b/packages/pomelofold/src/edge/peerListener.ts
@@ -7,6 +7,7 @@
 import type { Server, Socket } from 'node:net'
 import { CallError, EFFECTS, errorText } from '../utils/errors.js'
 import type { EventLog } from '../utils/eventLog.js'
+import { shorten } from '../utils/shorten.js'
 import { encodeFrame, FrameDecoder, FrameError, MAX_FRAME_BYTES } from '../protocol/framing.js'
 import { frameSchema, helloSchema, PEER_PROTOCOL_VERSION, peerMethodSchemas, type PeerMethod } from '../protocol/peerMessages.js'
 import { describeFaults } from '../protocol/problem.js'
@@ -22,6 +23,9 @@
 /** Maximum size of a frame until the hello frame has been accepted, in bytes. */
 const MAX_HELLO_BYTES = 4_096
 
+/** Maximum length of the message of an error that is answered, so that its frame can always be encoded. */
+const MAX_ERROR_CHARS = 16_000
+
 /** Why a connection was refused or closed. */
 export const PEER_REFUSALS = {
   /** It had not sent a hello frame, and was the oldest one at the maximum number of such connections. */
@@ -183,8 +187,9 @@
       if (!socket.destroyed) socket.write(encodeFrame({ type: 'result', id, result }))
     } catch (err) {
       const effect = err instanceof CallError ? err.effect : EFFECTS.unknown
-      this._options.log.event('warn', 'peer.call.failed', { step: `peer.${method}`, peer: from.vm, detail: errorText(err) })
-      if (!socket.destroyed) socket.write(encodeFrame({ type: 'error', id, message: errorText(err), effect }))
+      const message = shorten(errorText(err), MAX_ERROR_CHARS)
+      this._options.log.event('warn', 'peer.call.failed', { step: `peer.${method}`, peer: from.vm, detail: message })
+      if (!socket.destroyed) socket.write(encodeFrame({ type: 'error', id, message, effect }))
     }
   }
 
--- a/packages/pomelofold/src/protocol/peerMessages.ts
+++ b/packages/pomelofold/src/protocol/peerMessages.ts
@@ -172,11 +172,14 @@
   incarnation: z.string().min(1)
 })
 
+/** Maximum length of the name of a method. */
+const MAX_METHOD_CHARS = 100
+
 /** Frames that follow the first one on a connection. */
 export const frameSchema = z.discriminatedUnion('type', [
   z.object({ type: z.literal('welcome'), vm: z.string(), incarnation: z.string() }),
   z.object({ type: z.literal('refused'), reason: z.string() }),
-  z.object({ type: z.literal('call'), id: z.number().int(), method: z.string(), params: z.unknown() }),
+  z.object({ type: z.literal('call'), id: z.number().int(), method: z.string().max(MAX_METHOD_CHARS), params: z.unknown() }),
   z.object({ type: z.literal('result'), id: z.number().int(), result: z.unknown() }),
   z.object({ type: z.literal('error'), id: z.number().int(), message: z.string(), effect: z.enum(['none', 'unknown']) })
 ])
--- a/packages/pomelofold/src/protocol/problem.ts
+++ b/packages/pomelofold/src/protocol/problem.ts
@@ -6,6 +6,7 @@
 
 import type { z } from 'zod'
 import type { Outcome } from './requests.js'
+import { shorten } from '../utils/shorten.js'
 
 /** Content type of problem documents. */
 export const PROBLEM_CONTENT_TYPE = 'application/problem+json'
@@ -66,8 +67,8 @@
 /** Lists the first invalid fields of `input`, which a schema has rejected with `err`. */
 export function fieldFaults (err: z.ZodError, input: unknown): FieldFault[] {
   return err.issues.slice(0, MAX_FAULTS).map(issue => {
-    const path = issue.path.length ? shorten(issue.path.map(String).join('.')) : '(root)'
-    const fault: FieldFault = { path, message: shorten(issue.message) }
+    const path = issue.path.length ? shorten(issue.path.map(String).join('.'), MAX_TEXT_CHARS) : '(root)'
+    const fault: FieldFault = { path, message: shorten(issue.message, MAX_TEXT_CHARS) }
     const value = issue.path.reduce<unknown>((parent, step) => (parent as Record<PropertyKey, unknown> | undefined)?.[step], input)
     if (value !== undefined && typeof value !== 'object') fault.value = String(value).slice(0, MAX_VALUE_CHARS)
     return fault
@@ -80,7 +81,3 @@
   const omitted = err.issues.length - texts.length
   return [...texts, ...omitted > 0 ? [`and ${omitted} more faults`] : []].join('; ')
 }
-
-function shorten (text: string): string {
-  return text.length > MAX_TEXT_CHARS ? `${text.slice(0, MAX_TEXT_CHARS)}…` : text
-}
--- a/tests/peers/crowdedPort.test.ts
+++ b/tests/peers/crowdedPort.test.ts
@@ -25,6 +25,8 @@
 const MAX_OPEN_PER_MEMBER = 20
 const MAX_HELD_BYTES = 1_000_000
 const MAX_LINES = 110
+/** Bound of the answer to a hello frame. */
+const MAX_HELLO_ANSWER_BYTES = 100
 /** Wrong values of a call, of one byte each. */
 const FAULTS = 100_000
 
@@ -174,3 +176,21 @@
   t.match(answer, { isErr: true })
   await checkServed(t, connectPeer(t, listener))
 })
+
+// Guards against an answer that repeats what the caller sent, so that it exceeds a frame and the process ends.
+t.test('a call of a method with a very long name is answered, or its connection closed', async t => {
+  const { listener, accepted } = await startListener(t)
+  const rejections: unknown[] = []
+  const onRejection = (err: unknown): void => { rejections.push(err) }
+  process.on('unhandledRejection', onRejection)
+  t.teardown(() => process.off('unhandledRejection', onRejection))
+  const call = (method: string): Buffer => encodeFrame({ type: 'call', id: 1, method, params: 0 })
+  const frame = call('x'.repeat(MAX_FRAME_BYTES - call('x'.repeat(100_000)).length + 100_000))
+  const [socket] = await sendCrowd(t, listener, HELLO, 1)
+  while (socket.bytesRead === 0) await new Promise(resolve => setTimeout(resolve, 2))
+  socket.write(frame)
+  const answered = (): boolean => socket.bytesRead > MAX_HELLO_ANSWER_BYTES
+  while (rejections.length === 0 && !accepted[0].destroyed && !answered()) await new Promise(resolve => setTimeout(resolve, 2))
+  t.same(rejections, [], 'the process lives')
+  await checkServed(t, connectPeer(t, listener))
+})
