A big number in a frame of a peer is refused

Cause: the codec shifts the number once for each of its bytes. No message has big numbers.

Change: their tags are refused, as other content that cannot be decoded.

--- a/packages/pomelofold/src/protocol/framing.ts
+++ b/packages/pomelofold/src/protocol/framing.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { Decoder, Encoder } from 'cbor-x'
+import { addExtension, Decoder, Encoder } from 'cbor-x'
 
 /** Size of the length prefix, in bytes. */
 export const LENGTH_PREFIX_BYTES = 4
@@ -16,6 +16,13 @@
 const encoder = new Encoder(CODEC_OPTIONS)
 const decoder = new Decoder(CODEC_OPTIONS)
 
+/** Tags of CBOR's big numbers. No message has any, and the time to decode one grows with the square of its length. */
+const BIG_NUMBER_TAGS = [2, 3]
+for (const tag of BIG_NUMBER_TAGS) {
+  const decode = (): never => { throw new Error('big numbers are not supported') }
+  addExtension({ tag, decode } as unknown as Parameters<typeof addExtension>[0])
+}
+
 /** Size up to which adjacent pieces of an incomplete frame are joined, in bytes: a piece takes some hundred bytes beside its content. */
 const MIN_PIECE_BYTES = 1_024
 
--- a/tests/peers/framing.test.ts
+++ b/tests/peers/framing.test.ts
@@ -82,3 +82,15 @@
   t.ok(kept <= 100, `${kept} of ${pieces.length} pieces kept`)
   t.same(decoder.push(Buffer.alloc(95)), [])
 })
+
+// Guards against a number that takes the square of its length to decode: one of 4 MB blocks the process.
+t.test('a number of very many digits is refused', async t => {
+  const BYTES = 50_000
+  for (const tag of [0xc2, 0xc3]) {
+    const frame = Buffer.alloc(10 + BYTES, 0xff)
+    frame.writeUInt32BE(6 + BYTES)
+    frame.set([tag, 0x5a], 4)
+    frame.writeUInt32BE(BYTES, 6)
+    t.throws(() => new FrameDecoder().push(frame), FrameError)
+  }
+})
