--- a/tests/workflows/leaderChain.ts
+++ b/tests/workflows/leaderChain.ts
@@ -91,6 +91,32 @@
   return { cell, task: `${workflow.id}.0.0.0` }
 }
 
+/**
+ * Starts a cell of one worker, which is told to start a long-running task 11.5 s late, and later to extend its lease 11 s late. No stop
+ * comes late: it would end the run.
+ */
+export async function cellWithLateExtension ({ idsReturn = false } = {}): Promise<{ cell: WorkflowCell, task: string }> {
+  const cell = new WorkflowCell({ daemons: 5, workers: 1, maxLeaseMs: 10_000, runMs: () => 600_000 })
+  await cell.waitUntilReady()
+  if (idsReturn) cell.restartWorker('w0')
+  await cell.timers.advance(20_000)
+  const [{ faults }] = cell.workers
+  faults.orderDelayMs = 11_500
+  const workflow = cell.workflow([{ tasks: 1, longRunning: true }])
+  await cell.submit(workflow, cell.leader!)
+  await cell.timers.advanceUntil(() => cell.events.filter(({ name }) => name === 'start.unanswered').length === 3)
+  faults.orderDelayMs = 0
+  faults.breaksOrders = true
+  await cell.timers.advance(3_500)
+  faults.extensionDelayMs = 11_000
+  const { client } = cell.leader!
+  const extendLease = client.extendLease.bind(client)
+  let extended = false
+  client.extendLease = (...args) => { extended = true; return extendLease(...args) }
+  await cell.timers.advanceUntil(() => extended)
+  return { cell, task: `${workflow.id}.0.0.0` }
+}
+
 /** The worker of the last run of a task. */
 export function workerOf (cell: WorkflowCell, task: string): LeasedWorker {
   const id = cell.runsOf(task).at(-1)!.worker
--- a/tests/workflows/nextIncarnations.test.ts
+++ b/tests/workflows/nextIncarnations.test.ts
@@ -6,7 +6,7 @@
 
 import t from 'tap'
 import { delay } from 'pomelofold/seams/timers'
-import { cellWithStartInTransit, replaceLeader } from './leaderChain.js'
+import { cellWithLateExtension, cellWithStartInTransit, replaceLeader } from './leaderChain.js'
 import { WorkflowCell } from './workflowCell.js'
 
 const MAX_LEASE_MS = 10_000
@@ -54,30 +54,13 @@
 
 // Guards against TWICE: the record of a worker that is lost before its restart is known says nothing of an extension on its way.
 t.test('the next leader waits for a late extension to a worker that was lost before its restart was known', async t => {
-  const cell = new WorkflowCell({ daemons: 5, workers: 1, maxLeaseMs: MAX_LEASE_MS, runMs: () => 600_000 })
-  await cell.waitUntilReady()
-  cell.restartWorker('w0')
-  await cell.timers.advance(FORMER_AGE_MS)
-  const [{ faults }] = cell.workers
-  faults.orderDelayMs = 11_500
-  const workflow = cell.workflow([{ tasks: 1, longRunning: true }])
-  await cell.submit(workflow, cell.leader!)
-  await cell.timers.advanceUntil(() => cell.events.filter(({ name }) => name === 'start.unanswered').length === 3)
-  faults.orderDelayMs = 0
-  faults.breaksOrders = true
-  await cell.timers.advance(3_500)
-  faults.extensionDelayMs = 11_000
-  const calls = cell.leader!.client
-  const extendLease = calls.extendLease.bind(calls)
-  let extended = false
-  calls.extendLease = (...args) => { extended = true; return extendLease(...args) }
-  await cell.timers.advanceUntil(() => extended)
+  const { cell, task } = await cellWithLateExtension({ idsReturn: true })
   cell.restartWorker('w0', { listedAfterMs: 60_000, reachableAfterMs: 60_000 })
   await cell.timers.advanceUntil(() => cell.events.some(({ name }) => name === 'leaseEnd.noted'))
   await cell.timers.advance(500)
   cell.addWorker()
   await replaceLeader(cell, 'refused')
-  await cell.timers.advanceUntil(() => cell.runsOf(`${workflow.id}.0.0.0`).length > 1)
+  await cell.timers.advanceUntil(() => cell.runsOf(task).length > 1)
   await cell.timers.advance(SETTLED_MS)
   t.same(cell.violations(), [])
 })
