--- a/review/lib-3/minions.mjs
+++ b/review/lib-3/minions.mjs
@@ -88,14 +88,6 @@
     this.boot(this.labels)
   }
 
-  /** Goes down and up by turns. */
-  async flap ({ periodMs, forMs }) {
-    for (const endMs = performance.now() + forMs; performance.now() < endMs;) {
-      await this.crashFor(periodMs / 2)
-      await sleep(periodMs / 2)
-    }
-  }
-
   get clockMs () {
     return Math.round(performance.now() - this.startedMs)
   }
@@ -200,10 +192,6 @@
 const all = new Map(minions.map(settings => [settings.id, new Minion(settings)]))
 
 /** Orders of the script that started this process. */
-process.on('message', ({ id, flap, crashForMs }) => {
-  const minion = all.get(id)
-  if (flap) minion.flap(flap)
-  if (crashForMs !== undefined) minion.crashFor(crashForMs)
-})
+process.on('message', ({ id, crashForMs }) => { all.get(id).crashFor(crashForMs) })
 process.send?.({ ready: true })
 process.once('disconnect', () => process.exit())
