Review case 13: a start of a former leader is carried out at the third boot of its minion, beside another run

Cause: starts in transit are not held any more by the next leader once the next boot of their minion has answered, which can end, too.

--- a/review/lib-3/cell.mjs
+++ b/review/lib-3/cell.mjs
@@ -185,7 +185,7 @@
     return answer
   }
 
-  /** Has a minion crash and boot again under its id after `crashForMs`. */
+  /** Has a minion crash, lose power, be cut off or carry orders out late; see `minions.mjs`. */
   tellMinion (id, order) {
     this.log('the script tells', id, JSON.stringify(order))
     this.minionProcesses.find(({ ids }) => ids.has(id)).child.send({ id, ...order })
--- a/review/lib-3/minions.mjs
+++ b/review/lib-3/minions.mjs
@@ -9,6 +9,8 @@
 const { host, store, minions, heartbeatMs, holdMaxMs } = JSON.parse(process.argv[2])
 
 const MAX_LISTED_ENDS = 500
+/** Intervals without a report after which the platform removes an entry. */
+const EXPIRY_INTERVALS = 3
 const CONFLICT = 409
 const OTHER_INSTANCE = 421
 const TICK_MS = 5
@@ -49,7 +51,7 @@
     this.settings = { id, port, service, zone, capacity }
     this.boot(labels)
     setInterval(() => this.tick(), TICK_MS)
-    setInterval(() => { if (!this.isDown) this.beat() }, heartbeatMs)
+    setInterval(() => { if (!this.isDown && !this.isCut) this.beat() }, heartbeatMs)
   }
 
   /** Starts a boot, which knows nothing of earlier ones. */
@@ -68,7 +70,7 @@
     this.isDown = false
     this.server = createServer({ keepAliveTimeout: 120_000 }, (req, res) => { this.serve(req, res) }).listen(this.settings.port, host)
     note('boot', this.settings.id, labels.join('/'))
-    this.beat()
+    if (!this.isCut) this.beat()
   }
 
   /** Ends the boot without notice: its connections break off, and new ones are refused until the next one. */
@@ -81,13 +83,37 @@
     this.server.closeAllConnections()
   }
 
-  /** Crashes, and boots again after `downMs`. */
+  /** Crashes, and boots again after `downMs`, unless that is null. */
   async crashFor (downMs) {
     this.crash()
+    if (downMs === null) return this.expire()
     await sleep(downMs)
     this.boot(this.labels)
   }
 
+  /** Is cut off from all machines for some time, and crashes and boots again behind the cut. */
+  async cutFor ({ forMs, rebornAfterMs, downMs }) {
+    this.isCut = true
+    note('cut', this.settings.id)
+    setTimeout(() => { this.isCut = false; note('healed', this.settings.id) }, forMs)
+    await sleep(rebornAfterMs)
+    await this.crashFor(downMs)
+  }
+
+  /** Loses power for good: nothing is answered any more. */
+  losePower () {
+    this.isDown = true
+    note('dark', this.settings.id)
+    this.runs.clear()
+    return this.expire()
+  }
+
+  /** The platform removes the entry of a minion that is silent. */
+  async expire () {
+    await sleep(EXPIRY_INTERVALS * heartbeatMs)
+    await txn({ deletes: [`servers/${this.settings.id}`] })
+  }
+
   get clockMs () {
     return Math.round(performance.now() - this.startedMs)
   }
@@ -136,11 +162,22 @@
 
   async serve (req, res) {
     const chunks = await req.toArray().catch(() => undefined)
-    if (!chunks || this.isDown) return
+    if (!chunks || this.isDown || this.isCut) return
     const text = Buffer.concat(chunks).toString()
     const body = text ? JSON.parse(text) : {}
     const expected = req.headers['x-pomelofold-expected-instance']
     if (expected !== undefined && expected !== this.settings.id) return send(res, OTHER_INSTANCE, {})
+    if (this.lateByMs !== undefined && req.url !== '/api/hold') return this.carryOutLate(req, body)
+    this.carryOut(req, res, body)
+  }
+
+  /** Leaves an order unanswered, and has the boot that is up then carry it out. */
+  carryOutLate (req, body) {
+    note('late', this.settings.id, req.url, body.task, body.attempt)
+    setTimeout(() => { if (!this.isDown) this.carryOut(req, { destroyed: true }, body) }, this.lateByMs)
+  }
+
+  carryOut (req, res, body) {
     if ((body.fence_token ?? 0) < this.fence) return send(res, CONFLICT, { clock_ms: this.clockMs, reason: 'fence' })
     this.fence = Math.max(this.fence, body.fence_token ?? 0)
     if (req.url === '/api/hold') return this.hold(res, body)
@@ -167,6 +204,7 @@
 
   start (res, { task, attempt, spec, deadline_ms: deadlineMs }) {
     const key = `${task}#${attempt}`
+    if (this.losesPowerAtStart) return this.losePower()
     if (deadlineMs <= this.clockMs) return send(res, CONFLICT, { clock_ms: this.clockMs, reason: 'late' })
     this.extend(deadlineMs)
     if (this.runs.has(key)) return send(res, 200, { clock_ms: this.clockMs })
@@ -192,6 +230,12 @@
 const all = new Map(minions.map(settings => [settings.id, new Minion(settings)]))
 
 /** Orders of the script that started this process. */
-process.on('message', ({ id, crashForMs }) => { all.get(id).crashFor(crashForMs) })
+process.on('message', ({ id, crashForMs, losesPowerAtStart, cut, lateByMs }) => {
+  const minion = all.get(id)
+  if (crashForMs !== undefined) minion.crashFor(crashForMs)
+  if (losesPowerAtStart) minion.losesPowerAtStart = true
+  if (cut) minion.cutFor(cut)
+  if (lateByMs !== undefined) minion.lateByMs = lateByMs ?? undefined
+})
 process.send?.({ ready: true })
 process.once('disconnect', () => process.exit())
